--- /dev/null
+++ b/crates/pointvane-balance/src/lib.rs
@@ -0,0 +1,25 @@
+//! The decisions of pointvane, free of I/O, threads, clocks and ambient randomness.
+//!
+//! Events and the time come in, decisions go out. One [`ServiceBalancer`] decides for one service at one
+//! entry VM; one [`KeyTable`] remembers the non-repeatable work of one entry incarnation.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod admission;
+mod budget;
+mod chooser;
+mod estimate;
+mod evidence;
+mod health;
+mod keys;
+mod service;
+mod upstream;
+
+pub use {
+    admission::{Admission, Arrival, Waiting},
+    budget::TokenBucket,
+    keys::{Kept, KeyDecision, KeyEnd, KeyTable, KeyTableOptions},
+    service::{
+        AttemptEnd, AttemptResult, Decision, Dispatch, ObservationSource, ServiceBalancer, UpstreamSummary,
+    },
+};
--- /dev/null
+++ b/crates/pointvane-balance/src/upstream.rs
@@ -0,0 +1,126 @@
+//! All that one entry VM knows of one upstream.
+
+use {
+    crate::{
+        estimate::{OthersEstimate, ServiceMean},
+        evidence::Evidence,
+        health::Health,
+    },
+    pointvane_config::{EjectionOptions, Upstream},
+    pointvane_core::US_PER_MS,
+};
+
+/// Share of each new answer time in the running mean.
+const LATENCY_SHARE: f32 = 0.1;
+/// Time in which half of an upstream's slowness is forgotten.
+const SLOWNESS_HALF_LIFE_US: f32 = (300 * US_PER_MS) as f32;
+const SLOWNESS_MAX: f32 = 8.0;
+/// How much a failing upstream is made to look loaded.
+const FAILURE_WEIGHT: f32 = 10.0;
+/// Share of its limit that an upstream keeps when it sheds a request.
+const SHED_FACTOR: f32 = 0.7;
+/// Growth of that share with each success.
+const SHED_RECOVERY: f32 = 0.02;
+
+/// All that one entry VM knows of one upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamState {
+    /// What the configuration says of it.
+    pub upstream: Upstream,
+    /// This entry VM's own requests at it.
+    pub own: u16,
+    /// Others' requests at it, from totals that it reports.
+    pub others: OthersEstimate,
+    /// Whether it is leaving.
+    pub evidence: Evidence,
+    /// Failures and ejection.
+    pub health: Health,
+    latency_us: f32,
+    latency_at_us: u64,
+    limit_share: f32,
+}
+
+/// What a score is worked out with.
+#[derive(Clone, Copy, Debug)]
+pub struct ScoreContext<'a> {
+    /// The time.
+    pub now_us: u64,
+    /// Half-life of trust in observations.
+    pub half_life_us: f32,
+    /// The service's mean of others' requests.
+    pub mean: &'a ServiceMean,
+    /// The service's running mean of answer times.
+    pub latency_us: f32,
+    /// Rules of ejection and warm-up.
+    pub ejection: &'a EjectionOptions,
+}
+
+impl UpstreamState {
+    /// Knowledge of an upstream nothing was heard of.
+    pub fn new(upstream: Upstream, health: Health) -> Self {
+        Self {
+            upstream,
+            own: 0,
+            others: OthersEstimate::default(),
+            evidence: Evidence::default(),
+            health,
+            latency_us: 0.0,
+            latency_at_us: 0,
+            limit_share: 1.0,
+        }
+    }
+
+    /// Requests of all entry VMs at this upstream, as far as known.
+    pub fn total(&self, context: &ScoreContext<'_>) -> f32 {
+        let mean = context.mean.expected(self.upstream.slots);
+        f32::from(self.own)
+            + self
+                .others
+                .at(context.now_us, context.half_life_us, mean)
+                .max(0.0)
+    }
+
+    /// Expected wait of one more request, in slots' turns; smaller is better.
+    pub fn score(&self, context: &ScoreContext<'_>) -> f32 {
+        let queue = (self.total(context) + 1.0) / f32::from(self.upstream.slots);
+        let failing = 1.0 + FAILURE_WEIGHT * self.health.failure_rate();
+        queue * failing * self.slowness(context) / self.health.weight(context.now_us, context.ejection)
+    }
+
+    /// Whether one more request stays within slots and queue, shrunk while the upstream sheds or warms up.
+    pub fn has_room(&self, context: &ScoreContext<'_>, queue: u16) -> bool {
+        if self.health.on_trial() && self.own > 0 {
+            return false;
+        }
+        let weight = self.health.weight(context.now_us, context.ejection);
+        let limit = f32::from(self.upstream.slots + queue) * self.limit_share * weight;
+        self.total(context) + 1.0 <= limit.max(1.0)
+    }
+
+    /// Takes the time of a whole answer, queueing at the upstream taken out by `queue_turns`.
+    pub fn answered(&mut self, latency_us: f32, now_us: u64) {
+        let share = if self.latency_us == 0.0 {
+            1.0
+        } else {
+            LATENCY_SHARE
+        };
+        self.latency_us += (latency_us - self.latency_us) * share;
+        self.latency_at_us = now_us;
+        self.limit_share = (self.limit_share + SHED_RECOVERY).min(1.0);
+    }
+
+    /// Takes a refusal by the upstream for overload.
+    pub fn shed(&mut self) {
+        self.limit_share = (self.limit_share * SHED_FACTOR).max(1.0 / f32::from(self.upstream.slots));
+    }
+
+    fn slowness(&self, context: &ScoreContext<'_>) -> f32 {
+        if self.latency_us == 0.0 || context.latency_us == 0.0 {
+            return 1.0;
+        }
+        let age_us = context.now_us.saturating_sub(self.latency_at_us) as f32;
+        let trust = SLOWNESS_HALF_LIFE_US / (SLOWNESS_HALF_LIFE_US + age_us);
+        let ratio = (self.latency_us / context.latency_us).clamp(1.0, SLOWNESS_MAX);
+        1.0 + (ratio - 1.0) * trust
+    }
+}
--- /dev/null
+++ b/crates/pointvane-config/src/pack.rs
@@ -0,0 +1,87 @@
+//! The one value that operators publish: a configuration with its digest.
+//!
+//! Shape: JSON `{"digest": "<sha-256 hex>", "configuration": {...}}`; the digest is of the configuration's
+//! compact JSON. One value is whole or not at all.
+
+use {
+    crate::configuration::Configuration,
+    serde::{Deserialize, Serialize},
+    sha2::{Digest, Sha256},
+    std::fmt,
+};
+
+/// The platform's limit on one value, in bytes.
+pub const PACKED_LIMIT_BYTES: usize = 1_000_000;
+
+/// A configuration with its digest.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Packed {
+    /// SHA-256 of the configuration's compact JSON, as hex.
+    pub digest: String,
+    /// The configuration.
+    pub configuration: Configuration,
+}
+
+/// Why a value cannot be packed or unpacked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PackError {
+    /// It is larger than the platform's limit.
+    TooLarge {
+        /// Its size.
+        bytes: usize,
+    },
+    /// It is no JSON of the expected shape.
+    Malformed,
+    /// The digest does not match.
+    Damaged,
+}
+
+impl fmt::Display for PackError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge { bytes } => write!(f, "{bytes} bytes; the limit is {PACKED_LIMIT_BYTES}"),
+            Self::Malformed => f.write_str("not a packed configuration"),
+            Self::Damaged => f.write_str("the digest does not match"),
+        }
+    }
+}
+
+impl std::error::Error for PackError {}
+
+/// Packs a configuration into the value to publish.
+///
+/// # Errors
+/// [`PackError::TooLarge`] when it exceeds the platform's limit.
+pub fn pack(configuration: &Configuration) -> Result<Vec<u8>, PackError> {
+    let digest = digest(configuration)?;
+    let packed = Packed {
+        digest,
+        configuration: configuration.clone(),
+    };
+    let value = serde_json::to_vec(&packed).map_err(|_| PackError::Malformed)?;
+    if value.len() > PACKED_LIMIT_BYTES {
+        return Err(PackError::TooLarge { bytes: value.len() });
+    }
+    Ok(value)
+}
+
+/// Reads a published value, whole or not at all.
+///
+/// # Errors
+/// A [`PackError`] when any part of it is wrong.
+pub fn unpack(value: &[u8]) -> Result<Packed, PackError> {
+    if value.len() > PACKED_LIMIT_BYTES {
+        return Err(PackError::TooLarge { bytes: value.len() });
+    }
+    let packed: Packed = serde_json::from_slice(value).map_err(|_| PackError::Malformed)?;
+    if digest(&packed.configuration)? != packed.digest {
+        return Err(PackError::Damaged);
+    }
+    Ok(packed)
+}
+
+fn digest(configuration: &Configuration) -> Result<String, PackError> {
+    let bytes = serde_json::to_vec(configuration).map_err(|_| PackError::Malformed)?;
+    let hash = Sha256::digest(&bytes);
+    Ok(hash.iter().map(|byte| format!("{byte:02x}")).collect())
+}
--- /dev/null
+++ b/crates/pointvane-config/src/service_file.rs
@@ -0,0 +1,155 @@
+//! Reading of one service's file.
+
+use crate::{
+    configuration::{
+        AdmissionOptions, EjectionOptions, HedgeOptions, LoadOptions, Policy, RetryOptions, Route, Service,
+        Upstream,
+    },
+    reader::Section,
+};
+
+const DEADLINE_MS_DEFAULT: u64 = 10_000;
+const DEADLINE_MS_MAX: u64 = 3_600_000;
+
+/// Reads a service from its file's top table.
+pub fn read_service(top: &Section<'_, '_>) -> Service {
+    top.only(&[
+        "admission",
+        "deadline_ms",
+        "ejection",
+        "hedge",
+        "home_vms",
+        "hosts",
+        "load",
+        "name",
+        "path_prefix",
+        "policy",
+        "retry",
+        "slots",
+        "upstream",
+    ]);
+    let slots = top.integer("slots", 1..=10_000, Some(1));
+    let upstreams: Vec<_> = top
+        .sections("upstream")
+        .iter()
+        .filter_map(|s| read_upstream(s, slots))
+        .collect();
+    if upstreams.is_empty() {
+        top.fault(
+            "upstream",
+            "the service has no usable upstream",
+            "add at least one [[upstream]]",
+        );
+    }
+    Service {
+        name: top.text("name", "dispatch").as_str().into(),
+        route: read_route(top),
+        policy: top.choice("policy", &Policy::NAMES, Policy::Shared),
+        deadline_ms: top.integer("deadline_ms", 1..=DEADLINE_MS_MAX, Some(DEADLINE_MS_DEFAULT)),
+        home_vms: top.integer("home_vms", 0..=10_000, Some(0)),
+        upstreams,
+        load: read_load(&top.section("load")),
+        admission: read_admission(&top.section("admission")),
+        retry: read_retry(&top.section("retry")),
+        hedge: read_hedge(&top.section("hedge")),
+        ejection: read_ejection(&top.section("ejection")),
+    }
+}
+
+fn read_route(top: &Section<'_, '_>) -> Route {
+    let hosts = top
+        .texts("hosts")
+        .iter()
+        .map(|host| host.as_str().into())
+        .collect();
+    let path_prefix = top.text("path_prefix", "/dispatch");
+    if !path_prefix.is_empty() && !path_prefix.starts_with('/') {
+        top.fault(
+            "path_prefix",
+            "does not start with /",
+            "write it like \"/dispatch\"",
+        );
+    }
+    Route {
+        hosts,
+        path_prefix: path_prefix.as_str().into(),
+    }
+}
+
+fn read_upstream(section: &Section<'_, '_>, slots: u16) -> Option<Upstream> {
+    section.only(&["address", "data_centre", "name", "slots"]);
+    let name = section.text("name", "dispatch-1");
+    let data_centre = section.text("data_centre", "ub-1");
+    let slots = section.integer("slots", 1..=10_000, Some(slots));
+    let address = section.parsed("address", "10.0.0.7:8080")?;
+    Some(Upstream {
+        name: name.as_str().into(),
+        data_centre: data_centre.as_str().into(),
+        address,
+        slots,
+    })
+}
+
+fn read_load(section: &Section<'_, '_>) -> LoadOptions {
+    section.only(&[
+        "choices",
+        "evidence_ms",
+        "half_life_ms",
+        "probe_path",
+        "probes_per_s",
+        "use_reports",
+    ]);
+    let default = LoadOptions::default();
+    LoadOptions {
+        choices: section.integer("choices", 1..=16, Some(default.choices)),
+        half_life_ms: section.integer("half_life_ms", 1..=60_000, Some(default.half_life_ms)),
+        use_reports: section.flag("use_reports", default.use_reports),
+        probes_per_s: section.number("probes_per_s", 0.0..=1_000.0, default.probes_per_s),
+        probe_path: section
+            .text_or("probe_path", default.probe_path.as_str())
+            .as_str()
+            .into(),
+        evidence_ms: section.integer("evidence_ms", 100..=60_000, Some(default.evidence_ms)),
+    }
+}
+
+fn read_admission(section: &Section<'_, '_>) -> AdmissionOptions {
+    section.only(&["queue_max", "routine_every", "upstream_queue", "wait_max_ms"]);
+    let default = AdmissionOptions::default();
+    AdmissionOptions {
+        upstream_queue: section.integer("upstream_queue", 0..=1_000, Some(default.upstream_queue)),
+        queue_max: section.integer("queue_max", 0..=100_000, Some(default.queue_max)),
+        wait_max_ms: section.integer("wait_max_ms", 0..=60_000, Some(default.wait_max_ms)),
+        routine_every: section.integer("routine_every", 1..=100, Some(default.routine_every)),
+    }
+}
+
+fn read_retry(section: &Section<'_, '_>) -> RetryOptions {
+    section.only(&["attempts_max", "budget_share"]);
+    let default = RetryOptions::default();
+    RetryOptions {
+        attempts_max: section.integer("attempts_max", 1..=10, Some(default.attempts_max)),
+        budget_share: section.number("budget_share", 0.0..=1.0, default.budget_share),
+    }
+}
+
+fn read_hedge(section: &Section<'_, '_>) -> HedgeOptions {
+    section.only(&["after_factor", "budget_share", "slack_share"]);
+    let default = HedgeOptions::default();
+    HedgeOptions {
+        budget_share: section.number("budget_share", 0.0..=1.0, default.budget_share),
+        after_factor: section.number("after_factor", 1.0..=100.0, default.after_factor),
+        slack_share: section.number("slack_share", 0.0..=1.0, default.slack_share),
+    }
+}
+
+fn read_ejection(section: &Section<'_, '_>) -> EjectionOptions {
+    section.only(&["base_ms", "failures", "share_max", "warm_up_ms"]);
+    let default = EjectionOptions::default();
+    EjectionOptions {
+        failures: section.integer("failures", 1..=100, Some(default.failures)),
+        base_ms: section.integer("base_ms", 1..=600_000, Some(default.base_ms)),
+        share_max: section.number("share_max", 0.0..=1.0, default.share_max),
+        warm_up_ms: section.integer("warm_up_ms", 0..=600_000, Some(default.warm_up_ms)),
+    }
+}
--- /dev/null
+++ b/crates/pointvane-control/src/counters.rs
@@ -0,0 +1,58 @@
+//! Counters of the control process; docs/METRICS.md lists them.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Meter},
+};
+
+/// Counters of the control process.
+#[derive(Clone, Debug)]
+pub struct Counters {
+    sent_bytes: Counter<u64>,
+    sent_datagrams: Counter<u64>,
+    dropped: Counter<u64>,
+    platform_reads: Counter<u64>,
+    fetched_bytes: Counter<u64>,
+    served_bytes: Counter<u64>,
+}
+
+impl Counters {
+    /// The instruments of one process.
+    pub fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        Self {
+            sent_bytes: counter("pointvane_gossip_sent_bytes"),
+            sent_datagrams: counter("pointvane_gossip_sent_datagrams"),
+            dropped: counter("pointvane_gossip_dropped_datagrams"),
+            platform_reads: counter("pointvane_platform_reads"),
+            fetched_bytes: counter("pointvane_values_fetched_bytes"),
+            served_bytes: counter("pointvane_values_served_bytes"),
+        }
+    }
+
+    /// A datagram was sent; `bytes` counts the IP and UDP heads.
+    pub fn sent(&self, bytes: usize) {
+        self.sent_datagrams.add(1, &[]);
+        self.sent_bytes.add(bytes as u64, &[]);
+    }
+
+    /// A datagram was dropped.
+    pub fn dropped(&self) {
+        self.dropped.add(1, &[]);
+    }
+
+    /// The platform was asked once.
+    pub fn platform_read(&self, key: &'static str) {
+        self.platform_reads.add(1, &[KeyValue::new("key", key)]);
+    }
+
+    /// A value came from a peer.
+    pub fn fetched(&self, bytes: usize) {
+        self.fetched_bytes.add(bytes as u64, &[]);
+    }
+
+    /// A value went to a peer.
+    pub fn served(&self, bytes: usize) {
+        self.served_bytes.add(bytes as u64, &[]);
+    }
+}
--- /dev/null
+++ b/crates/pointvane-control/src/main.rs
@@ -0,0 +1,13 @@
+//! The program `pointvane-control`.
+#![forbid(unsafe_code)]
+
+use {
+    clap::Parser,
+    pointvane_telemetry::{Program, ProgramArgs, settings_logger},
+};
+
+fn main() -> eyre::Result<()> {
+    let settings = ProgramArgs::parse().settings();
+    let log = settings_logger(Program::Control, &settings);
+    pointvane_control::run(settings, log)
+}
--- /dev/null
+++ b/crates/pointvane-control/src/run.rs
@@ -0,0 +1,87 @@
+//! The life of the process.
+
+use {
+    crate::{
+        counters::Counters,
+        fetch::{fetch_ordered, keep_in_step},
+        gossip::gossip,
+        platform::HttpPlatform,
+        reader::Reader,
+        serve::serve,
+        state::{State, ValueKind},
+    },
+    eyre::{Result, WrapErr},
+    pointvane_config::Settings,
+    pointvane_telemetry::{EventKind, EventLog, Metrics, Program, serve_operator},
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        flag,
+    },
+    std::{
+        net::{SocketAddr, TcpListener, UdpSocket},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+            mpsc,
+        },
+        thread,
+        time::Duration,
+    },
+};
+
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Runs the control until it is stopped.
+///
+/// # Errors
+/// When it cannot start.
+pub fn run(settings: Settings, log: slog::Logger) -> Result<()> {
+    let stop = Arc::new(AtomicBool::new(false));
+    flag::register(SIGTERM, Arc::clone(&stop))?;
+    flag::register(SIGINT, Arc::clone(&stop))?;
+
+    let address = SocketAddr::new(settings.vm.address, settings.control.port);
+    let socket = UdpSocket::bind(address).wrap_err_with(|| format!("control port {address}"))?;
+    let listener = TcpListener::bind(address).wrap_err_with(|| format!("control port {address}"))?;
+    let operator = SocketAddr::new(settings.vm.address, settings.operator.control_port);
+    let metrics = Arc::new(Metrics::new()?);
+    let events = Arc::new(EventLog::new(settings.vm.name.clone(), Program::Control, log));
+    let counters = Counters::new(&metrics.meter());
+    let (fetches, orders) = mpsc::channel();
+    let platform_address = settings.platform.address;
+    let state = State::new(
+        settings,
+        Arc::clone(&events),
+        counters,
+        socket.try_clone()?,
+        fetches,
+    );
+    let state = Arc::new(state);
+    let _operator = serve_operator(operator, metrics, Arc::clone(&events), Arc::clone(&state))?;
+
+    spawn(&state, move |state| fetch_ordered(state, &orders));
+    spawn(&state, keep_in_step);
+    for kind in [ValueKind::Configuration, ValueKind::VmList] {
+        let platform = HttpPlatform::new(platform_address);
+        spawn(&state, move |state| Reader::new(state, platform, kind).run());
+    }
+    let serving = Arc::clone(&state);
+    thread::spawn(move || serve(&serving, &listener));
+    let stop_gossip = Arc::clone(&stop);
+    spawn(&state, move |state| gossip(state, &socket, &stop_gossip));
+    events.note(EventKind::Started);
+
+    while !stop.load(Ordering::Relaxed) {
+        thread::sleep(LOOK);
+    }
+    events.note(EventKind::Stopping { in_flight: 0 });
+    state.leave();
+    events.note(EventKind::Stopped { cut: 0 });
+    thread::sleep(LOOK);
+    Ok(())
+}
+
+fn spawn(state: &Arc<State>, work: impl FnOnce(&State) + Send + 'static) {
+    let state = Arc::clone(state);
+    thread::spawn(move || work(&state));
+}
--- /dev/null
+++ b/crates/pointvane-entry/src/ask.rs
@@ -0,0 +1,73 @@
+//! Asking upstreams for their load report, where callers' own traffic does not tell enough.
+
+use {
+    crate::{body::RequestBody, entry::Entry, forward::load_report, service::ServiceHandle},
+    http_body_util::BodyExt,
+    hyper::{Request, header::HOST},
+    pointvane_core::{LoadReport, Name},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::{interval, timeout},
+};
+
+const TICK: Duration = Duration::from_millis(5);
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Ticks between two looks for changes worth an event.
+const SHOW_EVERY: u64 = 20;
+
+/// Looks after waiting requests, asks that are due, and the time line, for as long as the process lives.
+pub async fn look_after(entry: Arc<Entry>) {
+    let mut ticks = interval(TICK);
+    for tick in 0_u64.. {
+        ticks.tick().await;
+        for service in &entry.routes().services {
+            look_after_service(&entry, service);
+        }
+        if tick.is_multiple_of(SHOW_EVERY) {
+            entry.show_upstreams();
+        }
+    }
+}
+
+fn look_after_service(entry: &Arc<Entry>, service: &Arc<ServiceHandle>) {
+    loop {
+        let due = {
+            let mut balancer = service.lock();
+            let index = balancer.next_ask(service.now_us());
+            index.map(|index| {
+                (
+                    index,
+                    balancer.upstream(index).address,
+                    balancer.service().load.probe_path.clone(),
+                )
+            })
+        };
+        let Some((index, address, path)) = due else { break };
+        entry.counters.asked();
+        let (entry, service) = (Arc::clone(entry), Arc::clone(service));
+        tokio::spawn(async move {
+            let report = timeout(ASK_TIMEOUT, ask(&entry, address, &path)).await;
+            if let Ok(Some(report)) = report {
+                service.lock().reported(index, report, service.now_us());
+                service.pump();
+            }
+        });
+    }
+    if service.lock().waiting() > 0 {
+        service.pump();
+    }
+}
+
+/// One upstream's load report; none if it gives no usable one.
+async fn ask(entry: &Entry, address: SocketAddr, path: &Name) -> Option<LoadReport> {
+    let mut connection = entry.connections.get(address).await.ok()?;
+    let mut request = Request::new(RequestBody::Empty);
+    *request.uri_mut() = path.as_str().parse().ok()?;
+    request
+        .headers_mut()
+        .insert(HOST, address.to_string().parse().ok()?);
+    let response = connection.send(request).await.ok()?;
+    let report = load_report(&response);
+    response.into_body().collect().await.ok()?;
+    connection.keep();
+    report
+}
--- /dev/null
+++ b/crates/pointvane-entry/src/counters.rs
@@ -0,0 +1,114 @@
+//! Counters and histograms of the data path; docs/METRICS.md lists them.
+
+use {
+    opentelemetry::{
+        KeyValue,
+        metrics::{Counter, Histogram, Meter},
+    },
+    pointvane_core::{Class, ErrorKind, Name},
+};
+
+/// Bounds of the time histograms, in seconds.
+const TIME_BOUNDS_S: [f64; 14] = [
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
+];
+
+/// Counters and histograms of the data path.
+#[derive(Clone, Debug)]
+pub struct Counters {
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    attempts: Counter<u64>,
+    retries: Counter<u64>,
+    hedges: Counter<u64>,
+    asks: Counter<u64>,
+    load_bytes: Counter<u64>,
+    load_datagrams: Counter<u64>,
+    load_dropped: Counter<u64>,
+    request_s: Histogram<f64>,
+    upstream_s: Histogram<f64>,
+}
+
+impl Counters {
+    /// The instruments of one process.
+    pub fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let histogram = |name: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_boundaries(TIME_BOUNDS_S.to_vec())
+                .build()
+        };
+        Self {
+            requests: counter("pointvane_requests"),
+            refusals: counter("pointvane_refusals"),
+            attempts: counter("pointvane_attempts"),
+            retries: counter("pointvane_retries"),
+            hedges: counter("pointvane_hedges"),
+            asks: counter("pointvane_asks"),
+            load_bytes: counter("pointvane_load_sent_bytes"),
+            load_datagrams: counter("pointvane_load_sent_datagrams"),
+            load_dropped: counter("pointvane_load_dropped_datagrams"),
+            request_s: histogram("pointvane_request"),
+            upstream_s: histogram("pointvane_upstream"),
+        }
+    }
+
+    /// A request got the head of its answer, `time_s` after it was read.
+    pub fn answered(&self, service: &Name, class: Class, time_s: f64) {
+        let labels = [service_label(service), KeyValue::new("class", class.as_str())];
+        self.requests.add(1, &labels);
+        self.request_s.record(time_s, &labels);
+    }
+
+    /// A request was answered by the table of error kinds.
+    pub fn refused(&self, kind: ErrorKind) {
+        let row = kind.answer();
+        let labels = [
+            KeyValue::new("error", row.name),
+            KeyValue::new("outcome", row.outcome.as_str()),
+        ];
+        self.refusals.add(1, &labels);
+    }
+
+    /// A request goes to an upstream.
+    pub fn attempted(&self) {
+        self.attempts.add(1, &[]);
+    }
+
+    /// A request goes to another upstream.
+    pub fn retried(&self) {
+        self.retries.add(1, &[]);
+    }
+
+    /// A request goes to a second upstream as well.
+    pub fn hedged(&self) {
+        self.hedges.add(1, &[]);
+    }
+
+    /// An upstream is asked for its load.
+    pub fn asked(&self) {
+        self.asks.add(1, &[]);
+    }
+
+    /// An upstream gave the head of an answer after this time.
+    pub fn upstream_took(&self, service: &Name, time_s: f64) {
+        self.upstream_s.record(time_s, &[service_label(service)]);
+    }
+
+    /// A load datagram was sent; `bytes` counts the IP and UDP heads.
+    pub fn load_sent(&self, bytes: usize) {
+        self.load_datagrams.add(1, &[]);
+        self.load_bytes.add(bytes as u64, &[]);
+    }
+
+    /// A load datagram was dropped.
+    pub fn load_dropped(&self, reason: &'static str) {
+        self.load_dropped.add(1, &[KeyValue::new("reason", reason)]);
+    }
+}
+
+fn service_label(service: &Name) -> KeyValue {
+    KeyValue::new("service", std::sync::Arc::<str>::from(service))
+}
--- /dev/null
+++ b/crates/pointvane-entry/src/exchange.rs
@@ -0,0 +1,126 @@
+//! Telling and hearing load between entry VMs, over UDP.
+
+use {
+    crate::entry::Entry,
+    pointvane_core::Clock,
+    pointvane_mesh::{
+        LoadDatagram, LoadListener, LoadSpeaker, LoadSpeakerOptions, PeerId, Rejected, ServiceLoad, codec,
+    },
+    rand::seq::IteratorRandom,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::UdpSocket, time::interval},
+};
+
+const TICK: Duration = Duration::from_millis(1);
+/// Ticks between two looks at the list of members.
+const MEMBERS_EVERY: u64 = 100;
+
+/// Tells and hears load for as long as the process lives.
+pub async fn exchange(entry: Arc<Entry>, socket: UdpSocket) {
+    let socket = Arc::new(socket);
+    tokio::join!(
+        speak(Arc::clone(&entry), Arc::clone(&socket)),
+        listen(entry, socket)
+    );
+}
+
+async fn speak(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
+    let mut ticks = interval(TICK);
+    let now_us = entry.clock.now_us();
+    let mut speaker = LoadSpeaker::new(LoadSpeakerOptions::default(), entry.incarnation, now_us);
+    let mut peers: Vec<SocketAddr> = Vec::new();
+    for tick in 0_u64.. {
+        ticks.tick().await;
+        if tick.is_multiple_of(MEMBERS_EVERY) {
+            peers = entry.members().load_peers().collect();
+        }
+        speak_once(&entry, &socket, &mut speaker, &peers).await;
+    }
+}
+
+async fn speak_once(entry: &Entry, socket: &UdpSocket, speaker: &mut LoadSpeaker, peers: &[SocketAddr]) {
+    let now_us = entry.clock.now_us();
+    let round = speaker.round_size(peers.len(), now_us);
+    if round == 0 {
+        return;
+    }
+    let routes = entry.routes();
+    let services = gather(entry, speaker.observations_max());
+    if services.is_empty() {
+        return;
+    }
+    let Some(bytes) = speaker.speak(routes.revision, entry.requests(), services, round, now_us) else {
+        return;
+    };
+    let targets = peers.iter().choose_multiple(&mut rand::rng(), round);
+    for target in targets {
+        if socket.send_to(&bytes, target).await.is_ok() {
+            entry.counters.load_sent(bytes.len() + codec::UDP_HEAD_BYTES);
+        }
+    }
+}
+
+/// What is worth telling, the services in turn of their order.
+fn gather(entry: &Entry, observations_max: usize) -> Vec<ServiceLoad> {
+    let mut left = observations_max;
+    let mut services = Vec::new();
+    for (position, service) in entry.routes().services.iter().enumerate() {
+        let observations = service.lock().news(left, service.now_us());
+        left -= observations.len();
+        if !observations.is_empty() {
+            services.push(ServiceLoad {
+                position: position as u16,
+                observations,
+            });
+        }
+        if left == 0 {
+            break;
+        }
+    }
+    services
+}
+
+async fn listen(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
+    let mut listener = LoadListener::default();
+    let mut members_until_us = 0;
+    let mut buffer = [0; codec::DATAGRAM_LIMIT_BYTES];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let now_us = entry.clock.now_us();
+        if now_us >= members_until_us {
+            listener.set_members(&entry.members().addresses());
+            members_until_us = now_us + MEMBERS_EVERY * TICK.as_micros() as u64;
+        }
+        match listener.receive(from.ip(), &buffer[..length]) {
+            Ok((peer, datagram)) => hear(&entry, peer, &datagram),
+            Err(Rejected::Malformed) => entry.counters.load_dropped("malformed"),
+            Err(Rejected::Stranger) => entry.counters.load_dropped("stranger"),
+            Err(Rejected::Late) => entry.counters.load_dropped("late"),
+        }
+    }
+}
+
+fn hear(entry: &Entry, peer: PeerId, datagram: &LoadDatagram) {
+    let routes = entry.routes();
+    if datagram.revision != routes.revision {
+        return entry.counters.load_dropped("revision");
+    }
+    for load in &datagram.services {
+        let Some(service) = routes.services.get(usize::from(load.position)) else {
+            continue;
+        };
+        let waiting = {
+            let now_us = service.now_us();
+            let mut balancer = service.lock();
+            load.observations
+                .iter()
+                .for_each(|observation| balancer.heard(peer, observation, now_us));
+            balancer.waiting()
+        };
+        if waiting > 0 {
+            service.pump();
+        }
+    }
+}
--- /dev/null
+++ b/crates/pointvane-entry/src/feed.rs
@@ -0,0 +1,52 @@
+//! What this VM's control tells the entry.
+
+use {
+    crate::{entry::Entry, members::Members},
+    pointvane_config::unpack,
+    pointvane_feed::FeedUser,
+    pointvane_mesh::{EntryReport, FeedRole, FeedUpdate, Stored},
+    pointvane_telemetry::EventKind,
+};
+
+impl FeedUser for Entry {
+    const ROLE: FeedRole = FeedRole::Entry;
+
+    fn update(&self, update: FeedUpdate) {
+        match update {
+            FeedUpdate::Configuration(stored) => take_configuration(self, &stored),
+            FeedUpdate::Members(rows) => self.set_members(Members::new(rows, &self.settings.vm.name)),
+            FeedUpdate::VmList(list) => self.listed(&list),
+            FeedUpdate::Beat => {}
+        }
+    }
+
+    fn connected(&self, connected: bool) {
+        self.events.note(if connected {
+            EventKind::FeedBack
+        } else {
+            EventKind::FeedLost
+        });
+    }
+
+    fn report(&self) -> Option<EntryReport> {
+        let (incarnation, requests) = (self.incarnation, self.requests());
+        Some(EntryReport {
+            incarnation,
+            requests,
+            leaving: self.is_stopping(),
+        })
+    }
+}
+
+/// Puts a configuration in force unless an equal or later one is; a restarted control may know less.
+fn take_configuration(entry: &Entry, stored: &Stored) {
+    let Ok(packed) = unpack(&stored.value) else { return };
+    let (revision, index) = (stored.stamp.revision, stored.stamp.index);
+    if !entry.advance(stored.stamp) {
+        return;
+    }
+    entry.configure(&packed.configuration);
+    entry
+        .events
+        .note(EventKind::ConfigurationAccepted { revision, index });
+}
--- /dev/null
+++ b/crates/pointvane-entry/src/handle.rs
@@ -0,0 +1,73 @@
+//! One request through all stages.
+
+use {
+    crate::{
+        admit::admit,
+        answer::{close_after, pass, refuse},
+        body::{AnswerBody, RequestBody},
+        classify::{Classified, classify},
+        entry::Entry,
+        forward::{Outgoing, forward},
+        keyed::serve_keyed,
+    },
+    hyper::{Request, Response, body::Incoming, http::request::Parts},
+    pointvane_core::{Clock, ErrorKind, US_PER_S},
+    std::{convert::Infallible, sync::Arc},
+};
+
+/// Seconds after which to come back when no service says otherwise.
+const RETRY_AFTER_S: u64 = 1;
+
+/// Serves one request; an error kind becomes its answer here and nowhere else.
+pub async fn handle(
+    entry: Arc<Entry>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let (head, incoming) = request.into_parts();
+    let now_us = entry.clock.now_us();
+    let mut retry_after_s = RETRY_AFTER_S;
+    let served = match classify(&head, &entry.routes(), now_us) {
+        Ok(request) => {
+            retry_after_s = request.service.lock().retry_after_s();
+            serve(&entry, request, head, RequestBody::new(incoming), now_us).await
+        }
+        Err(kind) => Err(kind),
+    };
+    let mut response = served.unwrap_or_else(|kind| {
+        entry.counters.refused(kind);
+        refuse(kind, retry_after_s)
+    });
+    if entry.is_stopping() {
+        close_after(&mut response);
+    }
+    Ok(response)
+}
+
+async fn serve(
+    entry: &Arc<Entry>,
+    request: Classified,
+    head: Parts,
+    body: RequestBody,
+    arrived_us: u64,
+) -> Result<Response<AnswerBody>, ErrorKind> {
+    let (service, class) = (Arc::clone(&request.service), request.class);
+    let response = match request.key.clone() {
+        Some(key) => serve_keyed(entry, request, head, body, key).await?,
+        None => serve_repeatable(entry, &request, head, body).await?,
+    };
+    let time_s = entry.clock.now_us().saturating_sub(arrived_us) as f64 / US_PER_S as f64;
+    entry.counters.answered(&service.name, class, time_s);
+    Ok(response)
+}
+
+async fn serve_repeatable(
+    entry: &Entry,
+    request: &Classified,
+    head: Parts,
+    body: RequestBody,
+) -> Result<Response<AnswerBody>, ErrorKind> {
+    let attempt = admit(request).await?;
+    let outgoing = Outgoing::new(request, head);
+    let response = forward(&outgoing, body, attempt, &entry.connections, &entry.counters).await?;
+    Ok(pass(response))
+}
--- /dev/null
+++ b/crates/pointvane-entry/src/keyed.rs
@@ -0,0 +1,223 @@
+//! The path of work that may not be repeated: its key decides whether, where and how often it runs.
+//!
+//! The run is a task of its own, so that a caller who goes away cancels nothing that a repeat may join.
+
+use {
+    crate::{
+        admit::admit,
+        answer::{mark_answered, refuse},
+        body::{AnswerBody, RequestBody, UpstreamBody},
+        classify::Classified,
+        entry::Entry,
+        forward::{Outgoing, forward},
+    },
+    bytes::{Bytes, BytesMut},
+    http_body_util::BodyExt,
+    hyper::{HeaderMap, Response, StatusCode, http::request::Parts},
+    pointvane_balance::{Kept, KeyDecision, KeyEnd},
+    pointvane_core::{ErrorKind, IdempotencyKey, Incarnation, Name, Outcome, header},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+    },
+    tokio::sync::oneshot,
+};
+
+/// Largest answer that is kept for repeats, in bytes.
+const KEPT_ANSWER_LIMIT_BYTES: usize = 256 << 10;
+
+/// Where a request hears the end of its key's run.
+pub type Joiner = oneshot::Sender<Response<AnswerBody>>;
+
+/// An answer kept for repeats.
+#[derive(Debug)]
+pub struct KeptAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Kept for KeptAnswer {
+    fn size_bytes(&self) -> usize {
+        let headers: usize = self
+            .headers
+            .iter()
+            .map(|(name, value)| name.as_str().len() + value.len())
+            .sum();
+        headers + self.body.len()
+    }
+}
+
+impl KeptAnswer {
+    fn response(&self) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::whole(self.body.clone()));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers.clone();
+        response
+    }
+}
+
+/// Serves a request that carries a key.
+///
+/// # Errors
+/// Why it is not answered.
+pub async fn serve_keyed(
+    entry: &Arc<Entry>,
+    request: Classified,
+    head: Parts,
+    body: RequestBody,
+    key: IdempotencyKey,
+) -> Result<Response<AnswerBody>, ErrorKind> {
+    let (joiner, told) = oneshot::channel();
+    let decision = entry.keys().begin(&key, joiner, entry.clock.since_start_ms());
+    match decision {
+        KeyDecision::Run(joiner) => {
+            entry.keyed_running.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(run(Arc::clone(entry), request, head, body, key, joiner));
+            told.await.map_err(|_| ErrorKind::UpstreamBroken)
+        }
+        KeyDecision::Joined => told.await.map_err(|_| ErrorKind::UpstreamBroken),
+        KeyDecision::Replay(answer) => Ok(answer.response()),
+        KeyDecision::Refuse(kind) => Err(kind),
+        KeyDecision::PassOn { vm, incarnation } => {
+            pass_on(entry, &request, head, body, &vm, incarnation).await
+        }
+    }
+}
+
+async fn run(
+    entry: Arc<Entry>,
+    request: Classified,
+    head: Parts,
+    body: RequestBody,
+    key: IdempotencyKey,
+    first: Joiner,
+) {
+    let outgoing = Outgoing::new(&request, head);
+    let answer = match admit(&request).await {
+        Ok(attempt) => forward(&outgoing, body, attempt, &entry.connections, &entry.counters).await,
+        Err(kind) => Err(kind),
+    };
+    let retry_after_s = request.service.lock().retry_after_s();
+    match answer {
+        Ok(response) => finish_answered(&entry, &key, first, response).await,
+        Err(kind) => finish_refused(&entry, &key, first, kind, retry_after_s),
+    }
+    entry.keyed_running.fetch_sub(1, Ordering::Relaxed);
+}
+
+fn finish_refused(entry: &Entry, key: &IdempotencyKey, first: Joiner, kind: ErrorKind, retry_after_s: u64) {
+    let end = match kind.answer().outcome {
+        Outcome::NotRun => KeyEnd::NotRun(kind),
+        Outcome::Unknown | Outcome::Answered => KeyEnd::Ran(None),
+    };
+    let joiners = entry.keys().finish(key, end);
+    for joiner in joiners.into_iter().chain([first]) {
+        // A caller that went away needs no answer.
+        let _ = joiner.send(refuse(kind, retry_after_s));
+    }
+}
+
+async fn finish_answered(
+    entry: &Entry,
+    key: &IdempotencyKey,
+    first: Joiner,
+    response: Response<UpstreamBody>,
+) {
+    let (mut parts, mut body) = response.into_parts();
+    mark_answered(&mut parts.headers);
+    let read = read_start(&mut body).await;
+    let (kept, own) = match read {
+        Start::Whole(bytes) => {
+            let kept = KeptAnswer {
+                status: parts.status,
+                headers: parts.headers,
+                body: bytes,
+            };
+            let own = kept.response();
+            (Some(Arc::new(kept)), own)
+        }
+        Start::Longer(bytes) => (
+            None,
+            Response::from_parts(parts, AnswerBody::Resumed(Some(bytes), body)),
+        ),
+        Start::Broken => (None, refuse(ErrorKind::UpstreamBroken, 0)),
+    };
+    let joiners = entry.keys().finish(key, KeyEnd::Ran(kept.clone()));
+    for joiner in joiners {
+        let answer = kept
+            .as_ref()
+            .map_or_else(|| refuse(ErrorKind::AnswerNotKept, 0), |kept| kept.response());
+        let _ = joiner.send(answer);
+    }
+    let _ = first.send(own);
+}
+
+enum Start {
+    Whole(Bytes),
+    Longer(Bytes),
+    Broken,
+}
+
+/// Reads a body up to the bound for kept answers.
+async fn read_start(body: &mut UpstreamBody) -> Start {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return Start::Broken };
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+        if bytes.len() > KEPT_ANSWER_LIMIT_BYTES {
+            return Start::Longer(bytes.freeze());
+        }
+    }
+    Start::Whole(bytes.freeze())
+}
+
+/// Passes a request on to the entry that owns its key; only the owner may run it.
+async fn pass_on(
+    entry: &Arc<Entry>,
+    request: &Classified,
+    mut head: Parts,
+    body: RequestBody,
+    vm: &Name,
+    incarnation: Incarnation,
+) -> Result<Response<AnswerBody>, ErrorKind> {
+    if head.headers.contains_key(header::FORWARDED_BY) {
+        return Err(ErrorKind::KeyOwnerGone);
+    }
+    let owner = entry
+        .members()
+        .entry(vm, incarnation)
+        .ok_or(ErrorKind::KeyOwnerGone)?;
+    let me = entry
+        .settings
+        .vm
+        .name
+        .as_str()
+        .parse()
+        .map_err(|_| ErrorKind::BadRequest)?;
+    head.headers.insert(header::FORWARDED_BY, me);
+    let outgoing = Outgoing::new(request, head);
+    send_to_owner(entry, &outgoing, body, owner).await
+}
+
+async fn send_to_owner(
+    entry: &Entry,
+    outgoing: &Outgoing<'_>,
+    body: RequestBody,
+    owner: SocketAddr,
+) -> Result<Response<AnswerBody>, ErrorKind> {
+    let connection = entry.connections.get(owner).await;
+    let mut connection = connection.map_err(|_| ErrorKind::KeyOwnerGone)?;
+    let streams = !body.is_empty();
+    let sent = connection.send(outgoing.build(body));
+    let answer = tokio::time::timeout_at(outgoing.give_up_at(streams), sent).await;
+    // The key may have run before this repeat came, so even an unsent one is unknown here.
+    let response = answer
+        .map_err(|_| ErrorKind::UpstreamTimeout)?
+        .map_err(|_| ErrorKind::KeyOwnerGone)?;
+    let response = response
+        .map(|body| UpstreamBody::new(body, connection, None, pointvane_balance::AttemptEnd::Answered));
+    Ok(crate::answer::pass(response))
+}
--- /dev/null
+++ b/crates/pointvane-entry/src/lib.rs
@@ -0,0 +1,31 @@
+//! The data path on each entry VM, as pipes and filters:
+//! accept, classify, (remember the key,) admit, choose, forward, answer.
+//!
+//! Decisions are `pointvane-balance`'s; this crate is the shell around them. `hyper` serves and calls: the
+//! reasons against `rouille` and `ureq` on this path stand in docs/DESIGN.md with their figures.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod accept;
+mod admit;
+mod answer;
+mod ask;
+mod body;
+mod classify;
+mod connections;
+mod counters;
+mod entry;
+mod exchange;
+mod feed;
+mod forward;
+mod handle;
+mod keyed;
+mod members;
+mod routes;
+mod service;
+mod stop;
+
+pub use {
+    entry::{Entry, EntryStatus, ServiceStatus},
+    stop::run,
+};
--- /dev/null
+++ b/crates/pointvane-mesh/src/load.rs
@@ -0,0 +1,212 @@
+//! Load told between entry VMs: one datagram, its sender under a byte budget, its receiver.
+
+use {
+    crate::codec::{self, UDP_HEAD_BYTES},
+    pointvane_core::{Incarnation, Observation, US_PER_MS, US_PER_S},
+    serde::{Deserialize, Serialize},
+    std::{collections::HashMap, net::IpAddr},
+};
+
+/// What one entry VM tells another of the load it knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadDatagram {
+    /// The sender's life.
+    pub incarnation: Incarnation,
+    /// Count of the sender's datagrams in this life.
+    pub sequence: u64,
+    /// Revision whose positions are meant.
+    pub revision: u64,
+    /// The sender's requests in flight and waiting, all services together.
+    pub requests: u32,
+    /// What it knows, by service.
+    pub services: Vec<ServiceLoad>,
+}
+
+/// What is told of one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// Position of the service in the configuration.
+    pub position: u16,
+    /// What is told of its upstreams.
+    pub observations: Vec<Observation>,
+}
+
+/// Bounds on what a [`LoadSpeaker`] sends.
+#[derive(Clone, Debug)]
+pub struct LoadSpeakerOptions {
+    /// Bytes a second, IP and UDP heads included.
+    pub bytes_per_s: u32,
+    /// Most observations in one datagram.
+    pub observations_max: usize,
+    /// Most peers that one round goes to.
+    pub peers_max: usize,
+    /// Shortest time between two rounds, in milliseconds.
+    pub interval_min_ms: u64,
+}
+
+impl Default for LoadSpeakerOptions {
+    fn default() -> Self {
+        Self {
+            bytes_per_s: 15_000,
+            observations_max: 12,
+            peers_max: 32,
+            interval_min_ms: 5,
+        }
+    }
+}
+
+/// Decides when load is told; holds the byte budget.
+#[derive(Debug)]
+pub struct LoadSpeaker {
+    options: LoadSpeakerOptions,
+    incarnation: Incarnation,
+    sequence: u64,
+    budget_bytes: f64,
+    filled_at_us: u64,
+    round_at_us: u64,
+    /// Size of the last round's datagram, from which the cost of the next is foreseen.
+    datagram_bytes: usize,
+}
+
+const FIRST_DATAGRAM_BYTES: usize = 60;
+/// Time whose budget may be saved up.
+const BURST_US: u64 = 200 * US_PER_MS;
+
+impl LoadSpeaker {
+    /// A speaker of this life with an empty budget.
+    pub fn new(options: LoadSpeakerOptions, incarnation: Incarnation, now_us: u64) -> Self {
+        Self {
+            options,
+            incarnation,
+            sequence: 0,
+            budget_bytes: 0.0,
+            filled_at_us: now_us,
+            round_at_us: now_us,
+            datagram_bytes: FIRST_DATAGRAM_BYTES,
+        }
+    }
+
+    /// Takes a new budget.
+    pub fn set_bytes_per_s(&mut self, bytes_per_s: u32) {
+        self.options.bytes_per_s = bytes_per_s;
+    }
+
+    /// Most observations in one datagram.
+    pub fn observations_max(&self) -> usize {
+        self.options.observations_max
+    }
+
+    /// How many of `peers` a round may go to now; 0 while the budget or the interval forbids one.
+    pub fn round_size(&mut self, peers: usize, now_us: u64) -> usize {
+        let rate = f64::from(self.options.bytes_per_s);
+        let passed_us = now_us.saturating_sub(self.filled_at_us);
+        self.filled_at_us = now_us;
+        let burst = rate * BURST_US as f64 / US_PER_S as f64;
+        self.budget_bytes = (self.budget_bytes + rate * passed_us as f64 / US_PER_S as f64).min(burst);
+        let early = now_us.saturating_sub(self.round_at_us) < self.options.interval_min_ms * US_PER_MS;
+        let wanted = peers.min(self.options.peers_max);
+        let cost = (wanted * (self.datagram_bytes + UDP_HEAD_BYTES)) as f64;
+        if early || self.budget_bytes < cost.min(burst) {
+            0
+        } else {
+            wanted
+        }
+    }
+
+    /// The bytes of the next round's datagram, paid for `peers` peers; none if it cannot be encoded.
+    pub fn speak(
+        &mut self,
+        revision: u64,
+        requests: u32,
+        services: Vec<ServiceLoad>,
+        peers: usize,
+        now_us: u64,
+    ) -> Option<Vec<u8>> {
+        self.sequence += 1;
+        let (incarnation, sequence) = (self.incarnation, self.sequence);
+        let datagram = LoadDatagram {
+            incarnation,
+            sequence,
+            revision,
+            requests,
+            services,
+        };
+        let bytes = codec::encode(&datagram).ok()?;
+        self.datagram_bytes = bytes.len();
+        self.budget_bytes -= (peers * (bytes.len() + UDP_HEAD_BYTES)) as f64;
+        self.round_at_us = now_us;
+        Some(bytes)
+    }
+}
+
+/// A small number that stands for a peer in one process.
+pub type PeerId = usize;
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejected {
+    /// It is no load datagram of this version.
+    Malformed,
+    /// Its sender is no member.
+    Stranger,
+    /// It is of an earlier life, repeated, or overtaken by a later one.
+    Late,
+}
+
+#[derive(Debug)]
+struct Heard {
+    id: PeerId,
+    incarnation: Incarnation,
+    sequence: u64,
+    requests: u32,
+}
+
+/// Takes load datagrams of members, each in order and once.
+#[derive(Debug, Default)]
+pub struct LoadListener {
+    peers: HashMap<IpAddr, Heard>,
+    next_id: PeerId,
+}
+
+impl LoadListener {
+    /// Takes the members whose datagrams are welcome; those of others are forgotten.
+    pub fn set_members(&mut self, addresses: &[IpAddr]) {
+        self.peers.retain(|address, _| addresses.contains(address));
+        for &address in addresses {
+            let id = self.next_id;
+            let fresh = Heard {
+                id,
+                incarnation: Incarnation(0),
+                sequence: 0,
+                requests: 0,
+            };
+            let known = self.peers.entry(address).or_insert(fresh);
+            self.next_id += usize::from(known.id == id);
+        }
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    /// Why it was dropped.
+    pub fn receive(&mut self, from: IpAddr, bytes: &[u8]) -> Result<(PeerId, LoadDatagram), Rejected> {
+        let datagram: LoadDatagram = codec::decode(bytes).map_err(|_| Rejected::Malformed)?;
+        let heard = self.peers.get_mut(&from).ok_or(Rejected::Stranger)?;
+        let newer = (datagram.incarnation, datagram.sequence) > (heard.incarnation, heard.sequence);
+        if !newer {
+            return Err(Rejected::Late);
+        }
+        heard.incarnation = datagram.incarnation;
+        heard.sequence = datagram.sequence;
+        heard.requests = datagram.requests;
+        Ok((heard.id, datagram))
+    }
+
+    /// Requests that a peer last said it holds.
+    pub fn requests(&self, from: IpAddr) -> Option<u32> {
+        self.peers
+            .get(&from)
+            .filter(|heard| heard.sequence > 0)
+            .map(|heard| heard.requests)
+    }
+}
--- /dev/null
+++ b/crates/pointvane-mesh/src/member.rs
@@ -0,0 +1,89 @@
+//! What is known of one VM of the fleet.
+
+use {
+    crate::spread::Stamp,
+    pointvane_core::{Incarnation, VmIdentity, VmState},
+    serde::{Deserialize, Serialize},
+    std::cmp::Ordering,
+};
+
+/// The entry process of a VM, as its control last told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryRow {
+    /// The entry process's life, which keys name.
+    pub incarnation: Incarnation,
+    /// Requests it holds.
+    pub requests: u32,
+    /// Whether it is stopping as planned.
+    pub leaving: bool,
+}
+
+/// One VM, as told between controls.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRow {
+    /// Who it is, with its control's life.
+    pub identity: VmIdentity,
+    /// Port of its control.
+    pub control_port: u16,
+    /// Port of its entry.
+    pub entry_port: u16,
+    /// What is believed of it.
+    pub state: VmState,
+    /// Count of this life's own words about itself; a word with a larger count overrides a suspicion.
+    pub version: u32,
+    /// Its entry process; none while that does not run.
+    pub entry: Option<EntryRow>,
+    /// The configuration it holds.
+    pub stamp: Stamp,
+}
+
+/// How firmly a row stands against another about the same VM; the larger is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Standing {
+    incarnation: Incarnation,
+    dead: bool,
+    version: u32,
+    suspicion: u8,
+}
+
+impl MemberRow {
+    /// The row's standing: a later life first, then death, then the VM's own later word, then suspicion.
+    pub fn standing(&self) -> Standing {
+        let suspicion = match self.state {
+            VmState::Live => 0,
+            VmState::Suspect => 1,
+            VmState::Leaving => 2,
+            VmState::Dead => 3,
+        };
+        let dead = self.state == VmState::Dead;
+        Standing {
+            incarnation: self.identity.incarnation,
+            dead,
+            version: self.version,
+            suspicion,
+        }
+    }
+
+    /// Whether new callers may be sent to its entry.
+    pub fn takes_callers(&self) -> bool {
+        self.state == VmState::Live && self.entry.is_some_and(|entry| !entry.leaving)
+    }
+}
+
+/// A row with what this process keeps beside it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The row.
+    pub row: MemberRow,
+    /// When the state last changed here.
+    pub changed_at_us: u64,
+    /// How many more times the row is passed on.
+    pub tellings_left: u32,
+}
+
+impl Member {
+    /// Compares a row told by somebody with the one held.
+    pub fn compare(&self, told: &MemberRow) -> Ordering {
+        told.standing().cmp(&self.row.standing())
+    }
+}
--- /dev/null
+++ b/crates/pointvane-telemetry/src/metrics.rs
@@ -0,0 +1,44 @@
+//! Set-up of `opentelemetry` metrics, read in the Prometheus text format.
+
+use {
+    eyre::{Result, WrapErr},
+    opentelemetry::metrics::{Meter, MeterProvider},
+    opentelemetry_sdk::metrics::SdkMeterProvider,
+    prometheus::{Registry, TextEncoder},
+};
+
+/// The metrics of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// A registry with an exporter.
+    ///
+    /// # Errors
+    /// Those of the exporter.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .wrap_err("metrics exporter")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { registry, provider })
+    }
+
+    /// Where instruments are made.
+    pub fn meter(&self) -> Meter {
+        self.provider.meter("pointvane")
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub fn text(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/pointvane-telemetry/src/program.rs
@@ -0,0 +1,45 @@
+//! What every program does first: arguments, settings, logger.
+
+use {
+    clap::Parser,
+    pointvane_config::{LogFormat, Settings, read_settings},
+    std::{path::PathBuf, process},
+};
+
+/// Exit code for faulty arguments, settings or files.
+pub const EXIT_FAULTY: i32 = 2;
+
+/// Arguments of the programs on an entry VM.
+#[derive(Debug, Parser)]
+#[command(version, about)]
+pub struct ProgramArgs {
+    /// The VM's settings file, in TOML.
+    #[arg(long, value_name = "FILE")]
+    pub config: PathBuf,
+    /// Check the settings, print every fault and end.
+    #[arg(long)]
+    pub check: bool,
+}
+
+impl ProgramArgs {
+    /// The checked settings; ends the process with code 2 on a fault, and with 0 after `--check`.
+    pub fn settings(&self) -> Settings {
+        match read_settings(&self.config) {
+            Ok(_) if self.check => {
+                println!("{}: ok", self.config.display());
+                process::exit(0)
+            }
+            Ok(settings) => settings,
+            Err(faults) => {
+                eprintln!("{faults}");
+                process::exit(EXIT_FAULTY)
+            }
+        }
+    }
+}
+
+/// The logger that the settings ask for.
+pub fn settings_logger(program: crate::Program, settings: &Settings) -> slog::Logger {
+    let json = settings.log.format == LogFormat::Json;
+    crate::logger(program.as_str(), &settings.vm.name, settings.log.level, json)
+}
--- /dev/null
+++ b/standins/src/upstream.rs
@@ -0,0 +1,390 @@
+//! Upstreams: slots, a queue, times of service, a load report; draining, cold, shedding, slow, noisy or
+//! failing fast on demand. Each writes down what it ran.
+
+use {
+    crate::serve::{Answer, Handler, answer, parameter, serve},
+    http_body_util::BodyExt,
+    hyper::{Method, Request, body::Incoming},
+    pointvane_core::{LoadReport, header},
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    rand_distr::{Distribution, LogNormal},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{HashMap, VecDeque},
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU32, AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::Semaphore,
+        time::{sleep, timeout},
+    },
+};
+
+/// What an upstream is.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct UpstreamSpec {
+    /// Its name.
+    pub name: String,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Requests it runs at once.
+    pub slots: u16,
+    /// Mean time of service, in milliseconds.
+    pub service_ms: f64,
+    /// Spread of the time of service: sigma of its logarithm.
+    pub sigma: f64,
+    /// Time a probe takes a slot, in milliseconds.
+    pub probe_ms: f64,
+    /// Time a new connection costs, in milliseconds.
+    pub connect_ms: f64,
+}
+
+/// What can be changed while it runs.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Mood {
+    /// Says that it drains, and refuses nothing.
+    pub draining: bool,
+    /// Factor on the time of service; 0 counts as 1.
+    pub slow: f64,
+    /// Answers 500 at once.
+    pub failing: bool,
+    /// Queue length beyond which it answers 503; 0 for none.
+    pub shed_beyond: u32,
+    /// Age of its load reports, in milliseconds.
+    pub report_lag_ms: u64,
+    /// Its load reports always say 0.
+    pub report_lies: bool,
+    /// Four times slower for 200 ms every 2 to 6 s.
+    pub noisy: bool,
+    /// Cuts off answers in the middle.
+    pub cutting: bool,
+}
+
+/// What one upstream did.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Done {
+    /// Requests run to their end.
+    pub ran: u64,
+    /// Requests that ended because their caller went away.
+    pub cancelled: u64,
+    /// Requests whose deadline passed in the queue.
+    pub expired: u64,
+    /// Probes answered.
+    pub probes: u64,
+    /// Microseconds of slots spent on probes.
+    pub probe_slot_us: u64,
+    /// Requests begun since it said that it drains.
+    pub begun_draining: u64,
+    /// Times that each idempotency key was begun.
+    pub keys: HashMap<String, u32>,
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    spec: UpstreamSpec,
+    slots: Semaphore,
+    in_flight: AtomicU32,
+    cancelled: AtomicU64,
+    mood: Mutex<Mood>,
+    done: Mutex<Done>,
+    history: Mutex<VecDeque<(Instant, u16)>>,
+    draws: Mutex<Draws>,
+}
+
+/// Time between two notes of the history from which late reports are made.
+const HISTORY_STEP: Duration = Duration::from_millis(2);
+const HISTORY_MAX: usize = 1_024;
+const NOISE: Duration = Duration::from_millis(200);
+const NOISE_FACTOR: f64 = 4.0;
+
+#[derive(Debug)]
+struct Draws {
+    rng: StdRng,
+    time: LogNormal<f64>,
+    noise_from: Instant,
+}
+
+impl Upstream {
+    fn new(spec: UpstreamSpec, seed: u64) -> Self {
+        // A log-normal's mean is exp(mu + sigma^2 / 2).
+        let mu = spec.service_ms.ln() - spec.sigma * spec.sigma / 2.0;
+        let time = LogNormal::new(mu, spec.sigma).unwrap_or_else(|_| panic!("sigma {}", spec.sigma));
+        let draws = Draws {
+            rng: StdRng::seed_from_u64(seed),
+            time,
+            noise_from: Instant::now(),
+        };
+        Self {
+            slots: Semaphore::new(usize::from(spec.slots)),
+            spec,
+            in_flight: AtomicU32::new(0),
+            cancelled: AtomicU64::new(0),
+            mood: Mutex::default(),
+            done: Mutex::default(),
+            history: Mutex::default(),
+            draws: Mutex::new(draws),
+        }
+    }
+
+    fn mood(&self) -> Mood {
+        lock(&self.mood).clone()
+    }
+
+    fn report(&self, mood: &Mood, leaving_now: u32) -> LoadReport {
+        let now = self.in_flight.load(Ordering::Relaxed).saturating_sub(leaving_now) as u16;
+        let in_flight = match mood.report_lag_ms {
+            _ if mood.report_lies => 0,
+            0 => now,
+            lag_ms => self.past(Duration::from_millis(lag_ms)).unwrap_or(now),
+        };
+        LoadReport {
+            in_flight,
+            draining: mood.draining,
+        }
+    }
+
+    /// Requests held some time ago.
+    fn past(&self, age: Duration) -> Option<u16> {
+        let at = Instant::now().checked_sub(age)?;
+        let history = lock(&self.history);
+        history
+            .iter()
+            .rev()
+            .find(|(noted, _)| *noted <= at)
+            .map(|(_, count)| *count)
+    }
+
+    async fn note_history(self: Arc<Self>) {
+        loop {
+            self.note();
+            sleep(HISTORY_STEP).await;
+        }
+    }
+
+    fn note(&self) {
+        let count = self.in_flight.load(Ordering::Relaxed) as u16;
+        let mut history = lock(&self.history);
+        if history.len() == HISTORY_MAX {
+            history.pop_front();
+        }
+        history.push_back((Instant::now(), count));
+    }
+
+    /// Time of service of one request; `asked_ms` overrides the distribution.
+    fn draw(&self, mood: &Mood, asked_ms: Option<f64>) -> Duration {
+        let mut draws = lock(&self.draws);
+        let Draws {
+            rng,
+            time,
+            noise_from,
+        } = &mut *draws;
+        let base_ms = asked_ms.unwrap_or_else(|| time.sample(rng));
+        let now = Instant::now();
+        if now >= *noise_from + NOISE {
+            *noise_from = now + Duration::from_millis(rng.random_range(2_000..6_000));
+        }
+        let noise = if mood.noisy && now >= *noise_from {
+            NOISE_FACTOR
+        } else {
+            1.0
+        };
+        let slow = if mood.slow > 0.0 { mood.slow } else { 1.0 };
+        Duration::from_secs_f64(base_ms * noise * slow / 1_000.0)
+    }
+
+    async fn probe(&self, mood: &Mood) -> Answer {
+        let time = Duration::from_secs_f64(self.spec.probe_ms / 1_000.0);
+        if let Ok(_slot) = self.slots.acquire().await {
+            sleep(time).await;
+        }
+        let mut done = lock(&self.done);
+        done.probes += 1;
+        done.probe_slot_us += time.as_micros() as u64;
+        drop(done);
+        self.reported(answer(200, "ok\n"), mood, 0)
+    }
+
+    fn reported(&self, mut response: Answer, mood: &Mood, leaving_now: u32) -> Answer {
+        let report = self.report(mood, leaving_now).to_string();
+        let value = report.parse().unwrap_or_else(|_| panic!("header {report}"));
+        response.headers_mut().insert(header::LOAD, value);
+        response
+    }
+
+    async fn work(&self, request: Request<Incoming>, mood: Mood) -> Answer {
+        if mood.failing {
+            return self.reported(answer(500, "failing\n"), &mood, 0);
+        }
+        let waiting = self
+            .in_flight
+            .load(Ordering::Relaxed)
+            .saturating_sub(u32::from(self.spec.slots));
+        if mood.shed_beyond > 0 && waiting >= mood.shed_beyond {
+            return self.reported(answer(503, "shed\n"), &mood, 0);
+        }
+        let held = Held::new(self);
+        let job = Job::of(&request);
+        let body = request.into_body().collect().await;
+        let Ok(body) = body else {
+            return answer(400, "cut\n");
+        };
+        let length = body.to_bytes().len();
+        if job.asked_ms == Some(0.0) {
+            return self.finish(held, &job, length);
+        }
+        let Ok(Ok(_slot)) = timeout(job.deadline, self.slots.acquire()).await else {
+            lock(&self.done).expired += 1;
+            return self.reported(answer(504, "expired\n"), &mood, 1);
+        };
+        self.begin(&job, &mood);
+        sleep(self.draw(&mood, job.asked_ms)).await;
+        self.finish(held, &job, length)
+    }
+
+    fn begin(&self, job: &Job, mood: &Mood) {
+        let mut done = lock(&self.done);
+        done.begun_draining += u64::from(mood.draining);
+        if let Some(key) = &job.key {
+            *done.keys.entry(key.clone()).or_default() += 1;
+        }
+    }
+
+    fn finish(&self, held: Held<'_>, job: &Job, length: usize) -> Answer {
+        lock(&self.done).ran += 1;
+        held.finished();
+        let mood = self.mood();
+        let filler = "x".repeat(job.answer_bytes);
+        let text = format!("{}\n{length}\n{filler}\nend {}\n", job.id, job.id);
+        let mut response = answer(200, text);
+        if mood.cutting {
+            // More is promised than comes: the connection breaks off in the middle.
+            response
+                .headers_mut()
+                .insert(hyper::header::CONTENT_LENGTH, (job.answer_bytes + 10_000).into());
+        }
+        self.reported(response, &mood, 1)
+    }
+}
+
+/// What a request asks of the upstream.
+struct Job {
+    id: String,
+    key: Option<String>,
+    deadline: Duration,
+    asked_ms: Option<f64>,
+    answer_bytes: usize,
+}
+
+impl Job {
+    fn of(request: &Request<Incoming>) -> Self {
+        let text = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
+        let deadline_ms = text(header::DEADLINE_MS).and_then(|value| value.parse().ok());
+        Self {
+            id: text("x-request-id").unwrap_or_default().into(),
+            key: text(header::KEY).map(str::to_owned),
+            deadline: Duration::from_millis(deadline_ms.unwrap_or(60_000)),
+            asked_ms: parameter(request, "work_ms"),
+            answer_bytes: parameter(request, "size").unwrap_or(200),
+        }
+    }
+}
+
+/// A request that is held; dropped unfinished, it was cancelled.
+struct Held<'u> {
+    upstream: &'u Upstream,
+    finished: bool,
+}
+
+impl<'u> Held<'u> {
+    fn new(upstream: &'u Upstream) -> Self {
+        upstream.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self {
+            upstream,
+            finished: false,
+        }
+    }
+
+    fn finished(mut self) {
+        self.finished = true;
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.upstream.in_flight.fetch_sub(1, Ordering::Relaxed);
+        if !self.finished {
+            self.upstream.cancelled.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Handler for Upstream {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        let mood = self.mood();
+        if request.uri().path() == "/load" {
+            self.probe(&mood).await
+        } else {
+            self.work(request, mood).await
+        }
+    }
+}
+
+/// Several upstreams in one process, with one address to steer them.
+#[derive(Debug)]
+pub struct Fleet {
+    upstreams: Vec<Arc<Upstream>>,
+}
+
+impl Fleet {
+    /// Starts the upstreams and their steering.
+    ///
+    /// # Errors
+    /// When an address cannot be listened on.
+    pub async fn start(specs: Vec<UpstreamSpec>, steering: SocketAddr, seed: u64) -> io::Result<()> {
+        let mut upstreams = Vec::new();
+        for (number, spec) in specs.into_iter().enumerate() {
+            let (address, cost) = (spec.address, Duration::from_secs_f64(spec.connect_ms / 1_000.0));
+            let upstream = Arc::new(Upstream::new(spec, seed + number as u64));
+            tokio::spawn(Arc::clone(&upstream).note_history());
+            serve(address, Arc::clone(&upstream), cost).await?;
+            upstreams.push(upstream);
+        }
+        serve(steering, Arc::new(Self { upstreams }), Duration::ZERO).await
+    }
+}
+
+impl Handler for Fleet {
+    /// `POST /NAME` with a [`Mood`] as JSON sets it; `GET /NAME` answers what it has [`Done`].
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        let name = request.uri().path().trim_start_matches('/').to_owned();
+        let Some(upstream) = self.upstreams.iter().find(|upstream| upstream.spec.name == name) else {
+            return answer(404, "");
+        };
+        if request.method() == Method::GET {
+            let mut done = lock(&upstream.done).clone();
+            done.cancelled = upstream.cancelled.load(Ordering::Relaxed);
+            return answer(200, serde_json::to_string(&done).unwrap_or_default());
+        }
+        let Ok(body) = request.into_body().collect().await else {
+            return answer(400, "");
+        };
+        match serde_json::from_slice(&body.to_bytes()) {
+            Ok(mood) => {
+                *lock(&upstream.mood) = mood;
+                answer(200, "ok\n")
+            }
+            Err(error) => answer(400, error.to_string()),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
