--- /dev/null
+++ b/crates/pointvane-config/tests/files.rs
@@ -0,0 +1,204 @@
+//! Checking, packing and comparing of file sets and settings.
+
+use {
+    googletest::prelude::*,
+    pointvane_config::{
+        Configuration, PACKED_LIMIT_BYTES, PackError, Policy, diff, pack, read_directory, read_settings,
+        unpack,
+    },
+    std::{
+        fs,
+        path::PathBuf,
+        sync::atomic::{AtomicUsize, Ordering},
+    },
+};
+
+static DIRECTORIES: AtomicUsize = AtomicUsize::new(0);
+
+const FLEET: &str = "revision = 3\nentry_vms_max = 18\n";
+const SERVICE: &str = r#"name = "dispatch"
+path_prefix = "/dispatch"
+slots = 6
+
+[[upstream]]
+name = "dispatch-1"
+data_centre = "ub-1"
+address = "10.0.0.7:8080"
+"#;
+
+/// A directory of files of one test.
+struct Files(PathBuf);
+
+impl Files {
+    fn new(name: &str, files: &[(&str, &str)]) -> Self {
+        // Several tests read the good files at once, each from a directory of its own.
+        let number = DIRECTORIES.fetch_add(1, Ordering::Relaxed);
+        let directory = format!("pointvane-files-{}-{name}-{number}", std::process::id());
+        let directory = std::env::temp_dir().join(directory);
+        fs::create_dir_all(directory.join("services")).unwrap();
+        for (file, text) in files {
+            fs::write(directory.join(file), text).unwrap();
+        }
+        Self(directory)
+    }
+
+    fn read(&self) -> std::result::Result<Configuration, Vec<(String, usize, String)>> {
+        read_directory(&self.0).map_err(|faults| {
+            let faults = faults.0.into_iter();
+            faults
+                .map(|fault| (fault.file.to_string(), fault.line, fault.key))
+                .collect()
+        })
+    }
+}
+
+impl Drop for Files {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn good() -> Configuration {
+    Files::new(
+        "good",
+        &[("fleet.toml", FLEET), ("services/dispatch.toml", SERVICE)],
+    )
+    .read()
+    .unwrap()
+}
+
+#[gtest]
+fn a_good_file_set_is_read_with_its_defaults() {
+    let configuration = good();
+    expect_that!(configuration.revision, eq(3));
+    let service = &configuration.services[0];
+    expect_that!(service.policy, eq(Policy::Shared));
+    expect_that!(service.upstreams[0].slots, eq(6));
+}
+
+#[gtest]
+fn ten_faults_are_reported_at_once_each_with_its_line() {
+    let fleet =
+        "revision = 0\nentry_vms_max = \"many\"\ncolour = 1\nlocate_keep_ms = 5000\nkey_life_ms = 1000\n";
+    let service = r#"name = "dispatch"
+path_prefix = "dispatch"
+slots = 0
+policy = "cleverest"
+
+[[upstream]]
+name = "dispatch-1"
+data_centre = "ub-1"
+address = "10.0.0.7"
+
+[[upstream]]
+name = "dispatch-1"
+data_centre = "ub-1"
+address = "10.0.0.8:8080"
+
+[load]
+probes_per_s = 0.0001
+"#;
+    let files = Files::new(
+        "ten",
+        &[("fleet.toml", fleet), ("services/dispatch.toml", service)],
+    );
+    let faults = files.read().unwrap_err();
+    let expected = [
+        ("fleet.toml", 1, "revision"),
+        ("fleet.toml", 2, "entry_vms_max"),
+        ("fleet.toml", 3, "colour"),
+        ("fleet.toml", 5, "key_life_ms"),
+        ("services/dispatch.toml", 2, "path_prefix"),
+        ("services/dispatch.toml", 3, "slots"),
+        ("services/dispatch.toml", 4, "policy"),
+        ("services/dispatch.toml", 9, "upstream[0].address"),
+        ("services/dispatch.toml", 12, "upstream[1].name"),
+        ("services/dispatch.toml", 17, "load.probes_per_s"),
+    ];
+    let expected: Vec<_> = expected
+        .map(|(file, line, key)| (file.to_owned(), line, key.to_owned()))
+        .into();
+    expect_that!(faults, eq(&expected));
+}
+
+#[gtest]
+fn two_services_may_share_neither_name_nor_route_nor_upstream() {
+    let files = [
+        ("fleet.toml", FLEET),
+        ("services/a.toml", SERVICE),
+        ("services/b.toml", SERVICE),
+    ];
+    let faults = Files::new("twins", &files).read().unwrap_err();
+    let keys: Vec<_> = faults.iter().map(|(_, _, key)| key.as_str()).collect();
+    expect_that!(keys, eq(&vec!["name", "path_prefix", "upstream[0].address"]));
+}
+
+#[gtest]
+fn a_syntax_error_is_a_fault_with_its_line() {
+    let files = [
+        ("fleet.toml", "revision = 3\nentry_vms_max = = 18\n"),
+        ("services/dispatch.toml", SERVICE),
+    ];
+    let faults = Files::new("syntax", &files).read().unwrap_err();
+    expect_that!(faults[0].1, eq(1).or(eq(2)));
+    expect_that!(
+        faults
+            .iter()
+            .any(|(_, line, key)| *line == 2 && key == "(syntax)"),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn a_packed_value_is_whole_or_not_at_all() {
+    let value = pack(&good()).unwrap();
+    expect_that!(unpack(&value).unwrap().configuration, eq(&good()));
+    for length in 0..value.len() {
+        expect_that!(unpack(&value[..length]), err(anything()));
+    }
+    let altered = String::from_utf8(value).unwrap().replace("10.0.0.7", "10.0.0.9");
+    expect_that!(unpack(altered.as_bytes()), err(eq(&PackError::Damaged)));
+}
+
+#[gtest]
+fn a_value_beyond_the_platforms_limit_is_refused() {
+    let mut configuration = good();
+    let upstream = configuration.services[0].upstreams[0].clone();
+    configuration.services[0].upstreams = vec![upstream; PACKED_LIMIT_BYTES / 60];
+    expect_that!(
+        pack(&configuration),
+        err(matches_pattern!(PackError::TooLarge { .. }))
+    );
+}
+
+#[gtest]
+fn a_difference_is_told_in_words() {
+    let (old, mut new) = (good(), good());
+    new.revision = 4;
+    new.services[0].upstreams[0].slots = 8;
+    new.services[0].policy = Policy::Random;
+    let changes: Vec<_> = diff(&old, &new).iter().map(ToString::to_string).collect();
+    let expected = [
+        "revision: 3 -> 4",
+        "service dispatch: rules changed",
+        "service dispatch upstream dispatch-1: 10.0.0.7:8080 with 6 slots -> 10.0.0.7:8080 with 8 slots",
+    ];
+    expect_that!(changes, eq(&expected.map(str::to_owned).to_vec()));
+}
+
+#[gtest]
+fn settings_faults_name_file_line_key_and_remedy() {
+    let text = "[vm]\nname = \"entry 1\"\ndata_centre = \"ub-1\"\naddress = \"here\"\n\n[platform]\naddress = \"10.0.0.100:8500\"\nconfiguration_key = \"c\"\nvm_list_key = \"v\"\n\n[entry]\nport = 70000\n";
+    let files = Files::new("settings", &[("vm.toml", text)]);
+    let faults = read_settings(&files.0.join("vm.toml")).unwrap_err();
+    let found: Vec<_> = faults
+        .0
+        .iter()
+        .map(|fault| (fault.line, fault.key.as_str()))
+        .collect();
+    expect_that!(
+        found,
+        eq(&vec![(2, "vm.name"), (4, "vm.address"), (12, "entry.port")])
+    );
+    expect_that!(faults.0.iter().all(|fault| !fault.remedy.is_empty()), eq(true));
+}
--- a/crates/pointvane-entry/src/connections.rs
+++ b/crates/pointvane-entry/src/connections.rs
@@ -15,7 +15,7 @@
         collections::HashMap,
         future::poll_fn,
         net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         task::Poll,
         time::Duration,
     },
@@ -24,9 +24,18 @@
 
 /// Idle connections kept to one address.
 const IDLE_MAX: usize = 64;
+/// Idle connections opened ahead to one address, so that requests rarely wait for a new one.
+const SPARE: usize = 4;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-type Idle = Mutex<HashMap<SocketAddr, Vec<SendRequest<RequestBody>>>>;
+type Idle = Mutex<HashMap<SocketAddr, Place>>;
+
+/// The idle connections of one address.
+#[derive(Debug, Default)]
+struct Place {
+    idle: Vec<SendRequest<RequestBody>>,
+    opening: usize,
+}
 
 /// Kept connections by address.
 #[derive(Clone, Debug, Default)]
@@ -63,6 +72,7 @@
     pub async fn get(&self, address: SocketAddr) -> Result<Connection, Unreachable> {
         while let Some(mut sender) = self.pop(address) {
             if ready_now(&mut sender).await {
+                self.open_spare(address);
                 return Ok(Connection {
                     address,
                     sender,
@@ -70,13 +80,8 @@
                 });
             }
         }
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let stream = stream.map_err(|_| Unreachable)?.map_err(|_| Unreachable)?;
-        stream.set_nodelay(true).map_err(|_| Unreachable)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|_| Unreachable)?;
-        tokio::spawn(driver);
+        let sender = open(address).await?;
+        self.open_spare(address);
         Ok(Connection {
             address,
             sender,
@@ -85,11 +90,45 @@
     }
 
     fn pop(&self, address: SocketAddr) -> Option<SendRequest<RequestBody>> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.get_mut(&address)?.pop()
+        lock(&self.idle).get_mut(&address)?.idle.pop()
+    }
+
+    /// Opens one connection ahead if few are idle; only after one was had, so never to what cannot be reached.
+    fn open_spare(&self, address: SocketAddr) {
+        let mut places = lock(&self.idle);
+        let place = places.entry(address).or_default();
+        if place.idle.len() + place.opening >= SPARE {
+            return;
+        }
+        place.opening += 1;
+        drop(places);
+        let idle = Arc::clone(&self.idle);
+        tokio::spawn(async move {
+            let opened = open(address).await;
+            let mut places = lock(&idle);
+            let place = places.entry(address).or_default();
+            place.opening -= 1;
+            // The oldest stand at the front and are used last.
+            place.idle.splice(0..0, opened.ok());
+        });
     }
 }
 
+async fn open(address: SocketAddr) -> Result<SendRequest<RequestBody>, Unreachable> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| Unreachable)?.map_err(|_| Unreachable)?;
+    stream.set_nodelay(true).map_err(|_| Unreachable)?;
+    let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| Unreachable)?;
+    tokio::spawn(driver);
+    Ok(sender)
+}
+
+fn lock(idle: &Idle) -> MutexGuard<'_, HashMap<SocketAddr, Place>> {
+    idle.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 async fn ready_now(sender: &mut SendRequest<RequestBody>) -> bool {
     poll_fn(|cx| Poll::Ready(matches!(sender.poll_ready(cx), Poll::Ready(Ok(()))))).await
 }
@@ -111,8 +150,8 @@
 
     /// Keeps the connection for another request.
     pub fn keep(self) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let kept = idle.entry(self.address).or_default();
+        let mut places = lock(&self.idle);
+        let kept = &mut places.entry(self.address).or_default().idle;
         if kept.len() < IDLE_MAX && !self.sender.is_closed() {
             kept.push(self.sender);
         }
--- a/standins/src/bin/standin-upstreams.rs
+++ b/standins/src/bin/standin-upstreams.rs
@@ -21,7 +21,7 @@
     seed: u64,
 }
 
-#[tokio::main]
+#[tokio::main(worker_threads = 2)]
 async fn main() -> eyre::Result<()> {
     let args = Args::parse();
     let specs = serde_json::from_slice(&fs::read(args.specs)?)?;
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -40,7 +40,7 @@
     pub deadline_ms: u64,
     /// Seed of the arrivals.
     pub seed: u64,
-    /// Calls that are not counted, at the start.
+    /// Time at the start whose calls are checked and counted, but not timed.
     pub warm_up: Duration,
 }
 
@@ -106,14 +106,18 @@
                 deadline_ms: self.plan.deadline_ms,
                 caller: rng.random_range(0..self.callers.len()),
             };
-            let counted = due.duration_since(began) >= self.plan.warm_up;
+            let timed = due.duration_since(began) >= self.plan.warm_up;
             let (callers, report) = (Arc::clone(&self.callers), Arc::clone(&self.report));
             calls.spawn(async move {
-                let ending = call.run(&callers).await;
-                if counted {
-                    let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
-                    report.note(&call.kind, &ending, due.elapsed());
-                }
+                let mut took = Duration::ZERO;
+                let ending = call.run(&callers, &mut took).await;
+                let time = if call.kind.counts_from_sending() {
+                    took
+                } else {
+                    due.elapsed()
+                };
+                let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
+                report.note(&call.kind, &ending, timed.then_some(time));
             });
             while calls.try_join_next().is_some() {}
         }
--- a/standins/src/load/call.rs
+++ b/standins/src/load/call.rs
@@ -9,7 +9,10 @@
     http_body_util::{BodyExt, Full},
     hyper::{Method, Request, Response, body::Incoming},
     pointvane_core::header,
-    std::net::SocketAddr,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
 /// What is called.
@@ -42,6 +45,11 @@
         }
     }
 
+    /// Whether its time counts from the sending, as for comparing two ways, and not from when it was due.
+    pub fn counts_from_sending(&self) -> bool {
+        matches!(self, Self::Echo | Self::Direct(_))
+    }
+
     fn has_key(&self) -> bool {
         matches!(self, Self::Booking | Self::Upload(_))
     }
@@ -83,12 +91,12 @@
 const TRIES_MAX: usize = 3;
 
 impl Call {
-    /// Makes the call.
-    pub async fn run(&self, callers: &Callers) -> Ending {
+    /// Makes the call; `took` gets the time of its last try, from its sending to the end of its answer.
+    pub async fn run(&self, callers: &Callers, took: &mut Duration) -> Ending {
         if let CallKind::Direct(upstreams) = &self.kind {
             let number = self.id.bytes().map(usize::from).sum::<usize>() % upstreams.len();
             return self
-                .try_at(callers, upstreams[number], "")
+                .try_at(callers, upstreams[number], "", took)
                 .await
                 .unwrap_or(Ending::Cut);
         }
@@ -100,7 +108,7 @@
         for number in 0..TRIES_MAX {
             // The key stays the first entry's: any other passes the call on to it.
             let entry: &EntryAddress = &entries[number % entries.len()];
-            match self.try_at(callers, entry.address, &owner.key_prefix).await {
+            match self.try_at(callers, entry.address, &owner.key_prefix, took).await {
                 Ok(Ending::Unknown(why)) if self.kind.has_key() => last = Ending::Unknown(why),
                 Ok(Ending::Cut) if self.kind.has_key() => last = Ending::Cut,
                 Ok(ending) => return ending,
@@ -117,14 +125,17 @@
         callers: &Callers,
         address: SocketAddr,
         prefix: &str,
+        took: &mut Duration,
     ) -> Result<Ending, SendFailure> {
         let request = self.request(callers, prefix);
+        let sent = Instant::now();
         let (response, sender) = callers.send(address, request).await?;
         let (status, headers) = (response.status().as_u16(), response.headers().clone());
         let Ok(body) = response_body(response).await else {
             return Ok(Ending::Cut);
         };
         callers.keep(address, sender);
+        *took = sent.elapsed();
         let text = |name| {
             headers
                 .get(name)
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -72,14 +72,15 @@
 }
 
 impl LoadReport {
-    /// Notes the end of a call.
-    pub fn note(&mut self, kind: &CallKind, ending: &Ending, time: Duration) {
+    /// Notes the end of a call, with its time if that counts.
+    pub fn note(&mut self, kind: &CallKind, ending: &Ending, time: Option<Duration>) {
         let report = self.kinds.entry(kind.name()).or_default();
         report.calls += 1;
         match ending {
             Ending::Whole => {
                 report.whole += 1;
-                report.times_us.saturating_record(time.as_micros() as u64);
+                time.iter()
+                    .for_each(|time| report.times_us.saturating_record(time.as_micros() as u64));
             }
             Ending::Cut => report.cut += 1,
             Ending::Wrong => report.wrong += 1,
