Choosing: eight candidates, trust that halves in a third of an answer's time; own counts dropped

A queue of two beyond the slots at an upstream kept work waiting at entries while slots were free.

Kept: 8 candidates, half-life 0.3 of the service's mean answer time, queue of one turn of the slots.

The stand-ins' sleeps were 0.6 ms long on average and are now corrected. A syntax error is now a file's only fault.

--- a/crates/pointvane-balance/src/estimate.rs
+++ b/crates/pointvane-balance/src/estimate.rs
@@ -1,9 +1,7 @@
 //! An estimate of the requests that other entry VMs hold at an upstream.
 //!
-//! Two sources: totals that the upstream reports (seen here or by a peer), and the peers' own counts. Trust
-//! in either decays with age towards the service's mean, so an old word neither attracts nor repels work.
-
-use pointvane_core::US_PER_MS;
+//! Source: totals that the upstream reports, seen here or by a peer. Trust in them decays with age towards the
+//! service's mean, so an old word neither attracts nor repels work.
 
 /// Share of each new value in a running mean.
 const MEAN_SHARE: f32 = 0.02;
@@ -50,8 +48,3 @@
         self.per_slot * f32::from(slots)
     }
 }
-
-/// A half-life in milliseconds, in the unit of [`OthersEstimate::at`].
-pub fn half_life_us(half_life_ms: u64) -> f32 {
-    (half_life_ms * US_PER_MS) as f32
-}
--- a/crates/pointvane-balance/src/lib.rs
+++ b/crates/pointvane-balance/src/lib.rs
@@ -19,7 +19,5 @@
     admission::{Admission, Arrival, Waiting},
     budget::TokenBucket,
     keys::{Kept, KeyDecision, KeyEnd, KeyTable, KeyTableOptions},
-    service::{
-        AttemptEnd, AttemptResult, Decision, Dispatch, ObservationSource, ServiceBalancer, UpstreamSummary,
-    },
+    service::{AttemptEnd, AttemptResult, Decision, Dispatch, ServiceBalancer, UpstreamSummary},
 };
--- a/crates/pointvane-balance/src/service.rs
+++ b/crates/pointvane-balance/src/service.rs
@@ -5,7 +5,7 @@
         admission::{Admission, Arrival, Waiting},
         budget::TokenBucket,
         chooser::Chooser,
-        estimate::{ServiceMean, half_life_us},
+        estimate::ServiceMean,
         health::Health,
         upstream::{ScoreContext, UpstreamState},
     },
@@ -17,7 +17,7 @@
 mod news;
 mod summary;
 
-pub use {news::ObservationSource, summary::UpstreamSummary};
+pub use summary::UpstreamSummary;
 
 /// Share of each new answer time in the service's running mean.
 const LATENCY_SHARE: f32 = 0.02;
@@ -119,7 +119,6 @@
     seen_at_us: u64,
     /// When the load of this upstream was last told to peers.
     told_at_us: u64,
-    told_own: u16,
 }
 
 /// Decides for one service at one entry VM. `W` is the shell's handle of a request.
@@ -137,7 +136,6 @@
     latency_us: f32,
     retries: TokenBucket,
     hedges: TokenBucket,
-    peers: Vec<news::PeerCounts>,
     own: u32,
     arrived_at_us: Option<u64>,
     rng: SmallRng,
@@ -160,7 +158,6 @@
             latency_us: 0.0,
             retries: TokenBucket::earned(RETRY_TOKENS_MAX),
             hedges: TokenBucket::earned(HEDGE_TOKENS_MAX),
-            peers: Vec::new(),
             own: 0,
             arrived_at_us: None,
             rng,
@@ -176,7 +173,6 @@
         self.admission.set_options(service.admission.clone());
         let rng = SmallRng::from_rng(&mut self.rng);
         self.chooser = Chooser::new(service.policy, service.load.choices, rng);
-        self.peers.clear();
         self.place_upstreams(now_us, Health::cold);
     }
 
@@ -212,7 +208,6 @@
             retired: false,
             seen_at_us: 0,
             told_at_us: 0,
-            told_own: 0,
         };
         let state = UpstreamState::new(upstream, health);
         let free = (0..self.slots.len()).find(|&i| self.slots[i].retired && self.upstreams[i].own == 0);
@@ -475,12 +470,13 @@
         let bound_us = self.evidence_bound_us();
         let context = score_context(&self.service, &self.mean, self.latency_us, now_us);
         let bounded = self.service.policy == Policy::Shared && self.own > 0;
-        let queue = self.service.admission.upstream_queue;
+        let queue_share = self.service.admission.queue_share as f32;
         let slots = &self.slots;
         let in_place = |i: usize| !slots[i].retired && Some(i) != exclude;
         let fresh = |i: usize, s: &UpstreamState| in_place(i) && s.evidence.fresh(now_us, bound_us);
         let healthy = |i: usize, s: &UpstreamState| fresh(i, s) && !s.health.ejected(now_us);
-        let roomy = |i: usize, s: &UpstreamState| healthy(i, s) && (!bounded || s.has_room(&context, queue));
+        let roomy =
+            |i: usize, s: &UpstreamState| healthy(i, s) && (!bounded || s.has_room(&context, queue_share));
         if let Some(index) = self.chooser.choose(&self.upstreams, &context, roomy) {
             return Ok(index);
         }
@@ -562,7 +558,7 @@
 ) -> ScoreContext<'a> {
     ScoreContext {
         now_us,
-        half_life_us: half_life_us(service.load.half_life_ms),
+        half_life_us: latency_us * service.load.half_life_share as f32,
         mean,
         latency_us,
         ejection: &service.ejection,
--- a/crates/pointvane-balance/src/upstream.rs
+++ b/crates/pointvane-balance/src/upstream.rs
@@ -88,12 +88,12 @@
     }
 
     /// Whether one more request stays within slots and queue, shrunk while the upstream sheds or warms up.
-    pub fn has_room(&self, context: &ScoreContext<'_>, queue: u16) -> bool {
+    pub fn has_room(&self, context: &ScoreContext<'_>, queue_share: f32) -> bool {
         if self.health.on_trial() && self.own > 0 {
             return false;
         }
         let weight = self.health.weight(context.now_us, context.ejection);
-        let limit = f32::from(self.upstream.slots + queue) * self.limit_share * weight;
+        let limit = f32::from(self.upstream.slots) * (1.0 + queue_share) * self.limit_share * weight;
         self.total(context) + 1.0 <= limit.max(1.0)
     }
 
--- a/crates/pointvane-config/src/configuration.rs
+++ b/crates/pointvane-config/src/configuration.rs
@@ -30,6 +30,17 @@
     pub key_life_ms: u64,
 }
 
+impl Default for FleetLimits {
+    fn default() -> Self {
+        Self {
+            entry_vms_max: 1,
+            control_bytes_per_s: 18_000,
+            locate_keep_ms: 5_000,
+            key_life_ms: 600_000,
+        }
+    }
+}
+
 /// How an upstream is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Policy {
@@ -110,8 +121,9 @@
 pub struct LoadOptions {
     /// Upstreams compared for one choice.
     pub choices: u8,
-    /// Time in which half the trust in an observation of others' load is lost, in milliseconds.
-    pub half_life_ms: u64,
+    /// Time in which half the trust in an observation of others' load is lost, as a share of the service's
+    /// mean answer time.
+    pub half_life_share: f64,
     /// Whether the load report in an upstream's answers is used.
     pub use_reports: bool,
     /// Probes that all entry VMs together may send one upstream each second.
@@ -125,8 +137,8 @@
 impl Default for LoadOptions {
     fn default() -> Self {
         Self {
-            choices: 3,
-            half_life_ms: 25,
+            choices: 8,
+            half_life_share: 0.3,
             use_reports: true,
             probes_per_s: 1.0,
             probe_path: "/load".into(),
@@ -138,8 +150,8 @@
 /// Admission and queueing at an entry VM.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AdmissionOptions {
-    /// Requests an upstream may hold beyond its slots.
-    pub upstream_queue: u16,
+    /// Requests an upstream may hold beyond its slots, as a share of the slots.
+    pub queue_share: f64,
     /// Requests that may wait at one entry VM.
     pub queue_max: u32,
     /// Longest expected wait that is still accepted, in milliseconds.
@@ -151,7 +163,7 @@
 impl Default for AdmissionOptions {
     fn default() -> Self {
         Self {
-            upstream_queue: 2,
+            queue_share: 1.0,
             queue_max: 512,
             wait_max_ms: 100,
             routine_every: 8,
--- a/crates/pointvane-config/src/fleet_file.rs
+++ b/crates/pointvane-config/src/fleet_file.rs
@@ -50,7 +50,10 @@
 fn read_fleet(directory: &Path, faults: &mut Faults) -> (u64, FleetLimits) {
     let text = read_text(directory, FLEET_FILE, faults).unwrap_or_default();
     let document = Document::new(FLEET_FILE, &text);
-    let table = document.parse();
+    let Some(table) = document.parse() else {
+        faults.0.extend(document.into_faults().0);
+        return (0, FleetLimits::default());
+    };
     let top = Section::top(&document, &table);
     top.only(&[
         "control_bytes_per_s",
@@ -60,11 +63,16 @@
         "revision",
     ]);
     let revision = top.integer("revision", 1..=u64::MAX >> 1, None);
+    let default = FleetLimits::default();
     let limits = FleetLimits {
         entry_vms_max: top.integer("entry_vms_max", 1..=10_000, None),
-        control_bytes_per_s: top.integer("control_bytes_per_s", 1_000..=10_000_000, Some(18_000)),
-        locate_keep_ms: top.integer("locate_keep_ms", 100..=600_000, Some(5_000)),
-        key_life_ms: top.integer("key_life_ms", 1_000..=3_600_000, Some(600_000)),
+        control_bytes_per_s: top.integer(
+            "control_bytes_per_s",
+            1_000..=10_000_000,
+            Some(default.control_bytes_per_s),
+        ),
+        locate_keep_ms: top.integer("locate_keep_ms", 100..=600_000, Some(default.locate_keep_ms)),
+        key_life_ms: top.integer("key_life_ms", 1_000..=3_600_000, Some(default.key_life_ms)),
     };
     if limits.key_life_ms < limits.locate_keep_ms {
         let remedy = format!("give at least locate_keep_ms = {}", limits.locate_keep_ms);
@@ -96,7 +104,10 @@
     let file = path.to_string_lossy().into_owned();
     let text = read_text(directory, &file, faults)?;
     let document = Document::new(&file, &text);
-    let table = document.parse();
+    let Some(table) = document.parse() else {
+        faults.0.extend(document.into_faults().0);
+        return None;
+    };
     let top = Section::top(&document, &table);
     let service = read_service(&top);
     check_names(&top, &service, &file, seen);
@@ -169,19 +180,6 @@
             format!("give 0 to switch probes off, or at least {least}"),
         );
     }
-    let most = service
-        .upstreams
-        .iter()
-        .map(|u| u.slots)
-        .min()
-        .unwrap_or(u16::MAX);
-    if service.admission.upstream_queue > most.saturating_mul(4) {
-        top.section("admission").fault(
-            "upstream_queue",
-            "is more than four times the slots of an upstream",
-            format!("give at most {}", most.saturating_mul(4)),
-        );
-    }
     if service.admission.wait_max_ms >= service.deadline_ms {
         top.section("admission").fault(
             "wait_max_ms",
--- a/crates/pointvane-config/src/reader.rs
+++ b/crates/pointvane-config/src/reader.rs
@@ -27,14 +27,14 @@
         }
     }
 
-    /// Parses the text; a syntax error becomes a fault and an empty table.
-    pub fn parse(&self) -> Spanned<DeTable<'t>> {
-        DeTable::parse(self.text).unwrap_or_else(|error| {
+    /// Parses the text; a syntax error becomes the document's only fault, as nothing else can be read.
+    pub fn parse(&self) -> Option<Spanned<DeTable<'t>>> {
+        let table = DeTable::parse(self.text).map_err(|error| {
             let start = error.span().map_or(0, |span| span.start);
             let problem = error.message().to_owned();
             self.fault(start, "(syntax)", problem, "write valid TOML here".into());
-            Spanned::new(0..0, DeTable::default())
-        })
+        });
+        table.ok()
     }
 
     /// Notes a fault at a byte offset.
--- a/crates/pointvane-config/src/service_file.rs
+++ b/crates/pointvane-config/src/service_file.rs
@@ -94,7 +94,7 @@
     section.only(&[
         "choices",
         "evidence_ms",
-        "half_life_ms",
+        "half_life_share",
         "probe_path",
         "probes_per_s",
         "use_reports",
@@ -102,7 +102,7 @@
     let default = LoadOptions::default();
     LoadOptions {
         choices: section.integer("choices", 1..=16, Some(default.choices)),
-        half_life_ms: section.integer("half_life_ms", 1..=60_000, Some(default.half_life_ms)),
+        half_life_share: section.number("half_life_share", 0.01..=100.0, default.half_life_share),
         use_reports: section.flag("use_reports", default.use_reports),
         probes_per_s: section.number("probes_per_s", 0.0..=1_000.0, default.probes_per_s),
         probe_path: section
@@ -114,10 +114,10 @@
 }
 
 fn read_admission(section: &Section<'_, '_>) -> AdmissionOptions {
-    section.only(&["queue_max", "routine_every", "upstream_queue", "wait_max_ms"]);
+    section.only(&["queue_max", "queue_share", "routine_every", "wait_max_ms"]);
     let default = AdmissionOptions::default();
     AdmissionOptions {
-        upstream_queue: section.integer("upstream_queue", 0..=1_000, Some(default.upstream_queue)),
+        queue_share: section.number("queue_share", 0.0..=100.0, default.queue_share),
         queue_max: section.integer("queue_max", 0..=100_000, Some(default.queue_max)),
         wait_max_ms: section.integer("wait_max_ms", 0..=60_000, Some(default.wait_max_ms)),
         routine_every: section.integer("routine_every", 1..=100, Some(default.routine_every)),
--- a/crates/pointvane-config/src/settings.rs
+++ b/crates/pointvane-config/src/settings.rs
@@ -188,8 +188,8 @@
     };
     let document = Document::new(&file, &text);
     let table = document.parse();
-    let settings = read(&Section::top(&document, &table));
-    document.into_faults().or(settings)
+    let settings = table.as_ref().map(|table| read(&Section::top(&document, table)));
+    document.into_faults().or(settings)?.ok_or_else(Faults::default)
 }
 
 fn read(top: &Section<'_, '_>) -> Settings {
--- a/crates/pointvane-entry/src/exchange.rs
+++ b/crates/pointvane-entry/src/exchange.rs
@@ -4,7 +4,7 @@
     crate::entry::Entry,
     pointvane_core::Clock,
     pointvane_mesh::{
-        LoadDatagram, LoadListener, LoadSpeaker, LoadSpeakerOptions, PeerId, Rejected, ServiceLoad, codec,
+        LoadDatagram, LoadListener, LoadSpeaker, LoadSpeakerOptions, Rejected, ServiceLoad, codec,
     },
     rand::seq::IteratorRandom,
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -94,7 +94,7 @@
             members_until_us = now_us + MEMBERS_EVERY * TICK.as_micros() as u64;
         }
         match listener.receive(from.ip(), &buffer[..length]) {
-            Ok((peer, datagram)) => hear(&entry, peer, &datagram),
+            Ok(datagram) => hear(&entry, &datagram),
             Err(Rejected::Malformed) => entry.counters.load_dropped("malformed"),
             Err(Rejected::Stranger) => entry.counters.load_dropped("stranger"),
             Err(Rejected::Late) => entry.counters.load_dropped("late"),
@@ -102,7 +102,7 @@
     }
 }
 
-fn hear(entry: &Entry, peer: PeerId, datagram: &LoadDatagram) {
+fn hear(entry: &Entry, datagram: &LoadDatagram) {
     let routes = entry.routes();
     if datagram.revision != routes.revision {
         return entry.counters.load_dropped("revision");
@@ -116,7 +116,7 @@
             let mut balancer = service.lock();
             load.observations
                 .iter()
-                .for_each(|observation| balancer.heard(peer, observation, now_us));
+                .for_each(|observation| balancer.heard(observation, now_us));
             balancer.waiting()
         };
         if waiting > 0 {
--- a/crates/pointvane-mesh/src/lib.rs
+++ b/crates/pointvane-mesh/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use {
     feed::{EntryReport, FeedHello, FeedRole, FeedUpdate, ListedVm, VmList},
-    load::{LoadDatagram, LoadListener, LoadSpeaker, LoadSpeakerOptions, PeerId, Rejected, ServiceLoad},
+    load::{LoadDatagram, LoadListener, LoadSpeaker, LoadSpeakerOptions, Rejected, ServiceLoad},
     member::{EntryRow, Member, MemberRow, Standing},
     membership::{Action, MemberChange, Membership, MembershipOptions},
     message::{GossipMessage, Payload, PeerAnswer, PeerRequest, Stamps},
--- a/crates/pointvane-mesh/src/load.rs
+++ b/crates/pointvane-mesh/src/load.rs
@@ -139,9 +139,6 @@
     }
 }
 
-/// A small number that stands for a peer in one process.
-pub type PeerId = usize;
-
 /// Why a datagram was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rejected {
@@ -153,9 +150,8 @@
     Late,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Heard {
-    id: PeerId,
     incarnation: Incarnation,
     sequence: u64,
     requests: u32,
@@ -165,7 +161,6 @@
 #[derive(Debug, Default)]
 pub struct LoadListener {
     peers: HashMap<IpAddr, Heard>,
-    next_id: PeerId,
 }
 
 impl LoadListener {
@@ -173,15 +168,7 @@
     pub fn set_members(&mut self, addresses: &[IpAddr]) {
         self.peers.retain(|address, _| addresses.contains(address));
         for &address in addresses {
-            let id = self.next_id;
-            let fresh = Heard {
-                id,
-                incarnation: Incarnation(0),
-                sequence: 0,
-                requests: 0,
-            };
-            let known = self.peers.entry(address).or_insert(fresh);
-            self.next_id += usize::from(known.id == id);
+            self.peers.entry(address).or_default();
         }
     }
 
@@ -189,7 +176,7 @@
     ///
     /// # Errors
     /// Why it was dropped.
-    pub fn receive(&mut self, from: IpAddr, bytes: &[u8]) -> Result<(PeerId, LoadDatagram), Rejected> {
+    pub fn receive(&mut self, from: IpAddr, bytes: &[u8]) -> Result<LoadDatagram, Rejected> {
         let datagram: LoadDatagram = codec::decode(bytes).map_err(|_| Rejected::Malformed)?;
         let heard = self.peers.get_mut(&from).ok_or(Rejected::Stranger)?;
         let newer = (datagram.incarnation, datagram.sequence) > (heard.incarnation, heard.sequence);
@@ -199,7 +186,7 @@
         heard.incarnation = datagram.incarnation;
         heard.sequence = datagram.sequence;
         heard.requests = datagram.requests;
-        Ok((heard.id, datagram))
+        Ok(datagram)
     }
 
     /// Requests that a peer last said it holds.
--- /dev/null
+++ b/standins/src/bin/measure/hop.rs
@@ -0,0 +1,151 @@
+//! Time added by the data path: echo calls through one entry VM beside direct ones, in the same run.
+
+use {
+    crate::usage::{median, spread, usage},
+    eyre::Result,
+    pointvane_standins::{
+        deployment::{Deployment, FleetPlan, Plan, Program, ServicePlan},
+        load::histogram,
+        table::Table,
+    },
+    std::{
+        io::{BufRead, BufReader, Read, Write},
+        net::{SocketAddr, TcpStream},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time added by the data path.
+#[derive(clap::Args)]
+pub struct Args {
+    /// Kept connections.
+    #[arg(long, value_delimiter = ',', default_value = "16,64,260")]
+    connections: Vec<usize>,
+    /// Calls a second on each connection.
+    #[arg(long, default_value_t = 10.0)]
+    per_s: f64,
+    /// Seconds of each run.
+    #[arg(long, default_value_t = 4)]
+    seconds: u64,
+    /// Runs, direct and through in turn.
+    #[arg(long, default_value_t = 5)]
+    runs: usize,
+}
+
+/// Measures and prints a table.
+///
+/// # Errors
+/// When the deployment does not come up or a call fails.
+pub fn measure(args: &Args) -> Result<()> {
+    let service = ServicePlan {
+        instances: 8,
+        connect_ms: 0.0,
+        ..ServicePlan::default()
+    };
+    let deployment = Deployment::start(Plan {
+        data_centres: 1,
+        entries: 1,
+        services: vec![service],
+        fleet: FleetPlan::default(),
+        settings: String::new(),
+    })?;
+    let mut table = Table::new(&[
+        "connections",
+        "added p50 ms",
+        "added p99 ms",
+        "p99 ratio",
+        "direct p99 ms",
+        "entry MB",
+    ]);
+    for &connections in &args.connections {
+        let mut added = [Vec::new(), Vec::new(), Vec::new(), Vec::new()];
+        for _ in 0..args.runs {
+            let direct = call_all(args, connections, &deployment.upstreams(0))?;
+            let through = call_all(args, connections, &deployment.entries())?;
+            added[0].push(through.0 - direct.0);
+            added[1].push(through.1 - direct.1);
+            added[2].push(through.1 / direct.1);
+            added[3].push(direct.1);
+        }
+        let process = deployment.vms[0].process(Program::Entry).unwrap_or_default();
+        let [p50, p99, ratio, direct] = added;
+        eprintln!(
+            "{connections} connections: {:.3} ms added at p99 (median)",
+            median(p99.clone())
+        );
+        let memory = format!("{:.0}", usage(process).memory_mb);
+        let spreads = [
+            spread(p50, 3),
+            spread(p99, 3),
+            spread(ratio, 2),
+            spread(direct, 3),
+        ];
+        table.row(
+            [connections.to_string()]
+                .into_iter()
+                .chain(spreads)
+                .chain([memory])
+                .collect(),
+        );
+    }
+    print!("{}", table.markdown());
+    Ok(())
+}
+
+/// Median and 99th percentile of the calls of all connections, in milliseconds.
+fn call_all(args: &Args, connections: usize, targets: &[SocketAddr]) -> Result<(f64, f64)> {
+    let callers = (0..connections).map(|number| {
+        let target = targets[number % targets.len()];
+        let gap = Duration::from_secs_f64(1.0 / args.per_s);
+        let offset = gap.mul_f64(number as f64 / connections as f64);
+        let calls = (args.per_s * args.seconds as f64) as usize;
+        thread::spawn(move || call(target, gap, offset, calls))
+    });
+    let callers: Vec<_> = callers.collect();
+    let mut times = histogram();
+    for caller in callers {
+        let caller_times = caller.join().unwrap_or_else(|_| Ok(Vec::new()))?;
+        caller_times
+            .iter()
+            .for_each(|time| times.saturating_record(time.as_micros() as u64));
+    }
+    let at = |percentile| times.value_at_percentile(percentile) as f64 / 1_000.0;
+    Ok((at(50.0), at(99.0)))
+}
+
+/// The times of the calls on one kept connection.
+fn call(target: SocketAddr, gap: Duration, offset: Duration, calls: usize) -> Result<Vec<Duration>> {
+    let stream = TcpStream::connect(target)?;
+    stream.set_nodelay(true)?;
+    let mut reader = BufReader::new(stream);
+    let request = "GET /dispatch/call?work_ms=0 HTTP/1.1\r\nhost: dispatch.example\r\n\r\n";
+    let began = Instant::now() + offset;
+    let mut times = Vec::with_capacity(calls);
+    for number in 0..calls {
+        thread::sleep((began + gap * number as u32).saturating_duration_since(Instant::now()));
+        let sent = Instant::now();
+        reader.get_mut().write_all(request.as_bytes())?;
+        read_answer(&mut reader)?;
+        times.push(sent.elapsed());
+    }
+    // The first call opens what is kept afterwards.
+    Ok(times.split_off(1))
+}
+
+fn read_answer(reader: &mut BufReader<TcpStream>) -> Result<()> {
+    let mut length = 0;
+    let mut line = String::new();
+    loop {
+        line.clear();
+        reader.read_line(&mut line)?;
+        if let Some(value) = line.strip_prefix("content-length: ") {
+            length = value.trim().parse()?;
+        }
+        if line == "\r\n" {
+            break;
+        }
+    }
+    let mut body = vec![0; length];
+    Ok(reader.read_exact(&mut body)?)
+}
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -102,6 +102,8 @@
 
 /// Time between two notes of the history from which late reports are made.
 const HISTORY_STEP: Duration = Duration::from_millis(2);
+/// What a sleep takes longer than asked, on average, in milliseconds.
+const SLEEP_LATE_MS: f64 = 0.6;
 /// What a cut answer promises and does not give.
 const CUT_BYTES: u64 = 10_000;
 const HISTORY_MAX: usize = 1_024;
@@ -200,7 +202,9 @@
             1.0
         };
         let slow = if mood.slow > 0.0 { mood.slow } else { 1.0 };
-        Duration::from_secs_f64(base_ms * noise * slow / 1_000.0)
+        let time_ms = base_ms * noise * slow;
+        // A sleep ends at the next whole millisecond, and a little later: half of one too late on average.
+        Duration::from_secs_f64((time_ms - SLEEP_LATE_MS).max(0.0) / 1_000.0)
     }
 
     async fn probe(&self, mood: &Mood) -> Answer {
