Reports that contradict own counts lose their say

Cause: reports 100 ms old were taken for new.

A truthful report never counts fewer requests than this entry alone has had at the upstream for 5 ms. When one check in ten contradicts, the service's reports are set aside for 10 s, doubling. Ruled out: judging a report by its change from the last one (an old series is as smooth as a new one).

Failed try, taken back: a shorter queue at upstreams while work waits at the entry. The cause is rather that the entry with twice its share of the callers has more urgent work than its share of the slots: urgent refusals fall there.

Fifteen tests of the pure decisions.

--- a/crates/pointvane-balance/src/lib.rs
+++ b/crates/pointvane-balance/src/lib.rs
@@ -13,6 +13,7 @@
 mod health;
 mod keys;
 mod service;
+mod trust;
 mod upstream;
 
 pub use {
--- a/crates/pointvane-balance/src/service.rs
+++ b/crates/pointvane-balance/src/service.rs
@@ -7,6 +7,7 @@
         chooser::Chooser,
         estimate::ServiceMean,
         health::Health,
+        trust::ReportTrust,
         upstream::{ScoreContext, UpstreamState},
     },
     pointvane_config::{FleetLimits, Policy, Service},
@@ -28,7 +29,9 @@
 /// Time after which an ask without an answer may be repeated.
 const ASK_AGAIN_US: u64 = 200 * US_PER_MS;
 /// Asks of one service under way at once.
-const ASKS_AT_ONCE: usize = 4;
+const ASKS_AT_ONCE: usize = 8;
+/// Time after which a request that was started has surely reached its upstream.
+const ARRIVED_US: u64 = 5 * US_PER_MS;
 const RETRY_AFTER_S_MAX: u64 = 4;
 
 /// What becomes of a request that arrives.
@@ -119,6 +122,8 @@
     seen_at_us: u64,
     /// When the load of this upstream was last told to peers.
     told_at_us: u64,
+    /// When this entry VM last started a request there.
+    started_at_us: u64,
 }
 
 /// Decides for one service at one entry VM. `W` is the shell's handle of a request.
@@ -133,6 +138,7 @@
     chooser: Chooser,
     admission: Admission<W>,
     mean: ServiceMean,
+    trust: ReportTrust,
     latency_us: f32,
     retries: TokenBucket,
     hedges: TokenBucket,
@@ -155,6 +161,7 @@
             chooser,
             admission: Admission::new(service.admission.clone()),
             mean: ServiceMean::default(),
+            trust: ReportTrust::default(),
             latency_us: 0.0,
             retries: TokenBucket::earned(RETRY_TOKENS_MAX),
             hedges: TokenBucket::earned(HEDGE_TOKENS_MAX),
@@ -208,6 +215,7 @@
             retired: false,
             seen_at_us: 0,
             told_at_us: 0,
+            started_at_us: 0,
         };
         let state = UpstreamState::new(upstream, health);
         let free = (0..self.slots.len()).find(|&i| self.slots[i].retired && self.upstreams[i].own == 0);
@@ -249,7 +257,7 @@
         }
         match self.pick(now_us, None) {
             Ok(upstream) => {
-                self.start(upstream);
+                self.start(upstream, now_us);
                 Decision::Start { upstream, waiter }
             }
             Err(NoPick::Nothing) => Decision::Refuse {
@@ -286,7 +294,7 @@
             Ok(upstream) => {
                 let Waiting { waiter, .. } = self.admission.pop()?;
                 self.admission.started(now_us);
-                self.start(upstream);
+                self.start(upstream, now_us);
                 Some(Dispatch::Start { upstream, waiter })
             }
             Err(NoPick::Nothing) => {
@@ -311,14 +319,14 @@
         if !self.retries.take(1.0, now_us) {
             return None;
         }
-        self.start(upstream);
+        self.start(upstream, now_us);
         Some(upstream)
     }
 
     /// Another upstream for work of which no byte was sent; this costs no budget.
     pub fn redirect(&mut self, unreachable: usize, now_us: u64) -> Option<usize> {
         let upstream = self.pick(now_us, Some(unreachable)).ok()?;
-        self.start(upstream);
+        self.start(upstream, now_us);
         Some(upstream)
     }
 
@@ -339,7 +347,7 @@
         if f64::from(slack) > self.service.hedge.slack_share || !self.hedges.take(1.0, now_us) {
             return None;
         }
-        self.start(upstream);
+        self.start(upstream, now_us);
         Some(upstream)
     }
 
@@ -389,7 +397,10 @@
         slot.seen_at_us = now_us;
         let state = &mut self.upstreams[upstream];
         state.evidence.observe(report.draining, now_us);
-        if self.service.load.use_reports {
+        if state.own > 0 && now_us.saturating_sub(slot.started_at_us) > ARRIVED_US {
+            self.trust.check(report.in_flight < state.own, now_us);
+        }
+        if self.service.load.use_reports && self.trust.holds(now_us) {
             let others = f32::from(report.in_flight.saturating_sub(state.own));
             state.others.observe(others, now_us);
             self.mean.observe(others, state.upstream.slots);
@@ -461,9 +472,10 @@
         self.admission.len()
     }
 
-    fn start(&mut self, upstream: usize) {
+    fn start(&mut self, upstream: usize, now_us: u64) {
         self.own += 1;
         self.upstreams[upstream].own += 1;
+        self.slots[upstream].started_at_us = now_us;
     }
 
     fn pick(&mut self, now_us: u64, exclude: Option<usize>) -> Result<usize, NoPick> {
--- a/crates/pointvane-balance/src/service/news.rs
+++ b/crates/pointvane-balance/src/service/news.rs
@@ -60,7 +60,7 @@
         let at_us = now_us.saturating_sub(u64::from(observation.age_ms) * US_PER_MS);
         let state = &mut self.upstreams[index];
         state.evidence.observe(observation.leaving, at_us);
-        if self.service.load.use_reports {
+        if self.service.load.use_reports && self.trust.holds(now_us) {
             let others = f32::from(observation.requests.saturating_sub(state.own));
             state.others.observe(others, at_us);
             self.mean.observe(others, state.upstream.slots);
--- /dev/null
+++ b/crates/pointvane-balance/tests/service.rs
@@ -0,0 +1,448 @@
+//! Decisions of one service: evidence, trust, ejection, admission, retries, hedges, news.
+
+use {
+    googletest::prelude::*,
+    pointvane_balance::{Arrival, AttemptEnd, AttemptResult, Decision, Dispatch, ServiceBalancer},
+    pointvane_config::{
+        AdmissionOptions, EjectionOptions, FleetLimits, HedgeOptions, LoadOptions, Policy, RetryOptions,
+        Route, Service, Upstream,
+    },
+    pointvane_core::{Class, ErrorKind, LoadReport, US_PER_MS, US_PER_S},
+};
+
+const START_US: u64 = 1_000 * US_PER_S;
+const SLOTS: u16 = 6;
+
+fn service(upstreams: usize) -> Service {
+    let upstream = |number| Upstream {
+        name: format!("u{number}").as_str().into(),
+        data_centre: "dc-1".into(),
+        address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
+        slots: SLOTS,
+    };
+    Service {
+        name: "dispatch".into(),
+        route: Route {
+            hosts: Vec::new(),
+            path_prefix: "/dispatch".into(),
+        },
+        policy: Policy::Shared,
+        deadline_ms: 10_000,
+        home_vms: 0,
+        upstreams: (0..upstreams).map(upstream).collect(),
+        load: LoadOptions::default(),
+        admission: AdmissionOptions::default(),
+        retry: RetryOptions::default(),
+        hedge: HedgeOptions::default(),
+        ejection: EjectionOptions::default(),
+    }
+}
+
+fn limits() -> FleetLimits {
+    FleetLimits {
+        entry_vms_max: 18,
+        ..FleetLimits::default()
+    }
+}
+
+/// A balancer with a clock, whose waiters are numbers.
+struct Bench {
+    balancer: ServiceBalancer<u32>,
+    now_us: u64,
+    next: u32,
+}
+
+impl Bench {
+    /// All upstreams said just now that they stay.
+    fn new(service: &Service) -> Self {
+        let mut bench = Self::unheard(service);
+        bench.all_report(0);
+        bench
+    }
+
+    fn unheard(service: &Service) -> Self {
+        Self {
+            balancer: ServiceBalancer::new(service, &limits(), 1, START_US),
+            now_us: START_US,
+            next: 0,
+        }
+    }
+
+    fn all_report(&mut self, in_flight: u16) {
+        for index in 0..self.balancer.service().upstreams.len() {
+            self.balancer.reported(
+                index,
+                LoadReport {
+                    in_flight,
+                    draining: false,
+                },
+                self.now_us,
+            );
+        }
+    }
+
+    fn pass_ms(&mut self, time_ms: u64) {
+        self.now_us += time_ms * US_PER_MS;
+    }
+
+    fn arrive(&mut self, class: Class) -> Decision<u32> {
+        self.next += 1;
+        let arrival = Arrival {
+            class,
+            deadline_us: self.now_us + 10 * US_PER_S,
+        };
+        self.balancer.arrive(arrival, self.next, self.now_us)
+    }
+
+    /// The upstream that a routine request starts at.
+    fn start(&mut self) -> usize {
+        match self.arrive(Class::Routine) {
+            Decision::Start { upstream, .. } => upstream,
+            other => panic!("not started: {other:?}"),
+        }
+    }
+
+    fn finish(&mut self, upstream: usize, end: AttemptEnd, latency_ms: u64, report: Option<LoadReport>) {
+        let result = AttemptResult {
+            upstream,
+            end,
+            latency_us: latency_ms * US_PER_MS,
+            report,
+        };
+        self.balancer.finish(&result, self.now_us);
+    }
+
+    /// Starts a request and ends it, the time passing.
+    fn run(&mut self, end: AttemptEnd) -> usize {
+        let upstream = self.start();
+        self.pass_ms(10);
+        self.finish(upstream, end, 10, None);
+        upstream
+    }
+
+    fn dispatch(&mut self) -> Option<Dispatch<u32>> {
+        self.balancer.dispatch(self.now_us, |_| false)
+    }
+}
+
+#[gtest]
+fn nothing_goes_to_an_upstream_that_is_not_known_to_stay() {
+    let mut bench = Bench::unheard(&service(3));
+    expect_that!(bench.arrive(Class::Routine), eq(&Decision::Wait));
+    let asked = bench.balancer.next_ask(bench.now_us).unwrap();
+    expect_that!(bench.dispatch(), none());
+    bench
+        .balancer
+        .reported(asked, LoadReport::default(), bench.now_us);
+    expect_that!(
+        bench.dispatch(),
+        some(eq(&Dispatch::Start {
+            upstream: asked,
+            waiter: 1
+        }))
+    );
+}
+
+#[gtest]
+fn old_evidence_is_asked_for_again_before_new_work() {
+    let mut bench = Bench::new(&service(1));
+    bench.run(AttemptEnd::Answered);
+    bench.pass_ms(2_100);
+    expect_that!(bench.arrive(Class::Routine), eq(&Decision::Wait));
+    expect_that!(bench.balancer.next_ask(bench.now_us), some(eq(0)));
+}
+
+#[gtest]
+fn a_leaving_upstream_gets_nothing_from_the_first_word_on_and_comes_back_on_a_later_one() {
+    let mut bench = Bench::new(&service(2));
+    bench.pass_ms(1);
+    bench.balancer.reported(
+        0,
+        LoadReport {
+            in_flight: 0,
+            draining: true,
+        },
+        bench.now_us,
+    );
+    for _ in 0..50 {
+        expect_that!(bench.run(AttemptEnd::Answered), eq(1));
+        bench.balancer.reported(1, LoadReport::default(), bench.now_us);
+    }
+    bench.balancer.reported(0, LoadReport::default(), bench.now_us);
+    let used: Vec<_> = (0..20).map(|_| bench.start()).collect();
+    expect_that!(used, contains(eq(&0)));
+}
+
+#[gtest]
+fn an_older_word_of_staying_does_not_overtake_a_later_word_of_leaving() {
+    let mut teller = Bench::new(&service(1));
+    teller.pass_ms(1);
+    let staying = teller.balancer.news(10, teller.now_us);
+    let mut bench = Bench::new(&service(1));
+    bench.pass_ms(50);
+    bench.balancer.reported(
+        0,
+        LoadReport {
+            in_flight: 0,
+            draining: true,
+        },
+        bench.now_us,
+    );
+    bench.pass_ms(50);
+    let late = pointvane_core::Observation {
+        age_ms: 80,
+        ..staying[0]
+    };
+    bench.balancer.heard(&late, bench.now_us);
+    expect_that!(
+        bench.arrive(Class::Routine),
+        matches_pattern!(Decision::Refuse {
+            kind: eq(&ErrorKind::NoUpstream),
+            ..
+        })
+    );
+}
+
+#[gtest]
+fn word_of_leaving_passes_from_entry_to_entry() {
+    let mut teller = Bench::new(&service(2));
+    teller.pass_ms(1);
+    teller.balancer.reported(
+        1,
+        LoadReport {
+            in_flight: 3,
+            draining: true,
+        },
+        teller.now_us,
+    );
+    let news = teller.balancer.news(1, teller.now_us);
+    expect_that!(news[0].leaving, eq(true));
+    let mut bench = Bench::new(&service(2));
+    bench.pass_ms(2);
+    bench.balancer.heard(&news[0], bench.now_us);
+    let used: Vec<_> = (0..10).map(|_| bench.start()).collect();
+    expect_that!(used, each(eq(&0)));
+}
+
+#[gtest]
+fn the_fleet_never_asks_an_upstream_more_than_its_budget() {
+    let entries = limits().entry_vms_max;
+    let mut asks = 0;
+    for seed in 0..entries {
+        let mut bench = Bench::unheard(&service(1));
+        bench.balancer = ServiceBalancer::new(&service(1), &limits(), u64::from(seed), START_US);
+        for _ in 0..600 {
+            bench.pass_ms(100);
+            let _ = bench.arrive(Class::Routine);
+            asks += u32::from(bench.balancer.next_ask(bench.now_us).is_some());
+        }
+    }
+    // One a second for the whole fleet over 60 s, and each VM's one saved ask.
+    expect_that!(asks, le(60 + entries));
+    expect_that!(asks, ge(entries));
+}
+
+#[gtest]
+fn a_fast_failing_upstream_is_set_aside_and_must_earn_its_way_back() {
+    let mut bench = Bench::new(&service(4));
+    let mut failed = 0;
+    for _ in 0..200 {
+        let upstream = bench.start();
+        bench.pass_ms(1);
+        let failing = upstream == 0;
+        failed += u32::from(failing);
+        let end = if failing {
+            AttemptEnd::Failed
+        } else {
+            AttemptEnd::Answered
+        };
+        bench.finish(upstream, end, 1, Some(LoadReport::default()));
+    }
+    expect_that!(failed, le(u32::from(EjectionOptions::default().failures)));
+}
+
+#[gtest]
+fn an_ejected_upstream_gets_one_trial_at_a_time() {
+    let mut bench = Bench::new(&service(2));
+    // Under load even a failing upstream is used, so that it comes to ejection.
+    let mut held = Vec::new();
+    while !bench.balancer.summaries(bench.now_us)[0].ejected {
+        match bench.start() {
+            0 => bench.finish(0, AttemptEnd::Failed, 1, Some(LoadReport::default())),
+            other => held.push(other),
+        }
+    }
+    for upstream in held {
+        bench.finish(upstream, AttemptEnd::Answered, 1, Some(LoadReport::default()));
+    }
+    bench.pass_ms(1_001);
+    bench.all_report(0);
+    let trials = (0..11)
+        .map(|_| bench.start())
+        .filter(|&upstream| upstream == 0)
+        .count();
+    expect_that!(trials, le(1));
+}
+
+#[gtest]
+fn ejection_leaves_a_floor_when_all_look_ill() {
+    let mut bench = Bench::new(&service(4));
+    for _ in 0..100 {
+        let upstream = bench.start();
+        bench.finish(upstream, AttemptEnd::Failed, 1, Some(LoadReport::default()));
+    }
+    let ejected = bench
+        .balancer
+        .summaries(bench.now_us)
+        .iter()
+        .filter(|summary| summary.ejected)
+        .count();
+    expect_that!(ejected, eq(2));
+}
+
+#[gtest]
+fn reports_that_contradict_own_requests_lose_their_say() {
+    let mut bench = Bench::new(&service(2));
+    // Upstream 0 says it is idle while this entry alone keeps requests there.
+    for _ in 0..400 {
+        let upstream = bench.start();
+        bench.pass_ms(6);
+        if bench.balancer.in_flight() > 4 {
+            bench.finish(upstream, AttemptEnd::Answered, 6, Some(LoadReport::default()));
+        }
+        if bench.balancer.in_flight() > 8 {
+            break;
+        }
+    }
+    bench.all_report(40);
+    let mut totals = bench
+        .balancer
+        .summaries(bench.now_us)
+        .into_iter()
+        .map(|summary| summary.total);
+    expect_that!(totals.all(|total| total < 20.0), eq(true));
+}
+
+#[gtest]
+fn urgent_work_goes_first_and_routine_work_still_moves() {
+    let mut options = service(1);
+    options.admission = AdmissionOptions {
+        queue_share: 0.0,
+        wait_max_ms: 5_000,
+        ..AdmissionOptions::default()
+    };
+    let mut bench = Bench::new(&options);
+    for _ in 0..SLOTS {
+        bench.start();
+    }
+    for _ in 0..40 {
+        expect_that!(bench.arrive(Class::Routine), eq(&Decision::Wait));
+        expect_that!(bench.arrive(Class::Urgent), eq(&Decision::Wait));
+    }
+    let mut urgent = 0;
+    for _ in 0..32 {
+        bench.pass_ms(5);
+        bench.finish(
+            0,
+            AttemptEnd::Answered,
+            5,
+            Some(LoadReport {
+                in_flight: SLOTS - 1,
+                draining: false,
+            }),
+        );
+        // Waiters are numbered from 1 and the urgent ones came second: those after the slots are even.
+        if let Some(Dispatch::Start { waiter, .. }) = bench.dispatch() {
+            urgent += u32::from((waiter - u32::from(SLOTS)).is_multiple_of(2));
+        }
+    }
+    expect_that!(urgent, eq(28));
+}
+
+#[gtest]
+fn what_cannot_be_served_in_time_is_refused_at_its_arrival() {
+    let mut options = service(1);
+    options.admission = AdmissionOptions {
+        queue_share: 0.0,
+        queue_max: 3,
+        ..AdmissionOptions::default()
+    };
+    let mut bench = Bench::new(&options);
+    for _ in 0..SLOTS {
+        bench.start();
+    }
+    for _ in 0..3 {
+        expect_that!(bench.arrive(Class::Routine), eq(&Decision::Wait));
+    }
+    let refused = bench.arrive(Class::Routine);
+    expect_that!(
+        refused,
+        matches_pattern!(Decision::Refuse {
+            kind: eq(&ErrorKind::Overloaded),
+            ..
+        })
+    );
+    let passed = Arrival {
+        class: Class::Urgent,
+        deadline_us: bench.now_us,
+    };
+    let refused = bench.balancer.arrive(passed, 99, bench.now_us);
+    expect_that!(
+        refused,
+        matches_pattern!(Decision::Refuse {
+            kind: eq(&ErrorKind::DeadlinePassed),
+            ..
+        })
+    );
+}
+
+#[gtest]
+fn retries_are_a_share_of_successes() {
+    let mut bench = Bench::new(&service(3));
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        let upstream = bench.start();
+        bench.pass_ms(1);
+        if let Some(second) = bench.balancer.retry(upstream, bench.now_us) {
+            retries += 1;
+            expect_that!(second, not(eq(upstream)));
+            bench.finish(second, AttemptEnd::Cancelled, 1, None);
+        }
+        bench.finish(upstream, AttemptEnd::Cancelled, 1, Some(LoadReport::default()));
+    }
+    // No success at all: only what the bucket held.
+    expect_that!(retries, eq(10));
+}
+
+#[gtest]
+fn hedges_are_a_share_of_answers_and_only_on_slack() {
+    let mut bench = Bench::new(&service(3));
+    for _ in 0..100 {
+        let upstream = bench.run(AttemptEnd::Answered);
+        bench
+            .balancer
+            .reported(upstream, LoadReport::default(), bench.now_us);
+    }
+    expect_that!(bench.balancer.hedge_after_us(), some(eq(20 * US_PER_MS)));
+    let first = bench.start();
+    bench.all_report(1);
+    expect_that!(bench.balancer.hedge(first, bench.now_us), some(not(eq(first))));
+    bench.all_report(SLOTS);
+    expect_that!(bench.balancer.hedge(first, bench.now_us), none());
+}
+
+#[gtest]
+fn a_new_configuration_keeps_what_is_in_flight() {
+    let mut bench = Bench::new(&service(3));
+    let upstream = bench.start();
+    let name = bench.balancer.upstream(upstream).name.clone();
+    let mut smaller = service(3);
+    smaller.upstreams.retain(|kept| kept.name != name);
+    bench.balancer.configure(&smaller, &limits(), bench.now_us);
+    for _ in 0..20 {
+        expect_that!(bench.run(AttemptEnd::Answered), not(eq(upstream)));
+        bench.all_report(0);
+    }
+    bench.finish(upstream, AttemptEnd::Answered, 100, None);
+    expect_that!(bench.balancer.in_flight(), eq(0));
+}
--- a/standins/src/bin/measure/choosing.rs
+++ b/standins/src/bin/measure/choosing.rs
@@ -40,6 +40,9 @@
     /// Runs of each way.
     #[arg(long, default_value_t = 3)]
     runs: u64,
+    /// Mean time of service, in milliseconds; longer ones need fewer calls for the same load.
+    #[arg(long, default_value_t = 15.0)]
+    service_ms: f64,
     /// Entry VMs.
     #[arg(long, default_value_t = 17)]
     entries: usize,
@@ -78,7 +81,6 @@
     Overload,
 }
 
-const SERVICE_MS: f64 = 15.0;
 const SIGMA: f64 = 0.8;
 const WARM_UP: Duration = Duration::from_secs(2);
 const DEADLINE_MS: u64 = 2_000;
@@ -140,7 +142,7 @@
     let service = ServicePlan {
         instances,
         slots,
-        service_ms: SERVICE_MS,
+        service_ms: args.service_ms,
         sigma: SIGMA,
         probe_ms,
         ..ServicePlan::default()
@@ -211,7 +213,7 @@
     } else {
         args.load
     };
-    let per_s = load * slots * 1_000.0 / SERVICE_MS;
+    let per_s = load * slots * 1_000.0 / args.service_ms;
     let plan = LoadPlan {
         target: Target::Uneven(deployment.entries()),
         service: service.name.clone(),
@@ -318,6 +320,15 @@
         table.row(row(*way, runs));
     }
     println!("{}", table.markdown());
+    for (way, runs) in runs {
+        for (reason, count) in runs
+            .iter()
+            .flat_map(|run| run.report.kinds.values())
+            .flat_map(|kind| &kind.reasons)
+        {
+            println!("{}: {reason} {count}", way.name());
+        }
+    }
 }
 
 fn row(way: Way, runs: &[Run]) -> Vec<String> {
