--- a/crates/pointvane-balance/src/admission.rs
+++ b/crates/pointvane-balance/src/admission.rs
@@ -46,13 +46,7 @@
     /// An empty queue.
     pub fn new(options: AdmissionOptions) -> Self {
         let queues = [VecDeque::new(), VecDeque::new()];
-        Self {
-            options,
-            queues,
-            urgent_in_row: 0,
-            interval_us: 0.0,
-            started_at_us: None,
-        }
+        Self { options, queues, urgent_in_row: 0, interval_us: 0.0, started_at_us: None }
     }
 
     /// Takes new rules; what waits stays.
@@ -99,14 +93,9 @@
     /// Takes out the next request to start.
     pub fn pop(&mut self) -> Option<Waiting<W>> {
         let routine_turn = self.urgent_in_row + 1 >= self.options.routine_every;
-        let order = if routine_turn {
-            [Class::Routine, Class::Urgent]
-        } else {
-            [Class::Urgent, Class::Routine]
-        };
-        let class = order
-            .into_iter()
-            .find(|&class| !self.queues[class as usize].is_empty())?;
+        let order =
+            if routine_turn { [Class::Routine, Class::Urgent] } else { [Class::Urgent, Class::Routine] };
+        let class = order.into_iter().find(|&class| !self.queues[class as usize].is_empty())?;
         self.urgent_in_row = match class {
             Class::Urgent => self.urgent_in_row.saturating_add(1),
             Class::Routine => 0,
--- a/crates/pointvane-balance/src/budget.rs
+++ b/crates/pointvane-balance/src/budget.rs
@@ -14,12 +14,7 @@
 impl TokenBucket {
     /// A full bucket that time fills at `rate_per_s`.
     pub fn timed(rate_per_s: f64, tokens_max: f64, now_us: u64) -> Self {
-        Self {
-            tokens: tokens_max,
-            tokens_max,
-            rate_per_s,
-            filled_at_us: now_us,
-        }
+        Self { tokens: tokens_max, tokens_max, rate_per_s, filled_at_us: now_us }
     }
 
     /// A full bucket that only [`Self::earn`] fills.
--- a/crates/pointvane-balance/src/chooser.rs
+++ b/crates/pointvane-balance/src/chooser.rs
@@ -21,12 +21,7 @@
 impl Chooser {
     /// A chooser that compares `choices` upstreams where its policy compares a few.
     pub fn new(policy: Policy, choices: u8, rng: SmallRng) -> Self {
-        Self {
-            policy,
-            choices: usize::from(choices),
-            next: 0,
-            rng,
-        }
+        Self { policy, choices: usize::from(choices), next: 0, rng }
     }
 
     /// The index of the upstream to use among those that `usable` allows.
@@ -105,9 +100,7 @@
         U: Fn(usize, &UpstreamState) -> bool,
     {
         let count = upstreams.len();
-        let index = (0..count)
-            .map(|step| (self.next + step) % count)
-            .find(|&i| usable(i, &upstreams[i]))?;
+        let index = (0..count).map(|step| (self.next + step) % count).find(|&i| usable(i, &upstreams[i]))?;
         self.next = (index + 1) % count;
         Some(index)
     }
--- a/crates/pointvane-balance/src/evidence.rs
+++ b/crates/pointvane-balance/src/evidence.rs
@@ -13,11 +13,7 @@
 impl Evidence {
     /// Takes a sign made at `at_us`.
     pub fn observe(&mut self, leaving: bool, at_us: u64) {
-        let sign = if leaving {
-            &mut self.leaving_at_us
-        } else {
-            &mut self.staying_at_us
-        };
+        let sign = if leaving { &mut self.leaving_at_us } else { &mut self.staying_at_us };
         *sign = (*sign).max(Some(at_us));
     }
 
--- a/crates/pointvane-balance/src/health.rs
+++ b/crates/pointvane-balance/src/health.rs
@@ -35,10 +35,7 @@
 
     /// Health of an upstream that starts cold at `now_us`.
     pub fn cold(now_us: u64) -> Self {
-        Self {
-            warm_from_us: Some(now_us),
-            ..Self::warm()
-        }
+        Self { warm_from_us: Some(now_us), ..Self::warm() }
     }
 
     /// Takes a success; it ends a trial and, after a while, the memory of earlier ejections.
--- a/crates/pointvane-balance/src/keys.rs
+++ b/crates/pointvane-balance/src/keys.rs
@@ -2,7 +2,8 @@
 //!
 //! A key names the one entry incarnation that may run it. That incarnation remembers the key until the key's
 //! own expiry; a repeat joins the run or gets its answer. After the expiry, or at any other incarnation, the
-//! key is never run. So a key runs at most once whatever is lost, paused or cut.
+//! key is never run. So a key runs at most once whatever is lost, paused or cut. A key that was once said to be
+//! not run is fenced: a copy that arrives late, as after a pause, is not run either.
 
 use {
     pointvane_core::{ErrorKind, IdempotencyKey, Incarnation, Name},
@@ -25,11 +26,7 @@
 
 impl Default for KeyTableOptions {
     fn default() -> Self {
-        Self {
-            keys_max: 200_000,
-            life_max_ms: 3_600_000,
-            answer_bytes_max: 32 << 20,
-        }
+        Self { keys_max: 200_000, life_max_ms: 3_600_000, answer_bytes_max: 32 << 20 }
     }
 }
 
@@ -62,7 +59,7 @@
 /// How a run of a key ended.
 #[derive(Debug)]
 pub enum KeyEnd<A> {
-    /// No byte went to an upstream and none will: the key may be used again.
+    /// No byte went to an upstream; from now on the key is fenced, so that none ever will.
     NotRun(ErrorKind),
     /// It ran; the answer may be kept.
     Ran(Option<Arc<A>>),
@@ -72,6 +69,7 @@
 enum State<A, J> {
     Running(Vec<J>),
     Ran(Option<Arc<A>>),
+    Fenced(ErrorKind),
 }
 
 /// The keys of one entry incarnation.
@@ -89,14 +87,7 @@
     /// An empty table of this incarnation.
     pub fn new(options: KeyTableOptions, vm: Name, incarnation: Incarnation) -> Self {
         let (states, expiries) = (HashMap::new(), BTreeSet::new());
-        Self {
-            options,
-            vm,
-            incarnation,
-            states,
-            expiries,
-            answer_bytes: 0,
-        }
+        Self { options, vm, incarnation, states, expiries, answer_bytes: 0 }
     }
 
     /// Keys remembered.
@@ -112,10 +103,7 @@
     /// Decides on a request; `now_ms` counts from the incarnation's start.
     pub fn begin(&mut self, key: &IdempotencyKey, joiner: J, now_ms: u64) -> KeyDecision<A, J> {
         if key.vm != self.vm {
-            return KeyDecision::PassOn {
-                vm: key.vm.clone(),
-                incarnation: key.incarnation,
-            };
+            return KeyDecision::PassOn { vm: key.vm.clone(), incarnation: key.incarnation };
         }
         if key.incarnation != self.incarnation {
             return KeyDecision::Refuse(ErrorKind::KeyOwnerGone);
@@ -125,7 +113,8 @@
             return KeyDecision::Refuse(ErrorKind::KeyExpired);
         }
         if key.expiry_ms > now_ms + self.options.life_max_ms {
-            return KeyDecision::Refuse(ErrorKind::KeyInvalid);
+            // Refused as unknown: later this expiry may lie within the bound.
+            return KeyDecision::Refuse(ErrorKind::KeyExpired);
         }
         let id: Box<str> = key.to_string().into();
         let full = self.states.len() >= self.options.keys_max;
@@ -136,7 +125,8 @@
             }
             Some(State::Ran(Some(answer))) => KeyDecision::Replay(Arc::clone(answer)),
             Some(State::Ran(None)) => KeyDecision::Refuse(ErrorKind::AnswerNotKept),
-            None if full => KeyDecision::Refuse(ErrorKind::Overloaded),
+            Some(State::Fenced(kind)) => KeyDecision::Refuse(*kind),
+            None if full => KeyDecision::Refuse(ErrorKind::KeysFull),
             None => {
                 self.expiries.insert((key.expiry_ms, id.clone()));
                 self.states.insert(id, State::Running(Vec::new()));
@@ -145,23 +135,37 @@
         }
     }
 
+    /// The kind with which to refuse a request as not run for `kind` before its run begins. The key is fenced
+    /// first; if it is another's, or has begun to run, the outcome is unknown.
+    pub fn refuse(&mut self, key: &IdempotencyKey, joiner: J, kind: ErrorKind, now_ms: u64) -> ErrorKind {
+        match self.begin(key, joiner, now_ms) {
+            KeyDecision::Run(_) => {
+                self.finish(key, KeyEnd::NotRun(kind));
+                kind
+            }
+            KeyDecision::Refuse(other) => other,
+            KeyDecision::Joined | KeyDecision::Replay(_) => ErrorKind::AnswerNotKept,
+            KeyDecision::PassOn { .. } => ErrorKind::KeyOwnerGone,
+        }
+    }
+
     /// Takes the end of a run and gives back those that joined it, to be told the same.
     pub fn finish(&mut self, key: &IdempotencyKey, end: KeyEnd<A>) -> Vec<J> {
         let id: Box<str> = key.to_string().into();
-        let before = match end {
-            KeyEnd::NotRun(_) => {
-                self.expiries.remove(&(key.expiry_ms, id.clone()));
-                self.states.remove(&id)
-            }
-            // A key that was forgotten while it ran stays forgotten: its expiry alone keeps it from running.
-            KeyEnd::Ran(_) if !self.states.contains_key(&id) => None,
+        // A key that was forgotten meanwhile stays forgotten: its expiry alone keeps it from running.
+        if !self.states.contains_key(&id) {
+            return Vec::new();
+        }
+        let state = match end {
+            KeyEnd::NotRun(kind) => State::Fenced(kind),
             KeyEnd::Ran(answer) => {
                 let kept =
                     answer.filter(|a| self.answer_bytes + a.size_bytes() <= self.options.answer_bytes_max);
                 self.answer_bytes += kept.as_ref().map_or(0, |answer| answer.size_bytes());
-                self.states.insert(id, State::Ran(kept))
+                State::Ran(kept)
             }
         };
+        let before = self.states.insert(id, state);
         match before {
             Some(State::Running(joiners)) => joiners,
             _ => Vec::new(),
@@ -178,6 +182,9 @@
             }
             match self.states.get(&id) {
                 Some(State::Running(_)) => running.push((expiry_ms, id)),
+                Some(State::Fenced(_)) => {
+                    self.states.remove(&id);
+                }
                 Some(State::Ran(answer)) => {
                     self.answer_bytes -= answer.as_ref().map_or(0, |answer| answer.size_bytes());
                     self.states.remove(&id);
--- a/crates/pointvane-balance/src/service.rs
+++ b/crates/pointvane-balance/src/service.rs
@@ -185,26 +185,16 @@
 
     fn place_upstreams(&mut self, now_us: u64, health: impl Fn(u64) -> Health) {
         for (state, slot) in self.upstreams.iter().zip(&mut self.slots) {
-            slot.retired = !self
-                .service
-                .upstreams
-                .iter()
-                .any(|u| same_process(u, &state.upstream));
+            slot.retired = !self.service.upstreams.iter().any(|u| same_process(u, &state.upstream));
         }
         let wanted = self.service.upstreams.clone();
-        let places = wanted
-            .into_iter()
-            .map(|upstream| self.place(upstream, health(now_us), now_us));
+        let places = wanted.into_iter().map(|upstream| self.place(upstream, health(now_us), now_us));
         self.by_position = places.collect();
     }
 
     /// The index of an upstream: its old one, that of a retired and empty one, or a new one.
     fn place(&mut self, upstream: pointvane_config::Upstream, health: Health, now_us: u64) -> usize {
-        if let Some(index) = self
-            .upstreams
-            .iter()
-            .position(|s| same_process(&s.upstream, &upstream))
-        {
+        if let Some(index) = self.upstreams.iter().position(|s| same_process(&s.upstream, &upstream)) {
             self.upstreams[index].upstream = upstream;
             return index;
         }
@@ -247,10 +237,7 @@
     pub fn arrive(&mut self, arrival: Arrival, waiter: W, now_us: u64) -> Decision<W> {
         self.arrived_at_us = Some(now_us);
         if arrival.deadline_us <= now_us {
-            return Decision::Refuse {
-                kind: ErrorKind::DeadlinePassed,
-                waiter,
-            };
+            return Decision::Refuse { kind: ErrorKind::DeadlinePassed, waiter };
         }
         if !self.admission.is_empty() {
             return self.queue(arrival, waiter, now_us);
@@ -260,10 +247,7 @@
                 self.start(upstream, now_us);
                 Decision::Start { upstream, waiter }
             }
-            Err(NoPick::Nothing) => Decision::Refuse {
-                kind: ErrorKind::NoUpstream,
-                waiter,
-            },
+            Err(NoPick::Nothing) => Decision::Refuse { kind: ErrorKind::NoUpstream, waiter },
             Err(NoPick::Full | NoPick::Stale) => self.queue(arrival, waiter, now_us),
         }
     }
@@ -271,10 +255,7 @@
     fn queue(&mut self, arrival: Arrival, waiter: W, now_us: u64) -> Decision<W> {
         match self.admission.push(arrival, waiter, now_us) {
             Ok(()) => Decision::Wait,
-            Err(waiter) => Decision::Refuse {
-                kind: ErrorKind::Overloaded,
-                waiter,
-            },
+            Err(waiter) => Decision::Refuse { kind: ErrorKind::Overloaded, waiter },
         }
     }
 
@@ -285,10 +266,7 @@
             return None;
         }
         if let Some(lost) = self.admission.pop_lost(now_us, gone) {
-            return Some(Dispatch::Refuse {
-                kind: ErrorKind::DeadlinePassed,
-                waiter: lost.waiter,
-            });
+            return Some(Dispatch::Refuse { kind: ErrorKind::DeadlinePassed, waiter: lost.waiter });
         }
         match self.pick(now_us, None) {
             Ok(upstream) => {
@@ -299,10 +277,7 @@
             }
             Err(NoPick::Nothing) => {
                 let Waiting { waiter, .. } = self.admission.pop()?;
-                Some(Dispatch::Refuse {
-                    kind: ErrorKind::NoUpstream,
-                    waiter,
-                })
+                Some(Dispatch::Refuse { kind: ErrorKind::NoUpstream, waiter })
             }
             Err(NoPick::Full | NoPick::Stale) => None,
         }
@@ -380,11 +355,7 @@
         let state = &mut self.upstreams[result.upstream];
         state.health.succeeded(now_us);
         state.answered(latency_us, now_us);
-        let share = if self.latency_us == 0.0 {
-            1.0
-        } else {
-            LATENCY_SHARE
-        };
+        let share = if self.latency_us == 0.0 { 1.0 } else { LATENCY_SHARE };
         self.latency_us += (latency_us - self.latency_us) * share;
         self.retries.earn(self.service.retry.budget_share);
         self.hedges.earn(self.service.hedge.budget_share);
@@ -409,10 +380,7 @@
 
     /// Takes the platform's word that an upstream's VM is leaving or live, of unknown age.
     pub fn listed(&mut self, name: &Name, leaving: bool, now_us: u64) {
-        let found = self
-            .upstreams
-            .iter_mut()
-            .filter(|state| state.upstream.name == *name);
+        let found = self.upstreams.iter_mut().filter(|state| state.upstream.name == *name);
         for state in found.filter(|_| leaving) {
             state.evidence.observe(true, now_us);
         }
@@ -423,15 +391,11 @@
     /// Only while requests come, and only within this entry VM's share of the fleet's probe budget.
     pub fn next_ask(&mut self, now_us: u64) -> Option<usize> {
         let bound_us = self.evidence_bound_us();
-        let recent = self
-            .arrived_at_us
-            .is_some_and(|at_us| now_us.saturating_sub(at_us) <= bound_us);
+        let recent = self.arrived_at_us.is_some_and(|at_us| now_us.saturating_sub(at_us) <= bound_us);
         if !recent {
             return None;
         }
-        let under_way = (0..self.slots.len())
-            .filter(|&i| self.asked_lately(i, now_us))
-            .count();
+        let under_way = (0..self.slots.len()).filter(|&i| self.asked_lately(i, now_us)).count();
         if under_way >= ASKS_AT_ONCE {
             return None;
         }
@@ -452,9 +416,7 @@
     }
 
     fn asked_lately(&self, index: usize, now_us: u64) -> bool {
-        self.slots[index]
-            .asked_at_us
-            .is_some_and(|at_us| now_us.saturating_sub(at_us) < ASK_AGAIN_US)
+        self.slots[index].asked_at_us.is_some_and(|at_us| now_us.saturating_sub(at_us) < ASK_AGAIN_US)
     }
 
     /// Seconds after which a refused caller should come back, spread so that callers don't return together.
@@ -516,23 +478,17 @@
     fn stand_in(&mut self, now_us: u64, exclude: Option<usize>) -> Result<usize, NoPick> {
         let candidates = || {
             let staying = |&i: &usize| !self.slots[i].retired && !self.upstreams[i].evidence.leaving();
-            (0..self.slots.len())
-                .filter(staying)
-                .filter(|&i| Some(i) != exclude)
+            (0..self.slots.len()).filter(staying).filter(|&i| Some(i) != exclude)
         };
         if candidates().any(|i| self.asked_lately(i, now_us)) {
             return Err(NoPick::Stale);
         }
         let affordable = candidates().collect::<Vec<_>>();
-        if affordable
-            .iter()
-            .any(|&i| self.slots[i].probes.level(now_us) >= 1.0)
-        {
+        if affordable.iter().any(|&i| self.slots[i].probes.level(now_us) >= 1.0) {
             return Err(NoPick::Stale);
         }
         let idle = affordable.into_iter().filter(|&i| self.upstreams[i].own == 0);
-        idle.max_by_key(|&i| self.upstreams[i].evidence.staying_at_us())
-            .ok_or(NoPick::Stale)
+        idle.max_by_key(|&i| self.upstreams[i].evidence.staying_at_us()).ok_or(NoPick::Stale)
     }
 
     fn evidence_bound_us(&self) -> u64 {
@@ -544,20 +500,12 @@
     }
 
     fn ejected_count(&self, now_us: u64) -> usize {
-        let in_place = self
-            .upstreams
-            .iter()
-            .zip(&self.slots)
-            .filter(|(_, slot)| !slot.retired);
+        let in_place = self.upstreams.iter().zip(&self.slots).filter(|(_, slot)| !slot.retired);
         in_place.filter(|(state, _)| state.health.ejected(now_us)).count()
     }
 
     fn staying_count(&self) -> usize {
-        let in_place = self
-            .upstreams
-            .iter()
-            .zip(&self.slots)
-            .filter(|(_, slot)| !slot.retired);
+        let in_place = self.upstreams.iter().zip(&self.slots).filter(|(_, slot)| !slot.retired);
         in_place.filter(|(state, _)| !state.evidence.leaving()).count()
     }
 }
--- a/crates/pointvane-balance/src/service/news.rs
+++ b/crates/pointvane-balance/src/service/news.rs
@@ -18,10 +18,7 @@
             .collect();
         found.sort_unstable_by(|a, b| b.cmp(a));
         found.truncate(count_max);
-        found
-            .into_iter()
-            .map(|(_, position)| self.tell(position, now_us))
-            .collect()
+        found.into_iter().map(|(_, position)| self.tell(position, now_us)).collect()
     }
 
     /// How much the word about an upstream is worth telling; none if there is nothing new.
@@ -44,12 +41,7 @@
         slot.told_at_us = now_us;
         let age_ms = now_us.saturating_sub(slot.seen_at_us) / US_PER_MS;
         let age_ms = age_ms.min(u64::from(u16::MAX)) as u16;
-        Observation {
-            position,
-            requests,
-            leaving: state.evidence.leaving(),
-            age_ms,
-        }
+        Observation { position, requests, leaving: state.evidence.leaving(), age_ms }
     }
 
     /// Takes a peer's observation.
--- a/crates/pointvane-balance/src/upstream.rs
+++ b/crates/pointvane-balance/src/upstream.rs
@@ -73,11 +73,7 @@
     /// Requests of all entry VMs at this upstream, as far as known.
     pub fn total(&self, context: &ScoreContext<'_>) -> f32 {
         let mean = context.mean.expected(self.upstream.slots);
-        f32::from(self.own)
-            + self
-                .others
-                .at(context.now_us, context.half_life_us, mean)
-                .max(0.0)
+        f32::from(self.own) + self.others.at(context.now_us, context.half_life_us, mean).max(0.0)
     }
 
     /// Expected wait of one more request, in slots' turns; smaller is better.
@@ -99,11 +95,7 @@
 
     /// Takes the time of a whole answer, queueing at the upstream taken out by `queue_turns`.
     pub fn answered(&mut self, latency_us: f32, now_us: u64) {
-        let share = if self.latency_us == 0.0 {
-            1.0
-        } else {
-            LATENCY_SHARE
-        };
+        let share = if self.latency_us == 0.0 { 1.0 } else { LATENCY_SHARE };
         self.latency_us += (latency_us - self.latency_us) * share;
         self.latency_at_us = now_us;
         self.limit_share = (self.limit_share + SHED_RECOVERY).min(1.0);
--- a/crates/pointvane-balance/tests/service.rs
+++ b/crates/pointvane-balance/tests/service.rs
@@ -22,10 +22,7 @@
     };
     Service {
         name: "dispatch".into(),
-        route: Route {
-            hosts: Vec::new(),
-            path_prefix: "/dispatch".into(),
-        },
+        route: Route { hosts: Vec::new(), path_prefix: "/dispatch".into() },
         policy: Policy::Shared,
         deadline_ms: 10_000,
         home_vms: 0,
@@ -39,10 +36,7 @@
 }
 
 fn limits() -> FleetLimits {
-    FleetLimits {
-        entry_vms_max: 18,
-        ..FleetLimits::default()
-    }
+    FleetLimits { entry_vms_max: 18, ..FleetLimits::default() }
 }
 
 /// A balancer with a clock, whose waiters are numbers.
@@ -61,23 +55,12 @@
     }
 
     fn unheard(service: &Service) -> Self {
-        Self {
-            balancer: ServiceBalancer::new(service, &limits(), 1, START_US),
-            now_us: START_US,
-            next: 0,
-        }
+        Self { balancer: ServiceBalancer::new(service, &limits(), 1, START_US), now_us: START_US, next: 0 }
     }
 
     fn all_report(&mut self, in_flight: u16) {
         for index in 0..self.balancer.service().upstreams.len() {
-            self.balancer.reported(
-                index,
-                LoadReport {
-                    in_flight,
-                    draining: false,
-                },
-                self.now_us,
-            );
+            self.balancer.reported(index, LoadReport { in_flight, draining: false }, self.now_us);
         }
     }
 
@@ -87,10 +70,7 @@
 
     fn arrive(&mut self, class: Class) -> Decision<u32> {
         self.next += 1;
-        let arrival = Arrival {
-            class,
-            deadline_us: self.now_us + 10 * US_PER_S,
-        };
+        let arrival = Arrival { class, deadline_us: self.now_us + 10 * US_PER_S };
         self.balancer.arrive(arrival, self.next, self.now_us)
     }
 
@@ -103,12 +83,7 @@
     }
 
     fn finish(&mut self, upstream: usize, end: AttemptEnd, latency_ms: u64, report: Option<LoadReport>) {
-        let result = AttemptResult {
-            upstream,
-            end,
-            latency_us: latency_ms * US_PER_MS,
-            report,
-        };
+        let result = AttemptResult { upstream, end, latency_us: latency_ms * US_PER_MS, report };
         self.balancer.finish(&result, self.now_us);
     }
 
@@ -131,16 +106,8 @@
     expect_that!(bench.arrive(Class::Routine), eq(&Decision::Wait));
     let asked = bench.balancer.next_ask(bench.now_us).unwrap();
     expect_that!(bench.dispatch(), none());
-    bench
-        .balancer
-        .reported(asked, LoadReport::default(), bench.now_us);
-    expect_that!(
-        bench.dispatch(),
-        some(eq(&Dispatch::Start {
-            upstream: asked,
-            waiter: 1
-        }))
-    );
+    bench.balancer.reported(asked, LoadReport::default(), bench.now_us);
+    expect_that!(bench.dispatch(), some(eq(&Dispatch::Start { upstream: asked, waiter: 1 })));
 }
 
 #[gtest]
@@ -156,14 +123,7 @@
 fn a_leaving_upstream_gets_nothing_from_the_first_word_on_and_comes_back_on_a_later_one() {
     let mut bench = Bench::new(&service(2));
     bench.pass_ms(1);
-    bench.balancer.reported(
-        0,
-        LoadReport {
-            in_flight: 0,
-            draining: true,
-        },
-        bench.now_us,
-    );
+    bench.balancer.reported(0, LoadReport { in_flight: 0, draining: true }, bench.now_us);
     for _ in 0..50 {
         expect_that!(bench.run(AttemptEnd::Answered), eq(1));
         bench.balancer.reported(1, LoadReport::default(), bench.now_us);
@@ -180,26 +140,13 @@
     let staying = teller.balancer.news(10, teller.now_us);
     let mut bench = Bench::new(&service(1));
     bench.pass_ms(50);
-    bench.balancer.reported(
-        0,
-        LoadReport {
-            in_flight: 0,
-            draining: true,
-        },
-        bench.now_us,
-    );
+    bench.balancer.reported(0, LoadReport { in_flight: 0, draining: true }, bench.now_us);
     bench.pass_ms(50);
-    let late = pointvane_core::Observation {
-        age_ms: 80,
-        ..staying[0]
-    };
+    let late = pointvane_core::Observation { age_ms: 80, ..staying[0] };
     bench.balancer.heard(&late, bench.now_us);
     expect_that!(
         bench.arrive(Class::Routine),
-        matches_pattern!(Decision::Refuse {
-            kind: eq(&ErrorKind::NoUpstream),
-            ..
-        })
+        matches_pattern!(Decision::Refuse { kind: eq(&ErrorKind::NoUpstream), .. })
     );
 }
 
@@ -207,14 +154,7 @@
 fn word_of_leaving_passes_from_entry_to_entry() {
     let mut teller = Bench::new(&service(2));
     teller.pass_ms(1);
-    teller.balancer.reported(
-        1,
-        LoadReport {
-            in_flight: 3,
-            draining: true,
-        },
-        teller.now_us,
-    );
+    teller.balancer.reported(1, LoadReport { in_flight: 3, draining: true }, teller.now_us);
     let news = teller.balancer.news(1, teller.now_us);
     expect_that!(news[0].leaving, eq(true));
     let mut bench = Bench::new(&service(2));
@@ -251,11 +191,7 @@
         bench.pass_ms(1);
         let failing = upstream == 0;
         failed += u32::from(failing);
-        let end = if failing {
-            AttemptEnd::Failed
-        } else {
-            AttemptEnd::Answered
-        };
+        let end = if failing { AttemptEnd::Failed } else { AttemptEnd::Answered };
         bench.finish(upstream, end, 1, Some(LoadReport::default()));
     }
     expect_that!(failed, le(u32::from(EjectionOptions::default().failures)));
@@ -277,10 +213,7 @@
     }
     bench.pass_ms(1_001);
     bench.all_report(0);
-    let trials = (0..11)
-        .map(|_| bench.start())
-        .filter(|&upstream| upstream == 0)
-        .count();
+    let trials = (0..11).map(|_| bench.start()).filter(|&upstream| upstream == 0).count();
     expect_that!(trials, le(1));
 }
 
@@ -291,12 +224,7 @@
         let upstream = bench.start();
         bench.finish(upstream, AttemptEnd::Failed, 1, Some(LoadReport::default()));
     }
-    let ejected = bench
-        .balancer
-        .summaries(bench.now_us)
-        .iter()
-        .filter(|summary| summary.ejected)
-        .count();
+    let ejected = bench.balancer.summaries(bench.now_us).iter().filter(|summary| summary.ejected).count();
     expect_that!(ejected, eq(2));
 }
 
@@ -315,22 +243,15 @@
         }
     }
     bench.all_report(40);
-    let mut totals = bench
-        .balancer
-        .summaries(bench.now_us)
-        .into_iter()
-        .map(|summary| summary.total);
+    let mut totals = bench.balancer.summaries(bench.now_us).into_iter().map(|summary| summary.total);
     expect_that!(totals.all(|total| total < 20.0), eq(true));
 }
 
 #[gtest]
 fn urgent_work_goes_first_and_routine_work_still_moves() {
     let mut options = service(1);
-    options.admission = AdmissionOptions {
-        queue_share: 0.0,
-        wait_max_ms: 5_000,
-        ..AdmissionOptions::default()
-    };
+    options.admission =
+        AdmissionOptions { queue_share: 0.0, wait_max_ms: 5_000, ..AdmissionOptions::default() };
     let mut bench = Bench::new(&options);
     for _ in 0..SLOTS {
         bench.start();
@@ -342,15 +263,7 @@
     let mut urgent = 0;
     for _ in 0..32 {
         bench.pass_ms(5);
-        bench.finish(
-            0,
-            AttemptEnd::Answered,
-            5,
-            Some(LoadReport {
-                in_flight: SLOTS - 1,
-                draining: false,
-            }),
-        );
+        bench.finish(0, AttemptEnd::Answered, 5, Some(LoadReport { in_flight: SLOTS - 1, draining: false }));
         // Waiters are numbered from 1 and the urgent ones came second: those after the slots are even.
         if let Some(Dispatch::Start { waiter, .. }) = bench.dispatch() {
             urgent += u32::from((waiter - u32::from(SLOTS)).is_multiple_of(2));
@@ -362,11 +275,7 @@
 #[gtest]
 fn what_cannot_be_served_in_time_is_refused_at_its_arrival() {
     let mut options = service(1);
-    options.admission = AdmissionOptions {
-        queue_share: 0.0,
-        queue_max: 3,
-        ..AdmissionOptions::default()
-    };
+    options.admission = AdmissionOptions { queue_share: 0.0, queue_max: 3, ..AdmissionOptions::default() };
     let mut bench = Bench::new(&options);
     for _ in 0..SLOTS {
         bench.start();
@@ -375,25 +284,10 @@
         expect_that!(bench.arrive(Class::Routine), eq(&Decision::Wait));
     }
     let refused = bench.arrive(Class::Routine);
-    expect_that!(
-        refused,
-        matches_pattern!(Decision::Refuse {
-            kind: eq(&ErrorKind::Overloaded),
-            ..
-        })
-    );
-    let passed = Arrival {
-        class: Class::Urgent,
-        deadline_us: bench.now_us,
-    };
+    expect_that!(refused, matches_pattern!(Decision::Refuse { kind: eq(&ErrorKind::Overloaded), .. }));
+    let passed = Arrival { class: Class::Urgent, deadline_us: bench.now_us };
     let refused = bench.balancer.arrive(passed, 99, bench.now_us);
-    expect_that!(
-        refused,
-        matches_pattern!(Decision::Refuse {
-            kind: eq(&ErrorKind::DeadlinePassed),
-            ..
-        })
-    );
+    expect_that!(refused, matches_pattern!(Decision::Refuse { kind: eq(&ErrorKind::DeadlinePassed), .. }));
 }
 
 #[gtest]
@@ -419,9 +313,7 @@
     let mut bench = Bench::new(&service(3));
     for _ in 0..100 {
         let upstream = bench.run(AttemptEnd::Answered);
-        bench
-            .balancer
-            .reported(upstream, LoadReport::default(), bench.now_us);
+        bench.balancer.reported(upstream, LoadReport::default(), bench.now_us);
     }
     expect_that!(bench.balancer.hedge_after_us(), some(eq(20 * US_PER_MS)));
     let first = bench.start();
--- a/crates/pointvane-config/src/configuration.rs
+++ b/crates/pointvane-config/src/configuration.rs
@@ -32,12 +32,7 @@
 
 impl Default for FleetLimits {
     fn default() -> Self {
-        Self {
-            entry_vms_max: 1,
-            control_bytes_per_s: 18_000,
-            locate_keep_ms: 5_000,
-            key_life_ms: 600_000,
-        }
+        Self { entry_vms_max: 1, control_bytes_per_s: 18_000, locate_keep_ms: 5_000, key_life_ms: 600_000 }
     }
 }
 
@@ -162,12 +157,7 @@
 
 impl Default for AdmissionOptions {
     fn default() -> Self {
-        Self {
-            queue_share: 1.0,
-            queue_max: 512,
-            wait_max_ms: 100,
-            routine_every: 8,
-        }
+        Self { queue_share: 1.0, queue_max: 512, wait_max_ms: 100, routine_every: 8 }
     }
 }
 
@@ -182,10 +172,7 @@
 
 impl Default for RetryOptions {
     fn default() -> Self {
-        Self {
-            attempts_max: 3,
-            budget_share: 0.1,
-        }
+        Self { attempts_max: 3, budget_share: 0.1 }
     }
 }
 
@@ -202,11 +189,7 @@
 
 impl Default for HedgeOptions {
     fn default() -> Self {
-        Self {
-            budget_share: 0.1,
-            after_factor: 2.0,
-            slack_share: 0.7,
-        }
+        Self { budget_share: 0.1, after_factor: 2.0, slack_share: 0.7 }
     }
 }
 
@@ -225,11 +208,6 @@
 
 impl Default for EjectionOptions {
     fn default() -> Self {
-        Self {
-            failures: 5,
-            base_ms: 1_000,
-            share_max: 0.5,
-            warm_up_ms: 3_000,
-        }
+        Self { failures: 5, base_ms: 1_000, share_max: 0.5, warm_up_ms: 3_000 }
     }
 }
--- a/crates/pointvane-config/src/diff.rs
+++ b/crates/pointvane-config/src/diff.rs
@@ -23,20 +23,14 @@
 }
 
 fn change(subject: impl Into<String>, what: impl Into<String>) -> Change {
-    Change {
-        subject: subject.into(),
-        what: what.into(),
-    }
+    Change { subject: subject.into(), what: what.into() }
 }
 
 /// The differences from `old` to `new`, services and upstreams by name.
 pub fn diff(old: &Configuration, new: &Configuration) -> Vec<Change> {
     let mut changes = Vec::new();
     if old.revision != new.revision {
-        changes.push(change(
-            "revision",
-            format!("{} -> {}", old.revision, new.revision),
-        ));
+        changes.push(change("revision", format!("{} -> {}", old.revision, new.revision)));
     }
     if old.limits != new.limits {
         changes.push(change("limits", format!("{:?} -> {:?}", old.limits, new.limits)));
@@ -49,19 +43,14 @@
             Some(other) => diff_service(service, other, &mut changes),
         }
     }
-    let added = new_services
-        .keys()
-        .filter(|name| !old_services.contains_key(*name));
+    let added = new_services.keys().filter(|name| !old_services.contains_key(*name));
     changes.extend(added.map(|name| change(format!("service {name}"), "added")));
     changes
 }
 
 fn diff_service(old: &Service, new: &Service, changes: &mut Vec<Change>) {
     let subject = format!("service {}", old.name);
-    let bare = |service: &Service| Service {
-        upstreams: Vec::new(),
-        ..service.clone()
-    };
+    let bare = |service: &Service| Service { upstreams: Vec::new(), ..service.clone() };
     if bare(old) != bare(new) {
         changes.push(change(&*subject, "rules changed"));
     }
@@ -75,17 +64,12 @@
             Some(_) => {}
         }
     }
-    let added = new_upstreams
-        .keys()
-        .filter(|name| !old_upstreams.contains_key(*name));
+    let added = new_upstreams.keys().filter(|name| !old_upstreams.contains_key(*name));
     changes.extend(added.map(|name| change(format!("{subject} upstream {name}"), "added")));
 }
 
 fn describe(old: &Upstream, new: &Upstream) -> String {
-    format!(
-        "{} with {} slots -> {} with {} slots",
-        old.address, old.slots, new.address, new.slots
-    )
+    format!("{} with {} slots -> {} with {} slots", old.address, old.slots, new.address, new.slots)
 }
 
 fn by_name<'a, T>(items: &'a [T], name: impl Fn(&'a T) -> &'a Name) -> BTreeMap<&'a Name, &'a T> {
--- a/crates/pointvane-config/src/fault.rs
+++ b/crates/pointvane-config/src/fault.rs
@@ -19,13 +19,7 @@
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            file,
-            line,
-            key,
-            problem,
-            remedy,
-        } = self;
+        let Self { file, line, key, problem, remedy } = self;
         write!(f, "{file}:{line}: {key}: {problem}; {remedy}")
     }
 }
@@ -43,8 +37,7 @@
         if self.0.is_empty() {
             return Ok(value);
         }
-        self.0
-            .sort_by(|a, b| (&a.file, a.line, &a.key).cmp(&(&b.file, b.line, &b.key)));
+        self.0.sort_by(|a, b| (&a.file, a.line, &a.key).cmp(&(&b.file, b.line, &b.key)));
         Err(self)
     }
 }
--- a/crates/pointvane-config/src/fleet_file.rs
+++ b/crates/pointvane-config/src/fleet_file.rs
@@ -31,20 +31,10 @@
     let mut services = Vec::new();
     let mut seen = Seen::default();
     for path in service_paths(directory, &mut faults) {
-        services.extend(read_service_file(
-            directory,
-            &path,
-            &limits,
-            &mut seen,
-            &mut faults,
-        ));
+        services.extend(read_service_file(directory, &path, &limits, &mut seen, &mut faults));
     }
     services.sort_by(|a, b| a.name.cmp(&b.name));
-    faults.or(Configuration {
-        revision,
-        limits,
-        services,
-    })
+    faults.or(Configuration { revision, limits, services })
 }
 
 fn read_fleet(directory: &Path, faults: &mut Faults) -> (u64, FleetLimits) {
@@ -55,13 +45,7 @@
         return (0, FleetLimits::default());
     };
     let top = Section::top(&document, &table);
-    top.only(&[
-        "control_bytes_per_s",
-        "entry_vms_max",
-        "key_life_ms",
-        "locate_keep_ms",
-        "revision",
-    ]);
+    top.only(&["control_bytes_per_s", "entry_vms_max", "key_life_ms", "locate_keep_ms", "revision"]);
     let revision = top.integer("revision", 1..=u64::MAX >> 1, None);
     let default = FleetLimits::default();
     let limits = FleetLimits {
@@ -76,11 +60,7 @@
     };
     if limits.key_life_ms < limits.locate_keep_ms {
         let remedy = format!("give at least locate_keep_ms = {}", limits.locate_keep_ms);
-        top.fault(
-            "key_life_ms",
-            "keys would end before the answer that carries them",
-            remedy,
-        );
+        top.fault("key_life_ms", "keys would end before the answer that carries them", remedy);
     }
     faults.0.extend(document.into_faults().0);
     (revision, limits)
@@ -126,19 +106,11 @@
         );
     }
     let any = [Name::from("*")];
-    let hosts = if service.route.hosts.is_empty() {
-        &any[..]
-    } else {
-        &service.route.hosts
-    };
+    let hosts = if service.route.hosts.is_empty() { &any[..] } else { &service.route.hosts };
     for host in hosts {
         let route = (host.clone(), service.route.path_prefix.clone());
         if let Some(other) = seen.routes.insert(route, file.into()) {
-            top.fault(
-                "path_prefix",
-                format!("the same host and path are in {other}"),
-                "make them differ",
-            );
+            top.fault("path_prefix", format!("the same host and path are in {other}"), "make them differ");
         }
     }
 }
@@ -148,24 +120,12 @@
     for section in top.sections("upstream") {
         let name = section.text("name", "dispatch-1");
         if names.insert(name.clone(), ()).is_some() && !name.is_empty() {
-            section.fault(
-                "name",
-                format!("\"{name}\" stands twice"),
-                "give each upstream its own name",
-            );
+            section.fault("name", format!("\"{name}\" stands twice"), "give each upstream its own name");
         }
-        let address = service
-            .upstreams
-            .iter()
-            .find(|u| u.name.as_str() == name)
-            .map(|u| u.address);
+        let address = service.upstreams.iter().find(|u| u.name.as_str() == name).map(|u| u.address);
         let taken = address.and_then(|address| seen.addresses.insert(address, format!("{file} as {name}")));
         if let Some(other) = taken.filter(|other| *other != format!("{file} as {name}")) {
-            section.fault(
-                "address",
-                format!("is also in {other}"),
-                "give each upstream its own address",
-            );
+            section.fault("address", format!("is also in {other}"), "give each upstream its own address");
         }
     }
 }
@@ -191,18 +151,11 @@
 
 fn service_paths(directory: &Path, faults: &mut Faults) -> Vec<PathBuf> {
     let Ok(entries) = fs::read_dir(directory.join(SERVICES_DIRECTORY)) else {
-        faults.0.push(missing(
-            SERVICES_DIRECTORY,
-            "put one file a service into this directory",
-        ));
+        faults.0.push(missing(SERVICES_DIRECTORY, "put one file a service into this directory"));
         return Vec::new();
     };
-    let names = entries
-        .flatten()
-        .map(|entry| Path::new(SERVICES_DIRECTORY).join(entry.file_name()));
-    let mut paths: Vec<_> = names
-        .filter(|path| path.extension().is_some_and(|e| e == "toml"))
-        .collect();
+    let names = entries.flatten().map(|entry| Path::new(SERVICES_DIRECTORY).join(entry.file_name()));
+    let mut paths: Vec<_> = names.filter(|path| path.extension().is_some_and(|e| e == "toml")).collect();
     paths.sort();
     paths
 }
@@ -210,9 +163,7 @@
 fn read_text(directory: &Path, file: &str, faults: &mut Faults) -> Option<String> {
     let text = fs::read_to_string(directory.join(file));
     if text.is_err() {
-        faults
-            .0
-            .push(missing(file, "make the file readable, as UTF-8 text"));
+        faults.0.push(missing(file, "make the file readable, as UTF-8 text"));
     }
     text.ok()
 }
--- a/crates/pointvane-config/src/pack.rs
+++ b/crates/pointvane-config/src/pack.rs
@@ -54,10 +54,7 @@
 /// [`PackError::TooLarge`] when it exceeds the platform's limit.
 pub fn pack(configuration: &Configuration) -> Result<Vec<u8>, PackError> {
     let digest = digest(configuration)?;
-    let packed = Packed {
-        digest,
-        configuration: configuration.clone(),
-    };
+    let packed = Packed { digest, configuration: configuration.clone() };
     let value = serde_json::to_vec(&packed).map_err(|_| PackError::Malformed)?;
     if value.len() > PACKED_LIMIT_BYTES {
         return Err(PackError::TooLarge { bytes: value.len() });
--- a/crates/pointvane-config/src/reader.rs
+++ b/crates/pointvane-config/src/reader.rs
@@ -20,11 +20,7 @@
 impl<'t> Document<'t> {
     /// A document with no faults yet.
     pub fn new(file: &str, text: &'t str) -> Self {
-        Self {
-            file: file.into(),
-            text,
-            faults: RefCell::default(),
-        }
+        Self { file: file.into(), text, faults: RefCell::default() }
     }
 
     /// Parses the text; a syntax error becomes the document's only fault, as nothing else can be read.
@@ -40,13 +36,7 @@
     /// Notes a fault at a byte offset.
     pub fn fault(&self, offset: usize, key: &str, problem: String, remedy: String) {
         let line = 1 + self.text[..offset.min(self.text.len())].matches('\n').count();
-        let fault = Fault {
-            file: self.file.clone(),
-            line,
-            key: key.into(),
-            problem,
-            remedy,
-        };
+        let fault = Fault { file: self.file.clone(), line, key: key.into(), problem, remedy };
         self.faults.borrow_mut().0.push(fault);
     }
 
@@ -67,12 +57,7 @@
 impl<'d, 't> Section<'d, 't> {
     /// The document's top table.
     pub fn top(document: &'d Document<'t>, table: &'d Spanned<DeTable<'t>>) -> Self {
-        Self {
-            document,
-            table: Some(table.get_ref()),
-            path: String::new(),
-            offset: 0,
-        }
+        Self { document, table: Some(table.get_ref()), path: String::new(), offset: 0 }
     }
 
     /// The byte offset at which the table or one of its keys starts.
@@ -82,25 +67,16 @@
 
     /// Notes a fault at a key of this table.
     pub fn fault(&self, key: &str, problem: impl Into<String>, remedy: impl Into<String>) {
-        self.document.fault(
-            self.offset_of(key),
-            &self.full(key),
-            problem.into(),
-            remedy.into(),
-        );
+        self.document.fault(self.offset_of(key), &self.full(key), problem.into(), remedy.into());
     }
 
     /// Faults every key that is not in `known`.
     pub fn only(&self, known: &[&str]) {
         let Some(table) = self.table else { return };
-        for (key, _) in table
-            .iter()
-            .filter(|(key, _)| !known.contains(&key.get_ref().as_ref()))
-        {
+        for (key, _) in table.iter().filter(|(key, _)| !known.contains(&key.get_ref().as_ref())) {
             let name = self.full(key.get_ref());
             let remedy = format!("remove it, or use one of: {}", known.join(", "));
-            self.document
-                .fault(key.span().start, &name, "unknown key".into(), remedy);
+            self.document.fault(key.span().start, &name, "unknown key".into(), remedy);
         }
     }
 
@@ -117,12 +93,7 @@
             }
             None => None,
         };
-        Section {
-            document: self.document,
-            table,
-            path,
-            offset,
-        }
+        Section { document: self.document, table, path, offset }
     }
 
     /// The tables of an array of tables.
@@ -131,9 +102,7 @@
         match self.entry(key).map(Spanned::get_ref) {
             Some(DeValue::Array(array)) => {
                 let tables = array.iter().enumerate();
-                tables
-                    .map(|(index, value)| self.element(&path, index, value))
-                    .collect()
+                tables.map(|(index, value)| self.element(&path, index, value)).collect()
             }
             Some(_) => {
                 self.fault(key, "not an array of tables", format!("write [[{path}]]"));
@@ -149,17 +118,11 @@
         let table = match value.get_ref() {
             DeValue::Table(table) => Some(table),
             _ => {
-                self.document
-                    .fault(offset, &path, "not a table".into(), "write a table here".into());
+                self.document.fault(offset, &path, "not a table".into(), "write a table here".into());
                 None
             }
         };
-        Section {
-            document: self.document,
-            table,
-            path,
-            offset,
-        }
+        Section { document: self.document, table, path, offset }
     }
 
     /// A whole number within a range; `default` none makes it required.
@@ -235,11 +198,7 @@
 
     /// A text, or a default when it is absent.
     pub fn text_or(&self, key: &str, default: &str) -> String {
-        if self.entry(key).is_none() {
-            default.into()
-        } else {
-            self.text(key, default)
-        }
+        if self.entry(key).is_none() { default.into() } else { self.text(key, default) }
     }
 
     /// A text that reads as a `T`, such as an address; required.
@@ -250,11 +209,7 @@
         }
         let value = text.parse().ok();
         if value.is_none() {
-            self.fault(
-                key,
-                format!("\"{text}\" cannot be used"),
-                format!("write it like \"{example}\""),
-            );
+            self.fault(key, format!("\"{text}\" cannot be used"), format!("write it like \"{example}\""));
         }
         value
     }
@@ -268,11 +223,7 @@
         let found = choices.iter().find(|(name, _)| *name == text);
         if found.is_none() && !text.is_empty() {
             let names: Vec<_> = choices.iter().map(|(name, _)| *name).collect();
-            self.fault(
-                key,
-                format!("\"{text}\" is unknown"),
-                format!("use one of: {}", names.join(", ")),
-            );
+            self.fault(key, format!("\"{text}\" is unknown"), format!("use one of: {}", names.join(", ")));
         }
         found.map_or(default, |(_, value)| *value)
     }
@@ -302,10 +253,6 @@
     }
 
     fn full(&self, key: &str) -> String {
-        if self.path.is_empty() {
-            key.into()
-        } else {
-            format!("{}.{key}", self.path)
-        }
+        if self.path.is_empty() { key.into() } else { format!("{}.{key}", self.path) }
     }
 }
--- a/crates/pointvane-config/src/service_file.rs
+++ b/crates/pointvane-config/src/service_file.rs
@@ -29,17 +29,9 @@
         "upstream",
     ]);
     let slots = top.integer("slots", 1..=10_000, Some(1));
-    let upstreams: Vec<_> = top
-        .sections("upstream")
-        .iter()
-        .filter_map(|s| read_upstream(s, slots))
-        .collect();
+    let upstreams: Vec<_> = top.sections("upstream").iter().filter_map(|s| read_upstream(s, slots)).collect();
     if upstreams.is_empty() {
-        top.fault(
-            "upstream",
-            "the service has no usable upstream",
-            "add at least one [[upstream]]",
-        );
+        top.fault("upstream", "the service has no usable upstream", "add at least one [[upstream]]");
     }
     Service {
         name: top.text("name", "dispatch").as_str().into(),
@@ -57,23 +49,12 @@
 }
 
 fn read_route(top: &Section<'_, '_>) -> Route {
-    let hosts = top
-        .texts("hosts")
-        .iter()
-        .map(|host| host.as_str().into())
-        .collect();
+    let hosts = top.texts("hosts").iter().map(|host| host.as_str().into()).collect();
     let path_prefix = top.text("path_prefix", "/dispatch");
     if !path_prefix.is_empty() && !path_prefix.starts_with('/') {
-        top.fault(
-            "path_prefix",
-            "does not start with /",
-            "write it like \"/dispatch\"",
-        );
-    }
-    Route {
-        hosts,
-        path_prefix: path_prefix.as_str().into(),
+        top.fault("path_prefix", "does not start with /", "write it like \"/dispatch\"");
     }
+    Route { hosts, path_prefix: path_prefix.as_str().into() }
 }
 
 fn read_upstream(section: &Section<'_, '_>, slots: u16) -> Option<Upstream> {
@@ -82,33 +63,18 @@
     let data_centre = section.text("data_centre", "ub-1");
     let slots = section.integer("slots", 1..=10_000, Some(slots));
     let address = section.parsed("address", "10.0.0.7:8080")?;
-    Some(Upstream {
-        name: name.as_str().into(),
-        data_centre: data_centre.as_str().into(),
-        address,
-        slots,
-    })
+    Some(Upstream { name: name.as_str().into(), data_centre: data_centre.as_str().into(), address, slots })
 }
 
 fn read_load(section: &Section<'_, '_>) -> LoadOptions {
-    section.only(&[
-        "choices",
-        "evidence_ms",
-        "half_life_share",
-        "probe_path",
-        "probes_per_s",
-        "use_reports",
-    ]);
+    section.only(&["choices", "evidence_ms", "half_life_share", "probe_path", "probes_per_s", "use_reports"]);
     let default = LoadOptions::default();
     LoadOptions {
         choices: section.integer("choices", 1..=16, Some(default.choices)),
         half_life_share: section.number("half_life_share", 0.01..=100.0, default.half_life_share),
         use_reports: section.flag("use_reports", default.use_reports),
         probes_per_s: section.number("probes_per_s", 0.0..=1_000.0, default.probes_per_s),
-        probe_path: section
-            .text_or("probe_path", default.probe_path.as_str())
-            .as_str()
-            .into(),
+        probe_path: section.text_or("probe_path", default.probe_path.as_str()).as_str().into(),
         evidence_ms: section.integer("evidence_ms", 100..=60_000, Some(default.evidence_ms)),
     }
 }
--- a/crates/pointvane-config/src/settings.rs
+++ b/crates/pointvane-config/src/settings.rs
@@ -162,12 +162,8 @@
 /// Level of a log line, as `slog` names them.
 pub type LogLevel = &'static str;
 
-const LOG_LEVELS: [(&str, LogLevel); 4] = [
-    ("info", "info"),
-    ("debug", "debug"),
-    ("warning", "warning"),
-    ("error", "error"),
-];
+const LOG_LEVELS: [(&str, LogLevel); 4] =
+    [("info", "info"), ("debug", "debug"), ("warning", "warning"), ("error", "error")];
 const LOG_FORMATS: [(&str, LogFormat); 2] = [("text", LogFormat::Text), ("json", LogFormat::Json)];
 const NOWHERE: IpAddr = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
 
@@ -193,9 +189,7 @@
 }
 
 fn read(top: &Section<'_, '_>) -> Settings {
-    top.only(&[
-        "control", "entry", "locate", "log", "mesh", "operator", "platform", "vm",
-    ]);
+    top.only(&["control", "entry", "locate", "log", "mesh", "operator", "platform", "vm"]);
     Settings {
         vm: read_vm(&top.section("vm")),
         platform: read_platform(&top.section("platform")),
@@ -213,11 +207,7 @@
     let name = section.text("name", "entry-1");
     let named_well = name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
     if !named_well {
-        section.fault(
-            "name",
-            "holds other than letters, digits and -",
-            "write it like \"entry-1\"",
-        );
+        section.fault("name", "holds other than letters, digits and -", "write it like \"entry-1\"");
     }
     VmSettings {
         name: name.as_str().into(),
@@ -231,10 +221,7 @@
     let address = section.parsed("address", "10.0.0.100:8500");
     PlatformSettings {
         address: address.unwrap_or(SocketAddr::new(NOWHERE, 0)),
-        configuration_key: section
-            .text("configuration_key", "pointvane/configuration")
-            .as_str()
-            .into(),
+        configuration_key: section.text("configuration_key", "pointvane/configuration").as_str().into(),
         vm_list_key: section.text("vm_list_key", "pointvane/vms").as_str().into(),
         readers: section.integer("readers", 1..=32, Some(3)),
     }
@@ -246,11 +233,7 @@
     for text in section.texts("seeds") {
         match text.parse() {
             Ok(seed) => seeds.push(seed),
-            Err(_) => section.fault(
-                "seeds",
-                format!("\"{text}\" is no address"),
-                "write \"10.0.0.2:7001\"",
-            ),
+            Err(_) => section.fault("seeds", format!("\"{text}\" is no address"), "write \"10.0.0.2:7001\""),
         }
     }
     MeshSettings {
@@ -281,9 +264,7 @@
 
 fn read_control(section: &Section<'_, '_>) -> ControlSettings {
     section.only(&["port"]);
-    ControlSettings {
-        port: section.integer("port", 1..=65_535, Some(7_001)),
-    }
+    ControlSettings { port: section.integer("port", 1..=65_535, Some(7_001)) }
 }
 
 fn read_locate(section: &Section<'_, '_>) -> LocateSettings {
--- a/crates/pointvane-config/tests/files.rs
+++ b/crates/pointvane-config/tests/files.rs
@@ -45,9 +45,7 @@
     fn read(&self) -> std::result::Result<Configuration, Vec<(String, usize, String)>> {
         read_directory(&self.0).map_err(|faults| {
             let faults = faults.0.into_iter();
-            faults
-                .map(|fault| (fault.file.to_string(), fault.line, fault.key))
-                .collect()
+            faults.map(|fault| (fault.file.to_string(), fault.line, fault.key)).collect()
         })
     }
 }
@@ -59,12 +57,7 @@
 }
 
 fn good() -> Configuration {
-    Files::new(
-        "good",
-        &[("fleet.toml", FLEET), ("services/dispatch.toml", SERVICE)],
-    )
-    .read()
-    .unwrap()
+    Files::new("good", &[("fleet.toml", FLEET), ("services/dispatch.toml", SERVICE)]).read().unwrap()
 }
 
 #[gtest]
@@ -98,10 +91,7 @@
 [load]
 probes_per_s = 0.0001
 "#;
-    let files = Files::new(
-        "ten",
-        &[("fleet.toml", fleet), ("services/dispatch.toml", service)],
-    );
+    let files = Files::new("ten", &[("fleet.toml", fleet), ("services/dispatch.toml", service)]);
     let faults = files.read().unwrap_err();
     let expected = [
         ("fleet.toml", 1, "revision"),
@@ -115,19 +105,13 @@
         ("services/dispatch.toml", 12, "upstream[1].name"),
         ("services/dispatch.toml", 17, "load.probes_per_s"),
     ];
-    let expected: Vec<_> = expected
-        .map(|(file, line, key)| (file.to_owned(), line, key.to_owned()))
-        .into();
+    let expected: Vec<_> = expected.map(|(file, line, key)| (file.to_owned(), line, key.to_owned())).into();
     expect_that!(faults, eq(&expected));
 }
 
 #[gtest]
 fn two_services_may_share_neither_name_nor_route_nor_upstream() {
-    let files = [
-        ("fleet.toml", FLEET),
-        ("services/a.toml", SERVICE),
-        ("services/b.toml", SERVICE),
-    ];
+    let files = [("fleet.toml", FLEET), ("services/a.toml", SERVICE), ("services/b.toml", SERVICE)];
     let faults = Files::new("twins", &files).read().unwrap_err();
     let keys: Vec<_> = faults.iter().map(|(_, _, key)| key.as_str()).collect();
     expect_that!(keys, eq(&vec!["name", "path_prefix", "upstream[0].address"]));
@@ -135,18 +119,10 @@
 
 #[gtest]
 fn a_syntax_error_is_a_fault_with_its_line() {
-    let files = [
-        ("fleet.toml", "revision = 3\nentry_vms_max = = 18\n"),
-        ("services/dispatch.toml", SERVICE),
-    ];
+    let files = [("fleet.toml", "revision = 3\nentry_vms_max = = 18\n"), ("services/dispatch.toml", SERVICE)];
     let faults = Files::new("syntax", &files).read().unwrap_err();
     expect_that!(faults[0].1, eq(1).or(eq(2)));
-    expect_that!(
-        faults
-            .iter()
-            .any(|(_, line, key)| *line == 2 && key == "(syntax)"),
-        eq(true)
-    );
+    expect_that!(faults.iter().any(|(_, line, key)| *line == 2 && key == "(syntax)"), eq(true));
 }
 
 #[gtest]
@@ -165,10 +141,7 @@
     let mut configuration = good();
     let upstream = configuration.services[0].upstreams[0].clone();
     configuration.services[0].upstreams = vec![upstream; PACKED_LIMIT_BYTES / 60];
-    expect_that!(
-        pack(&configuration),
-        err(matches_pattern!(PackError::TooLarge { .. }))
-    );
+    expect_that!(pack(&configuration), err(matches_pattern!(PackError::TooLarge { .. })));
 }
 
 #[gtest]
@@ -191,14 +164,7 @@
     let text = "[vm]\nname = \"entry 1\"\ndata_centre = \"ub-1\"\naddress = \"here\"\n\n[platform]\naddress = \"10.0.0.100:8500\"\nconfiguration_key = \"c\"\nvm_list_key = \"v\"\n\n[entry]\nport = 70000\n";
     let files = Files::new("settings", &[("vm.toml", text)]);
     let faults = read_settings(&files.0.join("vm.toml")).unwrap_err();
-    let found: Vec<_> = faults
-        .0
-        .iter()
-        .map(|fault| (fault.line, fault.key.as_str()))
-        .collect();
-    expect_that!(
-        found,
-        eq(&vec![(2, "vm.name"), (4, "vm.address"), (12, "entry.port")])
-    );
+    let found: Vec<_> = faults.0.iter().map(|fault| (fault.line, fault.key.as_str())).collect();
+    expect_that!(found, eq(&vec![(2, "vm.name"), (4, "vm.address"), (12, "entry.port")]));
     expect_that!(faults.0.iter().all(|fault| !fault.remedy.is_empty()), eq(true));
 }
--- a/crates/pointvane-control/src/fetch.rs
+++ b/crates/pointvane-control/src/fetch.rs
@@ -42,11 +42,7 @@
         thread::sleep(EXCHANGE_INTERVAL);
         let peer = {
             let core = state.lock();
-            let others = core
-                .membership
-                .rows()
-                .skip(1)
-                .filter(|row| row.state != VmState::Dead);
+            let others = core.membership.rows().skip(1).filter(|row| row.state != VmState::Dead);
             let addresses = others.map(|row| SocketAddr::new(row.identity.address, row.control_port));
             addresses.choose(&mut rand::rng())
         };
@@ -59,14 +55,7 @@
 
 fn ask_seeds(state: &State) {
     let me = SocketAddr::new(state.settings.vm.address, state.settings.control.port);
-    let mut seeds: Vec<_> = state
-        .settings
-        .mesh
-        .seeds
-        .iter()
-        .copied()
-        .filter(|seed| *seed != me)
-        .collect();
+    let mut seeds: Vec<_> = state.settings.mesh.seeds.iter().copied().filter(|seed| *seed != me).collect();
     seeds.shuffle(&mut rand::rng());
     let wanted = ASKED_MIN.min(seeds.len());
     let mut answered = 0;
--- a/crates/pointvane-control/src/gossip.rs
+++ b/crates/pointvane-control/src/gossip.rs
@@ -24,9 +24,7 @@
             state.tick();
             next = now + tick;
         }
-        let left = next
-            .saturating_duration_since(Instant::now())
-            .max(Duration::from_millis(1));
+        let left = next.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
         if socket.set_read_timeout(Some(left)).is_err() {
             return;
         }
--- a/crates/pointvane-control/src/platform.rs
+++ b/crates/pointvane-control/src/platform.rs
@@ -43,24 +43,14 @@
             .timeout_connect(Some(Duration::from_secs(1)))
             .timeout_global(Some(Duration::from_secs(WAIT_S) + SLACK))
             .build();
-        Self {
-            agent: config.into(),
-            address,
-        }
+        Self { agent: config.into(), address }
     }
 }
 
 impl Platform for HttpPlatform {
     fn watch(&self, key: &Name, after_index: u64) -> Result<PlatformReading, PlatformError> {
-        let url = format!(
-            "http://{}/v1/kv/{key}?index={after_index}&wait={WAIT_S}s",
-            self.address
-        );
-        let mut response = self
-            .agent
-            .get(&url)
-            .call()
-            .map_err(|_| PlatformError::Unavailable)?;
+        let url = format!("http://{}/v1/kv/{key}?index={after_index}&wait={WAIT_S}s", self.address);
+        let mut response = self.agent.get(&url).call().map_err(|_| PlatformError::Unavailable)?;
         if response.status().as_u16() == STATUS_NOT_FOUND {
             let index = response.headers().get(INDEX_HEADER).and_then(|v| v.to_str().ok());
             let index = index.and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -72,12 +62,7 @@
         let body = response.body_mut().with_config().limit(BODY_LIMIT_BYTES);
         let entries: Vec<Entry> = body.read_json().map_err(|_| PlatformError::Malformed)?;
         let entry = entries.into_iter().next().ok_or(PlatformError::Malformed)?;
-        let value = STANDARD
-            .decode(entry.value.unwrap_or_default())
-            .map_err(|_| PlatformError::Malformed)?;
-        Ok(PlatformReading {
-            index: entry.modify_index,
-            value: Some(value),
-        })
+        let value = STANDARD.decode(entry.value.unwrap_or_default()).map_err(|_| PlatformError::Malformed)?;
+        Ok(PlatformReading { index: entry.modify_index, value: Some(value) })
     }
 }
--- a/crates/pointvane-control/src/reader.rs
+++ b/crates/pointvane-control/src/reader.rs
@@ -30,14 +30,7 @@
 impl<'s, P: Platform> Reader<'s, P> {
     /// A reader that has seen nothing.
     pub fn new(state: &'s State, platform: P, kind: ValueKind) -> Self {
-        Self {
-            state,
-            platform,
-            kind,
-            index: 0,
-            back_off_ms: BACK_OFF_MIN_MS,
-            lost: false,
-        }
+        Self { state, platform, kind, index: 0, back_off_ms: BACK_OFF_MIN_MS, lost: false }
     }
 
     /// Reads while it is this VM's turn.
@@ -78,11 +71,7 @@
     fn note_lost(&mut self, lost: bool) {
         // Both values come from the same platform: one of the two readers tells.
         if self.lost != lost && self.kind == ValueKind::Configuration {
-            self.state.events.note(if lost {
-                EventKind::PlatformLost
-            } else {
-                EventKind::PlatformBack
-            });
+            self.state.events.note(if lost { EventKind::PlatformLost } else { EventKind::PlatformBack });
         }
         self.lost = lost;
     }
@@ -90,10 +79,7 @@
     fn take(&mut self, reading: PlatformReading) {
         if reading.index < self.index && self.kind == ValueKind::Configuration {
             // Restored from an older copy. What is in force stays; only a larger revision replaces it.
-            self.state.events.note(EventKind::PlatformWentBack {
-                from: self.index,
-                to: reading.index,
-            });
+            self.state.events.note(EventKind::PlatformWentBack { from: self.index, to: reading.index });
         }
         let seen = reading.index == self.index;
         self.index = reading.index;
@@ -105,19 +91,12 @@
             ValueKind::Configuration => match unpack(&value) {
                 Ok(packed) => packed.configuration.revision,
                 Err(error) => {
-                    let stamp = Stamp {
-                        revision: 0,
-                        index: reading.index,
-                    };
+                    let stamp = Stamp { revision: 0, index: reading.index };
                     return self.state.refuse(stamp, &error.to_string());
                 }
             },
         };
-        let stamp = Stamp {
-            revision,
-            index: reading.index,
-        };
-        self.state
-            .offer(self.kind, Offer::Platform(Stored { stamp, value }));
+        let stamp = Stamp { revision, index: reading.index };
+        self.state.offer(self.kind, Offer::Platform(Stored { stamp, value }));
     }
 }
--- a/crates/pointvane-control/src/run.rs
+++ b/crates/pointvane-control/src/run.rs
@@ -49,13 +49,7 @@
     let counters = Counters::new(&metrics.meter());
     let (fetches, orders) = mpsc::channel();
     let platform_address = settings.platform.address;
-    let state = State::new(
-        settings,
-        Arc::clone(&events),
-        counters,
-        socket.try_clone()?,
-        fetches,
-    );
+    let state = State::new(settings, Arc::clone(&events), counters, socket.try_clone()?, fetches);
     let state = Arc::new(state);
     let _operator = serve_operator(operator, metrics, Arc::clone(&events), Arc::clone(&state))?;
 
--- a/crates/pointvane-control/src/serve.rs
+++ b/crates/pointvane-control/src/serve.rs
@@ -72,9 +72,7 @@
 fn answer(state: &State, request: PeerRequest) -> PeerAnswer {
     let value = |kind| {
         let stored = state.held(kind);
-        state
-            .counters
-            .served(stored.as_ref().map_or(0, |stored| stored.value.len()));
+        state.counters.served(stored.as_ref().map_or(0, |stored| stored.value.len()));
         PeerAnswer::Value(stored)
     };
     match request {
--- a/crates/pointvane-control/src/state.rs
+++ b/crates/pointvane-control/src/state.rs
@@ -113,16 +113,7 @@
             reads_platform: false,
         };
         let (core, changed) = (Mutex::new(core), Condvar::new());
-        Self {
-            settings,
-            clock,
-            events,
-            counters,
-            socket,
-            core,
-            changed,
-            fetches,
-        }
+        Self { settings, clock, events, counters, socket, core, changed, fetches }
     }
 
     /// The locked part.
@@ -157,9 +148,7 @@
         let peer = SocketAddr::new(message.from.identity.address, message.from.control_port);
         let mut core = self.lock();
         let actions = core.membership.receive(from, message, now_us);
-        let configuration = core
-            .configuration
-            .heard(message.stamps.configuration, peer, now_us);
+        let configuration = core.configuration.heard(message.stamps.configuration, peer, now_us);
         let vm_list = core.vm_list.heard(message.stamps.vm_list, peer, now_us);
         drop(core);
         self.act(actions);
@@ -211,11 +200,7 @@
     /// Notes on the time line that a published configuration was not taken.
     pub fn refuse(&self, stamp: Stamp, reason: &str) {
         let Stamp { revision, index } = stamp;
-        self.events.note(EventKind::ConfigurationRefused {
-            revision,
-            index,
-            reason: reason.into(),
-        });
+        self.events.note(EventKind::ConfigurationRefused { revision, index, reason: reason.into() });
     }
 
     /// Notes that enough peers told what they hold.
@@ -237,8 +222,7 @@
         drop(core);
         let Stamp { revision, index } = stamps.configuration;
         if stamps.configuration != before {
-            self.events
-                .note(EventKind::ConfigurationAccepted { revision, index });
+            self.events.note(EventKind::ConfigurationAccepted { revision, index });
         }
         self.act(actions);
         self.changed.notify_all();
@@ -255,11 +239,7 @@
         let version = core.membership.me().version;
         core.membership.set_entry(row);
         let changed = core.membership.me().version != version;
-        let actions = if changed {
-            core.membership.announce()
-        } else {
-            Vec::new()
-        };
+        let actions = if changed { core.membership.announce() } else { Vec::new() };
         drop(core);
         self.act(actions);
         if changed {
@@ -271,11 +251,7 @@
     pub fn leave(&self) {
         let mut core = self.lock();
         let entry_stays = core.membership.me().entry.is_some_and(|entry| !entry.leaving);
-        let actions = if entry_stays {
-            Vec::new()
-        } else {
-            core.membership.leave()
-        };
+        let actions = if entry_stays { Vec::new() } else { core.membership.leave() };
         drop(core);
         self.act(actions);
     }
@@ -305,10 +281,7 @@
             match action {
                 Action::Send { to, message } => self.send(to, &message),
                 Action::Changed(change) => {
-                    self.events.note(EventKind::MemberChanged {
-                        vm: change.name,
-                        state: change.state,
-                    });
+                    self.events.note(EventKind::MemberChanged { vm: change.name, state: change.state });
                     self.changed.notify_all();
                 }
             }
@@ -332,18 +305,12 @@
     }
 
     fn stamps(&self) -> Stamps {
-        Stamps {
-            configuration: self.configuration.stamp(),
-            vm_list: self.vm_list.stamp(),
-        }
+        Stamps { configuration: self.configuration.stamp(), vm_list: self.vm_list.stamp() }
     }
 
     /// The configuration in force, if it is newer than `stamp`.
     pub fn newer_configuration(&self, stamp: Stamp) -> Option<Stored> {
-        self.configuration
-            .held()
-            .filter(|stored| stored.stamp > stamp)
-            .cloned()
+        self.configuration.held().filter(|stored| stored.stamp > stamp).cloned()
     }
 
     /// The list of VMs held, if it is newer than `stamp`.
--- a/crates/pointvane-core/src/error.rs
+++ b/crates/pointvane-core/src/error.rs
@@ -33,12 +33,14 @@
     NoSuchService,
     /// Non-repeatable work came without an idempotency key.
     KeyMissing,
-    /// The idempotency key is malformed or claims too long a life.
+    /// The idempotency key is malformed.
     KeyInvalid,
-    /// The key's life is over; whether it ran is no longer known here.
+    /// The key's life is over, or longer than any; whether it ran is not known here.
     KeyExpired,
     /// The incarnation that alone may run this key is gone or cannot be reached.
     KeyOwnerGone,
+    /// No more keys can be remembered; nothing keeps a late copy of this one from running.
+    KeysFull,
     /// The key ran, and its answer was too large or too old to be kept.
     AnswerNotKept,
     /// The queue is full or too slow for the deadline.
@@ -81,71 +83,24 @@
     outcome: Outcome,
     retry_after: bool,
 ) -> AnswerRow {
-    AnswerRow {
-        kind,
-        name,
-        status,
-        outcome,
-        retry_after,
-    }
+    AnswerRow { kind, name, status, outcome, retry_after }
 }
 
-const TABLE: [AnswerRow; 15] = [
+const TABLE: [AnswerRow; 16] = [
     row(ErrorKind::BadRequest, "bad-request", 400, Outcome::NotRun, false),
-    row(
-        ErrorKind::NoSuchService,
-        "no-such-service",
-        404,
-        Outcome::NotRun,
-        false,
-    ),
+    row(ErrorKind::NoSuchService, "no-such-service", 404, Outcome::NotRun, false),
     row(ErrorKind::KeyMissing, "key-missing", 428, Outcome::NotRun, false),
     row(ErrorKind::KeyInvalid, "key-invalid", 400, Outcome::NotRun, false),
     row(ErrorKind::KeyExpired, "key-expired", 410, Outcome::Unknown, false),
-    row(
-        ErrorKind::KeyOwnerGone,
-        "key-owner-gone",
-        409,
-        Outcome::Unknown,
-        false,
-    ),
-    row(
-        ErrorKind::AnswerNotKept,
-        "answer-not-kept",
-        409,
-        Outcome::Unknown,
-        false,
-    ),
+    row(ErrorKind::KeyOwnerGone, "key-owner-gone", 409, Outcome::Unknown, false),
+    row(ErrorKind::KeysFull, "keys-full", 503, Outcome::Unknown, true),
+    row(ErrorKind::AnswerNotKept, "answer-not-kept", 409, Outcome::Unknown, false),
     row(ErrorKind::Overloaded, "overloaded", 503, Outcome::NotRun, true),
-    row(
-        ErrorKind::DeadlinePassed,
-        "deadline-passed",
-        504,
-        Outcome::NotRun,
-        false,
-    ),
+    row(ErrorKind::DeadlinePassed, "deadline-passed", 504, Outcome::NotRun, false),
     row(ErrorKind::NoUpstream, "no-upstream", 503, Outcome::NotRun, true),
-    row(
-        ErrorKind::UpstreamUnreachable,
-        "upstream-unreachable",
-        503,
-        Outcome::NotRun,
-        true,
-    ),
-    row(
-        ErrorKind::UpstreamBroken,
-        "upstream-broken",
-        502,
-        Outcome::Unknown,
-        false,
-    ),
-    row(
-        ErrorKind::UpstreamTimeout,
-        "upstream-timeout",
-        504,
-        Outcome::Unknown,
-        false,
-    ),
+    row(ErrorKind::UpstreamUnreachable, "upstream-unreachable", 503, Outcome::NotRun, true),
+    row(ErrorKind::UpstreamBroken, "upstream-broken", 502, Outcome::Unknown, false),
+    row(ErrorKind::UpstreamTimeout, "upstream-timeout", 504, Outcome::Unknown, false),
     row(ErrorKind::Stopping, "stopping", 503, Outcome::NotRun, true),
     row(ErrorKind::NotReady, "not-ready", 503, Outcome::NotRun, true),
 ];
--- a/crates/pointvane-entry/src/admit.rs
+++ b/crates/pointvane-entry/src/admit.rs
@@ -14,10 +14,7 @@
 /// # Errors
 /// Why the request is refused; nothing was sent.
 pub async fn admit(request: &Classified) -> Result<Attempt, ErrorKind> {
-    let arrival = Arrival {
-        class: request.class,
-        deadline_us: request.deadline_us,
-    };
+    let arrival = Arrival { class: request.class, deadline_us: request.deadline_us };
     match request.service.arrive(arrival)? {
         Start::Now(attempt) => Ok(attempt),
         Start::Later(told) => told.await.unwrap_or(Err(ErrorKind::Stopping)),
--- a/crates/pointvane-entry/src/answer.rs
+++ b/crates/pointvane-entry/src/answer.rs
@@ -69,7 +69,5 @@
 
 /// Tells the caller to use this connection no more.
 pub fn close_after(response: &mut Response<AnswerBody>) {
-    response
-        .headers_mut()
-        .insert(CONNECTION, HeaderValue::from_static("close"));
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
 }
--- a/crates/pointvane-entry/src/ask.rs
+++ b/crates/pointvane-entry/src/ask.rs
@@ -34,11 +34,7 @@
             let mut balancer = service.lock();
             let index = balancer.next_ask(service.now_us());
             index.map(|index| {
-                (
-                    index,
-                    balancer.upstream(index).address,
-                    balancer.service().load.probe_path.clone(),
-                )
+                (index, balancer.upstream(index).address, balancer.service().load.probe_path.clone())
             })
         };
         let Some((index, address, path)) = due else { break };
@@ -62,9 +58,7 @@
     let mut connection = entry.connections.get(address).await.ok()?;
     let mut request = Request::new(RequestBody::Empty);
     *request.uri_mut() = path.as_str().parse().ok()?;
-    request
-        .headers_mut()
-        .insert(HOST, address.to_string().parse().ok()?);
+    request.headers_mut().insert(HOST, address.to_string().parse().ok()?);
     let response = connection.send(request).await.ok()?;
     let report = load_report(&response);
     response.into_body().collect().await.ok()?;
--- a/crates/pointvane-entry/src/body.rs
+++ b/crates/pointvane-entry/src/body.rs
@@ -26,11 +26,7 @@
 impl RequestBody {
     /// The caller's body, or none if it is known to be empty.
     pub fn new(incoming: Incoming) -> Self {
-        if incoming.is_end_stream() {
-            Self::Empty
-        } else {
-            Self::Streamed(incoming)
-        }
+        if incoming.is_end_stream() { Self::Empty } else { Self::Streamed(incoming) }
     }
 
     /// Whether there is none, so that the request can be sent again.
@@ -86,12 +82,7 @@
         attempt: Option<Attempt>,
         end: AttemptEnd,
     ) -> Self {
-        let mut body = Self {
-            incoming,
-            connection: Some(connection),
-            attempt,
-            end,
-        };
+        let mut body = Self { incoming, connection: Some(connection), attempt, end };
         if body.incoming.is_end_stream() {
             body.ended();
         }
--- a/crates/pointvane-entry/src/classify.rs
+++ b/crates/pointvane-entry/src/classify.rs
@@ -24,20 +24,32 @@
     pub key: Option<IdempotencyKey>,
 }
 
+/// The key of a request; it is read before all else, since it bounds what may be said of the rest.
+///
+/// # Errors
+/// When it is malformed, and so can never run.
+pub fn key(head: &Parts) -> Result<Option<IdempotencyKey>, ErrorKind> {
+    match text(head, header::KEY)? {
+        Some(text) => IdempotencyKey::parse(text).map(Some).map_err(|_| ErrorKind::KeyInvalid),
+        None => Ok(None),
+    }
+}
+
 /// Describes a request that arrived at `now_us`.
 ///
 /// # Errors
 /// Why it cannot be served.
-pub fn classify(head: &Parts, routes: &Routes, now_us: u64) -> Result<Classified, ErrorKind> {
+pub fn classify(
+    head: &Parts,
+    key: Option<IdempotencyKey>,
+    routes: &Routes,
+    now_us: u64,
+) -> Result<Classified, ErrorKind> {
     if routes.revision == 0 {
         return Err(ErrorKind::NotReady);
     }
-    let host = text(head, HOST.as_str())?
-        .or_else(|| head.uri.host())
-        .unwrap_or_default();
-    let service = routes
-        .find(host, head.uri.path())
-        .ok_or(ErrorKind::NoSuchService)?;
+    let host = text(head, HOST.as_str())?.or_else(|| head.uri.host()).unwrap_or_default();
+    let service = routes.find(host, head.uri.path()).ok_or(ErrorKind::NoSuchService)?;
     let class = match text(head, header::CLASS)? {
         Some(text) => Class::parse(text).ok_or(ErrorKind::BadRequest)?,
         None => Class::default(),
@@ -48,11 +60,9 @@
     };
     let deadline_ms = named_ms.unwrap_or_else(|| service.lock().service().deadline_ms);
     let repeatable = matches!(head.method, Method::GET | Method::HEAD | Method::OPTIONS);
-    let key = match text(head, header::KEY)? {
-        Some(text) => Some(IdempotencyKey::parse(text).map_err(|_| ErrorKind::KeyInvalid)?),
-        None if repeatable => None,
-        None => return Err(ErrorKind::KeyMissing),
-    };
+    if key.is_none() && !repeatable {
+        return Err(ErrorKind::KeyMissing);
+    }
     Ok(Classified {
         service: Arc::clone(service),
         class,
--- a/crates/pointvane-entry/src/connections.rs
+++ b/crates/pointvane-entry/src/connections.rs
@@ -73,20 +73,12 @@
         while let Some(mut sender) = self.pop(address) {
             if ready_now(&mut sender).await {
                 self.open_spare(address);
-                return Ok(Connection {
-                    address,
-                    sender,
-                    idle: Arc::clone(&self.idle),
-                });
+                return Ok(Connection { address, sender, idle: Arc::clone(&self.idle) });
             }
         }
         let sender = open(address).await?;
         self.open_spare(address);
-        Ok(Connection {
-            address,
-            sender,
-            idle: Arc::clone(&self.idle),
-        })
+        Ok(Connection { address, sender, idle: Arc::clone(&self.idle) })
     }
 
     fn pop(&self, address: SocketAddr) -> Option<SendRequest<RequestBody>> {
@@ -118,9 +110,7 @@
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| Unreachable)?.map_err(|_| Unreachable)?;
     stream.set_nodelay(true).map_err(|_| Unreachable)?;
-    let (sender, driver) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|_| Unreachable)?;
+    let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.map_err(|_| Unreachable)?;
     tokio::spawn(driver);
     Ok(sender)
 }
@@ -139,13 +129,10 @@
     /// # Errors
     /// Whether any byte may have been sent.
     pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, SendError> {
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| match error.take_message() {
-                Some(request) => SendError::Unsent(Box::new(request)),
-                None => SendError::Broken,
-            })
+        self.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
+            Some(request) => SendError::Unsent(Box::new(request)),
+            None => SendError::Broken,
+        })
     }
 
     /// Keeps the connection for another request.
--- a/crates/pointvane-entry/src/counters.rs
+++ b/crates/pointvane-entry/src/counters.rs
@@ -9,9 +9,8 @@
 };
 
 /// Bounds of the time histograms, in seconds.
-const TIME_BOUNDS_S: [f64; 14] = [
-    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
-];
+const TIME_BOUNDS_S: [f64; 14] =
+    [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
 
 /// Counters and histograms of the data path.
 #[derive(Clone, Debug)]
@@ -34,11 +33,7 @@
     pub fn new(meter: &Meter) -> Self {
         let counter = |name: &'static str| meter.u64_counter(name).build();
         let histogram = |name: &'static str| {
-            meter
-                .f64_histogram(name)
-                .with_unit("s")
-                .with_boundaries(TIME_BOUNDS_S.to_vec())
-                .build()
+            meter.f64_histogram(name).with_unit("s").with_boundaries(TIME_BOUNDS_S.to_vec()).build()
         };
         Self {
             requests: counter("pointvane_requests"),
@@ -65,10 +60,7 @@
     /// A request was answered by the table of error kinds.
     pub fn refused(&self, kind: ErrorKind) {
         let row = kind.answer();
-        let labels = [
-            KeyValue::new("error", row.name),
-            KeyValue::new("outcome", row.outcome.as_str()),
-        ];
+        let labels = [KeyValue::new("error", row.name), KeyValue::new("outcome", row.outcome.as_str())];
         self.refusals.add(1, &labels);
     }
 
--- a/crates/pointvane-entry/src/entry.rs
+++ b/crates/pointvane-entry/src/entry.rs
@@ -174,19 +174,12 @@
             let known = old.services.iter().find(|handle| handle.name == service.name);
             match known {
                 Some(handle) => {
-                    handle
-                        .lock()
-                        .configure(service, &configuration.limits, handle.now_us());
+                    handle.lock().configure(service, &configuration.limits, handle.now_us());
                     Arc::clone(handle)
                 }
                 None => {
                     let seed = self.incarnation.0 ^ pointvane_mesh::rank("seed", &service.name);
-                    Arc::new(ServiceHandle::new(
-                        service,
-                        &configuration.limits,
-                        seed,
-                        self.clock,
-                    ))
+                    Arc::new(ServiceHandle::new(service, &configuration.limits, seed, self.clock))
                 }
             }
         });
@@ -211,10 +204,7 @@
         for service in &self.routes().services {
             for summary in service.summaries() {
                 let key = (service.name.clone(), summary.name.clone());
-                let now = Shown {
-                    leaving: summary.leaving,
-                    ejected: summary.ejected,
-                };
+                let now = Shown { leaving: summary.leaving, ejected: summary.ejected };
                 let before = shown.insert(key, now).unwrap_or_default();
                 self.show_change(&service.name, &summary.name, before, now);
             }
@@ -230,9 +220,7 @@
         }
         match (before.ejected, now.ejected) {
             (false, true) => self.events.note(EventKind::UpstreamEjected { service, upstream }),
-            (true, false) => self
-                .events
-                .note(EventKind::UpstreamReturned { service, upstream }),
+            (true, false) => self.events.note(EventKind::UpstreamReturned { service, upstream }),
             _ => {}
         }
     }
@@ -248,11 +236,7 @@
             revision: routes.revision,
             stopping: self.is_stopping(),
             keys: self.keys().len(),
-            services: routes
-                .services
-                .iter()
-                .map(|service| service_status(service))
-                .collect(),
+            services: routes.services.iter().map(|service| service_status(service)).collect(),
         }
     }
 }
@@ -269,20 +253,6 @@
 }
 
 fn upstream_status(summary: UpstreamSummary) -> UpstreamStatus {
-    let UpstreamSummary {
-        name,
-        own,
-        total,
-        leaving,
-        ejected,
-        evidence_age_ms,
-    } = summary;
-    UpstreamStatus {
-        name,
-        own,
-        total,
-        leaving,
-        ejected,
-        evidence_age_ms,
-    }
+    let UpstreamSummary { name, own, total, leaving, ejected, evidence_age_ms } = summary;
+    UpstreamStatus { name, own, total, leaving, ejected, evidence_age_ms }
 }
--- a/crates/pointvane-entry/src/exchange.rs
+++ b/crates/pointvane-entry/src/exchange.rs
@@ -18,10 +18,7 @@
 /// Tells and hears load for as long as the process lives.
 pub async fn exchange(entry: Arc<Entry>, socket: UdpSocket) {
     let socket = Arc::new(socket);
-    tokio::join!(
-        speak(Arc::clone(&entry), Arc::clone(&socket)),
-        listen(entry, socket)
-    );
+    tokio::join!(speak(Arc::clone(&entry), Arc::clone(&socket)), listen(entry, socket));
 }
 
 async fn speak(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
@@ -68,10 +65,7 @@
         let observations = service.lock().news(left, service.now_us());
         left -= observations.len();
         if !observations.is_empty() {
-            services.push(ServiceLoad {
-                position: position as u16,
-                observations,
-            });
+            services.push(ServiceLoad { position: position as u16, observations });
         }
         if left == 0 {
             break;
@@ -114,9 +108,7 @@
         let waiting = {
             let now_us = service.now_us();
             let mut balancer = service.lock();
-            load.observations
-                .iter()
-                .for_each(|observation| balancer.heard(observation, now_us));
+            load.observations.iter().for_each(|observation| balancer.heard(observation, now_us));
             balancer.waiting()
         };
         if waiting > 0 {
--- a/crates/pointvane-entry/src/feed.rs
+++ b/crates/pointvane-entry/src/feed.rs
@@ -21,20 +21,12 @@
     }
 
     fn connected(&self, connected: bool) {
-        self.events.note(if connected {
-            EventKind::FeedBack
-        } else {
-            EventKind::FeedLost
-        });
+        self.events.note(if connected { EventKind::FeedBack } else { EventKind::FeedLost });
     }
 
     fn report(&self) -> Option<EntryReport> {
         let (incarnation, requests) = (self.incarnation, self.requests());
-        Some(EntryReport {
-            incarnation,
-            requests,
-            leaving: self.is_stopping(),
-        })
+        Some(EntryReport { incarnation, requests, leaving: self.is_stopping() })
     }
 }
 
@@ -46,7 +38,5 @@
         return;
     }
     entry.configure(&packed.configuration);
-    entry
-        .events
-        .note(EventKind::ConfigurationAccepted { revision, index });
+    entry.events.note(EventKind::ConfigurationAccepted { revision, index });
 }
--- a/crates/pointvane-entry/src/forward.rs
+++ b/crates/pointvane-entry/src/forward.rs
@@ -55,28 +55,19 @@
         *request.uri_mut() = self.head.uri.clone();
         *request.headers_mut() = self.head.headers.clone();
         let left_ms = self.left_us() / US_PER_MS;
-        request
-            .headers_mut()
-            .insert(header::DEADLINE_MS, HeaderValue::from(left_ms));
+        request.headers_mut().insert(header::DEADLINE_MS, HeaderValue::from(left_ms));
         request
     }
 
     fn left_us(&self) -> u64 {
-        self.request
-            .deadline_us
-            .saturating_sub(self.request.service.now_us())
+        self.request.deadline_us.saturating_sub(self.request.service.now_us())
     }
 
     /// The deadline holds for an answer's head; a body that streams may take longer unless the caller said so.
     pub fn give_up_at(&self, streams: bool) -> Instant {
         let far = Duration::from_secs(86_400);
         let left = Duration::from_micros(self.left_us());
-        Instant::now()
-            + if streams && !self.request.deadline_named {
-                far
-            } else {
-                left
-            }
+        Instant::now() + if streams && !self.request.deadline_named { far } else { left }
     }
 }
 
@@ -173,11 +164,7 @@
 
 /// A good end, or else the other attempt's.
 async fn good_or(tried: Tried, other: impl Future<Output = Tried>) -> Tried {
-    if matches!(tried, Tried::Answer(_)) {
-        tried
-    } else {
-        other.await
-    }
+    if matches!(tried, Tried::Answer(_)) { tried } else { other.await }
 }
 
 async fn try_once(
@@ -213,11 +200,7 @@
             counters.upstream_took(&outgoing.request.service.name, attempt.age_s());
             let end = end_of(response.status());
             let response = response.map(|body| UpstreamBody::new(body, connection, Some(attempt), end));
-            if end == AttemptEnd::Answered {
-                Tried::Answer(response)
-            } else {
-                Tried::BadAnswer(response)
-            }
+            if end == AttemptEnd::Answered { Tried::Answer(response) } else { Tried::BadAnswer(response) }
         }
     }
 }
--- a/crates/pointvane-entry/src/handle.rs
+++ b/crates/pointvane-entry/src/handle.rs
@@ -5,10 +5,10 @@
         admit::admit,
         answer::{close_after, pass, refuse},
         body::{AnswerBody, RequestBody},
-        classify::{Classified, classify},
+        classify::{self, Classified},
         entry::Entry,
         forward::{Outgoing, forward},
-        keyed::serve_keyed,
+        keyed::{refuse_keyed, serve_keyed},
     },
     hyper::{Request, Response, body::Incoming, http::request::Parts},
     pointvane_core::{Clock, ErrorKind, US_PER_S},
@@ -32,7 +32,7 @@
     let (head, incoming) = request.into_parts();
     let now_us = entry.clock.now_us();
     let mut retry_after_s = RETRY_AFTER_S;
-    let served = match classify(&head, &entry.routes(), now_us) {
+    let served = match read(&entry, &head, now_us) {
         Ok(request) => {
             retry_after_s = request.service.lock().retry_after_s();
             serve(&entry, request, head, RequestBody::new(incoming), now_us).await
@@ -49,6 +49,14 @@
     response
 }
 
+fn read(entry: &Entry, head: &Parts, now_us: u64) -> Result<Classified, ErrorKind> {
+    let key = classify::key(head)?;
+    classify::classify(head, key.clone(), &entry.routes(), now_us).map_err(|kind| match key {
+        Some(key) => refuse_keyed(entry, &key, kind),
+        None => kind,
+    })
+}
+
 async fn serve(
     entry: &Arc<Entry>,
     request: Classified,
--- a/crates/pointvane-entry/src/keyed.rs
+++ b/crates/pointvane-entry/src/keyed.rs
@@ -39,11 +39,7 @@
 
 impl Kept for KeptAnswer {
     fn size_bytes(&self) -> usize {
-        let headers: usize = self
-            .headers
-            .iter()
-            .map(|(name, value)| name.as_str().len() + value.len())
-            .sum();
+        let headers: usize = self.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
         headers + self.body.len()
     }
 }
@@ -85,6 +81,12 @@
     }
 }
 
+/// The kind with which to refuse a request that carries a key, true also of its copies.
+pub fn refuse_keyed(entry: &Entry, key: &IdempotencyKey, kind: ErrorKind) -> ErrorKind {
+    let (joiner, _) = oneshot::channel();
+    entry.keys().refuse(key, joiner, kind, entry.clock.since_start_ms())
+}
+
 async fn run(
     entry: Arc<Entry>,
     request: Classified,
@@ -129,25 +131,17 @@
     let read = read_start(&mut body).await;
     let (kept, own) = match read {
         Start::Whole(bytes) => {
-            let kept = KeptAnswer {
-                status: parts.status,
-                headers: parts.headers,
-                body: bytes,
-            };
+            let kept = KeptAnswer { status: parts.status, headers: parts.headers, body: bytes };
             let own = kept.response();
             (Some(Arc::new(kept)), own)
         }
-        Start::Longer(bytes) => (
-            None,
-            Response::from_parts(parts, AnswerBody::Resumed(Some(bytes), body)),
-        ),
+        Start::Longer(bytes) => (None, Response::from_parts(parts, AnswerBody::Resumed(Some(bytes), body))),
         Start::Broken => (None, refuse(ErrorKind::UpstreamBroken, 0)),
     };
     let joiners = entry.keys().finish(key, KeyEnd::Ran(kept.clone()));
     for joiner in joiners {
-        let answer = kept
-            .as_ref()
-            .map_or_else(|| refuse(ErrorKind::AnswerNotKept, 0), |kept| kept.response());
+        let answer =
+            kept.as_ref().map_or_else(|| refuse(ErrorKind::AnswerNotKept, 0), |kept| kept.response());
         let _ = joiner.send(answer);
     }
     let _ = first.send(own);
@@ -186,17 +180,8 @@
     if head.headers.contains_key(header::FORWARDED_BY) {
         return Err(ErrorKind::KeyOwnerGone);
     }
-    let owner = entry
-        .members()
-        .entry(vm, incarnation)
-        .ok_or(ErrorKind::KeyOwnerGone)?;
-    let me = entry
-        .settings
-        .vm
-        .name
-        .as_str()
-        .parse()
-        .map_err(|_| ErrorKind::BadRequest)?;
+    let owner = entry.members().entry(vm, incarnation).ok_or(ErrorKind::KeyOwnerGone)?;
+    let me = entry.settings.vm.name.as_str().parse().map_err(|_| ErrorKind::BadRequest)?;
     head.headers.insert(header::FORWARDED_BY, me);
     let outgoing = Outgoing::new(request, head);
     send_to_owner(entry, &outgoing, body, owner).await
@@ -214,9 +199,7 @@
     let sent = connection.send(outgoing.build(body));
     let answer = tokio::time::timeout_at(outgoing.give_up_at(streams), sent).await;
     // The key may have run before this repeat came, so even an unsent one is unknown here.
-    let response = answer
-        .map_err(|_| ErrorKind::UpstreamTimeout)?
-        .map_err(|_| ErrorKind::KeyOwnerGone)?;
+    let response = answer.map_err(|_| ErrorKind::UpstreamTimeout)?.map_err(|_| ErrorKind::KeyOwnerGone)?;
     let response = response
         .map(|body| UpstreamBody::new(body, connection, None, pointvane_balance::AttemptEnd::Answered));
     Ok(crate::answer::pass(response))
--- a/crates/pointvane-entry/src/members.rs
+++ b/crates/pointvane-entry/src/members.rs
@@ -21,10 +21,7 @@
 
     /// Where load is told: entries that are believed to run.
     pub fn load_peers(&self) -> impl Iterator<Item = SocketAddr> {
-        let running = self
-            .rows
-            .iter()
-            .filter(|row| row.state != VmState::Dead && row.entry.is_some());
+        let running = self.rows.iter().filter(|row| row.state != VmState::Dead && row.entry.is_some());
         running.map(entry_address)
     }
 
--- a/crates/pointvane-entry/src/routes.rs
+++ b/crates/pointvane-entry/src/routes.rs
@@ -42,13 +42,7 @@
         ways.sort_by_key(|way| std::cmp::Reverse((way.host.is_some(), way.path_prefix.as_str().len())));
         let limits = &configuration.limits;
         let (key_life_ms, locate_keep_ms) = (limits.key_life_ms, limits.locate_keep_ms);
-        Self {
-            ways,
-            revision: configuration.revision,
-            services,
-            key_life_ms,
-            locate_keep_ms,
-        }
+        Self { ways, revision: configuration.revision, services, key_life_ms, locate_keep_ms }
     }
 
     /// The service of a request.
--- a/crates/pointvane-entry/src/service.rs
+++ b/crates/pointvane-entry/src/service.rs
@@ -41,11 +41,7 @@
     /// A service that this entry VM begins to serve.
     pub fn new(service: &Service, limits: &FleetLimits, seed: u64, clock: MonotonicClock) -> Self {
         let balancer = ServiceBalancer::new(service, limits, seed, clock.now_us());
-        Self {
-            name: service.name.clone(),
-            clock,
-            balancer: Mutex::new(balancer),
-        }
+        Self { name: service.name.clone(), clock, balancer: Mutex::new(balancer) }
     }
 
     /// The decisions. Never hold this across an await or while an [`Attempt`] is dropped.
@@ -115,14 +111,7 @@
     fn attempt(self: &Arc<Self>, upstream: usize) -> Attempt {
         let address = self.lock().upstream(upstream).address;
         let started_us = self.now_us();
-        Attempt {
-            service: Arc::clone(self),
-            upstream,
-            address,
-            started_us,
-            report: None,
-            ended: false,
-        }
+        Attempt { service: Arc::clone(self), upstream, address, started_us, report: None, ended: false }
     }
 }
 
@@ -165,12 +154,7 @@
         self.ended = true;
         let now_us = self.service.now_us();
         let latency_us = now_us.saturating_sub(self.started_us);
-        let result = AttemptResult {
-            upstream: self.upstream,
-            end,
-            latency_us,
-            report: self.report,
-        };
+        let result = AttemptResult { upstream: self.upstream, end, latency_us, report: self.report };
         let waiting = {
             let mut balancer = self.service.lock();
             balancer.finish(&result, now_us);
--- a/crates/pointvane-entry/src/stop.rs
+++ b/crates/pointvane-entry/src/stop.rs
@@ -33,10 +33,7 @@
 /// When it cannot start.
 pub fn run(settings: Settings, log: slog::Logger) -> Result<()> {
     let threads = settings.entry.worker_threads;
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(threads)
-        .enable_all()
-        .build()?;
+    let runtime = Builder::new_multi_thread().worker_threads(threads).enable_all().build()?;
     let ended = runtime.block_on(serve(settings, log));
     runtime.shutdown_background();
     ended
@@ -49,28 +46,16 @@
     let entry = Arc::new(Entry::new(settings, Arc::clone(&events), counters));
     let vm = &entry.settings.vm;
     let address = SocketAddr::new(vm.address, entry.settings.entry.port);
-    let listener = TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("entry port {address}"))?;
-    let socket = UdpSocket::bind(address)
-        .await
-        .wrap_err_with(|| format!("load port {address}"))?;
+    let listener = TcpListener::bind(address).await.wrap_err_with(|| format!("entry port {address}"))?;
+    let socket = UdpSocket::bind(address).await.wrap_err_with(|| format!("load port {address}"))?;
     let operator = SocketAddr::new(vm.address, entry.settings.operator.entry_port);
     let _operator = serve_operator(operator, metrics, Arc::clone(&events), Arc::clone(&entry))?;
-    spawn_feed(
-        SocketAddr::new(vm.address, entry.settings.control.port),
-        Arc::clone(&entry),
-    );
+    spawn_feed(SocketAddr::new(vm.address, entry.settings.control.port), Arc::clone(&entry));
 
     let (phase, phases) = watch::channel(Phase::Running);
     tokio::spawn(exchange(Arc::clone(&entry), socket));
     tokio::spawn(look_after(Arc::clone(&entry)));
-    let accepting = tokio::spawn(accept(
-        Arc::clone(&entry),
-        listener,
-        bounds(&entry.settings),
-        phases,
-    ));
+    let accepting = tokio::spawn(accept(Arc::clone(&entry), listener, bounds(&entry.settings), phases));
     events.note(EventKind::Started);
 
     let mut terminate = signal(SignalKind::terminate())?;
@@ -85,25 +70,14 @@
 }
 
 fn bounds(settings: &Settings) -> ServeOptions {
-    let EntrySettings {
-        connections_max,
-        head_limit_bytes,
-        head_timeout_ms,
-        ..
-    } = settings.entry;
-    ServeOptions {
-        connections_max,
-        head_limit_bytes,
-        head_timeout_ms,
-    }
+    let EntrySettings { connections_max, head_limit_bytes, head_timeout_ms, .. } = settings.entry;
+    ServeOptions { connections_max, head_limit_bytes, head_timeout_ms }
 }
 
 /// A planned stop: callers are sent elsewhere first, then connections close, then what is in flight ends.
 async fn stop(entry: &Entry, phase: &watch::Sender<Phase>) {
     entry.stopping.store(true, Ordering::Relaxed);
-    entry.events.note(EventKind::Stopping {
-        in_flight: u64::from(entry.requests()),
-    });
+    entry.events.note(EventKind::Stopping { in_flight: u64::from(entry.requests()) });
     let until = Instant::now() + Duration::from_millis(entry.settings.entry.stop_wait_ms);
     // Callers may keep locate's answer that long, so their connections are still served.
     let grace = WORD_SPREADS + Duration::from_millis(entry.routes().locate_keep_ms);
@@ -112,9 +86,7 @@
     while in_flight(entry, phase) > 0 && Instant::now() < until {
         sleep(LOOK).await;
     }
-    entry.events.note(EventKind::Stopped {
-        cut: in_flight(entry, phase),
-    });
+    entry.events.note(EventKind::Stopped { cut: in_flight(entry, phase) });
     sleep(FLUSH).await;
 }
 
--- a/crates/pointvane-locate/src/choose.rs
+++ b/crates/pointvane-locate/src/choose.rs
@@ -27,9 +27,8 @@
     rng: &mut impl Rng,
 ) -> Vec<&'a MemberRow> {
     let home = home_vms(&options.service, rows, options.home_vms);
-    let (near, far): (Vec<_>, Vec<_>) = home
-        .into_iter()
-        .partition(|row| row.identity.data_centre == options.near);
+    let (near, far): (Vec<_>, Vec<_>) =
+        home.into_iter().partition(|row| row.identity.data_centre == options.near);
     let far_first = draw_all(far, rng);
     let mut chosen = draw_all(near, rng);
     if !far_first.is_empty() {
@@ -45,11 +44,7 @@
     let mut drawn = Vec::with_capacity(rows.len());
     while !rows.is_empty() {
         let (a, b) = (rng.random_range(0..rows.len()), rng.random_range(0..rows.len()));
-        let lighter = if requests(rows[b]) < requests(rows[a]) {
-            b
-        } else {
-            a
-        };
+        let lighter = if requests(rows[b]) < requests(rows[a]) { b } else { a };
         drawn.push(rows.swap_remove(lighter));
     }
     drawn
--- a/crates/pointvane-locate/src/locate.rs
+++ b/crates/pointvane-locate/src/locate.rs
@@ -57,20 +57,12 @@
 impl Locate {
     /// A locate that knows nothing yet.
     pub fn new(settings: Settings, events: Arc<EventLog>, questions: Counter<u64>) -> Self {
-        Self {
-            settings,
-            events,
-            questions,
-            known: Mutex::default(),
-        }
+        Self { settings, events, questions, known: Mutex::default() }
     }
 
     fn locate(&self, service: &str, near: Option<Name>) -> Result<LocateAnswer, StatusCode> {
         let known = self.lock();
-        let configuration = known
-            .configuration
-            .as_ref()
-            .ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+        let configuration = known.configuration.as_ref().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
         let service = configuration.services.iter().find(|s| s.name.as_str() == service);
         let service = service.ok_or(StatusCode::NOT_FOUND)?;
         let options = ChooseOptions {
@@ -81,10 +73,7 @@
         };
         let chosen = choose_entries(known.members.iter(), &options, &mut rand::rng());
         let key_life_ms = configuration.limits.key_life_ms;
-        let entries: Vec<_> = chosen
-            .into_iter()
-            .filter_map(|row| address(row, key_life_ms))
-            .collect();
+        let entries: Vec<_> = chosen.into_iter().filter_map(|row| address(row, key_life_ms)).collect();
         if entries.is_empty() {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
@@ -124,8 +113,7 @@
         known.configuration = Some(packed.configuration);
         drop(known);
         let Stamp { revision, index } = stamp;
-        self.events
-            .note(EventKind::ConfigurationAccepted { revision, index });
+        self.events.note(EventKind::ConfigurationAccepted { revision, index });
     }
 }
 
@@ -138,23 +126,14 @@
 }
 
 fn parameter<'r>(request: &'r Request<Incoming>, name: &str) -> Option<&'r str> {
-    let pairs = request
-        .uri()
-        .query()?
-        .split('&')
-        .filter_map(|pair| pair.split_once('='));
-    pairs
-        .into_iter()
-        .find(|(key, _)| *key == name)
-        .map(|(_, value)| value)
+    let pairs = request.uri().query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
 }
 
 fn json(answer: &LocateAnswer) -> Response<Full<Bytes>> {
     let body = serde_json::to_vec(answer).unwrap_or_default();
     let mut response = Response::new(Full::from(body));
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
@@ -162,9 +141,7 @@
     let mut response = Response::new(Full::from(format!("{status}\n")));
     *response.status_mut() = status;
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        response
-            .headers_mut()
-            .insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
     }
     response
 }
@@ -194,11 +171,7 @@
     }
 
     fn connected(&self, connected: bool) {
-        self.events.note(if connected {
-            EventKind::FeedBack
-        } else {
-            EventKind::FeedLost
-        });
+        self.events.note(if connected { EventKind::FeedBack } else { EventKind::FeedLost });
     }
 
     fn report(&self) -> Option<EntryReport> {
--- a/crates/pointvane-locate/src/run.rs
+++ b/crates/pointvane-locate/src/run.rs
@@ -39,9 +39,7 @@
     let events = Arc::new(EventLog::new(vm.name, Program::Locate, log));
     let questions = metrics.meter().u64_counter("pointvane_locate_questions").build();
     let locate = Arc::new(Locate::new(settings, Arc::clone(&events), questions));
-    let listener = TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("locate port {address}"))?;
+    let listener = TcpListener::bind(address).await.wrap_err_with(|| format!("locate port {address}"))?;
     let _operator = serve_operator(operator, metrics, Arc::clone(&events), Arc::clone(&locate))?;
     spawn_feed(control, Arc::clone(&locate));
     events.note(EventKind::Started);
@@ -54,9 +52,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    events.note(EventKind::Stopping {
-        in_flight: phase.receiver_count() as u64,
-    });
+    events.note(EventKind::Stopping { in_flight: phase.receiver_count() as u64 });
     phase.send_replace(Phase::Closing);
     let ended = async {
         while phase.receiver_count() > 0 {
@@ -65,9 +61,7 @@
     };
     // Beyond the wait only callers that never read their answer are left.
     let _ = timeout(STOP_WAIT, ended).await;
-    events.note(EventKind::Stopped {
-        cut: phase.receiver_count() as u64,
-    });
+    events.note(EventKind::Stopped { cut: phase.receiver_count() as u64 });
     serving.abort();
     Ok(())
 }
--- a/crates/pointvane-mesh/src/codec.rs
+++ b/crates/pointvane-mesh/src/codec.rs
@@ -48,11 +48,7 @@
 /// [`CodecError::TooLong`] when it does not fit a datagram.
 pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, CodecError> {
     let bytes = encode_unbounded(message)?;
-    if bytes.len() > DATAGRAM_LIMIT_BYTES {
-        Err(CodecError::TooLong)
-    } else {
-        Ok(bytes)
-    }
+    if bytes.len() > DATAGRAM_LIMIT_BYTES { Err(CodecError::TooLong) } else { Ok(bytes) }
 }
 
 fn encode_unbounded<T: Serialize>(message: &T) -> Result<Vec<u8>, CodecError> {
--- a/crates/pointvane-mesh/src/load.rs
+++ b/crates/pointvane-mesh/src/load.rs
@@ -46,12 +46,7 @@
 
 impl Default for LoadSpeakerOptions {
     fn default() -> Self {
-        Self {
-            bytes_per_s: 15_000,
-            observations_max: 12,
-            peers_max: 32,
-            interval_min_ms: 5,
-        }
+        Self { bytes_per_s: 15_000, observations_max: 12, peers_max: 32, interval_min_ms: 5 }
     }
 }
 
@@ -106,11 +101,7 @@
         let early = now_us.saturating_sub(self.round_at_us) < self.options.interval_min_ms * US_PER_MS;
         let wanted = peers.min(self.options.peers_max);
         let cost = (wanted * (self.datagram_bytes + UDP_HEAD_BYTES)) as f64;
-        if early || self.budget_bytes < cost.min(burst) {
-            0
-        } else {
-            wanted
-        }
+        if early || self.budget_bytes < cost.min(burst) { 0 } else { wanted }
     }
 
     /// The bytes of the next round's datagram, paid for `peers` peers; none if it cannot be encoded.
@@ -124,13 +115,7 @@
     ) -> Option<Vec<u8>> {
         self.sequence += 1;
         let (incarnation, sequence) = (self.incarnation, self.sequence);
-        let datagram = LoadDatagram {
-            incarnation,
-            sequence,
-            revision,
-            requests,
-            services,
-        };
+        let datagram = LoadDatagram { incarnation, sequence, revision, requests, services };
         let bytes = codec::encode(&datagram).ok()?;
         self.datagram_bytes = bytes.len();
         self.budget_bytes -= (peers * (bytes.len() + UDP_HEAD_BYTES)) as f64;
@@ -191,9 +176,6 @@
 
     /// Requests that a peer last said it holds.
     pub fn requests(&self, from: IpAddr) -> Option<u32> {
-        self.peers
-            .get(&from)
-            .filter(|heard| heard.sequence > 0)
-            .map(|heard| heard.requests)
+        self.peers.get(&from).filter(|heard| heard.sequence > 0).map(|heard| heard.requests)
     }
 }
--- a/crates/pointvane-mesh/src/member.rs
+++ b/crates/pointvane-mesh/src/member.rs
@@ -56,12 +56,7 @@
             VmState::Dead => 3,
         };
         let dead = self.state == VmState::Dead;
-        Standing {
-            incarnation: self.identity.incarnation,
-            dead,
-            version: self.version,
-            suspicion,
-        }
+        Standing { incarnation: self.identity.incarnation, dead, version: self.version, suspicion }
     }
 
     /// Whether new callers may be sent to its entry.
--- a/crates/pointvane-mesh/src/membership.rs
+++ b/crates/pointvane-mesh/src/membership.rs
@@ -167,16 +167,10 @@
 
     /// Tells a few random members at once.
     pub fn announce(&mut self) -> Vec<Action> {
-        let reachable = self
-            .members
-            .values()
-            .filter(|member| member.row.state != VmState::Dead);
+        let reachable = self.members.values().filter(|member| member.row.state != VmState::Dead);
         let targets = reachable.map(|member| control_address(&member.row));
         let targets = targets.choose_multiple(&mut self.rng, self.options.fan_out);
-        targets
-            .into_iter()
-            .map(|to| self.send(to, Payload::Announce))
-            .collect()
+        targets.into_iter().map(|to| self.send(to, Payload::Announce)).collect()
     }
 
     /// Takes the time; call it several times in each probe interval.
@@ -239,11 +233,7 @@
         match self.members.get_mut(&row.identity.name) {
             None if row.state == VmState::Dead => {}
             None => {
-                let member = Member {
-                    row: row.clone(),
-                    changed_at_us: now_us,
-                    tellings_left: tellings,
-                };
+                let member = Member { row: row.clone(), changed_at_us: now_us, tellings_left: tellings };
                 self.members.insert(row.identity.name.clone(), member);
                 actions.push(changed(row));
             }
@@ -295,12 +285,7 @@
         let to = control_address(&member.row);
         self.sequence += 1;
         let sequence = self.sequence;
-        self.check = Some(Check {
-            target,
-            sequence,
-            sent_at_us: now_us,
-            helped: false,
-        });
+        self.check = Some(Check { target, sequence, sent_at_us: now_us, helped: false });
         // One that is suspected must hear of it, to be able to refute it.
         let believed = Some(member.row.clone()).filter(|row| row.state == VmState::Suspect);
         actions.push(self.send_with(to, Payload::Ping { sequence }, believed));
@@ -309,10 +294,7 @@
     /// Members in a random order, each once before any a second time.
     fn next_target(&mut self) -> Option<Name> {
         if self.order.is_empty() {
-            let alive = self
-                .members
-                .values()
-                .filter(|member| member.row.state != VmState::Dead);
+            let alive = self.members.values().filter(|member| member.row.state != VmState::Dead);
             self.order = alive.map(|member| member.row.identity.name.clone()).collect();
             for last in (1..self.order.len()).rev() {
                 let other = self.rng.random_range(0..=last);
@@ -332,17 +314,9 @@
         let (target, sequence) = (check.target.clone(), check.sequence);
         let others = self.members.values().map(|member| &member.row);
         let able = others.filter(|row| row.state == VmState::Live && row.identity.name != target);
-        let helpers = able
-            .map(control_address)
-            .choose_multiple(&mut self.rng, self.options.helpers);
+        let helpers = able.map(control_address).choose_multiple(&mut self.rng, self.options.helpers);
         for to in helpers {
-            actions.push(self.send(
-                to,
-                Payload::PingRequest {
-                    sequence,
-                    target: target.clone(),
-                },
-            ));
+            actions.push(self.send(to, Payload::PingRequest { sequence, target: target.clone() }));
         }
     }
 
@@ -361,32 +335,18 @@
         self.sequence += 1;
         let sequence = self.sequence;
         self.errands.truncate(ERRANDS_MAX - 1);
-        self.errands.push(Errand {
-            sequence,
-            for_vm,
-            their_sequence,
-            sent_at_us: now_us,
-        });
+        self.errands.push(Errand { sequence, for_vm, their_sequence, sent_at_us: now_us });
         actions.push(self.send(to, Payload::Ping { sequence }));
     }
 
     fn acknowledged(&mut self, sequence: u64, actions: &mut Vec<Action>) {
-        if self
-            .check
-            .as_ref()
-            .is_some_and(|check| check.sequence == sequence)
-        {
+        if self.check.as_ref().is_some_and(|check| check.sequence == sequence) {
             self.check = None;
         }
         let done = self.errands.iter().position(|errand| errand.sequence == sequence);
         if let Some(index) = done {
             let errand = self.errands.swap_remove(index);
-            actions.push(self.send(
-                errand.for_vm,
-                Payload::Ack {
-                    sequence: errand.their_sequence,
-                },
-            ));
+            actions.push(self.send(errand.for_vm, Payload::Ack { sequence: errand.their_sequence }));
         }
     }
 
@@ -414,11 +374,7 @@
         let suspect_us = self.options.suspect_ms * US_PER_MS;
         let remember_us = self.options.remember_dead_ms * US_PER_MS;
         let tellings = self.tellings();
-        for member in self
-            .members
-            .values_mut()
-            .filter(|member| member.row.state == VmState::Suspect)
-        {
+        for member in self.members.values_mut().filter(|member| member.row.state == VmState::Suspect) {
             if now_us.saturating_sub(member.changed_at_us) >= suspect_us {
                 member.row.state = VmState::Dead;
                 member.changed_at_us = now_us;
@@ -430,8 +386,7 @@
             member.row.state == VmState::Dead && now_us.saturating_sub(member.changed_at_us) >= remember_us
         };
         self.members.retain(|_, member| !forgotten(member));
-        self.errands
-            .retain(|errand| now_us.saturating_sub(errand.sent_at_us) < suspect_us);
+        self.errands.retain(|errand| now_us.saturating_sub(errand.sent_at_us) < suspect_us);
     }
 
     /// Gives everybody new time after a pause of this process.
@@ -443,37 +398,19 @@
     }
 
     fn retry_lost(&mut self, actions: &mut Vec<Action>) {
-        let alone = self
-            .members
-            .values()
-            .all(|member| member.row.state == VmState::Dead);
+        let alone = self.members.values().all(|member| member.row.state == VmState::Dead);
         if !alone && !self.rounds.is_multiple_of(self.options.rounds_per_retry) {
             return;
         }
-        let lost = self
-            .members
-            .values()
-            .filter(|member| member.row.state == VmState::Dead);
+        let lost = self.members.values().filter(|member| member.row.state == VmState::Dead);
         let lost = lost.map(|member| control_address(&member.row));
         let mine = control_address(&self.me);
         let known = |seed: &SocketAddr| {
-            let alive = self
-                .members
-                .values()
-                .filter(|member| member.row.state != VmState::Dead);
-            alive
-                .map(|member| control_address(&member.row))
-                .any(|address| address == *seed)
+            let alive = self.members.values().filter(|member| member.row.state != VmState::Dead);
+            alive.map(|member| control_address(&member.row)).any(|address| address == *seed)
         };
-        let seeds = self
-            .options
-            .seeds
-            .iter()
-            .copied()
-            .filter(|seed| *seed != mine && !known(seed));
-        let targets = lost
-            .chain(seeds)
-            .choose_multiple(&mut self.rng, self.options.helpers);
+        let seeds = self.options.seeds.iter().copied().filter(|seed| *seed != mine && !known(seed));
+        let targets = lost.chain(seeds).choose_multiple(&mut self.rng, self.options.helpers);
         for to in targets {
             // Sequence 0 belongs to no check, so its ack only brings rows.
             actions.push(self.send(to, Payload::Ping { sequence: 0 }));
@@ -490,36 +427,21 @@
     }
 
     fn send_with(&mut self, to: SocketAddr, payload: Payload, first: Option<MemberRow>) -> Action {
-        let mut hot: Vec<_> = self
-            .members
-            .values_mut()
-            .filter(|member| member.tellings_left > 0)
-            .collect();
+        let mut hot: Vec<_> = self.members.values_mut().filter(|member| member.tellings_left > 0).collect();
         hot.sort_by_key(|member| std::cmp::Reverse(member.tellings_left));
         let rows = hot.into_iter().take(ROWS_PER_MESSAGE).map(|member| {
             member.tellings_left -= 1;
             member.row.clone()
         });
         let rows = first.into_iter().chain(rows).collect();
-        let mut message = GossipMessage {
-            from: self.me.clone(),
-            stamps: self.stamps,
-            payload,
-            rows,
-        };
+        let mut message = GossipMessage { from: self.me.clone(), stamps: self.stamps, payload, rows };
         while codec::encode(&message).is_err() && message.rows.pop().is_some() {}
-        Action::Send {
-            to,
-            message: Box::new(message),
-        }
+        Action::Send { to, message: Box::new(message) }
     }
 }
 
 fn changed(row: &MemberRow) -> Action {
-    Action::Changed(MemberChange {
-        name: row.identity.name.clone(),
-        state: row.state,
-    })
+    Action::Changed(MemberChange { name: row.identity.name.clone(), state: row.state })
 }
 
 /// Where a VM's control listens.
--- a/crates/pointvane-mesh/src/rendezvous.rs
+++ b/crates/pointvane-mesh/src/rendezvous.rs
@@ -12,9 +12,7 @@
 /// Rank of a VM for a subject; the same in every process and build.
 pub fn rank(subject: &str, vm: &Name) -> u64 {
     let bytes = subject.bytes().chain([0]).chain(vm.as_str().bytes());
-    let hash = bytes.fold(FNV_OFFSET, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
-    });
+    let hash = bytes.fold(FNV_OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME));
     mix(hash)
 }
 
@@ -27,19 +25,11 @@
 
 /// The VMs that read a key of the platform: the best ranked, one a data centre before a second anywhere.
 pub fn choose_readers<'a>(key: &str, rows: impl Iterator<Item = &'a MemberRow>, count: usize) -> Vec<Name> {
-    let mut live: Vec<_> = rows
-        .filter(|row| row.state == VmState::Live)
-        .map(|row| &row.identity)
-        .collect();
+    let mut live: Vec<_> = rows.filter(|row| row.state == VmState::Live).map(|row| &row.identity).collect();
     live.sort_by_key(|vm| (Reverse(rank(key, &vm.name)), vm.name.clone()));
     let mut centres = BTreeSet::new();
     let (firsts, others): (Vec<_>, Vec<_>) = live.into_iter().partition(|vm| centres.insert(&vm.data_centre));
-    firsts
-        .into_iter()
-        .chain(others)
-        .take(count)
-        .map(|vm| vm.name.clone())
-        .collect()
+    firsts.into_iter().chain(others).take(count).map(|vm| vm.name.clone()).collect()
 }
 
 /// The entry VMs that callers of a service are sent to; all of them when `count` is 0 or covers them.
--- a/crates/pointvane-mesh/src/spread.rs
+++ b/crates/pointvane-mesh/src/spread.rs
@@ -93,9 +93,7 @@
 
     /// The stamp in force.
     pub fn stamp(&self) -> Stamp {
-        self.held
-            .as_ref()
-            .map_or_else(Stamp::default, |stored| stored.stamp)
+        self.held.as_ref().map_or_else(Stamp::default, |stored| stored.stamp)
     }
 
     /// Takes a peer's word on what it holds; `from` is where the value can be fetched.
@@ -103,9 +101,7 @@
         if stamp <= self.stamp() {
             return None;
         }
-        let under_way = self
-            .fetched_at_us
-            .is_some_and(|at_us| now_us.saturating_sub(at_us) < FETCH_AGAIN_US);
+        let under_way = self.fetched_at_us.is_some_and(|at_us| now_us.saturating_sub(at_us) < FETCH_AGAIN_US);
         if under_way && stamp <= self.wanted {
             return None;
         }
@@ -134,11 +130,7 @@
 
     /// Releases a held value once the peers had their time.
     pub fn tick(&mut self, now_us: u64) -> Option<Verdict> {
-        if self.trusts_platform(now_us) {
-            self.release()
-        } else {
-            None
-        }
+        if self.trusts_platform(now_us) { self.release() } else { None }
     }
 
     fn trusts_platform(&self, now_us: u64) -> bool {
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -34,11 +34,7 @@
 
 impl Default for ServeOptions {
     fn default() -> Self {
-        Self {
-            connections_max: 4_096,
-            head_limit_bytes: 16_384,
-            head_timeout_ms: 60_000,
-        }
+        Self { connections_max: 4_096, head_limit_bytes: 16_384, head_timeout_ms: 60_000 }
     }
 }
 
--- a/crates/pointvane-telemetry/src/clock.rs
+++ b/crates/pointvane-telemetry/src/clock.rs
@@ -17,9 +17,7 @@
 impl MonotonicClock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Self {
-            started: Instant::now(),
-        }
+        Self { started: Instant::now() }
     }
 
     /// Milliseconds since the start.
@@ -36,7 +34,5 @@
 
 /// The wall clock, in milliseconds since 1970; 0 if it stands before that.
 pub fn wall_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis() as u64)
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -51,11 +51,7 @@
     /// A configuration is in force here.
     ConfigurationAccepted { revision: u64, index: u64 },
     /// A published configuration was not taken.
-    ConfigurationRefused {
-        revision: u64,
-        index: u64,
-        reason: String,
-    },
+    ConfigurationRefused { revision: u64, index: u64, reason: String },
     /// Belief about a VM changed.
     MemberChanged { vm: Name, state: VmState },
     /// This VM began to read the platform for the others.
@@ -113,18 +109,8 @@
 impl fmt::Display for Event {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let value = serde_json::to_value(&self.kind).unwrap_or_default();
-        write!(
-            f,
-            "{:<10} {:<8} {}",
-            self.vm,
-            self.program.as_str(),
-            self.kind.name()
-        )?;
-        let fields = value
-            .as_object()
-            .into_iter()
-            .flatten()
-            .filter(|(name, _)| *name != "kind");
+        write!(f, "{:<10} {:<8} {}", self.vm, self.program.as_str(), self.kind.name())?;
+        let fields = value.as_object().into_iter().flatten().filter(|(name, _)| *name != "kind");
         for (name, value) in fields {
             match value.as_str() {
                 Some(text) => write!(f, " {name}={text}")?,
@@ -165,12 +151,7 @@
 impl EventLog {
     /// An empty ring; each event is also a log line.
     pub fn new(vm: Name, program: Program, log: slog::Logger) -> Self {
-        Self {
-            vm,
-            program,
-            log,
-            ring: Mutex::default(),
-        }
+        Self { vm, program, log, ring: Mutex::default() }
     }
 
     /// Notes an event.
@@ -195,16 +176,7 @@
     /// The events after a sequence number.
     pub fn page(&self, after: u64) -> EventPage {
         let ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
-        let events = ring
-            .events
-            .iter()
-            .filter(|event| event.sequence > after)
-            .cloned()
-            .collect();
-        EventPage {
-            clock_ms: wall_ms(),
-            dropped: ring.dropped,
-            events,
-        }
+        let events = ring.events.iter().filter(|event| event.sequence > after).cloned().collect();
+        EventPage { clock_ms: wall_ms(), dropped: ring.dropped, events }
     }
 }
--- a/crates/pointvane-telemetry/src/log.rs
+++ b/crates/pointvane-telemetry/src/log.rs
@@ -18,10 +18,7 @@
         return Logger::root(LevelFilter::new(in_background(drain), level).fuse(), values);
     }
     let decorator = slog_term::TermDecorator::new().stderr().build();
-    let drain = slog_term::FullFormat::new(decorator)
-        .use_utc_timestamp()
-        .build()
-        .fuse();
+    let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build().fuse();
     Logger::root(LevelFilter::new(in_background(drain), level).fuse(), values)
 }
 
@@ -29,8 +26,5 @@
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
 {
-    slog_async::Async::new(drain)
-        .chan_size(WAITING_LINES_MAX)
-        .build()
-        .fuse()
+    slog_async::Async::new(drain).chan_size(WAITING_LINES_MAX).build().fuse()
 }
--- a/crates/pointvane-telemetry/src/metrics.rs
+++ b/crates/pointvane-telemetry/src/metrics.rs
@@ -37,8 +37,6 @@
 
     /// All metrics in the Prometheus text format.
     pub fn text(&self) -> String {
-        TextEncoder::new()
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
 }
--- a/crates/pointvane-telemetry/src/operator.rs
+++ b/crates/pointvane-telemetry/src/operator.rs
@@ -54,9 +54,7 @@
     let handle = move |request: &Request| answer(request, &metrics, &events, &*state);
     let server = Server::new(address, handle).map_err(|error| eyre!("operator port {address}: {error}"))?;
     let stop = Arc::new(AtomicBool::new(false));
-    let port = OperatorPort {
-        stop: Arc::clone(&stop),
-    };
+    let port = OperatorPort { stop: Arc::clone(&stop) };
     thread::spawn(move || {
         while !stop.load(Ordering::Relaxed) {
             server.poll_timeout(POLL);
--- a/standins/src/admin.rs
+++ b/standins/src/admin.rs
@@ -18,10 +18,7 @@
 
 impl Default for Admin {
     fn default() -> Self {
-        let config = Agent::config_builder()
-            .proxy(None)
-            .timeout_global(Some(TIMEOUT))
-            .build();
+        let config = Agent::config_builder().proxy(None).timeout_global(Some(TIMEOUT)).build();
         Self { agent: config.into() }
     }
 }
@@ -49,9 +46,7 @@
     /// # Errors
     /// When the platform does not take it.
     pub fn publish(&self, platform: SocketAddr, key: &str, value: &[u8]) -> Result<()> {
-        self.agent
-            .put(format!("http://{platform}/v1/kv/{key}"))
-            .send(value)?;
+        self.agent.put(format!("http://{platform}/v1/kv/{key}")).send(value)?;
         Ok(())
     }
 
@@ -60,9 +55,7 @@
     /// # Errors
     /// When it does not answer.
     pub fn set_platform(&self, platform: SocketAddr, setting: &str) -> Result<()> {
-        self.agent
-            .post(format!("http://{platform}/standin/set?{setting}"))
-            .send_empty()?;
+        self.agent.post(format!("http://{platform}/standin/set?{setting}")).send_empty()?;
         Ok(())
     }
 
@@ -72,9 +65,7 @@
     /// When it does not answer.
     pub fn set_mood(&self, steering: SocketAddr, upstream: &str, mood: &Mood) -> Result<()> {
         let body = serde_json::to_vec(mood)?;
-        self.agent
-            .post(format!("http://{steering}/{upstream}"))
-            .send(&body[..])?;
+        self.agent.post(format!("http://{steering}/{upstream}")).send(&body[..])?;
         Ok(())
     }
 
@@ -93,13 +84,7 @@
     pub fn counter(&self, operator: SocketAddr, name: &str) -> Result<f64> {
         let text = self.text(operator, "/metrics")?;
         let lines = text.lines().filter(|line| line.starts_with(name));
-        let values = lines.map(|line| {
-            line.rsplit(' ')
-                .next()
-                .and_then(|value| value.parse::<f64>().ok())
-        });
-        values
-            .map(|value| value.ok_or_else(|| eyre!("metric {name} cannot be read")))
-            .sum()
+        let values = lines.map(|line| line.rsplit(' ').next().and_then(|value| value.parse::<f64>().ok()));
+        values.map(|value| value.ok_or_else(|| eyre!("metric {name} cannot be read"))).sum()
     }
 }
--- a/standins/src/bin/demo.rs
+++ b/standins/src/bin/demo.rs
@@ -26,11 +26,7 @@
     // The wall-time bound is judged only when asked for, so that CI's verdict rests on counts.
     let judge_time = std::env::args().any(|argument| argument == "--judge-time");
     let mut deployment = Deployment::start(plan())?;
-    println!(
-        "3 entry VMs, {} services, calls for {} s ...",
-        deployment.plan.services.len(),
-        TIME.as_secs()
-    );
+    println!("3 entry VMs, {} services, calls for {} s ...", deployment.plan.services.len(), TIME.as_secs());
     let callers = start_callers(&deployment);
     let drained = faults(&mut deployment)?;
     let reports = callers.join().unwrap_or_default();
@@ -41,24 +37,13 @@
         true => println!("ok"),
         false => println!("failed: {}", failures.join("; ")),
     }
-    Ok(if failures.is_empty() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    })
+    Ok(if failures.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 fn plan() -> Plan {
-    let dispatch = ServicePlan {
-        instances: 4,
-        ..ServicePlan::default()
-    };
-    let paperwork = ServicePlan {
-        name: "paperwork".into(),
-        instances: 2,
-        service_ms: 30.0,
-        ..dispatch.clone()
-    };
+    let dispatch = ServicePlan { instances: 4, ..ServicePlan::default() };
+    let paperwork =
+        ServicePlan { name: "paperwork".into(), instances: 2, service_ms: 30.0, ..dispatch.clone() };
     Plan {
         data_centres: 3,
         entries: 3,
@@ -78,15 +63,10 @@
         (CallKind::Direct(deployment.upstreams(0)), 300.0),
     ];
     let paperwork = [(CallKind::Lookup, 30.0), (CallKind::Upload(300_000), 15.0)];
-    let plans = [
-        load_plan(deployment, "dispatch", &dispatch),
-        load_plan(deployment, "paperwork", &paperwork),
-    ];
+    let plans =
+        [load_plan(deployment, "dispatch", &dispatch), load_plan(deployment, "paperwork", &paperwork)];
     thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(2)
-            .enable_all()
-            .build();
+        let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
         let Ok(runtime) = runtime else { return Vec::new() };
         runtime.block_on(async {
             let (first, second) = tokio::join!(load::run(&plans[0]), load::run(&plans[1]));
@@ -99,11 +79,7 @@
     LoadPlan {
         target: Target::Locate(deployment.locates()),
         service: service.into(),
-        rates: rates
-            .iter()
-            .cloned()
-            .map(|(kind, per_s)| Rate { kind, per_s })
-            .collect(),
+        rates: rates.iter().cloned().map(|(kind, per_s)| Rate { kind, per_s }).collect(),
         time: TIME,
         deadline_ms: 10_000,
         seed: 7,
@@ -114,18 +90,8 @@
 /// Drains one upstream, then stops one entry VM; gives the work that the drained one began after the bound.
 fn faults(deployment: &mut Deployment) -> Result<u64> {
     thread::sleep(DRAIN_AFTER);
-    let (steering, name) = (
-        deployment.steering(),
-        deployment.plan.services[0].upstream_name(0),
-    );
-    deployment.admin.set_mood(
-        steering,
-        &name,
-        &Mood {
-            draining: true,
-            ..Mood::default()
-        },
-    )?;
+    let (steering, name) = (deployment.steering(), deployment.plan.services[0].upstream_name(0));
+    deployment.admin.set_mood(steering, &name, &Mood { draining: true, ..Mood::default() })?;
     thread::sleep(STOP_AFTER - DRAIN_AFTER);
     deployment.vms[2].ask_entry_to_stop();
     thread::sleep(LEAVING_BOUND - (STOP_AFTER - DRAIN_AFTER));
@@ -159,38 +125,20 @@
         ] {
             check(holds, what);
         }
-        check(
-            report.sum(|kind| kind.whole) > 0,
-            format!("{}: no whole answer", service.name),
-        );
+        check(report.sum(|kind| kind.whole) > 0, format!("{}: no whole answer", service.name));
     }
     for service in &deployment.plan.services {
         for number in 0..service.instances {
-            let done = deployment
-                .admin
-                .done(deployment.steering(), &service.upstream_name(number))?;
+            let done = deployment.admin.done(deployment.steering(), &service.upstream_name(number))?;
             let twice = done.keys.values().filter(|&&times| times > 1).count();
-            check(
-                twice == 0,
-                format!("{twice} keys run twice at {}", service.upstream_name(number)),
-            );
+            check(twice == 0, format!("{twice} keys run twice at {}", service.upstream_name(number)));
         }
     }
     let name = deployment.plan.services[0].upstream_name(0);
-    let late = deployment
-        .admin
-        .done(deployment.steering(), &name)?
-        .begun_draining
-        - drained_at_bound;
-    check(
-        late == 0,
-        format!("{late} requests begun at {name} more than {LEAVING_BOUND:?} after its drain"),
-    );
+    let late = deployment.admin.done(deployment.steering(), &name)?.begun_draining - drained_at_bound;
+    check(late == 0, format!("{late} requests begun at {name} more than {LEAVING_BOUND:?} after its drain"));
     let added_ms = added_p99_ms(reports);
-    check(
-        !judge_time || added_ms < ADDED_P99_MAX_MS,
-        format!("{added_ms:.3} ms added at p99"),
-    );
+    check(!judge_time || added_ms < ADDED_P99_MAX_MS, format!("{added_ms:.3} ms added at p99"));
     Ok(failures)
 }
 
@@ -202,14 +150,8 @@
     let mut table = Table::new(&head);
     for (report, service) in reports.iter().zip(&deployment.plan.services) {
         for (kind, counts) in &report.kinds {
-            let numbers = [
-                counts.calls,
-                counts.whole,
-                counts.cut,
-                counts.wrong,
-                counts.not_run,
-                counts.unknown,
-            ];
+            let numbers =
+                [counts.calls, counts.whole, counts.cut, counts.wrong, counts.not_run, counts.unknown];
             let times =
                 [50.0, 99.0, 99.9].map(|percentile| format!("{:.2}", counts.percentile_ms(percentile)));
             let names = [service.name.clone(), (*kind).to_owned()];
@@ -245,9 +187,5 @@
     let ports: Vec<_> = ports
         .flat_map(|vm| [Program::Entry, Program::Control].map(|program| vm.operator(program).to_string()))
         .collect();
-    let _ = std::process::Command::new(client)
-        .arg("timeline")
-        .args(ports)
-        .args(["--last", "12"])
-        .status();
+    let _ = std::process::Command::new(client).arg("timeline").args(ports).args(["--last", "12"]).status();
 }
--- a/standins/src/bin/measure/choosing.rs
+++ b/standins/src/bin/measure/choosing.rs
@@ -103,28 +103,14 @@
 /// # Errors
 /// When a deployment does not come up.
 pub fn measure(args: &Args) -> Result<()> {
-    let ways = if args.ways.is_empty() {
-        Way::value_variants().to_vec()
-    } else {
-        args.ways.clone()
-    };
-    let mut shared = ways
-        .iter()
-        .any(|way| *way != Way::Central)
-        .then(|| deploy(args, args.entries))
-        .transpose()?;
-    let mut central = ways
-        .contains(&Way::Central)
-        .then(|| deploy(args, 1))
-        .transpose()?;
+    let ways = if args.ways.is_empty() { Way::value_variants().to_vec() } else { args.ways.clone() };
+    let mut shared =
+        ways.iter().any(|way| *way != Way::Central).then(|| deploy(args, args.entries)).transpose()?;
+    let mut central = ways.contains(&Way::Central).then(|| deploy(args, 1)).transpose()?;
     let mut runs: Vec<(Way, Vec<Run>)> = ways.iter().map(|&way| (way, Vec::new())).collect();
     for seed in 1..=args.runs {
         for (way, done) in &mut runs {
-            let deployment = if *way == Way::Central {
-                &mut central
-            } else {
-                &mut shared
-            };
+            let deployment = if *way == Way::Central { &mut central } else { &mut shared };
             if let Some(deployment) = deployment {
                 done.push(run(args, deployment, *way, seed)?);
             }
@@ -176,31 +162,14 @@
     for number in 0..service.instances {
         let mood = match args.scenario {
             Scenario::Calm | Scenario::Overload => Mood::default(),
-            Scenario::Noisy => Mood {
-                noisy: true,
-                ..Mood::default()
-            },
-            Scenario::Slow if number % 10 == 0 => Mood {
-                slow: 10.0,
-                ..Mood::default()
-            },
-            Scenario::Failing if number == 0 => Mood {
-                failing: true,
-                ..Mood::default()
-            },
+            Scenario::Noisy => Mood { noisy: true, ..Mood::default() },
+            Scenario::Slow if number % 10 == 0 => Mood { slow: 10.0, ..Mood::default() },
+            Scenario::Failing if number == 0 => Mood { failing: true, ..Mood::default() },
             Scenario::Slow | Scenario::Failing => Mood::default(),
-            Scenario::Stale => Mood {
-                report_lag_ms: 100,
-                ..Mood::default()
-            },
-            Scenario::Lying => Mood {
-                report_lies: true,
-                ..Mood::default()
-            },
+            Scenario::Stale => Mood { report_lag_ms: 100, ..Mood::default() },
+            Scenario::Lying => Mood { report_lies: true, ..Mood::default() },
         };
-        deployment
-            .admin
-            .set_mood(deployment.steering(), &service.upstream_name(number), &mood)?;
+        deployment.admin.set_mood(deployment.steering(), &service.upstream_name(number), &mood)?;
     }
     Ok(())
 }
@@ -208,34 +177,22 @@
 fn put_load_on(args: &Args, deployment: &Deployment, seed: u64) -> Result<LoadReport> {
     let service = &deployment.plan.services[0];
     let slots = service.instances as f64 * f64::from(service.slots);
-    let load = if args.scenario == Scenario::Overload {
-        OVERLOAD
-    } else {
-        args.load
-    };
+    let load = if args.scenario == Scenario::Overload { OVERLOAD } else { args.load };
     let per_s = load * slots * 1_000.0 / args.service_ms;
     let plan = LoadPlan {
         target: Target::Uneven(deployment.entries()),
         service: service.name.clone(),
         rates: vec![
-            Rate {
-                kind: CallKind::Urgent,
-                per_s: per_s * args.urgent,
-            },
-            Rate {
-                kind: CallKind::Lookup,
-                per_s: per_s * (1.0 - args.urgent),
-            },
+            Rate { kind: CallKind::Urgent, per_s: per_s * args.urgent },
+            Rate { kind: CallKind::Lookup, per_s: per_s * (1.0 - args.urgent) },
         ],
         time: WARM_UP + Duration::from_secs(args.seconds),
         deadline_ms: DEADLINE_MS,
         seed,
         warm_up: WARM_UP,
     };
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(LOAD_THREADS)
-        .enable_all()
-        .build()?;
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(LOAD_THREADS).enable_all().build()?;
     Ok(runtime.block_on(load::run(&plan)))
 }
 
@@ -253,16 +210,9 @@
         let service = &deployment.plan.services[0];
         let done = (0..service.instances).map(|number| {
             let name = service.upstream_name(number);
-            deployment
-                .admin
-                .done(deployment.steering(), &name)
-                .unwrap_or_else(|_| Done::default())
+            deployment.admin.done(deployment.steering(), &name).unwrap_or_else(|_| Done::default())
         });
-        let processes = deployment
-            .vms
-            .iter()
-            .filter_map(|vm| vm.process(Program::Entry))
-            .map(usage);
+        let processes = deployment.vms.iter().filter_map(|vm| vm.process(Program::Entry)).map(usage);
         let usage = processes.fold(Usage::default(), |sum, one| Usage {
             cpu_s: sum.cpu_s + one.cpu_s,
             memory_mb: sum.memory_mb.max(one.memory_mb),
@@ -278,10 +228,7 @@
 
     fn since(&self, before: &Self, report: LoadReport, time_s: f64, deployment: &Deployment) -> Run {
         let service = &deployment.plan.services[0];
-        let (vms, slots) = (
-            deployment.vms.len() as f64,
-            service.instances as f64 * f64::from(service.slots),
-        );
+        let (vms, slots) = (deployment.vms.len() as f64, service.instances as f64 * f64::from(service.slots));
         let probe_s = (self.probe_slot_us - before.probe_slot_us) as f64 / 1e6;
         let bytes = self.load_bytes - before.load_bytes + self.gossip_bytes - before.gossip_bytes;
         Run {
@@ -321,10 +268,8 @@
     }
     println!("{}", table.markdown());
     for (way, runs) in runs {
-        for (reason, count) in runs
-            .iter()
-            .flat_map(|run| run.report.kinds.values())
-            .flat_map(|kind| &kind.reasons)
+        for (reason, count) in
+            runs.iter().flat_map(|run| run.report.kinds.values()).flat_map(|kind| &kind.reasons)
         {
             println!("{}: {reason} {count}", way.name());
         }
@@ -336,10 +281,7 @@
     let percentile =
         |kind: &'static str, p: f64| over(&|run: &Run| run.report.kind(kind).percentile_ms(p), 1);
     let whole = |run: &Run| {
-        let (whole, calls) = (
-            run.report.sum(|kind| kind.whole),
-            run.report.sum(|kind| kind.calls),
-        );
+        let (whole, calls) = (run.report.sum(|kind| kind.whole), run.report.sum(|kind| kind.calls));
         100.0 * whole as f64 / calls as f64
     };
     let errors = |run: &Run| run.report.sum(|k| k.cut + k.wrong + k.unknown + k.error_answers) as f64;
@@ -350,10 +292,7 @@
         percentile("lookup", 99.0),
         percentile("lookup", 99.9),
         over(&whole, 2),
-        over(
-            &|run: &Run| run.report.kind("lookup").whole as f64 / run.time_s,
-            0,
-        ),
+        over(&|run: &Run| run.report.kind("lookup").whole as f64 / run.time_s, 0),
         over(&errors, 0),
         over(&|run: &Run| run.probes, 0),
         over(&|run: &Run| 100.0 * run.probe_slot_share, 4),
--- a/standins/src/bin/measure/hop.rs
+++ b/standins/src/bin/measure/hop.rs
@@ -38,11 +38,7 @@
 /// # Errors
 /// When the deployment does not come up or a call fails.
 pub fn measure(args: &Args) -> Result<()> {
-    let service = ServicePlan {
-        instances: 8,
-        connect_ms: 0.0,
-        ..ServicePlan::default()
-    };
+    let service = ServicePlan { instances: 8, connect_ms: 0.0, ..ServicePlan::default() };
     let deployment = Deployment::start(Plan {
         data_centres: 1,
         entries: 1,
@@ -70,24 +66,10 @@
         }
         let process = deployment.vms[0].process(Program::Entry).unwrap_or_default();
         let [p50, p99, ratio, direct] = added;
-        eprintln!(
-            "{connections} connections: {:.3} ms added at p99 (median)",
-            median(p99.clone())
-        );
+        eprintln!("{connections} connections: {:.3} ms added at p99 (median)", median(p99.clone()));
         let memory = format!("{:.0}", usage(process).memory_mb);
-        let spreads = [
-            spread(p50, 3),
-            spread(p99, 3),
-            spread(ratio, 2),
-            spread(direct, 3),
-        ];
-        table.row(
-            [connections.to_string()]
-                .into_iter()
-                .chain(spreads)
-                .chain([memory])
-                .collect(),
-        );
+        let spreads = [spread(p50, 3), spread(p99, 3), spread(ratio, 2), spread(direct, 3)];
+        table.row([connections.to_string()].into_iter().chain(spreads).chain([memory]).collect());
     }
     print!("{}", table.markdown());
     Ok(())
@@ -106,9 +88,7 @@
     let mut times = histogram();
     for caller in callers {
         let caller_times = caller.join().unwrap_or_else(|_| Ok(Vec::new()))?;
-        caller_times
-            .iter()
-            .for_each(|time| times.saturating_record(time.as_micros() as u64));
+        caller_times.iter().for_each(|time| times.saturating_record(time.as_micros() as u64));
     }
     let at = |percentile| times.value_at_percentile(percentile) as f64 / 1_000.0;
     Ok((at(50.0), at(99.0)))
--- a/standins/src/bin/measure/usage.rs
+++ b/standins/src/bin/measure/usage.rs
@@ -19,24 +19,11 @@
     let stat = fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
     let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     // Fields are counted after the program's name, which stands in brackets.
-    let fields: Vec<_> = stat
-        .rsplit(')')
-        .next()
-        .unwrap_or_default()
-        .split_whitespace()
-        .collect();
-    let ticks = |index: usize| {
-        fields
-            .get(index)
-            .and_then(|text| text.parse::<f64>().ok())
-            .unwrap_or(0.0)
-    };
+    let fields: Vec<_> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
     let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let memory = memory.and_then(|text| text.split_whitespace().next()?.parse::<f64>().ok());
-    Usage {
-        cpu_s: (ticks(11) + ticks(12)) / TICKS_PER_S,
-        memory_mb: memory.unwrap_or(0.0) / 1_024.0,
-    }
+    Usage { cpu_s: (ticks(11) + ticks(12)) / TICKS_PER_S, memory_mb: memory.unwrap_or(0.0) / 1_024.0 }
 }
 
 /// Minimum, median and maximum, as `min/median/max`.
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -83,18 +83,9 @@
         let directory =
             std::env::temp_dir().join(format!("pointvane-{}-{}", std::process::id(), net.number()));
         fs::create_dir_all(&directory)?;
-        let vms = (0..plan.entries)
-            .map(|number| Vm::new(&net, number, plan.data_centres))
-            .collect();
-        let mut deployment = Self {
-            plan,
-            vms,
-            admin: Admin::default(),
-            net,
-            directory,
-            revision: 0,
-            stand_ins: Vec::new(),
-        };
+        let vms = (0..plan.entries).map(|number| Vm::new(&net, number, plan.data_centres)).collect();
+        let mut deployment =
+            Self { plan, vms, admin: Admin::default(), net, directory, revision: 0, stand_ins: Vec::new() };
         deployment.start_stand_ins()?;
         Ok(deployment)
     }
@@ -108,13 +99,8 @@
         let steering = self.steering().to_string();
         let specs_file = specs_file.to_string_lossy();
         let upstreams = ["--specs", &specs_file, "--steering", &steering];
-        self.stand_ins.push(spawn(
-            Program::Platform,
-            &["--address", &platform],
-            &self.log("platform"),
-        )?);
-        self.stand_ins
-            .push(spawn(Program::Upstreams, &upstreams, &self.log("upstreams"))?);
+        self.stand_ins.push(spawn(Program::Platform, &["--address", &platform], &self.log("platform"))?);
+        self.stand_ins.push(spawn(Program::Upstreams, &upstreams, &self.log("upstreams"))?);
         wait("stand-ins", || {
             let answers = |address: SocketAddr| std::net::TcpStream::connect(address).is_ok();
             answers(self.net.platform()) && answers(self.steering())
@@ -128,8 +114,7 @@
     pub fn publish(&mut self) -> Result<()> {
         self.revision += 1;
         let packed = self.packed(self.revision)?;
-        self.admin
-            .publish(self.platform(), files::CONFIGURATION_KEY, &packed)
+        self.admin.publish(self.platform(), files::CONFIGURATION_KEY, &packed)
     }
 
     /// The packed file set under a revision.
@@ -163,10 +148,8 @@
     /// # Errors
     /// When it cannot be published.
     pub fn publish_vm_list(&self, leaving: &[&str]) -> Result<()> {
-        let vms: Vec<_> = leaving
-            .iter()
-            .map(|name| serde_json::json!({"name": name, "leaving": true}))
-            .collect();
+        let vms: Vec<_> =
+            leaving.iter().map(|name| serde_json::json!({"name": name, "leaving": true})).collect();
         let list = serde_json::to_vec(&serde_json::json!({ "vms": vms }))?;
         self.admin.publish(self.platform(), files::VM_LIST_KEY, &list)
     }
@@ -205,10 +188,7 @@
     /// When that takes too long.
     pub fn wait_ready(&self) -> Result<()> {
         let running: Vec<_> = self.vms.iter().filter(|vm| vm.runs()).collect();
-        let ready = |vm: &&Vm| {
-            vm.is_ready(&self.admin, self.revision, running.len())
-                .unwrap_or(false)
-        };
+        let ready = |vm: &&Vm| vm.is_ready(&self.admin, self.revision, running.len()).unwrap_or(false);
         wait("deployment", || running.iter().all(ready))
             .wrap_err_with(|| format!("see the logs in {}", self.directory.display()))
     }
@@ -230,9 +210,7 @@
 
     /// Where all upstreams of a service serve.
     pub fn upstreams(&self, service: usize) -> Vec<SocketAddr> {
-        (0..self.plan.services[service].instances)
-            .map(|number| self.upstream(service, number))
-            .collect()
+        (0..self.plan.services[service].instances).map(|number| self.upstream(service, number)).collect()
     }
 
     /// Where all locates answer.
@@ -247,11 +225,7 @@
 
     /// The sum of a counter over the entry or control programs that answer.
     pub fn counter(&self, program: Program, name: &str) -> f64 {
-        let ports = self
-            .vms
-            .iter()
-            .filter(|vm| vm.runs())
-            .map(|vm| vm.operator(program));
+        let ports = self.vms.iter().filter(|vm| vm.runs()).map(|vm| vm.operator(program));
         ports.filter_map(|port| self.admin.counter(port, name).ok()).sum()
     }
 
--- a/standins/src/deployment/files.rs
+++ b/standins/src/deployment/files.rs
@@ -25,11 +25,7 @@
 
 impl Default for FleetPlan {
     fn default() -> Self {
-        Self {
-            locate_keep_ms: 1_000,
-            key_life_ms: 60_000,
-            control_bytes_per_s: 18_000,
-        }
+        Self { locate_keep_ms: 1_000, key_life_ms: 60_000, control_bytes_per_s: 18_000 }
     }
 }
 
@@ -113,11 +109,7 @@
     // A service that left the plan must not stay in the file set.
     let _ = fs::remove_dir_all(&services);
     fs::create_dir_all(&services)?;
-    let FleetPlan {
-        locate_keep_ms,
-        key_life_ms,
-        control_bytes_per_s,
-    } = plan.fleet;
+    let FleetPlan { locate_keep_ms, key_life_ms, control_bytes_per_s } = plan.fleet;
     let fleet = format!(
         "revision = {revision}\nentry_vms_max = {}\nlocate_keep_ms = {locate_keep_ms}\nkey_life_ms = {key_life_ms}\ncontrol_bytes_per_s = {control_bytes_per_s}\n",
         plan.entries + 1
@@ -131,9 +123,7 @@
 }
 
 fn service_file(service: &ServicePlan, plan: &Plan, address: impl Fn(usize) -> SocketAddr) -> String {
-    let ServicePlan {
-        name, slots, rules, ..
-    } = service;
+    let ServicePlan { name, slots, rules, .. } = service;
     let mut text = format!("name = \"{name}\"\npath_prefix = \"/{name}\"\nslots = {slots}\n{rules}\n");
     for number in 0..service.instances {
         let (upstream, address) = (service.upstream_name(number), address(number));
--- a/standins/src/deployment/net.rs
+++ b/standins/src/deployment/net.rs
@@ -47,11 +47,7 @@
 
     /// Where an upstream serves.
     pub fn upstream(&self, service: usize, number: usize) -> SocketAddr {
-        (
-            loopback(self.number, 100 + service as u8, number as u8 + 1),
-            UPSTREAM_PORT,
-        )
-            .into()
+        (loopback(self.number, 100 + service as u8, number as u8 + 1), UPSTREAM_PORT).into()
     }
 
     /// Where the platform answers.
--- a/standins/src/deployment/process.rs
+++ b/standins/src/deployment/process.rs
@@ -57,14 +57,9 @@
     /// When it was not built.
     pub fn path(self) -> Result<PathBuf> {
         let own = std::env::current_exe()?;
-        let beside = own
-            .parent()
-            .into_iter()
-            .chain(own.parent().and_then(Path::parent));
+        let beside = own.parent().into_iter().chain(own.parent().and_then(Path::parent));
         let mut candidates = beside.map(|directory| directory.join(self.file()));
-        candidates
-            .find(|path| path.is_file())
-            .ok_or_else(|| eyre::eyre!("{} is not built", self.file()))
+        candidates.find(|path| path.is_file()).ok_or_else(|| eyre::eyre!("{} is not built", self.file()))
     }
 }
 
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -111,11 +111,7 @@
             calls.spawn(async move {
                 let mut took = Duration::ZERO;
                 let ending = call.run(&callers, &mut took).await;
-                let time = if call.kind.counts_from_sending() {
-                    took
-                } else {
-                    due.elapsed()
-                };
+                let time = if call.kind.counts_from_sending() { took } else { due.elapsed() };
                 let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
                 report.note(&call.kind, &ending, timed.then_some(time));
             });
--- a/standins/src/load/call.rs
+++ b/standins/src/load/call.rs
@@ -95,10 +95,7 @@
     pub async fn run(&self, callers: &Callers, took: &mut Duration) -> Ending {
         if let CallKind::Direct(upstreams) = &self.kind {
             let number = self.id.bytes().map(usize::from).sum::<usize>() % upstreams.len();
-            return self
-                .try_at(callers, upstreams[number], "", took)
-                .await
-                .unwrap_or(Ending::Cut);
+            return self.try_at(callers, upstreams[number], "", took).await.unwrap_or(Ending::Cut);
         }
         let entries = callers.entries(self.caller).await;
         let Some(owner) = entries.first() else {
@@ -136,12 +133,7 @@
         };
         callers.keep(address, sender);
         *took = sent.elapsed();
-        let text = |name| {
-            headers
-                .get(name)
-                .and_then(|value| value.to_str().ok())
-                .unwrap_or_default()
-        };
+        let text = |name| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
         let error = text(header::ERROR).to_owned();
         Ok(match text(header::OUTCOME) {
             "not-run" => Ending::NotRun(error),
@@ -169,9 +161,7 @@
         if self.kind.has_key() {
             request = request.header(header::KEY, format!("{prefix}{}", self.id));
         }
-        request
-            .body(Full::new(body))
-            .unwrap_or_else(|error| panic!("request: {error}"))
+        request.body(Full::new(body)).unwrap_or_else(|error| panic!("request: {error}"))
     }
 
     /// The answer begins and ends with the call's id and tells the length of what the upstream got.
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -79,8 +79,7 @@
         match ending {
             Ending::Whole => {
                 report.whole += 1;
-                time.iter()
-                    .for_each(|time| report.times_us.saturating_record(time.as_micros() as u64));
+                time.iter().for_each(|time| report.times_us.saturating_record(time.as_micros() as u64));
             }
             Ending::Cut => report.cut += 1,
             Ending::Wrong => report.wrong += 1,
--- a/standins/src/load/route.rs
+++ b/standins/src/load/route.rs
@@ -80,13 +80,7 @@
     pub fn new(target: Target, service: String, seed: u64) -> Self {
         let kept = (0..CALLERS).map(|_| Mutex::new(None)).collect();
         let rng = Mutex::new(StdRng::seed_from_u64(seed));
-        Self {
-            target,
-            service,
-            kept,
-            idle: Mutex::default(),
-            rng,
-        }
+        Self { target, service, kept, idle: Mutex::default(), rng }
     }
 
     /// How many they are.
@@ -105,10 +99,7 @@
             Target::Locate(locates) => locates,
             Target::Uneven(entries) => return vec![self.uneven(entries)],
         };
-        let kept = self.kept[caller]
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
+        let kept = self.kept[caller].lock().unwrap_or_else(PoisonError::into_inner).clone();
         if let Some(kept) = kept.filter(|kept| kept.until > Instant::now()) {
             return kept.answer.entries;
         }
@@ -136,17 +127,12 @@
         let numbers: Vec<usize> = (0..entries.len()).collect();
         let draw = |rng: &mut StdRng| any(&numbers, rng).copied().unwrap_or(0);
         let number = draw(&mut rng).min(draw(&mut rng));
-        EntryAddress {
-            address: entries[number],
-            key_prefix: String::new(),
-        }
+        EntryAddress { address: entries[number], key_prefix: String::new() }
     }
 
     async fn ask(&self, locate: SocketAddr) -> Option<Located> {
         let uri = format!("/v1/locate?service={}", self.service);
-        let request = Request::get(uri)
-            .header("host", locate.to_string())
-            .header("connection", "close");
+        let request = Request::get(uri).header("host", locate.to_string()).header("connection", "close");
         let request = request.body(Full::default()).ok()?;
         let mut sender = connect(locate).await?;
         let response = sender.send_request(request).await.ok()?;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -51,11 +51,7 @@
 
 impl Default for Platform {
     fn default() -> Self {
-        Self {
-            state: Mutex::default(),
-            calls: AtomicU64::new(0),
-            written: watch::channel(0).0,
-        }
+        Self { state: Mutex::default(), calls: AtomicU64::new(0), written: watch::channel(0).0 }
     }
 }
 
@@ -99,10 +95,7 @@
     fn write(&self, key: &str, bytes: Bytes) -> Answer {
         let mut state = self.lock();
         state.index += 1;
-        let value = Value {
-            index: state.index,
-            bytes,
-        };
+        let value = Value { index: state.index, bytes };
         state.values.insert(key.into(), value);
         drop(state);
         self.wake();
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -112,9 +112,7 @@
                     let handler = Arc::clone(&handler);
                     async move { handler.handle(request).await.ok_or(Dies) }
                 });
-                let _ = http1::Builder::new()
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
             });
         }
     });
@@ -123,21 +121,13 @@
 
 /// A parameter of a request's query.
 pub fn parameter<T: std::str::FromStr>(request: &Request<Incoming>, name: &str) -> Option<T> {
-    let pairs = request
-        .uri()
-        .query()?
-        .split('&')
-        .filter_map(|pair| pair.split_once('='));
+    let pairs = request.uri().query()?.split('&').filter_map(|pair| pair.split_once('='));
     pairs.into_iter().find(|(key, _)| *key == name)?.1.parse().ok()
 }
 
 /// An answer with a status and a body.
 pub fn answer(status: u16, body: impl Into<Bytes>) -> Answer {
-    let mut response = Response::new(AnswerBody {
-        bytes: body.into(),
-        missing: 0,
-        pause: None,
-    });
+    let mut response = Response::new(AnswerBody { bytes: body.into(), missing: 0, pause: None });
     *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
     response
 }
--- a/standins/src/table.rs
+++ b/standins/src/table.rs
@@ -9,9 +9,7 @@
 impl Table {
     /// A table with a head.
     pub fn new(head: &[&str]) -> Self {
-        Self {
-            rows: vec![head.iter().map(|&cell| cell.to_owned()).collect()],
-        }
+        Self { rows: vec![head.iter().map(|&cell| cell.to_owned()).collect()] }
     }
 
     /// Adds a row.
@@ -25,10 +23,7 @@
         let width = |column: usize| self.rows.iter().map(|row| row[column].len()).max().unwrap_or(0);
         let widths: Vec<_> = (0..columns).map(width).collect();
         let line = |row: &Vec<String>| {
-            let cells = row
-                .iter()
-                .zip(&widths)
-                .map(|(cell, &width)| format!("{cell:<width$}"));
+            let cells = row.iter().zip(&widths).map(|(cell, &width)| format!("{cell:<width$}"));
             format!("| {} |\n", cells.collect::<Vec<_>>().join(" | "))
         };
         let rule = widths.iter().map(|&width| "-".repeat(width)).collect();
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -122,11 +122,7 @@
         // A log-normal's mean is exp(mu + sigma^2 / 2).
         let mu = spec.service_ms.ln() - spec.sigma * spec.sigma / 2.0;
         let time = LogNormal::new(mu, spec.sigma).unwrap_or_else(|_| panic!("sigma {}", spec.sigma));
-        let draws = Draws {
-            rng: StdRng::seed_from_u64(seed),
-            time,
-            noise_from: Instant::now(),
-        };
+        let draws = Draws { rng: StdRng::seed_from_u64(seed), time, noise_from: Instant::now() };
         Self {
             slots: Semaphore::new(usize::from(spec.slots)),
             spec,
@@ -150,21 +146,14 @@
             0 => now,
             lag_ms => self.past(Duration::from_millis(lag_ms)).unwrap_or(now),
         };
-        LoadReport {
-            in_flight,
-            draining: mood.draining,
-        }
+        LoadReport { in_flight, draining: mood.draining }
     }
 
     /// Requests held some time ago.
     fn past(&self, age: Duration) -> Option<u16> {
         let at = Instant::now().checked_sub(age)?;
         let history = lock(&self.history);
-        history
-            .iter()
-            .rev()
-            .find(|(noted, _)| *noted <= at)
-            .map(|(_, count)| *count)
+        history.iter().rev().find(|(noted, _)| *noted <= at).map(|(_, count)| *count)
     }
 
     async fn note_history(self: Arc<Self>) {
@@ -186,21 +175,13 @@
     /// Time of service of one request; `asked_ms` overrides the distribution.
     fn draw(&self, mood: &Mood, asked_ms: Option<f64>) -> Duration {
         let mut draws = lock(&self.draws);
-        let Draws {
-            rng,
-            time,
-            noise_from,
-        } = &mut *draws;
+        let Draws { rng, time, noise_from } = &mut *draws;
         let base_ms = asked_ms.unwrap_or_else(|| time.sample(rng));
         let now = Instant::now();
         if now >= *noise_from + NOISE {
             *noise_from = now + Duration::from_millis(rng.random_range(2_000..6_000));
         }
-        let noise = if mood.noisy && now >= *noise_from {
-            NOISE_FACTOR
-        } else {
-            1.0
-        };
+        let noise = if mood.noisy && now >= *noise_from { NOISE_FACTOR } else { 1.0 };
         let slow = if mood.slow > 0.0 { mood.slow } else { 1.0 };
         let time_ms = base_ms * noise * slow;
         // A sleep ends at the next whole millisecond, and a little later: half of one too late on average.
@@ -230,10 +211,7 @@
         if mood.failing {
             return self.reported(answer(500, "failing\n"), &mood, 0);
         }
-        let waiting = self
-            .in_flight
-            .load(Ordering::Relaxed)
-            .saturating_sub(u32::from(self.spec.slots));
+        let waiting = self.in_flight.load(Ordering::Relaxed).saturating_sub(u32::from(self.spec.slots));
         if mood.shed_beyond > 0 && waiting >= mood.shed_beyond {
             return self.reported(answer(503, "shed\n"), &mood, 0);
         }
@@ -310,10 +288,7 @@
 impl<'u> Held<'u> {
     fn new(upstream: &'u Upstream) -> Self {
         upstream.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self {
-            upstream,
-            finished: false,
-        }
+        Self { upstream, finished: false }
     }
 
     fn finished(mut self) {
--- a/standins/tests/common/mod.rs
+++ b/standins/tests/common/mod.rs
@@ -19,12 +19,7 @@
 
 /// The plan of a small deployment with one service.
 pub fn plan(entries: usize, instances: usize, rules: &str) -> Plan {
-    let service = ServicePlan {
-        instances,
-        rules: rules.into(),
-        connect_ms: 0.0,
-        ..ServicePlan::default()
-    };
+    let service = ServicePlan { instances, rules: rules.into(), connect_ms: 0.0, ..ServicePlan::default() };
     Plan {
         data_centres: 3.min(entries),
         entries,
@@ -63,10 +58,7 @@
     /// A header's value.
     pub fn header(&self, name: &str) -> Option<&str> {
         let lines = self.head.lines().filter_map(|line| line.split_once(": "));
-        lines
-            .into_iter()
-            .find(|(key, _)| key.eq_ignore_ascii_case(name))
-            .map(|(_, value)| value)
+        lines.into_iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value)
     }
 }
 
@@ -100,20 +92,9 @@
     let Some((head, body)) = text.split_once("\r\n\r\n") else {
         return Answer::default();
     };
-    let status = head
-        .split(' ')
-        .nth(1)
-        .and_then(|status| status.parse().ok())
-        .unwrap_or(0);
-    let mut answer = Answer {
-        status,
-        head: head.into(),
-        body: body.into(),
-        whole: false,
-    };
-    let length = answer
-        .header("content-length")
-        .and_then(|value| value.parse::<usize>().ok());
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+    let mut answer = Answer { status, head: head.into(), body: body.into(), whole: false };
+    let length = answer.header("content-length").and_then(|value| value.parse::<usize>().ok());
     answer.whole = length.is_some_and(|length| body.len() >= length);
     answer
 }
@@ -123,10 +104,7 @@
     let locate = deployment.vms[vm].locate();
     let address = deployment.vms[vm].entry().to_string();
     for _ in 0..200 {
-        let answer: serde_json::Value = deployment
-            .admin
-            .json(locate, "/v1/locate?service=dispatch")
-            .unwrap();
+        let answer: serde_json::Value = deployment.admin.json(locate, "/v1/locate?service=dispatch").unwrap();
         let entries = answer["entries"].as_array().unwrap();
         if let Some(entry) = entries.iter().find(|entry| entry["address"] == address.as_str()) {
             return entry["key_prefix"].as_str().unwrap().into();
--- a/standins/tests/data_path.rs
+++ b/standins/tests/data_path.rs
@@ -19,10 +19,7 @@
 fn set_mood(deployment: &Deployment, mood: &Mood) {
     let service = &deployment.plan.services[0];
     for number in 0..service.instances {
-        deployment
-            .admin
-            .set_mood(deployment.steering(), &service.upstream_name(number), mood)
-            .unwrap();
+        deployment.admin.set_mood(deployment.steering(), &service.upstream_name(number), mood).unwrap();
     }
 }
 
@@ -32,10 +29,7 @@
 }
 
 fn get(deployment: &Deployment, path: &str) -> Answer {
-    call(
-        deployment.vms[0].entry(),
-        &request("GET", path, &[("x-request-id", "r1")], ""),
-    )
+    call(deployment.vms[0].entry(), &request("GET", path, &[("x-request-id", "r1")], ""))
 }
 
 /// Highest memory a process had so far, in kilobytes.
@@ -70,13 +64,8 @@
 fn work_of_a_caller_that_went_away_is_cancelled_at_the_upstream() {
     let deployment = deploy(1, 1, "");
     let mut stream = TcpStream::connect(deployment.vms[0].entry()).unwrap();
-    stream
-        .write_all(request("GET", "/dispatch/call?work_ms=20000", &[], "").as_bytes())
-        .unwrap();
-    wait("the work", || {
-        deployment.counter(Program::Entry, "pointvane_attempts") > 0.0
-    })
-    .unwrap();
+    stream.write_all(request("GET", "/dispatch/call?work_ms=20000", &[], "").as_bytes()).unwrap();
+    wait("the work", || deployment.counter(Program::Entry, "pointvane_attempts") > 0.0).unwrap();
     drop(stream);
     wait("the cancellation", || done(&deployment).cancelled == 1).unwrap();
     expect_that!(done(&deployment).ran, eq(0));
@@ -85,23 +74,12 @@
 #[gtest]
 fn an_answer_cut_off_midway_never_looks_whole() {
     let deployment = deploy(1, 1, "");
-    set_mood(
-        &deployment,
-        &Mood {
-            cutting: true,
-            ..Mood::default()
-        },
-    );
+    set_mood(&deployment, &Mood { cutting: true, ..Mood::default() });
     let answer = get(&deployment, "/dispatch/call?work_ms=1&size=100000");
     expect_that!(answer.whole, eq(false));
     // Under a key, the whole answer is read first, so the caller is told.
     let key = key_prefix(&deployment, 0) + "cut";
-    let text = request(
-        "POST",
-        "/dispatch/call?work_ms=1",
-        &[("idempotency-key", &key)],
-        "booking",
-    );
+    let text = request("POST", "/dispatch/call?work_ms=1", &[("idempotency-key", &key)], "booking");
     let answer = call(deployment.vms[0].entry(), &text);
     expect_that!(answer.header("pointvane-outcome"), some(eq("unknown")));
 }
@@ -109,20 +87,9 @@
 #[gtest]
 fn work_that_may_not_be_repeated_is_never_sent_twice() {
     let deployment = deploy(1, 3, "");
-    set_mood(
-        &deployment,
-        &Mood {
-            dying: true,
-            ..Mood::default()
-        },
-    );
+    set_mood(&deployment, &Mood { dying: true, ..Mood::default() });
     let key = key_prefix(&deployment, 0) + "once";
-    let text = request(
-        "POST",
-        "/dispatch/call?work_ms=1",
-        &[("idempotency-key", &key)],
-        "booking",
-    );
+    let text = request("POST", "/dispatch/call?work_ms=1", &[("idempotency-key", &key)], "booking");
     for _ in 0..3 {
         let answer = call(deployment.vms[0].entry(), &text);
         expect_that!(answer.header("pointvane-outcome"), some(eq("unknown")));
@@ -135,10 +102,7 @@
     let deployment = deploy(1, 3, "");
     let names = &deployment.plan.services[0];
     let (steering, name) = (deployment.steering(), names.upstream_name(0));
-    let dying = Mood {
-        dying: true,
-        ..Mood::default()
-    };
+    let dying = Mood { dying: true, ..Mood::default() };
     deployment.admin.set_mood(steering, &name, &dying).unwrap();
     for _ in 0..12 {
         expect_that!(get(&deployment, "/dispatch/call?work_ms=1").status, eq(200));
@@ -152,20 +116,12 @@
     let key = key_prefix(&deployment, 0) + "order";
     let headers = [("idempotency-key", key.as_str()), ("x-request-id", "first")];
     let text = request("POST", "/dispatch/call?work_ms=300", &headers, "booking");
-    let callers: Vec<_> = deployment
-        .entries()
-        .into_iter()
-        .chain(deployment.entries())
-        .collect();
+    let callers: Vec<_> = deployment.entries().into_iter().chain(deployment.entries()).collect();
     let calls = callers.into_iter().map(|entry| {
         let text = text.clone();
         std::thread::spawn(move || call(entry, &text))
     });
-    let answers: Vec<_> = calls
-        .collect::<Vec<_>>()
-        .into_iter()
-        .map(|call| call.join().unwrap())
-        .collect();
+    let answers: Vec<_> = calls.collect::<Vec<_>>().into_iter().map(|call| call.join().unwrap()).collect();
     for answer in &answers {
         expect_that!(answer.status, eq(200));
         expect_that!(answer.body, eq(&answers[0].body));
@@ -202,10 +158,7 @@
     // Half a head, then nothing: closed at the head's time limit.
     expect_that!(call(entry, "GET /dispatch/call HTTP/1.1\r\nhost:").status, eq(0));
     let headers = [("pointvane-class", "urgent"), ("pointvane-class", "routine")];
-    expect_that!(
-        call(entry, &request("GET", "/dispatch/call", &headers, "")).status,
-        eq(400)
-    );
+    expect_that!(call(entry, &request("GET", "/dispatch/call", &headers, "")).status, eq(400));
     expect_that!(get(&deployment, "/dispatch/call?work_ms=1").status, eq(200));
 }
 
@@ -213,18 +166,9 @@
 fn a_passed_deadline_is_told_apart_from_an_unknown_outcome() {
     let deployment = deploy(1, 1, "");
     let entry = deployment.vms[0].entry();
-    let with = |deadline| {
-        request(
-            "GET",
-            "/dispatch/call?work_ms=2000",
-            &[("pointvane-deadline-ms", deadline)],
-            "",
-        )
-    };
-    expect_that!(
-        call(entry, &with("0")).header("pointvane-outcome"),
-        some(eq("not-run"))
-    );
+    let with =
+        |deadline| request("GET", "/dispatch/call?work_ms=2000", &[("pointvane-deadline-ms", deadline)], "");
+    expect_that!(call(entry, &with("0")).header("pointvane-outcome"), some(eq("not-run")));
     let answer = call(entry, &with("100"));
     expect_that!(answer.header("pointvane-error"), some(eq("upstream-timeout")));
     expect_that!(answer.header("pointvane-outcome"), some(eq("unknown")));
--- a/standins/tests/kept_connections.rs
+++ b/standins/tests/kept_connections.rs
@@ -96,17 +96,11 @@
     let plan = Plan {
         data_centres: 1,
         entries: 1,
-        services: vec![ServicePlan {
-            connect_ms: 0.0,
-            ..ServicePlan::default()
-        }],
+        services: vec![ServicePlan { connect_ms: 0.0, ..ServicePlan::default() }],
         fleet: FleetPlan::default(),
         settings: String::new(),
     };
     let deployment = Deployment::start(plan).unwrap();
     let address = deployment.vms[0].entry();
-    expect_that!(
-        connections_answered(address, "/dispatch/call?work_ms=0"),
-        eq(CONNECTIONS)
-    );
+    expect_that!(connections_answered(address, "/dispatch/call?work_ms=0"), eq(CONNECTIONS));
 }
