--- a/crates/pointvane-control/src/state.rs
+++ b/crates/pointvane-control/src/state.rs
@@ -281,7 +281,7 @@
             match action {
                 Action::Send { to, message } => self.send(to, &message),
                 Action::Changed(change) => {
-                    self.events.note(EventKind::MemberChanged { vm: change.name, state: change.state });
+                    self.events.note(EventKind::MemberChanged { member: change.name, state: change.state });
                     self.changed.notify_all();
                 }
             }
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -53,7 +53,7 @@
     /// A published configuration was not taken.
     ConfigurationRefused { revision: u64, index: u64, reason: String },
     /// Belief about a VM changed.
-    MemberChanged { vm: Name, state: VmState },
+    MemberChanged { member: Name, state: VmState },
     /// This VM began to read the platform for the others.
     ReaderBegan,
     /// This VM no longer reads the platform.
--- /dev/null
+++ b/crates/pointvane-telemetry/tests/events.rs
@@ -0,0 +1,60 @@
+//! The time line's events: each reads back as it was written, and the ring is bounded.
+
+use {
+    googletest::prelude::*,
+    pointvane_core::{Name, VmState},
+    pointvane_telemetry::{Event, EventKind, EventLog, Program},
+};
+
+fn every_kind() -> Vec<EventKind> {
+    let (service, upstream) = (Name::from("dispatch"), Name::from("dispatch-1"));
+    vec![
+        EventKind::Started,
+        EventKind::Stopping { in_flight: 3 },
+        EventKind::Stopped { cut: 0 },
+        EventKind::ConfigurationAccepted { revision: 4, index: 9 },
+        EventKind::ConfigurationRefused { revision: 3, index: 9, reason: "older".into() },
+        EventKind::MemberChanged { member: "entry-2".into(), state: VmState::Suspect },
+        EventKind::ReaderBegan,
+        EventKind::ReaderEnded,
+        EventKind::PlatformLost,
+        EventKind::PlatformBack,
+        EventKind::PlatformWentBack { from: 9, to: 2 },
+        EventKind::UpstreamLeaving { service: service.clone(), upstream: upstream.clone() },
+        EventKind::UpstreamStaying { service: service.clone(), upstream: upstream.clone() },
+        EventKind::UpstreamEjected { service: service.clone(), upstream: upstream.clone() },
+        EventKind::UpstreamReturned { service: service.clone(), upstream },
+        EventKind::OverloadBegan { service: service.clone() },
+        EventKind::OverloadEnded { service },
+        EventKind::FeedLost,
+        EventKind::FeedBack,
+    ]
+}
+
+#[gtest]
+fn every_kind_reads_back_as_it_was_written() {
+    for (sequence, kind) in every_kind().into_iter().enumerate() {
+        let event = Event {
+            sequence: sequence as u64,
+            at_ms: 7,
+            vm: "entry-1".into(),
+            program: Program::Control,
+            kind,
+        };
+        let text = serde_json::to_string(&event).unwrap();
+        expect_that!(serde_json::from_str::<Event>(&text).unwrap(), eq(&event), "{text}");
+    }
+}
+
+#[gtest]
+fn the_ring_is_bounded_and_counts_what_fell_out() {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let events = EventLog::new("entry-1".into(), Program::Entry, log);
+    for _ in 0..5_000 {
+        events.note(EventKind::FeedLost);
+    }
+    let page = events.page(0);
+    expect_that!(page.events.len() as u64 + page.dropped, eq(5_000));
+    expect_that!(page.events.len(), eq(4_096));
+    expect_that!(events.page(4_999).events.len(), eq(1));
+}
