The operators' client: check, pack, diff, status, timeline

Cause: operators had files and ports but no command. The client reads file sets and packed values with the same code as the programs, finds all VMs from any one control, names what it could not reach, and merges events by the asking machine's clock with its uncertainty. Exit codes 0, 1, 2; text or JSON; completions.

--- /dev/null
+++ b/crates/pointvane/tests/client.rs
@@ -0,0 +1,72 @@
+//! The operators' client as a command.
+
+use {
+    googletest::prelude::*,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+        process::{Command, Output},
+    },
+};
+
+fn client(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_pointvane")).args(arguments).output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8(bytes.to_vec()).unwrap()
+}
+
+/// A directory with a file set of this revision.
+fn file_set(name: &str, revision: &str) -> PathBuf {
+    let directory = std::env::temp_dir().join(format!("pointvane-client-{}-{name}", std::process::id()));
+    fs::create_dir_all(directory.join("services")).unwrap();
+    fs::write(directory.join("fleet.toml"), format!("revision = {revision}\nentry_vms_max = 18\n")).unwrap();
+    let service = "name = \"dispatch\"\npath_prefix = \"/dispatch\"\nslots = 6\n\n[[upstream]]\nname = \"d-1\"\ndata_centre = \"ub-1\"\naddress = \"10.0.0.7:80\"\n";
+    fs::write(directory.join("services/dispatch.toml"), service).unwrap();
+    directory
+}
+
+fn path(directory: &Path, file: &str) -> String {
+    directory.join(file).to_string_lossy().into_owned()
+}
+
+#[gtest]
+fn a_set_is_packed_and_refused_when_it_is_not_newer() {
+    let (directory, value) = (file_set("pack", "3"), path(&file_set("pack", "3"), "value.json"));
+    let set = path(&directory, "");
+    let packed = client(&["pack", &set, "--out", &value]);
+    expect_that!(packed.status.code(), some(eq(0)));
+    let again = client(&["pack", &set, "--out", &value, "--newer-than", &value]);
+    expect_that!(again.status.code(), some(eq(1)));
+    expect_that!(text(&again.stderr), contains_substring("raise revision in fleet.toml"));
+    file_set("pack", "4");
+    let diff = client(&["diff", &value, &set]);
+    expect_that!(text(&diff.stdout), eq("revision: 3 -> 4\n"));
+    fs::remove_dir_all(directory).unwrap();
+}
+
+#[gtest]
+fn a_faulty_set_ends_with_code_2_for_people_and_for_scripts() {
+    let directory = file_set("faulty", "\"three\"");
+    let set = path(&directory, "");
+    let check = client(&["check", &set]);
+    expect_that!(check.status.code(), some(eq(2)));
+    expect_that!(text(&check.stderr), starts_with("fleet.toml:1: revision: not a whole number"));
+    let json = client(&["check", &set, "--output", "json"]);
+    let faults: serde_json::Value = serde_json::from_slice(&json.stdout).unwrap();
+    expect_that!(faults[0]["line"].as_u64(), some(eq(1)));
+    fs::remove_dir_all(directory).unwrap();
+}
+
+#[gtest]
+fn what_cannot_be_reached_is_named() {
+    let status = client(&["status", "127.0.0.1:1"]);
+    expect_that!(status.status.code(), some(eq(1)));
+    expect_that!(text(&status.stdout), contains_substring("127.0.0.1:1: control not reached"));
+}
+
+#[gtest]
+fn completions_are_printed() {
+    expect_that!(text(&client(&["completions", "bash"]).stdout), contains_substring("_pointvane"));
+}
--- a/standins/src/bin/demo.rs
+++ b/standins/src/bin/demo.rs
@@ -180,12 +180,8 @@
 
 /// The time line as the operators' client merges it.
 fn print_timeline(deployment: &Deployment) {
-    let Ok(client) = Program::Client.path() else {
-        return;
-    };
-    let ports = deployment.vms.iter().filter(|vm| vm.runs());
-    let ports: Vec<_> = ports
-        .flat_map(|vm| [Program::Entry, Program::Control].map(|program| vm.operator(program).to_string()))
-        .collect();
-    let _ = std::process::Command::new(client).arg("timeline").args(ports).args(["--last", "12"]).status();
+    let Ok(client) = Program::Client.path() else { return };
+    let control = deployment.vms[0].operator(Program::Control).to_string();
+    // The table above is the verdict; a client that fails shows its own message.
+    let _ = std::process::Command::new(client).args(["timeline", &control, "--last", "14"]).status();
 }
