Control bytes from the configuration; overload on the time line; slopes for capacity; cost of a choice

Cause: control_bytes_per_s was read and checked but nobody obeyed it (the speaker's default happened to agree), and the kinds overload-began and overload-ended were never told. Both found on reading.

A choice and its end allocate nothing among 36 and among 200 upstreams (counted in a test).

--- a/crates/pointvane-balance/tests/service.rs
+++ b/crates/pointvane-balance/tests/service.rs
@@ -338,3 +338,18 @@
     bench.finish(upstream, AttemptEnd::Answered, 100, None);
     expect_that!(bench.balancer.in_flight(), eq(0));
 }
+
+#[gtest]
+fn a_choice_and_its_end_allocate_nothing() {
+    for upstreams in [36, 200] {
+        let mut bench = Bench::new(&service(upstreams));
+        let first = bench.run(AttemptEnd::Answered);
+        let allocated = allocation_counter::measure(|| {
+            for _ in 0..1_000 {
+                let upstream = bench.start();
+                bench.finish(upstream, AttemptEnd::Answered, 15, Some(LoadReport::default()));
+            }
+        });
+        expect_that!(allocated.count_total, eq(0), "{upstreams} upstreams, first {first}");
+    }
+}
--- a/crates/pointvane-entry/src/ask.rs
+++ b/crates/pointvane-entry/src/ask.rs
@@ -23,7 +23,7 @@
             look_after_service(&entry, service);
         }
         if tick.is_multiple_of(SHOW_EVERY) {
-            entry.show_upstreams();
+            entry.show_changes();
         }
     }
 }
--- a/crates/pointvane-entry/src/entry.rs
+++ b/crates/pointvane-entry/src/entry.rs
@@ -17,6 +17,7 @@
     serde::Serialize,
     std::{
         collections::HashMap,
+        mem,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError, RwLock,
             atomic::{AtomicBool, AtomicU64, Ordering},
@@ -47,7 +48,38 @@
     stamp: Mutex<Stamp>,
     routes: RwLock<Arc<Routes>>,
     members: RwLock<Arc<Members>>,
-    shown: Mutex<HashMap<(Name, Name), Shown>>,
+    shown: Mutex<ShownStates>,
+}
+
+/// What the time line last said.
+#[derive(Debug, Default)]
+struct ShownStates {
+    /// By service and upstream.
+    upstreams: HashMap<(Name, Name), Shown>,
+    /// By service.
+    services: HashMap<Name, ShownLoad>,
+}
+
+/// What the time line last said of a service's load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ShownLoad {
+    /// Requests refused for overload when last looked at.
+    refused: u64,
+    /// Looks since the last refusal.
+    quiet_looks: u32,
+    overloaded: bool,
+}
+
+/// Looks without a refusal after which an overload counts as over.
+const QUIET_LOOKS: u32 = 20;
+
+impl ShownLoad {
+    /// The load at the next look.
+    fn next(self, refused: u64) -> Self {
+        let quiet_looks = if refused > self.refused { 0 } else { self.quiet_looks.saturating_add(1) };
+        let overloaded = refused > self.refused || (self.overloaded && quiet_looks < QUIET_LOOKS);
+        Self { refused, quiet_looks, overloaded }
+    }
 }
 
 /// What the time line last said of an upstream.
@@ -198,19 +230,31 @@
         }
     }
 
-    /// Notes on the time line which upstreams changed their state since the last call.
-    pub fn show_upstreams(&self) {
+    /// Notes on the time line which services and upstreams changed their state since the last call.
+    pub fn show_changes(&self) {
         let mut shown = self.shown.lock().unwrap_or_else(PoisonError::into_inner);
         for service in &self.routes().services {
+            let load = shown.services.entry(service.name.clone()).or_default();
+            let before = mem::replace(load, load.next(service.overloaded()));
+            self.show_load(&service.name, before, *load);
             for summary in service.summaries() {
                 let key = (service.name.clone(), summary.name.clone());
                 let now = Shown { leaving: summary.leaving, ejected: summary.ejected };
-                let before = shown.insert(key, now).unwrap_or_default();
+                let before = shown.upstreams.insert(key, now).unwrap_or_default();
                 self.show_change(&service.name, &summary.name, before, now);
             }
         }
     }
 
+    fn show_load(&self, service: &Name, before: ShownLoad, now: ShownLoad) {
+        let service = service.clone();
+        match (before.overloaded, now.overloaded) {
+            (false, true) => self.events.note(EventKind::OverloadBegan { service }),
+            (true, false) => self.events.note(EventKind::OverloadEnded { service }),
+            _ => {}
+        }
+    }
+
     fn show_change(&self, service: &Name, upstream: &Name, before: Shown, now: Shown) {
         let (service, upstream) = (service.clone(), upstream.clone());
         match (before.leaving, now.leaving) {
--- a/crates/pointvane-entry/src/exchange.rs
+++ b/crates/pointvane-entry/src/exchange.rs
@@ -11,6 +11,8 @@
     tokio::{net::UdpSocket, time::interval},
 };
 
+/// What is left of the VM's control bytes to its control: more than it needs at rest among 1,800 VMs.
+const GOSSIP_BYTES_PER_S: u32 = 3_000;
 const TICK: Duration = Duration::from_millis(1);
 /// Ticks between two looks at the list of members.
 const MEMBERS_EVERY: u64 = 100;
@@ -37,11 +39,12 @@
 
 async fn speak_once(entry: &Entry, socket: &UdpSocket, speaker: &mut LoadSpeaker, peers: &[SocketAddr]) {
     let now_us = entry.clock.now_us();
+    let routes = entry.routes();
+    speaker.set_bytes_per_s(routes.control_bytes_per_s.saturating_sub(GOSSIP_BYTES_PER_S));
     let round = speaker.round_size(peers.len(), now_us);
     if round == 0 {
         return;
     }
-    let routes = entry.routes();
     let services = gather(entry, speaker.observations_max());
     if services.is_empty() {
         return;
--- a/crates/pointvane-entry/src/routes.rs
+++ b/crates/pointvane-entry/src/routes.rs
@@ -1,6 +1,11 @@
 //! Which requests belong to which service.
 
-use {crate::service::ServiceHandle, pointvane_config::Configuration, pointvane_core::Name, std::sync::Arc};
+use {
+    crate::service::ServiceHandle,
+    pointvane_config::{Configuration, FleetLimits},
+    pointvane_core::Name,
+    std::sync::Arc,
+};
 
 /// One way to a service.
 #[derive(Debug)]
@@ -18,10 +23,10 @@
     pub revision: u64,
     /// The services in the order of the configuration.
     pub services: Vec<Arc<ServiceHandle>>,
-    /// Default deadline of each service, in its order, in milliseconds.
-    pub key_life_ms: u64,
     /// How long callers keep locate's answer, in milliseconds.
     pub locate_keep_ms: u64,
+    /// Bytes of control traffic that this VM may send each second.
+    pub control_bytes_per_s: u32,
 }
 
 impl Routes {
@@ -40,9 +45,8 @@
             ways.extend(service.route.hosts.iter().map(|host| way(Some(host.clone()))));
         }
         ways.sort_by_key(|way| std::cmp::Reverse((way.host.is_some(), way.path_prefix.as_str().len())));
-        let limits = &configuration.limits;
-        let (key_life_ms, locate_keep_ms) = (limits.key_life_ms, limits.locate_keep_ms);
-        Self { ways, revision: configuration.revision, services, key_life_ms, locate_keep_ms }
+        let FleetLimits { locate_keep_ms, control_bytes_per_s, .. } = configuration.limits;
+        Self { ways, revision: configuration.revision, services, locate_keep_ms, control_bytes_per_s }
     }
 
     /// The service of a request.
--- a/crates/pointvane-entry/src/service.rs
+++ b/crates/pointvane-entry/src/service.rs
@@ -9,7 +9,10 @@
     pointvane_telemetry::MonotonicClock,
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
     },
     tokio::sync::oneshot,
 };
@@ -23,6 +26,8 @@
     /// The service's name.
     pub name: Name,
     clock: MonotonicClock,
+    /// Requests refused for overload.
+    overloaded: AtomicU64,
     balancer: Mutex<ServiceBalancer<Waiter>>,
 }
 
@@ -41,7 +46,8 @@
     /// A service that this entry VM begins to serve.
     pub fn new(service: &Service, limits: &FleetLimits, seed: u64, clock: MonotonicClock) -> Self {
         let balancer = ServiceBalancer::new(service, limits, seed, clock.now_us());
-        Self { name: service.name.clone(), clock, balancer: Mutex::new(balancer) }
+        let overloaded = AtomicU64::new(0);
+        Self { name: service.name.clone(), clock, overloaded, balancer: Mutex::new(balancer) }
     }
 
     /// The decisions. Never hold this across an await or while an [`Attempt`] is dropped.
@@ -65,7 +71,10 @@
         match decision {
             Decision::Start { upstream, .. } => Ok(Start::Now(self.attempt(upstream))),
             Decision::Wait => Ok(Start::Later(receiver)),
-            Decision::Refuse { kind, .. } => Err(kind),
+            Decision::Refuse { kind, .. } => {
+                self.overloaded.fetch_add(u64::from(kind == ErrorKind::Overloaded), Ordering::Relaxed);
+                Err(kind)
+            }
         }
     }
 
@@ -103,6 +112,11 @@
         Some(self.attempt(upstream))
     }
 
+    /// Requests refused for overload so far.
+    pub fn overloaded(&self) -> u64 {
+        self.overloaded.load(Ordering::Relaxed)
+    }
+
     /// What is believed of the upstreams.
     pub fn summaries(&self) -> Vec<UpstreamSummary> {
         self.lock().summaries(self.now_us())
--- a/standins/src/bin/measure/main.rs
+++ b/standins/src/bin/measure/main.rs
@@ -6,6 +6,7 @@
     eyre::Result,
 };
 
+mod capacity;
 mod choosing;
 mod hop;
 mod usage;
@@ -24,11 +25,14 @@
     Choosing(choosing::Args),
     /// Time added by the data path.
     Hop(hop::Args),
+    /// Slopes against the size of the fleet.
+    Capacity(capacity::Args),
 }
 
 fn main() -> Result<()> {
     match Args::parse().what {
         What::Choosing(args) => choosing::measure(&args),
         What::Hop(args) => hop::measure(&args),
+        What::Capacity(args) => capacity::measure(&args),
     }
 }
