--- a/crates/pointvane-balance/src/admission.rs
+++ b/crates/pointvane-balance/src/admission.rs
@@ -112,11 +112,6 @@
         })
     }
 
-    /// Takes out everything, as at a planned stop.
-    pub fn drain(&mut self) -> impl Iterator<Item = Waiting<W>> + '_ {
-        self.queues.iter_mut().flat_map(|queue| queue.drain(..))
-    }
-
     /// Notes a start from the queue, for the rate.
     pub fn started(&mut self, now_us: u64) {
         if let Some(before_us) = self.started_at_us.replace(now_us) {
--- a/crates/pointvane-balance/src/service/news.rs
+++ b/crates/pointvane-balance/src/service/news.rs
@@ -7,7 +7,7 @@
 
 /// Age beyond which a word about leaving is no longer passed on.
 const LEAVING_AGE_MAX_US: u64 = 10_000 * US_PER_MS;
-/// Time between two tellings of the same word about leaving.
+/// Time between two transmissions of the same word about leaving.
 const LEAVING_AGAIN_US: u64 = 200 * US_PER_MS;
 
 impl<W> ServiceBalancer<W> {
@@ -24,28 +24,28 @@
     /// How much the word about an upstream is worth telling; none if there is nothing new.
     fn urgency(&self, position: usize, now_us: u64) -> Option<u64> {
         let index = self.by_position[position];
-        let (state, slot) = (&self.upstreams[index], &self.slots[index]);
+        let (state, record) = (&self.upstreams[index], &self.records[index]);
         if state.evidence.leaving() {
-            let lately = now_us.saturating_sub(slot.told_at_us) < LEAVING_AGAIN_US;
-            let old = now_us.saturating_sub(slot.seen_at_us) > LEAVING_AGE_MAX_US;
+            let lately = now_us.saturating_sub(record.shared_at_us) < LEAVING_AGAIN_US;
+            let old = now_us.saturating_sub(record.reported_at_us) > LEAVING_AGE_MAX_US;
             return (!lately && !old).then_some(u64::MAX);
         }
-        (slot.seen_at_us > slot.told_at_us).then_some(slot.seen_at_us)
+        (record.reported_at_us > record.shared_at_us).then_some(record.reported_at_us)
     }
 
     fn tell(&mut self, position: u16, now_us: u64) -> Observation {
         let index = self.by_position[usize::from(position)];
-        let (state, slot) = (&self.upstreams[index], &mut self.slots[index]);
+        let (state, record) = (&self.upstreams[index], &mut self.records[index]);
         let total = f32::from(state.own) + state.others.at(now_us, f32::MAX, 0.0);
         let requests = total.round() as u16;
-        slot.told_at_us = now_us;
-        let age_ms = now_us.saturating_sub(slot.seen_at_us) / US_PER_MS;
+        record.shared_at_us = now_us;
+        let age_ms = now_us.saturating_sub(record.reported_at_us) / US_PER_MS;
         let age_ms = age_ms.min(u64::from(u16::MAX)) as u16;
         Observation { position, requests, leaving: state.evidence.leaving(), age_ms }
     }
 
     /// Takes a peer's observation.
-    pub fn heard(&mut self, observation: &Observation, now_us: u64) {
+    pub fn observe(&mut self, observation: &Observation, now_us: u64) {
         let Some(&index) = self.by_position.get(usize::from(observation.position)) else {
             return;
         };
--- /dev/null
+++ b/crates/pointvane-balance/src/service/pick.rs
@@ -0,0 +1,104 @@
+//! Picking the upstream of one attempt, or saying why there is none.
+
+use {
+    super::ServiceBalancer,
+    crate::{
+        estimate::ServiceMean,
+        upstream::{ScoreContext, UpstreamState},
+    },
+    pointvane_config::{Policy, Service},
+    pointvane_core::US_PER_MS,
+};
+
+/// Why no upstream was picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NoPick {
+    /// All usable upstreams are full.
+    Full,
+    /// No usable upstream has fresh evidence that it is not leaving.
+    Stale,
+    /// None is left.
+    Nothing,
+}
+
+impl<W> ServiceBalancer<W> {
+    pub(super) fn pick(&mut self, now_us: u64, exclude: Option<usize>) -> Result<usize, NoPick> {
+        let bound_us = self.evidence_bound_us();
+        let context = score_context(&self.service, &self.mean, self.latency_us, now_us);
+        let bounded = self.service.policy == Policy::Shared && self.own > 0;
+        let queue_share = self.service.admission.queue_share as f32;
+        let records = &self.records;
+        let in_place = |i: usize| !records[i].retired && Some(i) != exclude;
+        let fresh = |i: usize, s: &UpstreamState| in_place(i) && s.evidence.fresh(now_us, bound_us);
+        let healthy = |i: usize, s: &UpstreamState| fresh(i, s) && !s.health.ejected(now_us);
+        let roomy =
+            |i: usize, s: &UpstreamState| healthy(i, s) && (!bounded || s.has_room(&context, queue_share));
+        if let Some(index) = self.chooser.choose(&self.upstreams, &context, roomy) {
+            return Ok(index);
+        }
+        let exists = |usable: fn(&UpstreamState, u64, u64) -> bool| {
+            let mut states = self.upstreams.iter().enumerate().filter(|(i, _)| in_place(*i));
+            states.any(|(_, state)| usable(state, now_us, bound_us))
+        };
+        if exists(|state, now_us, bound_us| {
+            state.evidence.fresh(now_us, bound_us) && !state.health.ejected(now_us)
+        }) {
+            return Err(NoPick::Full);
+        }
+        // All that are known to stay are ejected: an ill upstream is better than none.
+        if let Some(index) = self.chooser.choose(&self.upstreams, &context, fresh) {
+            return Ok(index);
+        }
+        if !exists(|state, _, _| !state.evidence.leaving()) {
+            return Err(NoPick::Nothing);
+        }
+        self.fallback(now_us, exclude)
+    }
+
+    /// Nobody is known to stay. While a probe is under way or can be afforded, wait for it. Else one request
+    /// at a time takes the place of a probe, at the upstream last known to stay.
+    fn fallback(&mut self, now_us: u64, exclude: Option<usize>) -> Result<usize, NoPick> {
+        let candidates = || {
+            let staying = |&i: &usize| !self.records[i].retired && !self.upstreams[i].evidence.leaving();
+            (0..self.records.len()).filter(staying).filter(|&i| Some(i) != exclude)
+        };
+        if candidates().any(|i| self.probed_lately(i, now_us)) {
+            return Err(NoPick::Stale);
+        }
+        let affordable = candidates().collect::<Vec<_>>();
+        if affordable.iter().any(|&i| self.records[i].probes.level(now_us) >= 1.0) {
+            return Err(NoPick::Stale);
+        }
+        let idle = affordable.into_iter().filter(|&i| self.upstreams[i].own == 0);
+        idle.max_by_key(|&i| self.upstreams[i].evidence.staying_at_us()).ok_or(NoPick::Stale)
+    }
+
+    pub(super) fn start(&mut self, upstream: usize, now_us: u64) {
+        self.own += 1;
+        self.upstreams[upstream].own += 1;
+        self.records[upstream].started_at_us = now_us;
+    }
+
+    pub(super) fn evidence_bound_us(&self) -> u64 {
+        self.service.load.evidence_ms * US_PER_MS
+    }
+
+    pub(super) fn context(&self, now_us: u64) -> ScoreContext<'_> {
+        score_context(&self.service, &self.mean, self.latency_us, now_us)
+    }
+}
+
+fn score_context<'a>(
+    service: &'a Service,
+    mean: &'a ServiceMean,
+    latency_us: f32,
+    now_us: u64,
+) -> ScoreContext<'a> {
+    ScoreContext {
+        now_us,
+        half_life_us: latency_us * service.load.half_life_share as f32,
+        mean,
+        latency_us,
+        ejection: &service.ejection,
+    }
+}
--- /dev/null
+++ b/crates/pointvane-balance/src/service/result.rs
@@ -0,0 +1,109 @@
+//! What the ends of attempts and the upstreams' reports teach.
+
+use {
+    super::ServiceBalancer,
+    pointvane_core::{LoadReport, Name, US_PER_MS},
+};
+
+/// How an attempt at an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// A whole answer came.
+    Answered,
+    /// The upstream failed, or could not be reached.
+    Failed,
+    /// The upstream refused it for overload.
+    Shed,
+    /// It was given up by this side; that says nothing of the upstream.
+    Cancelled,
+}
+
+/// The end of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptResult {
+    /// Index of the upstream.
+    pub upstream: usize,
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// Time from start to end, in microseconds.
+    pub latency_us: u64,
+    /// The load report that came with the answer.
+    pub report: Option<LoadReport>,
+}
+
+/// Share of each new answer time in the service's running mean.
+const LATENCY_SHARE: f32 = 0.02;
+/// Time after which a request that was started has surely reached its upstream.
+const ARRIVED_US: u64 = 5 * US_PER_MS;
+
+impl<W> ServiceBalancer<W> {
+    /// Takes the end of an attempt.
+    pub fn finish(&mut self, result: &AttemptResult, now_us: u64) {
+        self.own = self.own.saturating_sub(1);
+        let ejected = self.ejected_count(now_us);
+        let staying = self.staying_count();
+        let state = &mut self.upstreams[result.upstream];
+        state.own = state.own.saturating_sub(1);
+        state.health.settle(now_us, &self.service.ejection);
+        match result.end {
+            AttemptEnd::Answered => self.answered(result, now_us),
+            AttemptEnd::Failed => {
+                let floor_allows = (ejected + 1) as f64 <= self.service.ejection.share_max * staying as f64;
+                if state.health.failed(&self.service.ejection) && floor_allows {
+                    state.health.eject(now_us, &self.service.ejection);
+                }
+            }
+            AttemptEnd::Shed => state.shed(),
+            AttemptEnd::Cancelled => {}
+        }
+        if let Some(report) = result.report {
+            self.reported(result.upstream, report, now_us);
+        }
+    }
+
+    pub(super) fn answered(&mut self, result: &AttemptResult, now_us: u64) {
+        let latency_us = result.latency_us as f32;
+        let state = &mut self.upstreams[result.upstream];
+        state.health.succeeded(now_us);
+        state.answered(latency_us, now_us);
+        let share = if self.latency_us == 0.0 { 1.0 } else { LATENCY_SHARE };
+        self.latency_us += (latency_us - self.latency_us) * share;
+        self.retries.earn(self.service.retry.budget_share);
+        self.hedges.earn(self.service.hedge.budget_share);
+    }
+
+    /// Takes a load report that came with an answer or to a probe.
+    pub fn reported(&mut self, upstream: usize, report: LoadReport, now_us: u64) {
+        let record = &mut self.records[upstream];
+        record.probed_at_us = None;
+        record.reported_at_us = now_us;
+        let state = &mut self.upstreams[upstream];
+        state.evidence.observe(report.draining, now_us);
+        if state.own > 0 && now_us.saturating_sub(record.started_at_us) > ARRIVED_US {
+            self.trust.check(report.in_flight < state.own, now_us);
+        }
+        if self.service.load.use_reports && self.trust.holds(now_us) {
+            let others = f32::from(report.in_flight.saturating_sub(state.own));
+            state.others.observe(others, now_us);
+            self.mean.observe(others, state.upstream.slots);
+        }
+    }
+
+    /// Takes the platform's word that an upstream's VM is leaving or live, of unknown age.
+    pub fn listed(&mut self, name: &Name, leaving: bool, now_us: u64) {
+        let found = self.upstreams.iter_mut().filter(|state| state.upstream.name == *name);
+        for state in found.filter(|_| leaving) {
+            state.evidence.observe(true, now_us);
+        }
+    }
+
+    pub(super) fn ejected_count(&self, now_us: u64) -> usize {
+        let in_place = self.upstreams.iter().zip(&self.records).filter(|(_, record)| !record.retired);
+        in_place.filter(|(state, _)| state.health.ejected(now_us)).count()
+    }
+
+    pub(super) fn staying_count(&self) -> usize {
+        let in_place = self.upstreams.iter().zip(&self.records).filter(|(_, record)| !record.retired);
+        in_place.filter(|(state, _)| !state.evidence.leaving()).count()
+    }
+}
--- a/crates/pointvane-balance/src/service/summary.rs
+++ b/crates/pointvane-balance/src/service/summary.rs
@@ -3,10 +3,11 @@
 use {
     super::ServiceBalancer,
     pointvane_core::{Name, US_PER_MS},
+    serde::Serialize,
 };
 
 /// What one entry VM believes of one upstream.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct UpstreamSummary {
     /// The upstream's name.
     pub name: Name,
--- a/crates/pointvane-balance/tests/service.rs
+++ b/crates/pointvane-balance/tests/service.rs
@@ -104,7 +104,7 @@
 fn nothing_goes_to_an_upstream_that_is_not_known_to_stay() {
     let mut bench = Bench::unheard(&service(3));
     expect_that!(bench.arrive(Class::Routine), eq(&Decision::Wait));
-    let asked = bench.balancer.next_ask(bench.now_us).unwrap();
+    let asked = bench.balancer.next_probe(bench.now_us).unwrap();
     expect_that!(bench.dispatch(), none());
     bench.balancer.reported(asked, LoadReport::default(), bench.now_us);
     expect_that!(bench.dispatch(), some(eq(&Dispatch::Start { upstream: asked, waiter: 1 })));
@@ -116,7 +116,7 @@
     bench.run(AttemptEnd::Answered);
     bench.pass_ms(2_100);
     expect_that!(bench.arrive(Class::Routine), eq(&Decision::Wait));
-    expect_that!(bench.balancer.next_ask(bench.now_us), some(eq(0)));
+    expect_that!(bench.balancer.next_probe(bench.now_us), some(eq(0)));
 }
 
 #[gtest]
@@ -143,7 +143,7 @@
     bench.balancer.reported(0, LoadReport { in_flight: 0, draining: true }, bench.now_us);
     bench.pass_ms(50);
     let late = pointvane_core::Observation { age_ms: 80, ..staying[0] };
-    bench.balancer.heard(&late, bench.now_us);
+    bench.balancer.observe(&late, bench.now_us);
     expect_that!(
         bench.arrive(Class::Routine),
         matches_pattern!(Decision::Refuse { kind: eq(&ErrorKind::NoUpstream), .. })
@@ -159,7 +159,7 @@
     expect_that!(news[0].leaving, eq(true));
     let mut bench = Bench::new(&service(2));
     bench.pass_ms(2);
-    bench.balancer.heard(&news[0], bench.now_us);
+    bench.balancer.observe(&news[0], bench.now_us);
     let used: Vec<_> = (0..10).map(|_| bench.start()).collect();
     expect_that!(used, each(eq(&0)));
 }
@@ -174,7 +174,7 @@
         for _ in 0..600 {
             bench.pass_ms(100);
             let _ = bench.arrive(Class::Routine);
-            asks += u32::from(bench.balancer.next_ask(bench.now_us).is_some());
+            asks += u32::from(bench.balancer.next_probe(bench.now_us).is_some());
         }
     }
     // One a second for the whole fleet over 60 s, and each VM's one saved ask.
--- a/crates/pointvane-control/src/serve.rs
+++ b/crates/pointvane-control/src/serve.rs
@@ -19,7 +19,7 @@
 /// Streams served at once; more are closed unanswered.
 const STREAMS_MAX: usize = 256;
 const BEAT: Duration = Duration::from_secs(1);
-/// Shortest time between two tellings of all members.
+/// Shortest time between two transmissions of all members.
 const MEMBERS_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest silence of an entry that runs; it reports ten times a second.
 const ENTRY_SILENCE_MAX: Duration = Duration::from_secs(2);
--- a/crates/pointvane-entry/src/counters.rs
+++ b/crates/pointvane-entry/src/counters.rs
@@ -20,7 +20,7 @@
     attempts: Counter<u64>,
     retries: Counter<u64>,
     hedges: Counter<u64>,
-    asks: Counter<u64>,
+    probes: Counter<u64>,
     load_bytes: Counter<u64>,
     load_datagrams: Counter<u64>,
     load_dropped: Counter<u64>,
@@ -41,7 +41,7 @@
             attempts: counter("pointvane_attempts"),
             retries: counter("pointvane_retries"),
             hedges: counter("pointvane_hedges"),
-            asks: counter("pointvane_asks"),
+            probes: counter("pointvane_probes"),
             load_bytes: counter("pointvane_load_sent_bytes"),
             load_datagrams: counter("pointvane_load_sent_datagrams"),
             load_dropped: counter("pointvane_load_dropped_datagrams"),
@@ -80,8 +80,8 @@
     }
 
     /// An upstream is asked for its load.
-    pub fn asked(&self) {
-        self.asks.add(1, &[]);
+    pub fn probed(&self) {
+        self.probes.add(1, &[]);
     }
 
     /// An upstream gave the head of an answer after this time.
--- a/crates/pointvane-entry/src/entry.rs
+++ b/crates/pointvane-entry/src/entry.rs
@@ -114,24 +114,7 @@
     /// Requests that wait here.
     pub waiting: usize,
     /// What is believed of its upstreams.
-    pub upstreams: Vec<UpstreamStatus>,
-}
-
-/// What the operator port shows of an upstream.
-#[derive(Debug, Serialize)]
-pub struct UpstreamStatus {
-    /// The upstream's name.
-    pub name: Name,
-    /// This entry's requests at it.
-    pub own: u16,
-    /// Estimate of all requests at it.
-    pub total: f32,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// Whether it is set aside.
-    pub ejected: bool,
-    /// Age of the last sign that it is not leaving, in milliseconds.
-    pub evidence_age_ms: Option<u64>,
+    pub upstreams: Vec<UpstreamSummary>,
 }
 
 impl Entry {
@@ -286,7 +269,7 @@
 }
 
 fn service_status(service: &ServiceHandle) -> ServiceStatus {
-    let upstreams = service.summaries().into_iter().map(upstream_status).collect();
+    let upstreams = service.summaries();
     let balancer = service.lock();
     ServiceStatus {
         name: service.name.clone(),
@@ -295,8 +278,3 @@
         upstreams,
     }
 }
-
-fn upstream_status(summary: UpstreamSummary) -> UpstreamStatus {
-    let UpstreamSummary { name, own, total, leaving, ejected, evidence_age_ms } = summary;
-    UpstreamStatus { name, own, total, leaving, ejected, evidence_age_ms }
-}
--- a/crates/pointvane-entry/src/exchange.rs
+++ b/crates/pointvane-entry/src/exchange.rs
@@ -4,7 +4,7 @@
     crate::entry::Entry,
     pointvane_core::Clock,
     pointvane_mesh::{
-        LoadDatagram, LoadListener, LoadSpeaker, LoadSpeakerOptions, Rejected, ServiceLoad, codec,
+        LoadDatagram, LoadReceiver, LoadSender, LoadSenderOptions, Rejected, ServiceLoad, codec,
     },
     rand::seq::IteratorRandom,
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -20,36 +20,36 @@
 /// Tells and hears load for as long as the process lives.
 pub async fn exchange(entry: Arc<Entry>, socket: UdpSocket) {
     let socket = Arc::new(socket);
-    tokio::join!(speak(Arc::clone(&entry), Arc::clone(&socket)), listen(entry, socket));
+    tokio::join!(send_rounds(Arc::clone(&entry), Arc::clone(&socket)), receive(entry, socket));
 }
 
-async fn speak(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
+async fn send_rounds(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
     let mut ticks = interval(TICK);
     let now_us = entry.clock.now_us();
-    let mut speaker = LoadSpeaker::new(LoadSpeakerOptions::default(), entry.incarnation, now_us);
+    let mut sender = LoadSender::new(LoadSenderOptions::default(), entry.incarnation, now_us);
     let mut peers: Vec<SocketAddr> = Vec::new();
     for tick in 0_u64.. {
         ticks.tick().await;
         if tick.is_multiple_of(MEMBERS_EVERY) {
             peers = entry.members().load_peers().collect();
         }
-        speak_once(&entry, &socket, &mut speaker, &peers).await;
+        send_round(&entry, &socket, &mut sender, &peers).await;
     }
 }
 
-async fn speak_once(entry: &Entry, socket: &UdpSocket, speaker: &mut LoadSpeaker, peers: &[SocketAddr]) {
+async fn send_round(entry: &Entry, socket: &UdpSocket, sender: &mut LoadSender, peers: &[SocketAddr]) {
     let now_us = entry.clock.now_us();
     let routes = entry.routes();
-    speaker.set_bytes_per_s(routes.control_bytes_per_s.saturating_sub(GOSSIP_BYTES_PER_S));
-    let round = speaker.round_size(peers.len(), now_us);
+    sender.set_bytes_per_s(routes.control_bytes_per_s.saturating_sub(GOSSIP_BYTES_PER_S));
+    let round = sender.round_size(peers.len(), now_us);
     if round == 0 {
         return;
     }
-    let services = gather(entry, speaker.observations_max());
+    let services = gather(entry, sender.observations_max(), sender.rounds());
     if services.is_empty() {
         return;
     }
-    let Some(bytes) = speaker.speak(routes.revision, entry.requests(), services, round, now_us) else {
+    let Some(bytes) = sender.next_datagram(routes.revision, entry.requests(), services, round, now_us) else {
         return;
     };
     let targets = peers.iter().choose_multiple(&mut rand::rng(), round);
@@ -60,11 +60,15 @@
     }
 }
 
-/// What is worth telling, the services in turn of their order.
-fn gather(entry: &Entry, observations_max: usize) -> Vec<ServiceLoad> {
+/// What is worth telling; each round begins with another service, so that none keeps the others out.
+fn gather(entry: &Entry, observations_max: usize, rounds: u64) -> Vec<ServiceLoad> {
+    let routes = entry.routes();
+    let count = routes.services.len();
+    let first = rounds as usize % count.max(1);
     let mut left = observations_max;
     let mut services = Vec::new();
-    for (position, service) in entry.routes().services.iter().enumerate() {
+    for position in (first..count).chain(0..first) {
+        let service = &routes.services[position];
         let observations = service.lock().news(left, service.now_us());
         left -= observations.len();
         if !observations.is_empty() {
@@ -77,8 +81,8 @@
     services
 }
 
-async fn listen(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
-    let mut listener = LoadListener::default();
+async fn receive(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
+    let mut receiver = LoadReceiver::default();
     let mut members_until_us = 0;
     let mut buffer = [0; codec::DATAGRAM_LIMIT_BYTES];
     loop {
@@ -87,11 +91,11 @@
         };
         let now_us = entry.clock.now_us();
         if now_us >= members_until_us {
-            listener.set_members(&entry.members().addresses());
+            receiver.set_members(&entry.members().addresses());
             members_until_us = now_us + MEMBERS_EVERY * TICK.as_micros() as u64;
         }
-        match listener.receive(from.ip(), &buffer[..length]) {
-            Ok(datagram) => hear(&entry, &datagram),
+        match receiver.receive(from.ip(), &buffer[..length]) {
+            Ok(datagram) => apply(&entry, &datagram),
             Err(Rejected::Malformed) => entry.counters.load_dropped("malformed"),
             Err(Rejected::Stranger) => entry.counters.load_dropped("stranger"),
             Err(Rejected::Late) => entry.counters.load_dropped("late"),
@@ -99,7 +103,7 @@
     }
 }
 
-fn hear(entry: &Entry, datagram: &LoadDatagram) {
+fn apply(entry: &Entry, datagram: &LoadDatagram) {
     let routes = entry.routes();
     if datagram.revision != routes.revision {
         return entry.counters.load_dropped("revision");
@@ -111,7 +115,7 @@
         let waiting = {
             let now_us = service.now_us();
             let mut balancer = service.lock();
-            load.observations.iter().for_each(|observation| balancer.heard(observation, now_us));
+            load.observations.iter().for_each(|observation| balancer.observe(observation, now_us));
             balancer.waiting()
         };
         if waiting > 0 {
--- a/crates/pointvane-entry/src/lib.rs
+++ b/crates/pointvane-entry/src/lib.rs
@@ -8,7 +8,6 @@
 
 mod admit;
 mod answer;
-mod ask;
 mod body;
 mod classify;
 mod connections;
@@ -19,6 +18,7 @@
 mod forward;
 mod handle;
 mod keyed;
+mod maintain;
 mod members;
 mod routes;
 mod service;
--- a/crates/pointvane-entry/src/ask.rs
+++ b/crates/pointvane-entry/src/maintain.rs
@@ -1,4 +1,4 @@
-//! Asking upstreams for their load report, where callers' own traffic does not tell enough.
+//! Upkeep of the services: waiting requests, probes, changes worth an event.
 
 use {
     crate::{body::RequestBody, entry::Entry, forward::load_report, service::ServiceHandle},
@@ -10,17 +10,17 @@
 };
 
 const TICK: Duration = Duration::from_millis(5);
-const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Ticks between two looks for changes worth an event.
 const SHOW_EVERY: u64 = 20;
 
-/// Looks after waiting requests, asks that are due, and the time line, for as long as the process lives.
-pub async fn look_after(entry: Arc<Entry>) {
+/// Looks after waiting requests, probes that are due, and the time line, for as long as the process lives.
+pub async fn maintain(entry: Arc<Entry>) {
     let mut ticks = interval(TICK);
     for tick in 0_u64.. {
         ticks.tick().await;
         for service in &entry.routes().services {
-            look_after_service(&entry, service);
+            maintain_service(&entry, service);
         }
         if tick.is_multiple_of(SHOW_EVERY) {
             entry.show_changes();
@@ -28,20 +28,20 @@
     }
 }
 
-fn look_after_service(entry: &Arc<Entry>, service: &Arc<ServiceHandle>) {
+fn maintain_service(entry: &Arc<Entry>, service: &Arc<ServiceHandle>) {
     loop {
         let due = {
             let mut balancer = service.lock();
-            let index = balancer.next_ask(service.now_us());
+            let index = balancer.next_probe(service.now_us());
             index.map(|index| {
                 (index, balancer.upstream(index).address, balancer.service().load.probe_path.clone())
             })
         };
         let Some((index, address, path)) = due else { break };
-        entry.counters.asked();
+        entry.counters.probed();
         let (entry, service) = (Arc::clone(entry), Arc::clone(service));
         tokio::spawn(async move {
-            let report = timeout(ASK_TIMEOUT, ask(&entry, address, &path)).await;
+            let report = timeout(PROBE_TIMEOUT, probe(&entry, address, &path)).await;
             if let Ok(Some(report)) = report {
                 service.lock().reported(index, report, service.now_us());
                 service.pump();
@@ -54,7 +54,7 @@
 }
 
 /// One upstream's load report; none if it gives no usable one.
-async fn ask(entry: &Entry, address: SocketAddr, path: &Name) -> Option<LoadReport> {
+async fn probe(entry: &Entry, address: SocketAddr, path: &Name) -> Option<LoadReport> {
     let mut connection = entry.connections.get(address).await.ok()?;
     let mut request = Request::new(RequestBody::Empty);
     *request.uri_mut() = path.as_str().parse().ok()?;
--- a/crates/pointvane-entry/src/stop.rs
+++ b/crates/pointvane-entry/src/stop.rs
@@ -1,7 +1,7 @@
 //! The life of the process: start, planned stop, end.
 
 use {
-    crate::{ask::look_after, counters::Counters, entry::Entry, exchange::exchange},
+    crate::{counters::Counters, entry::Entry, exchange::exchange, maintain::maintain},
     eyre::{Result, WrapErr},
     pointvane_config::{EntrySettings, Settings},
     pointvane_feed::spawn_feed,
@@ -54,7 +54,7 @@
 
     let (phase, phases) = watch::channel(Phase::Running);
     tokio::spawn(exchange(Arc::clone(&entry), socket));
-    tokio::spawn(look_after(Arc::clone(&entry)));
+    tokio::spawn(maintain(Arc::clone(&entry)));
     let accepting = tokio::spawn(accept(Arc::clone(&entry), listener, bounds(&entry.settings), phases));
     events.note(EventKind::Started);
 
--- a/crates/pointvane-mesh/src/lib.rs
+++ b/crates/pointvane-mesh/src/lib.rs
@@ -16,8 +16,8 @@
 
 pub use {
     feed::{EntryReport, FeedHello, FeedRole, FeedUpdate, ListedVm, VmList},
-    load::{LoadDatagram, LoadListener, LoadSpeaker, LoadSpeakerOptions, Rejected, ServiceLoad},
-    member::{EntryRow, Member, MemberRow, Standing},
+    load::{LoadDatagram, LoadReceiver, LoadSender, LoadSenderOptions, Rejected, ServiceLoad},
+    member::{EntryRow, Member, MemberRow, Precedence},
     membership::{Action, MemberChange, Membership, MembershipOptions},
     message::{GossipMessage, Payload, PeerAnswer, PeerRequest, Stamps},
     rendezvous::{choose_readers, home_vms, rank},
--- a/crates/pointvane-mesh/src/load.rs
+++ b/crates/pointvane-mesh/src/load.rs
@@ -31,9 +31,9 @@
     pub observations: Vec<Observation>,
 }
 
-/// Bounds on what a [`LoadSpeaker`] sends.
+/// Bounds on what a [`LoadSender`] sends.
 #[derive(Clone, Debug)]
-pub struct LoadSpeakerOptions {
+pub struct LoadSenderOptions {
     /// Bytes a second, IP and UDP heads included.
     pub bytes_per_s: u32,
     /// Most observations in one datagram.
@@ -44,7 +44,7 @@
     pub interval_min_ms: u64,
 }
 
-impl Default for LoadSpeakerOptions {
+impl Default for LoadSenderOptions {
     fn default() -> Self {
         Self { bytes_per_s: 15_000, observations_max: 12, peers_max: 32, interval_min_ms: 5 }
     }
@@ -52,8 +52,8 @@
 
 /// Decides when load is told; holds the byte budget.
 #[derive(Debug)]
-pub struct LoadSpeaker {
-    options: LoadSpeakerOptions,
+pub struct LoadSender {
+    options: LoadSenderOptions,
     incarnation: Incarnation,
     sequence: u64,
     budget_bytes: f64,
@@ -67,9 +67,9 @@
 /// Time whose budget may be saved up.
 const BURST_US: u64 = 200 * US_PER_MS;
 
-impl LoadSpeaker {
-    /// A speaker of this life with an empty budget.
-    pub fn new(options: LoadSpeakerOptions, incarnation: Incarnation, now_us: u64) -> Self {
+impl LoadSender {
+    /// A sender of this life with an empty budget.
+    pub fn new(options: LoadSenderOptions, incarnation: Incarnation, now_us: u64) -> Self {
         Self {
             options,
             incarnation,
@@ -86,6 +86,11 @@
         self.options.bytes_per_s = bytes_per_s;
     }
 
+    /// Rounds sent so far.
+    pub fn rounds(&self) -> u64 {
+        self.sequence
+    }
+
     /// Most observations in one datagram.
     pub fn observations_max(&self) -> usize {
         self.options.observations_max
@@ -105,7 +110,7 @@
     }
 
     /// The bytes of the next round's datagram, paid for `peers` peers; none if it cannot be encoded.
-    pub fn speak(
+    pub fn next_datagram(
         &mut self,
         revision: u64,
         requests: u32,
@@ -136,7 +141,7 @@
 }
 
 #[derive(Debug, Default)]
-struct Heard {
+struct Peer {
     incarnation: Incarnation,
     sequence: u64,
     requests: u32,
@@ -144,11 +149,11 @@
 
 /// Takes load datagrams of members, each in order and once.
 #[derive(Debug, Default)]
-pub struct LoadListener {
-    peers: HashMap<IpAddr, Heard>,
+pub struct LoadReceiver {
+    peers: HashMap<IpAddr, Peer>,
 }
 
-impl LoadListener {
+impl LoadReceiver {
     /// Takes the members whose datagrams are welcome; those of others are forgotten.
     pub fn set_members(&mut self, addresses: &[IpAddr]) {
         self.peers.retain(|address, _| addresses.contains(address));
@@ -163,19 +168,19 @@
     /// Why it was dropped.
     pub fn receive(&mut self, from: IpAddr, bytes: &[u8]) -> Result<LoadDatagram, Rejected> {
         let datagram: LoadDatagram = codec::decode(bytes).map_err(|_| Rejected::Malformed)?;
-        let heard = self.peers.get_mut(&from).ok_or(Rejected::Stranger)?;
-        let newer = (datagram.incarnation, datagram.sequence) > (heard.incarnation, heard.sequence);
+        let peer = self.peers.get_mut(&from).ok_or(Rejected::Stranger)?;
+        let newer = (datagram.incarnation, datagram.sequence) > (peer.incarnation, peer.sequence);
         if !newer {
             return Err(Rejected::Late);
         }
-        heard.incarnation = datagram.incarnation;
-        heard.sequence = datagram.sequence;
-        heard.requests = datagram.requests;
+        peer.incarnation = datagram.incarnation;
+        peer.sequence = datagram.sequence;
+        peer.requests = datagram.requests;
         Ok(datagram)
     }
 
     /// Requests that a peer last said it holds.
     pub fn requests(&self, from: IpAddr) -> Option<u32> {
-        self.peers.get(&from).filter(|heard| heard.sequence > 0).map(|heard| heard.requests)
+        self.peers.get(&from).filter(|peer| peer.sequence > 0).map(|peer| peer.requests)
     }
 }
--- a/crates/pointvane-mesh/src/member.rs
+++ b/crates/pointvane-mesh/src/member.rs
@@ -39,7 +39,7 @@
 
 /// How firmly a row stands against another about the same VM; the larger is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Standing {
+pub struct Precedence {
     incarnation: Incarnation,
     dead: bool,
     version: u32,
@@ -47,8 +47,8 @@
 }
 
 impl MemberRow {
-    /// The row's standing: a later life first, then death, then the VM's own later word, then suspicion.
-    pub fn standing(&self) -> Standing {
+    /// The row's precedence: a later life first, then death, then the VM's own later word, then suspicion.
+    pub fn precedence(&self) -> Precedence {
         let suspicion = match self.state {
             VmState::Live => 0,
             VmState::Suspect => 1,
@@ -56,7 +56,7 @@
             VmState::Dead => 3,
         };
         let dead = self.state == VmState::Dead;
-        Standing { incarnation: self.identity.incarnation, dead, version: self.version, suspicion }
+        Precedence { incarnation: self.identity.incarnation, dead, version: self.version, suspicion }
     }
 
     /// Whether new callers may be sent to its entry.
@@ -73,12 +73,12 @@
     /// When the state last changed here.
     pub changed_at_us: u64,
     /// How many more times the row is passed on.
-    pub tellings_left: u32,
+    pub transmissions_left: u32,
 }
 
 impl Member {
     /// Compares a row told by somebody with the one held.
     pub fn compare(&self, told: &MemberRow) -> Ordering {
-        told.standing().cmp(&self.row.standing())
+        told.precedence().cmp(&self.row.precedence())
     }
 }
--- a/crates/pointvane-mesh/src/membership.rs
+++ b/crates/pointvane-mesh/src/membership.rs
@@ -10,10 +10,13 @@
         message::{GossipMessage, Payload, Stamps},
     },
     pointvane_core::{Name, US_PER_MS, VmState},
-    rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom},
-    std::{cmp::Ordering, collections::BTreeMap, net::SocketAddr},
+    rand::{SeedableRng, rngs::SmallRng, seq::IteratorRandom},
+    std::{collections::BTreeMap, net::SocketAddr},
 };
 
+mod check;
+mod merge;
+
 /// Rules of membership.
 #[derive(Clone, Debug)]
 pub struct MembershipOptions {
@@ -91,7 +94,7 @@
 /// Changed rows that fit a datagram beside the sender's own.
 const ROWS_PER_MESSAGE: usize = 12;
 /// Tellings of a changed row, as a multiple of the logarithm of the fleet's size.
-const TELLINGS_FACTOR: u32 = 3;
+const TRANSMISSIONS_FACTOR: u32 = 3;
 const ERRANDS_MAX: usize = 64;
 
 /// The members as one process knows them.
@@ -224,172 +227,16 @@
         actions
     }
 
-    fn merge_row(&mut self, row: &MemberRow, now_us: u64, actions: &mut Vec<Action>) {
-        if row.identity.name == self.me.identity.name {
-            if self.refute(row) {
-                actions.extend(self.announce());
-            }
-            return;
-        }
-        let tellings = self.tellings();
-        match self.members.get_mut(&row.identity.name) {
-            None if row.state == VmState::Dead => {}
-            None => {
-                let member = Member { row: row.clone(), changed_at_us: now_us, tellings_left: tellings };
-                self.members.insert(row.identity.name.clone(), member);
-                actions.push(changed(row));
-            }
-            Some(member) => match member.compare(row) {
-                Ordering::Less => {}
-                Ordering::Equal => {
-                    // Load and stamp may move without a new standing; they are told only by the VM's own row.
-                    member.row.entry = row.entry;
-                    member.row.stamp = member.row.stamp.max(row.stamp);
-                }
-                Ordering::Greater => {
-                    let state_before = member.row.state;
-                    member.row = row.clone();
-                    member.tellings_left = tellings;
-                    if state_before != row.state {
-                        member.changed_at_us = now_us;
-                        actions.push(changed(row));
-                    }
-                }
-            },
-        }
-    }
-
-    /// The row held of a sender that stands against its own word; the sender must hear of it.
-    fn belief_to_refute(&self, told: &MemberRow) -> Option<MemberRow> {
-        let member = self.members.get(&told.identity.name)?;
-        let stands = member.row.state != VmState::Live && member.compare(told) == Ordering::Less;
-        stands.then(|| member.row.clone())
-    }
-
-    /// Answers a wrong word about this process with a later one of its own; true if there was need to.
-    fn refute(&mut self, row: &MemberRow) -> bool {
-        let same_life = row.identity.incarnation == self.me.identity.incarnation;
-        // An old suspicion is overruled already; death stands against every word of this life.
-        let wrong = match row.state {
-            VmState::Suspect => row.version >= self.me.version,
-            VmState::Dead => true,
-            VmState::Live | VmState::Leaving => false,
-        };
-        if same_life && wrong {
-            self.me.version = self.me.version.max(row.version) + 1;
-            if row.state == VmState::Dead {
-                // Death cannot be taken back by this life: go on as a later one.
-                self.me.identity.incarnation.0 += 1;
-            }
-        }
-        same_life && wrong
-    }
-
-    fn begin_check(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        let Some(target) = self.next_target() else { return };
-        let Some(member) = self.members.get(&target) else {
-            return;
-        };
-        let to = control_address(&member.row);
-        self.sequence += 1;
-        let sequence = self.sequence;
-        self.check = Some(Check { target, sequence, sent_at_us: now_us, helped: false });
-        // One that is suspected must hear of it, to be able to refute it.
-        let believed = Some(member.row.clone()).filter(|row| row.state == VmState::Suspect);
-        actions.push(self.send_with(to, Payload::Ping { sequence }, believed));
-    }
-
-    /// Members in a random order, each once before any a second time.
-    fn next_target(&mut self) -> Option<Name> {
-        if self.order.is_empty() {
-            let alive = self.members.values().filter(|member| member.row.state != VmState::Dead);
-            self.order = alive.map(|member| member.row.identity.name.clone()).collect();
-            for last in (1..self.order.len()).rev() {
-                let other = self.rng.random_range(0..=last);
-                self.order.swap(last, other);
-            }
-        }
-        self.order.pop()
-    }
-
-    fn call_helpers(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        let half_us = self.options.probe_interval_ms * US_PER_MS / 2;
-        let Some(check) = &mut self.check else { return };
-        if check.helped || now_us.saturating_sub(check.sent_at_us) < half_us {
-            return;
-        }
-        check.helped = true;
-        let (target, sequence) = (check.target.clone(), check.sequence);
-        let others = self.members.values().map(|member| &member.row);
-        let able = others.filter(|row| row.state == VmState::Live && row.identity.name != target);
-        let helpers = able.map(control_address).choose_multiple(&mut self.rng, self.options.helpers);
-        for to in helpers {
-            actions.push(self.send(to, Payload::PingRequest { sequence, target: target.clone() }));
-        }
-    }
-
-    fn run_errand(
-        &mut self,
-        for_vm: SocketAddr,
-        their_sequence: u64,
-        target: &Name,
-        now_us: u64,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(member) = self.members.get(target) else {
-            return;
-        };
-        let to = control_address(&member.row);
-        self.sequence += 1;
-        let sequence = self.sequence;
-        self.errands.truncate(ERRANDS_MAX - 1);
-        self.errands.push(Errand { sequence, for_vm, their_sequence, sent_at_us: now_us });
-        actions.push(self.send(to, Payload::Ping { sequence }));
-    }
-
-    fn acknowledged(&mut self, sequence: u64, actions: &mut Vec<Action>) {
-        if self.check.as_ref().is_some_and(|check| check.sequence == sequence) {
-            self.check = None;
-        }
-        let done = self.errands.iter().position(|errand| errand.sequence == sequence);
-        if let Some(index) = done {
-            let errand = self.errands.swap_remove(index);
-            actions.push(self.send(errand.for_vm, Payload::Ack { sequence: errand.their_sequence }));
-        }
-    }
-
-    fn end_check(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        let Some(check) = self.check.take() else { return };
-        let tellings = self.tellings();
-        let Some(member) = self.members.get_mut(&check.target) else {
-            return;
-        };
-        let next = match member.row.state {
-            VmState::Live => Some(VmState::Suspect),
-            VmState::Leaving => Some(VmState::Dead),
-            VmState::Suspect | VmState::Dead => None,
-        };
-        if let Some(state) = next {
-            member.row.state = state;
-            member.changed_at_us = now_us;
-            member.tellings_left = tellings;
-            let row = member.row.clone();
-            actions.push(changed(&row));
-            // It hears of the suspicion at once, since only it can refute it.
-            actions.push(self.send_with(control_address(&row), Payload::Announce, Some(row.clone())));
-        }
-    }
-
     /// The suspected and leaving die after their time; the dead are forgotten after theirs.
     fn expire(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         let suspect_us = self.options.suspect_ms * US_PER_MS;
         let remember_us = self.options.remember_dead_ms * US_PER_MS;
-        let tellings = self.tellings();
+        let transmissions = self.transmissions();
         for member in self.members.values_mut().filter(|member| member.row.state == VmState::Suspect) {
             if now_us.saturating_sub(member.changed_at_us) >= suspect_us {
                 member.row.state = VmState::Dead;
                 member.changed_at_us = now_us;
-                member.tellings_left = tellings;
+                member.transmissions_left = transmissions;
                 actions.push(changed(&member.row));
             }
         }
@@ -428,9 +275,9 @@
         }
     }
 
-    fn tellings(&self) -> u32 {
+    fn transmissions(&self) -> u32 {
         let size = self.members.len() as u32 + 2;
-        TELLINGS_FACTOR * (u32::BITS - size.leading_zeros())
+        TRANSMISSIONS_FACTOR * (u32::BITS - size.leading_zeros())
     }
 
     fn send(&mut self, to: SocketAddr, payload: Payload) -> Action {
@@ -438,10 +285,11 @@
     }
 
     fn send_with(&mut self, to: SocketAddr, payload: Payload, first: Option<MemberRow>) -> Action {
-        let mut hot: Vec<_> = self.members.values_mut().filter(|member| member.tellings_left > 0).collect();
-        hot.sort_by_key(|member| std::cmp::Reverse(member.tellings_left));
+        let mut hot: Vec<_> =
+            self.members.values_mut().filter(|member| member.transmissions_left > 0).collect();
+        hot.sort_by_key(|member| std::cmp::Reverse(member.transmissions_left));
         let rows = hot.into_iter().take(ROWS_PER_MESSAGE).map(|member| {
-            member.tellings_left -= 1;
+            member.transmissions_left -= 1;
             member.row.clone()
         });
         let rows = first.into_iter().chain(rows).collect();
--- a/crates/pointvane-mesh/tests/messages.rs
+++ b/crates/pointvane-mesh/tests/messages.rs
@@ -4,7 +4,7 @@
     googletest::prelude::*,
     pointvane_core::{Incarnation, Observation},
     pointvane_mesh::{
-        FeedUpdate, GossipMessage, LoadDatagram, LoadListener, LoadSpeaker, LoadSpeakerOptions, Offer,
+        FeedUpdate, GossipMessage, LoadDatagram, LoadReceiver, LoadSender, LoadSenderOptions, Offer,
         PeerAnswer, Rejected, ServiceLoad, Spread, SpreadAction, Stamp, Stored, Verdict, codec,
     },
     proptest::{collection::vec, prelude::*},
@@ -67,33 +67,33 @@
 #[gtest]
 fn late_repeated_and_earlier_lives_datagrams_are_dropped() {
     let from: IpAddr = "10.0.0.2".parse().unwrap();
-    let mut listener = LoadListener::default();
-    expect_that!(listener.receive(from, &datagram(5, 1)), err(eq(&Rejected::Stranger)));
-    listener.set_members(&[from]);
-    expect_that!(listener.receive(from, &datagram(5, 7)), ok(anything()));
-    expect_that!(listener.receive(from, &datagram(5, 7)), err(eq(&Rejected::Late)));
-    expect_that!(listener.receive(from, &datagram(5, 6)), err(eq(&Rejected::Late)));
-    expect_that!(listener.receive(from, &datagram(6, 1)), ok(anything()));
-    expect_that!(listener.receive(from, &datagram(5, 99)), err(eq(&Rejected::Late)));
-    expect_that!(listener.receive(from, &[9, 9, 9]), err(eq(&Rejected::Malformed)));
+    let mut receiver = LoadReceiver::default();
+    expect_that!(receiver.receive(from, &datagram(5, 1)), err(eq(&Rejected::Stranger)));
+    receiver.set_members(&[from]);
+    expect_that!(receiver.receive(from, &datagram(5, 7)), ok(anything()));
+    expect_that!(receiver.receive(from, &datagram(5, 7)), err(eq(&Rejected::Late)));
+    expect_that!(receiver.receive(from, &datagram(5, 6)), err(eq(&Rejected::Late)));
+    expect_that!(receiver.receive(from, &datagram(6, 1)), ok(anything()));
+    expect_that!(receiver.receive(from, &datagram(5, 99)), err(eq(&Rejected::Late)));
+    expect_that!(receiver.receive(from, &[9, 9, 9]), err(eq(&Rejected::Malformed)));
 }
 
 #[gtest]
-fn a_speaker_never_sends_more_than_its_budget() {
+fn a_sender_never_sends_more_than_its_budget() {
     for peers in [1, 16, 200] {
-        let options = LoadSpeakerOptions::default();
+        let options = LoadSenderOptions::default();
         let budget = u64::from(options.bytes_per_s);
-        let mut speaker = LoadSpeaker::new(options, Incarnation(1), 0);
+        let mut sender = LoadSender::new(options, Incarnation(1), 0);
         let mut bytes = 0;
         for now_ms in 0..10_000 {
             let now_us = now_ms * 1_000;
-            let round = speaker.round_size(peers, now_us);
+            let round = sender.round_size(peers, now_us);
             if round == 0 {
                 continue;
             }
             let observation = Observation { position: 300, requests: 400, leaving: false, age_ms: 500 };
             let services = vec![ServiceLoad { position: 1, observations: vec![observation; 12] }];
-            let datagram = speaker.speak(1, 9, services, round, now_us).unwrap();
+            let datagram = sender.next_datagram(1, 9, services, round, now_us).unwrap();
             bytes += (round * (datagram.len() + codec::UDP_HEAD_BYTES)) as u64;
         }
         // What may be saved up, a fifth of a second's worth, and one round foreseen too small.
--- a/standins/src/admin.rs
+++ b/standins/src/admin.rs
@@ -1,7 +1,7 @@
 //! Calls that tests and tools make to stand-ins and to operator ports.
 
 use {
-    crate::upstream::{Done, Mood},
+    crate::upstream::{Behaviour, Done},
     eyre::{Result, eyre},
     serde::de::DeserializeOwned,
     std::{net::SocketAddr, time::Duration},
@@ -63,8 +63,8 @@
     ///
     /// # Errors
     /// When it does not answer.
-    pub fn set_mood(&self, steering: SocketAddr, upstream: &str, mood: &Mood) -> Result<()> {
-        let body = serde_json::to_vec(mood)?;
+    pub fn set_behaviour(&self, steering: SocketAddr, upstream: &str, behaviour: &Behaviour) -> Result<()> {
+        let body = serde_json::to_vec(behaviour)?;
         self.agent.post(format!("http://{steering}/{upstream}")).send(&body[..])?;
         Ok(())
     }
--- a/standins/src/bin/demo.rs
+++ b/standins/src/bin/demo.rs
@@ -8,7 +8,7 @@
         deployment::{Deployment, FleetPlan, Plan, Program, ServicePlan},
         load::{self, CallKind, LoadPlan, LoadReport, Rate, Target},
         table::Table,
-        upstream::Mood,
+        upstream::Behaviour,
     },
     std::{process::ExitCode, thread, time::Duration},
 };
@@ -91,7 +91,7 @@
 fn faults(deployment: &mut Deployment) -> Result<u64> {
     thread::sleep(DRAIN_AFTER);
     let (steering, name) = (deployment.steering(), deployment.plan.services[0].upstream_name(0));
-    deployment.admin.set_mood(steering, &name, &Mood { draining: true, ..Mood::default() })?;
+    deployment.admin.set_behaviour(steering, &name, &Behaviour { draining: true, ..Behaviour::default() })?;
     thread::sleep(STOP_AFTER - DRAIN_AFTER);
     deployment.vms[2].ask_entry_to_stop();
     thread::sleep(LEAVING_BOUND - (STOP_AFTER - DRAIN_AFTER));
@@ -168,7 +168,7 @@
         echo.percentile_ms(50.0) - direct.percentile_ms(50.0),
         added_p99_ms(reports),
     );
-    println!("probes: {}", deployment.counter(Program::Entry, "pointvane_asks"));
+    println!("probes: {}", deployment.counter(Program::Entry, "pointvane_probes"));
 }
 
 fn added_p99_ms(reports: &[LoadReport]) -> f64 {
--- a/standins/src/bin/measure/choosing.rs
+++ b/standins/src/bin/measure/choosing.rs
@@ -11,7 +11,7 @@
         deployment::{Deployment, FleetPlan, Plan, Program, ServicePlan},
         load::{self, CallKind, LoadPlan, LoadReport, Rate, Target},
         table::Table,
-        upstream::{Done, Mood},
+        upstream::{Behaviour, Done},
     },
     std::{
         thread,
@@ -160,16 +160,16 @@
 fn set_scenario(args: &Args, deployment: &Deployment) -> Result<()> {
     let service = &deployment.plan.services[0];
     for number in 0..service.instances {
-        let mood = match args.scenario {
-            Scenario::Calm | Scenario::Overload => Mood::default(),
-            Scenario::Noisy => Mood { noisy: true, ..Mood::default() },
-            Scenario::Slow if number % 10 == 0 => Mood { slow: 10.0, ..Mood::default() },
-            Scenario::Failing if number == 0 => Mood { failing: true, ..Mood::default() },
-            Scenario::Slow | Scenario::Failing => Mood::default(),
-            Scenario::Stale => Mood { report_lag_ms: 100, ..Mood::default() },
-            Scenario::Lying => Mood { report_lies: true, ..Mood::default() },
+        let behaviour = match args.scenario {
+            Scenario::Calm | Scenario::Overload => Behaviour::default(),
+            Scenario::Noisy => Behaviour { noisy: true, ..Behaviour::default() },
+            Scenario::Slow if number % 10 == 0 => Behaviour { slow: 10.0, ..Behaviour::default() },
+            Scenario::Failing if number == 0 => Behaviour { failing: true, ..Behaviour::default() },
+            Scenario::Slow | Scenario::Failing => Behaviour::default(),
+            Scenario::Stale => Behaviour { report_lag_ms: 100, ..Behaviour::default() },
+            Scenario::Lying => Behaviour { report_lies: true, ..Behaviour::default() },
         };
-        deployment.admin.set_mood(deployment.steering(), &service.upstream_name(number), &mood)?;
+        deployment.admin.set_behaviour(deployment.steering(), &service.upstream_name(number), &behaviour)?;
     }
     Ok(())
 }
@@ -218,7 +218,7 @@
             memory_mb: sum.memory_mb.max(one.memory_mb),
         });
         Self {
-            asks: deployment.counter(Program::Entry, "pointvane_asks"),
+            asks: deployment.counter(Program::Entry, "pointvane_probes"),
             load_bytes: deployment.counter(Program::Entry, "pointvane_load_sent_bytes"),
             gossip_bytes: deployment.counter(Program::Control, "pointvane_gossip_sent_bytes"),
             probe_slot_us: done.map(|done| done.probe_slot_us).sum(),
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -47,7 +47,7 @@
 /// What can be changed while it runs.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
-pub struct Mood {
+pub struct Behaviour {
     /// Says that it drains, and refuses nothing.
     pub draining: bool,
     /// Factor on the time of service; 0 counts as 1.
@@ -94,7 +94,7 @@
     slots: Semaphore,
     in_flight: AtomicU32,
     cancelled: AtomicU64,
-    mood: Mutex<Mood>,
+    behaviour: Mutex<Behaviour>,
     done: Mutex<Done>,
     history: Mutex<VecDeque<(Instant, u16)>>,
     draws: Mutex<Draws>,
@@ -128,25 +128,25 @@
             spec,
             in_flight: AtomicU32::new(0),
             cancelled: AtomicU64::new(0),
-            mood: Mutex::default(),
+            behaviour: Mutex::default(),
             done: Mutex::default(),
             history: Mutex::default(),
             draws: Mutex::new(draws),
         }
     }
 
-    fn mood(&self) -> Mood {
-        lock(&self.mood).clone()
+    fn behaviour(&self) -> Behaviour {
+        lock(&self.behaviour).clone()
     }
 
-    fn report(&self, mood: &Mood, leaving_now: u32) -> LoadReport {
+    fn report(&self, behaviour: &Behaviour, leaving_now: u32) -> LoadReport {
         let now = self.in_flight.load(Ordering::Relaxed).saturating_sub(leaving_now) as u16;
-        let in_flight = match mood.report_lag_ms {
-            _ if mood.report_lies => 0,
+        let in_flight = match behaviour.report_lag_ms {
+            _ if behaviour.report_lies => 0,
             0 => now,
             lag_ms => self.past(Duration::from_millis(lag_ms)).unwrap_or(now),
         };
-        LoadReport { in_flight, draining: mood.draining }
+        LoadReport { in_flight, draining: behaviour.draining }
     }
 
     /// Requests held some time ago.
@@ -173,7 +173,7 @@
     }
 
     /// Time of service of one request; `asked_ms` overrides the distribution.
-    fn draw(&self, mood: &Mood, asked_ms: Option<f64>) -> Duration {
+    fn draw(&self, behaviour: &Behaviour, asked_ms: Option<f64>) -> Duration {
         let mut draws = lock(&self.draws);
         let Draws { rng, time, noise_from } = &mut *draws;
         let base_ms = asked_ms.unwrap_or_else(|| time.sample(rng));
@@ -181,14 +181,14 @@
         if now >= *noise_from + NOISE {
             *noise_from = now + Duration::from_millis(rng.random_range(2_000..6_000));
         }
-        let noise = if mood.noisy && now >= *noise_from { NOISE_FACTOR } else { 1.0 };
-        let slow = if mood.slow > 0.0 { mood.slow } else { 1.0 };
+        let noise = if behaviour.noisy && now >= *noise_from { NOISE_FACTOR } else { 1.0 };
+        let slow = if behaviour.slow > 0.0 { behaviour.slow } else { 1.0 };
         let time_ms = base_ms * noise * slow;
         // A sleep ends at the next whole millisecond, and a little later: half of one too late on average.
         Duration::from_secs_f64((time_ms - SLEEP_LATE_MS).max(0.0) / 1_000.0)
     }
 
-    async fn probe(&self, mood: &Mood) -> Answer {
+    async fn probe(&self, behaviour: &Behaviour) -> Answer {
         let time = Duration::from_secs_f64(self.spec.probe_ms / 1_000.0);
         if let Ok(_slot) = self.slots.acquire().await {
             sleep(time).await;
@@ -197,23 +197,23 @@
         done.probes += 1;
         done.probe_slot_us += time.as_micros() as u64;
         drop(done);
-        self.reported(answer(200, "ok\n"), mood, 0)
+        self.reported(answer(200, "ok\n"), behaviour, 0)
     }
 
-    fn reported(&self, mut response: Answer, mood: &Mood, leaving_now: u32) -> Answer {
-        let report = self.report(mood, leaving_now).to_string();
+    fn reported(&self, mut response: Answer, behaviour: &Behaviour, leaving_now: u32) -> Answer {
+        let report = self.report(behaviour, leaving_now).to_string();
         let value = report.parse().unwrap_or_else(|_| panic!("header {report}"));
         response.headers_mut().insert(header::LOAD, value);
         response
     }
 
-    async fn work(&self, request: Request<Incoming>, mood: Mood) -> Answer {
-        if mood.failing {
-            return self.reported(answer(500, "failing\n"), &mood, 0);
+    async fn work(&self, request: Request<Incoming>, behaviour: Behaviour) -> Answer {
+        if behaviour.failing {
+            return self.reported(answer(500, "failing\n"), &behaviour, 0);
         }
         let waiting = self.in_flight.load(Ordering::Relaxed).saturating_sub(u32::from(self.spec.slots));
-        if mood.shed_beyond > 0 && waiting >= mood.shed_beyond {
-            return self.reported(answer(503, "shed\n"), &mood, 0);
+        if behaviour.shed_beyond > 0 && waiting >= behaviour.shed_beyond {
+            return self.reported(answer(503, "shed\n"), &behaviour, 0);
         }
         let held = Held::new(self);
         let job = Job::of(&request);
@@ -227,16 +227,16 @@
         }
         let Ok(Ok(_slot)) = timeout(job.deadline, self.slots.acquire()).await else {
             lock(&self.done).expired += 1;
-            return self.reported(answer(504, "expired\n"), &mood, 1);
+            return self.reported(answer(504, "expired\n"), &behaviour, 1);
         };
-        self.begin(&job, &mood);
-        sleep(self.draw(&mood, job.asked_ms)).await;
+        self.begin(&job, &behaviour);
+        sleep(self.draw(&behaviour, job.asked_ms)).await;
         self.finish(held, &job, length)
     }
 
-    fn begin(&self, job: &Job, mood: &Mood) {
+    fn begin(&self, job: &Job, behaviour: &Behaviour) {
         let mut done = lock(&self.done);
-        done.begun_draining += u64::from(mood.draining);
+        done.begun_draining += u64::from(behaviour.draining);
         if let Some(key) = &job.key {
             *done.keys.entry(key.clone()).or_default() += 1;
         }
@@ -245,14 +245,14 @@
     fn finish(&self, held: Held<'_>, job: &Job, length: usize) -> Answer {
         lock(&self.done).ran += 1;
         held.finished();
-        let mood = self.mood();
+        let behaviour = self.behaviour();
         let filler = "x".repeat(job.answer_bytes);
         let text = format!("{}\n{length}\n{filler}\nend {}\n", job.id, job.id);
         let mut response = answer(200, text);
-        if mood.cutting {
+        if behaviour.cutting {
             response.body_mut().cut(CUT_BYTES);
         }
-        self.reported(response, &mood, 1)
+        self.reported(response, &behaviour, 1)
     }
 }
 
@@ -307,12 +307,12 @@
 
 impl Handler for Upstream {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Answer> {
-        let mood = self.mood();
+        let behaviour = self.behaviour();
         if request.uri().path() == "/load" {
-            return Some(self.probe(&mood).await);
+            return Some(self.probe(&behaviour).await);
         }
-        let dying = mood.dying;
-        let answer = self.work(request, mood).await;
+        let dying = behaviour.dying;
+        let answer = self.work(request, behaviour).await;
         (!dying).then_some(answer)
     }
 }
@@ -342,7 +342,7 @@
 }
 
 impl Handler for Fleet {
-    /// `POST /NAME` with a [`Mood`] as JSON sets it; `GET /NAME` answers what it has [`Done`].
+    /// `POST /NAME` with a [`Behaviour`] as JSON sets it; `GET /NAME` answers what it has [`Done`].
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Answer> {
         Some(self.steer(request).await)
     }
@@ -363,8 +363,8 @@
             return answer(400, "");
         };
         match serde_json::from_slice(&body.to_bytes()) {
-            Ok(mood) => {
-                *lock(&upstream.mood) = mood;
+            Ok(behaviour) => {
+                *lock(&upstream.behaviour) = behaviour;
                 answer(200, "ok\n")
             }
             Err(error) => answer(400, error.to_string()),
--- a/standins/tests/data_path.rs
+++ b/standins/tests/data_path.rs
@@ -5,7 +5,7 @@
     googletest::prelude::*,
     pointvane_standins::{
         deployment::{Deployment, Program, wait},
-        upstream::{Done, Mood},
+        upstream::{Behaviour, Done},
     },
     std::{fs, io::Write, net::TcpStream},
 };
@@ -16,10 +16,13 @@
 /// What an entry's memory may grow by while it passes the upload on.
 const GROWTH_MAX_KB: u64 = 16 << 10;
 
-fn set_mood(deployment: &Deployment, mood: &Mood) {
+fn set_behaviour(deployment: &Deployment, behaviour: &Behaviour) {
     let service = &deployment.plan.services[0];
     for number in 0..service.instances {
-        deployment.admin.set_mood(deployment.steering(), &service.upstream_name(number), mood).unwrap();
+        deployment
+            .admin
+            .set_behaviour(deployment.steering(), &service.upstream_name(number), behaviour)
+            .unwrap();
     }
 }
 
@@ -74,7 +77,7 @@
 #[gtest]
 fn an_answer_cut_off_midway_never_looks_whole() {
     let deployment = deploy(1, 1, "");
-    set_mood(&deployment, &Mood { cutting: true, ..Mood::default() });
+    set_behaviour(&deployment, &Behaviour { cutting: true, ..Behaviour::default() });
     let answer = get(&deployment, "/dispatch/call?work_ms=1&size=100000");
     expect_that!(answer.whole, eq(false));
     // Under a key, the whole answer is read first, so the caller is told.
@@ -87,7 +90,7 @@
 #[gtest]
 fn work_that_may_not_be_repeated_is_never_sent_twice() {
     let deployment = deploy(1, 3, "");
-    set_mood(&deployment, &Mood { dying: true, ..Mood::default() });
+    set_behaviour(&deployment, &Behaviour { dying: true, ..Behaviour::default() });
     let key = key_prefix(&deployment, 0) + "once";
     let text = request("POST", "/dispatch/call?work_ms=1", &[("idempotency-key", &key)], "booking");
     for _ in 0..3 {
@@ -102,8 +105,8 @@
     let deployment = deploy(1, 3, "");
     let names = &deployment.plan.services[0];
     let (steering, name) = (deployment.steering(), names.upstream_name(0));
-    let dying = Mood { dying: true, ..Mood::default() };
-    deployment.admin.set_mood(steering, &name, &dying).unwrap();
+    let dying = Behaviour { dying: true, ..Behaviour::default() };
+    deployment.admin.set_behaviour(steering, &name, &dying).unwrap();
     for _ in 0..12 {
         expect_that!(get(&deployment, "/dispatch/call?work_ms=1").status, eq(200));
     }
--- a/standins/tests/promises.rs
+++ b/standins/tests/promises.rs
@@ -6,7 +6,7 @@
     pointvane_standins::{
         deployment::{Deployment, Program, wait},
         load::{self, CallKind, LoadPlan, LoadReport, Rate, Target},
-        upstream::Mood,
+        upstream::Behaviour,
     },
     pointvane_telemetry::{EventKind, EventPage},
     std::{
@@ -114,8 +114,8 @@
     let calls = start_calls(&deployment, 6);
     thread::sleep(Duration::from_secs(1));
     let name = deployment.plan.services[0].upstream_name(0);
-    let draining = Mood { draining: true, ..Mood::default() };
-    deployment.admin.set_mood(deployment.steering(), &name, &draining).unwrap();
+    let draining = Behaviour { draining: true, ..Behaviour::default() };
+    deployment.admin.set_behaviour(deployment.steering(), &name, &draining).unwrap();
     thread::sleep(BOUND);
     let at_bound = deployment.admin.done(deployment.steering(), &name).unwrap().begun_draining;
     let report = calls.join().unwrap();
@@ -133,8 +133,8 @@
     expect_that!(call(entry, &text).status, eq(200));
     deployment.admin.set_platform(deployment.platform(), "down=true").unwrap();
     let name = deployment.plan.services[0].upstream_name(0);
-    let draining = Mood { draining: true, ..Mood::default() };
-    deployment.admin.set_mood(deployment.steering(), &name, &draining).unwrap();
+    let draining = Behaviour { draining: true, ..Behaviour::default() };
+    deployment.admin.set_behaviour(deployment.steering(), &name, &draining).unwrap();
     thread::sleep(BOUND);
     for _ in 0..20 {
         expect_that!(call(entry, &text).status, eq(200));
