Trust in reports outlasts a stall of this VM

Cause: answers under way when a report is made look like contradictions, and a stall of an overloaded VM makes several at once; three within twenty checks set the reports aside, and with them the bound on what an upstream holds.

Now five or six in a row are needed (each check weighs 0.04, bound 0.2).

--- a/crates/pointvane-balance/src/trust.rs
+++ b/crates/pointvane-balance/src/trust.rs
@@ -1,14 +1,15 @@
 //! Trust in the load reports of a service's upstreams.
 //!
 //! A report lags or lies if it counts fewer requests than this entry VM alone has had at the upstream for a
-//! while. A truthful report never does; so a few such contradictions are enough to fall back on own counts.
+//! while. A truthful report hardly ever does; so when many contradict, own counts are used instead.
 
 use pointvane_core::US_PER_S;
 
 /// Share of each new check in the running rate of contradictions.
-const CHECK_SHARE: f32 = 0.05;
-/// Rate of contradictions from which on reports are not used.
-const RATE_MAX: f32 = 0.1;
+const CHECK_SHARE: f32 = 0.04;
+/// Rate of contradictions from which on reports are not used. An answer that is still under way looks like one, and
+/// a stall of this VM makes several such, so a few in a row must not do.
+const RATE_MAX: f32 = 0.2;
 const DISTRUST_FIRST_US: u64 = 10 * US_PER_S;
 const DOUBLINGS_MAX: u32 = 6;
 
