Yielding to urgent work elsewhere taken back; keyed refusals counted; an upstream's own outcome is overruled

Failed try, taken back: routine work that yields to urgent work waiting at other entries. It fed on itself: yielding made starts rarer, which lengthened the mean interval that the yield was reckoned in.

Found on reading: refusals of keyed work were counted as answers; an upstream could set pointvane-outcome itself; an answer under a key that stalls midway was awaited for ever, and now streams on at its deadline. Overload on the time line has a test.

--- a/crates/pointvane-balance/src/admission.rs
+++ b/crates/pointvane-balance/src/admission.rs
@@ -64,16 +64,6 @@
         self.queues.iter().map(VecDeque::len).sum()
     }
 
-    /// Urgent requests that wait.
-    pub fn urgent_len(&self) -> usize {
-        self.queues[Class::Urgent as usize].len()
-    }
-
-    /// Mean time between two starts from the queue, in microseconds.
-    pub fn interval_us(&self) -> f32 {
-        self.interval_us
-    }
-
     /// Queues a request, or gives its waiter back if it would wait too long.
     ///
     /// # Errors
--- a/crates/pointvane-balance/src/service.rs
+++ b/crates/pointvane-balance/src/service.rs
@@ -11,7 +11,7 @@
         upstream::UpstreamState,
     },
     pointvane_config::{FleetLimits, Service},
-    pointvane_core::{Class, ErrorKind},
+    pointvane_core::ErrorKind,
     rand::{Rng, SeedableRng, rngs::SmallRng},
 };
 
@@ -21,9 +21,8 @@
 mod probe;
 mod result;
 mod summary;
-mod yielding;
 
-use {pick::NoPick, yielding::Yielding};
+use pick::NoPick;
 pub use {
     result::{AttemptEnd, AttemptResult},
     summary::UpstreamSummary,
@@ -108,7 +107,6 @@
     hedges: TokenBucket,
     own: u32,
     arrived_at_us: Option<u64>,
-    yielding: Yielding,
     rng: SmallRng,
 }
 
@@ -132,7 +130,6 @@
             hedges: TokenBucket::earned(HEDGE_TOKENS_MAX),
             own: 0,
             arrived_at_us: None,
-            yielding: Yielding::default(),
             rng,
         };
         balancer.place_upstreams(now_us, |_| Health::warm());
@@ -205,8 +202,7 @@
         if arrival.deadline_us <= now_us {
             return Decision::Refuse { kind: ErrorKind::DeadlinePassed, waiter };
         }
-        let yields = arrival.class == Class::Routine && self.yields(now_us);
-        if yields || !self.admission.is_empty() {
+        if !self.admission.is_empty() {
             return self.queue(arrival, waiter, now_us);
         }
         match self.pick(now_us, None) {
@@ -235,16 +231,10 @@
         if let Some(lost) = self.admission.pop_lost(now_us, gone) {
             return Some(Dispatch::Refuse { kind: ErrorKind::DeadlinePassed, waiter: lost.waiter });
         }
-        if self.admission.urgent_len() == 0 && self.yields(now_us) {
-            return None;
-        }
         match self.pick(now_us, None) {
             Ok(upstream) => {
-                let Waiting { waiter, arrival } = self.admission.pop()?;
+                let Waiting { waiter, .. } = self.admission.pop()?;
                 self.admission.started(now_us);
-                if arrival.class == Class::Routine {
-                    self.yielding.routine_started(now_us);
-                }
                 self.start(upstream, now_us);
                 Some(Dispatch::Start { upstream, waiter })
             }
--- a/crates/pointvane-balance/src/service/pick.rs
+++ b/crates/pointvane-balance/src/service/pick.rs
@@ -36,22 +36,17 @@
         if let Some(index) = self.chooser.choose(&self.upstreams, &context, roomy) {
             return Ok(index);
         }
-        let exists = |usable: fn(&UpstreamState, u64, u64) -> bool| {
-            let mut states = self.upstreams.iter().enumerate().filter(|(i, _)| in_place(*i));
-            states.any(|(_, state)| usable(state, now_us, bound_us))
-        };
-        if exists(|state, now_us, bound_us| {
-            state.evidence.fresh(now_us, bound_us) && !state.health.ejected(now_us)
-        }) {
+        let states = || self.upstreams.iter().enumerate().filter(|(i, _)| in_place(*i));
+        if states().any(|(i, state)| healthy(i, state)) {
             return Err(NoPick::Full);
         }
+        if states().all(|(_, state)| state.evidence.leaving()) {
+            return Err(NoPick::Nothing);
+        }
         // All that are known to stay are ejected: an ill upstream is better than none.
         if let Some(index) = self.chooser.choose(&self.upstreams, &context, fresh) {
             return Ok(index);
         }
-        if !exists(|state, _, _| !state.evidence.leaving()) {
-            return Err(NoPick::Nothing);
-        }
         self.fallback(now_us, exclude)
     }
 
--- a/crates/pointvane-entry/src/answer.rs
+++ b/crates/pointvane-entry/src/answer.rs
@@ -59,12 +59,19 @@
     response
 }
 
-/// Marks an upstream's answer, unless another entry VM marked it already.
+/// Another entry VM's answer on its way to the caller: its outcome stays.
+pub fn relay(response: Response<UpstreamBody>) -> Response<AnswerBody> {
+    let mut response = response.map(AnswerBody::Streamed);
+    strip_hop_by_hop(response.headers_mut());
+    response
+}
+
+/// Marks an upstream's answer, whatever the upstream itself says of an outcome.
 pub fn mark_answered(headers: &mut HeaderMap) {
     strip_hop_by_hop(headers);
     headers.remove(header::LOAD);
-    let answered = HeaderValue::from_static(Outcome::Answered.as_str());
-    headers.entry(header::OUTCOME).or_insert(answered);
+    headers.remove(header::ERROR);
+    headers.insert(header::OUTCOME, HeaderValue::from_static(Outcome::Answered.as_str()));
 }
 
 /// Tells the caller to use this connection no more.
--- a/crates/pointvane-entry/src/exchange.rs
+++ b/crates/pointvane-entry/src/exchange.rs
@@ -69,13 +69,10 @@
     let mut services = Vec::new();
     for position in (first..count).chain(0..first) {
         let service = &routes.services[position];
-        let (observations, urgent_waiting) = {
-            let mut balancer = service.lock();
-            (balancer.news(left, service.now_us()), balancer.urgent_waiting())
-        };
+        let observations = service.lock().news(left, service.now_us());
         left -= observations.len();
-        if !observations.is_empty() || urgent_waiting > 0 {
-            services.push(ServiceLoad { position: position as u16, urgent_waiting, observations });
+        if !observations.is_empty() {
+            services.push(ServiceLoad { position: position as u16, observations });
         }
         if left == 0 {
             break;
@@ -119,7 +116,6 @@
             let now_us = service.now_us();
             let mut balancer = service.lock();
             load.observations.iter().for_each(|observation| balancer.observe(observation, now_us));
-            balancer.peer_waits(load.urgent_waiting, now_us);
             balancer.waiting()
         };
         if waiting > 0 {
--- a/crates/pointvane-entry/src/keyed.rs
+++ b/crates/pointvane-entry/src/keyed.rs
@@ -5,7 +5,7 @@
 use {
     crate::{
         admit::admit,
-        answer::{mark_answered, refuse},
+        answer::{mark_answered, relay},
         body::{AnswerBody, RequestBody, UpstreamBody},
         classify::Classified,
         entry::Entry,
@@ -20,14 +20,17 @@
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
     },
-    tokio::sync::oneshot,
+    tokio::{
+        sync::oneshot,
+        time::{Instant, timeout_at},
+    },
 };
 
 /// Largest answer that is kept for repeats, in bytes.
 const KEPT_ANSWER_LIMIT_BYTES: usize = 256 << 10;
 
 /// Where a request hears the end of its key's run.
-pub type Joiner = oneshot::Sender<Response<AnswerBody>>;
+pub type Joiner = oneshot::Sender<Result<Response<AnswerBody>, ErrorKind>>;
 
 /// An answer kept for repeats.
 #[derive(Debug)]
@@ -70,9 +73,9 @@
         KeyDecision::Run(joiner) => {
             entry.keyed_running.fetch_add(1, Ordering::Relaxed);
             tokio::spawn(run(Arc::clone(entry), request, head, body, key, joiner));
-            told.await.map_err(|_| ErrorKind::UpstreamBroken)
+            told.await.unwrap_or(Err(ErrorKind::UpstreamBroken))
         }
-        KeyDecision::Joined => told.await.map_err(|_| ErrorKind::UpstreamBroken),
+        KeyDecision::Joined => told.await.unwrap_or(Err(ErrorKind::UpstreamBroken)),
         KeyDecision::Replay(answer) => Ok(answer.response()),
         KeyDecision::Refuse(kind) => Err(kind),
         KeyDecision::PassOn { vm, incarnation } => {
@@ -100,15 +103,14 @@
         Ok(attempt) => forward(&outgoing, body, attempt, &entry.connections, &entry.counters).await,
         Err(kind) => Err(kind),
     };
-    let retry_after_s = request.service.lock().retry_after_s();
     match answer {
-        Ok(response) => finish_answered(&entry, &key, first, response).await,
-        Err(kind) => finish_refused(&entry, &key, first, kind, retry_after_s),
+        Ok(response) => finish_answered(&entry, &key, first, response, outgoing.give_up_at(false)).await,
+        Err(kind) => finish_refused(&entry, &key, first, kind),
     }
     entry.keyed_running.fetch_sub(1, Ordering::Relaxed);
 }
 
-fn finish_refused(entry: &Entry, key: &IdempotencyKey, first: Joiner, kind: ErrorKind, retry_after_s: u64) {
+fn finish_refused(entry: &Entry, key: &IdempotencyKey, first: Joiner, kind: ErrorKind) {
     let end = match kind.answer().outcome {
         Outcome::NotRun => KeyEnd::NotRun(kind),
         Outcome::Unknown | Outcome::Answered => KeyEnd::Ran(None),
@@ -116,32 +118,34 @@
     let joiners = entry.keys().finish(key, end);
     for joiner in joiners.into_iter().chain([first]) {
         // A caller that went away needs no answer.
-        let _ = joiner.send(refuse(kind, retry_after_s));
+        let _ = joiner.send(Err(kind));
     }
 }
 
+/// Keeps an answer that is whole by `until` for repeats; a longer one streams to the first caller alone.
 async fn finish_answered(
     entry: &Entry,
     key: &IdempotencyKey,
     first: Joiner,
     response: Response<UpstreamBody>,
+    until: Instant,
 ) {
     let (mut parts, mut body) = response.into_parts();
     mark_answered(&mut parts.headers);
-    let read = read_start(&mut body).await;
-    let (kept, own) = match read {
+    let (kept, own) = match read_start(&mut body, until).await {
         Start::Whole(bytes) => {
             let kept = KeptAnswer { status: parts.status, headers: parts.headers, body: bytes };
             let own = kept.response();
-            (Some(Arc::new(kept)), own)
+            (Some(Arc::new(kept)), Ok(own))
+        }
+        Start::Longer(bytes) => {
+            (None, Ok(Response::from_parts(parts, AnswerBody::Resumed(Some(bytes), body))))
         }
-        Start::Longer(bytes) => (None, Response::from_parts(parts, AnswerBody::Resumed(Some(bytes), body))),
-        Start::Broken => (None, refuse(ErrorKind::UpstreamBroken, 0)),
+        Start::Broken => (None, Err(ErrorKind::UpstreamBroken)),
     };
     let joiners = entry.keys().finish(key, KeyEnd::Ran(kept.clone()));
     for joiner in joiners {
-        let answer =
-            kept.as_ref().map_or_else(|| refuse(ErrorKind::AnswerNotKept, 0), |kept| kept.response());
+        let answer = kept.as_ref().map(|kept| kept.response()).ok_or(ErrorKind::AnswerNotKept);
         let _ = joiner.send(answer);
     }
     let _ = first.send(own);
@@ -153,19 +157,21 @@
     Broken,
 }
 
-/// Reads a body up to the bound for kept answers.
-async fn read_start(body: &mut UpstreamBody) -> Start {
+/// Reads a body up to the bound for kept answers, or until a time.
+async fn read_start(body: &mut UpstreamBody, until: Instant) -> Start {
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else { return Start::Broken };
+    while bytes.len() <= KEPT_ANSWER_LIMIT_BYTES {
+        let frame = match timeout_at(until, body.frame()).await {
+            Err(_) => break,
+            Ok(None) => return Start::Whole(bytes.freeze()),
+            Ok(Some(Err(_))) => return Start::Broken,
+            Ok(Some(Ok(frame))) => frame,
+        };
         if let Ok(data) = frame.into_data() {
             bytes.extend_from_slice(&data);
         }
-        if bytes.len() > KEPT_ANSWER_LIMIT_BYTES {
-            return Start::Longer(bytes.freeze());
-        }
     }
-    Start::Whole(bytes.freeze())
+    Start::Longer(bytes.freeze())
 }
 
 /// Passes a request on to the entry that owns its key; only the owner may run it.
@@ -197,10 +203,10 @@
     let mut connection = connection.map_err(|_| ErrorKind::KeyOwnerGone)?;
     let streams = !body.is_empty();
     let sent = connection.send(outgoing.build(body));
-    let answer = tokio::time::timeout_at(outgoing.give_up_at(streams), sent).await;
+    let answer = timeout_at(outgoing.give_up_at(streams), sent).await;
     // The key may have run before this repeat came, so even an unsent one is unknown here.
     let response = answer.map_err(|_| ErrorKind::UpstreamTimeout)?.map_err(|_| ErrorKind::KeyOwnerGone)?;
     let response = response
         .map(|body| UpstreamBody::new(body, connection, None, pointvane_balance::AttemptEnd::Answered));
-    Ok(crate::answer::pass(response))
+    Ok(relay(response))
 }
--- a/crates/pointvane-mesh/src/load.rs
+++ b/crates/pointvane-mesh/src/load.rs
@@ -27,8 +27,6 @@
 pub struct ServiceLoad {
     /// Position of the service in the configuration.
     pub position: u16,
-    /// Urgent requests that wait at the sender.
-    pub urgent_waiting: u16,
     /// What is told of its upstreams.
     pub observations: Vec<Observation>,
 }
--- a/crates/pointvane-mesh/tests/messages.rs
+++ b/crates/pointvane-mesh/tests/messages.rs
@@ -59,7 +59,7 @@
 
 fn datagram(incarnation: u64, sequence: u64) -> Vec<u8> {
     let observations = vec![Observation { position: 3, requests: 4, leaving: false, age_ms: 5 }];
-    let services = vec![ServiceLoad { position: 0, urgent_waiting: 0, observations }];
+    let services = vec![ServiceLoad { position: 0, observations }];
     let incarnation = Incarnation(incarnation);
     codec::encode(&LoadDatagram { incarnation, sequence, revision: 1, requests: 9, services }).unwrap()
 }
@@ -92,8 +92,7 @@
                 continue;
             }
             let observation = Observation { position: 300, requests: 400, leaving: false, age_ms: 500 };
-            let services =
-                vec![ServiceLoad { position: 1, urgent_waiting: 0, observations: vec![observation; 12] }];
+            let services = vec![ServiceLoad { position: 1, observations: vec![observation; 12] }];
             let datagram = sender.next_datagram(1, 9, services, round, now_us).unwrap();
             bytes += (round * (datagram.len() + codec::UDP_HEAD_BYTES)) as u64;
         }
--- a/standins/src/bin/measure/choosing.rs
+++ b/standins/src/bin/measure/choosing.rs
@@ -277,9 +277,7 @@
 }
 
 fn row(way: Way, runs: &[Run]) -> Vec<String> {
-    let over = |value: &dyn Fn(&Run) -> f64, digits| spread(runs.iter().map(value).collect(), digits);
-    let percentile =
-        |kind: &'static str, p: f64| over(&|run: &Run| run.report.kind(kind).percentile_ms(p), 1);
+    let percentile = |run: &Run, kind, p| run.report.kind(kind).percentile_ms(p);
     let whole = |run: &Run| {
         let (whole, calls) = (run.report.sum(|kind| kind.whole), run.report.sum(|kind| kind.calls));
         100.0 * whole as f64 / calls as f64
@@ -287,17 +285,21 @@
     let errors = |run: &Run| run.report.sum(|k| k.cut + k.wrong + k.unknown + k.error_answers) as f64;
     vec![
         way.name().into(),
-        percentile("urgent", 99.0),
-        percentile("lookup", 50.0),
-        percentile("lookup", 99.0),
-        percentile("lookup", 99.9),
-        over(&whole, 2),
-        over(&|run: &Run| run.report.kind("lookup").whole as f64 / run.time_s, 0),
-        over(&errors, 0),
-        over(&|run: &Run| run.probes, 0),
-        over(&|run: &Run| 100.0 * run.probe_slot_share, 4),
-        over(&|run: &Run| run.control_bytes_per_s, 0),
-        over(&|run: &Run| 100.0 * run.cpu_share, 1),
-        over(&|run: &Run| run.memory_mb, 0),
+        over(runs, 1, |run| percentile(run, "urgent", 99.0)),
+        over(runs, 1, |run| percentile(run, "lookup", 50.0)),
+        over(runs, 1, |run| percentile(run, "lookup", 99.0)),
+        over(runs, 1, |run| percentile(run, "lookup", 99.9)),
+        over(runs, 2, whole),
+        over(runs, 0, |run| run.report.kind("lookup").whole as f64 / run.time_s),
+        over(runs, 0, errors),
+        over(runs, 0, |run| run.probes),
+        over(runs, 4, |run| 100.0 * run.probe_slot_share),
+        over(runs, 0, |run| run.control_bytes_per_s),
+        over(runs, 1, |run| 100.0 * run.cpu_share),
+        over(runs, 0, |run| run.memory_mb),
     ]
 }
+
+fn over(runs: &[Run], digits: usize, value: impl Fn(&Run) -> f64) -> String {
+    spread(runs.iter().map(value).collect(), digits)
+}
--- a/standins/tests/data_path.rs
+++ b/standins/tests/data_path.rs
@@ -165,6 +165,32 @@
     expect_that!(get(&deployment, "/dispatch/call?work_ms=1").status, eq(200));
 }
 
+#[gtest]
+fn an_overload_is_refused_at_once_and_told_on_the_time_line() {
+    let deployment = deploy(1, 1, "[admission]\nqueue_share = 0\nqueue_max = 1\n");
+    let entry = deployment.vms[0].entry();
+    // The first request waits for the upstream's probe.
+    expect_that!(get(&deployment, "/dispatch/call?work_ms=1").status, eq(200));
+    let text = request("GET", "/dispatch/call?work_ms=1500", &[], "");
+    let calls: Vec<_> = (0..20)
+        .map(|_| {
+            let text = text.clone();
+            std::thread::spawn(move || call(entry, &text))
+        })
+        .collect();
+    let answers: Vec<_> = calls.into_iter().map(|call| call.join().unwrap()).collect();
+    let refused: Vec<_> = answers.iter().filter(|answer| answer.status == 503).collect();
+    expect_that!(refused.len(), eq(13));
+    for answer in refused {
+        expect_that!(answer.header("pointvane-error"), some(eq("overloaded")));
+        expect_that!(answer.header("retry-after").and_then(|value| value.parse::<u32>().ok()), some(ge(1)));
+    }
+    let operator = deployment.vms[0].operator(Program::Entry);
+    let told = |kind: &str| deployment.admin.text(operator, "/events").unwrap().contains(kind);
+    wait("the overload", || told("overload-began")).unwrap();
+    wait("its end", || told("overload-ended")).unwrap();
+}
+
 #[gtest]
 fn a_passed_deadline_is_told_apart_from_an_unknown_outcome() {
     let deployment = deploy(1, 1, "");
