The end of an attempt counts ejected upstreams only after a failure

Cause: finish counted ejected and staying upstreams over the whole service for every answer. Ruled out: the draws and scores, which do not grow with the number of upstreams. The decisions' tests pass.

--- a/crates/pointvane-balance/src/service/result.rs
+++ b/crates/pointvane-balance/src/service/result.rs
@@ -40,15 +40,14 @@
     /// Takes the end of an attempt.
     pub fn finish(&mut self, result: &AttemptResult, now_us: u64) {
         self.own = self.own.saturating_sub(1);
-        let ejected = self.ejected_count(now_us);
-        let staying = self.staying_count();
+        // Counted over all upstreams, so only where it matters.
+        let floor_allows = result.end == AttemptEnd::Failed && self.may_eject(now_us);
         let state = &mut self.upstreams[result.upstream];
         state.own = state.own.saturating_sub(1);
         state.health.settle(now_us, &self.service.ejection);
         match result.end {
             AttemptEnd::Answered => self.answered(result, now_us),
             AttemptEnd::Failed => {
-                let floor_allows = (ejected + 1) as f64 <= self.service.ejection.share_max * staying as f64;
                 if state.health.failed(&self.service.ejection) && floor_allows {
                     state.health.eject(now_us, &self.service.ejection);
                 }
@@ -97,6 +96,12 @@
         }
     }
 
+    /// Whether one more ejection leaves the floor.
+    fn may_eject(&self, now_us: u64) -> bool {
+        let ejected = self.ejected_count(now_us) + 1;
+        ejected as f64 <= self.service.ejection.share_max * self.staying_count() as f64
+    }
+
     pub(super) fn ejected_count(&self, now_us: u64) -> usize {
         let in_place = self.upstreams.iter().zip(&self.records).filter(|(_, record)| !record.retired);
         in_place.filter(|(state, _)| state.health.ejected(now_us)).count()
