--- a/crates/pointvane-core/src/lib.rs
+++ b/crates/pointvane-core/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod deployment;
 mod error;
 mod identity;
 mod key;
@@ -12,6 +13,11 @@
 mod traits;
 
 pub use {
+    deployment::{
+        CallerLimits, Change, ChangePage, DirectoryQuestion, HeaderNames, MalformedReply, PlatformAdapter,
+        RefusedItem, RouteKind, RouteRule, RoutingConfiguration, ServiceRule, UpstreamLoad, UpstreamRecord,
+        WeightedService,
+    },
     error::{AnswerRow, ErrorKind, Outcome},
     identity::{Incarnation, Name, VmIdentity, VmState},
     key::{IdempotencyKey, KeyError},
--- /dev/null
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -0,0 +1,24 @@
+//! Decisions of a node, free of I/O, threads, clocks and ambient randomness: events and the time come in,
+//! decisions go out, randomness is seeded.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod budget;
+mod directory;
+mod feed;
+mod latency;
+mod outcome;
+mod pool;
+mod routes;
+mod upstream;
+
+pub use {
+    budget::{RetryBudget, RetryBudgetOptions, TokenBucket},
+    directory::{DirectoryMember, directory_addresses},
+    feed::{CallFailure, Feed, FeedCall, FeedOptions},
+    latency::LatencyQuantile,
+    outcome::{AttemptOutcome, Refusal, Verdict, judge},
+    pool::{Pool, PoolOptions, UpstreamKey},
+    routes::{RouteTable, RoutedRequest},
+    upstream::{LoadSample, UpstreamState},
+};
--- /dev/null
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -0,0 +1,195 @@
+//! All upstreams a node knows, and which of them a request should go to.
+
+use {
+    crate::upstream::UpstreamState,
+    pointvane_core::{Name, UpstreamLoad, UpstreamRecord},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::collections::{BTreeMap, HashMap},
+};
+
+/// One upstream of a pool, for as long as the pool lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UpstreamKey(u64);
+
+/// Rules of choosing.
+#[derive(Clone, Debug)]
+pub struct PoolOptions {
+    /// Most that the cost of an upstream may be to count as good, in multiples of the usual time.
+    pub good_cost: f32,
+    /// Age up to which a word on load is as good as a new one, in microseconds.
+    pub fresh_us: u64,
+    /// Factor on the cost of upstreams in other data centres.
+    pub far_factor: f32,
+    /// Size of the random part of a cost, so that nodes don't all choose the same upstream.
+    pub jitter: f32,
+}
+
+impl Default for PoolOptions {
+    fn default() -> Self {
+        Self { good_cost: 1.3, fresh_us: 15_000, far_factor: 1.08, jitter: 0.1 }
+    }
+}
+
+/// Weight of the newest word in the mean pace of a service.
+const PACE_WEIGHT: f32 = 0.02;
+const PERCENT: f32 = 100.0;
+/// Mean pace before anything was heard.
+const PACE_FIRST: f32 = 2.0;
+
+/// All upstreams a node knows.
+#[derive(Debug)]
+pub struct Pool {
+    options: PoolOptions,
+    data_centre: Name,
+    next_key: u64,
+    upstreams: BTreeMap<UpstreamKey, UpstreamState>,
+    by_id: HashMap<Name, UpstreamKey>,
+    by_service: HashMap<Name, Vec<UpstreamKey>>,
+    pace_usual: HashMap<Name, f32>,
+    /// Last word of upstreams that are gone, so that a late older word doesn't bring one back.
+    last_words: HashMap<Name, u64>,
+    rng: SmallRng,
+}
+
+/// Upstreams that are gone whose last words are remembered.
+const LAST_WORDS_MAX: usize = 1_024;
+
+impl Pool {
+    /// A pool that knows no upstream yet, of a node in `data_centre`.
+    pub fn new(options: PoolOptions, data_centre: Name, seed: u64) -> Self {
+        Self {
+            options,
+            data_centre,
+            next_key: 0,
+            upstreams: BTreeMap::new(),
+            by_id: HashMap::new(),
+            by_service: HashMap::new(),
+            pace_usual: HashMap::new(),
+            last_words: HashMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes the platform's word on an upstream.
+    pub fn put(&mut self, record: UpstreamRecord, now_us: u64) {
+        if let Some(state) = self.by_id.get(&record.id).and_then(|key| self.upstreams.get_mut(key)) {
+            if record.sequence < state.record.sequence {
+                return;
+            }
+            if state.record.service == record.service && state.record.address == record.address {
+                return state.update(record, now_us);
+            }
+            let id = record.id.clone();
+            self.remove(&id);
+        }
+        if self.last_words.get(&record.id).is_some_and(|last| record.sequence <= *last) {
+            return;
+        }
+        let key = UpstreamKey(self.next_key);
+        self.next_key += 1;
+        self.by_id.insert(record.id.clone(), key);
+        self.by_service.entry(record.service.clone()).or_default().push(key);
+        self.upstreams.insert(key, UpstreamState::new(record, now_us));
+    }
+
+    /// Forgets an upstream; false if it was not known.
+    pub fn remove(&mut self, id: &Name) -> bool {
+        let Some(key) = self.by_id.remove(id) else {
+            return false;
+        };
+        if let Some(state) = self.upstreams.remove(&key) {
+            if self.last_words.len() >= LAST_WORDS_MAX {
+                self.last_words.clear();
+            }
+            self.last_words.insert(id.clone(), state.record.sequence);
+            if let Some(keys) = self.by_service.get_mut(&state.record.service) {
+                keys.retain(|other| *other != key);
+            }
+        }
+        true
+    }
+
+    /// Identities of all upstreams.
+    pub fn ids(&self) -> impl Iterator<Item = &Name> {
+        self.by_id.keys()
+    }
+
+    /// Number of upstreams.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
+    /// What is believed of an upstream; none once it is forgotten.
+    pub fn get(&self, key: UpstreamKey) -> Option<&UpstreamState> {
+        self.upstreams.get(&key)
+    }
+
+    /// The same, to note something of it.
+    pub fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut UpstreamState> {
+        self.upstreams.get_mut(&key)
+    }
+
+    /// Takes an upstream's word on its load.
+    pub fn hear(&mut self, key: UpstreamKey, load: UpstreamLoad, now_us: u64) {
+        let Some(state) = self.upstreams.get_mut(&key) else {
+            return;
+        };
+        state.hear(load, now_us);
+        let usual = self.pace_usual.entry(state.record.service.clone()).or_insert(PACE_FIRST);
+        *usual += (load.pace_percent as f32 / PERCENT - *usual) * PACE_WEIGHT;
+    }
+
+    /// Upstreams of a service that may get work, the most promising first.
+    ///
+    /// Those set aside come only when there are no others.
+    pub fn candidates(
+        &mut self,
+        service: &Name,
+        tried: &[UpstreamKey],
+        count: usize,
+        now_us: u64,
+    ) -> Vec<UpstreamKey> {
+        let Some(keys) = self.by_service.get(service) else {
+            return Vec::new();
+        };
+        let able = keys.iter().copied().filter(|key| {
+            !tried.contains(key) && self.upstreams.get(key).is_some_and(UpstreamState::takes_work)
+        });
+        let (aside, sound): (Vec<_>, Vec<_>) = able.partition(|key| self.upstreams[key].is_ejected(now_us));
+        let usable = if sound.is_empty() { aside } else { sound };
+        let jitter = self.options.jitter;
+        let mut ranked: Vec<(f32, UpstreamKey)> = Vec::with_capacity(usable.len());
+        for key in usable {
+            let factor = 1.0 + jitter * self.rng.random::<f32>();
+            ranked.push((self.cost(key, now_us) * factor, key));
+        }
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+        ranked.into_iter().take(count).map(|(_, key)| key).collect()
+    }
+
+    /// How many times the usual time a request sent there now is expected to take.
+    pub fn cost(&self, key: UpstreamKey, now_us: u64) -> f32 {
+        let Some(state) = self.upstreams.get(&key) else {
+            return f32::INFINITY;
+        };
+        let usual = self.pace_usual.get(&state.record.service).copied().unwrap_or(PACE_FIRST);
+        let near = state.record.data_centre == self.data_centre;
+        state.cost(usual, now_us) * if near { 1.0 } else { self.options.far_factor }
+    }
+
+    /// Whether its last word is new and says that it works at once and at the usual pace.
+    pub fn is_good(&self, key: UpstreamKey, now_us: u64) -> bool {
+        let Some(state) = self.upstreams.get(&key) else {
+            return false;
+        };
+        let fresh = state
+            .sample()
+            .is_some_and(|sample| now_us.saturating_sub(sample.heard_at_us) <= self.options.fresh_us);
+        fresh && self.cost(key, now_us) <= self.options.good_cost
+    }
+}
--- /dev/null
+++ b/crates/pointvane-node/src/answer.rs
@@ -0,0 +1,51 @@
+//! Answers in an upstream's place, by the table of error kinds.
+
+use {
+    crate::body::RelayBody,
+    bytes::Bytes,
+    hyper::{
+        Response, StatusCode,
+        header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    },
+    pointvane_core::ErrorKind,
+};
+
+/// Seconds after which a refused caller is told to come back.
+const RETRY_AFTER_S: &str = "0.25";
+
+/// A request that the system itself answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Why.
+    pub kind: ErrorKind,
+    /// The status, where it is not the table's.
+    pub status: Option<StatusCode>,
+}
+
+impl From<ErrorKind> for Refused {
+    fn from(kind: ErrorKind) -> Self {
+        Self { kind, status: None }
+    }
+}
+
+/// The answer to a refused request.
+pub fn refusal(refused: Refused) -> Response<RelayBody> {
+    let row = refused.kind.answer();
+    let text = format!("{}\n", row.name);
+    let mut response = Response::new(RelayBody::whole(Bytes::from(text)));
+    let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.status_mut() = refused.status.unwrap_or(status);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if row.retry_after {
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+    }
+    response
+}
+
+/// An answer of few words, for readiness and the directory.
+pub fn short(status: StatusCode, content_type: &'static str, text: String) -> Response<RelayBody> {
+    let mut response = Response::new(RelayBody::whole(Bytes::from(text)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
--- /dev/null
+++ b/crates/pointvane-node/src/attempt.rs
@@ -0,0 +1,256 @@
+//! One attempt of a request: choose an upstream, send, read the answer.
+
+use {
+    crate::{
+        body::{Gathered, RelayBody, gather},
+        connections::SendError,
+        node::Node,
+        probe::choose,
+    },
+    bytes::Bytes,
+    hyper::{
+        HeaderMap, Method, Request, Response, StatusCode, Uri,
+        body::Incoming,
+        header::{
+            CONNECTION, HeaderName, HeaderValue, PROXY_AUTHENTICATE, TE, TRAILER,
+            TRANSFER_ENCODING, UPGRADE,
+        },
+    },
+    pointvane_core::{PlatformAdapter, US_PER_MS},
+    pointvane_dispatch::{AttemptOutcome, Refusal, RoutedRequest, UpstreamKey},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+    },
+};
+
+/// Bytes of an answer that are gathered before any is passed on, so that one that breaks off early can be asked for
+/// again.
+const ANSWER_GATHERED_BYTES: usize = 64 << 10;
+/// Headers that concern one connection only.
+static HOP_HEADERS: [HeaderName; 7] =
+    [CONNECTION, HeaderName::from_static("keep-alive"), PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+
+/// A caller's request, with what its attempts share.
+#[derive(Debug)]
+pub struct CallerRequest {
+    /// Where it goes.
+    pub routed: RoutedRequest,
+    /// Its method.
+    pub method: Method,
+    /// Its target.
+    pub uri: Uri,
+    /// Its headers, without those of one connection only.
+    pub headers: HeaderMap,
+    /// Its body, if it is whole.
+    pub body: Option<Bytes>,
+    /// The first part and the rest of a body that is not; taken by the first attempt.
+    pub stream: RefCell<Option<Gathered>>,
+    /// When it must be answered, on the steady clock.
+    pub give_up_at_us: u64,
+    /// Upstreams that it was sent to, or is about to be.
+    pub tried: RefCell<Vec<UpstreamKey>>,
+    /// Attempts that may have arrived at an upstream.
+    pub arrivals: Cell<u32>,
+}
+
+/// An upstream's answer.
+#[derive(Debug)]
+pub struct UpstreamAnswer {
+    /// The answer, ready for the caller.
+    pub response: Response<RelayBody>,
+    /// Whether its status tells an error.
+    pub failed: bool,
+}
+
+/// The end of an attempt.
+#[derive(Debug)]
+pub struct AttemptEnd {
+    /// How it ended.
+    pub outcome: AttemptOutcome,
+    /// The answer, if there is one.
+    pub answer: Option<UpstreamAnswer>,
+    /// The upstream; none if there was none to choose.
+    pub upstream: Option<UpstreamKey>,
+}
+
+impl AttemptEnd {
+    fn new(outcome: AttemptOutcome, upstream: Option<UpstreamKey>) -> Self {
+        Self { outcome, answer: None, upstream }
+    }
+}
+
+/// Counts a request at its upstream for as long as it lives.
+struct InFlight<A: PlatformAdapter> {
+    node: Rc<Node<A>>,
+    key: UpstreamKey,
+}
+
+impl<A: PlatformAdapter> InFlight<A> {
+    fn new(node: &Rc<Node<A>>, key: UpstreamKey) -> Self {
+        if let Some(state) = node.pool.borrow_mut().get_mut(key) {
+            state.sent();
+        }
+        Self { node: Rc::clone(node), key }
+    }
+}
+
+impl<A: PlatformAdapter> Drop for InFlight<A> {
+    fn drop(&mut self) {
+        if let Some(state) = self.node.pool.borrow_mut().get_mut(self.key) {
+            state.done();
+        }
+    }
+}
+
+/// Makes one attempt.
+pub async fn attempt<A: PlatformAdapter + 'static>(
+    node: Rc<Node<A>>,
+    request: Rc<CallerRequest>,
+) -> AttemptEnd {
+    let tried = request.tried.borrow().clone();
+    let Some(key) = choose(&node, &request.routed.service, &tried).await else {
+        return AttemptEnd::new(AttemptOutcome::Unsent, None);
+    };
+    request.tried.borrow_mut().push(key);
+    let in_flight = InFlight::new(&node, key);
+    let end = exchange(&node, &request, key).await;
+    drop(in_flight);
+    note(&node, &end, key);
+    end
+}
+
+/// Notes what the end says of the upstream.
+fn note<A: PlatformAdapter>(node: &Node<A>, end: &AttemptEnd, key: UpstreamKey) {
+    let now_us = node.now_us();
+    let mut pool = node.pool.borrow_mut();
+    let Some(state) = pool.get_mut(key) else { return };
+    match end.outcome {
+        AttemptOutcome::Answered { failed: false } => state.succeeded(),
+        AttemptOutcome::NotRun(Refusal::Misdirected) => _ = state.eject(now_us),
+        AttemptOutcome::NotRun(_) => {}
+        AttemptOutcome::Answered { failed: true }
+        | AttemptOutcome::Unsent
+        | AttemptOutcome::Broken
+        | AttemptOutcome::TimedOut => _ = state.failed(now_us),
+    }
+}
+
+async fn exchange<A: PlatformAdapter>(
+    node: &Rc<Node<A>>,
+    request: &CallerRequest,
+    key: UpstreamKey,
+) -> AttemptEnd {
+    let end = |outcome| AttemptEnd::new(outcome, Some(key));
+    let Some(address) = node.pool.borrow().get(key).map(|state| state.address()) else {
+        return end(AttemptOutcome::Unsent);
+    };
+    let Ok(mut connection) = node.connections.get(address).await else {
+        return end(AttemptOutcome::Unsent);
+    };
+    // Read again right before the first byte goes out: this process may have been paused meanwhile.
+    let now_us = node.now_us();
+    if request.give_up_at_us <= now_us {
+        return end(AttemptOutcome::TimedOut);
+    }
+    let Some(outgoing) = outgoing(node, request, key, now_us) else {
+        return end(AttemptOutcome::Unsent);
+    };
+    request.arrivals.set(request.arrivals.get() + 1);
+    let whole = request.body.is_some();
+    let (head, body) = match connection.send(outgoing).await {
+        Ok(response) => response.into_parts(),
+        Err(SendError::Unsent) if whole => {
+            request.arrivals.set(request.arrivals.get() - 1);
+            return end(AttemptOutcome::Unsent);
+        }
+        Err(_) => return end(AttemptOutcome::Broken),
+    };
+    hear_load(node, key, &head.headers);
+    let id = &node.headers.request_id;
+    if head.headers.get(id) != request.headers.get(id) {
+        return end(AttemptOutcome::Broken);
+    }
+    if head.headers.contains_key(&node.headers.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST {
+        if whole && let Ok(Gathered { rest: None, .. }) = gather(body, ANSWER_GATHERED_BYTES).await {
+            connection.keep();
+        }
+        return end(AttemptOutcome::NotRun(refusal(head.status)));
+    }
+    let Ok(gathered) = gather(body, ANSWER_GATHERED_BYTES).await else {
+        return end(AttemptOutcome::Broken);
+    };
+    let response = match gathered.rest {
+        None => {
+            if whole {
+                connection.keep();
+            }
+            RelayBody::whole(gathered.bytes)
+        }
+        Some(_) => RelayBody::streamed(gathered, Some(connection)),
+    };
+    let failed = head.status.is_server_error();
+    let mut response = Response::from_parts(head, response);
+    strip_hop_headers(response.headers_mut());
+    let answer = Some(UpstreamAnswer { response, failed });
+    AttemptEnd { outcome: AttemptOutcome::Answered { failed }, answer, upstream: Some(key) }
+}
+
+fn hear_load<A: PlatformAdapter>(node: &Node<A>, key: UpstreamKey, headers: &HeaderMap) {
+    let told = headers.get(&node.headers.load).and_then(|told| told.to_str().ok());
+    if let Some(load) = told.and_then(|told| node.adapter.load(told)) {
+        node.pool.borrow_mut().hear(key, load, node.now_us());
+    }
+}
+
+fn refusal(status: StatusCode) -> Refusal {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Refusal::Busy,
+        StatusCode::MISDIRECTED_REQUEST => Refusal::Misdirected,
+        _ => Refusal::Other,
+    }
+}
+
+/// The request as it goes to an upstream; none when its body is gone.
+fn outgoing<A: PlatformAdapter>(
+    node: &Node<A>,
+    request: &CallerRequest,
+    key: UpstreamKey,
+    now_us: u64,
+) -> Option<Request<RelayBody>> {
+    let body = match &request.body {
+        Some(bytes) => RelayBody::whole(bytes.clone()),
+        None => RelayBody::streamed(request.stream.borrow_mut().take()?, None),
+    };
+    let mut outgoing = Request::new(body);
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.uri.clone();
+    let headers = outgoing.headers_mut();
+    headers.clone_from(&request.headers);
+    let left_ms = request.give_up_at_us.saturating_sub(now_us) / US_PER_MS;
+    headers.insert(node.headers.deadline_ms.clone(), HeaderValue::from(left_ms.max(1)));
+    let pool = node.pool.borrow();
+    let id = HeaderValue::from_str(pool.get(key)?.id().as_str()).ok()?;
+    headers.insert(node.headers.expect_upstream.clone(), id);
+    Some(outgoing)
+}
+
+/// Takes out the headers that concern one connection only.
+pub fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// The body of a request that goes on arriving.
+pub fn is_streamed(body: &Gathered) -> bool {
+    let rest: &Option<Incoming> = &body.rest;
+    rest.is_some()
+}
--- /dev/null
+++ b/crates/pointvane-node/src/directory.rs
@@ -0,0 +1,38 @@
+//! Readiness, and the directory that tells callers which nodes to use.
+
+use {
+    crate::{answer::short, body::RelayBody, node::Node},
+    hyper::{Request, Response, StatusCode, body::Incoming},
+    pointvane_core::PlatformAdapter,
+    pointvane_dispatch::directory_addresses,
+    std::{convert::Infallible, rc::Rc},
+};
+
+const TEXT: &str = "text/plain";
+const JSON: &str = "application/json";
+
+/// Says whether callers may be sent here.
+pub async fn readiness<A: PlatformAdapter>(
+    node: Rc<Node<A>>,
+    _request: Request<Incoming>,
+) -> Result<Response<RelayBody>, Infallible> {
+    let status = if node.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    Ok(short(status, TEXT, String::new()))
+}
+
+/// Tells a caller which nodes to use.
+pub async fn directory<A: PlatformAdapter>(
+    node: Rc<Node<A>>,
+    request: Request<Incoming>,
+) -> Result<Response<RelayBody>, Infallible> {
+    let query = request.uri().query().unwrap_or_default();
+    let Some(question) = node.adapter.directory_question(request.uri().path(), query) else {
+        return Ok(short(StatusCode::NOT_FOUND, TEXT, String::new()));
+    };
+    let addresses = directory_addresses(&node.directory_members(), question.data_centre.as_ref());
+    if addresses.is_empty() {
+        return Ok(short(StatusCode::SERVICE_UNAVAILABLE, TEXT, String::new()));
+    }
+    let keep_s = node.settings.borrow().limits.directory_keep_s;
+    Ok(short(StatusCode::OK, JSON, node.adapter.directory_answer(&addresses, keep_s)))
+}
--- /dev/null
+++ b/crates/pointvane-node/src/feed.rs
@@ -0,0 +1,140 @@
+//! Reading of the platform, as `pointvane-dispatch` decides.
+
+use {
+    crate::{
+        body::{RelayBody, gather},
+        node::Node,
+        socket,
+    },
+    bytes::Bytes,
+    hyper::{
+        Request, StatusCode,
+        client::conn::http1::{self, SendRequest},
+        header::HOST,
+    },
+    hyper_util::rt::TokioIo,
+    pointvane_core::PlatformAdapter,
+    pointvane_dispatch::{CallFailure, FeedCall},
+    slog::{info, warn},
+    std::{rc::Rc, time::Duration},
+    tokio::{
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+const CONNECT_PATIENCE: Duration = Duration::from_millis(700);
+/// Longest wait for an answer that is not a watch's.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Time beyond its wait after which a watch counts as dead.
+const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// Largest answer that is read, in bytes.
+const ANSWER_MAX_BYTES: usize = 8 << 20;
+
+/// Reads the platform for as long as the process lives.
+pub async fn read<A: PlatformAdapter>(node: Rc<Node<A>>) {
+    let mut store = Store { node: Rc::clone(&node), connection: None };
+    loop {
+        let call = node.feed.borrow_mut().next(node.now_us());
+        let lost_before = node.feed.borrow().is_lost();
+        match call {
+            FeedCall::Rest { until_us } => {
+                sleep(Duration::from_micros(until_us.saturating_sub(node.now_us()))).await;
+                continue;
+            }
+            FeedCall::Snapshot { next_page } => store.snapshot(next_page.as_deref()).await,
+            FeedCall::Watch { after, wait_ms } => store.watch(after, wait_ms).await,
+        }
+        match (lost_before, node.feed.borrow().is_lost()) {
+            (false, true) => warn!(node.log, "platform-lost"; "revision" => node.feed.borrow().revision()),
+            (true, false) => info!(node.log, "platform-back"; "revision" => node.feed.borrow().revision()),
+            _ => {}
+        }
+    }
+}
+
+struct Store<A> {
+    node: Rc<Node<A>>,
+    connection: Option<SendRequest<RelayBody>>,
+}
+
+impl<A: PlatformAdapter> Store<A> {
+    async fn snapshot(&mut self, next_page: Option<&str>) {
+        let target = self.node.adapter.snapshot_target(next_page);
+        let node = Rc::clone(&self.node);
+        let page = self.call(&target, ANSWER_PATIENCE).await;
+        let page = page.and_then(|body| node.adapter.snapshot(&body).map_err(|_| CallFailure::Malformed));
+        match page {
+            Ok(page) => {
+                node.refuse_items(&page.refused);
+                let changes = {
+                    let pool = node.pool.borrow();
+                    node.feed.borrow_mut().read(page, pool.ids(), node.now_us())
+                };
+                node.apply(changes);
+            }
+            Err(failure) => self.failed(failure),
+        }
+    }
+
+    async fn watch(&mut self, after: u64, wait_ms: u64) {
+        let target = self.node.adapter.watch_target(after, wait_ms);
+        let node = Rc::clone(&self.node);
+        let patience = Duration::from_millis(wait_ms) + WATCH_SLACK;
+        let called = tokio::select! {
+            called = self.call(&target, patience) => called,
+            () = node.overdue() => {
+                info!(node.log, "platform-behind"; "revision" => after);
+                self.connection = None;
+                return;
+            }
+        };
+        let page = called.and_then(|body| node.adapter.changes(&body).map_err(|_| CallFailure::Malformed));
+        match page {
+            Ok(page) => {
+                node.refuse_items(&page.refused);
+                let changes = node.feed.borrow_mut().watched(page, node.now_us());
+                node.apply(changes);
+            }
+            Err(failure) => self.failed(failure),
+        }
+    }
+
+    fn failed(&mut self, failure: CallFailure) {
+        // A connection on which an answer is lost says nothing more.
+        self.connection = None;
+        self.node.feed.borrow_mut().failed(failure, self.node.now_us());
+    }
+
+    async fn call(&mut self, target: &str, patience: Duration) -> Result<Bytes, CallFailure> {
+        let address = self.node.settings.borrow().platform;
+        let mut sender = match self.connection.take() {
+            Some(sender) if sender.is_ready() => sender,
+            _ => {
+                let stream =
+                    socket::connect(address, CONNECT_PATIENCE).await.map_err(|_| CallFailure::Unavailable)?;
+                let opened = http1::handshake(TokioIo::new(stream)).await;
+                let (sender, driver) = opened.map_err(|_| CallFailure::Unavailable)?;
+                spawn_local(driver);
+                sender
+            }
+        };
+        let request = Request::get(target).header(HOST, address.to_string());
+        let request = request.body(RelayBody::whole(Bytes::new())).map_err(|_| CallFailure::Malformed)?;
+        let exchange = async {
+            let (head, body) = sender.send_request(request).await?.into_parts();
+            Ok::<_, hyper::Error>((head.status, gather(body, ANSWER_MAX_BYTES).await?))
+        };
+        let answer = timeout(patience, exchange).await.map_err(|_| CallFailure::Unavailable)?;
+        let (status, gathered) = answer.map_err(|_| CallFailure::Unavailable)?;
+        if gathered.rest.is_some() {
+            return Err(CallFailure::Malformed);
+        }
+        self.connection = Some(sender);
+        match status {
+            StatusCode::OK => Ok(gathered.bytes),
+            StatusCode::GONE => Err(CallFailure::HistoryGone),
+            _ => Err(CallFailure::Unavailable),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pointvane-node/src/forward.rs
@@ -0,0 +1,204 @@
+//! From a routed request to its final answer: attempts, repeats, second attempts of slow work, giving up.
+
+use {
+    crate::{
+        answer::{self, Refused},
+        attempt::{AttemptEnd, CallerRequest, UpstreamAnswer, attempt},
+        body::RelayBody,
+        node::Node,
+    },
+    hyper::{Response, StatusCode},
+    pointvane_core::{ErrorKind, PlatformAdapter, US_PER_MS},
+    pointvane_dispatch::{AttemptOutcome, Verdict, judge},
+    std::{rc::Rc, time::Duration},
+    tokio::{
+        task::JoinSet,
+        time::{Instant, sleep_until},
+    },
+};
+
+/// Attempts that could not be sent, beyond which a request is given up.
+const UNSENT_MAX: u32 = 4;
+
+/// The attempts of one request.
+struct Attempts<A> {
+    node: Rc<Node<A>>,
+    request: Rc<CallerRequest>,
+    running: JoinSet<AttemptEnd>,
+    may_have_run: bool,
+    unsent: u32,
+    /// The best answer so far, kept in case no better one comes.
+    held: Option<UpstreamAnswer>,
+}
+
+/// Forwards a request and gives its final answer.
+pub async fn forward<A: PlatformAdapter + 'static>(
+    node: Rc<Node<A>>,
+    request: Rc<CallerRequest>,
+) -> Result<Response<RelayBody>, Refused> {
+    let started_at_us = node.now_us();
+    node.earn_retry(&request.routed.service);
+    let (hedge_at, give_up_at) = times(&node, &request, started_at_us);
+    let mut hedge_at = hedge_at;
+    let mut attempts = Attempts {
+        node: Rc::clone(&node),
+        request: Rc::clone(&request),
+        running: JoinSet::new(),
+        may_have_run: false,
+        unsent: 0,
+        held: None,
+    };
+    attempts.start();
+    loop {
+        tokio::select! {
+            ended = attempts.running.join_next() => {
+                let Some(Ok(end)) = ended else {
+                    return Err(ErrorKind::UpstreamBroken.into());
+                };
+                if let Some(finished) = attempts.ended(end) {
+                    note_time(&node, &request, started_at_us, &finished);
+                    return finished;
+                }
+            }
+            () = sleep_until(hedge_at.unwrap_or(give_up_at)), if hedge_at.is_some() => {
+                hedge_at = None;
+                attempts.hedge();
+            }
+            () = sleep_until(give_up_at) => return attempts.give_up(ErrorKind::UpstreamTimeout),
+        }
+    }
+}
+
+/// When a second attempt is considered, if ever, and when the request is given up.
+fn times<A: PlatformAdapter>(
+    node: &Node<A>,
+    request: &CallerRequest,
+    now_us: u64,
+) -> (Option<Instant>, Instant) {
+    let now = Instant::now();
+    let route = &request.routed.route;
+    let give_up_at = now + Duration::from_micros(request.give_up_at_us.saturating_sub(now_us));
+    let hedge_after_ms = node.hedge_after_ms(&route.name, route.target_latency_ms as f64);
+    let hedge_at = now + Duration::from_secs_f64(hedge_after_ms / 1e3);
+    (route.kind.repeatable().then_some(hedge_at).filter(|at| *at < give_up_at), give_up_at)
+}
+
+fn note_time<A: PlatformAdapter>(
+    node: &Node<A>,
+    request: &CallerRequest,
+    started_at_us: u64,
+    finished: &Result<Response<RelayBody>, Refused>,
+) {
+    if finished.as_ref().is_ok_and(|response| response.status().is_success()) {
+        let route = &request.routed.route;
+        let time_ms = node.now_us().saturating_sub(started_at_us) as f64 / US_PER_MS as f64;
+        node.note_time(&route.name, time_ms, route.target_latency_ms as f64);
+    }
+}
+
+impl<A: PlatformAdapter + 'static> Attempts<A> {
+    fn start(&mut self) {
+        self.running.spawn_local(attempt(Rc::clone(&self.node), Rc::clone(&self.request)));
+    }
+
+    fn attempts_left(&self) -> bool {
+        let sent = self.request.arrivals.get();
+        sent < self.request.routed.route.attempts_max
+            && self.unsent < UNSENT_MAX
+            && self.request.body.is_some()
+    }
+
+    /// Starts a second attempt of slow work, if the route and the fleet's budget allow.
+    fn hedge(&mut self) {
+        if self.running.len() == 1
+            && self.attempts_left()
+            && self.node.take_retry(&self.request.routed.service)
+        {
+            self.start();
+        }
+    }
+
+    /// Takes an attempt's end; gives the final answer if this is it.
+    fn ended(&mut self, end: AttemptEnd) -> Option<Result<Response<RelayBody>, Refused>> {
+        let kind = self.request.routed.route.kind;
+        self.may_have_run |= matches!(
+            end.outcome,
+            AttemptOutcome::Answered { .. } | AttemptOutcome::Broken | AttemptOutcome::TimedOut
+        );
+        if end.outcome == AttemptOutcome::Unsent {
+            self.unsent += 1;
+            if end.upstream.is_none() {
+                return self.last_of(ErrorKind::NoUpstream);
+            }
+        }
+        if end.answer.is_some() {
+            self.held = end.answer;
+        }
+        match judge(kind, end.outcome, self.may_have_run, self.attempts_left()) {
+            Verdict::Deliver => Some(self.deliver()),
+            Verdict::Again { counted } => {
+                if !self.running.is_empty() {
+                    return None;
+                }
+                if counted && !self.node.take_retry(&self.request.routed.service) {
+                    return Some(self.give_up(self.kind_for(end.outcome)));
+                }
+                self.start();
+                None
+            }
+            Verdict::GiveUp(error) => self.last_of(error),
+        }
+    }
+
+    fn kind_for(&self, outcome: AttemptOutcome) -> ErrorKind {
+        match judge(self.request.routed.route.kind, outcome, self.may_have_run, false) {
+            Verdict::GiveUp(error) => error,
+            Verdict::Deliver | Verdict::Again { .. } => ErrorKind::UpstreamBroken,
+        }
+    }
+
+    /// Gives up unless another attempt still runs.
+    fn last_of(&mut self, error: ErrorKind) -> Option<Result<Response<RelayBody>, Refused>> {
+        self.running.is_empty().then(|| self.give_up(error))
+    }
+
+    fn give_up(&mut self, error: ErrorKind) -> Result<Response<RelayBody>, Refused> {
+        if self.held.is_some() {
+            return self.deliver();
+        }
+        let error =
+            if self.may_have_run && error.answer().status == 503 { ErrorKind::UpstreamBroken } else { error };
+        Err(error.into())
+    }
+
+    fn deliver(&mut self) -> Result<Response<RelayBody>, Refused> {
+        let Some(answer) = self.held.take() else {
+            return Err(ErrorKind::UpstreamBroken.into());
+        };
+        let promises = matches!(
+            answer.response.status(),
+            StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::REQUEST_TIMEOUT
+                | StatusCode::MISDIRECTED_REQUEST
+        );
+        if promises && !self.request.routed.route.kind.repeatable() {
+            // Such a status would promise that the request has not run; the upstream did not say so.
+            return Err(ErrorKind::UpstreamBroken.into());
+        }
+        Ok(answer.response)
+    }
+}
+
+/// Answers in an upstream's place.
+pub fn refuse<A: PlatformAdapter>(
+    node: &Node<A>,
+    refused: Refused,
+    id: Option<&hyper::header::HeaderValue>,
+) -> Response<RelayBody> {
+    let mut response = answer::refusal(refused);
+    if let Some(id) = id {
+        response.headers_mut().insert(node.headers.request_id.clone(), id.clone());
+    }
+    response
+}
--- /dev/null
+++ b/crates/pointvane-node/src/lib.rs
@@ -0,0 +1,29 @@
+//! One process a VM: it takes callers' requests, tells callers which VMs to use, says whether it is ready, and
+//! keeps in touch with the other nodes.
+//!
+//! Decisions are those of `pointvane-dispatch` and `pointvane-mesh`; this crate is the shell around them, on one
+//! thread. The platform's manner of speaking comes in through [`pointvane_core::PlatformAdapter`].
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod answer;
+mod attempt;
+mod body;
+mod connections;
+mod directory;
+mod feed;
+mod forward;
+mod gossip;
+mod node;
+mod probe;
+mod run;
+mod serve;
+mod settings;
+mod socket;
+mod stop;
+mod traffic;
+
+pub use {
+    run::run,
+    settings::{NodeLimits, NodeSettings},
+};
--- /dev/null
+++ b/crates/pointvane-node/src/probe.rs
@@ -0,0 +1,170 @@
+//! Questions to upstreams about their load, right before a request is sent; requests that arrive together share them.
+
+use {
+    crate::{body::RelayBody, connections::Connections, node::Node},
+    bytes::Bytes,
+    hyper::{Request, Response, StatusCode, body::Incoming, header::HOST},
+    pointvane_core::{Name, PlatformAdapter, US_PER_MS},
+    pointvane_dispatch::UpstreamKey,
+    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        sync::mpsc::{UnboundedSender, unbounded_channel},
+        task::spawn_local,
+        time::{Instant, timeout, timeout_at},
+    },
+};
+
+/// Upstreams asked at first, and those asked besides when none of these is good.
+const STAGES: [usize; 2] = [3, 4];
+/// Longest wait for the answers of one stage.
+const STAGE_PATIENCE: Duration = Duration::from_millis(30);
+/// Longest wait for one answer; longer silence counts as a failure.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(150);
+/// Most bytes of an answer's body that are read to keep the connection.
+const BODY_MAX_BYTES: usize = 4_096;
+
+type Listeners = HashMap<UpstreamKey, Vec<UnboundedSender<UpstreamKey>>>;
+
+/// Questions that are under way, and who waits for their answers.
+#[derive(Debug, Default)]
+pub struct Probes {
+    listeners: RefCell<Listeners>,
+}
+
+/// The best upstream for a request that is sent now; none if the service has none left.
+pub async fn choose<A: PlatformAdapter + 'static>(
+    node: &Rc<Node<A>>,
+    service: &Name,
+    tried: &[UpstreamKey],
+) -> Option<UpstreamKey> {
+    let now_us = node.now_us();
+    let wanted = STAGES.iter().sum();
+    let candidates = node.pool.borrow_mut().candidates(service, tried, wanted, now_us);
+    if let Some(known) = candidates.iter().find(|key| node.pool.borrow().is_good(**key, now_us)) {
+        return Some(*known);
+    }
+    let mut answered = Vec::new();
+    let mut rest = candidates.as_slice();
+    for stage in STAGES {
+        let (now, later) = rest.split_at(stage.min(rest.len()));
+        rest = later;
+        if let Some(good) = ask_stage(node, service, now, &mut answered).await {
+            return Some(good);
+        }
+    }
+    let usable = |key: &UpstreamKey| node.pool.borrow().get(*key).is_some_and(|state| state.takes_work());
+    answered.retain(usable);
+    let now_us = node.now_us();
+    let cost = |key: &UpstreamKey| node.pool.borrow().cost(*key, now_us);
+    let best = answered.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
+    best.or_else(|| node.pool.borrow_mut().candidates(service, tried, 1, now_us).first().copied())
+}
+
+/// Asks some upstreams together; gives the first that is good, and notes all that answered.
+async fn ask_stage<A: PlatformAdapter + 'static>(
+    node: &Rc<Node<A>>,
+    service: &Name,
+    keys: &[UpstreamKey],
+    answered: &mut Vec<UpstreamKey>,
+) -> Option<UpstreamKey> {
+    let (answers, mut answer) = unbounded_channel();
+    let mut waiting = keys.iter().filter(|key| ask(node, service, **key, answers.clone())).count();
+    drop(answers);
+    let until = Instant::now() + STAGE_PATIENCE;
+    while waiting > 0 {
+        let Ok(Some(key)) = timeout_at(until, answer.recv()).await else {
+            break;
+        };
+        waiting -= 1;
+        answered.push(key);
+        if node.pool.borrow().is_good(key, node.now_us()) {
+            return Some(key);
+        }
+    }
+    None
+}
+
+/// Asks one upstream, or joins a question under way; false when the budget of probes is spent.
+fn ask<A: PlatformAdapter + 'static>(
+    node: &Rc<Node<A>>,
+    service: &Name,
+    key: UpstreamKey,
+    answers: UnboundedSender<UpstreamKey>,
+) -> bool {
+    let mut listeners = node.probes.listeners.borrow_mut();
+    if let Some(joined) = listeners.get_mut(&key) {
+        joined.push(answers);
+        return true;
+    }
+    if !node.take_probe() {
+        return false;
+    }
+    listeners.insert(key, vec![answers]);
+    spawn_local(question(Rc::clone(node), service.clone(), key));
+    true
+}
+
+/// One question, to its end.
+async fn question<A: PlatformAdapter>(node: Rc<Node<A>>, service: Name, key: UpstreamKey) {
+    let answered = asked(&node, &service, key).await;
+    let listeners = node.probes.listeners.borrow_mut().remove(&key).unwrap_or_default();
+    if answered {
+        // A listener that is gone has found a good upstream already.
+        listeners.iter().for_each(|listener| _ = listener.send(key));
+    }
+}
+
+async fn asked<A: PlatformAdapter>(node: &Node<A>, service: &Name, key: UpstreamKey) -> bool {
+    let place = node.pool.borrow().get(key).map(|state| (state.address(), state.id().clone()));
+    let path = node.route_table().health_path(service).cloned();
+    let (Some((address, id)), Some(path)) = (place, path) else {
+        return false;
+    };
+    let sent_at_us = node.now_us();
+    let outcome = timeout(ANSWER_PATIENCE, exchange(&node.connections, address, &path)).await;
+    let answer = outcome.ok().flatten();
+    let now_us = node.now_us();
+    // A pause of this process is no fault of the upstream's.
+    let own_pause = now_us.saturating_sub(sent_at_us) > 2 * ANSWER_PATIENCE.as_millis() as u64 * US_PER_MS;
+    let Some(answer) = answer else {
+        if !own_pause && let Some(state) = node.pool.borrow_mut().get_mut(key) {
+            state.failed(now_us);
+        }
+        return false;
+    };
+    let mut pool = node.pool.borrow_mut();
+    let other = answer
+        .headers()
+        .get(&node.headers.upstream)
+        .is_some_and(|told| told.as_bytes() != id.as_str().as_bytes());
+    let load = answer.headers().get(&node.headers.load).and_then(|told| told.to_str().ok());
+    if other {
+        if let Some(state) = pool.get_mut(key) {
+            state.eject(now_us);
+        }
+        return false;
+    }
+    if let Some(load) = load.and_then(|told| node.adapter.load(told)) {
+        pool.hear(key, load, now_us);
+    }
+    let refused = answer.headers().contains_key(&node.headers.not_run);
+    if answer.status() != StatusCode::OK && !refused {
+        if let Some(state) = pool.get_mut(key) {
+            state.failed(now_us);
+        }
+        return false;
+    }
+    true
+}
+
+async fn exchange(connections: &Connections, address: SocketAddr, path: &Name) -> Option<Response<()>> {
+    let mut connection = connections.get(address).await.ok()?;
+    let request = Request::get(path.as_str()).header(HOST, address.to_string());
+    let request = request.body(RelayBody::whole(Bytes::new())).ok()?;
+    let (head, body): (_, Incoming) = connection.send(request).await.ok()?.into_parts();
+    let gathered = crate::body::gather(body, BODY_MAX_BYTES).await.ok()?;
+    if gathered.rest.is_none() {
+        connection.keep();
+    }
+    Some(Response::from_parts(head, ()))
+}
--- /dev/null
+++ b/crates/pointvane-node/src/serve.rs
@@ -0,0 +1,72 @@
+//! Listeners and the connections they take.
+
+use {
+    crate::{body::RelayBody, node::Node, socket, stop::Stage},
+    eyre::{Result, WrapErr},
+    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    pointvane_core::PlatformAdapter,
+    std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        task::spawn_local,
+    },
+};
+
+/// Least head that `hyper` can bound, in bytes.
+const HEAD_BYTES_MIN: usize = 8_192;
+
+/// Takes connections until the node closes; each request goes to `handle`.
+///
+/// # Errors
+/// When the address cannot be listened on.
+pub async fn listen<A, H, F>(node: Rc<Node<A>>, address: SocketAddr, handle: H) -> Result<()>
+where
+    A: PlatformAdapter + 'static,
+    H: Fn(Rc<Node<A>>, Request<Incoming>) -> F + Copy + 'static,
+    F: Future<Output = Result<Response<RelayBody>, Infallible>> + 'static,
+{
+    let listener = TcpListener::bind(address).await.wrap_err_with(|| format!("listening on {address}"))?;
+    spawn_local(async move {
+        let mut stage = node.stage.subscribe();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        spawn_local(connection(Rc::clone(&node), stream, handle));
+                    }
+                }
+                _ = stage.wait_for(|stage| *stage == Stage::Closing) => return,
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn connection<A, H, F>(node: Rc<Node<A>>, stream: TcpStream, handle: H)
+where
+    A: PlatformAdapter + 'static,
+    H: Fn(Rc<Node<A>>, Request<Incoming>) -> F + Copy + 'static,
+    F: Future<Output = Result<Response<RelayBody>, Infallible>> + 'static,
+{
+    if socket::watch_peer(&stream).is_err() {
+        return;
+    }
+    let limits = node.route_table().limits();
+    let mut stage = node.stage.subscribe();
+    let _open = node.connection_opened();
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .max_buf_size(limits.header_bytes_max.max(HEAD_BYTES_MIN))
+        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms.max(limits.header_timeout_ms)));
+    let service = service_fn(move |request| handle(Rc::clone(&node), request));
+    let mut served = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        _ = served.as_mut() => return,
+        _ = stage.wait_for(|stage| *stage == Stage::Closing) => {}
+    }
+    served.as_mut().graceful_shutdown();
+    // Its end, good or bad, is the caller's to see.
+    _ = served.await;
+}
--- /dev/null
+++ b/crates/pointvane-node/src/settings.rs
@@ -0,0 +1,56 @@
+//! The settings of a node, whoever lays them.
+
+use {
+    pointvane_core::Name,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// The settings of a node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeSettings {
+    /// Unique in the fleet.
+    pub name: Name,
+    /// Where the VM stands.
+    pub data_centre: Name,
+    /// Where callers' requests are taken.
+    pub traffic: SocketAddr,
+    /// Where the node says whether it is ready.
+    pub readiness: SocketAddr,
+    /// Where callers ask which nodes to use.
+    pub directory: SocketAddr,
+    /// Where datagrams of other nodes are taken.
+    pub gossip: SocketAddr,
+    /// Where the platform answers.
+    pub platform: SocketAddr,
+    /// Other nodes' datagram addresses that are asked first.
+    pub seeds: Vec<SocketAddr>,
+    /// What the deployment bounds.
+    pub limits: NodeLimits,
+}
+
+/// What the deployment bounds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeLimits {
+    /// Time between a planned stop and the end of the process.
+    pub stop_grace: Duration,
+    /// Repeated attempts allowed for each request of a service, over the whole fleet.
+    pub retry_ratio: f64,
+    /// Repeated attempts allowed besides, over the whole fleet.
+    pub retry_slack: f64,
+    /// Probes that one upstream may get each second, over the whole fleet.
+    pub probes_per_s: f64,
+    /// How long callers may keep the directory's answer, in seconds.
+    pub directory_keep_s: u64,
+}
+
+impl Default for NodeLimits {
+    fn default() -> Self {
+        Self {
+            stop_grace: Duration::from_secs(6),
+            retry_ratio: 0.1,
+            retry_slack: 10.0,
+            probes_per_s: 10.0,
+            directory_keep_s: 5,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pointvane-node/src/traffic.rs
@@ -0,0 +1,116 @@
+//! Callers' requests: classify, read the body, forward, answer.
+
+use {
+    crate::{
+        answer::Refused,
+        attempt::{CallerRequest, is_streamed, strip_hop_headers},
+        body::{Gathered, RelayBody, gather},
+        forward::{forward, refuse},
+        node::Node,
+        stop::Stage,
+    },
+    hyper::{
+        Request, Response, StatusCode,
+        body::{Body, Incoming},
+        header::{CONNECTION, HOST, HeaderValue},
+        http::request::Parts,
+    },
+    pointvane_core::{ErrorKind, PlatformAdapter, US_PER_MS},
+    pointvane_dispatch::RoutedRequest,
+    std::{
+        cell::{Cell, RefCell},
+        convert::Infallible,
+        rc::Rc,
+    },
+};
+
+/// Bytes of a request's body that are gathered before it is sent on, so that it can be sent again elsewhere.
+const BODY_GATHERED_BYTES: usize = 512 << 10;
+/// Deadline of a request that names none, in milliseconds.
+const DEADLINE_DEFAULT_MS: u64 = 10_000;
+
+/// Serves one request of a caller.
+pub async fn serve<A: PlatformAdapter + 'static>(
+    node: Rc<Node<A>>,
+    request: Request<Incoming>,
+) -> Result<Response<RelayBody>, Infallible> {
+    let (head, body) = request.into_parts();
+    let id = head.headers.get(&node.headers.request_id).cloned();
+    let mut response = match answered(&node, head, body).await {
+        Ok(response) => response,
+        Err(refused) => {
+            slog::info!(node.log, "request-refused"; "request" => text(id.as_ref()), "error" => refused.kind.answer().name);
+            refuse(&node, refused, id.as_ref())
+        }
+    };
+    if *node.stage.borrow() != Stage::Running {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+async fn answered<A: PlatformAdapter + 'static>(
+    node: &Rc<Node<A>>,
+    head: Parts,
+    body: Incoming,
+) -> Result<Response<RelayBody>, Refused> {
+    let arrived_at_us = node.now_us();
+    let routed = routed(node, &head)?;
+    let give_up_at_us = arrived_at_us + give_up_after_ms(node, &head, &routed) * US_PER_MS;
+    let body_max = node.route_table().limits().body_bytes_max;
+    if body.size_hint().exact().is_some_and(|length| length > body_max) {
+        return Err(Refused { kind: ErrorKind::BadRequest, status: Some(StatusCode::PAYLOAD_TOO_LARGE) });
+    }
+    let gathered = gather(body, BODY_GATHERED_BYTES).await.map_err(|_| ErrorKind::BadRequest)?;
+    if node.now_us() >= give_up_at_us {
+        return Err(ErrorKind::DeadlinePassed.into());
+    }
+    forward(Rc::clone(node), Rc::new(caller_request(head, gathered, routed, give_up_at_us))).await
+}
+
+fn routed<A: PlatformAdapter>(node: &Node<A>, head: &Parts) -> Result<RoutedRequest, Refused> {
+    let routes = node.route_table();
+    if routes.version() == 0 {
+        return Err(ErrorKind::NotReady.into());
+    }
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).or_else(|| head.uri.host());
+    let mut rng = node.rng.borrow_mut();
+    let routed = routes.route(host.unwrap_or_default(), head.uri.path(), &mut rng);
+    routed.ok_or_else(|| ErrorKind::NoSuchService.into())
+}
+
+/// How long the request may be held: until its caller leaves, or as long as its route allows.
+fn give_up_after_ms<A: PlatformAdapter>(node: &Node<A>, head: &Parts, routed: &RoutedRequest) -> u64 {
+    let told = head.headers.get(&node.headers.deadline_ms).and_then(|told| told.to_str().ok());
+    let deadline_ms = told.and_then(|told| told.trim().parse().ok()).unwrap_or(DEADLINE_DEFAULT_MS);
+    deadline_ms.min(routed.route.timeout_ms)
+}
+
+fn caller_request(
+    head: Parts,
+    gathered: Gathered,
+    routed: RoutedRequest,
+    give_up_at_us: u64,
+) -> CallerRequest {
+    let mut headers = head.headers;
+    strip_hop_headers(&mut headers);
+    let (body, stream) = match is_streamed(&gathered) {
+        true => (None, Some(gathered)),
+        false => (Some(gathered.bytes), None),
+    };
+    CallerRequest {
+        routed,
+        method: head.method,
+        uri: head.uri,
+        headers,
+        body,
+        stream: RefCell::new(stream),
+        give_up_at_us,
+        tried: RefCell::default(),
+        arrivals: Cell::new(0),
+    }
+}
+
+fn text(id: Option<&HeaderValue>) -> &str {
+    id.and_then(|id| id.to_str().ok()).unwrap_or_default()
+}
