Few sentinels watch the platform with short waits; hung watches are noticed by all

Three nodes of the fleet, ranked alike by everybody, now wait at most 1.2 s, and so does a node that hears no peer; the others wait 30 s and read when a peer's revision stays ahead of theirs. Ruled out: shorter waits for all (some 18 calls a second for nothing).

--- a/crates/pointvane-dispatch/src/feed.rs
+++ b/crates/pointvane-dispatch/src/feed.rs
@@ -12,10 +12,14 @@
 /// Rules of reading.
 #[derive(Clone, Copy, Debug)]
 pub struct FeedOptions {
-    /// Longest wait for a change when peers would tell of it too, in milliseconds.
+    /// Longest wait for a change of a node whose peers would tell of it, in milliseconds.
     pub wait_ms: u64,
-    /// Longest wait for a change when no peer is heard, in milliseconds.
-    pub wait_alone_ms: u64,
+    /// Longest wait for a change of a sentinel, or of a node that hears no peer, in milliseconds.
+    ///
+    /// A watch that hangs since a silence of the platform is noticed only when its wait is over.
+    pub wait_short_ms: u64,
+    /// Longest wait for an answer beyond the wait that was asked for, in milliseconds.
+    pub patience_ms: u64,
     /// Rest between an answer that told changes and the next call, so that changes come in batches.
     pub settle_ms: u64,
     /// First rest after a failure, in milliseconds; it doubles.
@@ -29,12 +33,13 @@
 impl Default for FeedOptions {
     fn default() -> Self {
         Self {
-            wait_ms: 12_000,
-            wait_alone_ms: 2_000,
+            wait_ms: 30_000,
+            wait_short_ms: 1_200,
+            patience_ms: 700,
             settle_ms: 400,
             retry_ms: 100,
-            retry_max_ms: 600,
-            behind_ms: 600,
+            retry_max_ms: 400,
+            behind_ms: 500,
         }
     }
 }
@@ -46,6 +51,8 @@
     Snapshot {
         /// Where the page begins; none for the first.
         next_page: Option<String>,
+        /// Time without an answer after which the call counts as failed.
+        patience_ms: u64,
     },
     /// Wait for changes.
     Watch {
@@ -53,6 +60,8 @@
         after: u64,
         /// The longest wait.
         wait_ms: u64,
+        /// Time without an answer after which the call counts as failed.
+        patience_ms: u64,
     },
     /// Do nothing until then.
     Rest {
@@ -72,6 +81,26 @@
     Malformed,
 }
 
+/// What a node hears of its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerView {
+    /// The latest revision that a peer has seen.
+    pub latest: u64,
+    /// Whether any peer is heard.
+    pub heard: bool,
+    /// Whether this node is one of the few that look at the platform often, for all.
+    pub sentinel: bool,
+}
+
+/// What follows from the peers for the call under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerVerdict {
+    /// It may go on.
+    Fine,
+    /// It is to be given up and made anew.
+    Renew,
+}
+
 /// A read of everything that is under way.
 #[derive(Clone, Debug, Default)]
 struct Reading {
@@ -89,7 +118,9 @@
     reading: Option<Reading>,
     rest_until_us: u64,
     failures: u32,
-    peers_heard: bool,
+    /// Whether a hung watch must be noticed by this node itself.
+    short_waits: bool,
+    wait_ends_us: u64,
     behind_since_us: Option<u64>,
     rng: SmallRng,
 }
@@ -103,7 +134,8 @@
             reading: Some(Reading::default()),
             rest_until_us: 0,
             failures: 0,
-            peers_heard: false,
+            short_waits: true,
+            wait_ends_us: 0,
             behind_since_us: None,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -124,13 +156,15 @@
         if now_us < self.rest_until_us {
             return FeedCall::Rest { until_us: self.rest_until_us };
         }
+        let patience_ms = self.options.patience_ms;
         if let Some(reading) = &self.reading {
-            return FeedCall::Snapshot { next_page: reading.next_page.clone() };
+            return FeedCall::Snapshot { next_page: reading.next_page.clone(), patience_ms };
         }
-        let most_ms = if self.peers_heard { self.options.wait_ms } else { self.options.wait_alone_ms };
+        let most_ms = if self.short_waits { self.options.wait_short_ms } else { self.options.wait_ms };
         // Spread, so that not all nodes renew their watches at once.
         let wait_ms = self.rng.random_range(most_ms * 3 / 4..=most_ms);
-        FeedCall::Watch { after: self.revision, wait_ms }
+        self.wait_ends_us = now_us + wait_ms * US_PER_MS;
+        FeedCall::Watch { after: self.revision, wait_ms, patience_ms: wait_ms + patience_ms }
     }
 
     /// Takes a page of everything; `known` are the upstreams this node knows.
@@ -190,22 +224,37 @@
         self.rest_until_us = now_us + self.rng.random_range(most_ms / 2..=most_ms) * US_PER_MS;
     }
 
-    /// Takes the latest revision that a peer has seen, and whether any peer is heard.
-    ///
-    /// True when this node has been behind for so long that its call under way must be dead.
-    pub fn hear_peers(&mut self, latest: u64, heard: bool, now_us: u64) -> bool {
-        self.peers_heard = heard;
-        if latest <= self.revision || self.reading.is_some() {
+    /// Takes what is heard of the peers while a call is under way.
+    pub fn hear_peers(&mut self, view: PeerView, now_us: u64) -> PeerVerdict {
+        self.short_waits = view.sentinel || !view.heard;
+        if self.reading.is_some() || now_us < self.rest_until_us {
+            self.behind_since_us = None;
+            return PeerVerdict::Fine;
+        }
+        if self.is_behind(view.latest, now_us) {
+            self.reading = Some(Reading::default());
+            return PeerVerdict::Renew;
+        }
+        let short_us = self.options.wait_short_ms * US_PER_MS;
+        if self.short_waits && self.wait_ends_us > now_us + short_us {
+            self.wait_ends_us = now_us;
+            return PeerVerdict::Renew;
+        }
+        PeerVerdict::Fine
+    }
+
+    /// Whether a peer has known a later revision for so long that the watch under way must hang.
+    fn is_behind(&mut self, latest: u64, now_us: u64) -> bool {
+        if latest <= self.revision {
             self.behind_since_us = None;
             return false;
         }
         let since_us = *self.behind_since_us.get_or_insert(now_us);
-        let overdue = now_us.saturating_sub(since_us) >= self.options.behind_ms * US_PER_MS;
-        if overdue {
+        let behind = now_us.saturating_sub(since_us) >= self.options.behind_ms * US_PER_MS;
+        if behind {
             self.behind_since_us = None;
-            self.reading = Some(Reading::default());
         }
-        overdue
+        behind
     }
 }
 
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -15,7 +15,7 @@
 pub use {
     budget::{RetryBudget, RetryBudgetOptions, TokenBucket},
     directory::{DirectoryMember, directory_addresses},
-    feed::{CallFailure, Feed, FeedCall, FeedOptions},
+    feed::{CallFailure, Feed, FeedCall, FeedOptions, PeerVerdict, PeerView},
     latency::LatencyQuantile,
     outcome::{AttemptOutcome, Refusal, Verdict, judge},
     pool::{Pool, PoolOptions, UpstreamKey},
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -12,8 +12,7 @@
         HeaderMap, Method, Request, Response, StatusCode, Uri,
         body::Incoming,
         header::{
-            CONNECTION, HeaderName, HeaderValue, PROXY_AUTHENTICATE, TE, TRAILER,
-            TRANSFER_ENCODING, UPGRADE,
+            CONNECTION, HeaderName, HeaderValue, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
         },
     },
     pointvane_core::{PlatformAdapter, US_PER_MS},
@@ -28,8 +27,15 @@
 /// again.
 const ANSWER_GATHERED_BYTES: usize = 64 << 10;
 /// Headers that concern one connection only.
-static HOP_HEADERS: [HeaderName; 7] =
-    [CONNECTION, HeaderName::from_static("keep-alive"), PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+static HOP_HEADERS: [HeaderName; 7] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    PROXY_AUTHENTICATE,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
 
 /// A caller's request, with what its attempts share.
 #[derive(Debug)]
--- a/crates/pointvane-node/src/feed.rs
+++ b/crates/pointvane-node/src/feed.rs
@@ -24,10 +24,6 @@
 };
 
 const CONNECT_PATIENCE: Duration = Duration::from_millis(700);
-/// Longest wait for an answer that is not a watch's.
-const ANSWER_PATIENCE: Duration = Duration::from_millis(1_500);
-/// Time beyond its wait after which a watch counts as dead.
-const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// Largest answer that is read, in bytes.
 const ANSWER_MAX_BYTES: usize = 8 << 20;
 
@@ -42,8 +38,12 @@
                 sleep(Duration::from_micros(until_us.saturating_sub(node.now_us()))).await;
                 continue;
             }
-            FeedCall::Snapshot { next_page } => store.snapshot(next_page.as_deref()).await,
-            FeedCall::Watch { after, wait_ms } => store.watch(after, wait_ms).await,
+            FeedCall::Snapshot { next_page, patience_ms } => {
+                store.snapshot(next_page.as_deref(), Duration::from_millis(patience_ms)).await;
+            }
+            FeedCall::Watch { after, wait_ms, patience_ms } => {
+                store.watch(after, wait_ms, Duration::from_millis(patience_ms)).await;
+            }
         }
         match (lost_before, node.feed.borrow().is_lost()) {
             (false, true) => warn!(node.log, "platform-lost"; "revision" => node.feed.borrow().revision()),
@@ -59,10 +59,10 @@
 }
 
 impl<A: PlatformAdapter> Store<A> {
-    async fn snapshot(&mut self, next_page: Option<&str>) {
+    async fn snapshot(&mut self, next_page: Option<&str>, patience: Duration) {
         let target = self.node.adapter.snapshot_target(next_page);
         let node = Rc::clone(&self.node);
-        let page = self.call(&target, ANSWER_PATIENCE).await;
+        let page = self.call(&target, patience).await;
         let page = page.and_then(|body| node.adapter.snapshot(&body).map_err(|_| CallFailure::Malformed));
         match page {
             Ok(page) => {
@@ -77,14 +77,13 @@
         }
     }
 
-    async fn watch(&mut self, after: u64, wait_ms: u64) {
+    async fn watch(&mut self, after: u64, wait_ms: u64, patience: Duration) {
         let target = self.node.adapter.watch_target(after, wait_ms);
         let node = Rc::clone(&self.node);
-        let patience = Duration::from_millis(wait_ms) + WATCH_SLACK;
         let called = tokio::select! {
             called = self.call(&target, patience) => called,
-            () = node.overdue() => {
-                info!(node.log, "platform-behind"; "revision" => after);
+            () = node.watch_renewed() => {
+                info!(node.log, "watch-renewed"; "revision" => after);
                 self.connection = None;
                 return;
             }
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -7,10 +7,10 @@
         Change, Clock, HeaderNames, Incarnation, Name, PlatformAdapter, RefusedItem, VmIdentity, VmState,
     },
     pointvane_dispatch::{
-        DirectoryMember, Feed, FeedOptions, LatencyQuantile, Pool, PoolOptions, RetryBudget,
-        RetryBudgetOptions, RouteTable, TokenBucket,
+        DirectoryMember, Feed, FeedOptions, LatencyQuantile, PeerVerdict, PeerView, Pool, PoolOptions,
+        RetryBudget, RetryBudgetOptions, RouteTable, TokenBucket,
     },
-    pointvane_mesh::{EntryRow, MemberRow, Membership, MembershipOptions, Stamp},
+    pointvane_mesh::{EntryRow, MemberRow, Membership, MembershipOptions, Stamp, choose_readers},
     pointvane_telemetry::{MonotonicClock, wall_ms},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     slog::{Logger, info, warn},
@@ -32,6 +32,10 @@
 const SUSPECT_MS: u64 = 900;
 /// Nodes that budgets are divided among at least, while a node has not met the others yet.
 const NODES_MIN: usize = 20;
+/// Nodes that look at the platform often, for all.
+const SENTINELS: usize = 3;
+/// What the sentinels are ranked for.
+const SENTINEL_SUBJECT: &str = "platform";
 /// Part of the fleet's budget of probes that is used.
 const PROBES_USED: f64 = 0.8;
 /// Seconds of probes that may be saved up.
@@ -110,7 +114,7 @@
     gossip_socket: RefCell<Option<Rc<UdpSocket>>>,
     peer_revision: Cell<u64>,
     peer_heard_at_us: Cell<u64>,
-    overdue: Notify,
+    watch_renewed: Notify,
 }
 
 /// Counts an open connection of a caller for as long as it lives.
@@ -154,7 +158,7 @@
             gossip_socket: RefCell::default(),
             peer_revision: Cell::default(),
             peer_heard_at_us: Cell::default(),
-            overdue: Notify::new(),
+            watch_renewed: Notify::new(),
             settings: RefCell::new(settings),
         }
     }
@@ -317,15 +321,26 @@
     /// Compares this node's reading with its peers'.
     pub fn look_at_peers(&self, alone_after_us: u64) {
         let now_us = self.now_us();
-        let heard = now_us.saturating_sub(self.peer_heard_at_us.get()) < alone_after_us;
-        if self.feed.borrow_mut().hear_peers(self.peer_revision.get(), heard, now_us) {
-            self.overdue.notify_waiters();
+        let view = PeerView {
+            latest: self.peer_revision.get(),
+            heard: now_us.saturating_sub(self.peer_heard_at_us.get()) < alone_after_us,
+            sentinel: self.is_sentinel(),
+        };
+        if self.feed.borrow_mut().hear_peers(view, now_us) == PeerVerdict::Renew {
+            self.watch_renewed.notify_waiters();
         }
     }
 
-    /// Returns once this node's reading has fallen behind its peers'.
-    pub async fn overdue(&self) {
-        self.overdue.notified().await;
+    /// Whether this node is one of the few that look at the platform often, for all.
+    fn is_sentinel(&self) -> bool {
+        let membership = self.membership.borrow();
+        let sentinels = choose_readers(SENTINEL_SUBJECT, membership.rows(), SENTINELS);
+        sentinels.contains(&membership.me().identity.name)
+    }
+
+    /// Returns once the watch under way is to be made anew.
+    pub async fn watch_renewed(&self) {
+        self.watch_renewed.notified().await;
     }
 
     /// What this node tells of its reading.
