--- a/crates/pointvane-dispatch/src/feed.rs
+++ b/crates/pointvane-dispatch/src/feed.rs
@@ -36,7 +36,7 @@
             wait_ms: 30_000,
             wait_short_ms: 1_200,
             patience_ms: 700,
-            settle_ms: 400,
+            settle_ms: 1_000,
             retry_ms: 100,
             retry_max_ms: 400,
             behind_ms: 500,
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -18,7 +18,7 @@
     feed::{CallFailure, Feed, FeedCall, FeedOptions, PeerVerdict, PeerView},
     latency::LatencyQuantile,
     outcome::{AttemptOutcome, Refusal, Verdict, judge},
-    pool::{Pool, PoolOptions, UpstreamKey},
+    pool::{Pool, PoolOptions, UpstreamKey, Wanted},
     routes::{RouteTable, RoutedRequest},
     upstream::{LoadSample, UpstreamState},
 };
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -20,16 +20,33 @@
     pub fresh_us: u64,
     /// Factor on the cost of upstreams in other data centres.
     pub far_factor: f32,
+    /// What each 100 KB of a request's body adds to that factor, since bytes between data centres are dear.
+    pub far_factor_per_100_kb: f32,
+    /// Most that bodies add to it.
+    pub far_factor_added_max: f32,
     /// Size of the random part of a cost, so that nodes don't all choose the same upstream.
     pub jitter: f32,
 }
 
 impl Default for PoolOptions {
     fn default() -> Self {
-        Self { good_cost: 1.3, fresh_us: 15_000, far_factor: 1.08, jitter: 0.1 }
+        Self { good_cost: 1.3, fresh_us: 15_000, far_factor: 1.25, far_factor_per_100_kb: 1.0, far_factor_added_max: 0.75, jitter: 0.1 }
     }
 }
 
+const BYTES_PER_100_KB: f32 = 100_000.0;
+
+/// Which upstreams are wanted for a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'t> {
+    /// Those that it was sent to already.
+    pub tried: &'t [UpstreamKey],
+    /// Size of its body, as far as it is known.
+    pub body_bytes: usize,
+    /// How many are wanted.
+    pub count: usize,
+}
+
 /// Weight of the newest word in the mean pace of a service.
 const PACE_WEIGHT: f32 = 0.02;
 const PERCENT: f32 = 100.0;
@@ -150,26 +167,26 @@
     pub fn candidates(
         &mut self,
         service: &Name,
-        tried: &[UpstreamKey],
-        count: usize,
+        wanted: &Wanted<'_>,
         now_us: u64,
     ) -> Vec<UpstreamKey> {
         let Some(keys) = self.by_service.get(service) else {
             return Vec::new();
         };
         let able = keys.iter().copied().filter(|key| {
-            !tried.contains(key) && self.upstreams.get(key).is_some_and(UpstreamState::takes_work)
+            !wanted.tried.contains(key) && self.upstreams.get(key).is_some_and(UpstreamState::takes_work)
         });
         let (aside, sound): (Vec<_>, Vec<_>) = able.partition(|key| self.upstreams[key].is_ejected(now_us));
         let usable = if sound.is_empty() { aside } else { sound };
         let jitter = self.options.jitter;
+        let far_factor = self.far_factor(wanted.body_bytes);
         let mut ranked: Vec<(f32, UpstreamKey)> = Vec::with_capacity(usable.len());
         for key in usable {
             let factor = 1.0 + jitter * self.rng.random::<f32>();
-            ranked.push((self.cost(key, now_us) * factor, key));
+            ranked.push((self.placed_cost(key, far_factor, now_us) * factor, key));
         }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        ranked.into_iter().take(count).map(|(_, key)| key).collect()
+        ranked.into_iter().take(wanted.count).map(|(_, key)| key).collect()
     }
 
     /// How many times the usual time a request sent there now is expected to take.
@@ -178,8 +195,19 @@
             return f32::INFINITY;
         };
         let usual = self.pace_usual.get(&state.record.service).copied().unwrap_or(PACE_FIRST);
-        let near = state.record.data_centre == self.data_centre;
-        state.cost(usual, now_us) * if near { 1.0 } else { self.options.far_factor }
+        state.cost(usual, now_us)
+    }
+
+    /// The cost with what the way there adds to it.
+    pub fn placed_cost(&self, key: UpstreamKey, far_factor: f32, now_us: u64) -> f32 {
+        let near = self.upstreams.get(&key).is_some_and(|state| state.record.data_centre == self.data_centre);
+        self.cost(key, now_us) * if near { 1.0 } else { far_factor }
+    }
+
+    /// Factor on the cost of upstreams in other data centres for a request with such a body.
+    pub fn far_factor(&self, body_bytes: usize) -> f32 {
+        let added = body_bytes as f32 / BYTES_PER_100_KB * self.options.far_factor_per_100_kb;
+        self.options.far_factor + added.min(self.options.far_factor_added_max)
     }
 
     /// Whether its last word is new and says that it works at once and at the usual pace.
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -60,6 +60,14 @@
     pub arrivals: Cell<u32>,
 }
 
+impl CallerRequest {
+    /// Size of the body, as far as it has come.
+    fn body_bytes(&self) -> usize {
+        let streamed = || self.stream.borrow().as_ref().map_or(0, |gathered| gathered.bytes.len());
+        self.body.as_ref().map_or_else(streamed, Bytes::len)
+    }
+}
+
 /// An upstream's answer.
 #[derive(Debug)]
 pub struct UpstreamAnswer {
@@ -115,7 +123,7 @@
     request: Rc<CallerRequest>,
 ) -> AttemptEnd {
     let tried = request.tried.borrow().clone();
-    let Some(key) = choose(&node, &request.routed.service, &tried).await else {
+    let Some(key) = choose(&node, &request.routed.service, &tried, request.body_bytes()).await else {
         return AttemptEnd::new(AttemptOutcome::Unsent, None);
     };
     request.tried.borrow_mut().push(key);
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -33,7 +33,7 @@
 /// Nodes that budgets are divided among at least, while a node has not met the others yet.
 const NODES_MIN: usize = 20;
 /// Nodes that look at the platform often, for all.
-const SENTINELS: usize = 3;
+const SENTINELS: usize = 2;
 /// What the sentinels are ranked for.
 const SENTINEL_SUBJECT: &str = "platform";
 /// Part of the fleet's budget of probes that is used.
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     hyper::{Request, Response, StatusCode, body::Incoming, header::HOST},
     pointvane_core::{Name, PlatformAdapter, US_PER_MS},
-    pointvane_dispatch::UpstreamKey,
+    pointvane_dispatch::{UpstreamKey, Wanted},
     std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         sync::mpsc::{UnboundedSender, unbounded_channel},
@@ -36,10 +36,11 @@
     node: &Rc<Node<A>>,
     service: &Name,
     tried: &[UpstreamKey],
+    body_bytes: usize,
 ) -> Option<UpstreamKey> {
     let now_us = node.now_us();
-    let wanted = STAGES.iter().sum();
-    let candidates = node.pool.borrow_mut().candidates(service, tried, wanted, now_us);
+    let wanted = Wanted { tried, body_bytes, count: STAGES.iter().sum() };
+    let candidates = node.pool.borrow_mut().candidates(service, &wanted, now_us);
     if let Some(known) = candidates.iter().find(|key| node.pool.borrow().is_good(**key, now_us)) {
         return Some(*known);
     }
@@ -55,9 +56,10 @@
     let usable = |key: &UpstreamKey| node.pool.borrow().get(*key).is_some_and(|state| state.takes_work());
     answered.retain(usable);
     let now_us = node.now_us();
-    let cost = |key: &UpstreamKey| node.pool.borrow().cost(*key, now_us);
+    let far_factor = node.pool.borrow().far_factor(body_bytes);
+    let cost = |key: &UpstreamKey| node.pool.borrow().placed_cost(*key, far_factor, now_us);
     let best = answered.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
-    best.or_else(|| node.pool.borrow_mut().candidates(service, tried, 1, now_us).first().copied())
+    best.or_else(|| node.pool.borrow_mut().candidates(service, &wanted, now_us).first().copied())
 }
 
 /// Asks some upstreams together; gives the first that is good, and notes all that answered.
