--- /dev/null
+++ b/crates/pointvane-dispatch/src/admission.rs
@@ -0,0 +1,81 @@
+//! Whether a request is sent now or told to come back: what would be late anyway only delays the others.
+
+use pointvane_core::RouteRule;
+
+/// Rules of admission.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionOptions {
+    /// Part of the target time that the most urgent work may be expected to take.
+    pub target_share: f64,
+    /// What each rank takes off that part, so that less urgent work gives way first.
+    pub rank_step: f64,
+    /// Part of a caller's whole time that must be left for it to be told to come back.
+    pub time_left_share: f64,
+    /// Least and most part of the target time after which it is told to come back.
+    pub come_back_share: (f64, f64),
+    /// Time between caller and node and back, in milliseconds.
+    pub caller_way_ms: f64,
+}
+
+impl Default for AdmissionOptions {
+    fn default() -> Self {
+        Self {
+            target_share: 3.0,
+            rank_step: 1.0,
+            time_left_share: 0.0,
+            come_back_share: (0.5, 1.3),
+            caller_way_ms: 16.0,
+        }
+    }
+}
+
+/// What is known of a request that found no good upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Outlook {
+    /// Time since it came, in milliseconds.
+    pub spent_ms: f64,
+    /// Time that its upstream is expected to take, in milliseconds.
+    pub expected_ms: f64,
+    /// Time that its caller will still wait, in milliseconds.
+    pub left_ms: f64,
+    /// The most time that callers of its route give at first, in milliseconds.
+    pub whole_ms: f64,
+}
+
+impl AdmissionOptions {
+    /// Whether a request is to be refused at once.
+    pub fn refuses(&self, route: &RouteRule, outlook: &Outlook) -> bool {
+        let target_ms = route.target_latency_ms as f64;
+        let share = self.target_share - self.rank_step * f64::from(route.priority);
+        let finish_ms = outlook.spent_ms + outlook.expected_ms + self.caller_way_ms;
+        let may_come_back = outlook.left_ms >= outlook.whole_ms * self.time_left_share;
+        may_come_back && finish_ms > target_ms * share
+    }
+
+    /// When a refused caller is to come back, in milliseconds; `draw` lies between 0 and 1.
+    pub fn come_back_ms(&self, route: &RouteRule, draw: f64) -> f64 {
+        let (least, most) = self.come_back_share;
+        route.target_latency_ms as f64 * (least + (most - least) * draw)
+    }
+}
+
+/// The most time that callers of a route give at first.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WholeTime {
+    most_ms: f64,
+}
+
+/// Part that remains of the most at each request, so that it follows a change.
+const DECAY: f64 = 0.9995;
+
+impl WholeTime {
+    /// Takes the time that one caller gives.
+    pub fn note(&mut self, given_ms: f64) {
+        self.most_ms = (self.most_ms * DECAY).max(given_ms);
+    }
+
+    /// The most, in milliseconds.
+    pub fn get_ms(&self) -> f64 {
+        self.most_ms
+    }
+}
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod admission;
 mod budget;
 mod directory;
 mod feed;
@@ -13,6 +14,7 @@
 mod upstream;
 
 pub use {
+    admission::{AdmissionOptions, Outlook, WholeTime},
     budget::{RetryBudget, RetryBudgetOptions, TokenBucket},
     directory::{DirectoryMember, directory_addresses},
     feed::{CallFailure, Feed, FeedCall, FeedOptions, PeerVerdict, PeerView},
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -30,7 +30,14 @@
 
 impl Default for PoolOptions {
     fn default() -> Self {
-        Self { good_cost: 1.3, fresh_us: 15_000, far_factor: 1.25, far_factor_per_100_kb: 1.0, far_factor_added_max: 0.75, jitter: 0.1 }
+        Self {
+            good_cost: 1.3,
+            fresh_us: 15_000,
+            far_factor: 1.25,
+            far_factor_per_100_kb: 1.0,
+            far_factor_added_max: 0.75,
+            jitter: 0.1,
+        }
     }
 }
 
@@ -164,12 +171,7 @@
     /// Upstreams of a service that may get work, the most promising first.
     ///
     /// Those set aside come only when there are no others.
-    pub fn candidates(
-        &mut self,
-        service: &Name,
-        wanted: &Wanted<'_>,
-        now_us: u64,
-    ) -> Vec<UpstreamKey> {
+    pub fn candidates(&mut self, service: &Name, wanted: &Wanted<'_>, now_us: u64) -> Vec<UpstreamKey> {
         let Some(keys) = self.by_service.get(service) else {
             return Vec::new();
         };
--- a/crates/pointvane-node/src/answer.rs
+++ b/crates/pointvane-node/src/answer.rs
@@ -10,8 +10,8 @@
     pointvane_core::ErrorKind,
 };
 
-/// Seconds after which a refused caller is told to come back.
-const RETRY_AFTER_S: &str = "0.25";
+/// Time after which a refused caller is told to come back, in milliseconds.
+const COME_BACK_MS: u32 = 250;
 
 /// A request that the system itself answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,11 +20,13 @@
     pub kind: ErrorKind,
     /// The status, where it is not the table's.
     pub status: Option<StatusCode>,
+    /// When the caller is to come back, where it is not the usual time, in milliseconds.
+    pub come_back_ms: Option<u32>,
 }
 
 impl From<ErrorKind> for Refused {
     fn from(kind: ErrorKind) -> Self {
-        Self { kind, status: None }
+        Self { kind, status: None, come_back_ms: None }
     }
 }
 
@@ -37,7 +39,10 @@
     *response.status_mut() = refused.status.unwrap_or(status);
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     if row.retry_after {
-        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+        let seconds = f64::from(refused.come_back_ms.unwrap_or(COME_BACK_MS)) / 1e3;
+        if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
     }
     response
 }
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -5,7 +5,7 @@
         body::{Gathered, RelayBody, gather},
         connections::SendError,
         node::Node,
-        probe::choose,
+        probe::{Choice, Chosen, choose},
     },
     bytes::Bytes,
     hyper::{
@@ -16,7 +16,7 @@
         },
     },
     pointvane_core::{PlatformAdapter, US_PER_MS},
-    pointvane_dispatch::{AttemptOutcome, Refusal, RoutedRequest, UpstreamKey},
+    pointvane_dispatch::{AdmissionOptions, AttemptOutcome, Outlook, Refusal, RoutedRequest, UpstreamKey},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -37,6 +37,17 @@
     UPGRADE,
 ];
 
+/// Times of a caller's request, on the steady clock.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerTimes {
+    /// When it came.
+    pub arrived_at_us: u64,
+    /// When its caller stops waiting.
+    pub deadline_at_us: u64,
+    /// When it must be answered.
+    pub give_up_at_us: u64,
+}
+
 /// A caller's request, with what its attempts share.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -52,8 +63,8 @@
     pub body: Option<Bytes>,
     /// The first part and the rest of a body that is not; taken by the first attempt.
     pub stream: RefCell<Option<Gathered>>,
-    /// When it must be answered, on the steady clock.
-    pub give_up_at_us: u64,
+    /// Its times.
+    pub times: CallerTimes,
     /// Upstreams that it was sent to, or is about to be.
     pub tried: RefCell<Vec<UpstreamKey>>,
     /// Attempts that may have arrived at an upstream.
@@ -62,7 +73,7 @@
 
 impl CallerRequest {
     /// Size of the body, as far as it has come.
-    fn body_bytes(&self) -> usize {
+    pub fn body_bytes(&self) -> usize {
         let streamed = || self.stream.borrow().as_ref().map_or(0, |gathered| gathered.bytes.len());
         self.body.as_ref().map_or_else(streamed, Bytes::len)
     }
@@ -86,11 +97,13 @@
     pub answer: Option<UpstreamAnswer>,
     /// The upstream; none if there was none to choose.
     pub upstream: Option<UpstreamKey>,
+    /// Whether the request is to come back later, since it would be late anyway.
+    pub refused: bool,
 }
 
 impl AttemptEnd {
     fn new(outcome: AttemptOutcome, upstream: Option<UpstreamKey>) -> Self {
-        Self { outcome, answer: None, upstream }
+        Self { outcome, answer: None, upstream, refused: false }
     }
 }
 
@@ -121,19 +134,48 @@
 pub async fn attempt<A: PlatformAdapter + 'static>(
     node: Rc<Node<A>>,
     request: Rc<CallerRequest>,
+    choice: Choice,
 ) -> AttemptEnd {
-    let tried = request.tried.borrow().clone();
-    let Some(key) = choose(&node, &request.routed.service, &tried, request.body_bytes()).await else {
-        return AttemptEnd::new(AttemptOutcome::Unsent, None);
+    let key = match choose(&node, &request, choice).await {
+        Chosen::Good(key) => key,
+        Chosen::Best(key) if choice == Choice::GoodOnly || is_late(&node, &request, key) => {
+            return AttemptEnd { refused: true, ..AttemptEnd::new(AttemptOutcome::Unsent, None) };
+        }
+        Chosen::Best(key) => key,
+        Chosen::Nothing => return AttemptEnd::new(AttemptOutcome::Unsent, None),
     };
     request.tried.borrow_mut().push(key);
+    let cost = f64::from(node.pool.borrow().cost(key, node.now_us()));
+    let sent_at_us = node.now_us();
     let in_flight = InFlight::new(&node, key);
     let end = exchange(&node, &request, key).await;
     drop(in_flight);
     note(&node, &end, key);
+    if end.outcome == (AttemptOutcome::Answered { failed: false }) {
+        let took_ms = node.now_us().saturating_sub(sent_at_us) as f64 / US_PER_MS as f64;
+        node.route_times(&request.routed.route, |times| times.usual.note(took_ms / cost));
+    }
     end
 }
 
+/// Whether a request that was not sent yet would be late at this upstream and may come back instead.
+fn is_late<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest, key: UpstreamKey) -> bool {
+    if request.arrivals.get() > 0 {
+        return false;
+    }
+    let now_us = node.now_us();
+    let ms = |us: u64| us as f64 / US_PER_MS as f64;
+    let cost = f64::from(node.pool.borrow().cost(key, now_us));
+    let route = &request.routed.route;
+    let outlook = node.route_times(route, |times| Outlook {
+        spent_ms: ms(now_us.saturating_sub(request.times.arrived_at_us)),
+        expected_ms: cost * times.usual.get_ms(),
+        left_ms: ms(request.times.deadline_at_us.saturating_sub(now_us)),
+        whole_ms: times.whole.get_ms(),
+    });
+    AdmissionOptions::default().refuses(route, &outlook)
+}
+
 /// Notes what the end says of the upstream.
 fn note<A: PlatformAdapter>(node: &Node<A>, end: &AttemptEnd, key: UpstreamKey) {
     let now_us = node.now_us();
@@ -164,7 +206,7 @@
     };
     // Read again right before the first byte goes out: this process may have been paused meanwhile.
     let now_us = node.now_us();
-    if request.give_up_at_us <= now_us {
+    if request.times.give_up_at_us <= now_us {
         return end(AttemptOutcome::TimedOut);
     }
     let Some(outgoing) = outgoing(node, request, key, now_us) else {
@@ -207,13 +249,13 @@
     let mut response = Response::from_parts(head, response);
     strip_hop_headers(response.headers_mut());
     let answer = Some(UpstreamAnswer { response, failed });
-    AttemptEnd { outcome: AttemptOutcome::Answered { failed }, answer, upstream: Some(key) }
+    AttemptEnd { answer, ..end(AttemptOutcome::Answered { failed }) }
 }
 
 fn hear_load<A: PlatformAdapter>(node: &Node<A>, key: UpstreamKey, headers: &HeaderMap) {
     let told = headers.get(&node.headers.load).and_then(|told| told.to_str().ok());
     if let Some(load) = told.and_then(|told| node.adapter.load(told)) {
-        node.pool.borrow_mut().hear(key, load, node.now_us());
+        node.hear_load(key, load);
     }
 }
 
@@ -241,7 +283,7 @@
     *outgoing.uri_mut() = request.uri.clone();
     let headers = outgoing.headers_mut();
     headers.clone_from(&request.headers);
-    let left_ms = request.give_up_at_us.saturating_sub(now_us) / US_PER_MS;
+    let left_ms = request.times.give_up_at_us.saturating_sub(now_us) / US_PER_MS;
     headers.insert(node.headers.deadline_ms.clone(), HeaderValue::from(left_ms.max(1)));
     let pool = node.pool.borrow();
     let id = HeaderValue::from_str(pool.get(key)?.id().as_str()).ok()?;
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -6,10 +6,12 @@
         attempt::{AttemptEnd, CallerRequest, UpstreamAnswer, attempt},
         body::RelayBody,
         node::Node,
+        probe::Choice,
     },
     hyper::{Response, StatusCode},
     pointvane_core::{ErrorKind, PlatformAdapter, US_PER_MS},
-    pointvane_dispatch::{AttemptOutcome, Verdict, judge},
+    pointvane_dispatch::{AdmissionOptions, AttemptOutcome, Verdict, judge},
+    rand::Rng,
     std::{rc::Rc, time::Duration},
     tokio::{
         task::JoinSet,
@@ -17,6 +19,10 @@
     },
 };
 
+/// Least and most share of the target time after which a second attempt is considered.
+const HEDGE_SHARES: (f64, f64) = (0.1, 0.55);
+/// Share of the target time for which a good upstream is looked for.
+const LOOK_SHARE: f64 = 0.1;
 /// Attempts that could not be sent, beyond which a request is given up.
 const UNSENT_MAX: u32 = 4;
 
@@ -48,7 +54,7 @@
         unsent: 0,
         held: None,
     };
-    attempts.start();
+    attempts.start(attempts.best());
     loop {
         tokio::select! {
             ended = attempts.running.join_next() => {
@@ -77,8 +83,10 @@
 ) -> (Option<Instant>, Instant) {
     let now = Instant::now();
     let route = &request.routed.route;
-    let give_up_at = now + Duration::from_micros(request.give_up_at_us.saturating_sub(now_us));
-    let hedge_after_ms = node.hedge_after_ms(&route.name, route.target_latency_ms as f64);
+    let give_up_at = now + Duration::from_micros(request.times.give_up_at_us.saturating_sub(now_us));
+    let target_ms = route.target_latency_ms as f64;
+    let answer_ms = node.route_times(route, |times| times.answer.get_ms());
+    let hedge_after_ms = answer_ms.clamp(target_ms * HEDGE_SHARES.0, target_ms * HEDGE_SHARES.1);
     let hedge_at = now + Duration::from_secs_f64(hedge_after_ms / 1e3);
     (route.kind.repeatable().then_some(hedge_at).filter(|at| *at < give_up_at), give_up_at)
 }
@@ -92,13 +100,19 @@
     if finished.as_ref().is_ok_and(|response| response.status().is_success()) {
         let route = &request.routed.route;
         let time_ms = node.now_us().saturating_sub(started_at_us) as f64 / US_PER_MS as f64;
-        node.note_time(&route.name, time_ms, route.target_latency_ms as f64);
+        node.route_times(route, |times| times.answer.note(time_ms));
     }
 }
 
 impl<A: PlatformAdapter + 'static> Attempts<A> {
-    fn start(&mut self) {
-        self.running.spawn_local(attempt(Rc::clone(&self.node), Rc::clone(&self.request)));
+    fn start(&mut self, choice: Choice) {
+        self.running.spawn_local(attempt(Rc::clone(&self.node), Rc::clone(&self.request), choice));
+    }
+
+    /// The best upstream, after a short search for a good one.
+    fn best(&self) -> Choice {
+        let target_us = self.request.routed.route.target_latency_ms * US_PER_MS;
+        Choice::Best { look_until_us: self.node.now_us() + (target_us as f64 * LOOK_SHARE) as u64 }
     }
 
     fn attempts_left(&self) -> bool {
@@ -114,7 +128,7 @@
             && self.attempts_left()
             && self.node.take_retry(&self.request.routed.service)
         {
-            self.start();
+            self.start(Choice::GoodOnly);
         }
     }
 
@@ -128,7 +142,7 @@
         if end.outcome == AttemptOutcome::Unsent {
             self.unsent += 1;
             if end.upstream.is_none() {
-                return self.last_of(ErrorKind::NoUpstream);
+                return self.last_of(if end.refused { ErrorKind::Overloaded } else { ErrorKind::NoUpstream });
             }
         }
         if end.answer.is_some() {
@@ -143,7 +157,7 @@
                 if counted && !self.node.take_retry(&self.request.routed.service) {
                     return Some(self.give_up(self.kind_for(end.outcome)));
                 }
-                self.start();
+                self.start(self.best());
                 None
             }
             Verdict::GiveUp(error) => self.last_of(error),
@@ -168,7 +182,14 @@
         }
         let error =
             if self.may_have_run && error.answer().status == 503 { ErrorKind::UpstreamBroken } else { error };
-        Err(error.into())
+        Err(Refused { come_back_ms: self.come_back_ms(error), ..error.into() })
+    }
+
+    /// When a caller that is refused for overload is to come back.
+    fn come_back_ms(&self, error: ErrorKind) -> Option<u32> {
+        let draw = self.node.rng.borrow_mut().random::<f64>();
+        let after_ms = AdmissionOptions::default().come_back_ms(&self.request.routed.route, draw);
+        (error == ErrorKind::Overloaded).then_some(after_ms as u32)
     }
 
     fn deliver(&mut self) -> Result<Response<RelayBody>, Refused> {
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -4,11 +4,12 @@
     crate::{connections::Connections, probe::Probes, settings::NodeSettings, stop::Stage},
     hyper::header::HeaderName,
     pointvane_core::{
-        Change, Clock, HeaderNames, Incarnation, Name, PlatformAdapter, RefusedItem, VmIdentity, VmState,
+        Change, Clock, HeaderNames, Incarnation, Name, PlatformAdapter, RefusedItem, RouteRule, UpstreamLoad,
+        VmIdentity, VmState,
     },
     pointvane_dispatch::{
         DirectoryMember, Feed, FeedOptions, LatencyQuantile, PeerVerdict, PeerView, Pool, PoolOptions,
-        RetryBudget, RetryBudgetOptions, RouteTable, TokenBucket,
+        RetryBudget, RetryBudgetOptions, RouteTable, TokenBucket, UpstreamKey, WholeTime,
     },
     pointvane_mesh::{EntryRow, MemberRow, Membership, MembershipOptions, Stamp, choose_readers},
     pointvane_telemetry::{MonotonicClock, wall_ms},
@@ -42,6 +43,29 @@
 const PROBES_SAVED_S: f64 = 3.0;
 /// The quantile of answer times after which a second attempt is considered.
 const HEDGE_QUANTILE: f64 = 0.9;
+const MEDIAN: f64 = 0.5;
+
+/// Times of a route's requests.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteTimes {
+    /// Time from arrival to answer, at the quantile after which a second attempt is considered.
+    pub answer: LatencyQuantile,
+    /// Median time of an upstream that works at once and at the usual pace.
+    pub usual: LatencyQuantile,
+    /// The most time that callers give.
+    pub whole: WholeTime,
+}
+
+impl RouteTimes {
+    fn new(route: &RouteRule) -> Self {
+        let target_ms = route.target_latency_ms as f64;
+        Self {
+            answer: LatencyQuantile::new(HEDGE_QUANTILE, target_ms / 2.0),
+            usual: LatencyQuantile::new(MEDIAN, target_ms / 4.0),
+            whole: WholeTime::default(),
+        }
+    }
+}
 
 /// The headers as `hyper` takes them.
 #[derive(Clone, Debug)]
@@ -108,7 +132,7 @@
     incarnation: Incarnation,
     probe_budget: RefCell<TokenBucket>,
     retry_budgets: RefCell<HashMap<Name, RetryBudget>>,
-    hedge_times: RefCell<HashMap<Name, LatencyQuantile>>,
+    route_times: RefCell<HashMap<Name, RouteTimes>>,
     nodes_seen: Cell<usize>,
     open: Rc<Cell<usize>>,
     gossip_socket: RefCell<Option<Rc<UdpSocket>>>,
@@ -152,7 +176,7 @@
             incarnation,
             probe_budget: RefCell::new(TokenBucket::new(0.0, 0.0, now_us)),
             retry_budgets: RefCell::default(),
-            hedge_times: RefCell::default(),
+            route_times: RefCell::default(),
             nodes_seen: Cell::new(NODES_MIN),
             open: Rc::default(),
             gossip_socket: RefCell::default(),
@@ -180,6 +204,11 @@
             && self.feed.borrow().revision() > 0
     }
 
+    /// Takes an upstream's own word on its load.
+    pub fn hear_load(&self, key: UpstreamKey, load: UpstreamLoad) {
+        self.pool.borrow_mut().hear(key, load, self.now_us());
+    }
+
     /// Puts what the platform told in force.
     pub fn apply(&self, changes: Vec<Change>) {
         for change in changes {
@@ -255,18 +284,10 @@
         use_it(budget)
     }
 
-    /// Notes how long an upstream took for a request of a route.
-    pub fn note_time(&self, route: &Name, time_ms: f64, target_ms: f64) {
-        let mut times = self.hedge_times.borrow_mut();
-        times.entry(route.clone()).or_insert_with(|| first_quantile(target_ms)).note(time_ms);
-    }
-
-    /// Time after which a second attempt of a route's request is considered, in milliseconds.
-    pub fn hedge_after_ms(&self, route: &Name, target_ms: f64) -> f64 {
-        let times = self.hedge_times.borrow();
-        let estimate =
-            times.get(route).map_or_else(|| first_quantile(target_ms).get_ms(), LatencyQuantile::get_ms);
-        estimate.clamp(target_ms * 0.1, target_ms * 0.55)
+    /// What is known of the times of a route's requests.
+    pub fn route_times<T>(&self, route: &RouteRule, use_them: impl FnOnce(&mut RouteTimes) -> T) -> T {
+        let mut times = self.route_times.borrow_mut();
+        use_them(times.entry(route.name.clone()).or_insert_with(|| RouteTimes::new(route)))
     }
 
     /// Nodes that callers may be sent to.
@@ -349,10 +370,6 @@
     }
 }
 
-fn first_quantile(target_ms: f64) -> LatencyQuantile {
-    LatencyQuantile::new(HEDGE_QUANTILE, target_ms / 2.0)
-}
-
 fn membership(settings: &NodeSettings, incarnation: Incarnation, seed: u64, now_us: u64) -> Membership {
     let options = MembershipOptions {
         probe_interval_ms: CHECK_INTERVAL_MS,
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -1,7 +1,7 @@
 //! Questions to upstreams about their load, right before a request is sent; requests that arrive together share them.
 
 use {
-    crate::{body::RelayBody, connections::Connections, node::Node},
+    crate::{attempt::CallerRequest, body::RelayBody, connections::Connections, node::Node},
     bytes::Bytes,
     hyper::{Request, Response, StatusCode, body::Incoming, header::HOST},
     pointvane_core::{Name, PlatformAdapter, US_PER_MS},
@@ -10,12 +10,14 @@
     tokio::{
         sync::mpsc::{UnboundedSender, unbounded_channel},
         task::spawn_local,
-        time::{Instant, timeout, timeout_at},
+        time::{Instant, sleep, timeout, timeout_at},
     },
 };
 
 /// Upstreams asked at first, and those asked besides when none of these is good.
 const STAGES: [usize; 2] = [3, 4];
+/// Rest between two looks for a good upstream.
+const LOOK_PAUSE: Duration = Duration::from_millis(6);
 /// Longest wait for the answers of one stage.
 const STAGE_PATIENCE: Duration = Duration::from_millis(30);
 /// Longest wait for one answer; longer silence counts as a failure.
@@ -31,18 +33,60 @@
     listeners: RefCell<Listeners>,
 }
 
-/// The best upstream for a request that is sent now; none if the service has none left.
+/// How an upstream is wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// The best there is.
+    Best {
+        /// Until when a good one is looked for, in microseconds of the steady clock.
+        look_until_us: u64,
+    },
+    /// One that works at once and at the usual pace, or none.
+    GoodOnly,
+}
+
+/// What was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Chosen {
+    /// An upstream that works at once and at the usual pace.
+    Good(UpstreamKey),
+    /// The best of those that don't.
+    Best(UpstreamKey),
+    /// The service has no upstream left.
+    Nothing,
+}
+
+/// The upstream for a request that is sent now.
 pub async fn choose<A: PlatformAdapter + 'static>(
+    node: &Rc<Node<A>>,
+    request: &CallerRequest,
+    choice: Choice,
+) -> Chosen {
+    let tried = request.tried.borrow().clone();
+    loop {
+        let chosen = look(node, &request.routed.service, &tried, request.body_bytes()).await;
+        let goes_on = match choice {
+            Choice::Best { look_until_us } => node.now_us() < look_until_us,
+            Choice::GoodOnly => false,
+        };
+        if !goes_on || !matches!(chosen, Chosen::Best(_)) {
+            return chosen;
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+}
+
+async fn look<A: PlatformAdapter + 'static>(
     node: &Rc<Node<A>>,
     service: &Name,
     tried: &[UpstreamKey],
     body_bytes: usize,
-) -> Option<UpstreamKey> {
+) -> Chosen {
     let now_us = node.now_us();
     let wanted = Wanted { tried, body_bytes, count: STAGES.iter().sum() };
     let candidates = node.pool.borrow_mut().candidates(service, &wanted, now_us);
     if let Some(known) = candidates.iter().find(|key| node.pool.borrow().is_good(**key, now_us)) {
-        return Some(*known);
+        return Chosen::Good(*known);
     }
     let mut answered = Vec::new();
     let mut rest = candidates.as_slice();
@@ -50,7 +94,7 @@
         let (now, later) = rest.split_at(stage.min(rest.len()));
         rest = later;
         if let Some(good) = ask_stage(node, service, now, &mut answered).await {
-            return Some(good);
+            return Chosen::Good(good);
         }
     }
     let usable = |key: &UpstreamKey| node.pool.borrow().get(*key).is_some_and(|state| state.takes_work());
@@ -59,7 +103,8 @@
     let far_factor = node.pool.borrow().far_factor(body_bytes);
     let cost = |key: &UpstreamKey| node.pool.borrow().placed_cost(*key, far_factor, now_us);
     let best = answered.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
-    best.or_else(|| node.pool.borrow_mut().candidates(service, &wanted, now_us).first().copied())
+    let any = || node.pool.borrow_mut().candidates(service, &wanted, now_us).first().copied();
+    best.or_else(any).map_or(Chosen::Nothing, Chosen::Best)
 }
 
 /// Asks some upstreams together; gives the first that is good, and notes all that answered.
@@ -134,29 +179,22 @@
         }
         return false;
     };
-    let mut pool = node.pool.borrow_mut();
-    let other = answer
-        .headers()
-        .get(&node.headers.upstream)
-        .is_some_and(|told| told.as_bytes() != id.as_str().as_bytes());
-    let load = answer.headers().get(&node.headers.load).and_then(|told| told.to_str().ok());
-    if other {
-        if let Some(state) = pool.get_mut(key) {
-            state.eject(now_us);
-        }
-        return false;
+    let headers = answer.headers();
+    let other =
+        headers.get(&node.headers.upstream).is_some_and(|told| told.as_bytes() != id.as_str().as_bytes());
+    let load = headers.get(&node.headers.load).and_then(|told| told.to_str().ok());
+    let refused = headers.contains_key(&node.headers.not_run);
+    if let Some(load) = load.and_then(|told| node.adapter.load(told)).filter(|_| !other) {
+        node.hear_load(key, load);
     }
-    if let Some(load) = load.and_then(|told| node.adapter.load(told)) {
-        pool.hear(key, load, now_us);
-    }
-    let refused = answer.headers().contains_key(&node.headers.not_run);
-    if answer.status() != StatusCode::OK && !refused {
-        if let Some(state) = pool.get_mut(key) {
-            state.failed(now_us);
+    let well = !other && (refused || answer.status() == StatusCode::OK);
+    if let Some(state) = node.pool.borrow_mut().get_mut(key).filter(|_| !well) {
+        match other {
+            true => _ = state.eject(now_us),
+            false => _ = state.failed(now_us),
         }
-        return false;
     }
-    true
+    well
 }
 
 async fn exchange(connections: &Connections, address: SocketAddr, path: &Name) -> Option<Response<()>> {
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         answer::Refused,
-        attempt::{CallerRequest, is_streamed, strip_hop_headers},
+        attempt::{CallerRequest, CallerTimes, is_streamed, strip_hop_headers},
         body::{Gathered, RelayBody, gather},
         forward::{forward, refuse},
         node::Node,
@@ -28,6 +28,8 @@
 const BODY_GATHERED_BYTES: usize = 512 << 10;
 /// Deadline of a request that names none, in milliseconds.
 const DEADLINE_DEFAULT_MS: u64 = 10_000;
+/// Longest deadline that is heeded, in milliseconds.
+const DEADLINE_MAX_MS: u64 = 86_400_000;
 
 /// Serves one request of a caller.
 pub async fn serve<A: PlatformAdapter + 'static>(
@@ -56,16 +58,20 @@
 ) -> Result<Response<RelayBody>, Refused> {
     let arrived_at_us = node.now_us();
     let routed = routed(node, &head)?;
-    let give_up_at_us = arrived_at_us + give_up_after_ms(node, &head, &routed) * US_PER_MS;
+    let deadline_ms = deadline_ms(node, &head);
+    let deadline_at_us = arrived_at_us + deadline_ms * US_PER_MS;
+    let give_up_at_us = deadline_at_us.min(arrived_at_us + routed.route.timeout_ms * US_PER_MS);
+    node.route_times(&routed.route, |times| times.whole.note(deadline_ms as f64));
     let body_max = node.route_table().limits().body_bytes_max;
     if body.size_hint().exact().is_some_and(|length| length > body_max) {
-        return Err(Refused { kind: ErrorKind::BadRequest, status: Some(StatusCode::PAYLOAD_TOO_LARGE) });
+        return Err(Refused { status: Some(StatusCode::PAYLOAD_TOO_LARGE), ..ErrorKind::BadRequest.into() });
     }
     let gathered = gather(body, BODY_GATHERED_BYTES).await.map_err(|_| ErrorKind::BadRequest)?;
     if node.now_us() >= give_up_at_us {
         return Err(ErrorKind::DeadlinePassed.into());
     }
-    forward(Rc::clone(node), Rc::new(caller_request(head, gathered, routed, give_up_at_us))).await
+    let times = CallerTimes { arrived_at_us, deadline_at_us, give_up_at_us };
+    forward(Rc::clone(node), Rc::new(caller_request(head, gathered, routed, times))).await
 }
 
 fn routed<A: PlatformAdapter>(node: &Node<A>, head: &Parts) -> Result<RoutedRequest, Refused> {
@@ -79,18 +85,18 @@
     routed.ok_or_else(|| ErrorKind::NoSuchService.into())
 }
 
-/// How long the request may be held: until its caller leaves, or as long as its route allows.
-fn give_up_after_ms<A: PlatformAdapter>(node: &Node<A>, head: &Parts, routed: &RoutedRequest) -> u64 {
+/// How long the caller will wait.
+fn deadline_ms<A: PlatformAdapter>(node: &Node<A>, head: &Parts) -> u64 {
     let told = head.headers.get(&node.headers.deadline_ms).and_then(|told| told.to_str().ok());
-    let deadline_ms = told.and_then(|told| told.trim().parse().ok()).unwrap_or(DEADLINE_DEFAULT_MS);
-    deadline_ms.min(routed.route.timeout_ms)
+    let told = told.and_then(|told| told.trim().parse().ok()).unwrap_or(DEADLINE_DEFAULT_MS);
+    told.min(DEADLINE_MAX_MS)
 }
 
 fn caller_request(
     head: Parts,
     gathered: Gathered,
     routed: RoutedRequest,
-    give_up_at_us: u64,
+    times: CallerTimes,
 ) -> CallerRequest {
     let mut headers = head.headers;
     strip_hop_headers(&mut headers);
@@ -105,7 +111,7 @@
         headers,
         body,
         stream: RefCell::new(stream),
-        give_up_at_us,
+        times,
         tried: RefCell::default(),
         arrivals: Cell::new(0),
     }
