Structured lines, metrics and an operator port for the node; settings read again when they change

One closed list of events for log lines and time line. Lines on requests: one of 64 that went well, 40 a second of what went wrong, and the count of what was left out; written by a bounded queue that never blocks. Metrics by route, upstream and outcome, 512 labels at most.

--- a/crates/pointvane-dispatch/src/outcome.rs
+++ b/crates/pointvane-dispatch/src/outcome.rs
@@ -31,6 +31,22 @@
     TimedOut,
 }
 
+impl AttemptOutcome {
+    /// The outcome's name in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered { failed: false } => "answered",
+            Self::Answered { failed: true } => "answered-error",
+            Self::NotRun(Refusal::Busy) => "not-run-busy",
+            Self::NotRun(Refusal::Misdirected) => "not-run-misdirected",
+            Self::NotRun(Refusal::Other) => "not-run",
+            Self::Unsent => "unsent",
+            Self::Broken => "broken",
+            Self::TimedOut => "timed-out",
+        }
+    }
+}
+
 /// What to do after an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -15,8 +15,11 @@
             CONNECTION, HeaderName, HeaderValue, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
         },
     },
-    pointvane_core::{PlatformAdapter, US_PER_MS},
-    pointvane_dispatch::{AdmissionOptions, AttemptOutcome, Outlook, Refusal, RoutedRequest, UpstreamKey},
+    pointvane_core::{Name, PlatformAdapter, US_PER_MS},
+    pointvane_dispatch::{
+        AdmissionOptions, AttemptOutcome, LoadSample, Outlook, Refusal, RoutedRequest, UpstreamKey,
+    },
+    pointvane_telemetry::EventKind,
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -84,8 +87,6 @@
 pub struct UpstreamAnswer {
     /// The answer, ready for the caller.
     pub response: Response<RelayBody>,
-    /// Whether its status tells an error.
-    pub failed: bool,
 }
 
 /// The end of an attempt.
@@ -136,6 +137,7 @@
     request: Rc<CallerRequest>,
     choice: Choice,
 ) -> AttemptEnd {
+    let began_us = node.now_us();
     let key = match choose(&node, &request, choice).await {
         Chosen::Good(key) => key,
         Chosen::Best(key) if choice == Choice::GoodOnly || is_late(&node, &request, key) => {
@@ -145,19 +147,89 @@
         Chosen::Nothing => return AttemptEnd::new(AttemptOutcome::Unsent, None),
     };
     request.tried.borrow_mut().push(key);
-    let cost = f64::from(node.pool.borrow().cost(key, node.now_us()));
+    let Some(belief) = Belief::of(&node, key) else {
+        return AttemptEnd::new(AttemptOutcome::Unsent, Some(key));
+    };
     let sent_at_us = node.now_us();
     let in_flight = InFlight::new(&node, key);
     let end = exchange(&node, &request, key).await;
     drop(in_flight);
     note(&node, &end, key);
+    let took_ms = node.now_us().saturating_sub(sent_at_us) / US_PER_MS;
     if end.outcome == (AttemptOutcome::Answered { failed: false }) {
-        let took_ms = node.now_us().saturating_sub(sent_at_us) as f64 / US_PER_MS as f64;
-        node.route_times(&request.routed.route, |times| times.usual.note(took_ms / cost));
+        node.route_times(&request.routed.route, |times| {
+            times.usual.note(took_ms as f64 / f64::from(belief.cost))
+        });
     }
+    let times = AttemptTimes { choose_ms: sent_at_us.saturating_sub(began_us) / US_PER_MS, took_ms };
+    report(&node, &request, choice, &belief, end.outcome, times);
     end
 }
 
+/// What was believed of an upstream when it was chosen.
+struct Belief {
+    upstream: Name,
+    cost: f32,
+    sample: Option<LoadSample>,
+    at_us: u64,
+}
+
+/// Times of an attempt.
+struct AttemptTimes {
+    choose_ms: u64,
+    took_ms: u64,
+}
+
+impl Belief {
+    fn of<A: PlatformAdapter>(node: &Node<A>, key: UpstreamKey) -> Option<Self> {
+        let at_us = node.now_us();
+        let pool = node.pool.borrow();
+        let state = pool.get(key)?;
+        Some(Self {
+            upstream: state.id().clone(),
+            cost: pool.cost(key, at_us),
+            sample: state.sample(),
+            at_us,
+        })
+    }
+}
+
+const PERCENT: f32 = 100.0;
+
+fn report<A: PlatformAdapter>(
+    node: &Node<A>,
+    request: &CallerRequest,
+    choice: Choice,
+    belief: &Belief,
+    outcome: AttemptOutcome,
+    times: AttemptTimes,
+) {
+    node.report.attempted(&belief.upstream, outcome.as_str(), times.took_ms);
+    let load = belief.sample.map(|sample| sample.load);
+    let id = request.headers.get(&node.headers.request_id).and_then(|id| id.to_str().ok());
+    let line = || EventKind::AttemptEnded {
+        request: id.unwrap_or_default().into(),
+        service: request.routed.service.clone(),
+        upstream: belief.upstream.clone(),
+        outcome: outcome.as_str().into(),
+        hedge: choice == Choice::GoodOnly,
+        cost_percent: (belief.cost * PERCENT) as u32,
+        running: load.map_or(0, |load| load.running),
+        waiting: load.map_or(0, |load| load.waiting),
+        pace_percent: load.map_or(0, |load| load.pace_percent),
+        load_age_ms: belief
+            .sample
+            .map_or(0, |sample| belief.at_us.saturating_sub(sample.heard_at_us) / US_PER_MS),
+        choose_ms: times.choose_ms,
+        took_ms: times.took_ms,
+    };
+    if outcome == (AttemptOutcome::Answered { failed: false }) {
+        node.report.well(line);
+    } else {
+        node.report.wrong(node.now_us(), line);
+    }
+}
+
 /// Whether a request that was not sent yet would be late at this upstream and may come back instead.
 fn is_late<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest, key: UpstreamKey) -> bool {
     if request.arrivals.get() > 0 {
@@ -248,7 +320,7 @@
     let failed = head.status.is_server_error();
     let mut response = Response::from_parts(head, response);
     strip_hop_headers(response.headers_mut());
-    let answer = Some(UpstreamAnswer { response, failed });
+    let answer = Some(UpstreamAnswer { response });
     AttemptEnd { answer, ..end(AttemptOutcome::Answered { failed }) }
 }
 
--- a/crates/pointvane-node/src/feed.rs
+++ b/crates/pointvane-node/src/feed.rs
@@ -15,8 +15,8 @@
     hyper_util::rt::TokioIo,
     pointvane_core::PlatformAdapter,
     pointvane_dispatch::{CallFailure, FeedCall},
-    slog::{info, warn},
-    std::{rc::Rc, time::Duration},
+    pointvane_telemetry::EventKind,
+    std::{mem, rc::Rc, time::Duration},
     tokio::{
         task::spawn_local,
         time::{sleep, timeout},
@@ -46,8 +46,8 @@
             }
         }
         match (lost_before, node.feed.borrow().is_lost()) {
-            (false, true) => warn!(node.log, "platform-lost"; "revision" => node.feed.borrow().revision()),
-            (true, false) => info!(node.log, "platform-back"; "revision" => node.feed.borrow().revision()),
+            (false, true) => node.report.note(EventKind::PlatformLost),
+            (true, false) => node.report.note(EventKind::PlatformBack),
             _ => {}
         }
     }
@@ -65,8 +65,8 @@
         let page = self.call(&target, patience).await;
         let page = page.and_then(|body| node.adapter.snapshot(&body).map_err(|_| CallFailure::Malformed));
         match page {
-            Ok(page) => {
-                node.refuse_items(&page.refused);
+            Ok(mut page) => {
+                node.refuse_items(mem::take(&mut page.refused));
                 let changes = {
                     let pool = node.pool.borrow();
                     node.feed.borrow_mut().read(page, pool.ids(), node.now_us())
@@ -83,15 +83,15 @@
         let called = tokio::select! {
             called = self.call(&target, patience) => called,
             () = node.watch_renewed() => {
-                info!(node.log, "watch-renewed"; "revision" => after);
+                node.report.note(EventKind::WatchRenewed { revision: after });
                 self.connection = None;
                 return;
             }
         };
         let page = called.and_then(|body| node.adapter.changes(&body).map_err(|_| CallFailure::Malformed));
         match page {
-            Ok(page) => {
-                node.refuse_items(&page.refused);
+            Ok(mut page) => {
+                node.refuse_items(mem::take(&mut page.refused));
                 let changes = node.feed.borrow_mut().watched(page, node.now_us());
                 node.apply(changes);
             }
@@ -107,6 +107,7 @@
 
     async fn call(&mut self, target: &str, patience: Duration) -> Result<Bytes, CallFailure> {
         let address = self.node.settings.borrow().platform;
+        self.node.report.called_platform();
         let mut sender = match self.connection.take() {
             Some(sender) if sender.is_ready() => sender,
             _ => {
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -128,6 +128,7 @@
             && self.attempts_left()
             && self.node.take_retry(&self.request.routed.service)
         {
+            self.node.report.repeated(true);
             self.start(Choice::GoodOnly);
         }
     }
@@ -157,6 +158,7 @@
                 if counted && !self.node.take_retry(&self.request.routed.service) {
                     return Some(self.give_up(self.kind_for(end.outcome)));
                 }
+                self.node.report.repeated(false);
                 self.start(self.best());
                 None
             }
--- a/crates/pointvane-node/src/gossip.rs
+++ b/crates/pointvane-node/src/gossip.rs
@@ -4,7 +4,7 @@
     crate::node::Node,
     pointvane_core::PlatformAdapter,
     pointvane_mesh::{Action, GossipMessage, Stamps, codec},
-    slog::info,
+    pointvane_telemetry::EventKind,
     std::{rc::Rc, time::Duration},
     tokio::{net::UdpSocket, time::interval},
 };
@@ -25,8 +25,7 @@
                     }
                 }
                 Action::Changed(change) => {
-                    info!(self.log, "member-changed"; "member" => change.name.as_str(),
-                        "state" => format!("{:?}", change.state));
+                    self.report.note(EventKind::MemberChanged { member: change.name, state: change.state });
                     self.share_budgets();
                 }
             }
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -1,20 +1,19 @@
 //! The state that all parts of a node share; one thread uses it.
 
 use {
-    crate::{connections::Connections, probe::Probes, settings::NodeSettings, stop::Stage},
+    crate::{connections::Connections, probe::Probes, report::Report, settings::NodeSettings, stop::Stage},
     hyper::header::HeaderName,
     pointvane_core::{
-        Change, Clock, HeaderNames, Incarnation, Name, PlatformAdapter, RefusedItem, RouteRule, UpstreamLoad,
-        VmIdentity, VmState,
+        Change, Clock, HeaderNames, Incarnation, Name, PlatformAdapter, RefusedItem, RouteRule,
+        RoutingConfiguration, UpstreamLoad, VmIdentity, VmState,
     },
     pointvane_dispatch::{
         DirectoryMember, Feed, FeedOptions, LatencyQuantile, PeerVerdict, PeerView, Pool, PoolOptions,
         RetryBudget, RetryBudgetOptions, RouteTable, TokenBucket, UpstreamKey, WholeTime,
     },
     pointvane_mesh::{EntryRow, MemberRow, Membership, MembershipOptions, Stamp, choose_readers},
-    pointvane_telemetry::{MonotonicClock, wall_ms},
+    pointvane_telemetry::{EventKind, MonotonicClock, wall_ms},
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    slog::{Logger, info, warn},
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -111,8 +110,8 @@
     pub settings: RefCell<NodeSettings>,
     /// The time.
     pub clock: MonotonicClock,
-    /// Structured log lines.
-    pub log: Logger,
+    /// Log lines, time line and metrics.
+    pub report: Report,
     /// The configuration in force.
     pub routes: RefCell<Rc<RouteTable>>,
     /// The upstreams.
@@ -153,7 +152,7 @@
 
 impl<A: PlatformAdapter> Node<A> {
     /// A node that knows only its settings.
-    pub fn new(adapter: A, settings: NodeSettings, log: Logger) -> Self {
+    pub fn new(adapter: A, settings: NodeSettings, report: Report) -> Self {
         let clock = MonotonicClock::start();
         let now_us = clock.now_us();
         let mut seeder = SmallRng::from_os_rng();
@@ -164,7 +163,7 @@
             headers: adapter.headers().into(),
             adapter,
             clock,
-            log,
+            report,
             routes: RefCell::default(),
             pool: RefCell::new(pool),
             feed: RefCell::new(Feed::new(FeedOptions::default(), seeder.random())),
@@ -213,22 +212,19 @@
     pub fn apply(&self, changes: Vec<Change>) {
         for change in changes {
             match change {
-                Change::Configuration(configuration) => {
-                    let held = self.routes.borrow().version();
-                    if configuration.version > held {
-                        info!(self.log, "configuration-accepted"; "version" => configuration.version, "held" => held);
-                        *self.routes.borrow_mut() = Rc::new(RouteTable::new(*configuration));
-                    }
-                }
+                Change::Configuration(configuration) => self.take_configuration(*configuration),
                 Change::Upstream(record) => {
-                    info!(self.log, "upstream-told"; "upstream" => record.id.as_str(),
-                        "service" => record.service.as_str(), "draining" => record.draining,
-                        "sequence" => record.sequence);
+                    self.report.note(EventKind::UpstreamTold {
+                        service: record.service.clone(),
+                        upstream: record.id.clone(),
+                        draining: record.draining,
+                        sequence: record.sequence,
+                    });
                     self.pool.borrow_mut().put(record, self.now_us());
                 }
                 Change::UpstreamGone(id) => {
                     if self.pool.borrow_mut().remove(&id) {
-                        info!(self.log, "upstream-gone"; "upstream" => id.as_str());
+                        self.report.note(EventKind::UpstreamGone { upstream: id });
                     }
                 }
             }
@@ -237,10 +233,20 @@
         self.tell_entry();
     }
 
+    /// A node never goes back to an older configuration within its life.
+    fn take_configuration(&self, configuration: RoutingConfiguration) {
+        if configuration.version <= self.routes.borrow().version() {
+            return;
+        }
+        let index = self.feed.borrow().revision();
+        self.report.note(EventKind::ConfigurationAccepted { revision: configuration.version, index });
+        *self.routes.borrow_mut() = Rc::new(RouteTable::new(configuration));
+    }
+
     /// Notes items that could not be understood.
-    pub fn refuse_items(&self, refused: &[RefusedItem]) {
-        for item in refused {
-            warn!(self.log, "item-refused"; "key" => &item.key, "problem" => &item.problem);
+    pub fn refuse_items(&self, refused: Vec<RefusedItem>) {
+        for RefusedItem { key, problem } in refused {
+            self.report.note(EventKind::ItemRefused { key, problem });
         }
     }
 
--- /dev/null
+++ b/crates/pointvane-node/src/operator.rs
@@ -0,0 +1,62 @@
+//! The operator port: metrics, events and status.
+
+use {
+    crate::{answer::short, body::RelayBody, node::Node},
+    hyper::{Request, Response, StatusCode, body::Incoming},
+    pointvane_core::PlatformAdapter,
+    serde::Serialize,
+    std::{convert::Infallible, rc::Rc},
+};
+
+const TEXT: &str = "text/plain";
+const JSON: &str = "application/json";
+
+/// What a node says of itself.
+#[derive(Debug, Serialize)]
+struct Status {
+    vm: String,
+    ready: bool,
+    configuration_version: u64,
+    platform_revision: u64,
+    platform_lost: bool,
+    upstreams: usize,
+    members: usize,
+    connections: usize,
+}
+
+/// Answers operators.
+pub async fn operator<A: PlatformAdapter>(
+    node: Rc<Node<A>>,
+    request: Request<Incoming>,
+) -> Result<Response<RelayBody>, Infallible> {
+    let (content_type, text) = match request.uri().path() {
+        "/metrics" => (TEXT, Some(node.report.metrics.text())),
+        "/events" => {
+            (JSON, serde_json::to_string(&node.report.events.page(after(request.uri().query()))).ok())
+        }
+        "/status" => (JSON, serde_json::to_string(&status(&node)).ok()),
+        _ => return Ok(short(StatusCode::NOT_FOUND, TEXT, String::new())),
+    };
+    Ok(match text {
+        Some(text) => short(StatusCode::OK, content_type, text),
+        None => short(StatusCode::INTERNAL_SERVER_ERROR, TEXT, String::new()),
+    })
+}
+
+fn after(query: Option<&str>) -> u64 {
+    let value = query.unwrap_or_default().split('&').find_map(|pair| pair.strip_prefix("after="));
+    value.and_then(|value| value.parse().ok()).unwrap_or_default()
+}
+
+fn status<A: PlatformAdapter>(node: &Node<A>) -> Status {
+    Status {
+        vm: node.settings.borrow().name.to_string(),
+        ready: node.is_ready(),
+        configuration_version: node.route_table().version(),
+        platform_revision: node.feed.borrow().revision(),
+        platform_lost: node.feed.borrow().is_lost(),
+        upstreams: node.pool.borrow().len(),
+        members: node.directory_members().len(),
+        connections: node.connections_open(),
+    }
+}
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -146,6 +146,7 @@
     if !node.take_probe() {
         return false;
     }
+    node.report.probed();
     listeners.insert(key, vec![answers]);
     spawn_local(question(Rc::clone(node), service.clone(), key));
     true
--- /dev/null
+++ b/crates/pointvane-node/src/report.rs
@@ -0,0 +1,140 @@
+//! What a node tells of itself: log lines, time line, counters and histograms.
+
+use {
+    crate::attempt::CallerRequest,
+    eyre::Result,
+    opentelemetry::{
+        KeyValue,
+        metrics::{Counter, Histogram},
+    },
+    pointvane_core::{ErrorKind, Name},
+    pointvane_telemetry::{EventKind, EventLog, LineForm, LineGate, Metrics, Program, stdout_logger},
+    std::{cell::RefCell, collections::HashSet, sync::Arc},
+};
+
+/// Bounds of the time histograms, in seconds.
+const TIME_BOUNDS_S: [f64; 12] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
+/// Upstreams and routes that get labels of their own; the others share one.
+const LABELS_MAX: usize = 512;
+const OTHER: &str = "other";
+const MS_PER_S: f64 = 1_000.0;
+
+/// Log lines, time line and metrics of one node.
+#[derive(Debug)]
+pub struct Report {
+    /// The time line.
+    pub events: EventLog,
+    /// All metrics.
+    pub metrics: Metrics,
+    gate: RefCell<LineGate>,
+    labels: RefCell<HashSet<Name>>,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    attempts: Counter<u64>,
+    repeats: Counter<u64>,
+    probes: Counter<u64>,
+    platform_calls: Counter<u64>,
+    request_s: Histogram<f64>,
+    upstream_s: Histogram<f64>,
+}
+
+impl Report {
+    /// The report of the node of one VM.
+    ///
+    /// # Errors
+    /// When the metrics can't be set up.
+    pub fn new(vm: &Name) -> Result<Self> {
+        let metrics = Metrics::new()?;
+        let meter = metrics.meter();
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let histogram = |name: &'static str| {
+            meter.f64_histogram(name).with_unit("s").with_boundaries(TIME_BOUNDS_S.to_vec()).build()
+        };
+        let log = stdout_logger(Program::Node.as_str(), vm);
+        Ok(Self {
+            events: EventLog::new(vm.clone(), Program::Node, log).with_lines(LineForm::Fields),
+            gate: RefCell::default(),
+            labels: RefCell::default(),
+            requests: counter("pointvane_node_requests"),
+            refusals: counter("pointvane_node_refusals"),
+            attempts: counter("pointvane_node_attempts"),
+            repeats: counter("pointvane_node_repeats"),
+            probes: counter("pointvane_node_probes"),
+            platform_calls: counter("pointvane_node_platform_calls"),
+            request_s: histogram("pointvane_node_request"),
+            upstream_s: histogram("pointvane_node_upstream"),
+            metrics,
+        })
+    }
+
+    /// Notes a change of what this node believes or does.
+    pub fn note(&self, kind: EventKind) {
+        self.events.note(kind);
+    }
+
+    /// Writes one of some lines on a decision that went well.
+    pub fn well(&self, line: impl FnOnce() -> EventKind) {
+        if self.gate.borrow_mut().well() {
+            self.events.note(line());
+        }
+    }
+
+    /// Writes a line on a decision that went wrong, unless there are too many.
+    pub fn wrong(&self, now_us: u64, line: impl FnOnce() -> EventKind) {
+        let passage = self.gate.borrow_mut().wrong(now_us);
+        if let Some(count) = passage.left_out {
+            self.events.note(EventKind::LinesLeftOut { count });
+        }
+        if passage.written {
+            self.events.note(line());
+        }
+    }
+
+    /// Counts a request that got an upstream's answer.
+    pub fn answered(&self, request: &CallerRequest, status: u16, spent_ms: u64) {
+        let route = self.label("route", &request.routed.route.name);
+        let class = KeyValue::new("status", i64::from(status / 100 * 100));
+        self.requests.add(1, &[route.clone(), class]);
+        self.request_s.record(spent_ms as f64 / MS_PER_S, &[route]);
+    }
+
+    /// Counts a request that was answered in an upstream's place.
+    pub fn refused(&self, kind: ErrorKind) {
+        let row = kind.answer();
+        self.refusals
+            .add(1, &[KeyValue::new("error", row.name), KeyValue::new("outcome", row.outcome.as_str())]);
+    }
+
+    /// Counts an attempt.
+    pub fn attempted(&self, upstream: &Name, outcome: &'static str, took_ms: u64) {
+        let upstream = self.label("upstream", upstream);
+        self.attempts.add(1, &[upstream, KeyValue::new("outcome", outcome)]);
+        self.upstream_s.record(took_ms as f64 / MS_PER_S, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a repeated attempt; `hedge` tells one beside another that still runs.
+    pub fn repeated(&self, hedge: bool) {
+        self.repeats.add(1, &[KeyValue::new("hedge", hedge)]);
+    }
+
+    /// Counts a question to an upstream.
+    pub fn probed(&self) {
+        self.probes.add(1, &[]);
+    }
+
+    /// Counts a call to the platform.
+    pub fn called_platform(&self) {
+        self.platform_calls.add(1, &[]);
+    }
+
+    /// A label whose values are bounded.
+    fn label(&self, key: &'static str, value: &Name) -> KeyValue {
+        let mut labels = self.labels.borrow_mut();
+        if labels.contains(value) || labels.len() < LABELS_MAX {
+            labels.insert(value.clone());
+            KeyValue::new(key, Arc::<str>::from(value))
+        } else {
+            KeyValue::new(key, OTHER)
+        }
+    }
+}
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -1,10 +1,13 @@
 //! The life of a node's process.
 
 use {
-    crate::{directory, feed, gossip, node::Node, serve::listen, settings::NodeSettings, stop, traffic},
+    crate::{
+        directory, feed, gossip, node::Node, operator, report::Report, serve::listen, settings::NodeSettings,
+        stop, traffic,
+    },
     eyre::{Result, WrapErr},
     pointvane_core::PlatformAdapter,
-    slog::{error, info},
+    pointvane_telemetry::EventKind,
     std::{rc::Rc, time::Duration},
     tokio::{
         net::UdpSocket,
@@ -17,6 +20,8 @@
 
 /// Time between two looks at connections that have rested too long.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+/// Such looks between two looks at the settings.
+const LOOKS_PER_REREAD: u64 = 5;
 
 /// Runs a node until it is stopped; `read_settings` is called at the start and whenever they may have changed.
 ///
@@ -28,9 +33,9 @@
     S: Fn() -> Result<NodeSettings> + 'static,
 {
     let settings = read_settings()?;
-    let log = pointvane_telemetry::logger("node", &settings.name, "info", true);
+    let report = Report::new(&settings.name)?;
     let runtime = Builder::new_current_thread().enable_all().build().wrap_err("runtime")?;
-    let node = Rc::new(Node::new(adapter, settings, log));
+    let node = Rc::new(Node::new(adapter, settings, report));
     LocalSet::new().block_on(&runtime, live(node, read_settings))
 }
 
@@ -47,29 +52,46 @@
     listen(Rc::clone(&node), settings.traffic, traffic::serve).await?;
     listen(Rc::clone(&node), settings.readiness, directory::readiness).await?;
     listen(Rc::clone(&node), settings.directory, directory::directory).await?;
+    if let Some(address) = settings.operator {
+        listen(Rc::clone(&node), address, operator::operator).await?;
+    }
     spawn_local(gossip::gossip(Rc::clone(&node), socket));
     spawn_local(feed::read(Rc::clone(&node)));
-    info!(node.log, "started"; "data_centre" => settings.data_centre.as_str(), "seeds" => settings.seeds.len());
+    node.report.note(EventKind::Started);
     let mut expire = interval(EXPIRE_INTERVAL);
+    let mut looks: u64 = 0;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = reload.recv() => reread(&node, &read_settings),
-            _ = expire.tick() => node.connections.expire(),
+            _ = expire.tick() => {
+                node.connections.expire();
+                looks += 1;
+                if looks % LOOKS_PER_REREAD == 0 {
+                    reread_if_changed(&node, &read_settings);
+                }
+            }
         }
     }
     stop::stop(node).await;
     Ok(())
 }
 
+/// The settings may change with no signal.
+fn reread_if_changed<A: PlatformAdapter>(node: &Node<A>, read_settings: &impl Fn() -> Result<NodeSettings>) {
+    if read_settings().is_ok_and(|settings| *node.settings.borrow() != settings) {
+        reread(node, read_settings);
+    }
+}
+
 /// Takes changed settings; addresses stay those of the start.
 fn reread<A: PlatformAdapter>(node: &Node<A>, read_settings: &impl Fn() -> Result<NodeSettings>) {
     match read_settings() {
         Ok(settings) => {
-            info!(node.log, "reloaded"; "changed" => *node.settings.borrow() != settings);
+            node.report.note(EventKind::Reloaded { changed: *node.settings.borrow() != settings });
             *node.settings.borrow_mut() = settings;
             node.share_budgets();
         }
-        Err(problem) => error!(node.log, "reload-refused"; "problem" => format!("{problem:#}")),
+        Err(problem) => node.report.note(EventKind::ReloadRefused { problem: format!("{problem:#}") }),
     }
 }
--- a/crates/pointvane-node/src/settings.rs
+++ b/crates/pointvane-node/src/settings.rs
@@ -18,6 +18,8 @@
     pub readiness: SocketAddr,
     /// Where callers ask which nodes to use.
     pub directory: SocketAddr,
+    /// Where operators read metrics, events and status, if anywhere.
+    pub operator: Option<SocketAddr>,
     /// Where datagrams of other nodes are taken.
     pub gossip: SocketAddr,
     /// Where the platform answers.
--- a/crates/pointvane-node/src/stop.rs
+++ b/crates/pointvane-node/src/stop.rs
@@ -3,6 +3,7 @@
 use {
     crate::node::Node,
     pointvane_core::PlatformAdapter,
+    pointvane_telemetry::EventKind,
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep},
 };
@@ -28,7 +29,7 @@
 pub async fn stop<A: PlatformAdapter>(node: Rc<Node<A>>) {
     let began = Instant::now();
     let grace = node.settings.borrow().limits.stop_grace;
-    slog::info!(node.log, "stopping"; "connections" => node.connections_open(), "grace_ms" => grace.as_millis() as u64);
+    node.report.note(EventKind::Stopping { in_flight: node.connections_open() as u64 });
     node.stage.send_replace(Stage::Leaving);
     node.tell_entry();
     let told = node.membership.borrow_mut().leave();
@@ -38,5 +39,5 @@
     while node.connections_open() > 0 && began.elapsed() + RESERVE < grace {
         sleep(LOOK_INTERVAL).await;
     }
-    slog::info!(node.log, "stopped"; "connections" => node.connections_open());
+    node.report.note(EventKind::Stopped { cut: node.connections_open() as u64 });
 }
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -17,6 +17,7 @@
     },
     pointvane_core::{ErrorKind, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::RoutedRequest,
+    pointvane_telemetry::EventKind,
     std::{
         cell::{Cell, RefCell},
         convert::Infallible,
@@ -38,10 +39,16 @@
 ) -> Result<Response<RelayBody>, Infallible> {
     let (head, body) = request.into_parts();
     let id = head.headers.get(&node.headers.request_id).cloned();
-    let mut response = match answered(&node, head, body).await {
-        Ok(response) => response,
+    let arrived_at_us = node.now_us();
+    let mut response = match read(&node, head, body, arrived_at_us).await {
+        Ok(request) => {
+            let request = Rc::new(request);
+            let ended = forward(Rc::clone(&node), Rc::clone(&request)).await;
+            report_end(&node, &request, &ended);
+            ended.unwrap_or_else(|refused| refuse(&node, refused, id.as_ref()))
+        }
         Err(refused) => {
-            slog::info!(node.log, "request-refused"; "request" => text(id.as_ref()), "error" => refused.kind.answer().name);
+            report_unrouted(&node, id.as_ref(), refused, arrived_at_us);
             refuse(&node, refused, id.as_ref())
         }
     };
@@ -51,12 +58,13 @@
     Ok(response)
 }
 
-async fn answered<A: PlatformAdapter + 'static>(
-    node: &Rc<Node<A>>,
+/// Reads a request and finds its route.
+async fn read<A: PlatformAdapter>(
+    node: &Node<A>,
     head: Parts,
     body: Incoming,
-) -> Result<Response<RelayBody>, Refused> {
-    let arrived_at_us = node.now_us();
+    arrived_at_us: u64,
+) -> Result<CallerRequest, Refused> {
     let routed = routed(node, &head)?;
     let deadline_ms = deadline_ms(node, &head);
     let deadline_at_us = arrived_at_us + deadline_ms * US_PER_MS;
@@ -71,7 +79,67 @@
         return Err(ErrorKind::DeadlinePassed.into());
     }
     let times = CallerTimes { arrived_at_us, deadline_at_us, give_up_at_us };
-    forward(Rc::clone(node), Rc::new(caller_request(head, gathered, routed, times))).await
+    Ok(caller_request(head, gathered, routed, times))
+}
+
+fn report_end<A: PlatformAdapter>(
+    node: &Node<A>,
+    request: &CallerRequest,
+    ended: &Result<Response<RelayBody>, Refused>,
+) {
+    let now_us = node.now_us();
+    let spent_ms = now_us.saturating_sub(request.times.arrived_at_us) / US_PER_MS;
+    let attempts = request.arrivals.get();
+    let id = text(request.headers.get(&node.headers.request_id));
+    let (route, version) = (request.routed.route.name.clone(), request.routed.version);
+    match ended {
+        Ok(response) => {
+            let status = response.status().as_u16();
+            node.report.answered(request, status, spent_ms);
+            let line =
+                || EventKind::RequestAnswered { request: id, route, version, status, attempts, spent_ms };
+            if response.status().is_success() && attempts == 1 {
+                node.report.well(line);
+            } else {
+                node.report.wrong(now_us, line);
+            }
+        }
+        Err(refused) => {
+            node.report.refused(refused.kind);
+            let row = refused.kind.answer();
+            node.report.wrong(now_us, || EventKind::RequestRefused {
+                request: id,
+                route: Some(route),
+                version,
+                error: row.name.into(),
+                outcome: row.outcome.as_str().into(),
+                attempts,
+                spent_ms,
+                come_back_ms: refused.come_back_ms,
+            });
+        }
+    }
+}
+
+fn report_unrouted<A: PlatformAdapter>(
+    node: &Node<A>,
+    id: Option<&HeaderValue>,
+    refused: Refused,
+    arrived_at_us: u64,
+) {
+    let now_us = node.now_us();
+    node.report.refused(refused.kind);
+    let row = refused.kind.answer();
+    node.report.wrong(now_us, || EventKind::RequestRefused {
+        request: text(id),
+        route: None,
+        version: node.route_table().version(),
+        error: row.name.into(),
+        outcome: row.outcome.as_str().into(),
+        attempts: 0,
+        spent_ms: now_us.saturating_sub(arrived_at_us) / US_PER_MS,
+        come_back_ms: refused.come_back_ms,
+    });
 }
 
 fn routed<A: PlatformAdapter>(node: &Node<A>, head: &Parts) -> Result<RoutedRequest, Refused> {
@@ -117,6 +185,6 @@
     }
 }
 
-fn text(id: Option<&HeaderValue>) -> &str {
-    id.and_then(|id| id.to_str().ok()).unwrap_or_default()
+fn text(id: Option<&HeaderValue>) -> String {
+    id.and_then(|id| id.to_str().ok()).unwrap_or_default().into()
 }
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -4,6 +4,7 @@
     crate::clock::wall_ms,
     pointvane_core::{Name, VmState},
     serde::{Deserialize, Serialize},
+    serde_json::Value,
     std::{
         collections::VecDeque,
         fmt,
@@ -24,6 +25,8 @@
     Control,
     /// Tells callers which entry VM to use.
     Locate,
+    /// All of these in one process, for upstreams that a platform lists.
+    Node,
 }
 
 impl Program {
@@ -33,11 +36,12 @@
             Self::Entry => "entry",
             Self::Control => "control",
             Self::Locate => "locate",
+            Self::Node => "node",
         }
     }
 }
 
-/// Every change of state that the time line tells.
+/// Everything that the time line and the log lines tell.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
 #[allow(missing_docs)]
@@ -80,9 +84,62 @@
     FeedLost,
     /// The feed from this VM's control came (back).
     FeedBack,
+    /// The platform told of an upstream; `sequence` counts that upstream's own words.
+    UpstreamTold { service: Name, upstream: Name, draining: bool, sequence: u64 },
+    /// An upstream's entry is gone.
+    UpstreamGone { upstream: Name },
+    /// An item of the platform could not be understood.
+    ItemRefused { key: String, problem: String },
+    /// A watch was given up and made anew, since peers have seen a later revision or hung watches must be noticed.
+    WatchRenewed { revision: u64 },
+    /// The settings were read again.
+    Reloaded { changed: bool },
+    /// The settings could not be read again; those before stay in force.
+    ReloadRefused { problem: String },
+    /// An attempt of a request ended; what was believed of the upstream when it was chosen, and how old that was.
+    AttemptEnded {
+        request: String,
+        service: Name,
+        upstream: Name,
+        outcome: Name,
+        hedge: bool,
+        cost_percent: u32,
+        running: u32,
+        waiting: u32,
+        pace_percent: u32,
+        load_age_ms: u64,
+        choose_ms: u64,
+        took_ms: u64,
+    },
+    /// A request got an upstream's answer.
+    RequestAnswered { request: String, route: Name, version: u64, status: u16, attempts: u32, spent_ms: u64 },
+    /// A request was answered in an upstream's place; `version` is the configuration that decided, 0 for none.
+    RequestRefused {
+        request: String,
+        route: Option<Name>,
+        version: u64,
+        error: Name,
+        outcome: Name,
+        attempts: u32,
+        spent_ms: u64,
+        come_back_ms: Option<u32>,
+    },
+    /// Lines were left out, since there were too many.
+    LinesLeftOut { count: u64 },
 }
 
 impl EventKind {
+    /// Whether this tells of one request, and so is logged but not kept.
+    pub const fn is_of_a_request(&self) -> bool {
+        matches!(
+            self,
+            Self::AttemptEnded { .. }
+                | Self::RequestAnswered { .. }
+                | Self::RequestRefused { .. }
+                | Self::LinesLeftOut { .. }
+        )
+    }
+
     /// The kind's name, as in JSON.
     pub fn name(&self) -> String {
         let value = serde_json::to_value(self).unwrap_or_default();
@@ -139,23 +196,64 @@
     dropped: u64,
 }
 
+/// Form of an event's log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LineForm {
+    /// One text.
+    Text,
+    /// A field for each of the event's.
+    Fields,
+}
+
 /// The events of one process.
 #[derive(Debug)]
 pub struct EventLog {
     vm: Name,
     program: Program,
     log: slog::Logger,
+    form: LineForm,
     ring: Mutex<Ring>,
 }
 
+/// An event's fields as those of a log line.
+struct Fields<'e>(&'e EventKind);
+
+impl slog::KV for Fields<'_> {
+    fn serialize(&self, _: &slog::Record<'_>, serializer: &mut dyn slog::Serializer) -> slog::Result {
+        let value = serde_json::to_value(self.0).unwrap_or_default();
+        for (name, value) in value.as_object().into_iter().flatten().filter(|(name, _)| *name != "kind") {
+            let key = slog::Key::from(name.clone());
+            match value {
+                Value::String(text) => serializer.emit_str(key, text)?,
+                Value::Bool(flag) => serializer.emit_bool(key, *flag)?,
+                Value::Number(number) => serializer.emit_u64(key, number.as_u64().unwrap_or_default())?,
+                Value::Null => serializer.emit_none(key)?,
+                other => serializer.emit_str(key, &other.to_string())?,
+            }
+        }
+        Ok(())
+    }
+}
+
 impl EventLog {
     /// An empty ring; each event is also a log line.
     pub fn new(vm: Name, program: Program, log: slog::Logger) -> Self {
-        Self { vm, program, log, ring: Mutex::default() }
+        Self { vm, program, log, form: LineForm::Text, ring: Mutex::default() }
+    }
+
+    /// The same, with log lines in the given form.
+    pub fn with_lines(self, form: LineForm) -> Self {
+        Self { form, ..self }
     }
 
     /// Notes an event.
     pub fn note(&self, kind: EventKind) {
+        if self.form == LineForm::Fields {
+            slog::info!(self.log, "{}", kind.name(); Fields(&kind));
+            if kind.is_of_a_request() {
+                return;
+            }
+        }
         let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
         ring.sequence += 1;
         let event = Event {
@@ -165,7 +263,9 @@
             program: self.program,
             kind,
         };
-        slog::info!(self.log, "{}", event);
+        if self.form == LineForm::Text {
+            slog::info!(self.log, "{}", event);
+        }
         if ring.events.len() == RING_LIMIT {
             ring.events.pop_front();
             ring.dropped += 1;
--- a/crates/pointvane-telemetry/src/lib.rs
+++ b/crates/pointvane-telemetry/src/lib.rs
@@ -1,11 +1,13 @@
 //! Logs, metrics, time-line events and the operator port; the same in every program.
 //!
-//! Requests are counted, not logged. Events and log lines tell changes of state only.
+//! Entry, control and locate count requests and log changes of state only. A node logs decisions on requests too,
+//! bounded by a [`LineGate`].
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod clock;
 mod event;
+mod gate;
 mod log;
 mod metrics;
 mod operator;
@@ -13,8 +15,9 @@
 
 pub use {
     clock::{MonotonicClock, wall_ms},
-    event::{Event, EventKind, EventLog, EventPage, Program},
-    log::logger,
+    event::{Event, EventKind, EventLog, EventPage, LineForm, Program},
+    gate::{LineGate, LineGateOptions, Passage},
+    log::{logger, stdout_logger},
     metrics::Metrics,
     operator::{OperatorPort, OperatorState, serve_operator},
     program::{EXIT_FAULTY, ProgramArgs, settings_logger},
--- a/crates/pointvane-telemetry/src/log.rs
+++ b/crates/pointvane-telemetry/src/log.rs
@@ -22,6 +22,15 @@
     Logger::root(LevelFilter::new(in_background(drain), level).fuse(), values)
 }
 
+/// A logger of JSON lines to standard output, for processes whose lines a platform gathers.
+///
+/// It never blocks: lines beyond a bound that wait for a reader are dropped, and their number is told.
+pub fn stdout_logger(program: &'static str, vm: &Name) -> Logger {
+    let values = o!("program" => program, "vm" => vm.to_string());
+    let drain = slog_json::Json::default(io::stdout()).fuse();
+    Logger::root(in_background(drain), values)
+}
+
 fn in_background<D>(drain: D) -> slog::Fuse<slog_async::Async>
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
