--- /dev/null
+++ b/crates/pointvane-dispatch/tests/attempts.rs
@@ -0,0 +1,159 @@
+//! What may follow an attempt, what may be told to a caller, and the fleet's budgets.
+
+use {
+    googletest::prelude::*,
+    pointvane_core::{ErrorKind, Outcome, RouteKind, RouteRule},
+    pointvane_dispatch::{
+        AdmissionOptions, AttemptOutcome, LatencyQuantile, Outlook, Refusal, RetryBudget, RetryBudgetOptions,
+        TokenBucket, Verdict, judge,
+    },
+    proptest::prelude::*,
+};
+
+const KINDS: [RouteKind; 3] = [RouteKind::Safe, RouteKind::Unsafe, RouteKind::Upload];
+const OUTCOMES: [AttemptOutcome; 8] = [
+    AttemptOutcome::Answered { failed: false },
+    AttemptOutcome::Answered { failed: true },
+    AttemptOutcome::NotRun(Refusal::Busy),
+    AttemptOutcome::NotRun(Refusal::Misdirected),
+    AttemptOutcome::NotRun(Refusal::Other),
+    AttemptOutcome::Unsent,
+    AttemptOutcome::Broken,
+    AttemptOutcome::TimedOut,
+];
+
+#[gtest]
+fn work_that_may_not_be_repeated_is_never_sent_again_once_it_may_have_run() {
+    for kind in [RouteKind::Unsafe, RouteKind::Upload] {
+        for outcome in OUTCOMES {
+            let verdict = judge(kind, outcome, true, true);
+            expect_that!(matches!(verdict, Verdict::Again { .. }), eq(false), "{kind:?} {outcome:?}");
+        }
+    }
+}
+
+#[gtest]
+fn not_run_is_told_only_of_what_cannot_have_run() {
+    for kind in KINDS {
+        for outcome in OUTCOMES {
+            for attempts_left in [false, true] {
+                let verdict = judge(kind, outcome, true, attempts_left);
+                if let Verdict::GiveUp(error) = verdict {
+                    expect_that!(error.answer().outcome, not(eq(Outcome::NotRun)), "{kind:?} {outcome:?}");
+                }
+            }
+        }
+    }
+}
+
+#[gtest]
+fn an_upstreams_refusal_is_tried_elsewhere_and_draws_on_the_budget() {
+    for kind in KINDS {
+        let verdict = judge(kind, AttemptOutcome::NotRun(Refusal::Busy), false, true);
+        expect_that!(verdict, eq(Verdict::Again { counted: true }));
+        let verdict = judge(kind, AttemptOutcome::Unsent, false, true);
+        expect_that!(verdict, eq(Verdict::Again { counted: false }));
+        let verdict = judge(kind, AttemptOutcome::NotRun(Refusal::Busy), false, false);
+        expect_that!(verdict, eq(Verdict::GiveUp(ErrorKind::Overloaded)));
+    }
+}
+
+#[gtest]
+fn an_error_of_an_upstream_is_delivered_when_it_cannot_be_mended() {
+    let failed = AttemptOutcome::Answered { failed: true };
+    expect_that!(judge(RouteKind::Safe, failed, true, true), eq(Verdict::Again { counted: true }));
+    expect_that!(judge(RouteKind::Safe, failed, true, false), eq(Verdict::Deliver));
+    expect_that!(judge(RouteKind::Unsafe, failed, true, true), eq(Verdict::Deliver));
+}
+
+proptest! {
+    /// In every window, all nodes together spend at most what its requests earn and what the slack allows,
+    /// however the requests fall on the nodes and though no node hears of any other.
+    #[test]
+    fn the_fleet_never_repeats_more_than_its_budget(
+        nodes in 1_usize..40,
+        arrivals in proptest::collection::vec((0_usize..40, 0_u8..4), 1..2_000),
+        slack in 40.0_f64..200.0,
+    ) {
+        let options = RetryBudgetOptions { ratio: 0.2, slack, ..RetryBudgetOptions::default() };
+        let mut budgets: Vec<RetryBudget> = (0..nodes).map(|_| RetryBudget::new(options, nodes)).collect();
+        let (mut requests, mut repeats) = (0_u32, 0_u32);
+        for (node, wanted) in arrivals {
+            let budget = &mut budgets[node % nodes];
+            budget.earn();
+            requests += 1;
+            repeats += (0..wanted).filter(|_| budget.take()).count() as u32;
+            prop_assert!(f64::from(repeats) <= 0.2 * f64::from(requests) + slack);
+        }
+    }
+
+    /// A bucket never gives more than its bound and what time brought.
+    #[test]
+    fn a_bucket_gives_no_more_than_time_brings(steps in proptest::collection::vec(0_u64..50_000, 1..500)) {
+        let mut bucket = TokenBucket::new(100.0, 10.0, 0);
+        let (mut now_us, mut given) = (0_u64, 0_u32);
+        for step in steps {
+            now_us += step;
+            given += u32::from(bucket.take(1.0, now_us));
+            prop_assert!(f64::from(given) <= 100.0 * now_us as f64 / 1e6 + 1e-6);
+        }
+    }
+}
+
+#[gtest]
+fn savings_of_a_burst_are_bounded_by_the_slack() {
+    let options = RetryBudgetOptions { ratio: 0.2, slack: 62.0, ..RetryBudgetOptions::default() };
+    let mut spent = 0;
+    for _ in 0..17 {
+        let mut budget = RetryBudget::new(options, 17);
+        (0..10_000).for_each(|_| budget.earn());
+        spent += (0..1_000).filter(|_| budget.take()).count();
+    }
+    expect_that!(spent, le(62));
+}
+
+fn route(priority: u32) -> RouteRule {
+    RouteRule {
+        name: "r".into(),
+        host: "h".into(),
+        path_prefix: "/".into(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1_000,
+        target_latency_ms: 200,
+        attempts_max: 2,
+        priority,
+        backends: Vec::new(),
+    }
+}
+
+#[gtest]
+fn the_least_urgent_work_is_told_to_come_back_first() {
+    let options = AdmissionOptions::default();
+    let refused = |priority: u32, expected_ms: f64| {
+        let outlook = Outlook { spent_ms: 10.0, expected_ms, left_ms: 1_000.0, whole_ms: 1_200.0 };
+        options.refuses(&route(priority), &outlook)
+    };
+    expect_that!(refused(2, 100.0), eq(false), "in time");
+    expect_that!(refused(2, 250.0), eq(true));
+    expect_that!(refused(1, 250.0), eq(false));
+    expect_that!(refused(0, 400.0), eq(false));
+    expect_that!(refused(1, 600.0), eq(true));
+}
+
+#[gtest]
+fn a_refused_caller_comes_back_within_its_time() {
+    let options = AdmissionOptions::default();
+    for draw in [0.0, 0.5, 1.0] {
+        let after_ms = options.come_back_ms(&route(1), draw);
+        expect_that!(after_ms, all!(ge(100.0), le(260.0)));
+    }
+}
+
+#[gtest]
+fn a_quantile_is_followed() {
+    let mut quantile = LatencyQuantile::new(0.9, 500.0);
+    for round in 0..20_000_u32 {
+        quantile.note(f64::from(round % 100));
+    }
+    expect_that!(quantile.get_ms(), all!(gt(70.0), lt(105.0)));
+}
--- /dev/null
+++ b/crates/pointvane-dispatch/tests/upstreams.rs
@@ -0,0 +1,158 @@
+//! Which upstream a request goes to, and what becomes of those that leave, fail or come back.
+
+use {
+    googletest::prelude::*,
+    pointvane_core::{Name, UpstreamLoad, UpstreamRecord},
+    pointvane_dispatch::{Pool, PoolOptions, UpstreamKey, Wanted},
+};
+
+const MS: u64 = 1_000;
+const SERVICE: &str = "dispatch";
+
+fn record(id: &str, centre: &str, sequence: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        id: id.into(),
+        service: SERVICE.into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: centre.into(),
+        slots: 3,
+        draining: false,
+        warm_up_left_ms: 0,
+        sequence,
+    }
+}
+
+fn load(running: u32, waiting: u32, pace_percent: u32) -> UpstreamLoad {
+    UpstreamLoad { running, waiting, slots: 3, pace_percent }
+}
+
+fn pool(ids: &[(&str, &str)]) -> Pool {
+    let mut pool = Pool::new(PoolOptions::default(), "one".into(), 1);
+    for (id, centre) in ids {
+        pool.put(record(id, centre, 1), MS);
+    }
+    pool
+}
+
+fn candidates(pool: &mut Pool, tried: &[UpstreamKey], now_us: u64) -> Vec<UpstreamKey> {
+    pool.candidates(&SERVICE.into(), &Wanted { tried, body_bytes: 0, count: 10 }, now_us)
+}
+
+fn ids(pool: &Pool, keys: &[UpstreamKey]) -> Vec<String> {
+    keys.iter().map(|key| pool.get(*key).unwrap().id().to_string()).collect()
+}
+
+fn key(pool: &mut Pool, id: &str) -> UpstreamKey {
+    let all = candidates(pool, &[], MS);
+    all.into_iter().find(|key| pool.get(*key).unwrap().id().as_str() == id).unwrap()
+}
+
+#[gtest]
+fn a_fresh_good_word_makes_an_upstream_good_until_it_is_old_or_work_is_sent() {
+    let mut pool = pool(&[("a", "one")]);
+    let a = key(&mut pool, "a");
+    expect_that!(pool.is_good(a, MS), eq(false), "nothing was heard");
+    pool.hear(a, load(0, 0, 100), 10 * MS);
+    expect_that!(pool.is_good(a, 12 * MS), eq(true));
+    expect_that!(pool.is_good(a, 200 * MS), eq(false), "the word is old");
+    (0..4).for_each(|_| pool.get_mut(a).unwrap().sent());
+    expect_that!(pool.is_good(a, 12 * MS), eq(false), "its slots are taken by then");
+}
+
+#[gtest]
+fn slow_and_full_upstreams_come_after_idle_ones() {
+    let mut pool = pool(&[("idle", "one"), ("slow", "one"), ("full", "one")]);
+    for (id, word) in [("idle", load(0, 0, 100)), ("slow", load(0, 0, 700)), ("full", load(3, 4, 100))] {
+        let key = key(&mut pool, id);
+        pool.hear(key, word, 10 * MS);
+    }
+    let ranked = candidates(&mut pool, &[], 11 * MS);
+    expect_that!(ids(&pool, &ranked), elements_are![eq("idle"), eq("full"), eq("slow")]);
+}
+
+#[gtest]
+fn a_word_on_the_pace_fades_towards_the_usual() {
+    let mut pool = pool(&[("a", "one")]);
+    let a = key(&mut pool, "a");
+    pool.hear(a, load(0, 0, 700), 10 * MS);
+    let young = pool.cost(a, 11 * MS);
+    let old = pool.cost(a, 2_000 * MS);
+    expect_that!(young, gt(6.5));
+    expect_that!(old, lt(3.0));
+}
+
+#[gtest]
+fn near_upstreams_come_first_and_the_more_so_the_larger_the_body() {
+    let mut pool = pool(&[("near", "one"), ("far", "two")]);
+    for id in ["near", "far"] {
+        let key = key(&mut pool, id);
+        pool.hear(key, load(0, 0, 100), 10 * MS);
+    }
+    let ranked = candidates(&mut pool, &[], 11 * MS);
+    expect_that!(ids(&pool, &ranked)[0], eq("near"));
+    expect_that!(pool.far_factor(60_000), gt(pool.far_factor(0) + 0.4));
+}
+
+#[gtest]
+fn one_that_was_tried_or_is_draining_is_no_candidate() {
+    let mut pool = pool(&[("a", "one"), ("b", "one"), ("c", "one")]);
+    let a = key(&mut pool, "a");
+    pool.put(UpstreamRecord { draining: true, ..record("b", "one", 2) }, MS);
+    let left = candidates(&mut pool, &[a], MS);
+    expect_that!(ids(&pool, &left), elements_are![eq("c")]);
+}
+
+#[gtest]
+fn one_that_is_draining_never_comes_back_by_a_late_older_word() {
+    let mut pool = pool(&[("a", "one")]);
+    pool.put(UpstreamRecord { draining: true, ..record("a", "one", 5) }, MS);
+    pool.put(record("a", "one", 4), 2 * MS);
+    pool.put(record("a", "one", 6), 3 * MS);
+    expect_that!(candidates(&mut pool, &[], 4 * MS).len(), eq(0));
+}
+
+#[gtest]
+fn one_that_is_gone_comes_back_by_a_later_word_only() {
+    let mut pool = pool(&[("a", "one")]);
+    pool.put(record("a", "one", 5), MS);
+    pool.remove(&"a".into());
+    pool.put(record("a", "one", 5), 2 * MS);
+    expect_that!(pool.is_empty(), eq(true));
+    pool.put(record("a", "one", 6), 3 * MS);
+    expect_that!(pool.len(), eq(1));
+}
+
+#[gtest]
+fn failures_in_a_row_set_an_upstream_aside_for_a_time() {
+    let mut pool = pool(&[("a", "one"), ("b", "one")]);
+    let a = key(&mut pool, "a");
+    for _ in 0..3 {
+        pool.get_mut(a).unwrap().failed(10 * MS);
+    }
+    let left = candidates(&mut pool, &[], 11 * MS);
+    expect_that!(ids(&pool, &left), elements_are![eq("b")]);
+    expect_that!(candidates(&mut pool, &[], 1_000 * MS).len(), eq(2), "it is tried again");
+}
+
+#[gtest]
+fn if_all_are_set_aside_all_are_used() {
+    let mut pool = pool(&[("a", "one"), ("b", "one")]);
+    for id in ["a", "b"] {
+        let key = key(&mut pool, id);
+        pool.get_mut(key).unwrap().eject(10 * MS);
+    }
+    expect_that!(candidates(&mut pool, &[], 11 * MS).len(), eq(2));
+}
+
+#[gtest]
+fn an_upstream_that_often_fails_costs_more_though_it_looks_idle() {
+    let mut pool = pool(&[("sound", "one"), ("failing", "one")]);
+    let failing = key(&mut pool, "failing");
+    for _ in 0..6 {
+        pool.get_mut(failing).unwrap().failed(MS);
+        pool.get_mut(failing).unwrap().succeeded();
+    }
+    let name: Name = "sound".into();
+    let best = candidates(&mut pool, &[], 2 * MS)[0];
+    expect_that!(pool.get(best).unwrap().id(), eq(&name));
+}
