Silence of a request given up late speaks against its upstream; two idle connections an upstream

Cause: an upstream whose health is good but which never answers got every other request: a request given up at its route's time told nothing of it. Now one given up after three times its expected time counts as a failure there.

--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -29,6 +29,10 @@
 /// Bytes of an answer that are gathered before any is passed on, so that one that breaks off early can be asked for
 /// again.
 const ANSWER_GATHERED_BYTES: usize = 64 << 10;
+/// Times the expected time after which an unanswered request that is given up speaks against its upstream.
+const SILENT_AFTER: f64 = 3.0;
+/// Most that the cost of an upstream lengthens that time.
+const SILENT_COST_MAX: f32 = 2.0;
 /// Headers that concern one connection only.
 static HOP_HEADERS: [HeaderName; 7] = [
     CONNECTION,
@@ -108,18 +112,21 @@
     }
 }
 
-/// Counts a request at its upstream for as long as it lives.
+/// Counts a request at its upstream for as long as it lives; one that is given up long after its time speaks against
+/// the upstream.
 struct InFlight<A: PlatformAdapter> {
     node: Rc<Node<A>>,
     key: UpstreamKey,
+    /// When silence begins to speak against the upstream; never, once it has answered.
+    silent_at_us: u64,
 }
 
 impl<A: PlatformAdapter> InFlight<A> {
-    fn new(node: &Rc<Node<A>>, key: UpstreamKey) -> Self {
+    fn new(node: &Rc<Node<A>>, key: UpstreamKey, silent_at_us: u64) -> Self {
         if let Some(state) = node.pool.borrow_mut().get_mut(key) {
             state.sent();
         }
-        Self { node: Rc::clone(node), key }
+        Self { node: Rc::clone(node), key, silent_at_us }
     }
 }
 
@@ -127,6 +134,10 @@
     fn drop(&mut self) {
         if let Some(state) = self.node.pool.borrow_mut().get_mut(self.key) {
             state.done();
+            let now_us = self.node.now_us();
+            if now_us >= self.silent_at_us {
+                state.failed(now_us);
+            }
         }
     }
 }
@@ -151,8 +162,11 @@
         return AttemptEnd::new(AttemptOutcome::Unsent, Some(key));
     };
     let sent_at_us = node.now_us();
-    let in_flight = InFlight::new(&node, key);
+    let usual_ms = node.route_times(&request.routed.route, |times| times.usual.get_ms());
+    let silent_after_ms = usual_ms * f64::from(belief.cost.clamp(1.0, SILENT_COST_MAX)) * SILENT_AFTER;
+    let mut in_flight = InFlight::new(&node, key, sent_at_us + (silent_after_ms * US_PER_MS as f64) as u64);
     let end = exchange(&node, &request, key).await;
+    in_flight.silent_at_us = u64::MAX;
     drop(in_flight);
     note(&node, &end, key);
     let took_ms = node.now_us().saturating_sub(sent_at_us) / US_PER_MS;
--- a/crates/pointvane-node/src/connections.rs
+++ b/crates/pointvane-node/src/connections.rs
@@ -19,7 +19,7 @@
 };
 
 /// Idle connections kept to one upstream.
-const IDLE_MAX: usize = 4;
+const IDLE_MAX: usize = 2;
 /// Longest rest of a kept connection; upstreams close theirs later.
 const REST_MAX: Duration = Duration::from_secs(7);
 const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
