Requests take the connection used last, probes the one rested longest; pointvane explain

The probe right before a request finds that out, and the request takes the connection that the probe has just used, unless late bytes of an answer may still come on it (0.3 s). Connections rest at most a second less than their upstream says.

pointvane explain ID FILE... gathers a request's lines and what the deciding processes believed.

--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         body::{Gathered, RelayBody, gather},
-        connections::SendError,
+        connections::{Purpose, SendError},
         node::Node,
         probe::{Choice, Chosen, choose},
     },
@@ -287,7 +287,7 @@
     let Some(address) = node.pool.borrow().get(key).map(|state| state.address()) else {
         return end(AttemptOutcome::Unsent);
     };
-    let Ok(mut connection) = node.connections.get(address).await else {
+    let Ok(mut connection) = node.connections.get(address, Purpose::Request).await else {
         return end(AttemptOutcome::Unsent);
     };
     // Read again right before the first byte goes out: this process may have been paused meanwhile.
@@ -315,7 +315,7 @@
     }
     if head.headers.contains_key(&node.headers.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST {
         if whole && let Ok(Gathered { rest: None, .. }) = gather(body, ANSWER_GATHERED_BYTES).await {
-            connection.keep();
+            connection.keep(&head.headers);
         }
         return end(AttemptOutcome::NotRun(refusal(head.status)));
     }
@@ -325,7 +325,7 @@
     let response = match gathered.rest {
         None => {
             if whole {
-                connection.keep();
+                connection.keep(&head.headers);
             }
             RelayBody::whole(gathered.bytes)
         }
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -1,7 +1,12 @@
 //! Questions to upstreams about their load, right before a request is sent; requests that arrive together share them.
 
 use {
-    crate::{attempt::CallerRequest, body::RelayBody, connections::Connections, node::Node},
+    crate::{
+        attempt::CallerRequest,
+        body::{RelayBody, gather},
+        connections::{Connection, Connections, Purpose},
+        node::Node,
+    },
     bytes::Bytes,
     hyper::{Request, Response, StatusCode, body::Incoming, header::HOST},
     pointvane_core::{Name, PlatformAdapter, US_PER_MS},
@@ -198,14 +203,26 @@
     well
 }
 
+/// Asks over a kept connection, and over a new one if that was forgotten by the upstream.
 async fn exchange(connections: &Connections, address: SocketAddr, path: &Name) -> Option<Response<()>> {
-    let mut connection = connections.get(address).await.ok()?;
+    let connection = connections.get(address, Purpose::Probe).await.ok()?;
+    let reused = connection.is_reused();
+    match exchange_over(connection, address, path).await {
+        None if reused => {
+            let connection = connections.open(address, Purpose::Probe).await.ok()?;
+            exchange_over(connection, address, path).await
+        }
+        answer => answer,
+    }
+}
+
+async fn exchange_over(mut connection: Connection, address: SocketAddr, path: &Name) -> Option<Response<()>> {
     let request = Request::get(path.as_str()).header(HOST, address.to_string());
     let request = request.body(RelayBody::whole(Bytes::new())).ok()?;
     let (head, body): (_, Incoming) = connection.send(request).await.ok()?.into_parts();
-    let gathered = crate::body::gather(body, BODY_MAX_BYTES).await.ok()?;
+    let gathered = gather(body, BODY_MAX_BYTES).await.ok()?;
     if gathered.rest.is_none() {
-        connection.keep();
+        connection.keep(&head.headers);
     }
     Some(Response::from_parts(head, ()))
 }
--- a/crates/pointvane/src/main.rs
+++ b/crates/pointvane/src/main.rs
@@ -9,6 +9,7 @@
     std::{net::SocketAddr, path::PathBuf, process::ExitCode},
 };
 
+mod explain;
 mod files;
 mod nodes;
 mod status;
@@ -68,6 +69,14 @@
         #[command(flatten)]
         filter: timeline::Filter,
     },
+    /// Gather the lines of one request from logs, with what the processes believed at the time.
+    Explain {
+        /// The request's id.
+        request: String,
+        /// Logs of nodes, in JSON lines.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
     /// Print completions for a shell.
     Completions {
         /// The shell.
@@ -90,6 +99,7 @@
         Command::Diff { old, new } => files::compare(&old, &new, output),
         Command::Status(fleet) => status::show(&fleet, output),
         Command::Timeline { fleet, filter } => timeline::show(&fleet, &filter, output),
+        Command::Explain { request, files } => explain::show(&request, &files, output),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Args::command(), "pointvane", &mut std::io::stdout());
             ExitCode::SUCCESS
--- a/crates/pointvane/tests/client.rs
+++ b/crates/pointvane/tests/client.rs
@@ -70,3 +70,39 @@
 fn completions_are_printed() {
     expect_that!(text(&client(&["completions", "bash"]).stdout), contains_substring("_pointvane"));
 }
+
+#[gtest]
+fn a_request_is_explained_from_the_logs_of_several_processes() {
+    let line = |ts: &str, vm: &str, rest: &str| {
+        format!("{{\"ts\":\"{ts}\",\"vm\":\"{vm}\",\"program\":\"node\",{rest}}}\n")
+    };
+    let directory = std::env::temp_dir().join(format!("pointvane-client-{}-explain", std::process::id()));
+    fs::create_dir_all(&directory).unwrap();
+    let first = [
+        line("2026-01-01T00:00:01Z", "a", r#""msg":"configuration-accepted","revision":7,"index":3"#),
+        line("2026-01-01T00:00:02Z", "a", r#""msg":"configuration-accepted","revision":9,"index":5"#),
+        line(
+            "2026-01-01T00:00:03Z",
+            "a",
+            r#""msg":"attempt-ended","request":"r-1","upstream":"i-1","outcome":"broken""#,
+        ),
+        line(
+            "2026-01-01T00:00:04Z",
+            "a",
+            r#""msg":"request-refused","request":"r-1","error":"upstream-broken""#,
+        ),
+        line("2026-01-01T00:00:05Z", "a", r#""msg":"configuration-accepted","revision":11,"index":6"#),
+    ];
+    let second = [line("2026-01-01T00:00:02Z", "b", r#""msg":"platform-lost""#), "not a line\n".into()];
+    fs::write(directory.join("a"), first.concat()).unwrap();
+    fs::write(directory.join("b"), second.concat()).unwrap();
+    let files = [path(&directory, "a"), path(&directory, "b")];
+    let told = client(&["explain", "r-1", &files[0], &files[1]]);
+    expect_that!(told.status.code(), some(eq(0)));
+    let told = text(&told.stdout);
+    expect_that!(told.lines().count(), eq(3), "{told}");
+    expect_that!(told, contains_substring("revision=9"));
+    expect_that!(told, contains_substring("error=upstream-broken"));
+    expect_that!(client(&["explain", "r-2", &files[0]]).status.code(), some(eq(1)));
+    expect_that!(client(&["explain", "r-1", "/nowhere"]).status.code(), some(eq(2)));
+}
