Options of a node, checked; request, belief, in-flight and exchange modules; why a request was refused or given up is told

Policies own-least and random can be chosen in deploy/node.toml to compare with. Two decisions were not told: a request that would be late (what was believed of its best upstream, how old, the time expected), and an attempt given up after a silence.

--- a/crates/pointvane-config/src/lib.rs
+++ b/crates/pointvane-config/src/lib.rs
@@ -8,6 +8,7 @@
 mod diff;
 mod fault;
 mod fleet_file;
+mod node_options;
 mod pack;
 mod reader;
 mod service_file;
@@ -21,6 +22,10 @@
     diff::{Change, diff},
     fault::{Fault, Faults},
     fleet_file::read_directory,
+    node_options::{
+        ChoiceOptions, ChoicePolicy, LineOptions, NODE_OPTION_KEYS, NodeAdmissionOptions, NodeOptions,
+        RepeatOptions, read_node_options,
+    },
     pack::{PACKED_LIMIT_BYTES, PackError, Packed, pack, unpack},
     settings::{
         ControlSettings, EntrySettings, LocateSettings, LogFormat, LogLevel, LogSettings, MeshSettings,
--- /dev/null
+++ b/crates/pointvane-config/src/node_options.rs
@@ -0,0 +1,161 @@
+//! Options of a node: how it chooses, admits, repeats and writes lines. All have defaults; no file is needed.
+
+use {
+    crate::{
+        fault::{Fault, Faults},
+        reader::{Document, Section},
+    },
+    std::{fs, path::Path},
+};
+
+/// Every key of the options file; docs/OPERATIONS.md is checked against this list.
+pub const NODE_OPTION_KEYS: [&str; 8] = [
+    "choice.policy",
+    "choice.ask_first",
+    "choice.ask_more",
+    "admission.target_share",
+    "admission.rank_step",
+    "repeats.hedge",
+    "lines.well_every",
+    "lines.wrong_per_s",
+];
+
+/// Options of a node.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct NodeOptions {
+    /// How an upstream is chosen.
+    pub choice: ChoiceOptions,
+    /// When work is told to come back.
+    pub admission: NodeAdmissionOptions,
+    /// Second attempts.
+    pub repeats: RepeatOptions,
+    /// Log lines on requests.
+    pub lines: LineOptions,
+}
+
+/// By what an upstream is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoicePolicy {
+    /// The most promising are asked for their load right before the send.
+    Ask,
+    /// The fewest of this node's own requests.
+    OwnLeast,
+    /// Any.
+    Random,
+}
+
+impl ChoicePolicy {
+    /// The names used in files.
+    pub const NAMES: [(&'static str, Self); 3] =
+        [("ask", Self::Ask), ("own-least", Self::OwnLeast), ("random", Self::Random)];
+}
+
+/// How an upstream is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChoiceOptions {
+    /// By what.
+    pub policy: ChoicePolicy,
+    /// Upstreams asked together at first.
+    pub ask_first: usize,
+    /// Upstreams asked besides when none of these is good.
+    pub ask_more: usize,
+}
+
+impl Default for ChoiceOptions {
+    fn default() -> Self {
+        Self { policy: ChoicePolicy::Ask, ask_first: 3, ask_more: 4 }
+    }
+}
+
+/// When work that would be late is told to come back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NodeAdmissionOptions {
+    /// Part of its target time that work of rank 0 may be expected to take.
+    pub target_share: f64,
+    /// What each rank takes off that part.
+    pub rank_step: f64,
+}
+
+impl Default for NodeAdmissionOptions {
+    fn default() -> Self {
+        Self { target_share: 3.0, rank_step: 1.0 }
+    }
+}
+
+/// Second attempts of safe work that is slow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RepeatOptions {
+    /// Whether they are made.
+    pub hedge: bool,
+}
+
+impl Default for RepeatOptions {
+    fn default() -> Self {
+        Self { hedge: true }
+    }
+}
+
+/// Log lines on requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LineOptions {
+    /// One of so many lines on what went well is written.
+    pub well_every: u64,
+    /// Lines on what went wrong that are written each second.
+    pub wrong_per_s: u64,
+}
+
+impl Default for LineOptions {
+    fn default() -> Self {
+        Self { well_every: 64, wrong_per_s: 40 }
+    }
+}
+
+/// Reads and checks an options file.
+///
+/// # Errors
+/// All its faults.
+pub fn read_node_options(path: &Path) -> Result<NodeOptions, Faults> {
+    let file = path.to_string_lossy();
+    let Ok(text) = fs::read_to_string(path) else {
+        return Err(Faults(vec![Fault {
+            file: file.as_ref().into(),
+            line: 1,
+            key: "(file)".into(),
+            problem: "cannot be read".into(),
+            remedy: "give the path of a readable TOML file".into(),
+        }]));
+    };
+    let document = Document::new(&file, &text);
+    let table = document.parse();
+    let options = table.as_ref().map(|table| read(&Section::top(&document, table)));
+    document.into_faults().or(options)?.ok_or_else(Faults::default)
+}
+
+fn read(top: &Section<'_, '_>) -> NodeOptions {
+    top.only(&["admission", "choice", "lines", "repeats"]);
+    let defaults = NodeOptions::default();
+    let choice = top.section("choice");
+    choice.only(&["ask_first", "ask_more", "policy"]);
+    let admission = top.section("admission");
+    admission.only(&["rank_step", "target_share"]);
+    let repeats = top.section("repeats");
+    repeats.only(&["hedge"]);
+    let lines = top.section("lines");
+    lines.only(&["well_every", "wrong_per_s"]);
+    NodeOptions {
+        choice: ChoiceOptions {
+            policy: choice.choice("policy", &ChoicePolicy::NAMES, defaults.choice.policy),
+            ask_first: choice.integer("ask_first", 1..=16, Some(defaults.choice.ask_first)),
+            ask_more: choice.integer("ask_more", 0..=16, Some(defaults.choice.ask_more)),
+        },
+        admission: NodeAdmissionOptions {
+            target_share: admission.number("target_share", 0.1..=1_000.0, defaults.admission.target_share),
+            rank_step: admission.number("rank_step", 0.0..=100.0, defaults.admission.rank_step),
+        },
+        repeats: RepeatOptions { hedge: repeats.flag("hedge", defaults.repeats.hedge) },
+        lines: LineOptions {
+            well_every: lines.integer("well_every", 1..=1_000_000, Some(defaults.lines.well_every)),
+            wrong_per_s: lines.integer("wrong_per_s", 0..=100_000, Some(defaults.lines.wrong_per_s)),
+        },
+    }
+}
--- a/crates/pointvane-config/tests/docs.rs
+++ b/crates/pointvane-config/tests/docs.rs
@@ -1,6 +1,10 @@
 //! The operators' page against the code.
 
-use {googletest::prelude::*, pointvane_config::SETTING_KEYS, std::fs};
+use {
+    googletest::prelude::*,
+    pointvane_config::{ChoicePolicy, NODE_OPTION_KEYS, NodeOptions, SETTING_KEYS, read_node_options},
+    std::{fs, path::Path},
+};
 
 #[gtest]
 fn the_settings_reference_lists_just_the_keys_that_the_code_reads() {
@@ -25,3 +29,34 @@
     let table: Vec<_> = pointvane_core::ErrorKind::table().iter().map(row).collect();
     expect_that!(rows, eq(&table));
 }
+
+#[gtest]
+fn the_options_reference_lists_just_the_keys_that_the_code_reads() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATIONS.md");
+    let page = fs::read_to_string(page).unwrap();
+    let section = page.split("### Options of a node").nth(1).unwrap().split("### ").next().unwrap();
+    let rows = section.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
+    let listed: Vec<_> = rows.collect();
+    expect_that!(listed, eq(&NODE_OPTION_KEYS.to_vec()));
+}
+
+#[gtest]
+fn the_deployed_options_are_the_defaults() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/node.toml");
+    expect_that!(read_node_options(Path::new(file)), ok(eq(&NodeOptions::default())));
+}
+
+#[gtest]
+fn all_faults_of_an_options_file_are_told_at_once() {
+    let file = std::env::temp_dir().join(format!("pointvane-options-{}", std::process::id()));
+    fs::write(&file, "[choice]\npolicy = \"best\"\nask_first = 0\n[lines]\nloud = true\n").unwrap();
+    let faults = read_node_options(&file).unwrap_err();
+    let keys: Vec<&str> = faults.0.iter().map(|fault| fault.key.as_str()).collect();
+    expect_that!(
+        keys,
+        unordered_elements_are![eq(&"choice.policy"), eq(&"choice.ask_first"), eq(&"lines.loud")]
+    );
+    fs::write(&file, "[choice]\npolicy = \"own-least\"\n").unwrap();
+    expect_that!(read_node_options(&file).unwrap().choice.policy, eq(ChoicePolicy::OwnLeast));
+    fs::remove_file(&file).unwrap();
+}
--- a/crates/pointvane-core/src/deployment.rs
+++ b/crates/pointvane-core/src/deployment.rs
@@ -172,8 +172,6 @@
     pub request_id: &'static str,
     /// Milliseconds the sender will still wait.
     pub deadline_ms: &'static str,
-    /// An upstream's mark on its answers.
-    pub stamp: &'static str,
     /// The upstream that alone may run the request.
     pub expect_upstream: &'static str,
     /// An upstream's load.
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -20,7 +20,7 @@
     feed::{CallFailure, Feed, FeedCall, FeedOptions, PeerVerdict, PeerView},
     latency::LatencyQuantile,
     outcome::{AttemptOutcome, Refusal, Verdict, judge},
-    pool::{Pool, PoolOptions, UpstreamKey, Wanted},
+    pool::{Pool, PoolOptions, Ranking, UpstreamKey, Wanted},
     routes::{RouteTable, RoutedRequest},
     upstream::{LoadSample, UpstreamState},
 };
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -11,9 +11,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct UpstreamKey(u64);
 
+/// By what upstreams are ranked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ranking {
+    /// The time that a request sent now is expected to take.
+    Cost,
+    /// The requests of this node that they hold.
+    Own,
+    /// Nothing.
+    Random,
+}
+
 /// Rules of choosing.
 #[derive(Clone, Debug)]
 pub struct PoolOptions {
+    /// By what upstreams are ranked.
+    pub ranking: Ranking,
     /// Most that the cost of an upstream may be to count as good, in multiples of the usual time.
     pub good_cost: f32,
     /// Age up to which a word on load is as good as a new one, in microseconds.
@@ -31,6 +44,7 @@
 impl Default for PoolOptions {
     fn default() -> Self {
         Self {
+            ranking: Ranking::Cost,
             good_cost: 1.3,
             fresh_us: 15_000,
             far_factor: 1.25,
@@ -185,12 +199,20 @@
         let mut ranked: Vec<(f32, UpstreamKey)> = Vec::with_capacity(usable.len());
         for key in usable {
             let factor = 1.0 + jitter * self.rng.random::<f32>();
-            ranked.push((self.placed_cost(key, far_factor, now_us) * factor, key));
+            ranked.push((self.rank(key, far_factor, now_us) * factor, key));
         }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
         ranked.into_iter().take(wanted.count).map(|(_, key)| key).collect()
     }
 
+    fn rank(&self, key: UpstreamKey, far_factor: f32, now_us: u64) -> f32 {
+        match self.options.ranking {
+            Ranking::Cost => self.placed_cost(key, far_factor, now_us),
+            Ranking::Own => self.upstreams.get(&key).map_or(f32::INFINITY, |state| (state.own + 1) as f32),
+            Ranking::Random => 1.0,
+        }
+    }
+
     /// How many times the usual time a request sent there now is expected to take.
     pub fn cost(&self, key: UpstreamKey, now_us: u64) -> f32 {
         let Some(state) = self.upstreams.get(&key) else {
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -3,14 +3,15 @@
 use {
     crate::{
         answer::{self, Refused},
-        attempt::{AttemptEnd, CallerRequest, UpstreamAnswer, attempt},
+        attempt::{AttemptEnd, UpstreamAnswer, attempt},
         body::RelayBody,
         node::Node,
         probe::Choice,
+        request::CallerRequest,
     },
     hyper::{Response, StatusCode},
     pointvane_core::{ErrorKind, PlatformAdapter, US_PER_MS},
-    pointvane_dispatch::{AdmissionOptions, AttemptOutcome, Verdict, judge},
+    pointvane_dispatch::{AttemptOutcome, Verdict, judge},
     rand::Rng,
     std::{rc::Rc, time::Duration},
     tokio::{
@@ -88,7 +89,8 @@
     let answer_ms = node.route_times(route, |times| times.answer.get_ms());
     let hedge_after_ms = answer_ms.clamp(target_ms * HEDGE_SHARES.0, target_ms * HEDGE_SHARES.1);
     let hedge_at = now + Duration::from_secs_f64(hedge_after_ms / 1e3);
-    (route.kind.repeatable().then_some(hedge_at).filter(|at| *at < give_up_at), give_up_at)
+    let hedges = node.options.repeats.hedge && route.kind.repeatable();
+    (hedges.then_some(hedge_at).filter(|at| *at < give_up_at), give_up_at)
 }
 
 fn note_time<A: PlatformAdapter>(
@@ -190,7 +192,7 @@
     /// When a caller that is refused for overload is to come back.
     fn come_back_ms(&self, error: ErrorKind) -> Option<u32> {
         let draw = self.node.rng.borrow_mut().random::<f64>();
-        let after_ms = AdmissionOptions::default().come_back_ms(&self.request.routed.route, draw);
+        let after_ms = self.node.admission().come_back_ms(&self.request.routed.route, draw);
         (error == ErrorKind::Overloaded).then_some(after_ms as u32)
     }
 
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -8,16 +8,20 @@
 
 mod answer;
 mod attempt;
+mod belief;
 mod body;
 mod connections;
 mod directory;
+mod exchange;
 mod feed;
 mod forward;
 mod gossip;
+mod in_flight;
 mod node;
 mod operator;
 mod probe;
 mod report;
+mod request;
 mod run;
 mod serve;
 mod settings;
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -3,13 +3,15 @@
 use {
     crate::{connections::Connections, probe::Probes, report::Report, settings::NodeSettings, stop::Stage},
     hyper::header::HeaderName,
+    pointvane_config::{ChoicePolicy, NodeAdmissionOptions, NodeOptions},
     pointvane_core::{
         Change, Clock, HeaderNames, Incarnation, Name, PlatformAdapter, RefusedItem, RouteRule,
         RoutingConfiguration, UpstreamLoad, VmIdentity, VmState,
     },
     pointvane_dispatch::{
-        DirectoryMember, Feed, FeedOptions, LatencyQuantile, PeerVerdict, PeerView, Pool, PoolOptions,
-        RetryBudget, RetryBudgetOptions, RouteTable, TokenBucket, UpstreamKey, WholeTime,
+        AdmissionOptions, DirectoryMember, Feed, FeedOptions, LatencyQuantile, PeerVerdict, PeerView, Pool,
+        PoolOptions, Ranking, RetryBudget, RetryBudgetOptions, RouteTable, TokenBucket, UpstreamKey,
+        WholeTime,
     },
     pointvane_mesh::{EntryRow, MemberRow, Membership, MembershipOptions, Stamp, choose_readers},
     pointvane_telemetry::{EventKind, MonotonicClock, wall_ms},
@@ -73,8 +75,6 @@
     pub request_id: HeaderName,
     /// Milliseconds the sender will still wait.
     pub deadline_ms: HeaderName,
-    /// An upstream's mark on its answers.
-    pub stamp: HeaderName,
     /// The upstream that alone may run the request.
     pub expect_upstream: HeaderName,
     /// An upstream's load.
@@ -90,7 +90,6 @@
         Self {
             request_id: HeaderName::from_static(names.request_id),
             deadline_ms: HeaderName::from_static(names.deadline_ms),
-            stamp: HeaderName::from_static(names.stamp),
             expect_upstream: HeaderName::from_static(names.expect_upstream),
             load: HeaderName::from_static(names.load),
             not_run: HeaderName::from_static(names.not_run),
@@ -106,6 +105,8 @@
     pub adapter: A,
     /// The headers' names.
     pub headers: Headers,
+    /// The options.
+    pub options: NodeOptions,
     /// The settings in force.
     pub settings: RefCell<NodeSettings>,
     /// The time.
@@ -152,17 +153,18 @@
 
 impl<A: PlatformAdapter> Node<A> {
     /// A node that knows only its settings.
-    pub fn new(adapter: A, settings: NodeSettings, report: Report) -> Self {
+    pub fn new(adapter: A, settings: NodeSettings, options: NodeOptions, report: Report) -> Self {
         let clock = MonotonicClock::start();
         let now_us = clock.now_us();
         let mut seeder = SmallRng::from_os_rng();
         let incarnation = Incarnation(wall_ms());
         let membership = membership(&settings, incarnation, seeder.random(), now_us);
-        let pool = Pool::new(PoolOptions::default(), settings.data_centre.clone(), seeder.random());
+        let pool = Pool::new(pool_options(&options), settings.data_centre.clone(), seeder.random());
         Self {
             headers: adapter.headers().into(),
             adapter,
             clock,
+            options,
             report,
             routes: RefCell::default(),
             pool: RefCell::new(pool),
@@ -196,6 +198,12 @@
         Rc::clone(&self.routes.borrow())
     }
 
+    /// When work that would be late is told to come back.
+    pub fn admission(&self) -> AdmissionOptions {
+        let NodeAdmissionOptions { target_share, rank_step } = self.options.admission;
+        AdmissionOptions { target_share, rank_step, ..AdmissionOptions::default() }
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         *self.stage.borrow() == Stage::Running
@@ -376,6 +384,15 @@
     }
 }
 
+fn pool_options(options: &NodeOptions) -> PoolOptions {
+    let ranking = match options.choice.policy {
+        ChoicePolicy::Ask => Ranking::Cost,
+        ChoicePolicy::OwnLeast => Ranking::Own,
+        ChoicePolicy::Random => Ranking::Random,
+    };
+    PoolOptions { ranking, ..PoolOptions::default() }
+}
+
 fn membership(settings: &NodeSettings, incarnation: Incarnation, seed: u64, now_us: u64) -> Membership {
     let options = MembershipOptions {
         probe_interval_ms: CHECK_INTERVAL_MS,
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -2,13 +2,14 @@
 
 use {
     crate::{
-        attempt::CallerRequest,
         body::{RelayBody, gather},
         connections::{Connection, Connections, Purpose},
         node::Node,
+        request::CallerRequest,
     },
     bytes::Bytes,
     hyper::{Request, Response, StatusCode, body::Incoming, header::HOST},
+    pointvane_config::ChoicePolicy,
     pointvane_core::{Name, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{UpstreamKey, Wanted},
     std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
@@ -19,8 +20,6 @@
     },
 };
 
-/// Upstreams asked at first, and those asked besides when none of these is good.
-const STAGES: [usize; 2] = [3, 4];
 /// Rest between two looks for a good upstream.
 const LOOK_PAUSE: Duration = Duration::from_millis(6);
 /// Longest wait for the answers of one stage.
@@ -88,14 +87,18 @@
     body_bytes: usize,
 ) -> Chosen {
     let now_us = node.now_us();
-    let wanted = Wanted { tried, body_bytes, count: STAGES.iter().sum() };
+    let stages = [node.options.choice.ask_first, node.options.choice.ask_more];
+    let wanted = Wanted { tried, body_bytes, count: stages.iter().sum() };
     let candidates = node.pool.borrow_mut().candidates(service, &wanted, now_us);
+    if node.options.choice.policy != ChoicePolicy::Ask {
+        return candidates.first().map_or(Chosen::Nothing, |key| Chosen::Good(*key));
+    }
     if let Some(known) = candidates.iter().find(|key| node.pool.borrow().is_good(**key, now_us)) {
         return Chosen::Good(*known);
     }
     let mut answered = Vec::new();
     let mut rest = candidates.as_slice();
-    for stage in STAGES {
+    for stage in stages {
         let (now, later) = rest.split_at(stage.min(rest.len()));
         rest = later;
         if let Some(good) = ask_stage(node, service, now, &mut answered).await {
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -1,14 +1,17 @@
 //! What a node tells of itself: log lines, time line, counters and histograms.
 
 use {
-    crate::attempt::CallerRequest,
+    crate::request::CallerRequest,
     eyre::Result,
     opentelemetry::{
         KeyValue,
         metrics::{Counter, Histogram},
     },
+    pointvane_config::LineOptions,
     pointvane_core::{ErrorKind, Name},
-    pointvane_telemetry::{EventKind, EventLog, LineForm, LineGate, Metrics, Program, stdout_logger},
+    pointvane_telemetry::{
+        EventKind, EventLog, LineForm, LineGate, LineGateOptions, Metrics, Program, stdout_logger,
+    },
     std::{cell::RefCell, collections::HashSet, sync::Arc},
 };
 
@@ -43,7 +46,7 @@
     ///
     /// # Errors
     /// When the metrics can't be set up.
-    pub fn new(vm: &Name) -> Result<Self> {
+    pub fn new(vm: &Name, lines: LineOptions) -> Result<Self> {
         let metrics = Metrics::new()?;
         let meter = metrics.meter();
         let counter = |name: &'static str| meter.u64_counter(name).build();
@@ -53,7 +56,10 @@
         let log = stdout_logger(Program::Node.as_str(), vm);
         Ok(Self {
             events: EventLog::new(vm.clone(), Program::Node, log).with_lines(LineForm::Fields),
-            gate: RefCell::default(),
+            gate: RefCell::new(LineGate::new(LineGateOptions {
+                well_every: lines.well_every,
+                wrong_per_s: lines.wrong_per_s,
+            })),
             labels: RefCell::default(),
             requests: counter("pointvane_node_requests"),
             refusals: counter("pointvane_node_refusals"),
--- /dev/null
+++ b/crates/pointvane-node/src/request.rs
@@ -0,0 +1,85 @@
+//! A caller's request, with what its attempts share.
+
+use {
+    crate::{body::Gathered, node::Node},
+    bytes::Bytes,
+    hyper::{
+        HeaderMap, Method, Uri,
+        header::{CONNECTION, HeaderName, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
+    },
+    pointvane_dispatch::{RoutedRequest, UpstreamKey},
+    std::cell::{Cell, RefCell},
+};
+
+/// Headers that concern one connection only.
+static HOP_HEADERS: [HeaderName; 7] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    PROXY_AUTHENTICATE,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Times of a caller's request, on the steady clock.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerTimes {
+    /// When it came.
+    pub arrived_at_us: u64,
+    /// When its caller stops waiting.
+    pub deadline_at_us: u64,
+    /// When it must be answered.
+    pub give_up_at_us: u64,
+}
+
+/// A caller's request, with what its attempts share.
+#[derive(Debug)]
+pub struct CallerRequest {
+    /// Where it goes.
+    pub routed: RoutedRequest,
+    /// Its method.
+    pub method: Method,
+    /// Its target.
+    pub uri: Uri,
+    /// Its headers, without those of one connection only.
+    pub headers: HeaderMap,
+    /// Its body, if it is whole.
+    pub body: Option<Bytes>,
+    /// The first part and the rest of a body that is not; taken by the first attempt.
+    pub stream: RefCell<Option<Gathered>>,
+    /// Its times.
+    pub times: CallerTimes,
+    /// Upstreams that it was sent to, or is about to be.
+    pub tried: RefCell<Vec<UpstreamKey>>,
+    /// Attempts that may have arrived at an upstream.
+    pub arrivals: Cell<u32>,
+}
+
+impl CallerRequest {
+    /// The identity that the caller gave it, for log lines.
+    pub fn id<A>(&self, node: &Node<A>) -> String {
+        let id = self.headers.get(&node.headers.request_id).and_then(|id| id.to_str().ok());
+        id.unwrap_or_default().into()
+    }
+
+    /// Size of the body, as far as it has come.
+    pub fn body_bytes(&self) -> usize {
+        let streamed = || self.stream.borrow().as_ref().map_or(0, |gathered| gathered.bytes.len());
+        self.body.as_ref().map_or_else(streamed, Bytes::len)
+    }
+}
+
+/// Takes out the headers that concern one connection only.
+pub fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -6,6 +6,7 @@
         stop, traffic,
     },
     eyre::{Result, WrapErr},
+    pointvane_config::NodeOptions,
     pointvane_core::PlatformAdapter,
     pointvane_telemetry::EventKind,
     std::{rc::Rc, time::Duration},
@@ -27,15 +28,15 @@
 ///
 /// # Errors
 /// What kept it from starting.
-pub fn run<A, S>(adapter: A, read_settings: S) -> Result<()>
+pub fn run<A, S>(adapter: A, options: NodeOptions, read_settings: S) -> Result<()>
 where
     A: PlatformAdapter + 'static,
     S: Fn() -> Result<NodeSettings> + 'static,
 {
     let settings = read_settings()?;
-    let report = Report::new(&settings.name)?;
+    let report = Report::new(&settings.name, options.lines)?;
     let runtime = Builder::new_current_thread().enable_all().build().wrap_err("runtime")?;
-    let node = Rc::new(Node::new(adapter, settings, report));
+    let node = Rc::new(Node::new(adapter, settings, options, report));
     LocalSet::new().block_on(&runtime, live(node, read_settings))
 }
 
@@ -67,7 +68,7 @@
             _ = expire.tick() => {
                 node.connections.expire();
                 looks += 1;
-                if looks % LOOKS_PER_REREAD == 0 {
+                if looks.is_multiple_of(LOOKS_PER_REREAD) {
                     reread_if_changed(&node, &read_settings);
                 }
             }
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -3,10 +3,10 @@
 use {
     crate::{
         answer::Refused,
-        attempt::{CallerRequest, CallerTimes, is_streamed, strip_hop_headers},
         body::{Gathered, RelayBody, gather},
         forward::{forward, refuse},
         node::Node,
+        request::{CallerRequest, CallerTimes, strip_hop_headers},
         stop::Stage,
     },
     hyper::{
@@ -168,7 +168,7 @@
 ) -> CallerRequest {
     let mut headers = head.headers;
     strip_hop_headers(&mut headers);
-    let (body, stream) = match is_streamed(&gathered) {
+    let (body, stream) = match gathered.rest.is_some() {
         true => (None, Some(gathered)),
         false => (Some(gathered.bytes), None),
     };
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -111,6 +111,20 @@
         choose_ms: u64,
         took_ms: u64,
     },
+    /// A request's best upstream would finish it too late, so it is told to come back.
+    RequestWouldBeLate {
+        request: String,
+        upstream: Name,
+        cost_percent: u32,
+        running: u32,
+        waiting: u32,
+        pace_percent: u32,
+        load_age_ms: u64,
+        expected_ms: u64,
+        spent_ms: u64,
+    },
+    /// An attempt was given up after a silence that speaks against the upstream.
+    AttemptGivenUp { request: String, upstream: Name, after_ms: u64 },
     /// A request got an upstream's answer.
     RequestAnswered { request: String, route: Name, version: u64, status: u16, attempts: u32, spent_ms: u64 },
     /// A request was answered in an upstream's place; `version` is the configuration that decided, 0 for none.
@@ -134,6 +148,8 @@
         matches!(
             self,
             Self::AttemptEnded { .. }
+                | Self::RequestWouldBeLate { .. }
+                | Self::AttemptGivenUp { .. }
                 | Self::RequestAnswered { .. }
                 | Self::RequestRefused { .. }
                 | Self::LinesLeftOut { .. }
