--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -3,7 +3,7 @@
 use {
     crate::upstream::UpstreamState,
     pointvane_core::{Name, UpstreamLoad, UpstreamRecord},
-    rand::{Rng, SeedableRng, rngs::SmallRng},
+    rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
     std::collections::{BTreeMap, HashMap},
 };
 
@@ -55,6 +55,8 @@
     }
 }
 
+/// Most upstreams of a service that are ranked for one request, drawn at random.
+const RANKED_MAX: usize = 96;
 const BYTES_PER_100_KB: f32 = 100_000.0;
 
 /// Which upstreams are wanted for a request.
@@ -189,7 +191,9 @@
         let Some(keys) = self.by_service.get(service) else {
             return Vec::new();
         };
-        let able = keys.iter().copied().filter(|key| {
+        // All of a large service need not be ranked for one request.
+        let part = keys.choose_multiple(&mut self.rng, RANKED_MAX).copied();
+        let able = part.filter(|key| {
             !wanted.tried.contains(key) && self.upstreams.get(key).is_some_and(UpstreamState::takes_work)
         });
         let (aside, sound): (Vec<_>, Vec<_>) = able.partition(|key| self.upstreams[key].is_ejected(now_us));
--- a/crates/pointvane-dispatch/tests/upstreams.rs
+++ b/crates/pointvane-dispatch/tests/upstreams.rs
@@ -156,3 +156,16 @@
     let best = candidates(&mut pool, &[], 2 * MS)[0];
     expect_that!(pool.get(best).unwrap().id(), eq(&name));
 }
+
+#[gtest]
+fn a_large_service_is_ranked_in_part_and_all_of_it_gets_its_turn() {
+    let mut pool = pool(&[]);
+    for number in 0..1_000 {
+        pool.put(record(&format!("i-{number}"), "one", 1), MS);
+    }
+    let mut first = std::collections::BTreeSet::new();
+    for _ in 0..10_000 {
+        first.insert(candidates(&mut pool, &[], MS)[0]);
+    }
+    expect_that!(first.len(), ge(990));
+}
