--- a/crates/pointvane-core/src/deployment.rs
+++ b/crates/pointvane-core/src/deployment.rs
@@ -1,6 +1,10 @@
 //! What a platform publishes, in the product's own terms: routes, services, limits and upstreams.
 
-use {crate::Name, std::net::SocketAddr};
+use {
+    crate::Name,
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
 
 /// One published configuration, whole.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -101,7 +105,7 @@
 }
 
 /// One upstream as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
     /// Identity of one life of the upstream.
     pub id: Name,
--- a/crates/pointvane-dispatch/src/feed.rs
+++ b/crates/pointvane-dispatch/src/feed.rs
@@ -1,9 +1,11 @@
-//! When to read the platform, and what to make of its answers.
+//! When to read the platform, and what to make of its answers and of what sentinels relay.
 //!
-//! A node reads everything once, then waits for changes. It reads everything anew when the history is gone, when an
-//! answer cannot be trusted, or when a peer has seen a later revision for a while.
+//! A node reads everything once. Then the few sentinels of the fleet wait for changes and relay them to all; a relay is
+//! also a lease: as long as one is young, the node need not ask the platform itself. Without a lease it waits for
+//! changes like a sentinel. It reads everything anew when the history is gone or an answer cannot be trusted.
 
 use {
+    crate::relay::{Relay, RelayLog},
     pointvane_core::{Change, ChangePage, Name, US_PER_MS},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::collections::HashSet,
@@ -12,12 +14,10 @@
 /// Rules of reading.
 #[derive(Clone, Copy, Debug)]
 pub struct FeedOptions {
-    /// Longest wait for a change of a node whose peers would tell of it, in milliseconds.
-    pub wait_ms: u64,
-    /// Longest wait for a change of a sentinel, or of a node that hears no peer, in milliseconds.
+    /// Longest wait for a change, in milliseconds.
     ///
     /// A watch that hangs since a silence of the platform is noticed only when its wait is over.
-    pub wait_short_ms: u64,
+    pub wait_ms: u64,
     /// Longest wait for an answer beyond the wait that was asked for, in milliseconds.
     pub patience_ms: u64,
     /// Rest between an answer that told changes and the next call, so that changes come in batches.
@@ -26,20 +26,22 @@
     pub retry_ms: u64,
     /// Longest rest after failures, in milliseconds.
     pub retry_max_ms: u64,
-    /// Time after which a peer's later revision makes this node read everything anew, in milliseconds.
+    /// Time after which a peer's later revision makes this node ask the platform, in milliseconds.
     pub behind_ms: u64,
+    /// Age of a sentinel's last answer from the platform up to which its relay is trusted, in milliseconds.
+    pub lease_ms: u64,
 }
 
 impl Default for FeedOptions {
     fn default() -> Self {
         Self {
-            wait_ms: 30_000,
-            wait_short_ms: 1_200,
+            wait_ms: 1_200,
             patience_ms: 700,
-            settle_ms: 1_000,
+            settle_ms: 300,
             retry_ms: 100,
             retry_max_ms: 400,
             behind_ms: 500,
+            lease_ms: 1_450,
         }
     }
 }
@@ -81,26 +83,6 @@
     Malformed,
 }
 
-/// What a node hears of its peers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PeerView {
-    /// The latest revision that a peer has seen.
-    pub latest: u64,
-    /// Whether any peer is heard.
-    pub heard: bool,
-    /// Whether this node is one of the few that look at the platform often, for all.
-    pub sentinel: bool,
-}
-
-/// What follows from the peers for the call under way.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PeerVerdict {
-    /// It may go on.
-    Fine,
-    /// It is to be given up and made anew.
-    Renew,
-}
-
 /// A read of everything that is under way.
 #[derive(Clone, Debug, Default)]
 struct Reading {
@@ -110,6 +92,13 @@
     seen: HashSet<Name>,
 }
 
+/// Wait of a watch that only fetches what is there already, in milliseconds.
+const CATCH_UP_WAIT_MS: u64 = 1;
+/// Time between a sentinel's answer and the end of the leases before it, in milliseconds.
+const LEASE_MARGIN_MS: u64 = 200;
+/// Shortest wait of a watch, in milliseconds.
+const WAIT_MIN_MS: u64 = 200;
+
 /// The state of a node's reading.
 #[derive(Debug)]
 pub struct Feed {
@@ -118,10 +107,15 @@
     reading: Option<Reading>,
     rest_until_us: u64,
     failures: u32,
-    /// Whether a hung watch must be noticed by this node itself.
-    short_waits: bool,
-    wait_ends_us: u64,
+    sentinel: bool,
+    lease_until_us: u64,
+    /// Whether the platform is known to hold more than this node.
+    catch_up: bool,
     behind_since_us: Option<u64>,
+    /// When the platform last answered.
+    answered_at_us: Option<u64>,
+    watching: bool,
+    log: RelayLog,
     rng: SmallRng,
 }
 
@@ -134,9 +128,13 @@
             reading: Some(Reading::default()),
             rest_until_us: 0,
             failures: 0,
-            short_waits: true,
-            wait_ends_us: 0,
+            sentinel: false,
+            lease_until_us: 0,
+            catch_up: false,
             behind_since_us: None,
+            answered_at_us: None,
+            watching: false,
+            log: RelayLog::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -160,13 +158,31 @@
         if let Some(reading) = &self.reading {
             return FeedCall::Snapshot { next_page: reading.next_page.clone(), patience_ms };
         }
-        let most_ms = if self.short_waits { self.options.wait_short_ms } else { self.options.wait_ms };
-        // Spread, so that not all nodes renew their watches at once.
-        let wait_ms = self.rng.random_range(most_ms * 3 / 4..=most_ms);
-        self.wait_ends_us = now_us + wait_ms * US_PER_MS;
+        if self.is_leased(now_us) {
+            return FeedCall::Rest { until_us: self.lease_until_us };
+        }
+        let wait_ms = match std::mem::take(&mut self.catch_up) {
+            true => CATCH_UP_WAIT_MS,
+            false => self.wait_ms(now_us),
+        };
+        self.watching = true;
         FeedCall::Watch { after: self.revision, wait_ms, patience_ms: wait_ms + patience_ms }
     }
 
+    /// How long a watch waits: a sentinel's next answer must come before the leases that its last one gave are over.
+    fn wait_ms(&mut self, now_us: u64) -> u64 {
+        let age_ms = self.answered_at_us.map_or(0, |at_us| now_us.saturating_sub(at_us) / US_PER_MS);
+        let room_ms = self.options.lease_ms.saturating_sub(age_ms + LEASE_MARGIN_MS);
+        let most_ms = self.options.wait_ms.min(room_ms.max(WAIT_MIN_MS));
+        // Spread, so that not all nodes renew their watches at once.
+        self.rng.random_range(most_ms * 3 / 4..=most_ms)
+    }
+
+    /// Whether sentinels look at the platform for this node.
+    fn is_leased(&self, now_us: u64) -> bool {
+        !self.sentinel && !self.catch_up && now_us < self.lease_until_us
+    }
+
     /// Takes a page of everything; `known` are the upstreams this node knows.
     ///
     /// Gives what is to be applied.
@@ -176,7 +192,7 @@
         known: impl Iterator<Item = &'n Name>,
         now_us: u64,
     ) -> Vec<Change> {
-        self.failures = 0;
+        self.answered(now_us);
         let mut reading = self.reading.take().unwrap_or_default();
         let revision = *reading.revision.get_or_insert(page.revision);
         let mut changes = page.changes;
@@ -188,29 +204,44 @@
         }
         let gone = known.filter(|id| !reading.seen.contains(*id));
         changes.extend(gone.cloned().map(Change::UpstreamGone));
-        self.revision = revision;
-        self.behind_since_us = None;
-        self.rest_until_us = now_us;
+        self.advance(revision);
+        self.log.restart(revision);
+        // By then a sentinel's relay has come, if there is one.
+        self.rest_until_us = now_us + 2 * self.options.settle_ms * US_PER_MS;
         changes
     }
 
     /// Takes the changes that a watch told.
     pub fn watched(&mut self, page: ChangePage, now_us: u64) -> Vec<Change> {
-        self.failures = 0;
+        self.answered(now_us);
         if page.revision < self.revision {
             // The platform went back: trust nothing but a read of everything.
             self.reading = Some(Reading::default());
             return Vec::new();
         }
-        self.revision = page.revision;
+        self.log.add(self.revision, page.revision, &page.changes);
+        self.advance(page.revision);
         if !page.changes.is_empty() {
             self.rest_until_us = now_us + self.options.settle_ms * US_PER_MS;
         }
         page.changes
     }
 
+    fn answered(&mut self, now_us: u64) {
+        self.watching = false;
+        self.failures = 0;
+        self.answered_at_us = Some(now_us);
+        self.rest_until_us = now_us;
+    }
+
+    fn advance(&mut self, revision: u64) {
+        self.revision = revision;
+        self.behind_since_us = None;
+    }
+
     /// Takes the failure of a call.
     pub fn failed(&mut self, failure: CallFailure, now_us: u64) {
+        self.watching = false;
         if failure != CallFailure::Unavailable || self.reading.is_some() {
             self.reading = Some(Reading::default());
         }
@@ -224,37 +255,50 @@
         self.rest_until_us = now_us + self.rng.random_range(most_ms / 2..=most_ms) * US_PER_MS;
     }
 
-    /// Takes what is heard of the peers while a call is under way.
-    pub fn hear_peers(&mut self, view: PeerView, now_us: u64) -> PeerVerdict {
-        self.short_waits = view.sentinel || !view.heard;
-        if self.reading.is_some() || now_us < self.rest_until_us {
-            self.behind_since_us = None;
-            return PeerVerdict::Fine;
+    /// What this node relays to all others now, if it is a sentinel that the platform has answered of late.
+    pub fn relay(&self, now_us: u64) -> Option<Relay> {
+        let age_ms = now_us.saturating_sub(self.answered_at_us?) / US_PER_MS;
+        let relays = self.sentinel && self.reading.is_none() && age_ms < self.options.lease_ms;
+        relays.then(|| self.log.relay(self.revision, age_ms))
+    }
+
+    /// Takes what a sentinel relays; gives what is to be applied.
+    pub fn hear_relay(&mut self, relay: Relay, now_us: u64) -> Vec<Change> {
+        if self.reading.is_some() || relay.revision < self.revision || relay.age_ms >= self.options.lease_ms {
+            return Vec::new();
         }
-        if self.is_behind(view.latest, now_us) {
-            self.reading = Some(Reading::default());
-            return PeerVerdict::Renew;
+        if relay.revision > self.revision && relay.since > self.revision {
+            // Something between was lost, or is too large to be relayed; a watch under way will tell it.
+            self.catch_up = !self.watching;
+            return Vec::new();
         }
-        let short_us = self.options.wait_short_ms * US_PER_MS;
-        if self.short_waits && self.wait_ends_us > now_us + short_us {
-            self.wait_ends_us = now_us;
-            return PeerVerdict::Renew;
+        let lease_us = (self.options.lease_ms - relay.age_ms) * US_PER_MS;
+        self.lease_until_us = self.lease_until_us.max(now_us + lease_us);
+        if relay.revision == self.revision {
+            return Vec::new();
         }
-        PeerVerdict::Fine
+        self.advance(relay.revision);
+        self.log.restart(relay.revision);
+        relay.changes
+    }
+
+    /// Whether the platform is known to hold more than this node, so that it should ask at once.
+    pub fn is_behind(&self) -> bool {
+        self.catch_up
     }
 
-    /// Whether a peer has known a later revision for so long that the watch under way must hang.
-    fn is_behind(&mut self, latest: u64, now_us: u64) -> bool {
-        if latest <= self.revision {
+    /// Takes whether this node is a sentinel, and the latest revision that any peer has seen.
+    pub fn hear_peers(&mut self, sentinel: bool, latest: u64, now_us: u64) {
+        self.sentinel = sentinel;
+        if latest <= self.revision || self.reading.is_some() || now_us < self.rest_until_us || self.catch_up {
             self.behind_since_us = None;
-            return false;
+            return;
         }
         let since_us = *self.behind_since_us.get_or_insert(now_us);
-        let behind = now_us.saturating_sub(since_us) >= self.options.behind_ms * US_PER_MS;
-        if behind {
+        if now_us.saturating_sub(since_us) >= self.options.behind_ms * US_PER_MS {
             self.behind_since_us = None;
+            self.catch_up = true;
         }
-        behind
     }
 }
 
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod latency;
 mod outcome;
 mod pool;
+mod relay;
 mod routes;
 mod upstream;
 
@@ -17,10 +18,11 @@
     admission::{AdmissionOptions, Outlook, WholeTime},
     budget::{RetryBudget, RetryBudgetOptions, TokenBucket},
     directory::{DirectoryMember, directory_addresses},
-    feed::{CallFailure, Feed, FeedCall, FeedOptions, PeerVerdict, PeerView},
+    feed::{CallFailure, Feed, FeedCall, FeedOptions},
     latency::LatencyQuantile,
     outcome::{AttemptOutcome, Refusal, Verdict, judge},
     pool::{Pool, PoolOptions, Ranking, UpstreamKey, Wanted},
+    relay::{Relay, RelayLog, WireRelay},
     routes::{RouteTable, RoutedRequest},
     upstream::{LoadSample, UpstreamState},
 };
--- a/crates/pointvane-node/src/feed.rs
+++ b/crates/pointvane-node/src/feed.rs
@@ -17,10 +17,7 @@
     pointvane_dispatch::{CallFailure, FeedCall},
     pointvane_telemetry::EventKind,
     std::{mem, rc::Rc, time::Duration},
-    tokio::{
-        task::spawn_local,
-        time::{sleep, timeout},
-    },
+    tokio::{task::spawn_local, time::timeout},
 };
 
 const CONNECT_PATIENCE: Duration = Duration::from_millis(700);
@@ -35,7 +32,9 @@
         let lost_before = node.feed.borrow().is_lost();
         match call {
             FeedCall::Rest { until_us } => {
-                sleep(Duration::from_micros(until_us.saturating_sub(node.now_us()))).await;
+                let rest = Duration::from_micros(until_us.saturating_sub(node.now_us()));
+                // Ends early when the platform is known to hold more.
+                _ = timeout(rest, node.watch_renewed()).await;
                 continue;
             }
             FeedCall::Snapshot { next_page, patience_ms } => {
@@ -94,6 +93,7 @@
                 node.refuse_items(mem::take(&mut page.refused));
                 let changes = node.feed.borrow_mut().watched(page, node.now_us());
                 node.apply(changes);
+                node.send_relay();
             }
             Err(failure) => self.failed(failure),
         }
--- a/crates/pointvane-node/src/gossip.rs
+++ b/crates/pointvane-node/src/gossip.rs
@@ -10,8 +10,6 @@
 };
 
 const TICK: Duration = Duration::from_millis(100);
-/// Time after which silence of all peers counts as being alone, in microseconds.
-const ALONE_AFTER_US: u64 = 2_000_000;
 
 impl<A: PlatformAdapter> Node<A> {
     /// Does what membership asks for.
@@ -47,7 +45,7 @@
         node.perform(told);
         let actions = node.membership.borrow_mut().tick(node.now_us());
         node.perform(actions);
-        node.look_at_peers(ALONE_AFTER_US);
+        node.look_at_peers();
     }
 }
 
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -20,6 +20,7 @@
 mod node;
 mod operator;
 mod probe;
+mod relay;
 mod report;
 mod request;
 mod run;
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -9,9 +9,8 @@
         RoutingConfiguration, UpstreamLoad, VmIdentity, VmState,
     },
     pointvane_dispatch::{
-        AdmissionOptions, DirectoryMember, Feed, FeedOptions, LatencyQuantile, PeerVerdict, PeerView, Pool,
-        PoolOptions, Ranking, RetryBudget, RetryBudgetOptions, RouteTable, TokenBucket, UpstreamKey,
-        WholeTime,
+        AdmissionOptions, DirectoryMember, Feed, FeedOptions, LatencyQuantile, Pool, PoolOptions, Ranking,
+        RetryBudget, RetryBudgetOptions, RouteTable, TokenBucket, UpstreamKey, WholeTime,
     },
     pointvane_mesh::{EntryRow, MemberRow, Membership, MembershipOptions, Stamp, choose_readers},
     pointvane_telemetry::{EventKind, MonotonicClock, wall_ms},
@@ -136,8 +135,8 @@
     nodes_seen: Cell<usize>,
     open: Rc<Cell<usize>>,
     gossip_socket: RefCell<Option<Rc<UdpSocket>>>,
+    relay_socket: RefCell<Option<Rc<UdpSocket>>>,
     peer_revision: Cell<u64>,
-    peer_heard_at_us: Cell<u64>,
     watch_renewed: Notify,
 }
 
@@ -181,8 +180,8 @@
             nodes_seen: Cell::new(NODES_MIN),
             open: Rc::default(),
             gossip_socket: RefCell::default(),
+            relay_socket: RefCell::default(),
             peer_revision: Cell::default(),
-            peer_heard_at_us: Cell::default(),
             watch_renewed: Notify::new(),
             settings: RefCell::new(settings),
         }
@@ -347,21 +346,31 @@
         self.gossip_socket.borrow().clone()
     }
 
-    /// Notes that a peer was heard that has read the platform up to a revision.
+    /// Takes the socket for relays.
+    pub fn set_relay_socket(&self, socket: Rc<UdpSocket>) {
+        *self.relay_socket.borrow_mut() = Some(socket);
+    }
+
+    /// The socket for relays.
+    pub fn relay_socket(&self) -> Option<Rc<UdpSocket>> {
+        self.relay_socket.borrow().clone()
+    }
+
+    /// Notes that a peer has read the platform up to a revision.
     pub fn hear_peer(&self, revision: u64) {
         self.peer_revision.set(self.peer_revision.get().max(revision));
-        self.peer_heard_at_us.set(self.now_us());
     }
 
     /// Compares this node's reading with its peers'.
-    pub fn look_at_peers(&self, alone_after_us: u64) {
-        let now_us = self.now_us();
-        let view = PeerView {
-            latest: self.peer_revision.get(),
-            heard: now_us.saturating_sub(self.peer_heard_at_us.get()) < alone_after_us,
-            sentinel: self.is_sentinel(),
-        };
-        if self.feed.borrow_mut().hear_peers(view, now_us) == PeerVerdict::Renew {
+    pub fn look_at_peers(&self) {
+        let sentinel = self.is_sentinel();
+        self.feed.borrow_mut().hear_peers(sentinel, self.peer_revision.get(), self.now_us());
+        self.look_whether_behind();
+    }
+
+    /// Ends a rest or a hung watch when the platform is known to hold more.
+    pub fn look_whether_behind(&self) {
+        if self.feed.borrow().is_behind() {
             self.watch_renewed.notify_waiters();
         }
     }
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -2,14 +2,14 @@
 
 use {
     crate::{
-        directory, feed, gossip, node::Node, operator, report::Report, serve::listen, settings::NodeSettings,
-        stop, traffic,
+        directory, feed, gossip, node::Node, operator, relay, report::Report, serve::listen,
+        settings::NodeSettings, stop, traffic,
     },
     eyre::{Result, WrapErr},
     pointvane_config::NodeOptions,
     pointvane_core::PlatformAdapter,
     pointvane_telemetry::EventKind,
-    std::{rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::UdpSocket,
         runtime::Builder,
@@ -49,6 +49,9 @@
     let mut terminate = signal(SignalKind::terminate()).wrap_err("signal")?;
     let mut reload = signal(SignalKind::hangup()).wrap_err("signal")?;
     let socket = Rc::new(UdpSocket::bind(settings.gossip).await.wrap_err("gossip")?);
+    let relays = SocketAddr::new(settings.gossip.ip(), settings.gossip.port() + 1);
+    let relays = Rc::new(UdpSocket::bind(relays).await.wrap_err("relays")?);
+    node.set_relay_socket(Rc::clone(&relays));
     node.set_gossip_socket(Rc::clone(&socket));
     listen(Rc::clone(&node), settings.traffic, traffic::serve).await?;
     listen(Rc::clone(&node), settings.readiness, directory::readiness).await?;
@@ -57,6 +60,7 @@
         listen(Rc::clone(&node), address, operator::operator).await?;
     }
     spawn_local(gossip::gossip(Rc::clone(&node), socket));
+    spawn_local(relay::relay(Rc::clone(&node), relays));
     spawn_local(feed::read(Rc::clone(&node)));
     node.report.note(EventKind::Started);
     let mut expire = interval(EXPIRE_INTERVAL);
