--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -3,12 +3,13 @@
 use {
     crate::{connections::Connections, probe::Probes, report::Report, settings::NodeSettings, stop::Stage},
     hyper::header::HeaderName,
+    pointvane_config::{ChoicePolicy, NodeAdmissionOptions, NodeOptions},
     pointvane_core::{
         Change, Clock, HeaderNames, Incarnation, Name, PlatformAdapter, RefusedItem, RouteRule,
         RoutingConfiguration, UpstreamLoad, VmIdentity, VmState,
     },
     pointvane_dispatch::{
-        DirectoryMember, Feed, FeedOptions, LatencyQuantile, PeerVerdict, PeerView, Pool, PoolOptions,
+        AdmissionOptions, DirectoryMember, Feed, FeedOptions, LatencyQuantile, Pool, PoolOptions, Ranking,
         RetryBudget, RetryBudgetOptions, RouteTable, TokenBucket, UpstreamKey, WholeTime,
     },
     pointvane_mesh::{EntryRow, MemberRow, Membership, MembershipOptions, Stamp, choose_readers},
@@ -73,8 +74,6 @@
     pub request_id: HeaderName,
     /// Milliseconds the sender will still wait.
     pub deadline_ms: HeaderName,
-    /// An upstream's mark on its answers.
-    pub stamp: HeaderName,
     /// The upstream that alone may run the request.
     pub expect_upstream: HeaderName,
     /// An upstream's load.
@@ -90,7 +89,6 @@
         Self {
             request_id: HeaderName::from_static(names.request_id),
             deadline_ms: HeaderName::from_static(names.deadline_ms),
-            stamp: HeaderName::from_static(names.stamp),
             expect_upstream: HeaderName::from_static(names.expect_upstream),
             load: HeaderName::from_static(names.load),
             not_run: HeaderName::from_static(names.not_run),
@@ -106,6 +104,8 @@
     pub adapter: A,
     /// The headers' names.
     pub headers: Headers,
+    /// The options.
+    pub options: NodeOptions,
     /// The settings in force.
     pub settings: RefCell<NodeSettings>,
     /// The time.
@@ -135,8 +135,8 @@
     nodes_seen: Cell<usize>,
     open: Rc<Cell<usize>>,
     gossip_socket: RefCell<Option<Rc<UdpSocket>>>,
+    relay_socket: RefCell<Option<Rc<UdpSocket>>>,
     peer_revision: Cell<u64>,
-    peer_heard_at_us: Cell<u64>,
     watch_renewed: Notify,
 }
 
@@ -152,17 +152,18 @@
 
 impl<A: PlatformAdapter> Node<A> {
     /// A node that knows only its settings.
-    pub fn new(adapter: A, settings: NodeSettings, report: Report) -> Self {
+    pub fn new(adapter: A, settings: NodeSettings, options: NodeOptions, report: Report) -> Self {
         let clock = MonotonicClock::start();
         let now_us = clock.now_us();
         let mut seeder = SmallRng::from_os_rng();
         let incarnation = Incarnation(wall_ms());
         let membership = membership(&settings, incarnation, seeder.random(), now_us);
-        let pool = Pool::new(PoolOptions::default(), settings.data_centre.clone(), seeder.random());
+        let pool = Pool::new(pool_options(&options), settings.data_centre.clone(), seeder.random());
         Self {
             headers: adapter.headers().into(),
             adapter,
             clock,
+            options,
             report,
             routes: RefCell::default(),
             pool: RefCell::new(pool),
@@ -179,8 +180,8 @@
             nodes_seen: Cell::new(NODES_MIN),
             open: Rc::default(),
             gossip_socket: RefCell::default(),
+            relay_socket: RefCell::default(),
             peer_revision: Cell::default(),
-            peer_heard_at_us: Cell::default(),
             watch_renewed: Notify::new(),
             settings: RefCell::new(settings),
         }
@@ -196,6 +197,12 @@
         Rc::clone(&self.routes.borrow())
     }
 
+    /// When work that would be late is told to come back.
+    pub fn admission(&self) -> AdmissionOptions {
+        let NodeAdmissionOptions { target_share, rank_step } = self.options.admission;
+        AdmissionOptions { target_share, rank_step, ..AdmissionOptions::default() }
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         *self.stage.borrow() == Stage::Running
@@ -339,21 +346,31 @@
         self.gossip_socket.borrow().clone()
     }
 
-    /// Notes that a peer was heard that has read the platform up to a revision.
+    /// Takes the socket for relays.
+    pub fn set_relay_socket(&self, socket: Rc<UdpSocket>) {
+        *self.relay_socket.borrow_mut() = Some(socket);
+    }
+
+    /// The socket for relays.
+    pub fn relay_socket(&self) -> Option<Rc<UdpSocket>> {
+        self.relay_socket.borrow().clone()
+    }
+
+    /// Notes that a peer has read the platform up to a revision.
     pub fn hear_peer(&self, revision: u64) {
         self.peer_revision.set(self.peer_revision.get().max(revision));
-        self.peer_heard_at_us.set(self.now_us());
     }
 
     /// Compares this node's reading with its peers'.
-    pub fn look_at_peers(&self, alone_after_us: u64) {
-        let now_us = self.now_us();
-        let view = PeerView {
-            latest: self.peer_revision.get(),
-            heard: now_us.saturating_sub(self.peer_heard_at_us.get()) < alone_after_us,
-            sentinel: self.is_sentinel(),
-        };
-        if self.feed.borrow_mut().hear_peers(view, now_us) == PeerVerdict::Renew {
+    pub fn look_at_peers(&self) {
+        let sentinel = self.is_sentinel();
+        self.feed.borrow_mut().hear_peers(sentinel, self.peer_revision.get(), self.now_us());
+        self.look_whether_behind();
+    }
+
+    /// Ends a rest or a hung watch when the platform is known to hold more.
+    pub fn look_whether_behind(&self) {
+        if self.feed.borrow().is_behind() {
             self.watch_renewed.notify_waiters();
         }
     }
@@ -376,6 +393,15 @@
     }
 }
 
+fn pool_options(options: &NodeOptions) -> PoolOptions {
+    let ranking = match options.choice.policy {
+        ChoicePolicy::Ask => Ranking::Cost,
+        ChoicePolicy::OwnLeast => Ranking::Own,
+        ChoicePolicy::Random => Ranking::Random,
+    };
+    PoolOptions { ranking, ..PoolOptions::default() }
+}
+
 fn membership(settings: &NodeSettings, incarnation: Incarnation, seed: u64, now_us: u64) -> Membership {
     let options = MembershipOptions {
         probe_interval_ms: CHECK_INTERVAL_MS,
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -2,13 +2,14 @@
 
 use {
     crate::{
-        directory, feed, gossip, node::Node, operator, report::Report, serve::listen, settings::NodeSettings,
-        stop, traffic,
+        directory, feed, gossip, node::Node, operator, relay, report::Report, serve::listen,
+        settings::NodeSettings, stop, traffic,
     },
     eyre::{Result, WrapErr},
+    pointvane_config::NodeOptions,
     pointvane_core::PlatformAdapter,
     pointvane_telemetry::EventKind,
-    std::{rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::UdpSocket,
         runtime::Builder,
@@ -27,15 +28,15 @@
 ///
 /// # Errors
 /// What kept it from starting.
-pub fn run<A, S>(adapter: A, read_settings: S) -> Result<()>
+pub fn run<A, S>(adapter: A, options: NodeOptions, read_settings: S) -> Result<()>
 where
     A: PlatformAdapter + 'static,
     S: Fn() -> Result<NodeSettings> + 'static,
 {
     let settings = read_settings()?;
-    let report = Report::new(&settings.name)?;
+    let report = Report::new(&settings.name, options.lines)?;
     let runtime = Builder::new_current_thread().enable_all().build().wrap_err("runtime")?;
-    let node = Rc::new(Node::new(adapter, settings, report));
+    let node = Rc::new(Node::new(adapter, settings, options, report));
     LocalSet::new().block_on(&runtime, live(node, read_settings))
 }
 
@@ -48,6 +49,9 @@
     let mut terminate = signal(SignalKind::terminate()).wrap_err("signal")?;
     let mut reload = signal(SignalKind::hangup()).wrap_err("signal")?;
     let socket = Rc::new(UdpSocket::bind(settings.gossip).await.wrap_err("gossip")?);
+    let relays = SocketAddr::new(settings.gossip.ip(), settings.gossip.port() + 1);
+    let relays = Rc::new(UdpSocket::bind(relays).await.wrap_err("relays")?);
+    node.set_relay_socket(Rc::clone(&relays));
     node.set_gossip_socket(Rc::clone(&socket));
     listen(Rc::clone(&node), settings.traffic, traffic::serve).await?;
     listen(Rc::clone(&node), settings.readiness, directory::readiness).await?;
@@ -56,6 +60,7 @@
         listen(Rc::clone(&node), address, operator::operator).await?;
     }
     spawn_local(gossip::gossip(Rc::clone(&node), socket));
+    spawn_local(relay::relay(Rc::clone(&node), relays));
     spawn_local(feed::read(Rc::clone(&node)));
     node.report.note(EventKind::Started);
     let mut expire = interval(EXPIRE_INTERVAL);
@@ -67,7 +72,7 @@
             _ = expire.tick() => {
                 node.connections.expire();
                 looks += 1;
-                if looks % LOOKS_PER_REREAD == 0 {
+                if looks.is_multiple_of(LOOKS_PER_REREAD) {
                     reread_if_changed(&node, &read_settings);
                 }
             }
