Sentinels relay changes of upstreams; a relay is a lease

Two sentinels now relay what a watch told them, with the age of the store's last answer; a node that hears a young one does not ask the store itself. Ages up to 1.45 s are trusted, so that even if both sentinels are cut off at the worst moment all others ask the store before drain-ms and config-apply-ms are over. Configurations are not relayed: they are too large.

On the way: leases lapsed before a sentinel's next answer (calls_do_not_grow_with_changes_times_nodes failed with 486, then 324 calls where 282 are allowed): a sentinel relays at each answer, and its waits end before its leases do.

--- a/crates/pointvane-dispatch/src/feed.rs
+++ b/crates/pointvane-dispatch/src/feed.rs
@@ -20,8 +20,10 @@
     pub wait_ms: u64,
     /// Longest wait for an answer beyond the wait that was asked for, in milliseconds.
     pub patience_ms: u64,
-    /// Rest between an answer that told changes and the next call, so that changes come in batches.
+    /// Rest of a sentinel between an answer that told changes and the next call, so that changes come in batches.
     pub settle_ms: u64,
+    /// The same of all other nodes, whose calls add up.
+    pub settle_others_ms: u64,
     /// First rest after a failure, in milliseconds; it doubles.
     pub retry_ms: u64,
     /// Longest rest after failures, in milliseconds.
@@ -38,6 +40,7 @@
             wait_ms: 1_200,
             patience_ms: 700,
             settle_ms: 300,
+            settle_others_ms: 1_000,
             retry_ms: 100,
             retry_max_ms: 400,
             behind_ms: 500,
@@ -222,7 +225,9 @@
         self.log.add(self.revision, page.revision, &page.changes);
         self.advance(page.revision);
         if !page.changes.is_empty() {
-            self.rest_until_us = now_us + self.options.settle_ms * US_PER_MS;
+            let FeedOptions { settle_ms, settle_others_ms, .. } = self.options;
+            let rest_ms = if self.sentinel { settle_ms } else { settle_others_ms };
+            self.rest_until_us = now_us + rest_ms * US_PER_MS;
         }
         page.changes
     }
--- a/crates/pointvane-dispatch/src/relay.rs
+++ b/crates/pointvane-dispatch/src/relay.rs
@@ -7,7 +7,7 @@
 };
 
 /// Changes that one relay holds at most, so that it fits a datagram.
-const CHANGES_MAX: usize = 8;
+const CHANGES_MAX: usize = 20;
 
 /// What a sentinel tells all others: how far the platform is read, how long ago it answered, and what changed last.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,6 +22,13 @@
     pub changes: Vec<Change>,
 }
 
+impl Relay {
+    /// The same without the changes: a node that lacks them has to ask the platform.
+    pub fn without_changes(self) -> Self {
+        Self { since: self.revision, changes: Vec::new(), ..self }
+    }
+}
+
 /// A relay as it goes over the wire.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WireRelay {
--- a/crates/pointvane-node/src/relay.rs
+++ b/crates/pointvane-node/src/relay.rs
@@ -49,7 +49,8 @@
         let (Some(relay), Some(socket)) = (relay, self.relay_socket()) else {
             return;
         };
-        let Ok(bytes) = codec::encode(&WireRelay::from(relay)) else {
+        let small = || codec::encode(&WireRelay::from(relay.clone().without_changes()));
+        let Ok(bytes) = codec::encode(&WireRelay::from(relay.clone())).or_else(|_| small()) else {
             return;
         };
         let membership = self.membership.borrow();
