A process that restarts while its wall clock stands earlier is heard; node state split by job; one token bucket, one way to read a file

Cause: an incarnation is the wall clock at the start. After a clock was set back, a restarted process told an earlier one, so its words lost against those of its life before: a node that had stopped as planned stayed leaving to all others, and the directory never named it again. It now hears of the later life and goes on as a still later one.

node.rs held the state, budgets, peers, headers, times and what the platform tells; each has its module. pointvane-dispatch uses the token bucket of pointvane-balance; settings and options are read by one function.

--- a/crates/pointvane-balance/src/budget.rs
+++ b/crates/pointvane-balance/src/budget.rs
@@ -17,6 +17,19 @@
         Self { tokens: tokens_max, tokens_max, rate_per_s, filled_at_us: now_us }
     }
 
+    /// An empty bucket that time fills at `rate_per_s`.
+    pub fn empty(rate_per_s: f64, tokens_max: f64, now_us: u64) -> Self {
+        Self { tokens: 0.0, tokens_max, rate_per_s, filled_at_us: now_us }
+    }
+
+    /// Takes a new rate and bound; what was filled before stays, within the bound.
+    pub fn set(&mut self, rate_per_s: f64, tokens_max: f64, now_us: u64) {
+        self.fill(now_us);
+        self.rate_per_s = rate_per_s;
+        self.tokens_max = tokens_max;
+        self.tokens = self.tokens.min(tokens_max);
+    }
+
     /// A full bucket that only [`Self::earn`] fills.
     pub fn earned(tokens_max: f64) -> Self {
         Self::timed(0.0, tokens_max, 0)
--- a/crates/pointvane-config/src/node_options.rs
+++ b/crates/pointvane-config/src/node_options.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        fault::{Fault, Faults},
-        reader::{Document, Section},
+        fault::Faults,
+        reader::{Section, read_file},
     },
-    std::{fs, path::Path},
+    std::path::Path,
 };
 
 /// Every key of the options file; docs/OPERATIONS.md is checked against this list.
@@ -115,20 +115,7 @@
 /// # Errors
 /// All its faults.
 pub fn read_node_options(path: &Path) -> Result<NodeOptions, Faults> {
-    let file = path.to_string_lossy();
-    let Ok(text) = fs::read_to_string(path) else {
-        return Err(Faults(vec![Fault {
-            file: file.as_ref().into(),
-            line: 1,
-            key: "(file)".into(),
-            problem: "cannot be read".into(),
-            remedy: "give the path of a readable TOML file".into(),
-        }]));
-    };
-    let document = Document::new(&file, &text);
-    let table = document.parse();
-    let options = table.as_ref().map(|table| read(&Section::top(&document, table)));
-    document.into_faults().or(options)?.ok_or_else(Faults::default)
+    read_file(path, read)
 }
 
 fn read(top: &Section<'_, '_>) -> NodeOptions {
--- a/crates/pointvane-config/src/settings.rs
+++ b/crates/pointvane-config/src/settings.rs
@@ -2,12 +2,11 @@
 
 use {
     crate::{
-        fault::{Fault, Faults},
-        reader::{Document, Section},
+        fault::Faults,
+        reader::{Section, read_file},
     },
     pointvane_core::Name,
     std::{
-        fs,
         net::{IpAddr, Ipv4Addr, SocketAddr},
         path::Path,
     },
@@ -172,20 +171,7 @@
 /// # Errors
 /// All its faults.
 pub fn read_settings(path: &Path) -> Result<Settings, Faults> {
-    let file = path.to_string_lossy();
-    let Ok(text) = fs::read_to_string(path) else {
-        return Err(Faults(vec![Fault {
-            file: file.as_ref().into(),
-            line: 1,
-            key: "(file)".into(),
-            problem: "cannot be read".into(),
-            remedy: "give the path of a readable TOML file".into(),
-        }]));
-    };
-    let document = Document::new(&file, &text);
-    let table = document.parse();
-    let settings = table.as_ref().map(|table| read(&Section::top(&document, table)));
-    document.into_faults().or(settings)?.ok_or_else(Faults::default)
+    read_file(path, read)
 }
 
 fn read(top: &Section<'_, '_>) -> Settings {
--- a/crates/pointvane-dispatch/src/budget.rs
+++ b/crates/pointvane-dispatch/src/budget.rs
@@ -1,52 +1,5 @@
 //! Budgets that hold for the whole fleet without agreement: each node spends a share that is safe by itself.
 
-/// A bucket of tokens with a bound on how many it holds.
-#[derive(Clone, Debug)]
-pub struct TokenBucket {
-    tokens: f64,
-    tokens_max: f64,
-    rate_per_s: f64,
-    filled_at_us: u64,
-}
-
-const US_PER_S: f64 = 1e6;
-
-impl TokenBucket {
-    /// An empty bucket that time fills at `rate_per_s`.
-    pub fn new(rate_per_s: f64, tokens_max: f64, now_us: u64) -> Self {
-        Self { tokens: 0.0, tokens_max, rate_per_s, filled_at_us: now_us }
-    }
-
-    /// Takes a new rate and bound; what was filled before stays, within the bound.
-    pub fn set(&mut self, rate_per_s: f64, tokens_max: f64, now_us: u64) {
-        self.fill(now_us);
-        self.rate_per_s = rate_per_s;
-        self.tokens_max = tokens_max;
-        self.tokens = self.tokens.min(tokens_max);
-    }
-
-    /// Adds tokens beside those of time.
-    pub fn earn(&mut self, tokens: f64) {
-        self.tokens = (self.tokens + tokens).min(self.tokens_max);
-    }
-
-    /// Takes `tokens` if they are there.
-    pub fn take(&mut self, tokens: f64, now_us: u64) -> bool {
-        self.fill(now_us);
-        let enough = self.tokens >= tokens;
-        if enough {
-            self.tokens -= tokens;
-        }
-        enough
-    }
-
-    fn fill(&mut self, now_us: u64) {
-        let passed_us = now_us.saturating_sub(self.filled_at_us);
-        self.filled_at_us = self.filled_at_us.max(now_us);
-        self.earn(self.rate_per_s * passed_us as f64 / US_PER_S);
-    }
-}
-
 /// Rules of the fleet's budget of repeated attempts at one service.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudgetOptions {
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -16,11 +16,12 @@
 
 pub use {
     admission::{AdmissionOptions, Outlook, WholeTime},
-    budget::{RetryBudget, RetryBudgetOptions, TokenBucket},
+    budget::{RetryBudget, RetryBudgetOptions},
     directory::{DirectoryMember, directory_addresses},
     feed::{CallFailure, Feed, FeedCall, FeedOptions},
     latency::LatencyQuantile,
     outcome::{AttemptOutcome, Refusal, Verdict, judge},
+    pointvane_balance::TokenBucket,
     pool::{Pool, PoolOptions, Ranking, UpstreamKey, Wanted},
     relay::{Relay, RelayLog, WireRelay},
     routes::{RouteTable, RoutedRequest},
--- a/crates/pointvane-dispatch/tests/attempts.rs
+++ b/crates/pointvane-dispatch/tests/attempts.rs
@@ -90,7 +90,7 @@
     /// A bucket never gives more than its bound and what time brought.
     #[test]
     fn a_bucket_gives_no_more_than_time_brings(steps in proptest::collection::vec(0_u64..50_000, 1..500)) {
-        let mut bucket = TokenBucket::new(100.0, 10.0, 0);
+        let mut bucket = TokenBucket::empty(100.0, 10.0, 0);
         let (mut now_us, mut given) = (0_u64, 0_u32);
         for step in steps {
             now_us += step;
--- a/crates/pointvane-mesh/src/membership/merge.rs
+++ b/crates/pointvane-mesh/src/membership/merge.rs
@@ -3,7 +3,7 @@
 use {
     super::{Action, Membership, changed},
     crate::member::{Member, MemberRow},
-    pointvane_core::VmState,
+    pointvane_core::{Incarnation, VmState},
     std::cmp::Ordering,
 };
 
@@ -47,12 +47,20 @@
     /// The row held of a sender that stands against its own word; the sender must hear of it.
     pub(super) fn belief_to_refute(&self, told: &MemberRow) -> Option<MemberRow> {
         let member = self.members.get(&told.identity.name)?;
-        let stands = member.row.state != VmState::Live && member.compare(told) == Ordering::Less;
+        let of_a_later_life = member.row.identity.incarnation > told.identity.incarnation;
+        let speaks_against = member.row.state != VmState::Live || of_a_later_life;
+        let stands = speaks_against && member.compare(told) == Ordering::Less;
         stands.then(|| member.row.clone())
     }
 
     /// Answers a wrong word about this process with a later one of its own; true if there was need to.
     pub(super) fn refute(&mut self, row: &MemberRow) -> bool {
+        if row.identity.incarnation > self.me.identity.incarnation {
+            // A life before this one whose wall clock stood later: go on as a still later one, or nobody hears of this.
+            self.me.identity.incarnation = Incarnation(row.identity.incarnation.0 + 1);
+            self.me.version += 1;
+            return true;
+        }
         let same_life = row.identity.incarnation == self.me.identity.incarnation;
         // An old suspicion is overruled already; death stands against every word of this life.
         let wrong = match row.state {
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -10,16 +10,20 @@
 mod attempt;
 mod belief;
 mod body;
+mod budgets;
 mod connections;
 mod directory;
 mod exchange;
 mod feed;
 mod forward;
 mod gossip;
+mod headers;
 mod in_flight;
 mod node;
 mod operator;
+mod peers;
 mod probe;
+mod publication;
 mod relay;
 mod report;
 mod request;
@@ -28,6 +32,7 @@
 mod settings;
 mod socket;
 mod stop;
+mod times;
 mod traffic;
 
 pub use {
