--- a/crates/pointvane-config/src/node_options.rs
+++ b/crates/pointvane-config/src/node_options.rs
@@ -63,7 +63,7 @@
 
 impl Default for ChoiceOptions {
     fn default() -> Self {
-        Self { policy: ChoicePolicy::Ask, ask_first: 3, ask_more: 4 }
+        Self { policy: ChoicePolicy::Ask, ask_first: 2, ask_more: 4 }
     }
 }
 
