--- a/crates/pointvane-control/src/lib.rs
+++ b/crates/pointvane-control/src/lib.rs
@@ -1,7 +1,7 @@
 //! The control process of one VM: membership, spread of configuration, reading of the platform, and the feed
 //! of this VM's entry and locate.
 //!
-//! Plain threads around one locked [`state::State`]; the decisions are `pointvane-mesh`'s.
+//! Plain threads around one locked `state::State`; the decisions are `pointvane-mesh`'s.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/platform/tests/node.rs
+++ b/standins/tests/platform_node.rs
@@ -1,9 +1,8 @@
 //! A node as a real process between stand-ins: what callers, upstreams and operators see.
 
-mod common;
+mod users_platform;
 
 use {
-    common::{HOST, Manner, NodeProcess, STAMP, Store, Upstream, eventually, read_message, request_head},
     googletest::prelude::*,
     std::{
         io::{BufReader, Write},
@@ -12,6 +11,9 @@
         thread,
         time::Duration,
     },
+    users_platform::{
+        HOST, Manner, NodeProcess, STAMP, Store, Upstream, eventually, read_message, request_head,
+    },
 };
 
 const ROUTES: [(&str, &str, u64, &str); 3] = [
@@ -188,8 +190,9 @@
 fn a_planned_stop_serves_what_is_in_hand_and_what_still_comes() {
     let (mut node, _store, upstreams) = served(&[Manner::After(700)]);
     let address = node.traffic();
-    let in_hand =
-        thread::spawn(move || common::call(address, &request_head("POST", "/unsafe/a", "held", 5_000)));
+    let in_hand = thread::spawn(move || {
+        users_platform::call(address, &request_head("POST", "/unsafe/a", "held", 5_000))
+    });
     eventually(|| upstreams[0].runs() == 1);
     node.signal("TERM");
     eventually(|| node.ready() == 503);
@@ -254,7 +257,7 @@
         .map(|number| {
             thread::spawn({
                 let head = head(number);
-                move || common::call(address, &head)
+                move || users_platform::call(address, &head)
             })
         })
         .collect();
--- a/platform/tests/common/mod.rs
+++ b/standins/tests/users_platform/mod.rs
@@ -397,6 +397,12 @@
     closed
 }
 
+/// The program, as `cargo test --workspace` or `cargo build --workspace` built it last.
+fn program() -> PathBuf {
+    let tests = std::env::current_exe().unwrap();
+    tests.parent().unwrap().parent().unwrap().join("pointvane-platform-node")
+}
+
 /// A node as a real process; it is killed when dropped.
 pub struct NodeProcess {
     pub ip: Ipv4Addr,
@@ -442,7 +448,7 @@
         );
         fs::write(&settings, text).unwrap();
         let output = folder.join("stdout");
-        let child = Command::new(env!("CARGO_BIN_EXE_pointvane-platform-node"))
+        let child = Command::new(program())
             .env("POINTVANE_BOOT", &settings)
             .stdout(fs::File::create(&output).unwrap())
             .stderr(Stdio::inherit())
