Relays tell the last word on each upstream only; a repeated word tells nothing new

Cause: a relay carries the last 20 changes, and a node applied all of them whenever the revision rose. An upstream whose entry lapsed and came back was in one relay as gone and told; when the relay came again with one change more, the node forgot it and then refused its word as old, for good. Repeated words also made an upstream cold again and wrote a line each. Ruled out: the order of the changes (kept), lost relays (none needed). Tests (relays.rs): all three failed before.

--- a/crates/pointvane-core/src/deployment.rs
+++ b/crates/pointvane-core/src/deployment.rs
@@ -136,6 +136,17 @@
     UpstreamGone(Name),
 }
 
+impl Change {
+    /// Identity of the upstream that it speaks of, if it speaks of one.
+    pub fn upstream(&self) -> Option<&Name> {
+        match self {
+            Self::Upstream(record) => Some(&record.id),
+            Self::UpstreamGone(id) => Some(id),
+            Self::Configuration(_) => None,
+        }
+    }
+}
+
 /// A part of what is published at one moment, or of what changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ChangePage {
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -123,26 +123,28 @@
         }
     }
 
-    /// Takes the platform's word on an upstream.
-    pub fn put(&mut self, record: UpstreamRecord, now_us: u64) {
+    /// Takes the platform's word on an upstream; false if it tells nothing new.
+    pub fn put(&mut self, record: UpstreamRecord, now_us: u64) -> bool {
         if let Some(state) = self.by_id.get(&record.id).and_then(|key| self.upstreams.get_mut(key)) {
-            if record.sequence < state.record.sequence {
-                return;
+            if record.sequence < state.record.sequence || record == state.record {
+                return false;
             }
             if state.record.service == record.service && state.record.address == record.address {
-                return state.update(record, now_us);
+                state.update(record, now_us);
+                return true;
             }
             let id = record.id.clone();
             self.remove(&id);
         }
         if self.last_words.get(&record.id).is_some_and(|last| record.sequence <= *last) {
-            return;
+            return false;
         }
         let key = UpstreamKey(self.next_key);
         self.next_key += 1;
         self.by_id.insert(record.id.clone(), key);
         self.by_service.entry(record.service.clone()).or_default().push(key);
         self.upstreams.insert(key, UpstreamState::new(record, now_us));
+        true
     }
 
     /// Forgets an upstream; false if it was not known.
--- a/crates/pointvane-dispatch/src/relay.rs
+++ b/crates/pointvane-dispatch/src/relay.rs
@@ -3,7 +3,10 @@
 use {
     pointvane_core::{Change, Name, UpstreamRecord},
     serde::{Deserialize, Serialize},
-    std::collections::VecDeque,
+    std::{
+        collections::{HashSet, VecDeque},
+        mem,
+    },
 };
 
 /// Changes that one relay holds at most, so that it fits a datagram.
@@ -78,7 +81,9 @@
     changes: Vec<Change>,
 }
 
-/// The last changes that a node has read, for those that missed them.
+/// The last changes that a node has read, for those that missed them: of each upstream the last word only.
+///
+/// A node may take them though it holds some of them already, since none of them undoes another.
 #[derive(Clone, Debug, Default)]
 pub struct RelayLog {
     batches: VecDeque<Batch>,
@@ -107,12 +112,25 @@
             return;
         }
         self.batches.push_back(Batch { since, changes: changes.to_vec() });
+        self.keep_last_words();
         while self.batches.iter().map(|batch| batch.changes.len()).sum::<usize>() > CHANGES_MAX {
             self.batches.pop_front();
         }
         self.since = self.batches.front().map_or(revision, |batch| batch.since);
     }
 
+    /// Leaves out what a later change of the same upstream has overtaken.
+    fn keep_last_words(&mut self) {
+        let mut seen: HashSet<Name> = HashSet::new();
+        for batch in self.batches.iter_mut().rev() {
+            let kept = mem::take(&mut batch.changes).into_iter().rev();
+            let mut kept: Vec<Change> =
+                kept.filter(|change| change.upstream().is_none_or(|id| seen.insert(id.clone()))).collect();
+            kept.reverse();
+            batch.changes = kept;
+        }
+    }
+
     /// What is told at a revision.
     pub fn relay(&self, revision: u64, age_ms: u64) -> Relay {
         let changes = self.batches.iter().flat_map(|batch| batch.changes.iter().cloned()).collect();
--- /dev/null
+++ b/crates/pointvane-dispatch/tests/relays.rs
@@ -0,0 +1,111 @@
+//! What a node makes of relays that repeat what it holds already.
+
+use {
+    googletest::prelude::*,
+    pointvane_core::{Change, ChangePage, Name, UpstreamRecord},
+    pointvane_dispatch::{Feed, FeedOptions, Pool, PoolOptions, Relay},
+};
+
+const MS: u64 = 1_000;
+
+fn record(id: &str, sequence: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        id: id.into(),
+        service: "dispatch".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "one".into(),
+        slots: 3,
+        draining: false,
+        warm_up_left_ms: 0,
+        sequence,
+    }
+}
+
+fn told(id: &str, sequence: u64) -> Change {
+    Change::Upstream(record(id, sequence))
+}
+
+fn gone(id: &str) -> Change {
+    Change::UpstreamGone(id.into())
+}
+
+fn page(revision: u64, changes: Vec<Change>) -> ChangePage {
+    ChangePage { revision, changes, ..ChangePage::default() }
+}
+
+/// A feed that has read everything at a revision.
+fn read_up_to(revision: u64) -> Feed {
+    let mut feed = Feed::new(FeedOptions::default(), 1);
+    feed.read(page(revision, Vec::new()), [].iter(), MS);
+    feed
+}
+
+fn sentinel() -> Feed {
+    let mut feed = read_up_to(5);
+    feed.hear_peers(true, 5, MS);
+    feed
+}
+
+/// A node that hears relays, and the upstreams it knows.
+struct Listener {
+    feed: Feed,
+    pool: Pool,
+}
+
+impl Listener {
+    fn new(ids: &[&str]) -> Self {
+        let mut pool = Pool::new(PoolOptions::default(), "one".into(), 1);
+        ids.iter().for_each(|id| _ = pool.put(record(id, 1), MS));
+        Self { feed: read_up_to(5), pool }
+    }
+
+    fn hear(&mut self, relay: Relay, now_us: u64) {
+        for change in self.feed.hear_relay(relay, now_us) {
+            match change {
+                Change::Upstream(record) => _ = self.pool.put(record, now_us),
+                Change::UpstreamGone(id) => _ = self.pool.remove(&id),
+                Change::Configuration(_) => {}
+            }
+        }
+    }
+
+    fn knows(&self, id: &str) -> bool {
+        let id: Name = id.into();
+        self.pool.ids().any(|known| *known == id)
+    }
+}
+
+#[gtest]
+fn an_upstream_that_lapsed_and_came_back_is_not_lost_when_a_later_relay_tells_it_again() {
+    let mut sentinel = sentinel();
+    let mut listener = Listener::new(&["a"]);
+    sentinel.watched(page(7, vec![gone("a"), told("a", 5)]), 10 * MS);
+    listener.hear(sentinel.relay(10 * MS).unwrap(), 11 * MS);
+    expect_that!(listener.knows("a"), eq(true));
+    sentinel.watched(page(8, vec![told("b", 1)]), 400 * MS);
+    listener.hear(sentinel.relay(400 * MS).unwrap(), 401 * MS);
+    expect_that!(listener.knows("a"), eq(true));
+    expect_that!(listener.knows("b"), eq(true));
+}
+
+#[gtest]
+fn a_relay_tells_only_the_last_word_on_each_upstream() {
+    let mut sentinel = sentinel();
+    sentinel.watched(page(6, vec![told("a", 1), told("b", 1)]), 10 * MS);
+    sentinel.watched(page(8, vec![gone("a"), told("a", 5)]), 400 * MS);
+    sentinel.watched(page(9, vec![gone("b")]), 800 * MS);
+    let relay = sentinel.relay(800 * MS).unwrap();
+    expect_that!(relay.since, eq(5));
+    expect_that!(relay.changes, elements_are![eq(&told("a", 5)), eq(&gone("b"))]);
+}
+
+#[gtest]
+fn a_word_that_is_repeated_tells_nothing_new() {
+    let mut pool = Pool::new(PoolOptions::default(), "one".into(), 1);
+    let cold = UpstreamRecord { warm_up_left_ms: 3_000, ..record("a", 1) };
+    expect_that!(pool.put(cold.clone(), 0), eq(true));
+    expect_that!(pool.put(cold, 2_900 * MS), eq(false));
+    let wanted = pointvane_dispatch::Wanted { tried: &[], body_bytes: 0, count: 1 };
+    let key = pool.candidates(&"dispatch".into(), &wanted, 0)[0];
+    expect_that!(pool.cost(key, 3_100 * MS), lt(pool.cost(key, 100 * MS)), "it is warm by then");
+}
--- a/crates/pointvane-node/src/publication.rs
+++ b/crates/pointvane-node/src/publication.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::node::Node,
-    pointvane_core::{Change, PlatformAdapter, RefusedItem, RoutingConfiguration, UpstreamLoad},
+    pointvane_core::{
+        Change, PlatformAdapter, RefusedItem, RoutingConfiguration, UpstreamLoad, UpstreamRecord,
+    },
     pointvane_dispatch::{RouteTable, UpstreamKey},
     pointvane_telemetry::EventKind,
     std::rc::Rc,
@@ -19,15 +21,7 @@
         for change in changes {
             match change {
                 Change::Configuration(configuration) => self.take_configuration(*configuration),
-                Change::Upstream(record) => {
-                    self.report.note(EventKind::UpstreamTold {
-                        service: record.service.clone(),
-                        upstream: record.id.clone(),
-                        draining: record.draining,
-                        sequence: record.sequence,
-                    });
-                    self.pool.borrow_mut().put(record, self.now_us());
-                }
+                Change::Upstream(record) => self.take_upstream(record),
                 Change::UpstreamGone(id) => {
                     if self.pool.borrow_mut().remove(&id) {
                         self.report.note(EventKind::UpstreamGone { upstream: id });
@@ -39,6 +33,18 @@
         self.tell_entry();
     }
 
+    fn take_upstream(&self, record: UpstreamRecord) {
+        let told = EventKind::UpstreamTold {
+            service: record.service.clone(),
+            upstream: record.id.clone(),
+            draining: record.draining,
+            sequence: record.sequence,
+        };
+        if self.pool.borrow_mut().put(record, self.now_us()) {
+            self.report.note(told);
+        }
+    }
+
     /// A node never goes back to an older configuration within its life.
     fn take_configuration(&self, configuration: RoutingConfiguration) {
         if configuration.version <= self.routes.borrow().version() {
