--- a/crates/pointvane-control/src/fetch.rs
+++ b/crates/pointvane-control/src/fetch.rs
@@ -3,7 +3,7 @@
 use {
     crate::state::{FetchOrder, State, ValueKind},
     pointvane_core::VmState,
-    pointvane_mesh::{FeedHello, FeedRole, Offer, PeerAnswer, PeerRequest, Verdict, codec},
+    pointvane_mesh::{FeedHello, FeedRole, MemberRow, Offer, PeerAnswer, PeerRequest, Verdict, codec},
     rand::seq::{IteratorRandom, SliceRandom},
     std::{
         io::{self, BufReader},
@@ -43,8 +43,7 @@
         let peer = {
             let core = state.lock();
             let others = core.membership.rows().skip(1).filter(|row| row.state != VmState::Dead);
-            let addresses = others.map(|row| SocketAddr::new(row.identity.address, row.control_port));
-            addresses.choose(&mut rand::rng())
+            others.map(MemberRow::control_address).choose(&mut rand::rng())
         };
         if let Some(peer) = peer {
             // The next exchange makes up for one that fails.
--- a/crates/pointvane-control/src/state.rs
+++ b/crates/pointvane-control/src/state.rs
@@ -145,7 +145,7 @@
     /// Takes a datagram.
     pub fn receive(&self, from: SocketAddr, message: &GossipMessage) {
         let now_us = self.clock.now_us();
-        let peer = SocketAddr::new(message.from.identity.address, message.from.control_port);
+        let peer = message.from.control_address();
         let mut core = self.lock();
         let actions = core.membership.receive(from, message, now_us);
         let configuration = core.configuration.heard(message.stamps.configuration, peer, now_us);
--- a/crates/pointvane-core/src/deployment.rs
+++ b/crates/pointvane-core/src/deployment.rs
@@ -7,7 +7,7 @@
 };
 
 /// One published configuration, whole.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoutingConfiguration {
     /// The operators' count; larger is newer.
     pub version: u64,
@@ -20,7 +20,7 @@
 }
 
 /// What a route's requests allow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RouteKind {
     /// Requests may run more than once.
     Safe,
@@ -38,7 +38,7 @@
 }
 
 /// Which requests go where, and how.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteRule {
     /// The route's name, for logs and metrics.
     pub name: Name,
@@ -61,7 +61,7 @@
 }
 
 /// A service's share of a route.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightedService {
     /// The service.
     pub service: Name,
@@ -70,18 +70,16 @@
 }
 
 /// What is published of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRule {
     /// The service's name.
     pub name: Name,
     /// Path on which its upstreams tell their health and load.
     pub health_path: Name,
-    /// Connections one upstream takes from all callers together.
-    pub connections_max: u32,
 }
 
 /// What callers are held to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest head of a request, in bytes.
     pub header_bytes_max: usize,
--- a/crates/pointvane-dispatch/src/feed.rs
+++ b/crates/pointvane-dispatch/src/feed.rs
@@ -1,123 +1,68 @@
-//! When to read the platform, and what to make of its answers and of what sentinels relay.
+//! When to read the platform, and what to make of its answers and of what other nodes tell of it.
 //!
-//! A node reads everything once. Then the few sentinels of the fleet wait for changes and relay them to all; a relay is
-//! also a lease: as long as one is young, the node need not ask the platform itself. Without a lease it waits for
-//! changes like a sentinel. It reads everything anew when the history is gone or an answer cannot be trusted.
+//! Few nodes read: the sentinels of the fleet wait for changes and relay them to all. A relay is also a lease: as long
+//! as the platform's word behind it is young, a node need not ask itself. When no sentinel is heard, deputies look, and
+//! when none of these is heard either, each node does. What a relay has no room for, such as a configuration, nodes ask
+//! of each other, in an order that spreads it like a rumour, and of the platform if that fails. Everything is read anew
+//! when the history is gone or an answer cannot be trusted.
+
+mod call;
+mod freshness;
+mod options;
+mod reading;
+
+pub use {
+    call::{CallFailure, FeedCall, ReaderRole, Whom},
+    options::FeedOptions,
+};
 
 use {
-    crate::relay::{Relay, RelayLog},
+    crate::{
+        relay::{Relay, RelayLog},
+        state::{HeldState, ReadMark, StateReply, StateRequest},
+    },
+    freshness::Freshness,
     pointvane_core::{Change, ChangePage, Name, US_PER_MS},
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::collections::HashSet,
+    reading::{PageRead, Reading},
 };
 
-/// Rules of reading.
-#[derive(Clone, Copy, Debug)]
-pub struct FeedOptions {
-    /// Longest wait for a change, in milliseconds.
-    ///
-    /// A watch that hangs since a silence of the platform is noticed only when its wait is over.
-    pub wait_ms: u64,
-    /// Longest wait for an answer beyond the wait that was asked for, in milliseconds.
-    pub patience_ms: u64,
-    /// Rest of a sentinel between an answer that told changes and the next call, so that changes come in batches.
-    pub settle_ms: u64,
-    /// The same of all other nodes, whose calls add up.
-    pub settle_others_ms: u64,
-    /// First rest after a failure, in milliseconds; it doubles.
-    pub retry_ms: u64,
-    /// Longest rest after failures, in milliseconds.
-    pub retry_max_ms: u64,
-    /// Time after which a peer's later revision makes this node ask the platform, in milliseconds.
-    pub behind_ms: u64,
-    /// Age of a sentinel's last answer from the platform up to which its relay is trusted, in milliseconds.
-    pub lease_ms: u64,
-}
-
-impl Default for FeedOptions {
-    fn default() -> Self {
-        Self {
-            wait_ms: 1_200,
-            patience_ms: 700,
-            settle_ms: 300,
-            settle_others_ms: 1_000,
-            retry_ms: 100,
-            retry_max_ms: 400,
-            behind_ms: 500,
-            lease_ms: 1_450,
-        }
-    }
-}
-
-/// The next thing to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum FeedCall {
-    /// Read everything, from this place on.
-    Snapshot {
-        /// Where the page begins; none for the first.
-        next_page: Option<String>,
-        /// Time without an answer after which the call counts as failed.
-        patience_ms: u64,
-    },
-    /// Wait for changes.
-    Watch {
-        /// The revision that is known.
-        after: u64,
-        /// The longest wait.
-        wait_ms: u64,
-        /// Time without an answer after which the call counts as failed.
-        patience_ms: u64,
-    },
-    /// Do nothing until then.
-    Rest {
-        /// When to ask again what to do.
-        until_us: u64,
-    },
-}
-
-/// Why a call gave nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallFailure {
-    /// No connection, no answer in time, or a refusal.
-    Unavailable,
-    /// The platform no longer knows what changed since.
-    HistoryGone,
-    /// The answer cannot be understood.
-    Malformed,
-}
-
-/// A read of everything that is under way.
-#[derive(Clone, Debug, Default)]
-struct Reading {
-    next_page: Option<String>,
-    /// Revision of the first page: pages form no snapshot, so what changed since then is watched again.
-    revision: Option<u64>,
-    seen: HashSet<Name>,
-}
-
 /// Wait of a watch that only fetches what is there already, in milliseconds.
-const CATCH_UP_WAIT_MS: u64 = 1;
+const LOOK_WAIT_MS: u64 = 1;
 /// Time between a sentinel's answer and the end of the leases before it, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 200;
-/// Shortest wait of a watch, in milliseconds.
+/// Shortest wait of a sentinel's watch, in milliseconds.
 const WAIT_MIN_MS: u64 = 200;
 
+/// That the platform is known to hold more than this node.
+#[derive(Clone, Copy, Debug)]
+struct Lag {
+    wanted: ReadMark,
+    ask_at_us: u64,
+    peer_asks: u32,
+}
+
 /// The state of a node's reading.
 #[derive(Debug)]
 pub struct Feed {
     options: FeedOptions,
-    revision: u64,
+    role: ReaderRole,
+    mark: ReadMark,
     reading: Option<Reading>,
+    start_asks: u32,
+    lag: Option<Lag>,
     rest_until_us: u64,
     failures: u32,
-    sentinel: bool,
-    lease_until_us: u64,
-    /// Whether the platform is known to hold more than this node.
-    catch_up: bool,
+    freshness: Freshness,
+    /// How long this node waits for a deputy's word after its lease.
+    follower_wait_us: u64,
     behind_since_us: Option<u64>,
-    /// When the platform last answered.
-    answered_at_us: Option<u64>,
+    /// Whether a watch that waits for changes is under way.
     watching: bool,
+    /// Revision that the last watch was made after.
+    watched_after: u64,
+    /// Whether the call under way is made since no other node was heard.
+    alone: bool,
     log: RelayLog,
     rng: SmallRng,
 }
@@ -125,65 +70,117 @@
 impl Feed {
     /// A node that has read nothing.
     pub fn new(options: FeedOptions, seed: u64) -> Self {
-        Self {
+        let mut feed = Self {
             options,
-            revision: 0,
+            role: ReaderRole::Sentinel,
+            mark: ReadMark::default(),
             reading: Some(Reading::default()),
+            start_asks: options.start_asks,
+            lag: None,
             rest_until_us: 0,
             failures: 0,
-            sentinel: false,
-            lease_until_us: 0,
-            catch_up: false,
+            freshness: Freshness::default(),
+            follower_wait_us: 0,
             behind_since_us: None,
-            answered_at_us: None,
             watching: false,
+            watched_after: 0,
+            alone: false,
             log: RelayLog::default(),
             rng: SmallRng::seed_from_u64(seed),
-        }
+        };
+        feed.draw_follower_wait();
+        feed
     }
 
-    /// The revision up to which everything is known; 0 before the first.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// How far the platform is read; zeros before the first read.
+    pub fn mark(&self) -> ReadMark {
+        self.mark
     }
 
-    /// Whether the last calls failed.
+    /// Whether the last calls to the platform failed.
     pub fn is_lost(&self) -> bool {
         self.failures > 0
     }
 
+    /// Age of the platform's last word, in milliseconds; none before the first.
+    pub fn age_ms(&self, now_us: u64) -> Option<u64> {
+        self.freshness.age_ms(now_us)
+    }
+
     /// What to do now.
     pub fn next(&mut self, now_us: u64) -> FeedCall {
+        if let Some(lag) = self.lag {
+            return self.catch_up(lag, now_us);
+        }
         if now_us < self.rest_until_us {
             return FeedCall::Rest { until_us: self.rest_until_us };
         }
-        let patience_ms = self.options.patience_ms;
         if let Some(reading) = &self.reading {
-            return FeedCall::Snapshot { next_page: reading.next_page.clone(), patience_ms };
+            if self.start_asks > 0 && reading.is_unbegun() {
+                self.start_asks -= 1;
+                return self.ask_peer(Whom::Anyone);
+            }
+            let patience_ms = self.options.patience_ms;
+            return FeedCall::Snapshot { next_page: reading.next_page(), patience_ms };
         }
-        if self.is_leased(now_us) {
-            return FeedCall::Rest { until_us: self.lease_until_us };
+        if self.role == ReaderRole::Sentinel {
+            let wait_ms = self.wait_ms(now_us);
+            self.watching = true;
+            return self.watch(wait_ms);
+        }
+        let wait_us = if self.role == ReaderRole::Follower { self.follower_wait_us } else { 0 };
+        let look_at_us = self.freshness.lease_until_us(&self.options) + wait_us;
+        if now_us < look_at_us {
+            return FeedCall::Rest { until_us: look_at_us };
+        }
+        self.alone = true;
+        self.watch(LOOK_WAIT_MS)
+    }
+
+    /// Asks peers, then the platform, for what is known to be there.
+    fn catch_up(&mut self, lag: Lag, now_us: u64) -> FeedCall {
+        if now_us < lag.ask_at_us {
+            return FeedCall::Rest { until_us: lag.ask_at_us };
+        }
+        if lag.peer_asks == 0 {
+            (self.lag, self.alone) = (None, false);
+            let rests = now_us < self.rest_until_us;
+            return if rests {
+                FeedCall::Rest { until_us: self.rest_until_us }
+            } else {
+                self.watch(LOOK_WAIT_MS)
+            };
+        }
+        self.lag = Some(Lag { peer_asks: lag.peer_asks - 1, ..lag });
+        self.ask_peer(if lag.peer_asks == 1 { Whom::Teller } else { Whom::Earlier })
+    }
+
+    fn ask_peer(&self, whom: Whom) -> FeedCall {
+        let request = StateRequest { known: self.mark };
+        FeedCall::AskPeer { whom, request, patience_ms: self.options.peer_patience_ms }
+    }
+
+    fn watch(&mut self, wait_ms: u64) -> FeedCall {
+        self.watched_after = self.mark.revision;
+        FeedCall::Watch {
+            after: self.mark.revision,
+            wait_ms,
+            patience_ms: wait_ms + self.options.patience_ms,
         }
-        let wait_ms = match std::mem::take(&mut self.catch_up) {
-            true => CATCH_UP_WAIT_MS,
-            false => self.wait_ms(now_us),
-        };
-        self.watching = true;
-        FeedCall::Watch { after: self.revision, wait_ms, patience_ms: wait_ms + patience_ms }
     }
 
-    /// How long a watch waits: a sentinel's next answer must come before the leases that its last one gave are over.
+    /// How long a sentinel waits: its next answer must come before the leases that its last one gave are over.
     fn wait_ms(&mut self, now_us: u64) -> u64 {
-        let age_ms = self.answered_at_us.map_or(0, |at_us| now_us.saturating_sub(at_us) / US_PER_MS);
+        let age_ms = self.freshness.age_ms(now_us).unwrap_or_default();
         let room_ms = self.options.lease_ms.saturating_sub(age_ms + LEASE_MARGIN_MS);
         let most_ms = self.options.wait_ms.min(room_ms.max(WAIT_MIN_MS));
-        // Spread, so that not all nodes renew their watches at once.
+        // Spread, so that not all sentinels renew their watches at once.
         self.rng.random_range(most_ms * 3 / 4..=most_ms)
     }
 
-    /// Whether sentinels look at the platform for this node.
-    fn is_leased(&self, now_us: u64) -> bool {
-        !self.sentinel && !self.catch_up && now_us < self.lease_until_us
+    fn draw_follower_wait(&mut self) {
+        let (least_ms, most_ms) = self.options.follower_wait_ms;
+        self.follower_wait_us = self.rng.random_range(least_ms * US_PER_MS..=most_ms * US_PER_MS);
     }
 
     /// Takes a page of everything; `known` are the upstreams this node knows.
@@ -197,37 +194,38 @@
     ) -> Vec<Change> {
         self.answered(now_us);
         let mut reading = self.reading.take().unwrap_or_default();
-        let revision = *reading.revision.get_or_insert(page.revision);
-        let mut changes = page.changes;
-        reading.seen.extend(changes.iter().filter_map(upstream_id).cloned());
-        if page.next_page.is_some() {
-            reading.next_page = page.next_page;
+        let PageRead { changes, whole_at } = reading.take(page, known);
+        self.note_version(&changes);
+        let Some(revision) = whole_at else {
             self.reading = Some(reading);
             return changes;
-        }
-        let gone = known.filter(|id| !reading.seen.contains(*id));
-        changes.extend(gone.cloned().map(Change::UpstreamGone));
-        self.advance(revision);
-        self.log.restart(revision);
-        // By then a sentinel's relay has come, if there is one.
-        self.rest_until_us = now_us + 2 * self.options.settle_ms * US_PER_MS;
+        };
+        self.restart(revision);
+        self.rest_after_start(now_us);
         changes
     }
 
+    /// By the end of this rest a node that has just started has met its peers, and knows whether it is a sentinel.
+    fn rest_after_start(&mut self, now_us: u64) {
+        self.rest_until_us = now_us + 2 * self.options.settle_ms * US_PER_MS;
+    }
+
     /// Takes the changes that a watch told.
     pub fn watched(&mut self, page: ChangePage, now_us: u64) -> Vec<Change> {
         self.answered(now_us);
-        if page.revision < self.revision {
+        if page.revision < self.watched_after {
             // The platform went back: trust nothing but a read of everything.
             self.reading = Some(Reading::default());
             return Vec::new();
         }
-        self.log.add(self.revision, page.revision, &page.changes);
-        self.advance(page.revision);
-        if !page.changes.is_empty() {
-            let FeedOptions { settle_ms, settle_others_ms, .. } = self.options;
-            let rest_ms = if self.sentinel { settle_ms } else { settle_others_ms };
-            self.rest_until_us = now_us + rest_ms * US_PER_MS;
+        if page.revision < self.mark.revision {
+            // Another node has told more meanwhile.
+            return Vec::new();
+        }
+        self.note_version(&page.changes);
+        self.advance(page.revision, &page.changes);
+        if !page.changes.is_empty() && self.role == ReaderRole::Sentinel {
+            self.rest_until_us = now_us + self.options.settle_ms * US_PER_MS;
         }
         page.changes
     }
@@ -235,16 +233,38 @@
     fn answered(&mut self, now_us: u64) {
         self.watching = false;
         self.failures = 0;
-        self.answered_at_us = Some(now_us);
         self.rest_until_us = now_us;
+        self.freshness.confirm(now_us);
+        self.draw_follower_wait();
+    }
+
+    fn note_version(&mut self, changes: &[Change]) {
+        let versions = changes.iter().filter_map(|change| match change {
+            Change::Configuration(configuration) => Some(configuration.version),
+            _ => None,
+        });
+        self.mark.version = versions.fold(self.mark.version, u64::max);
+    }
+
+    fn advance(&mut self, revision: u64, changes: &[Change]) {
+        if revision > self.mark.revision {
+            self.log.add(revision, changes);
+        }
+        self.reached(revision.max(self.mark.revision));
+    }
+
+    fn restart(&mut self, revision: u64) {
+        self.log.restart(revision);
+        self.reached(revision);
     }
 
-    fn advance(&mut self, revision: u64) {
-        self.revision = revision;
+    fn reached(&mut self, revision: u64) {
+        self.mark.revision = revision;
         self.behind_since_us = None;
+        self.lag = self.lag.filter(|lag| !self.mark.covers(lag.wanted));
     }
 
-    /// Takes the failure of a call.
+    /// Takes the failure of a call to the platform.
     pub fn failed(&mut self, failure: CallFailure, now_us: u64) {
         self.watching = false;
         if failure != CallFailure::Unavailable || self.reading.is_some() {
@@ -254,62 +274,138 @@
             self.rest_until_us = now_us;
             return;
         }
-        let most_ms = self.options.retry_ms << self.failures.min(8);
-        let most_ms = most_ms.min(self.options.retry_max_ms);
+        let most_ms = self.retry_most_ms();
         self.failures = self.failures.saturating_add(1);
         self.rest_until_us = now_us + self.rng.random_range(most_ms / 2..=most_ms) * US_PER_MS;
     }
 
-    /// What this node relays to all others now, if it is a sentinel that the platform has answered of late.
+    /// The first rest is short; then sentinels stay quick, and others, whose calls add up, do not.
+    fn retry_most_ms(&self) -> u64 {
+        let FeedOptions { retry_ms, retry_max_ms, retry_others_max_ms, .. } = self.options;
+        match (self.role, self.failures) {
+            (ReaderRole::Sentinel, failures) => (retry_ms << failures.min(8)).min(retry_max_ms),
+            (_, 0) => retry_ms,
+            _ => retry_others_max_ms,
+        }
+    }
+
+    /// What this node relays to all others now, if the platform's word to it is young and it may speak.
     pub fn relay(&self, now_us: u64) -> Option<Relay> {
-        let age_ms = now_us.saturating_sub(self.answered_at_us?) / US_PER_MS;
-        let relays = self.sentinel && self.reading.is_none() && age_ms < self.options.lease_ms;
-        relays.then(|| self.log.relay(self.revision, age_ms))
+        let age_ms = self.current_age_ms(now_us)?;
+        Some(self.log.relay(self.mark, age_ms))
     }
 
-    /// Takes what a sentinel relays; gives what is to be applied.
-    pub fn hear_relay(&mut self, relay: Relay, now_us: u64) -> Vec<Change> {
-        if self.reading.is_some() || relay.revision < self.revision || relay.age_ms >= self.options.lease_ms {
-            return Vec::new();
-        }
-        if relay.revision > self.revision && relay.since > self.revision {
-            // Something between was lost, or is too large to be relayed; a watch under way will tell it.
-            self.catch_up = !self.watching;
+    /// Whether this node relays from time to time.
+    pub fn is_sentinel(&self) -> bool {
+        self.role == ReaderRole::Sentinel
+    }
+
+    /// Whether this node relays right after an answer of the platform: nobody else seems to.
+    pub fn speaks(&self) -> bool {
+        self.is_sentinel() || self.alone
+    }
+
+    /// Age of the platform's word, if it counts as current and everything is read.
+    fn current_age_ms(&self, now_us: u64) -> Option<u64> {
+        let age_ms = self.freshness.age_ms(now_us)?;
+        (self.reading.is_none() && age_ms < self.options.lease_ms).then_some(age_ms)
+    }
+
+    /// Takes what another node relays; gives what is to be applied.
+    ///
+    /// `order` tells this node's place in the order in which nodes ask each other, from 0 for the first to 1.
+    pub fn hear_relay(&mut self, relay: Relay, order: f64, now_us: u64) -> Vec<Change> {
+        let older = relay.mark.revision < self.mark.revision || relay.age_ms >= self.options.lease_ms;
+        if self.reading.is_some() || older {
             return Vec::new();
         }
-        let lease_us = (self.options.lease_ms - relay.age_ms) * US_PER_MS;
-        self.lease_until_us = self.lease_until_us.max(now_us + lease_us);
-        if relay.revision == self.revision {
+        let gap = relay.mark.revision > self.mark.revision && relay.since > self.mark.revision;
+        if gap || relay.mark.version > self.mark.version {
+            self.note_lag(relay.mark, order, now_us);
             return Vec::new();
         }
-        self.advance(relay.revision);
-        self.log.restart(relay.revision);
+        self.alone = false;
+        self.freshness.confirm(now_us.saturating_sub(relay.age_ms * US_PER_MS));
+        self.advance(relay.mark.revision, &relay.changes);
         relay.changes
     }
 
-    /// Whether the platform is known to hold more than this node, so that it should ask at once.
+    fn note_lag(&mut self, wanted: ReadMark, order: f64, now_us: u64) {
+        if self.lag.is_some() || (self.role == ReaderRole::Sentinel && self.watching) {
+            // It is asked for already, or a watch under way will tell it.
+            return;
+        }
+        let delay_ms = self.options.spread_ms as f64 * order;
+        let peer_asks = if self.role == ReaderRole::Sentinel { 0 } else { self.options.peer_asks };
+        self.lag = Some(Lag { wanted, ask_at_us: now_us + delay_ms as u64 * US_PER_MS, peer_asks });
+    }
+
+    /// Whether the platform is known to hold more than this node, so that a rest or a hung watch is to end.
     pub fn is_behind(&self) -> bool {
-        self.catch_up
+        self.lag.is_some()
     }
 
-    /// Takes whether this node is a sentinel, and the latest revision that any peer has seen.
-    pub fn hear_peers(&mut self, sentinel: bool, latest: u64, now_us: u64) {
-        self.sentinel = sentinel;
-        if latest <= self.revision || self.reading.is_some() || now_us < self.rest_until_us || self.catch_up {
+    /// Takes what this node does for the others, and the latest revision that any peer has seen.
+    pub fn hear_peers(&mut self, role: ReaderRole, latest: u64, now_us: u64) {
+        self.role = role;
+        let waits = self.reading.is_some() || now_us < self.rest_until_us || self.lag.is_some();
+        if latest <= self.mark.revision || waits {
             self.behind_since_us = None;
             return;
         }
         let since_us = *self.behind_since_us.get_or_insert(now_us);
         if now_us.saturating_sub(since_us) >= self.options.behind_ms * US_PER_MS {
             self.behind_since_us = None;
-            self.catch_up = true;
+            self.watching = false;
+            self.note_lag(ReadMark { revision: latest, version: 0 }, 0.0, now_us);
         }
     }
-}
 
-fn upstream_id(change: &Change) -> Option<&Name> {
-    match change {
-        Change::Upstream(record) => Some(&record.id),
-        Change::Configuration(_) | Change::UpstreamGone(_) => None,
+    /// Answers another node, from what this one holds, if that is more and current.
+    pub fn answer(&self, request: &StateRequest, held: &impl HeldState, now_us: u64) -> Option<StateReply> {
+        let age_ms = self.current_age_ms(now_us)?;
+        let known = request.known;
+        if self.mark.revision < known.revision || self.mark == known {
+            return None;
+        }
+        let steps = if known.revision == 0 { None } else { self.log.changes_since(known.revision) };
+        let whole = steps.is_none();
+        let changes = steps.unwrap_or_else(|| held.upstreams().into_iter().map(Change::Upstream).collect());
+        let configuration = (known.version < self.mark.version).then(|| held.configuration());
+        Some(StateReply::new(self.mark, age_ms, whole, changes, configuration))
+    }
+
+    /// Takes another node's answer; `known` are the upstreams this node knows. Gives what is to be applied.
+    pub fn hear_state<'n>(
+        &mut self,
+        reply: StateReply,
+        known: impl Iterator<Item = &'n Name>,
+        now_us: u64,
+    ) -> Vec<Change> {
+        let begun = self.reading.as_ref().is_some_and(|reading| !reading.is_unbegun());
+        let useful = reply.age_ms < self.options.lease_ms && reply.leads_from(self.mark);
+        if begun || !useful || (self.mark.revision == 0 && !reply.whole) {
+            self.ask_failed(now_us);
+            return Vec::new();
+        }
+        let StateReply { mark, whole, .. } = reply;
+        self.freshness.confirm(now_us.saturating_sub(reply.age_ms * US_PER_MS));
+        let changes = reply.into_changes(known);
+        self.mark.version = self.mark.version.max(mark.version);
+        if self.reading.take().is_some() {
+            self.rest_after_start(now_us);
+        }
+        match whole {
+            true => self.restart(mark.revision),
+            false => self.advance(mark.revision, &changes),
+        }
+        changes
+    }
+
+    /// Notes that a peer told nothing.
+    pub fn ask_failed(&mut self, now_us: u64) {
+        if self.reading.is_some() && self.start_asks > 0 {
+            self.rest_until_us = now_us + self.options.start_rest_ms * US_PER_MS;
+        }
     }
 }
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -12,18 +12,22 @@
 mod pool;
 mod relay;
 mod routes;
+mod spread;
+mod state;
 mod upstream;
 
 pub use {
     admission::{AdmissionOptions, Outlook, WholeTime},
     budget::{RetryBudget, RetryBudgetOptions},
     directory::{DirectoryMember, directory_addresses},
-    feed::{CallFailure, Feed, FeedCall, FeedOptions},
+    feed::{CallFailure, Feed, FeedCall, FeedOptions, ReaderRole, Whom},
     latency::LatencyQuantile,
     outcome::{AttemptOutcome, Refusal, Verdict, judge},
     pointvane_balance::TokenBucket,
     pool::{Pool, PoolOptions, Ranking, UpstreamKey, Wanted},
     relay::{Relay, RelayLog, WireRelay},
     routes::{RouteTable, RoutedRequest},
+    spread::{SpreadPeer, earlier_peer, spread_order},
+    state::{HeldState, ReadMark, StateReply, StateRequest},
     upstream::{LoadSample, UpstreamState},
 };
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -164,6 +164,11 @@
         true
     }
 
+    /// What the platform says of all upstreams.
+    pub fn records(&self) -> impl Iterator<Item = &UpstreamRecord> {
+        self.upstreams.values().map(|state| &state.record)
+    }
+
     /// Identities of all upstreams.
     pub fn ids(&self) -> impl Iterator<Item = &Name> {
         self.by_id.keys()
--- a/crates/pointvane-dispatch/src/relay.rs
+++ b/crates/pointvane-dispatch/src/relay.rs
@@ -1,6 +1,7 @@
 //! What sentinels tell the other nodes of the platform.
 
 use {
+    crate::state::ReadMark,
     pointvane_core::{Change, Name, UpstreamRecord},
     serde::{Deserialize, Serialize},
     std::{
@@ -10,25 +11,27 @@
 };
 
 /// Changes that one relay holds at most, so that it fits a datagram.
-const CHANGES_MAX: usize = 20;
+const RELAYED_MAX: usize = 20;
+/// Changes that a log keeps at most.
+const KEPT_MAX: usize = 256;
 
 /// What a sentinel tells all others: how far the platform is read, how long ago it answered, and what changed last.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Relay {
     /// The revision that the changes follow on; a node that knows this one or a later one can take them.
     pub since: u64,
-    /// The revision up to which the sentinel knows everything.
-    pub revision: u64,
+    /// How far the sentinel has read. A node that has an older configuration must ask for the newer one.
+    pub mark: ReadMark,
     /// Age of the platform's last answer to the sentinel, in milliseconds.
     pub age_ms: u64,
-    /// The changes, oldest first.
+    /// The changes of upstreams, oldest first.
     pub changes: Vec<Change>,
 }
 
 impl Relay {
-    /// The same without the changes: a node that lacks them has to ask the platform.
+    /// The same without the changes: a node that lacks them has to ask.
     pub fn without_changes(self) -> Self {
-        Self { since: self.revision, changes: Vec::new(), ..self }
+        Self { since: self.mark.revision, changes: Vec::new(), ..self }
     }
 }
 
@@ -36,87 +39,89 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WireRelay {
     since: u64,
-    revision: u64,
+    mark: ReadMark,
     age_ms: u64,
     changes: Vec<WireChange>,
 }
 
+/// A change of an upstream as it goes over the wire.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-enum WireChange {
+pub enum WireChange {
+    /// An upstream appeared or changed.
     Upstream(UpstreamRecord),
+    /// An upstream's entry is gone.
     Gone(Name),
 }
 
-impl From<Relay> for WireRelay {
-    fn from(relay: Relay) -> Self {
-        let Relay { since, revision, age_ms, changes } = relay;
-        Self { since, revision, age_ms, changes: changes.into_iter().filter_map(wire_change).collect() }
+impl WireChange {
+    /// The change, unless it is a configuration: these are asked for.
+    pub fn new(change: Change) -> Option<Self> {
+        match change {
+            Change::Upstream(record) => Some(Self::Upstream(record)),
+            Change::UpstreamGone(id) => Some(Self::Gone(id)),
+            Change::Configuration(_) => None,
+        }
+    }
+}
+
+impl From<WireChange> for Change {
+    fn from(change: WireChange) -> Self {
+        match change {
+            WireChange::Upstream(record) => Self::Upstream(record),
+            WireChange::Gone(id) => Self::UpstreamGone(id),
+        }
     }
 }
 
-/// Configurations are too large and never relayed; [`RelayLog::add`] sees to that.
-fn wire_change(change: Change) -> Option<WireChange> {
-    match change {
-        Change::Upstream(record) => Some(WireChange::Upstream(record)),
-        Change::UpstreamGone(id) => Some(WireChange::Gone(id)),
-        Change::Configuration(_) => None,
+impl From<Relay> for WireRelay {
+    fn from(relay: Relay) -> Self {
+        let Relay { since, mark, age_ms, changes } = relay;
+        Self { since, mark, age_ms, changes: changes.into_iter().filter_map(WireChange::new).collect() }
     }
 }
 
 impl From<WireRelay> for Relay {
     fn from(wire: WireRelay) -> Self {
-        let WireRelay { since, revision, age_ms, changes } = wire;
-        let change = |change| match change {
-            WireChange::Upstream(record) => Change::Upstream(record),
-            WireChange::Gone(id) => Change::UpstreamGone(id),
-        };
-        Self { since, revision, age_ms, changes: changes.into_iter().map(change).collect() }
+        let WireRelay { since, mark, age_ms, changes } = wire;
+        Self { since, mark, age_ms, changes: changes.into_iter().map(Change::from).collect() }
     }
 }
 
-/// One answer of the platform.
+/// Changes that became known together.
 #[derive(Clone, Debug)]
 struct Batch {
     since: u64,
     changes: Vec<Change>,
 }
 
-/// The last changes that a node has read, for those that missed them: of each upstream the last word only.
+/// The last changes of upstreams that a node has heard of, for those that missed them: of each upstream the last word
+/// only.
 ///
 /// A node may take them though it holds some of them already, since none of them undoes another.
 #[derive(Clone, Debug, Default)]
 pub struct RelayLog {
     batches: VecDeque<Batch>,
-    /// The revision that the oldest batch follows on, or the newest if there is none.
-    since: u64,
+    /// The revision up to which changes are known.
+    revision: u64,
 }
 
 impl RelayLog {
     /// Forgets everything before a revision.
     pub fn restart(&mut self, revision: u64) {
         self.batches.clear();
-        self.since = revision;
+        self.revision = revision;
     }
 
-    /// Adds the changes from one revision to another.
-    pub fn add(&mut self, since: u64, revision: u64, changes: &[Change]) {
-        let too_large =
-            changes.len() > CHANGES_MAX || changes.iter().any(|c| matches!(c, Change::Configuration(_)));
-        if too_large || (self.batches.is_empty() && self.since != since) {
-            return self.restart(revision);
-        }
-        if changes.is_empty() {
-            if self.batches.is_empty() {
-                self.since = revision;
-            }
-            return;
-        }
-        self.batches.push_back(Batch { since, changes: changes.to_vec() });
+    /// Adds the changes that lead to a revision.
+    pub fn add(&mut self, revision: u64, changes: &[Change]) {
+        let since = mem::replace(&mut self.revision, revision);
+        let upstreams = changes.iter().filter(|change| change.upstream().is_some());
+        self.batches.push_back(Batch { since, changes: upstreams.cloned().collect() });
         self.keep_last_words();
-        while self.batches.iter().map(|batch| batch.changes.len()).sum::<usize>() > CHANGES_MAX {
-            self.batches.pop_front();
+        let mut kept: usize = self.batches.iter().map(|batch| batch.changes.len()).sum();
+        while kept > KEPT_MAX || self.batches.len() > KEPT_MAX {
+            kept -= self.batches.pop_front().map_or(0, |batch| batch.changes.len());
         }
-        self.since = self.batches.front().map_or(revision, |batch| batch.since);
     }
 
     /// Leaves out what a later change of the same upstream has overtaken.
@@ -131,9 +136,26 @@
         }
     }
 
-    /// What is told at a revision.
-    pub fn relay(&self, revision: u64, age_ms: u64) -> Relay {
-        let changes = self.batches.iter().flat_map(|batch| batch.changes.iter().cloned()).collect();
-        Relay { since: self.since, revision, age_ms, changes }
+    /// The changes that follow on a revision, oldest first; none when the log does not reach back so far.
+    pub fn changes_since(&self, revision: u64) -> Option<Vec<Change>> {
+        if revision == self.revision {
+            return Some(Vec::new());
+        }
+        let first = self.batches.iter().rposition(|batch| batch.since <= revision)?;
+        Some(self.batches.iter().skip(first).flat_map(|batch| batch.changes.iter().cloned()).collect())
+    }
+
+    /// What is told: as many of the last changes as a relay holds.
+    pub fn relay(&self, mark: ReadMark, age_ms: u64) -> Relay {
+        let mut room = RELAYED_MAX;
+        let fits = |batch: &&Batch| {
+            let fits = batch.changes.len() <= room;
+            room = room.saturating_sub(batch.changes.len());
+            fits
+        };
+        let told: Vec<&Batch> = self.batches.iter().rev().take_while(fits).collect();
+        let since = told.last().map_or(mark.revision, |batch| batch.since);
+        let changes = told.iter().rev().flat_map(|batch| batch.changes.iter().cloned()).collect();
+        Relay { since, mark, age_ms, changes }
     }
 }
--- a/crates/pointvane-dispatch/src/routes.rs
+++ b/crates/pointvane-dispatch/src/routes.rs
@@ -1,7 +1,7 @@
 //! From a request's host and path to its route, and from a route to one of its services.
 
 use {
-    pointvane_core::{CallerLimits, Name, RouteRule, RoutingConfiguration},
+    pointvane_core::{CallerLimits, Name, RouteRule, RoutingConfiguration, ServiceRule},
     rand::{Rng, rngs::SmallRng},
     std::{collections::HashMap, sync::Arc},
 };
@@ -51,6 +51,21 @@
         self.version
     }
 
+    /// The configuration that the table was made of.
+    pub fn configuration(&self) -> RoutingConfiguration {
+        let routes = self.by_host.values().flatten().map(|route| RouteRule::clone(route));
+        let service = |(name, health_path): (&Name, &Name)| ServiceRule {
+            name: name.clone(),
+            health_path: health_path.clone(),
+        };
+        RoutingConfiguration {
+            version: self.version,
+            routes: routes.collect(),
+            services: self.health_paths.iter().map(service).collect(),
+            limits: self.limits,
+        }
+    }
+
     /// What callers are held to.
     pub fn limits(&self) -> CallerLimits {
         self.limits
--- /dev/null
+++ b/crates/pointvane-dispatch/tests/fleet/mod.rs
@@ -0,0 +1,283 @@
+//! A fleet of feeds before a platform that changes, falls silent and comes back; all time is given.
+
+use {
+    pointvane_core::{Change, ChangePage, RoutingConfiguration, UpstreamRecord},
+    pointvane_dispatch::{
+        CallFailure, Feed, FeedCall, FeedOptions, HeldState, ReadMark, ReaderRole, Relay, SpreadPeer,
+        StateReply, Whom, earlier_peer,
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::ops::Range,
+};
+
+pub const MS: u64 = 1_000;
+pub const STEP_MS: u64 = 20;
+/// Time that a peer's revision takes to reach another node by gossip in these runs.
+const GOSSIP_MS: u64 = 400;
+/// Time between two relays of a sentinel.
+const RELAY_MS: u64 = 300;
+/// Time that a peer takes to answer.
+const PEER_ANSWER_MS: u64 = 20;
+const SENTINELS: usize = 2;
+const DEPUTIES: usize = 4;
+
+pub fn upstream(id: &str, draining: bool) -> Change {
+    Change::Upstream(UpstreamRecord {
+        id: id.into(),
+        service: "dispatch".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "one".into(),
+        slots: 3,
+        draining,
+        warm_up_left_ms: 0,
+        sequence: 1,
+    })
+}
+
+pub fn page(revision: u64, changes: Vec<Change>) -> ChangePage {
+    ChangePage { revision, changes, ..ChangePage::default() }
+}
+
+pub fn configuration(version: u64) -> RoutingConfiguration {
+    RoutingConfiguration { version, ..RoutingConfiguration::default() }
+}
+
+/// Whom the platform does not answer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Silent {
+    All,
+    /// The sentinels only.
+    Sentinels,
+    /// The sentinels and deputies.
+    Readers,
+    /// All, who are told so at once.
+    Refusing,
+}
+
+/// A platform whose revision rises at given times, and that is silent towards some for some time.
+pub struct SimPlatform {
+    pub silent_ms: Range<u64>,
+    pub silent_to: Silent,
+    pub changes_ms: Vec<u64>,
+    /// Whether the changes are configurations, which relays do not hold.
+    pub large: bool,
+}
+
+impl SimPlatform {
+    fn revision(&self, now_ms: u64) -> u64 {
+        1 + self.changes_ms.iter().filter(|at| **at <= now_ms).count() as u64
+    }
+
+    fn is_silent(&self, role: ReaderRole, now_ms: u64) -> bool {
+        let reached = match self.silent_to {
+            Silent::All | Silent::Refusing => true,
+            Silent::Sentinels => role == ReaderRole::Sentinel,
+            Silent::Readers => role != ReaderRole::Follower,
+        };
+        reached && self.silent_ms.contains(&now_ms)
+    }
+
+    fn changes(&self, revision: u64) -> Vec<Change> {
+        match self.large {
+            true => vec![Change::Configuration(Box::new(configuration(revision)))],
+            false => vec![upstream("one", false)],
+        }
+    }
+}
+
+/// The network between the nodes.
+#[derive(Clone, Copy)]
+pub struct SimNetwork {
+    /// Share of relays and questions that are lost.
+    pub loss: f64,
+    /// Whether nothing passes at all.
+    pub cut: bool,
+}
+
+pub const SOUND: SimNetwork = SimNetwork { loss: 0.02, cut: false };
+pub const CUT: SimNetwork = SimNetwork { loss: 0.0, cut: true };
+
+/// A call of a node that has not been answered.
+struct Pending {
+    call: FeedCall,
+    due_ms: u64,
+    dead_ms: u64,
+    hangs: bool,
+}
+
+/// What a node of these runs holds.
+struct SimHeld(ReadMark);
+
+impl HeldState for SimHeld {
+    fn upstreams(&self) -> Vec<UpstreamRecord> {
+        Vec::new()
+    }
+
+    fn configuration(&self) -> RoutingConfiguration {
+        configuration(self.0.version)
+    }
+}
+
+/// One node of a run, with its feed and the call it waits for.
+struct SimNode {
+    feed: Feed,
+    role: ReaderRole,
+    /// Place in the order in which nodes ask each other.
+    order: f64,
+    pending: Option<Pending>,
+    calls: u32,
+    told: bool,
+}
+
+impl SimNode {
+    fn new(seed: u64, number: usize, nodes: usize) -> Self {
+        let role = match number {
+            _ if number < SENTINELS => ReaderRole::Sentinel,
+            _ if number < SENTINELS + DEPUTIES => ReaderRole::Deputy,
+            _ => ReaderRole::Follower,
+        };
+        let options = FeedOptions { start_asks: 0, ..FeedOptions::default() };
+        let feed = Feed::new(options, seed);
+        let order = number as f64 / nodes as f64;
+        Self { feed, role, order, pending: None, calls: 0, told: false }
+    }
+
+    fn step(&mut self, platform: &SimPlatform, now_ms: u64) {
+        self.finish_call(platform, now_ms);
+        let watches =
+            self.pending.as_ref().is_some_and(|pending| matches!(pending.call, FeedCall::Watch { .. }));
+        if self.feed.is_behind() && watches {
+            self.pending = None;
+        }
+        if self.pending.is_some() {
+            return;
+        }
+        let call = self.feed.next(now_ms * MS);
+        let (wait_ms, patience_ms) = match call {
+            FeedCall::Rest { .. } => return,
+            FeedCall::AskPeer { patience_ms, .. } => (PEER_ANSWER_MS, patience_ms),
+            FeedCall::Watch { wait_ms, patience_ms, .. } => (wait_ms, patience_ms),
+            FeedCall::Snapshot { patience_ms, .. } => (0, patience_ms),
+        };
+        let to_platform = !matches!(call, FeedCall::AskPeer { .. });
+        self.calls += u32::from(to_platform);
+        let silent = platform.is_silent(self.role, now_ms);
+        if silent && to_platform && platform.silent_to == Silent::Refusing {
+            return self.feed.failed(CallFailure::Unavailable, now_ms * MS);
+        }
+        let hangs = to_platform && silent;
+        self.pending = Some(Pending { call, due_ms: now_ms + wait_ms, dead_ms: now_ms + patience_ms, hangs });
+    }
+
+    fn finish_call(&mut self, platform: &SimPlatform, now_ms: u64) {
+        let Some(mut pending) = self.pending.take() else { return };
+        if matches!(pending.call, FeedCall::AskPeer { .. }) {
+            self.pending = Some(pending);
+            return;
+        }
+        pending.hangs |= platform.is_silent(self.role, now_ms);
+        let revision = platform.revision(now_ms);
+        let changed = match pending.call {
+            FeedCall::Watch { after, .. } => revision > after,
+            _ => true,
+        };
+        if now_ms >= pending.dead_ms {
+            self.feed.failed(CallFailure::Unavailable, now_ms * MS);
+        } else if pending.hangs || !(changed || now_ms >= pending.due_ms) {
+            self.pending = Some(pending);
+        } else if matches!(pending.call, FeedCall::Watch { .. }) {
+            let changes = if changed { platform.changes(revision) } else { Vec::new() };
+            self.told = true;
+            self.feed.watched(page(revision, changes), now_ms * MS);
+        } else {
+            self.feed.read(page(revision, Vec::new()), [].iter(), now_ms * MS);
+        }
+    }
+
+    /// The question to a peer that is due to be answered now.
+    fn asks(&self, now_ms: u64) -> Option<FeedCall> {
+        let pending = self.pending.as_ref()?;
+        let asks = matches!(pending.call, FeedCall::AskPeer { .. }) && now_ms >= pending.due_ms;
+        asks.then(|| pending.call.clone())
+    }
+}
+
+/// What a run of a fleet shows.
+pub struct Played {
+    /// Calls to the platform.
+    pub calls: u32,
+    /// When the last of the nodes that the platform answers knew the newest revision.
+    pub all_known_ms: u64,
+}
+
+fn answer_questions(fleet: &mut [SimNode], network: SimNetwork, rng: &mut SmallRng, now_ms: u64) {
+    for asker in 0..fleet.len() {
+        let Some(FeedCall::AskPeer { whom, request, .. }) = fleet[asker].asks(now_ms) else { continue };
+        let peer = peer_of(fleet, asker, whom, rng);
+        let lost = network.cut || peer == asker || rng.random_bool(network.loss);
+        let held = SimHeld(fleet[peer].feed.mark());
+        let reply: Option<StateReply> =
+            if lost { None } else { fleet[peer].feed.answer(&request, &held, now_ms * MS) };
+        fleet[asker].pending = None;
+        match reply {
+            Some(reply) => _ = fleet[asker].feed.hear_state(reply, [].iter(), now_ms * MS),
+            None => fleet[asker].feed.ask_failed(now_ms * MS),
+        }
+    }
+}
+
+fn peer_of(fleet: &[SimNode], asker: usize, whom: Whom, rng: &mut SmallRng) -> usize {
+    let teller = rng.random_range(0..SENTINELS);
+    let peers = fleet.iter().enumerate().filter(|(node, _)| *node != asker);
+    let peers = peers.map(|(node, sim)| SpreadPeer { node, order: sim.order, near: true });
+    match whom {
+        Whom::Earlier => earlier_peer(fleet[asker].order, peers, rng).unwrap_or(teller),
+        Whom::Teller | Whom::Anyone => teller,
+    }
+}
+
+pub fn play(platform: &SimPlatform, network: SimNetwork, seed: u64, nodes: usize, until_ms: u64) -> Played {
+    let new = |number: usize| SimNode::new(seed * 100 + number as u64, number, nodes);
+    let mut fleet: Vec<SimNode> = (0..nodes).map(new).collect();
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut known: Vec<(u64, u64)> = Vec::new();
+    let mut all_known_ms = 0;
+    for now_ms in (0..until_ms).step_by(STEP_MS as usize) {
+        let heard =
+            known.iter().rev().find(|(at, _)| at + GOSSIP_MS <= now_ms).map_or(0, |(_, newest)| *newest);
+        for node in &mut fleet {
+            node.step(platform, now_ms);
+            node.feed.hear_peers(node.role, if network.cut { 0 } else { heard }, now_ms * MS);
+        }
+        answer_questions(&mut fleet, network, &mut rng, now_ms);
+        for relay in relays(&mut fleet, now_ms) {
+            for node in &mut fleet {
+                if !network.cut && !rng.random_bool(network.loss) {
+                    node.feed.hear_relay(relay.clone(), node.order, now_ms * MS);
+                }
+            }
+        }
+        known.push((now_ms, fleet.iter().map(|node| node.feed.mark().revision).max().unwrap_or(0)));
+        // One that the platform does not answer is not in touch.
+        let in_touch = |node: &&SimNode| {
+            matches!(platform.silent_to, Silent::All | Silent::Refusing)
+                || !platform.is_silent(node.role, now_ms)
+        };
+        let revision = platform.revision(now_ms);
+        if fleet.iter().filter(in_touch).any(|node| node.feed.mark().revision < revision) {
+            all_known_ms = now_ms;
+        }
+    }
+    Played { calls: fleet.iter().map(|node| node.calls).sum(), all_known_ms }
+}
+
+fn relays(fleet: &mut [SimNode], now_ms: u64) -> Vec<Relay> {
+    let speaks = |node: &mut SimNode| {
+        let told = std::mem::take(&mut node.told) && node.feed.speaks();
+        told || (node.feed.is_sentinel() && now_ms % RELAY_MS < STEP_MS)
+    };
+    fleet
+        .iter_mut()
+        .filter_map(|node| if speaks(node) { node.feed.relay(now_ms * MS) } else { None })
+        .collect()
+}
--- a/crates/pointvane-dispatch/tests/relays.rs
+++ b/crates/pointvane-dispatch/tests/relays.rs
@@ -3,7 +3,7 @@
 use {
     googletest::prelude::*,
     pointvane_core::{Change, ChangePage, Name, UpstreamRecord},
-    pointvane_dispatch::{Feed, FeedOptions, Pool, PoolOptions, Relay},
+    pointvane_dispatch::{Feed, FeedOptions, Pool, PoolOptions, ReaderRole, Relay, Wanted},
 };
 
 const MS: u64 = 1_000;
@@ -42,7 +42,7 @@
 
 fn sentinel() -> Feed {
     let mut feed = read_up_to(5);
-    feed.hear_peers(true, 5, MS);
+    feed.hear_peers(ReaderRole::Sentinel, 5, MS);
     feed
 }
 
@@ -60,7 +60,7 @@
     }
 
     fn hear(&mut self, relay: Relay, now_us: u64) {
-        for change in self.feed.hear_relay(relay, now_us) {
+        for change in self.feed.hear_relay(relay, 0.0, now_us) {
             match change {
                 Change::Upstream(record) => _ = self.pool.put(record, now_us),
                 Change::UpstreamGone(id) => _ = self.pool.remove(&id),
@@ -105,7 +105,7 @@
     let cold = UpstreamRecord { warm_up_left_ms: 3_000, ..record("a", 1) };
     expect_that!(pool.put(cold.clone(), 0), eq(true));
     expect_that!(pool.put(cold, 2_900 * MS), eq(false));
-    let wanted = pointvane_dispatch::Wanted { tried: &[], body_bytes: 0, count: 1 };
+    let wanted = Wanted { tried: &[], body_bytes: 0, count: 1 };
     let key = pool.candidates(&"dispatch".into(), &wanted, 0)[0];
     expect_that!(pool.cost(key, 3_100 * MS), lt(pool.cost(key, 100 * MS)), "it is warm by then");
 }
--- a/crates/pointvane-dispatch/tests/routing.rs
+++ b/crates/pointvane-dispatch/tests/routing.rs
@@ -25,7 +25,7 @@
 }
 
 fn table(routes: Vec<RouteRule>) -> RouteTable {
-    let services = vec![ServiceRule { name: "a".into(), health_path: "/up".into(), connections_max: 10 }];
+    let services = vec![ServiceRule { name: "a".into(), health_path: "/up".into() }];
     RouteTable::new(RoutingConfiguration { version: 7, routes, services, ..RoutingConfiguration::default() })
 }
 
--- /dev/null
+++ b/crates/pointvane-dispatch/tests/states.rs
@@ -0,0 +1,170 @@
+//! What nodes ask of each other, and which answers they take.
+
+use {
+    googletest::prelude::*,
+    pointvane_core::{Change, ChangePage, Name, RoutingConfiguration, UpstreamRecord},
+    pointvane_dispatch::{
+        Feed, FeedCall, FeedOptions, HeldState, ReadMark, ReaderRole, Relay, StateReply, StateRequest,
+    },
+};
+
+const MS: u64 = 1_000;
+const NOTHING: StateRequest = StateRequest { known: ReadMark { revision: 0, version: 0 } };
+
+fn record(id: &str, sequence: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        id: id.into(),
+        service: "dispatch".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "one".into(),
+        slots: 3,
+        draining: false,
+        warm_up_left_ms: 0,
+        sequence,
+    }
+}
+
+fn told(id: &str, sequence: u64) -> Change {
+    Change::Upstream(record(id, sequence))
+}
+
+fn configured(version: u64) -> Change {
+    Change::Configuration(Box::new(configuration(version)))
+}
+
+fn configuration(version: u64) -> RoutingConfiguration {
+    RoutingConfiguration { version, ..RoutingConfiguration::default() }
+}
+
+fn page(revision: u64, changes: Vec<Change>) -> ChangePage {
+    ChangePage { revision, changes, ..ChangePage::default() }
+}
+
+/// What a peer holds.
+struct Held {
+    ids: &'static [&'static str],
+    version: u64,
+}
+
+impl HeldState for Held {
+    fn upstreams(&self) -> Vec<UpstreamRecord> {
+        self.ids.iter().map(|id| record(id, 1)).collect()
+    }
+
+    fn configuration(&self) -> RoutingConfiguration {
+        configuration(self.version)
+    }
+}
+
+/// A feed that the platform has told everything up to a revision and version.
+fn read_up_to(revision: u64, version: u64) -> Feed {
+    let mut feed = Feed::new(FeedOptions { start_asks: 0, ..FeedOptions::default() }, 1);
+    feed.read(page(revision, vec![configured(version)]), [].iter(), MS);
+    feed.hear_peers(ReaderRole::Follower, 0, MS);
+    feed
+}
+
+fn relay(revision: u64, version: u64, changes: Vec<Change>) -> Relay {
+    Relay { since: revision - 1, mark: ReadMark { revision, version }, age_ms: 0, changes }
+}
+
+fn new_feed() -> Feed {
+    Feed::new(FeedOptions::default(), 1)
+}
+
+fn hear(feed: &mut Feed, reply: StateReply, now_us: u64) -> Vec<Change> {
+    let known: [Name; 1] = ["old".into()];
+    feed.hear_state(reply, known.iter(), now_us)
+}
+
+#[gtest]
+fn a_node_that_starts_asks_a_peer_before_the_platform() {
+    let mut feed = new_feed();
+    expect_that!(feed.next(0), matches_pattern!(FeedCall::AskPeer { request: eq(&NOTHING), .. }));
+    feed.ask_failed(MS);
+    expect_that!(feed.next(MS), matches_pattern!(FeedCall::Snapshot { .. }));
+}
+
+#[gtest]
+fn what_a_peer_tells_a_node_that_starts_is_whole_and_needs_no_call_to_the_platform() {
+    let peer = read_up_to(7, 3);
+    let reply = peer.answer(&NOTHING, &Held { ids: &["a", "b"], version: 3 }, 300 * MS).unwrap();
+    let mut feed = new_feed();
+    feed.next(299 * MS);
+    let changes = hear(&mut feed, reply, 300 * MS);
+    let gone = Change::UpstreamGone("old".into());
+    expect_that!(changes, elements_are![eq(&configured(3)), eq(&told("a", 1)), eq(&told("b", 1)), eq(&gone)]);
+    expect_that!(feed.mark(), eq(ReadMark { revision: 7, version: 3 }));
+    feed.hear_peers(ReaderRole::Follower, 7, 400 * MS);
+    expect_that!(feed.next(1_400 * MS), matches_pattern!(FeedCall::Rest { .. }));
+    expect_that!(feed.next(2_000 * MS), matches_pattern!(FeedCall::Watch { after: eq(&7), .. }));
+}
+
+#[gtest]
+fn a_peer_that_has_not_heard_of_the_platform_for_long_tells_nothing() {
+    let peer = read_up_to(7, 3);
+    let held = Held { ids: &[], version: 3 };
+    expect_that!(peer.answer(&NOTHING, &held, 1_000 * MS).is_some(), eq(true));
+    expect_that!(peer.answer(&NOTHING, &held, 1_500 * MS).is_some(), eq(false));
+}
+
+#[gtest]
+fn a_peer_that_knows_no_more_tells_nothing() {
+    let peer = read_up_to(7, 3);
+    let request = StateRequest { known: peer.mark() };
+    expect_that!(peer.answer(&request, &Held { ids: &[], version: 3 }, 2 * MS).is_some(), eq(false));
+}
+
+#[gtest]
+fn an_answer_that_lacks_the_newer_configuration_is_refused() {
+    let mut feed = read_up_to(5, 2);
+    let mark = ReadMark { revision: 9, version: 3 };
+    let reply = StateReply::new(mark, 0, false, Vec::new(), None);
+    expect_that!(hear(&mut feed, reply, 10 * MS), is_empty());
+    expect_that!(feed.mark(), eq(ReadMark { revision: 5, version: 2 }));
+}
+
+#[gtest]
+fn an_answer_that_is_behind_changes_nothing() {
+    let mut feed = read_up_to(5, 2);
+    let mark = ReadMark { revision: 4, version: 2 };
+    let reply = StateReply::new(mark, 0, true, vec![told("a", 1)], None);
+    expect_that!(hear(&mut feed, reply, 10 * MS), is_empty());
+    expect_that!(feed.mark().revision, eq(5));
+}
+
+#[gtest]
+fn a_relayed_configuration_is_asked_of_peers_in_turn_then_of_the_platform() {
+    let mut feed = read_up_to(5, 2);
+    feed.hear_relay(relay(6, 3, Vec::new()), 0.5, 700 * MS);
+    expect_that!(feed.is_behind(), eq(true));
+    expect_that!(feed.next(700 * MS), matches_pattern!(FeedCall::Rest { until_us: eq(&(850 * MS)) }));
+    for _ in 0..2 {
+        expect_that!(feed.next(850 * MS), matches_pattern!(FeedCall::AskPeer { .. }));
+        feed.ask_failed(860 * MS);
+    }
+    expect_that!(
+        feed.next(870 * MS),
+        matches_pattern!(FeedCall::Watch { after: eq(&5), wait_ms: le(&5), .. })
+    );
+}
+
+#[gtest]
+fn a_peer_tells_only_the_steps_that_the_asker_lacks() {
+    let mut peer = read_up_to(5, 2);
+    peer.next(2_000 * MS);
+    peer.watched(page(6, vec![told("a", 1)]), 2_001 * MS);
+    peer.next(4_000 * MS);
+    peer.watched(page(8, vec![configured(4), told("b", 1)]), 4_001 * MS);
+    let held = Held { ids: &["a", "b", "c"], version: 4 };
+    let request = StateRequest { known: ReadMark { revision: 6, version: 2 } };
+    let reply = peer.answer(&request, &held, 4_002 * MS).unwrap();
+    expect_that!(reply.whole, eq(false));
+    let mut asker = read_up_to(6, 2);
+    let changes = hear(&mut asker, reply, 4_003 * MS);
+    expect_that!(changes, elements_are![eq(&configured(4)), eq(&told("b", 1))]);
+    expect_that!(asker.mark(), eq(ReadMark { revision: 8, version: 4 }));
+    // One that is further back than the steps go gets everything.
+    let far = StateRequest { known: ReadMark { revision: 2, version: 1 } };
+    expect_that!(peer.answer(&far, &held, 4_002 * MS).unwrap().whole, eq(true));
+}
--- a/crates/pointvane-mesh/src/codec.rs
+++ b/crates/pointvane-mesh/src/codec.rs
@@ -70,18 +70,35 @@
     }
 }
 
-/// Writes a message as one frame.
+/// A message as one frame's bytes, its length included.
 ///
 /// # Errors
-/// Those of the stream, or `InvalidData` for a message beyond the bound.
-pub fn write_frame<T: Serialize>(stream: &mut impl Write, message: &T) -> io::Result<()> {
-    let bytes = encode_unbounded(message).map_err(invalid)?;
+/// [`CodecError::TooLong`] for a message beyond the bound.
+pub fn frame<T: Serialize>(message: &T) -> Result<Vec<u8>, CodecError> {
+    let bytes = encode_unbounded(message)?;
     if bytes.len() > FRAME_LIMIT_BYTES {
-        return Err(invalid(CodecError::TooLong));
+        return Err(CodecError::TooLong);
     }
     let mut frame = (bytes.len() as u32).to_be_bytes().to_vec();
     frame.extend(bytes);
-    stream.write_all(&frame)
+    Ok(frame)
+}
+
+/// The number of bytes that follow a frame's first four.
+///
+/// # Errors
+/// [`CodecError::TooLong`] for a length beyond the bound.
+pub fn frame_length(first: [u8; 4]) -> Result<usize, CodecError> {
+    let length = u32::from_be_bytes(first) as usize;
+    if length > FRAME_LIMIT_BYTES { Err(CodecError::TooLong) } else { Ok(length) }
+}
+
+/// Writes a message as one frame.
+///
+/// # Errors
+/// Those of the stream, or `InvalidData` for a message beyond the bound.
+pub fn write_frame<T: Serialize>(stream: &mut impl Write, message: &T) -> io::Result<()> {
+    stream.write_all(&frame(message).map_err(invalid)?)
 }
 
 /// Reads one frame's message.
@@ -91,10 +108,7 @@
 pub fn read_frame<T: DeserializeOwned>(stream: &mut impl Read) -> io::Result<T> {
     let mut length = [0; 4];
     stream.read_exact(&mut length)?;
-    let length = u32::from_be_bytes(length) as usize;
-    if length > FRAME_LIMIT_BYTES {
-        return Err(invalid(CodecError::TooLong));
-    }
+    let length = frame_length(length).map_err(invalid)?;
     let mut bytes = Vec::new();
     stream.take(length as u64).read_to_end(&mut bytes)?;
     if bytes.len() < length {
--- a/crates/pointvane-mesh/src/member.rs
+++ b/crates/pointvane-mesh/src/member.rs
@@ -4,7 +4,7 @@
     crate::spread::Stamp,
     pointvane_core::{Incarnation, VmIdentity, VmState},
     serde::{Deserialize, Serialize},
-    std::cmp::Ordering,
+    std::{cmp::Ordering, net::SocketAddr},
 };
 
 /// The entry process of a VM, as its control last told.
@@ -47,6 +47,11 @@
 }
 
 impl MemberRow {
+    /// Where its control takes datagrams and streams.
+    pub fn control_address(&self) -> SocketAddr {
+        SocketAddr::new(self.identity.address, self.control_port)
+    }
+
     /// The row's precedence: a later life first, then death, then the VM's own later word, then suspicion.
     pub fn precedence(&self) -> Precedence {
         let suspicion = match self.state {
--- a/crates/pointvane-mesh/src/membership.rs
+++ b/crates/pointvane-mesh/src/membership.rs
@@ -171,7 +171,7 @@
     /// Tells a few random members at once.
     pub fn announce(&mut self) -> Vec<Action> {
         let reachable = self.members.values().filter(|member| member.row.state != VmState::Dead);
-        let targets = reachable.map(|member| control_address(&member.row));
+        let targets = reachable.map(|member| member.row.control_address());
         let targets = targets.choose_multiple(&mut self.rng, self.options.fan_out);
         targets.into_iter().map(|to| self.send(to, Payload::Announce)).collect()
     }
@@ -261,11 +261,11 @@
             return;
         }
         let lost = self.members.values().filter(|member| member.row.state == VmState::Dead);
-        let lost = lost.map(|member| control_address(&member.row));
-        let mine = control_address(&self.me);
+        let lost = lost.map(|member| member.row.control_address());
+        let mine = self.me.control_address();
         let known = |seed: &SocketAddr| {
             let alive = self.members.values().filter(|member| member.row.state != VmState::Dead);
-            alive.map(|member| control_address(&member.row)).any(|address| address == *seed)
+            alive.map(|member| member.row.control_address()).any(|address| address == *seed)
         };
         let seeds = self.options.seeds.iter().copied().filter(|seed| *seed != mine && !known(seed));
         let targets = lost.chain(seeds).choose_multiple(&mut self.rng, self.options.helpers);
@@ -302,8 +302,3 @@
 fn changed(row: &MemberRow) -> Action {
     Action::Changed(MemberChange { name: row.identity.name.clone(), state: row.state })
 }
-
-/// Where a VM's control listens.
-fn control_address(row: &MemberRow) -> SocketAddr {
-    SocketAddr::new(row.identity.address, row.control_port)
-}
--- a/crates/pointvane-mesh/src/membership/check.rs
+++ b/crates/pointvane-mesh/src/membership/check.rs
@@ -1,8 +1,8 @@
 //! Checks of members: pings, helpers, and what follows from silence.
 
 use {
-    super::{Action, Check, ERRANDS_MAX, Errand, Membership, changed, control_address},
-    crate::message::Payload,
+    super::{Action, Check, ERRANDS_MAX, Errand, Membership, changed},
+    crate::{member::MemberRow, message::Payload},
     pointvane_core::{Name, US_PER_MS, VmState},
     rand::{Rng, seq::IteratorRandom},
     std::net::SocketAddr,
@@ -14,7 +14,7 @@
         let Some(member) = self.members.get(&target) else {
             return;
         };
-        let to = control_address(&member.row);
+        let to = member.row.control_address();
         self.sequence += 1;
         let sequence = self.sequence;
         self.check = Some(Check { target, sequence, sent_at_us: now_us, helped: false });
@@ -46,7 +46,8 @@
         let (target, sequence) = (check.target.clone(), check.sequence);
         let others = self.members.values().map(|member| &member.row);
         let able = others.filter(|row| row.state == VmState::Live && row.identity.name != target);
-        let helpers = able.map(control_address).choose_multiple(&mut self.rng, self.options.helpers);
+        let helpers =
+            able.map(MemberRow::control_address).choose_multiple(&mut self.rng, self.options.helpers);
         for to in helpers {
             actions.push(self.send(to, Payload::PingRequest { sequence, target: target.clone() }));
         }
@@ -63,7 +64,7 @@
         let Some(member) = self.members.get(target) else {
             return;
         };
-        let to = control_address(&member.row);
+        let to = member.row.control_address();
         self.sequence += 1;
         let sequence = self.sequence;
         self.errands.truncate(ERRANDS_MAX - 1);
@@ -100,7 +101,7 @@
             let row = member.row.clone();
             actions.push(changed(&row));
             // It hears of the suspicion at once, since only it can refute it.
-            actions.push(self.send_with(control_address(&row), Payload::Announce, Some(row.clone())));
+            actions.push(self.send_with(row.control_address(), Payload::Announce, Some(row.clone())));
         }
     }
 }
--- a/crates/pointvane-node/src/feed.rs
+++ b/crates/pointvane-node/src/feed.rs
@@ -4,7 +4,7 @@
     crate::{
         body::{RelayBody, gather},
         node::Node,
-        socket,
+        socket, state_exchange,
     },
     bytes::Bytes,
     hyper::{
@@ -14,7 +14,7 @@
     },
     hyper_util::rt::TokioIo,
     pointvane_core::PlatformAdapter,
-    pointvane_dispatch::{CallFailure, FeedCall},
+    pointvane_dispatch::{CallFailure, FeedCall, StateRequest, Whom},
     pointvane_telemetry::EventKind,
     std::{mem, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::timeout},
@@ -37,6 +37,10 @@
                 _ = timeout(rest, node.watch_renewed()).await;
                 continue;
             }
+            FeedCall::AskPeer { whom, request, patience_ms } => {
+                ask_peer(&node, whom, &request, Duration::from_millis(patience_ms)).await;
+                continue;
+            }
             FeedCall::Snapshot { next_page, patience_ms } => {
                 store.snapshot(next_page.as_deref(), Duration::from_millis(patience_ms)).await;
             }
@@ -52,6 +56,33 @@
     }
 }
 
+/// Asks another node for what it knows of the platform.
+async fn ask_peer<A: PlatformAdapter>(
+    node: &Node<A>,
+    whom: Whom,
+    request: &StateRequest,
+    patience: Duration,
+) {
+    let Some(peer) = node.peer_to_ask(whom) else {
+        return node.feed.borrow_mut().ask_failed(node.now_us());
+    };
+    node.report.asked_peer();
+    match state_exchange::ask(peer, request, patience).await {
+        Ok(Some(reply)) => {
+            let (mark, age_ms) = (reply.mark, reply.age_ms);
+            let changes = {
+                let pool = node.pool.borrow();
+                node.feed.borrow_mut().hear_state(reply, pool.ids(), node.now_us())
+            };
+            if !changes.is_empty() {
+                node.report.note(EventKind::StateTold { peer, revision: mark.revision, age_ms });
+            }
+            node.apply(changes);
+        }
+        Ok(None) | Err(_) => node.feed.borrow_mut().ask_failed(node.now_us()),
+    }
+}
+
 struct Store<A> {
     node: Rc<Node<A>>,
     connection: Option<SendRequest<RelayBody>>,
@@ -93,7 +124,9 @@
                 node.refuse_items(mem::take(&mut page.refused));
                 let changes = node.feed.borrow_mut().watched(page, node.now_us());
                 node.apply(changes);
-                node.send_relay();
+                if node.feed.borrow().speaks() {
+                    node.send_relay();
+                }
             }
             Err(failure) => self.failed(failure),
         }
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -31,6 +31,7 @@
 mod serve;
 mod settings;
 mod socket;
+mod state_exchange;
 mod stop;
 mod times;
 mod traffic;
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -14,6 +14,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
+        net::SocketAddr,
         rc::Rc,
     },
     tokio::{
@@ -22,6 +23,11 @@
     },
 };
 
+/// Questions to seeds before the platform is asked at the first start of all.
+const FIRST_START_ASKS: u32 = 5;
+/// Rest between two of these, in milliseconds.
+const FIRST_START_REST_MS: u64 = 250;
+
 /// The state of one node.
 #[derive(Debug)]
 pub struct Node<A> {
@@ -61,6 +67,8 @@
     pub gossip_socket: RefCell<Option<Rc<UdpSocket>>>,
     /// The socket for relays, once it is open.
     pub relay_socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Where the node answers questions that relayed last.
+    pub teller: Cell<Option<SocketAddr>>,
     /// The latest revision of the platform that a peer has read.
     pub peer_revision: Cell<u64>,
     /// Tells that a rest or a watch is to end.
@@ -96,7 +104,7 @@
             report,
             routes: RefCell::default(),
             pool: RefCell::new(pool),
-            feed: RefCell::new(Feed::new(FeedOptions::default(), seeder.random())),
+            feed: RefCell::new(Feed::new(feed_options(&settings), seeder.random())),
             membership: RefCell::new(membership),
             connections: Connections::default(),
             probes: Probes::default(),
@@ -108,6 +116,7 @@
             open: Rc::default(),
             gossip_socket: RefCell::default(),
             relay_socket: RefCell::default(),
+            teller: Cell::default(),
             peer_revision: Cell::default(),
             watch_renewed: Notify::new(),
             settings: RefCell::new(settings),
@@ -134,7 +143,7 @@
     pub fn is_ready(&self) -> bool {
         *self.stage.borrow() == Stage::Running
             && self.routes.borrow().version() > 0
-            && self.feed.borrow().revision() > 0
+            && self.feed.borrow().mark().revision > 0
     }
 
     /// What is known of the times of a route's requests.
@@ -155,6 +164,18 @@
     }
 }
 
+/// At the first start of all, the seeds alone know whom to ask: the platform. The others wait for what these read.
+fn feed_options(settings: &NodeSettings) -> FeedOptions {
+    let defaults = FeedOptions::default();
+    match (settings.first_start, settings.seeds.contains(&settings.gossip)) {
+        (true, true) => FeedOptions { start_asks: 0, ..defaults },
+        (true, false) => {
+            FeedOptions { start_asks: FIRST_START_ASKS, start_rest_ms: FIRST_START_REST_MS, ..defaults }
+        }
+        (false, _) => defaults,
+    }
+}
+
 fn pool_options(options: &NodeOptions) -> PoolOptions {
     let ranking = match options.choice.policy {
         ChoicePolicy::Ask => Ranking::Cost,
--- a/crates/pointvane-node/src/operator.rs
+++ b/crates/pointvane-node/src/operator.rs
@@ -53,7 +53,7 @@
         vm: node.settings.borrow().name.to_string(),
         ready: node.is_ready(),
         configuration_version: node.route_table().version(),
-        platform_revision: node.feed.borrow().revision(),
+        platform_revision: node.feed.borrow().mark().revision,
         platform_lost: node.feed.borrow().is_lost(),
         upstreams: node.pool.borrow().len(),
         members: node.directory_members().len(),
--- a/crates/pointvane-node/src/peers.rs
+++ b/crates/pointvane-node/src/peers.rs
@@ -2,10 +2,14 @@
 
 use {
     crate::{node::Node, settings::NodeSettings, stop::Stage},
-    pointvane_core::{Incarnation, PlatformAdapter, VmIdentity, VmState},
-    pointvane_dispatch::DirectoryMember,
-    pointvane_mesh::{EntryRow, MemberRow, Membership, MembershipOptions, Stamp, choose_readers},
-    std::{net::SocketAddr, rc::Rc},
+    pointvane_core::{Incarnation, Name, PlatformAdapter, VmIdentity, VmState},
+    pointvane_dispatch::{DirectoryMember, ReaderRole, SpreadPeer, Whom, earlier_peer, spread_order},
+    pointvane_mesh::{EntryRow, MemberRow, Membership, MembershipOptions, Stamp, choose_readers, rank},
+    rand::seq::IteratorRandom,
+    std::{
+        net::{IpAddr, SocketAddr},
+        rc::Rc,
+    },
     tokio::net::UdpSocket,
 };
 
@@ -13,10 +17,12 @@
 const CHECK_INTERVAL_MS: u64 = 400;
 /// Time from suspicion of a node to its death, in milliseconds.
 const SUSPECT_MS: u64 = 900;
-/// Nodes that look at the platform often, for all.
+/// Nodes that watch the platform for all.
 const SENTINELS: usize = 2;
-/// What the sentinels are ranked for.
-const SENTINEL_SUBJECT: &str = "platform";
+/// Nodes that look at the platform when no sentinel is heard.
+const DEPUTIES: usize = 4;
+/// What sentinels and deputies are ranked for.
+const READER_SUBJECT: &str = "platform";
 
 impl<A: PlatformAdapter> Node<A> {
     /// Nodes that callers may be sent to.
@@ -68,8 +74,8 @@
 
     /// Compares this node's reading with its peers'.
     pub fn look_at_peers(&self) {
-        let sentinel = self.is_sentinel();
-        self.feed.borrow_mut().hear_peers(sentinel, self.peer_revision.get(), self.now_us());
+        let role = self.reader_role();
+        self.feed.borrow_mut().hear_peers(role, self.peer_revision.get(), self.now_us());
         self.look_whether_behind();
     }
 
@@ -80,11 +86,64 @@
         }
     }
 
-    /// Whether this node is one of the few that look at the platform often, for all.
-    fn is_sentinel(&self) -> bool {
+    /// What this node does for the others' reading; all nodes reckon alike.
+    fn reader_role(&self) -> ReaderRole {
         let membership = self.membership.borrow();
-        let sentinels = choose_readers(SENTINEL_SUBJECT, membership.rows(), SENTINELS);
-        sentinels.contains(&membership.me().identity.name)
+        let readers = choose_readers(READER_SUBJECT, membership.rows(), SENTINELS + DEPUTIES);
+        let place = readers.iter().position(|name| *name == membership.me().identity.name);
+        match place {
+            Some(place) if place < SENTINELS => ReaderRole::Sentinel,
+            Some(_) => ReaderRole::Deputy,
+            None => ReaderRole::Follower,
+        }
+    }
+
+    /// This node's place in the order in which nodes ask each other for a revision, from 0 to 1.
+    pub fn spread_order(&self, revision: u64) -> f64 {
+        let membership = self.membership.borrow();
+        spread_order(rank(&spread_subject(revision), &membership.me().identity.name))
+    }
+
+    /// Notes which node relayed last.
+    pub fn note_teller(&self, address: IpAddr) {
+        let port = self.settings.borrow().gossip.port();
+        self.teller.set(Some(SocketAddr::new(address, port)));
+    }
+
+    /// The node to ask for what it knows of the platform.
+    pub fn peer_to_ask(&self, whom: Whom) -> Option<SocketAddr> {
+        match whom {
+            Whom::Anyone => self.any_peer(),
+            Whom::Earlier => self.earlier_peer().or(self.teller.get()),
+            Whom::Teller => self.teller.get(),
+        }
+    }
+
+    /// Any other live node, or any other seed while none is known.
+    fn any_peer(&self) -> Option<SocketAddr> {
+        let mut rng = self.rng.borrow_mut();
+        let membership = self.membership.borrow();
+        let live = membership.rows().skip(1).filter(|row| row.state == VmState::Live);
+        if let Some(peer) = live.map(MemberRow::control_address).choose(&mut *rng) {
+            return Some(peer);
+        }
+        let settings = self.settings.borrow();
+        settings.seeds.iter().copied().filter(|seed| *seed != settings.gossip).choose(&mut *rng)
+    }
+
+    /// Another live node that asks for the latest revision well before this one.
+    fn earlier_peer(&self) -> Option<SocketAddr> {
+        let membership = self.membership.borrow();
+        let me = &membership.me().identity;
+        let subject = spread_subject(self.peer_revision.get());
+        let order = |name: &Name| spread_order(rank(&subject, name));
+        let live = membership.rows().skip(1).filter(|row| row.state == VmState::Live);
+        let peers = live.map(|row| SpreadPeer {
+            node: row.control_address(),
+            order: order(&row.identity.name),
+            near: row.identity.data_centre == me.data_centre,
+        });
+        earlier_peer(order(&me.name), peers, &mut self.rng.borrow_mut())
     }
 
     /// Returns once the watch under way is to be made anew.
@@ -94,10 +153,15 @@
 
     /// What this node tells of its reading.
     pub fn stamp(&self) -> Stamp {
-        Stamp { revision: self.feed.borrow().revision(), index: 0 }
+        Stamp { revision: self.feed.borrow().mark().revision, index: 0 }
     }
 }
 
+/// What nodes are ranked for when they ask each other for a revision: another order for each.
+fn spread_subject(revision: u64) -> String {
+    format!("state/{revision}")
+}
+
 /// A membership that knows only this node.
 pub fn membership(settings: &NodeSettings, incarnation: Incarnation, seed: u64, now_us: u64) -> Membership {
     let options = MembershipOptions {
--- a/crates/pointvane-node/src/publication.rs
+++ b/crates/pointvane-node/src/publication.rs
@@ -50,7 +50,7 @@
         if configuration.version <= self.routes.borrow().version() {
             return;
         }
-        let index = self.feed.borrow().revision();
+        let index = self.feed.borrow().mark().revision;
         self.report.note(EventKind::ConfigurationAccepted { revision: configuration.version, index });
         *self.routes.borrow_mut() = Rc::new(RouteTable::new(configuration));
     }
--- a/crates/pointvane-node/src/relay.rs
+++ b/crates/pointvane-node/src/relay.rs
@@ -3,7 +3,7 @@
 use {
     crate::node::Node,
     pointvane_core::{PlatformAdapter, VmState},
-    pointvane_dispatch::WireRelay,
+    pointvane_dispatch::{Relay, WireRelay},
     pointvane_mesh::codec,
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::UdpSocket, time::interval},
@@ -21,20 +21,25 @@
     let mut ticks = interval(RELAY_INTERVAL);
     loop {
         ticks.tick().await;
-        node.send_relay();
+        if node.feed.borrow().is_sentinel() {
+            node.send_relay();
+        }
     }
 }
 
 async fn hear<A: PlatformAdapter>(node: &Node<A>, socket: &UdpSocket) {
     let mut buffer = [0; codec::DATAGRAM_LIMIT_BYTES];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
         let Ok(wire) = codec::decode::<WireRelay>(&buffer[..length]) else {
             continue;
         };
-        let changes = node.feed.borrow_mut().hear_relay(wire.into(), node.now_us());
+        let relay = Relay::from(wire);
+        node.note_teller(from.ip());
+        let order = node.spread_order(relay.mark.revision);
+        let changes = node.feed.borrow_mut().hear_relay(relay, order, node.now_us());
         if !changes.is_empty() {
             node.apply(changes);
         }
@@ -43,7 +48,7 @@
 }
 
 impl<A: PlatformAdapter> Node<A> {
-    /// Tells all others what this node knows of the platform, if it is a sentinel.
+    /// Tells all others what this node knows of the platform, if that is current.
     pub fn send_relay(&self) {
         let relay = self.feed.borrow().relay(self.now_us());
         let (Some(relay), Some(socket)) = (relay, self.relay_socket()) else {
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -37,6 +37,7 @@
     repeats: Counter<u64>,
     probes: Counter<u64>,
     platform_calls: Counter<u64>,
+    peer_questions: Counter<u64>,
     request_s: Histogram<f64>,
     upstream_s: Histogram<f64>,
 }
@@ -67,6 +68,7 @@
             repeats: counter("pointvane_node_repeats"),
             probes: counter("pointvane_node_probes"),
             platform_calls: counter("pointvane_node_platform_calls"),
+            peer_questions: counter("pointvane_node_peer_questions"),
             request_s: histogram("pointvane_node_request"),
             upstream_s: histogram("pointvane_node_upstream"),
             metrics,
@@ -133,6 +135,11 @@
         self.platform_calls.add(1, &[]);
     }
 
+    /// Counts a question to another node.
+    pub fn asked_peer(&self) {
+        self.peer_questions.add(1, &[]);
+    }
+
     /// A label whose values are bounded.
     fn label(&self, key: &'static str, value: &Name) -> KeyValue {
         let mut labels = self.labels.borrow_mut();
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         directory, feed, gossip, node::Node, operator, relay, report::Report, serve::listen,
-        settings::NodeSettings, stop, traffic,
+        settings::NodeSettings, state_exchange, stop, traffic,
     },
     eyre::{Result, WrapErr},
     pointvane_config::NodeOptions,
@@ -11,7 +11,7 @@
     pointvane_telemetry::EventKind,
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
-        net::UdpSocket,
+        net::{TcpListener, UdpSocket},
         runtime::Builder,
         signal::unix::{SignalKind, signal},
         task::{LocalSet, spawn_local},
@@ -60,6 +60,8 @@
         listen(Rc::clone(&node), address, operator::operator).await?;
     }
     spawn_local(gossip::gossip(Rc::clone(&node), socket));
+    let questions = TcpListener::bind(settings.gossip).await.wrap_err("questions of nodes")?;
+    spawn_local(state_exchange::serve(Rc::clone(&node), questions));
     spawn_local(relay::relay(Rc::clone(&node), relays));
     spawn_local(feed::read(Rc::clone(&node)));
     node.report.note(EventKind::Started);
--- a/crates/pointvane-node/src/settings.rs
+++ b/crates/pointvane-node/src/settings.rs
@@ -12,6 +12,8 @@
     pub name: Name,
     /// Where the VM stands.
     pub data_centre: Name,
+    /// Whether the whole fleet starts for the first time, so that no other node knows anything yet.
+    pub first_start: bool,
     /// Where callers' requests are taken.
     pub traffic: SocketAddr,
     /// Where the node says whether it is ready.
@@ -20,7 +22,7 @@
     pub directory: SocketAddr,
     /// Where operators read metrics, events and status, if anywhere.
     pub operator: Option<SocketAddr>,
-    /// Where datagrams of other nodes are taken.
+    /// Where datagrams and questions of other nodes are taken.
     pub gossip: SocketAddr,
     /// Where the platform answers.
     pub platform: SocketAddr,
--- /dev/null
+++ b/crates/pointvane-node/src/state_exchange.rs
@@ -0,0 +1,88 @@
+//! Questions of nodes to each other for what they know of the platform, over TCP: one frame each way.
+
+use {
+    crate::{node::Node, socket},
+    pointvane_core::{PlatformAdapter, RoutingConfiguration, UpstreamRecord},
+    pointvane_dispatch::{HeldState, StateReply, StateRequest},
+    pointvane_mesh::codec,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{io, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        task::spawn_local,
+        time::timeout,
+    },
+};
+
+/// Longest time that an asker may take.
+const ASKER_PATIENCE: Duration = Duration::from_secs(1);
+
+impl<A: PlatformAdapter> HeldState for Node<A> {
+    fn upstreams(&self) -> Vec<UpstreamRecord> {
+        self.pool.borrow().records().cloned().collect()
+    }
+
+    fn configuration(&self) -> RoutingConfiguration {
+        self.route_table().configuration()
+    }
+}
+
+/// Answers other nodes for as long as the process lives.
+pub async fn serve<A: PlatformAdapter + 'static>(node: Rc<Node<A>>, listener: TcpListener) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            let node = Rc::clone(&node);
+            // The asker goes elsewhere when it gets no answer.
+            spawn_local(async move { timeout(ASKER_PATIENCE, answer(&node, stream)).await });
+        }
+    }
+}
+
+async fn answer<A: PlatformAdapter>(node: &Node<A>, mut stream: TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let request: StateRequest = read_frame(&mut stream).await?;
+    let reply = node.feed.borrow().answer(&request, node, node.now_us());
+    write_frame(&mut stream, &reply).await?;
+    // Closing with the asker's end unread would cut the answer off.
+    stream.shutdown().await
+}
+
+/// Asks another node; none if it knows no more.
+///
+/// # Errors
+/// Those of the connection, and a time-out.
+pub async fn ask(
+    peer: SocketAddr,
+    request: &StateRequest,
+    patience: Duration,
+) -> io::Result<Option<StateReply>> {
+    timeout(patience, exchange(peer, request, patience)).await?
+}
+
+async fn exchange(
+    peer: SocketAddr,
+    request: &StateRequest,
+    patience: Duration,
+) -> io::Result<Option<StateReply>> {
+    let mut stream = socket::connect(peer, patience).await?;
+    write_frame(&mut stream, request).await?;
+    read_frame(&mut stream).await
+}
+
+async fn write_frame<T: Serialize>(stream: &mut TcpStream, message: &T) -> io::Result<()> {
+    let frame = codec::frame(message).map_err(io::Error::other)?;
+    stream.write_all(&frame).await
+}
+
+async fn read_frame<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
+    let mut first = [0; 4];
+    stream.read_exact(&mut first).await?;
+    let length = codec::frame_length(first).map_err(io::Error::other)?;
+    let mut bytes = Vec::new();
+    stream.take(length as u64).read_to_end(&mut bytes).await?;
+    if bytes.len() < length {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    codec::decode(&bytes).map_err(io::Error::other)
+}
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -8,6 +8,7 @@
     std::{
         collections::VecDeque,
         fmt,
+        net::SocketAddr,
         sync::{Mutex, PoisonError},
     },
 };
@@ -88,6 +89,8 @@
     UpstreamTold { service: Name, upstream: Name, draining: bool, sequence: u64 },
     /// An upstream's entry is gone.
     UpstreamGone { upstream: Name },
+    /// Another node told what it knows of the platform, from a word of the platform's of that age.
+    StateTold { peer: SocketAddr, revision: u64, age_ms: u64 },
     /// An item of the platform could not be understood.
     ItemRefused { key: String, problem: String },
     /// A watch was given up and made anew, since peers have seen a later revision or hung watches must be noticed.
