Upstreams whose entries lapsed while the store was away stay in use for 2.2 s after its return

Cause: entries lapse while the store is down, and a node forgot their upstreams the moment it read so, though they lived; for one to two seconds half of the upstreams or more were missing. The users say that entries are back within about two seconds of the return. Now a silence of 2.5 s or more is an absence of the store, unless peers have read on for a second meanwhile (then it was this node's alone); for 2.2 s after it an entry that is gone counts as lapsed, its upstream stays in use, is not told to other nodes, and is forgotten if it is not back. One that was leaving is forgotten at once. Ruled out: longer holding (a node is in touch again 3 s after the return and bound by the entries from then on).

--- a/crates/pointvane-dispatch/src/feed.rs
+++ b/crates/pointvane-dispatch/src/feed.rs
@@ -97,6 +97,11 @@
         self.mark
     }
 
+    /// Until when an upstream whose entry is gone may still come back, in case it lapsed; past if none may.
+    pub fn reentry_until_us(&self) -> u64 {
+        self.freshness.reentry_until_us()
+    }
+
     /// Whether the last calls to the platform failed.
     pub fn is_lost(&self) -> bool {
         self.failures > 0
@@ -234,7 +239,7 @@
         self.watching = false;
         self.failures = 0;
         self.rest_until_us = now_us;
-        self.freshness.confirm(now_us);
+        self.freshness.confirm(now_us, &self.options);
         self.draw_follower_wait();
     }
 
@@ -325,7 +330,7 @@
             return Vec::new();
         }
         self.alone = false;
-        self.freshness.confirm(now_us.saturating_sub(relay.age_ms * US_PER_MS));
+        self.freshness.confirm(now_us.saturating_sub(relay.age_ms * US_PER_MS), &self.options);
         self.advance(relay.mark.revision, &relay.changes);
         relay.changes
     }
@@ -348,6 +353,7 @@
     /// Takes what this node does for the others, and the latest revision that any peer has seen.
     pub fn hear_peers(&mut self, role: ReaderRole, latest: u64, now_us: u64) {
         self.role = role;
+        self.freshness.passed(latest > self.mark.revision, now_us);
         let waits = self.reading.is_some() || now_us < self.rest_until_us || self.lag.is_some();
         if latest <= self.mark.revision || waits {
             self.behind_since_us = None;
@@ -389,7 +395,7 @@
             return Vec::new();
         }
         let StateReply { mark, whole, .. } = reply;
-        self.freshness.confirm(now_us.saturating_sub(reply.age_ms * US_PER_MS));
+        self.freshness.confirm(now_us.saturating_sub(reply.age_ms * US_PER_MS), &self.options);
         let changes = reply.into_changes(known);
         self.mark.version = self.mark.version.max(mark.version);
         if self.reading.take().is_some() {
--- a/crates/pointvane-dispatch/src/feed/options.rs
+++ b/crates/pointvane-dispatch/src/feed/options.rs
@@ -34,6 +34,12 @@
     pub lease_ms: u64,
     /// Least and most time that a follower waits for a deputy's word after its lease, in milliseconds.
     pub follower_wait_ms: (u64, u64),
+    /// Silence of the platform after which it may have dropped entries of upstreams that live, in milliseconds.
+    pub absence_ms: u64,
+    /// Time after its return within which such entries come back, in milliseconds.
+    pub reentry_ms: u64,
+    /// Time for which peers have read on after which a silence counts as this node's alone, in milliseconds.
+    pub own_absence_ms: u64,
 }
 
 impl Default for FeedOptions {
@@ -53,6 +59,9 @@
             behind_ms: 500,
             lease_ms: 1_450,
             follower_wait_ms: (120, 280),
+            absence_ms: 2_500,
+            reentry_ms: 2_200,
+            own_absence_ms: 1_000,
         }
     }
 }
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -126,7 +126,8 @@
     /// Takes the platform's word on an upstream; false if it tells nothing new.
     pub fn put(&mut self, record: UpstreamRecord, now_us: u64) -> bool {
         if let Some(state) = self.by_id.get(&record.id).and_then(|key| self.upstreams.get_mut(key)) {
-            if record.sequence < state.record.sequence || record == state.record {
+            let told = record == state.record && state.lapsed_until_us.is_none();
+            if record.sequence < state.record.sequence || told {
                 return false;
             }
             if state.record.service == record.service && state.record.address == record.address {
@@ -147,6 +148,30 @@
         true
     }
 
+    /// Takes the platform's word that an upstream's entry is gone; true if the upstream is forgotten at once.
+    ///
+    /// Until `reentry_until_us` the entry may only have lapsed while the platform was away: the upstream stays in use
+    /// until then, unless it was leaving.
+    pub fn gone(&mut self, id: &Name, reentry_until_us: u64, now_us: u64) -> bool {
+        let state = self.by_id.get(id).and_then(|key| self.upstreams.get_mut(key));
+        if now_us < reentry_until_us
+            && let Some(state) = state.filter(|state| !state.record.draining)
+        {
+            state.lapsed_until_us.get_or_insert(reentry_until_us);
+            return false;
+        }
+        self.remove(id)
+    }
+
+    /// Forgets upstreams whose entries lapsed and did not come back; gives their identities.
+    pub fn forget_lapsed(&mut self, now_us: u64) -> Vec<Name> {
+        let over = |state: &&UpstreamState| state.lapsed_until_us.is_some_and(|until_us| now_us >= until_us);
+        let forgotten: Vec<Name> =
+            self.upstreams.values().filter(over).map(|state| state.id().clone()).collect();
+        forgotten.iter().for_each(|id| _ = self.remove(id));
+        forgotten
+    }
+
     /// Forgets an upstream; false if it was not known.
     pub fn remove(&mut self, id: &Name) -> bool {
         let Some(key) = self.by_id.remove(id) else {
@@ -164,9 +189,10 @@
         true
     }
 
-    /// What the platform says of all upstreams.
+    /// What the platform says of all upstreams whose entries stand.
     pub fn records(&self) -> impl Iterator<Item = &UpstreamRecord> {
-        self.upstreams.values().map(|state| &state.record)
+        let listed = self.upstreams.values().filter(|state| state.lapsed_until_us.is_none());
+        listed.map(|state| &state.record)
     }
 
     /// Identities of all upstreams.
--- a/crates/pointvane-dispatch/src/upstream.rs
+++ b/crates/pointvane-dispatch/src/upstream.rs
@@ -42,6 +42,8 @@
 pub struct UpstreamState {
     /// What the platform says.
     pub record: UpstreamRecord,
+    /// Until when it stays in use though its entry is gone, if it is.
+    pub lapsed_until_us: Option<u64>,
     /// Requests of this node that it holds.
     pub own: u32,
     /// Requests sent to it since its last word.
@@ -63,6 +65,7 @@
         let warm_at_us = now_us + record.warm_up_left_ms * 1_000;
         Self {
             record,
+            lapsed_until_us: None,
             own: 0,
             sent_since: 0,
             sample: None,
@@ -79,6 +82,7 @@
     /// Takes the platform's newer word; one that is leaving never comes back.
     pub fn update(&mut self, record: UpstreamRecord, now_us: u64) {
         let draining = self.record.draining || record.draining;
+        self.lapsed_until_us = None;
         self.warm_at_us = now_us + record.warm_up_left_ms * 1_000;
         self.record = UpstreamRecord { draining, ..record };
     }
--- a/crates/pointvane-dispatch/tests/feed.rs
+++ b/crates/pointvane-dispatch/tests/feed.rs
@@ -1,11 +1,13 @@
 //! Reading of the platform: what a node knows, and when, whatever the platform does.
 
+mod common;
 mod fleet;
 
 use {
-    fleet::{CUT, MS, SOUND, STEP_MS, Silent, SimNetwork, SimPlatform, page, play, upstream},
+    common::{configured, page, told},
+    fleet::{CUT, MS, SOUND, STEP_MS, Silent, SimNetwork, SimPlatform, play},
     googletest::prelude::*,
-    pointvane_core::{Change, ChangePage, Name, RoutingConfiguration},
+    pointvane_core::{Change, ChangePage, Name},
     pointvane_dispatch::{CallFailure, Feed, FeedCall, FeedOptions},
 };
 
@@ -130,7 +132,7 @@
 fn a_read_of_everything_forgets_what_is_no_longer_listed() {
     let mut feed = feed();
     let known: [Name; 2] = ["one".into(), "two".into()];
-    let changes = feed.read(page(5, vec![upstream("two", false)]), known.iter(), MS);
+    let changes = feed.read(page(5, vec![told("two", 1)]), known.iter(), MS);
     expect_that!(changes, contains(eq(&Change::UpstreamGone("one".into()))));
     expect_that!(changes, not(contains(eq(&Change::UpstreamGone("two".into())))));
 }
@@ -138,11 +140,11 @@
 #[gtest]
 fn pages_are_watched_again_from_the_first_pages_revision() {
     let mut feed = feed();
-    let first = ChangePage { next_page: Some("m".into()), ..page(5, vec![upstream("a", false)]) };
+    let first = ChangePage { next_page: Some("m".into()), ..page(5, vec![told("a", 1)]) };
     feed.read(first, [].iter(), MS);
     expect_that!(feed.next(MS), matches_pattern!(FeedCall::Snapshot { next_page: some(eq("m")), .. }));
     let known: [Name; 1] = ["a".into()];
-    let changes = feed.read(page(9, vec![upstream("n", false)]), known.iter(), MS);
+    let changes = feed.read(page(9, vec![told("n", 1)]), known.iter(), MS);
     expect_that!(changes.len(), eq(1), "an upstream of the first page is not gone");
     expect_that!(feed.next(1_000 * MS), matches_pattern!(FeedCall::Watch { after: eq(&5), .. }));
 }
@@ -161,8 +163,7 @@
     feed.read(page(50, Vec::new()), [].iter(), MS);
     // A page answers a call: what counts is the revision that the call was made after.
     expect_that!(feed.next(1_000 * MS), matches_pattern!(FeedCall::Watch { after: eq(&50), .. }));
-    let older =
-        vec![Change::Configuration(Box::new(RoutingConfiguration { version: 3, ..Default::default() }))];
+    let older = vec![configured(3)];
     expect_that!(feed.watched(page(20, older), 1_001 * MS), is_empty());
     expect_that!(feed.next(1_001 * MS), matches_pattern!(FeedCall::Snapshot { .. }));
 }
--- a/crates/pointvane-dispatch/tests/fleet/mod.rs
+++ b/crates/pointvane-dispatch/tests/fleet/mod.rs
@@ -1,7 +1,8 @@
 //! A fleet of feeds before a platform that changes, falls silent and comes back; all time is given.
 
 use {
-    pointvane_core::{Change, ChangePage, RoutingConfiguration, UpstreamRecord},
+    crate::common::{configuration, configured, page, told},
+    pointvane_core::{Change, RoutingConfiguration, UpstreamRecord},
     pointvane_dispatch::{
         CallFailure, Feed, FeedCall, FeedOptions, HeldState, ReadMark, ReaderRole, Relay, SpreadPeer,
         StateReply, Whom, earlier_peer,
@@ -21,27 +22,6 @@
 const SENTINELS: usize = 2;
 const DEPUTIES: usize = 4;
 
-pub fn upstream(id: &str, draining: bool) -> Change {
-    Change::Upstream(UpstreamRecord {
-        id: id.into(),
-        service: "dispatch".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "one".into(),
-        slots: 3,
-        draining,
-        warm_up_left_ms: 0,
-        sequence: 1,
-    })
-}
-
-pub fn page(revision: u64, changes: Vec<Change>) -> ChangePage {
-    ChangePage { revision, changes, ..ChangePage::default() }
-}
-
-pub fn configuration(version: u64) -> RoutingConfiguration {
-    RoutingConfiguration { version, ..RoutingConfiguration::default() }
-}
-
 /// Whom the platform does not answer.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Silent {
@@ -79,8 +59,8 @@
 
     fn changes(&self, revision: u64) -> Vec<Change> {
         match self.large {
-            true => vec![Change::Configuration(Box::new(configuration(revision)))],
-            false => vec![upstream("one", false)],
+            true => vec![configured(revision)],
+            false => vec![told("one", 1)],
         }
     }
 }
--- a/crates/pointvane-dispatch/tests/relays.rs
+++ b/crates/pointvane-dispatch/tests/relays.rs
@@ -1,38 +1,16 @@
 //! What a node makes of relays that repeat what it holds already.
 
+mod common;
+
 use {
+    common::{gone, page, record, told},
     googletest::prelude::*,
-    pointvane_core::{Change, ChangePage, Name, UpstreamRecord},
+    pointvane_core::{Change, Name, UpstreamRecord},
     pointvane_dispatch::{Feed, FeedOptions, Pool, PoolOptions, ReaderRole, Relay, Wanted},
 };
 
 const MS: u64 = 1_000;
 
-fn record(id: &str, sequence: u64) -> UpstreamRecord {
-    UpstreamRecord {
-        id: id.into(),
-        service: "dispatch".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "one".into(),
-        slots: 3,
-        draining: false,
-        warm_up_left_ms: 0,
-        sequence,
-    }
-}
-
-fn told(id: &str, sequence: u64) -> Change {
-    Change::Upstream(record(id, sequence))
-}
-
-fn gone(id: &str) -> Change {
-    Change::UpstreamGone(id.into())
-}
-
-fn page(revision: u64, changes: Vec<Change>) -> ChangePage {
-    ChangePage { revision, changes, ..ChangePage::default() }
-}
-
 /// A feed that has read everything at a revision.
 fn read_up_to(revision: u64) -> Feed {
     let mut feed = Feed::new(FeedOptions::default(), 1);
--- a/crates/pointvane-dispatch/tests/states.rs
+++ b/crates/pointvane-dispatch/tests/states.rs
@@ -1,8 +1,11 @@
 //! What nodes ask of each other, and which answers they take.
 
+mod common;
+
 use {
+    common::{configuration, configured, page, record, told},
     googletest::prelude::*,
-    pointvane_core::{Change, ChangePage, Name, RoutingConfiguration, UpstreamRecord},
+    pointvane_core::{Change, Name, RoutingConfiguration, UpstreamRecord},
     pointvane_dispatch::{
         Feed, FeedCall, FeedOptions, HeldState, ReadMark, ReaderRole, Relay, StateReply, StateRequest,
     },
@@ -11,35 +14,6 @@
 const MS: u64 = 1_000;
 const NOTHING: StateRequest = StateRequest { known: ReadMark { revision: 0, version: 0 } };
 
-fn record(id: &str, sequence: u64) -> UpstreamRecord {
-    UpstreamRecord {
-        id: id.into(),
-        service: "dispatch".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "one".into(),
-        slots: 3,
-        draining: false,
-        warm_up_left_ms: 0,
-        sequence,
-    }
-}
-
-fn told(id: &str, sequence: u64) -> Change {
-    Change::Upstream(record(id, sequence))
-}
-
-fn configured(version: u64) -> Change {
-    Change::Configuration(Box::new(configuration(version)))
-}
-
-fn configuration(version: u64) -> RoutingConfiguration {
-    RoutingConfiguration { version, ..RoutingConfiguration::default() }
-}
-
-fn page(revision: u64, changes: Vec<Change>) -> ChangePage {
-    ChangePage { revision, changes, ..ChangePage::default() }
-}
-
 /// What a peer holds.
 struct Held {
     ids: &'static [&'static str],
--- a/crates/pointvane-node/src/gossip.rs
+++ b/crates/pointvane-node/src/gossip.rs
@@ -46,6 +46,7 @@
         let actions = node.membership.borrow_mut().tick(node.now_us());
         node.perform(actions);
         node.look_at_peers();
+        node.forget_lapsed();
     }
 }
 
--- a/crates/pointvane-node/src/publication.rs
+++ b/crates/pointvane-node/src/publication.rs
@@ -3,7 +3,7 @@
 use {
     crate::node::Node,
     pointvane_core::{
-        Change, PlatformAdapter, RefusedItem, RoutingConfiguration, UpstreamLoad, UpstreamRecord,
+        Change, Name, PlatformAdapter, RefusedItem, RoutingConfiguration, UpstreamLoad, UpstreamRecord,
     },
     pointvane_dispatch::{RouteTable, UpstreamKey},
     pointvane_telemetry::EventKind,
@@ -22,11 +22,7 @@
             match change {
                 Change::Configuration(configuration) => self.take_configuration(*configuration),
                 Change::Upstream(record) => self.take_upstream(record),
-                Change::UpstreamGone(id) => {
-                    if self.pool.borrow_mut().remove(&id) {
-                        self.report.note(EventKind::UpstreamGone { upstream: id });
-                    }
-                }
+                Change::UpstreamGone(id) => self.take_gone(id),
             }
         }
         self.share_budgets();
@@ -45,6 +41,21 @@
         }
     }
 
+    fn take_gone(&self, id: Name) {
+        let reentry_until_us = self.feed.borrow().reentry_until_us();
+        if self.pool.borrow_mut().gone(&id, reentry_until_us, self.now_us()) {
+            self.report.note(EventKind::UpstreamGone { upstream: id });
+        }
+    }
+
+    /// Forgets upstreams whose entries went while the platform was away and did not come back.
+    pub fn forget_lapsed(&self) {
+        let forgotten = self.pool.borrow_mut().forget_lapsed(self.now_us());
+        for upstream in forgotten {
+            self.report.note(EventKind::UpstreamGone { upstream });
+        }
+    }
+
     /// A node never goes back to an older configuration within its life.
     fn take_configuration(&self, configuration: RoutingConfiguration) {
         if configuration.version <= self.routes.borrow().version() {
