A refusal reaches its caller within a quarter of the target; a full upstream is taken to work 1.7 times as long

Now looking ends a quarter of the target, less the way back and 4 ms, after the request came; the factor is 1.7. Test: attempts (a refusal within a quarter of the target).

--- a/crates/pointvane-dispatch/src/admission.rs
+++ b/crates/pointvane-dispatch/src/admission.rs
@@ -15,6 +15,10 @@
     pub come_back_share: (f64, f64),
     /// Time between caller and node and back, in milliseconds.
     pub caller_way_ms: f64,
+    /// Part of the target time for which a good upstream is looked for.
+    pub look_share: f64,
+    /// Part of the target time within which a refusal reaches the caller, who then comes back in good time.
+    pub refusal_share: f64,
 }
 
 impl Default for AdmissionOptions {
@@ -25,6 +29,8 @@
             time_left_share: 0.0,
             come_back_share: (0.5, 1.3),
             caller_way_ms: 16.0,
+            look_share: 0.1,
+            refusal_share: 0.25,
         }
     }
 }
@@ -42,7 +48,25 @@
     pub whole_ms: f64,
 }
 
+/// Time that a refusal takes within this node, in milliseconds.
+const REFUSAL_MS: f64 = 4.0;
+/// Least time for which a good upstream is looked for, in milliseconds.
+const LOOK_MIN_MS: f64 = 5.0;
+
 impl AdmissionOptions {
+    /// How long a good upstream is looked for, in milliseconds, for a request that has not been sent and came
+    /// `spent_ms` ago: so long that a refusal still reaches its caller early.
+    pub fn look_ms(&self, route: &RouteRule, spent_ms: f64) -> f64 {
+        let target_ms = route.target_latency_ms as f64;
+        let refusal_in_ms = target_ms * self.refusal_share - self.caller_way_ms - REFUSAL_MS - spent_ms;
+        self.look_again_ms(route).min(refusal_in_ms).max(LOOK_MIN_MS)
+    }
+
+    /// The same for a request that was sent before.
+    pub fn look_again_ms(&self, route: &RouteRule) -> f64 {
+        route.target_latency_ms as f64 * self.look_share
+    }
+
     /// Whether a request is to be refused at once.
     pub fn refuses(&self, route: &RouteRule, outlook: &Outlook) -> bool {
         let target_ms = route.target_latency_ms as f64;
--- a/crates/pointvane-dispatch/src/upstream.rs
+++ b/crates/pointvane-dispatch/src/upstream.rs
@@ -22,7 +22,7 @@
 const COLD_FACTOR: f32 = 2.0;
 /// Share of the slots beyond which work may slow down, and by how much it is taken to.
 const BUSY_SHARE: f32 = 0.8;
-const BUSY_FACTOR: f32 = 1.35;
+const BUSY_FACTOR: f32 = 1.7;
 /// Weight of the newest outcome in the running share of failures.
 const FAILURE_WEIGHT: f32 = 0.15;
 /// Factor on the cost of an upstream that always fails.
--- a/crates/pointvane-dispatch/tests/attempts.rs
+++ b/crates/pointvane-dispatch/tests/attempts.rs
@@ -140,6 +140,19 @@
     expect_that!(refused(1, 600.0), eq(true));
 }
 
+#[gtest]
+fn a_refusal_reaches_its_caller_within_a_quarter_of_the_target() {
+    let options = AdmissionOptions::default();
+    for spent_ms in [0.0, 2.0, 8.0, 20.0] {
+        // The route's target is 200 ms; a look once begun takes 5 ms at least.
+        let refused_at_ms = spent_ms + options.look_ms(&route(2), spent_ms) + options.caller_way_ms;
+        expect_that!(refused_at_ms, le(50.0_f64.max(spent_ms + 5.0 + options.caller_way_ms)));
+    }
+    expect_that!(options.look_ms(&route(2), 0.0), near(20.0, 0.1));
+    expect_that!(options.look_ms(&route(2), 25.0), near(5.0, 0.1));
+    expect_that!(options.look_again_ms(&route(2)), near(20.0, 0.1));
+}
+
 #[gtest]
 fn a_refused_caller_comes_back_within_its_time() {
     let options = AdmissionOptions::default();
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -22,8 +22,6 @@
 
 /// Least and most share of the target time after which a second attempt is considered.
 const HEDGE_SHARES: (f64, f64) = (0.1, 0.55);
-/// Share of the target time for which a good upstream is looked for.
-const LOOK_SHARE: f64 = 0.1;
 /// Attempts that could not be sent, beyond which a request is given up.
 const UNSENT_MAX: u32 = 4;
 
@@ -113,8 +111,13 @@
 
     /// The best upstream, after a short search for a good one.
     fn best(&self) -> Choice {
-        let target_us = self.request.routed.route.target_latency_ms * US_PER_MS;
-        Choice::Best { look_until_us: self.node.now_us() + (target_us as f64 * LOOK_SHARE) as u64 }
+        let (request, admission, now_us) = (&self.request, self.node.admission(), self.node.now_us());
+        let spent_us = now_us.saturating_sub(request.times.arrived_at_us);
+        let look_ms = match request.arrivals.get() {
+            0 => admission.look_ms(&request.routed.route, spent_us as f64 / US_PER_MS as f64),
+            _ => admission.look_again_ms(&request.routed.route),
+        };
+        Choice::Best { look_until_us: now_us + (look_ms * US_PER_MS as f64) as u64 }
     }
 
     fn attempts_left(&self) -> bool {
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -24,6 +24,8 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(6);
 /// Longest wait for the answers of one stage.
 const STAGE_PATIENCE: Duration = Duration::from_millis(30);
+/// The same once the time for looking is over.
+const STAGE_PATIENCE_MIN: Duration = Duration::from_millis(6);
 /// Longest wait for one answer; longer silence counts as a failure.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(150);
 /// Most bytes of an answer's body that are read to keep the connection.
@@ -49,6 +51,19 @@
     GoodOnly,
 }
 
+impl Choice {
+    /// Longest wait for the answers of a stage that begins now: no longer than a good upstream is looked for.
+    fn stage_patience(self, now_us: u64) -> Duration {
+        match self {
+            Self::GoodOnly => STAGE_PATIENCE,
+            Self::Best { look_until_us } => {
+                let left = Duration::from_micros(look_until_us.saturating_sub(now_us));
+                left.clamp(STAGE_PATIENCE_MIN, STAGE_PATIENCE)
+            }
+        }
+    }
+}
+
 /// What was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Chosen {
@@ -68,7 +83,7 @@
 ) -> Chosen {
     let tried = request.tried.borrow().clone();
     loop {
-        let chosen = look(node, &request.routed.service, &tried, request.body_bytes()).await;
+        let chosen = look(node, request, &tried, choice).await;
         let goes_on = match choice {
             Choice::Best { look_until_us } => node.now_us() < look_until_us,
             Choice::GoodOnly => false,
@@ -82,11 +97,12 @@
 
 async fn look<A: PlatformAdapter + 'static>(
     node: &Rc<Node<A>>,
-    service: &Name,
+    request: &CallerRequest,
     tried: &[UpstreamKey],
-    body_bytes: usize,
+    choice: Choice,
 ) -> Chosen {
     let now_us = node.now_us();
+    let (service, body_bytes) = (&request.routed.service, request.body_bytes());
     let stages = [node.options.choice.ask_first, node.options.choice.ask_more];
     let wanted = Wanted { tried, body_bytes, count: stages.iter().sum() };
     let candidates = node.pool.borrow_mut().candidates(service, &wanted, now_us);
@@ -102,7 +118,8 @@
     for stage in stages {
         let (now, later) = rest.split_at(stage.min(rest.len()));
         rest = later;
-        if let Some(good) = ask_stage(node, service, now, &mut answered).await {
+        let until = Instant::now() + choice.stage_patience(node.now_us());
+        if let Some(good) = ask_stage(node, service, now, until, &mut answered).await {
             return Chosen::Good(good);
         }
     }
@@ -121,12 +138,12 @@
     node: &Rc<Node<A>>,
     service: &Name,
     keys: &[UpstreamKey],
+    until: Instant,
     answered: &mut Vec<UpstreamKey>,
 ) -> Option<UpstreamKey> {
     let (answers, mut answer) = unbounded_channel();
     let mut waiting = keys.iter().filter(|key| ask(node, service, **key, answers.clone())).count();
     drop(answers);
-    let until = Instant::now() + STAGE_PATIENCE;
     while waiting > 0 {
         let Ok(Some(key)) = timeout_at(until, answer.recv()).await else {
             break;
