A node starts with its savings of probes, asks peers briefly, and tells callers to come back soon

Now a share begins with its savings of 3 s, and 0.9 of the budget is used, so that it is kept over each half minute; a start waits 40 ms for a peer; a refusal without a time of its own says 80 ms. The budget of probes moved to pointvane-dispatch. Tests: attempts (the budget over each window), states (a start asks briefly).

--- a/crates/pointvane-dispatch/src/budget.rs
+++ b/crates/pointvane-dispatch/src/budget.rs
@@ -1,5 +1,7 @@
 //! Budgets that hold for the whole fleet without agreement: each node spends a share that is safe by itself.
 
+use pointvane_balance::TokenBucket;
+
 /// Rules of the fleet's budget of repeated attempts at one service.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudgetOptions {
@@ -59,3 +61,45 @@
         enough
     }
 }
+
+/// Part of the fleet's budget of probes that is used.
+///
+/// With the savings, the budget is kept over each [`PROBE_WINDOW_S`].
+const PROBES_USED: f64 = 0.9;
+/// Seconds of probes that may be saved up.
+const PROBES_SAVED_S: f64 = 3.0;
+/// Seconds over which the budget of probes is kept.
+pub const PROBE_WINDOW_S: f64 = 30.0;
+
+/// A node's share of the fleet's budget of probes.
+///
+/// It begins with its savings: nothing was asked while the node was not there, and after a start everything has to be
+/// asked.
+#[derive(Clone, Debug)]
+pub struct ProbeBudget {
+    bucket: TokenBucket,
+    begun: bool,
+}
+
+impl ProbeBudget {
+    /// A share of nothing, until [`Self::set`] tells of what.
+    pub fn new(now_us: u64) -> Self {
+        Self { bucket: TokenBucket::empty(0.0, 0.0, now_us), begun: false }
+    }
+
+    /// Takes the probes that each of so many upstreams may get a second, and the nodes that share them.
+    pub fn set(&mut self, per_upstream_per_s: f64, upstreams: usize, nodes: usize, now_us: u64) {
+        let rate_per_s = per_upstream_per_s * PROBES_USED * upstreams as f64 / nodes.max(1) as f64;
+        let saved_max = rate_per_s * PROBES_SAVED_S;
+        self.bucket.set(rate_per_s, saved_max, now_us);
+        if !self.begun && upstreams > 0 {
+            self.begun = true;
+            self.bucket.earn(saved_max);
+        }
+    }
+
+    /// Takes the price of one probe, if it is there.
+    pub fn take(&mut self, now_us: u64) -> bool {
+        self.bucket.take(1.0, now_us)
+    }
+}
--- a/crates/pointvane-dispatch/src/feed.rs
+++ b/crates/pointvane-dispatch/src/feed.rs
@@ -162,7 +162,11 @@
 
     fn ask_peer(&self, whom: Whom) -> FeedCall {
         let request = StateRequest { known: self.mark };
-        FeedCall::AskPeer { whom, request, patience_ms: self.options.peer_patience_ms }
+        let patience_ms = match whom {
+            Whom::Anyone => self.options.start_patience_ms,
+            Whom::Earlier | Whom::Teller => self.options.peer_patience_ms,
+        };
+        FeedCall::AskPeer { whom, request, patience_ms }
     }
 
     fn watch(&mut self, wait_ms: u64) -> FeedCall {
--- a/crates/pointvane-dispatch/src/feed/options.rs
+++ b/crates/pointvane-dispatch/src/feed/options.rs
@@ -15,6 +15,8 @@
     pub peer_asks: u32,
     /// Peers that are asked for a state after the start, before the platform is.
     pub start_asks: u32,
+    /// Longest wait for each of their answers, in milliseconds: when all nodes start together, none knows anything.
+    pub start_patience_ms: u64,
     /// Rest between two of these, in milliseconds.
     pub start_rest_ms: u64,
     /// Time over which all nodes ask peers for a new state, in milliseconds.
@@ -50,6 +52,7 @@
             peer_patience_ms: 200,
             peer_asks: 2,
             start_asks: 1,
+            start_patience_ms: 40,
             start_rest_ms: 0,
             spread_ms: 300,
             settle_ms: 300,
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use {
     admission::{AdmissionOptions, Outlook, WholeTime},
-    budget::{RetryBudget, RetryBudgetOptions},
+    budget::{PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions},
     directory::{DirectoryMember, directory_addresses},
     feed::{CallFailure, Feed, FeedCall, FeedOptions, ReaderRole, Whom},
     latency::LatencyQuantile,
--- a/crates/pointvane-dispatch/tests/attempts.rs
+++ b/crates/pointvane-dispatch/tests/attempts.rs
@@ -2,10 +2,10 @@
 
 use {
     googletest::prelude::*,
-    pointvane_core::{ErrorKind, Outcome, RouteKind, RouteRule},
+    pointvane_core::{ErrorKind, Outcome, RouteKind, RouteRule, US_PER_S},
     pointvane_dispatch::{
-        AdmissionOptions, AttemptOutcome, LatencyQuantile, Outlook, Refusal, RetryBudget, RetryBudgetOptions,
-        TokenBucket, Verdict, judge,
+        AdmissionOptions, AttemptOutcome, LatencyQuantile, Outlook, PROBE_WINDOW_S, ProbeBudget, Refusal,
+        RetryBudget, RetryBudgetOptions, TokenBucket, Verdict, judge,
     },
     proptest::prelude::*,
 };
@@ -162,6 +162,28 @@
     }
 }
 
+#[gtest]
+fn a_fleet_that_starts_with_its_savings_keeps_the_budget_of_probes_over_each_window() {
+    const NODES: usize = 18;
+    const UPSTREAMS: usize = 36;
+    const PER_UPSTREAM_PER_S: f64 = 60.0;
+    let mut fleet: Vec<ProbeBudget> = (0..NODES).map(|_| ProbeBudget::new(0)).collect();
+    fleet.iter_mut().for_each(|budget| budget.set(PER_UPSTREAM_PER_S, UPSTREAMS, NODES, 0));
+    let mut each_s = Vec::new();
+    for second in 0..90_u64 {
+        let asked = (0..100).map(|step| {
+            let now_us = second * US_PER_S + step * 10_000;
+            fleet.iter_mut().map(|budget| (0..200).filter(|_| budget.take(now_us)).count()).sum::<usize>()
+        });
+        each_s.push(asked.sum::<usize>());
+    }
+    expect_that!(each_s[0], ge(PER_UPSTREAM_PER_S as usize * UPSTREAMS), "there is something to start with");
+    let bound = PER_UPSTREAM_PER_S * UPSTREAMS as f64 * PROBE_WINDOW_S;
+    for window in each_s.windows(PROBE_WINDOW_S as usize) {
+        expect_that!(window.iter().sum::<usize>() as f64, le(bound));
+    }
+}
+
 #[gtest]
 fn a_quantile_is_followed() {
     let mut quantile = LatencyQuantile::new(0.9, 500.0);
--- a/crates/pointvane-dispatch/tests/states.rs
+++ b/crates/pointvane-dispatch/tests/states.rs
@@ -54,7 +54,10 @@
 #[gtest]
 fn a_node_that_starts_asks_a_peer_before_the_platform() {
     let mut feed = new_feed();
-    expect_that!(feed.next(0), matches_pattern!(FeedCall::AskPeer { request: eq(&NOTHING), .. }));
+    let asks = feed.next(0);
+    // When all start together nobody knows anything: callers must not wait long for that.
+    let short = matches_pattern!(FeedCall::AskPeer { request: eq(&NOTHING), patience_ms: le(&50), .. });
+    expect_that!(asks, short);
     feed.ask_failed(MS);
     expect_that!(feed.next(MS), matches_pattern!(FeedCall::Snapshot { .. }));
 }
--- a/crates/pointvane-node/src/answer.rs
+++ b/crates/pointvane-node/src/answer.rs
@@ -11,7 +11,7 @@
 };
 
 /// Time after which a refused caller is told to come back, in milliseconds.
-const COME_BACK_MS: u32 = 250;
+const COME_BACK_MS: u32 = 80;
 
 /// A request that the system itself answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/pointvane-node/src/budgets.rs
+++ b/crates/pointvane-node/src/budgets.rs
@@ -3,21 +3,16 @@
 use {
     crate::{node::Node, settings::NodeLimits},
     pointvane_core::{Name, PlatformAdapter, VmState},
-    pointvane_dispatch::{RetryBudget, RetryBudgetOptions, TokenBucket},
+    pointvane_dispatch::{ProbeBudget, RetryBudget, RetryBudgetOptions},
     std::collections::HashMap,
 };
 
 /// Nodes that budgets are divided among at least, while a node has not met the others yet.
 const NODES_MIN: usize = 20;
-/// Part of the fleet's budget of probes that is used.
-const PROBES_USED: f64 = 0.8;
-/// Seconds of probes that may be saved up.
-const PROBES_SAVED_S: f64 = 3.0;
-
 /// This node's shares of the fleet's budgets.
 #[derive(Debug)]
 pub struct Budgets {
-    probes: TokenBucket,
+    probes: ProbeBudget,
     repeats: HashMap<Name, RetryBudget>,
     /// The most nodes that were ever seen at once.
     nodes: usize,
@@ -26,13 +21,12 @@
 impl Budgets {
     /// Empty shares.
     pub fn new(now_us: u64) -> Self {
-        Self { probes: TokenBucket::empty(0.0, 0.0, now_us), repeats: HashMap::new(), nodes: NODES_MIN }
+        Self { probes: ProbeBudget::new(now_us), repeats: HashMap::new(), nodes: NODES_MIN }
     }
 
     fn divide(&mut self, nodes: usize, upstreams: usize, limits: &NodeLimits, now_us: u64) {
         self.nodes = self.nodes.max(nodes);
-        let rate_per_s = limits.probes_per_s * PROBES_USED * upstreams as f64 / self.nodes as f64;
-        self.probes.set(rate_per_s, rate_per_s * PROBES_SAVED_S, now_us);
+        self.probes.set(limits.probes_per_s, upstreams, self.nodes, now_us);
         self.repeats.values_mut().for_each(|budget| budget.set_nodes(self.nodes));
     }
 
@@ -55,7 +49,7 @@
 
     /// Takes the price of one probe, if it is there.
     pub fn take_probe(&self) -> bool {
-        self.budgets.borrow_mut().probes.take(1.0, self.now_us())
+        self.budgets.borrow_mut().probes.take(self.now_us())
     }
 
     /// Notes a request's first attempt at a service.
