A node prefers some upstreams of a large service

Now each node prefers 32 upstreams of a service, drawn for its life, up to 24 of them near, and two are drawn anew for each request. Services of up to 32 upstreams are as before.

--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod routes;
 mod spread;
 mod state;
+mod subset;
 mod upstream;
 
 pub use {
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -1,9 +1,9 @@
 //! All upstreams a node knows, and which of them a request should go to.
 
 use {
-    crate::upstream::UpstreamState,
+    crate::{subset::ServiceUpstreams, upstream::UpstreamState},
     pointvane_core::{Name, UpstreamLoad, UpstreamRecord},
-    rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
     std::collections::{BTreeMap, HashMap},
 };
 
@@ -55,8 +55,6 @@
     }
 }
 
-/// Most upstreams of a service that are ranked for one request, drawn at random.
-const RANKED_MAX: usize = 96;
 const BYTES_PER_100_KB: f32 = 100_000.0;
 
 /// Which upstreams are wanted for a request.
@@ -84,7 +82,7 @@
     next_key: u64,
     upstreams: BTreeMap<UpstreamKey, UpstreamState>,
     by_id: HashMap<Name, UpstreamKey>,
-    by_service: HashMap<Name, Vec<UpstreamKey>>,
+    by_service: HashMap<Name, ServiceUpstreams>,
     pace_usual: HashMap<Name, f32>,
     telling: HashMap<Name, Telling>,
     /// Last word of upstreams that are gone, so that a late older word doesn't bring one back.
@@ -143,7 +141,9 @@
         let key = UpstreamKey(self.next_key);
         self.next_key += 1;
         self.by_id.insert(record.id.clone(), key);
-        self.by_service.entry(record.service.clone()).or_default().push(key);
+        let near = record.data_centre == self.data_centre;
+        let draw = self.rng.random();
+        self.by_service.entry(record.service.clone()).or_default().add(key, near, draw);
         self.upstreams.insert(key, UpstreamState::new(record, now_us));
         true
     }
@@ -182,8 +182,8 @@
                 self.last_words.clear();
             }
             self.last_words.insert(id.clone(), state.record.sequence);
-            if let Some(keys) = self.by_service.get_mut(&state.record.service) {
-                keys.retain(|other| *other != key);
+            if let Some(upstreams) = self.by_service.get_mut(&state.record.service) {
+                upstreams.remove(key);
             }
         }
         true
@@ -247,16 +247,17 @@
     ///
     /// Those set aside come only when there are no others.
     pub fn candidates(&mut self, service: &Name, wanted: &Wanted<'_>, now_us: u64) -> Vec<UpstreamKey> {
-        let Some(keys) = self.by_service.get(service) else {
+        let Some(upstreams) = self.by_service.get(service) else {
             return Vec::new();
         };
-        // All of a large service need not be ranked for one request.
-        let part = keys.choose_multiple(&mut self.rng, RANKED_MAX).copied();
-        let able = part.filter(|key| {
-            !wanted.tried.contains(key) && self.upstreams.get(key).is_some_and(UpstreamState::takes_work)
-        });
-        let (aside, sound): (Vec<_>, Vec<_>) = able.partition(|key| self.upstreams[key].is_ejected(now_us));
-        let usable = if sound.is_empty() { aside } else { sound };
+        let able = |key: UpstreamKey| {
+            !wanted.tried.contains(&key) && self.upstreams.get(&key).is_some_and(UpstreamState::takes_work)
+        };
+        let sound = |key: UpstreamKey| able(key) && !self.upstreams[&key].is_ejected(now_us);
+        let mut usable = upstreams.part(sound, &mut self.rng);
+        if usable.is_empty() {
+            usable = upstreams.part(able, &mut self.rng);
+        }
         let jitter = self.options.jitter;
         let far_factor = self.far_factor(wanted.body_bytes);
         let mut ranked: Vec<(f32, UpstreamKey)> = Vec::with_capacity(usable.len());
