A planned stop does not wait for a reader of lines that stands still; lines on beliefs are bounded

Cause, found by a new test: the log's thread was joined at the end of the process, so that a node whose standard output nobody read went on until it was killed (requests were not held up). Now the last lines get 150 ms. Lines on beliefs are 60 a second at most, what is left out is counted, the time line keeps all; a whole read has one line (platform-read). An event is turned into fields once, not twice; a node's time line holds 1,024 events.

--- a/crates/pointvane-config/src/node_options.rs
+++ b/crates/pointvane-config/src/node_options.rs
@@ -9,7 +9,7 @@
 };
 
 /// Every key of the options file; docs/OPERATIONS.md is checked against this list.
-pub const NODE_OPTION_KEYS: [&str; 8] = [
+pub const NODE_OPTION_KEYS: [&str; 9] = [
     "choice.policy",
     "choice.ask_first",
     "choice.ask_more",
@@ -18,6 +18,7 @@
     "repeats.hedge",
     "lines.well_every",
     "lines.wrong_per_s",
+    "lines.beliefs_per_s",
 ];
 
 /// Options of a node.
@@ -102,11 +103,13 @@
     pub well_every: u64,
     /// Lines on what went wrong that are written each second.
     pub wrong_per_s: u64,
+    /// Lines on beliefs about upstreams and other nodes that are written each second.
+    pub beliefs_per_s: u64,
 }
 
 impl Default for LineOptions {
     fn default() -> Self {
-        Self { well_every: 64, wrong_per_s: 40 }
+        Self { well_every: 64, wrong_per_s: 40, beliefs_per_s: 60 }
     }
 }
 
@@ -128,7 +131,7 @@
     let repeats = top.section("repeats");
     repeats.only(&["hedge"]);
     let lines = top.section("lines");
-    lines.only(&["well_every", "wrong_per_s"]);
+    lines.only(&["beliefs_per_s", "well_every", "wrong_per_s"]);
     NodeOptions {
         choice: ChoiceOptions {
             policy: choice.choice("policy", &ChoicePolicy::NAMES, defaults.choice.policy),
@@ -143,6 +146,7 @@
         lines: LineOptions {
             well_every: lines.integer("well_every", 1..=1_000_000, Some(defaults.lines.well_every)),
             wrong_per_s: lines.integer("wrong_per_s", 0..=100_000, Some(defaults.lines.wrong_per_s)),
+            beliefs_per_s: lines.integer("beliefs_per_s", 0..=100_000, Some(defaults.lines.beliefs_per_s)),
         },
     }
 }
--- a/crates/pointvane-node/src/feed.rs
+++ b/crates/pointvane-node/src/feed.rs
@@ -13,7 +13,7 @@
         header::HOST,
     },
     hyper_util::rt::TokioIo,
-    pointvane_core::PlatformAdapter,
+    pointvane_core::{Change, PlatformAdapter},
     pointvane_dispatch::{CallFailure, FeedCall, StateRequest, Whom},
     pointvane_telemetry::EventKind,
     std::{mem, rc::Rc, time::Duration},
@@ -101,6 +101,15 @@
                     let pool = node.pool.borrow();
                     node.feed.borrow_mut().read(page, pool.ids(), node.now_us())
                 };
+                let mark = node.feed.borrow().mark();
+                let upstreams = changes.iter().filter(|change| matches!(change, Change::Upstream(_))).count();
+                if mark.revision > 0 {
+                    node.report.note(EventKind::PlatformRead {
+                        revision: mark.revision,
+                        version: mark.version,
+                        upstreams: upstreams as u64,
+                    });
+                }
                 node.apply(changes);
             }
             Err(failure) => self.failed(failure),
--- a/crates/pointvane-node/src/gossip.rs
+++ b/crates/pointvane-node/src/gossip.rs
@@ -23,7 +23,8 @@
                     }
                 }
                 Action::Changed(change) => {
-                    self.report.note(EventKind::MemberChanged { member: change.name, state: change.state });
+                    let kind = EventKind::MemberChanged { member: change.name, state: change.state };
+                    self.report.believed(self.now_us(), kind);
                     self.share_budgets();
                 }
             }
--- a/crates/pointvane-node/src/publication.rs
+++ b/crates/pointvane-node/src/publication.rs
@@ -37,14 +37,14 @@
             sequence: record.sequence,
         };
         if self.pool.borrow_mut().put(record, self.now_us()) {
-            self.report.note(told);
+            self.report.believed(self.now_us(), told);
         }
     }
 
     fn take_gone(&self, id: Name) {
         let reentry_until_us = self.feed.borrow().reentry_until_us();
         if self.pool.borrow_mut().gone(&id, reentry_until_us, self.now_us()) {
-            self.report.note(EventKind::UpstreamGone { upstream: id });
+            self.report.believed(self.now_us(), EventKind::UpstreamGone { upstream: id });
         }
     }
 
@@ -52,7 +52,7 @@
     pub fn forget_lapsed(&self) {
         let forgotten = self.pool.borrow_mut().forget_lapsed(self.now_us());
         for upstream in forgotten {
-            self.report.note(EventKind::UpstreamGone { upstream });
+            self.report.believed(self.now_us(), EventKind::UpstreamGone { upstream });
         }
     }
 
@@ -69,7 +69,7 @@
     /// Notes items that could not be understood.
     pub fn refuse_items(&self, refused: Vec<RefusedItem>) {
         for RefusedItem { key, problem } in refused {
-            self.report.note(EventKind::ItemRefused { key, problem });
+            self.report.believed(self.now_us(), EventKind::ItemRefused { key, problem });
         }
     }
 }
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -10,9 +10,10 @@
     pointvane_config::LineOptions,
     pointvane_core::{ErrorKind, Name},
     pointvane_telemetry::{
-        EventKind, EventLog, LineForm, LineGate, LineGateOptions, Metrics, Program, stdout_logger,
+        EventKind, EventLog, LineFlush, LineForm, LineGate, LineGateOptions, Metrics, Passage, Program,
+        stdout_logger,
     },
-    std::{cell::RefCell, collections::HashSet, sync::Arc},
+    std::{cell::RefCell, collections::HashSet, sync::Arc, time::Duration},
 };
 
 /// Bounds of the time histograms, in seconds.
@@ -20,6 +21,10 @@
 /// Upstreams and routes that get labels of their own; the others share one.
 const LABELS_MAX: usize = 512;
 const OTHER: &str = "other";
+/// Longest wait for the last lines to be read.
+const FLUSH_PATIENCE: Duration = Duration::from_millis(150);
+/// Events that the time line holds.
+const EVENTS_KEPT: usize = 1_024;
 const MS_PER_S: f64 = 1_000.0;
 
 /// Log lines, time line and metrics of one node.
@@ -29,6 +34,7 @@
     pub events: EventLog,
     /// All metrics.
     pub metrics: Metrics,
+    flush: RefCell<Option<LineFlush>>,
     gate: RefCell<LineGate>,
     labels: RefCell<HashSet<Name>>,
     requests: Counter<u64>,
@@ -54,12 +60,16 @@
         let histogram = |name: &'static str| {
             meter.f64_histogram(name).with_unit("s").with_boundaries(TIME_BOUNDS_S.to_vec()).build()
         };
-        let log = stdout_logger(Program::Node.as_str(), vm);
+        let (log, flush) = stdout_logger(Program::Node.as_str(), vm);
         Ok(Self {
-            events: EventLog::new(vm.clone(), Program::Node, log).with_lines(LineForm::Fields),
+            events: EventLog::new(vm.clone(), Program::Node, log)
+                .with_lines(LineForm::Fields)
+                .with_ring(EVENTS_KEPT),
+            flush: RefCell::new(Some(flush)),
             gate: RefCell::new(LineGate::new(LineGateOptions {
                 well_every: lines.well_every,
                 wrong_per_s: lines.wrong_per_s,
+                beliefs_per_s: lines.beliefs_per_s,
             })),
             labels: RefCell::default(),
             requests: counter("pointvane_node_requests"),
@@ -75,11 +85,35 @@
         })
     }
 
+    /// Writes the last lines before the process ends; waits no longer than a reader that stands still deserves.
+    pub fn flush(&self) {
+        if let Some(flush) = self.flush.take() {
+            flush.flush(FLUSH_PATIENCE);
+        }
+    }
+
     /// Notes a change of what this node believes or does.
     pub fn note(&self, kind: EventKind) {
         self.events.note(kind);
     }
 
+    /// Notes a belief about an upstream or another node; its line is left out if there are too many.
+    pub fn believed(&self, now_us: u64, kind: EventKind) {
+        let passage = self.gate.borrow_mut().belief(now_us);
+        self.note_left_out(passage);
+        if passage.written {
+            self.events.note(kind);
+        } else {
+            self.events.keep(kind);
+        }
+    }
+
+    fn note_left_out(&self, passage: Passage) {
+        if let Some(count) = passage.left_out {
+            self.events.note(EventKind::LinesLeftOut { count });
+        }
+    }
+
     /// Writes one of some lines on a decision that went well.
     pub fn well(&self, line: impl FnOnce() -> EventKind) {
         if self.gate.borrow_mut().well() {
@@ -90,9 +124,7 @@
     /// Writes a line on a decision that went wrong, unless there are too many.
     pub fn wrong(&self, now_us: u64, line: impl FnOnce() -> EventKind) {
         let passage = self.gate.borrow_mut().wrong(now_us);
-        if let Some(count) = passage.left_out {
-            self.events.note(EventKind::LinesLeftOut { count });
-        }
+        self.note_left_out(passage);
         if passage.written {
             self.events.note(line());
         }
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -80,7 +80,8 @@
             }
         }
     }
-    stop::stop(node).await;
+    stop::stop(Rc::clone(&node)).await;
+    node.report.flush();
     Ok(())
 }
 
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -13,7 +13,7 @@
     },
 };
 
-/// Events that a ring holds.
+/// Events that a ring holds, unless it is told otherwise.
 const RING_LIMIT: usize = 4_096;
 
 /// A program of pointvane.
@@ -89,6 +89,8 @@
     UpstreamTold { service: Name, upstream: Name, draining: bool, sequence: u64 },
     /// An upstream's entry is gone.
     UpstreamGone { upstream: Name },
+    /// Everything that the platform holds was read from it.
+    PlatformRead { revision: u64, version: u64, upstreams: u64 },
     /// Another node told what it knows of the platform, from a word of the platform's of that age.
     StateTold { peer: SocketAddr, revision: u64, age_ms: u64 },
     /// An item of the platform could not be understood.
@@ -161,8 +163,7 @@
 
     /// The kind's name, as in JSON.
     pub fn name(&self) -> String {
-        let value = serde_json::to_value(self).unwrap_or_default();
-        value["kind"].as_str().unwrap_or_default().into()
+        Fields::of(self).name().into()
     }
 }
 
@@ -231,16 +232,27 @@
     program: Program,
     log: slog::Logger,
     form: LineForm,
+    ring_limit: usize,
     ring: Mutex<Ring>,
 }
 
 /// An event's fields as those of a log line.
-struct Fields<'e>(&'e EventKind);
+struct Fields(Value);
 
-impl slog::KV for Fields<'_> {
+impl Fields {
+    fn of(kind: &EventKind) -> Self {
+        Self(serde_json::to_value(kind).unwrap_or_default())
+    }
+
+    /// The kind's name, as in JSON.
+    fn name(&self) -> &str {
+        self.0["kind"].as_str().unwrap_or_default()
+    }
+}
+
+impl slog::KV for Fields {
     fn serialize(&self, _: &slog::Record<'_>, serializer: &mut dyn slog::Serializer) -> slog::Result {
-        let value = serde_json::to_value(self.0).unwrap_or_default();
-        for (name, value) in value.as_object().into_iter().flatten().filter(|(name, _)| *name != "kind") {
+        for (name, value) in self.0.as_object().into_iter().flatten().filter(|(name, _)| *name != "kind") {
             let key = slog::Key::from(name.clone());
             match value {
                 Value::String(text) => serializer.emit_str(key, text)?,
@@ -257,7 +269,7 @@
 impl EventLog {
     /// An empty ring; each event is also a log line.
     pub fn new(vm: Name, program: Program, log: slog::Logger) -> Self {
-        Self { vm, program, log, form: LineForm::Text, ring: Mutex::default() }
+        Self { vm, program, log, form: LineForm::Text, ring_limit: RING_LIMIT, ring: Mutex::default() }
     }
 
     /// The same, with log lines in the given form.
@@ -265,14 +277,24 @@
         Self { form, ..self }
     }
 
+    /// The same, with a ring that holds so many events.
+    pub fn with_ring(self, ring_limit: usize) -> Self {
+        Self { ring_limit, ..self }
+    }
+
     /// Notes an event.
     pub fn note(&self, kind: EventKind) {
         if self.form == LineForm::Fields {
-            slog::info!(self.log, "{}", kind.name(); Fields(&kind));
-            if kind.is_of_a_request() {
-                return;
-            }
+            let fields = Fields::of(&kind);
+            slog::info!(self.log, "{}", fields.name(); &fields);
         }
+        if self.form == LineForm::Text || !kind.is_of_a_request() {
+            self.keep(kind);
+        }
+    }
+
+    /// Notes an event without a log line, unless lines are texts of the kept events.
+    pub fn keep(&self, kind: EventKind) {
         let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
         ring.sequence += 1;
         let event = Event {
@@ -285,7 +307,7 @@
         if self.form == LineForm::Text {
             slog::info!(self.log, "{}", event);
         }
-        if ring.events.len() == RING_LIMIT {
+        if ring.events.len() == self.ring_limit {
             ring.events.pop_front();
             ring.dropped += 1;
         }
--- a/crates/pointvane-telemetry/src/gate.rs
+++ b/crates/pointvane-telemetry/src/gate.rs
@@ -1,5 +1,5 @@
-//! How many lines on requests are written: a sample of what went well, what went wrong up to a rate, and a count of
-//! what was left out.
+//! How many lines are written: of requests a sample of what went well and what went wrong up to a rate, of beliefs up to
+//! a rate, and a count of what was left out.
 
 /// Rules of the gate.
 #[derive(Clone, Copy, Debug)]
@@ -8,11 +8,13 @@
     pub well_every: u64,
     /// Lines on what went wrong that are written each second.
     pub wrong_per_s: u64,
+    /// Lines on beliefs about upstreams and other nodes that are written each second.
+    pub beliefs_per_s: u64,
 }
 
 impl Default for LineGateOptions {
     fn default() -> Self {
-        Self { well_every: 64, wrong_per_s: 40 }
+        Self { well_every: 64, wrong_per_s: 40, beliefs_per_s: 60 }
     }
 }
 
@@ -31,7 +33,8 @@
     options: LineGateOptions,
     well: u64,
     second: u64,
-    written: u64,
+    wrong_written: u64,
+    beliefs_written: u64,
     left_out: u64,
 }
 
@@ -51,19 +54,29 @@
 
     /// Asks for a line on something that went wrong.
     pub fn wrong(&mut self, now_us: u64) -> Passage {
-        let mut left_out = None;
-        if now_us / US_PER_S != self.second {
-            left_out = Some(self.left_out).filter(|count| *count > 0);
-            self.second = now_us / US_PER_S;
-            self.written = 0;
-            self.left_out = 0;
-        }
-        let written = self.written < self.options.wrong_per_s;
-        if written {
-            self.written += 1;
-        } else {
-            self.left_out += 1;
-        }
+        let left_out = self.begin_second(now_us);
+        let written = self.wrong_written < self.options.wrong_per_s;
+        self.wrong_written += u64::from(written);
+        self.left_out += u64::from(!written);
+        Passage { written, left_out }
+    }
+
+    /// Asks for a line on a belief about an upstream or another node.
+    pub fn belief(&mut self, now_us: u64) -> Passage {
+        let left_out = self.begin_second(now_us);
+        let written = self.beliefs_written < self.options.beliefs_per_s;
+        self.beliefs_written += u64::from(written);
+        self.left_out += u64::from(!written);
         Passage { written, left_out }
     }
+
+    /// Begins a new second if there is one; gives the count of lines left out before.
+    fn begin_second(&mut self, now_us: u64) -> Option<u64> {
+        if now_us / US_PER_S == self.second {
+            return None;
+        }
+        let left_out = self.left_out;
+        *self = Self { options: self.options, well: self.well, second: now_us / US_PER_S, ..Self::default() };
+        Some(left_out).filter(|count| *count > 0)
+    }
 }
--- a/crates/pointvane-telemetry/src/lib.rs
+++ b/crates/pointvane-telemetry/src/lib.rs
@@ -17,7 +17,7 @@
     clock::{MonotonicClock, wall_ms},
     event::{Event, EventKind, EventLog, EventPage, LineForm, Program},
     gate::{LineGate, LineGateOptions, Passage},
-    log::{logger, stdout_logger},
+    log::{LineFlush, logger, stdout_logger},
     metrics::Metrics,
     operator::{OperatorPort, OperatorState, serve_operator},
     program::{EXIT_FAULTY, ProgramArgs, settings_logger},
--- a/crates/pointvane-telemetry/src/log.rs
+++ b/crates/pointvane-telemetry/src/log.rs
@@ -3,7 +3,7 @@
 use {
     pointvane_core::Name,
     slog::{Drain, Level, LevelFilter, Logger, o},
-    std::{io, str::FromStr},
+    std::{fmt, io, str::FromStr, sync::mpsc, thread, time::Duration},
 };
 
 /// Lines that may wait to be written; more are dropped and counted by `slog-async`.
@@ -24,11 +24,37 @@
 
 /// A logger of JSON lines to standard output, for processes whose lines a platform gathers.
 ///
-/// It never blocks: lines beyond a bound that wait for a reader are dropped, and their number is told.
-pub fn stdout_logger(program: &'static str, vm: &Name) -> Logger {
+/// It never blocks: lines beyond a bound that wait for a reader are dropped, and their number is told. The last lines
+/// are written by [`LineFlush::flush`], before the process ends.
+pub fn stdout_logger(program: &'static str, vm: &Name) -> (Logger, LineFlush) {
     let values = o!("program" => program, "vm" => vm.to_string());
     let drain = slog_json::Json::default(io::stdout()).fuse();
-    Logger::root(in_background(drain), values)
+    let (lines, guard) = slog_async::Async::new(drain).chan_size(WAITING_LINES_MAX).build_with_guard();
+    (Logger::root(lines.fuse(), values), LineFlush { lines: guard })
+}
+
+/// Writes the lines that wait for a reader, as long as it reads.
+pub struct LineFlush {
+    lines: slog_async::AsyncGuard,
+}
+
+impl fmt::Debug for LineFlush {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LineFlush").finish_non_exhaustive()
+    }
+}
+
+impl LineFlush {
+    /// Waits until all lines are written, at most for a time: the reader may stand still.
+    pub fn flush(self, patience: Duration) {
+        let (done, flushed) = mpsc::channel();
+        thread::spawn(move || {
+            drop(self.lines);
+            // Nobody waits any more if the reader stood still.
+            _ = done.send(());
+        });
+        _ = flushed.recv_timeout(patience);
+    }
 }
 
 fn in_background<D>(drain: D) -> slog::Fuse<slog_async::Async>
--- a/crates/pointvane-telemetry/tests/events.rs
+++ b/crates/pointvane-telemetry/tests/events.rs
@@ -3,7 +3,9 @@
 use {
     googletest::prelude::*,
     pointvane_core::{Name, VmState},
-    pointvane_telemetry::{Event, EventKind, EventLog, Program},
+    pointvane_telemetry::{
+        Event, EventKind, EventLog, LineForm, LineGate, LineGateOptions, Passage, Program,
+    },
 };
 
 fn every_kind() -> Vec<EventKind> {
@@ -28,6 +30,8 @@
         EventKind::OverloadEnded { service },
         EventKind::FeedLost,
         EventKind::FeedBack,
+        EventKind::PlatformRead { revision: 7, version: 3, upstreams: 36 },
+        EventKind::StateTold { peer: "10.0.0.1:7660".parse().unwrap(), revision: 7, age_ms: 12 },
     ]
 }
 
@@ -58,3 +62,25 @@
     expect_that!(page.events.len(), eq(4_096));
     expect_that!(events.page(4_999).events.len(), eq(1));
 }
+
+#[gtest]
+fn lines_on_beliefs_are_bounded_apart_from_those_on_requests_and_counted_when_left_out() {
+    let options = LineGateOptions { beliefs_per_s: 3, wrong_per_s: 2, ..LineGateOptions::default() };
+    let mut gate = LineGate::new(options);
+    let beliefs = (0..10).filter(|_| gate.belief(1_500_000).written).count();
+    let wrong = (0..10).filter(|_| gate.wrong(1_600_000).written).count();
+    expect_that!(beliefs, eq(3));
+    expect_that!(wrong, eq(2));
+    expect_that!(gate.belief(2_000_000), eq(Passage { written: true, left_out: Some(15) }));
+    expect_that!(gate.belief(2_000_001), eq(Passage { written: true, left_out: None }));
+}
+
+#[gtest]
+fn a_ring_of_another_size_is_bounded_too_and_holds_what_has_no_line() {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let events =
+        EventLog::new("node-1".into(), Program::Node, log).with_lines(LineForm::Fields).with_ring(10);
+    (0..12).for_each(|_| events.keep(EventKind::PlatformLost));
+    expect_that!(events.page(0).events.len(), eq(10));
+    expect_that!(events.page(0).dropped, eq(2));
+}
--- a/crates/pointvane/src/explain.rs
+++ b/crates/pointvane/src/explain.rs
@@ -26,7 +26,7 @@
 }
 
 /// Events that change what a process believes of the whole.
-const BELIEFS: [&str; 10] = [
+const BELIEFS: [&str; 12] = [
     "started",
     "stopping",
     "stopped",
@@ -34,6 +34,8 @@
     "configuration-accepted",
     "platform-lost",
     "platform-back",
+    "platform-read",
+    "state-told",
     "watch-renewed",
     "item-refused",
     "lines-left-out",
--- a/standins/tests/users_platform/mod.rs
+++ b/standins/tests/users_platform/mod.rs
@@ -404,6 +404,15 @@
 }
 
 /// A node as a real process; it is killed when dropped.
+/// What becomes of the lines that a node writes.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Log {
+    /// They go to a file.
+    File,
+    /// All lines go to a pipe that nobody reads.
+    NeverRead,
+}
+
 pub struct NodeProcess {
     pub ip: Ipv4Addr,
     child: Child,
@@ -411,12 +420,19 @@
     pub output: PathBuf,
 }
 
+/// Options by which each request is told in lines.
+const ALL_LINES: &str = "[lines]\nwell_every = 1\nwrong_per_s = 100000\nbeliefs_per_s = 100000\n";
+
 impl NodeProcess {
     pub fn start(store: &Store) -> Self {
         Self::start_in(store, &[])
     }
 
     pub fn start_in(store: &Store, seeds: &[Ipv4Addr]) -> Self {
+        Self::start_with(store, seeds, Log::File)
+    }
+
+    pub fn start_with(store: &Store, seeds: &[Ipv4Addr], log: Log) -> Self {
         let ip = own_address();
         let folder = std::env::temp_dir().join(format!("pointvane-{ip}"));
         fs::create_dir_all(&folder).unwrap();
@@ -448,13 +464,17 @@
         );
         fs::write(&settings, text).unwrap();
         let output = folder.join("stdout");
-        let child = Command::new(program())
-            .env("POINTVANE_BOOT", &settings)
-            .stdout(fs::File::create(&output).unwrap())
-            .stderr(Stdio::inherit())
-            .spawn()
-            .unwrap();
-        let node = Self { ip, child, settings, output };
+        let mut command = Command::new(program());
+        command.env("POINTVANE_BOOT", &settings).stderr(Stdio::inherit());
+        match log {
+            Log::File => command.stdout(fs::File::create(&output).unwrap()),
+            Log::NeverRead => {
+                let options = folder.join("options.toml");
+                fs::write(&options, ALL_LINES).unwrap();
+                command.arg("--options").arg(options).stdout(Stdio::piped())
+            }
+        };
+        let node = Self { ip, child: command.spawn().unwrap(), settings, output };
         eventually(|| TcpStream::connect((ip, READY_PORT)).is_ok());
         node
     }
