--- /dev/null
+++ b/standins/tests/soak/proxy.rs
@@ -0,0 +1,105 @@
+//! A proxy that passes, delays, silences or resets the connections through it.
+
+use std::{
+    io::{self, Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
+
+use crate::users_platform::own_address;
+
+/// What becomes of bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Link {
+    /// They pass.
+    Sound,
+    /// They pass later.
+    Slow,
+    /// Those towards the server are lost, and those behind them.
+    LostThere,
+    /// Those towards the client are lost, and those behind them.
+    LostBack,
+    /// Connections break.
+    Broken,
+}
+
+const DELAY: Duration = Duration::from_millis(120);
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A proxy before a server.
+#[derive(Clone)]
+pub struct Proxy {
+    pub address: SocketAddr,
+    link: Arc<Mutex<Link>>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    There,
+    Back,
+}
+
+impl Proxy {
+    pub fn start(server: SocketAddr) -> Self {
+        let listener = TcpListener::bind((own_address(), 9_000)).unwrap();
+        let proxy = Self { address: listener.local_addr().unwrap(), link: Arc::new(Mutex::new(Link::Sound)) };
+        let link = Arc::clone(&proxy.link);
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let link = Arc::clone(&link);
+                thread::spawn(move || _ = join(client, server, &link));
+            }
+        });
+        proxy
+    }
+
+    pub fn set(&self, link: Link) {
+        *self.link.lock().unwrap() = link;
+    }
+}
+
+fn join(client: TcpStream, server: SocketAddr, link: &Arc<Mutex<Link>>) -> io::Result<()> {
+    let server = TcpStream::connect(server)?;
+    client.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    let (from, to, back) = (client.try_clone()?, server.try_clone()?, Arc::clone(link));
+    thread::spawn(move || pass(server, client, &back, Direction::Back));
+    pass(from, to, link, Direction::There);
+    Ok(())
+}
+
+/// Passes bytes one way until either side ends or the link breaks.
+fn pass(mut from: TcpStream, mut to: TcpStream, link: &Mutex<Link>, direction: Direction) {
+    _ = from.set_read_timeout(Some(LOOK));
+    let mut buffer = [0; 4_096];
+    let mut lost = false;
+    loop {
+        let now = *link.lock().unwrap();
+        if now == Link::Broken {
+            break;
+        }
+        let length = match from.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(length) => length,
+            Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                continue;
+            }
+            Err(_) => break,
+        };
+        // Bytes behind lost ones must not pass: a stream has no holes.
+        lost |= matches!(
+            (now, direction),
+            (Link::LostThere, Direction::There) | (Link::LostBack, Direction::Back)
+        );
+        if now == Link::Slow {
+            thread::sleep(DELAY);
+        }
+        if !lost && to.write_all(&buffer[..length]).is_err() {
+            break;
+        }
+    }
+    _ = from.shutdown(Shutdown::Both);
+    _ = to.shutdown(Shutdown::Both);
+}
--- a/standins/tests/users_platform/mod.rs
+++ b/standins/tests/users_platform/mod.rs
@@ -159,11 +159,15 @@
     }
 
     pub fn list(&self, upstream: &Upstream, state: &str, sequence: u64) {
+        self.list_at(upstream, upstream.address, state, sequence);
+    }
+
+    /// Lists an upstream that is reached at another address than its own.
+    pub fn list_at(&self, upstream: &Upstream, address: SocketAddr, state: &str, sequence: u64) {
         self.put(
             &format!("servers/{}", upstream.id),
             &format!(
-                r#"{{"address":"{}","info":{{"service":"app","version":"v1","zone":"one","slots":3}},"status":{{"state":"{state}","sequence":{sequence},"warmup-left-ms":0}}}}"#,
-                upstream.address
+                r#"{{"address":"{address}","info":{{"service":"app","version":"v1","zone":"one","slots":3}},"status":{{"state":"{state}","sequence":{sequence},"warmup-left-ms":0}}}}"#
             ),
         );
     }
@@ -256,6 +260,8 @@
     manner: Arc<Mutex<Manner>>,
     /// Requests that it ran.
     pub runs: Arc<AtomicUsize>,
+    /// Identities of these.
+    pub ran: Arc<Mutex<Vec<String>>>,
     /// Requests whose connection closed before their answer was due.
     pub left: Arc<AtomicUsize>,
     /// Questions about its health.
@@ -272,6 +278,7 @@
             address: listener.local_addr().unwrap(),
             manner: Arc::new(Mutex::new(manner)),
             runs: Arc::default(),
+            ran: Arc::default(),
             left: Arc::default(),
             asked: Arc::default(),
             last: Arc::default(),
@@ -326,10 +333,16 @@
             }
             *self.last.lock().unwrap() = request.clone();
             let manner = *self.manner.lock().unwrap();
+            let id = request.header("pointvane-request-id").unwrap_or_default().to_owned();
+            let expected = request.header("pointvane-expect-instance").unwrap_or_default().to_owned();
+            if expected != self.id {
+                refuse(&mut stream, "421 Misdirected Request", &id, "pointvane-not-executed: 1\r\n")?;
+                continue;
+            }
             if !matches!(manner, Manner::Shed | Manner::Misdirected) {
                 self.runs.fetch_add(1, Ordering::SeqCst);
+                self.ran.lock().unwrap().push(id.clone());
             }
-            let id = request.header("pointvane-request-id").unwrap_or_default().to_owned();
             if !self.answer(&mut stream, manner, &id)? {
                 return Ok(());
             }
@@ -433,7 +446,11 @@
     }
 
     pub fn start_with(store: &Store, seeds: &[Ipv4Addr], log: Log) -> Self {
-        let ip = own_address();
+        Self::start_at(own_address(), store.address, seeds, log)
+    }
+
+    /// A node at an address; it may have run there before.
+    pub fn start_at(ip: Ipv4Addr, store: SocketAddr, seeds: &[Ipv4Addr], log: Log) -> Self {
         let folder = std::env::temp_dir().join(format!("pointvane-{ip}"));
         fs::create_dir_all(&folder).unwrap();
         let settings = folder.join("boot.toml");
@@ -460,7 +477,7 @@
 ttl_max_s = 5
 "#,
             seeds.join(","),
-            store.address
+            store
         );
         fs::write(&settings, text).unwrap();
         let output = folder.join("stdout");
@@ -508,6 +525,11 @@
         assert!(status.unwrap().success());
     }
 
+    /// Whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Waits for the process to end; its exit code.
     pub fn ended(&mut self) -> Option<i32> {
         let mut code = None;
