Relays are passed on from node to node in large fleets

Cause: a sentinel told every node itself, four times a second; at 1,800 nodes that is 7,200 datagrams of some 100 bytes a second, 0.7 MB/s of the 18 KB/s that a node may spend. Now in a fleet of more than 150 others the teller cuts the line of nodes, ordered by data centre and hash, into twelve parts and tells one node drawn from each, which does the same with its part; parts never hold their teller. Old words that come late, as from a node that was frozen, count no more. Questions go to the sentinel that a relay names. Smaller fleets are told directly as before.

--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod budget;
 mod directory;
+mod fan_out;
 mod feed;
 mod latency;
 mod outcome;
@@ -21,12 +22,15 @@
     admission::{AdmissionOptions, Outlook, WholeTime},
     budget::{PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions},
     directory::{DirectoryMember, directory_addresses},
+    fan_out::{
+        DIRECT_MAX, Delegate, FAN_OUT, HeardRounds, LineNode, Segment, delegates, fan_out, line_place,
+    },
     feed::{CallFailure, Feed, FeedCall, FeedOptions, ReaderRole, Whom},
     latency::LatencyQuantile,
     outcome::{AttemptOutcome, Refusal, Verdict, judge},
     pointvane_balance::TokenBucket,
     pool::{Pool, PoolOptions, Ranking, UpstreamKey, Wanted},
-    relay::{Relay, RelayLog, WireRelay},
+    relay::{Relay, RelayDatagram, RelayLog, WireRelay},
     routes::{RouteTable, RoutedRequest},
     spread::{SpreadPeer, earlier_peer, spread_order},
     state::{HeldState, ReadMark, StateReply, StateRequest},
--- a/crates/pointvane-dispatch/src/relay.rs
+++ b/crates/pointvane-dispatch/src/relay.rs
@@ -1,12 +1,13 @@
 //! What sentinels tell the other nodes of the platform.
 
 use {
-    crate::state::ReadMark,
+    crate::{fan_out::Segment, state::ReadMark},
     pointvane_core::{Change, Name, UpstreamRecord},
     serde::{Deserialize, Serialize},
     std::{
         collections::{HashSet, VecDeque},
         mem,
+        net::SocketAddr,
     },
 };
 
@@ -44,6 +45,19 @@
     changes: Vec<WireChange>,
 }
 
+/// A relay on its way through the fleet.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RelayDatagram {
+    /// Where the node that relays answers questions.
+    pub origin: SocketAddr,
+    /// Count of its relays; those of a later life begin anew.
+    pub round: u64,
+    /// Where the receiver passes it on.
+    pub segment: Segment,
+    /// The relay.
+    pub relay: WireRelay,
+}
+
 /// A change of an upstream as it goes over the wire.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum WireChange {
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -7,7 +7,9 @@
     },
     pointvane_config::{ChoicePolicy, NodeAdmissionOptions, NodeOptions},
     pointvane_core::{Clock, Incarnation, Name, PlatformAdapter, RouteRule},
-    pointvane_dispatch::{AdmissionOptions, Feed, FeedOptions, Pool, PoolOptions, Ranking, RouteTable},
+    pointvane_dispatch::{
+        AdmissionOptions, Feed, FeedOptions, HeardRounds, Pool, PoolOptions, Ranking, RouteTable,
+    },
     pointvane_mesh::Membership,
     pointvane_telemetry::{MonotonicClock, wall_ms},
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -67,6 +69,10 @@
     pub gossip_socket: RefCell<Option<Rc<UdpSocket>>>,
     /// The socket for relays, once it is open.
     pub relay_socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Relays that were heard.
+    pub heard_rounds: RefCell<HeardRounds>,
+    /// Count of this node's relays.
+    pub relay_round: Cell<u64>,
     /// Where the node answers questions that relayed last.
     pub teller: Cell<Option<SocketAddr>>,
     /// The latest revision of the platform that a peer has read.
@@ -116,6 +122,8 @@
             open: Rc::default(),
             gossip_socket: RefCell::default(),
             relay_socket: RefCell::default(),
+            heard_rounds: RefCell::default(),
+            relay_round: Cell::new(incarnation.0),
             teller: Cell::default(),
             peer_revision: Cell::default(),
             watch_renewed: Notify::new(),
--- a/crates/pointvane-node/src/peers.rs
+++ b/crates/pointvane-node/src/peers.rs
@@ -6,10 +6,7 @@
     pointvane_dispatch::{DirectoryMember, ReaderRole, SpreadPeer, Whom, earlier_peer, spread_order},
     pointvane_mesh::{EntryRow, MemberRow, Membership, MembershipOptions, Stamp, choose_readers, rank},
     rand::seq::IteratorRandom,
-    std::{
-        net::{IpAddr, SocketAddr},
-        rc::Rc,
-    },
+    std::{net::SocketAddr, rc::Rc},
     tokio::net::UdpSocket,
 };
 
@@ -104,12 +101,6 @@
         spread_order(rank(&spread_subject(revision), &membership.me().identity.name))
     }
 
-    /// Notes which node relayed last.
-    pub fn note_teller(&self, address: IpAddr) {
-        let port = self.settings.borrow().gossip.port();
-        self.teller.set(Some(SocketAddr::new(address, port)));
-    }
-
     /// The node to ask for what it knows of the platform.
     pub fn peer_to_ask(&self, whom: Whom) -> Option<SocketAddr> {
         match whom {
--- a/standins/tests/users_platform/mod.rs
+++ b/standins/tests/users_platform/mod.rs
@@ -29,7 +29,8 @@
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id();
-    Ipv4Addr::new(127, (process % 199 + 20) as u8, (process / 199 % 250) as u8, number as u8)
+    let third = (process / 199 + number / 250 * 100) % 250;
+    Ipv4Addr::new(127, (process % 199 + 20) as u8, third as u8, (number % 250 + 1) as u8)
 }
 
 /// A message as it was read: its first line, its headers in lower case, its body.
