--- a/crates/pointvane-dispatch/src/feed.rs
+++ b/crates/pointvane-dispatch/src/feed.rs
@@ -9,6 +9,8 @@
 mod call;
 mod freshness;
 mod options;
+mod peers;
+mod platform;
 mod reading;
 
 pub use {
@@ -19,12 +21,12 @@
 use {
     crate::{
         relay::{Relay, RelayLog},
-        state::{HeldState, ReadMark, StateReply, StateRequest},
+        state::{ReadMark, StateRequest},
     },
     freshness::Freshness,
-    pointvane_core::{Change, ChangePage, Name, US_PER_MS},
+    pointvane_core::US_PER_MS,
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    reading::{PageRead, Reading},
+    reading::Reading,
 };
 
 /// Wait of a watch that only fetches what is there already, in milliseconds.
@@ -192,112 +194,6 @@
         self.follower_wait_us = self.rng.random_range(least_ms * US_PER_MS..=most_ms * US_PER_MS);
     }
 
-    /// Takes a page of everything; `known` are the upstreams this node knows.
-    ///
-    /// Gives what is to be applied.
-    pub fn read<'n>(
-        &mut self,
-        page: ChangePage,
-        known: impl Iterator<Item = &'n Name>,
-        now_us: u64,
-    ) -> Vec<Change> {
-        self.answered(now_us);
-        let mut reading = self.reading.take().unwrap_or_default();
-        let PageRead { changes, whole_at } = reading.take(page, known);
-        self.note_version(&changes);
-        let Some(revision) = whole_at else {
-            self.reading = Some(reading);
-            return changes;
-        };
-        self.restart(revision);
-        self.rest_after_start(now_us);
-        changes
-    }
-
-    /// By the end of this rest a node that has just started has met its peers, and knows whether it is a sentinel.
-    fn rest_after_start(&mut self, now_us: u64) {
-        self.rest_until_us = now_us + 2 * self.options.settle_ms * US_PER_MS;
-    }
-
-    /// Takes the changes that a watch told.
-    pub fn watched(&mut self, page: ChangePage, now_us: u64) -> Vec<Change> {
-        self.answered(now_us);
-        if page.revision < self.watched_after {
-            // The platform went back: trust nothing but a read of everything.
-            self.reading = Some(Reading::default());
-            return Vec::new();
-        }
-        if page.revision < self.mark.revision {
-            // Another node has told more meanwhile.
-            return Vec::new();
-        }
-        self.note_version(&page.changes);
-        self.advance(page.revision, &page.changes);
-        if !page.changes.is_empty() && self.role == ReaderRole::Sentinel {
-            self.rest_until_us = now_us + self.options.settle_ms * US_PER_MS;
-        }
-        page.changes
-    }
-
-    fn answered(&mut self, now_us: u64) {
-        self.watching = false;
-        self.failures = 0;
-        self.rest_until_us = now_us;
-        self.freshness.confirm(now_us, &self.options);
-        self.draw_follower_wait();
-    }
-
-    fn note_version(&mut self, changes: &[Change]) {
-        let versions = changes.iter().filter_map(|change| match change {
-            Change::Configuration(configuration) => Some(configuration.version),
-            _ => None,
-        });
-        self.mark.version = versions.fold(self.mark.version, u64::max);
-    }
-
-    fn advance(&mut self, revision: u64, changes: &[Change]) {
-        if revision > self.mark.revision {
-            self.log.add(revision, changes);
-        }
-        self.reached(revision.max(self.mark.revision));
-    }
-
-    fn restart(&mut self, revision: u64) {
-        self.log.restart(revision);
-        self.reached(revision);
-    }
-
-    fn reached(&mut self, revision: u64) {
-        self.mark.revision = revision;
-        self.behind_since_us = None;
-        self.lag = self.lag.filter(|lag| !self.mark.covers(lag.wanted));
-    }
-
-    /// Takes the failure of a call to the platform.
-    pub fn failed(&mut self, failure: CallFailure, now_us: u64) {
-        self.watching = false;
-        if failure != CallFailure::Unavailable || self.reading.is_some() {
-            self.reading = Some(Reading::default());
-        }
-        if failure == CallFailure::HistoryGone {
-            self.rest_until_us = now_us;
-            return;
-        }
-        let most_ms = self.retry_most_ms();
-        self.failures = self.failures.saturating_add(1);
-        self.rest_until_us = now_us + self.rng.random_range(most_ms / 2..=most_ms) * US_PER_MS;
-    }
-
-    /// The first rest is short; then sentinels stay quick, and others, whose calls add up, do not.
-    fn retry_most_ms(&self) -> u64 {
-        let FeedOptions { retry_ms, retry_max_ms, retry_others_max_ms, .. } = self.options;
-        match (self.role, self.failures) {
-            (ReaderRole::Sentinel, failures) => (retry_ms << failures.min(8)).min(retry_max_ms),
-            (_, 0) => retry_ms,
-            _ => retry_others_max_ms,
-        }
-    }
-
     /// What this node relays to all others now, if the platform's word to it is young and it may speak.
     pub fn relay(&self, now_us: u64) -> Option<Relay> {
         let age_ms = self.current_age_ms(now_us)?;
@@ -320,102 +216,8 @@
         (self.reading.is_none() && age_ms < self.options.lease_ms).then_some(age_ms)
     }
 
-    /// Takes what another node relays; gives what is to be applied.
-    ///
-    /// `order` tells this node's place in the order in which nodes ask each other, from 0 for the first to 1.
-    pub fn hear_relay(&mut self, relay: Relay, order: f64, now_us: u64) -> Vec<Change> {
-        let older = relay.mark.revision < self.mark.revision || relay.age_ms >= self.options.lease_ms;
-        if self.reading.is_some() || older {
-            return Vec::new();
-        }
-        let gap = relay.mark.revision > self.mark.revision && relay.since > self.mark.revision;
-        if gap || relay.mark.version > self.mark.version {
-            self.note_lag(relay.mark, order, now_us);
-            return Vec::new();
-        }
-        self.alone = false;
-        self.freshness.confirm(now_us.saturating_sub(relay.age_ms * US_PER_MS), &self.options);
-        self.advance(relay.mark.revision, &relay.changes);
-        relay.changes
-    }
-
-    fn note_lag(&mut self, wanted: ReadMark, order: f64, now_us: u64) {
-        if self.lag.is_some() || (self.role == ReaderRole::Sentinel && self.watching) {
-            // It is asked for already, or a watch under way will tell it.
-            return;
-        }
-        let delay_ms = self.options.spread_ms as f64 * order;
-        let peer_asks = if self.role == ReaderRole::Sentinel { 0 } else { self.options.peer_asks };
-        self.lag = Some(Lag { wanted, ask_at_us: now_us + delay_ms as u64 * US_PER_MS, peer_asks });
-    }
-
     /// Whether the platform is known to hold more than this node, so that a rest or a hung watch is to end.
     pub fn is_behind(&self) -> bool {
         self.lag.is_some()
     }
-
-    /// Takes what this node does for the others, and the latest revision that any peer has seen.
-    pub fn hear_peers(&mut self, role: ReaderRole, latest: u64, now_us: u64) {
-        self.role = role;
-        self.freshness.passed(latest > self.mark.revision, now_us);
-        let waits = self.reading.is_some() || now_us < self.rest_until_us || self.lag.is_some();
-        if latest <= self.mark.revision || waits {
-            self.behind_since_us = None;
-            return;
-        }
-        let since_us = *self.behind_since_us.get_or_insert(now_us);
-        if now_us.saturating_sub(since_us) >= self.options.behind_ms * US_PER_MS {
-            self.behind_since_us = None;
-            self.watching = false;
-            self.note_lag(ReadMark { revision: latest, version: 0 }, 0.0, now_us);
-        }
-    }
-
-    /// Answers another node, from what this one holds, if that is more and current.
-    pub fn answer(&self, request: &StateRequest, held: &impl HeldState, now_us: u64) -> Option<StateReply> {
-        let age_ms = self.current_age_ms(now_us)?;
-        let known = request.known;
-        if self.mark.revision < known.revision || self.mark == known {
-            return None;
-        }
-        let steps = if known.revision == 0 { None } else { self.log.changes_since(known.revision) };
-        let whole = steps.is_none();
-        let changes = steps.unwrap_or_else(|| held.upstreams().into_iter().map(Change::Upstream).collect());
-        let configuration = (known.version < self.mark.version).then(|| held.configuration());
-        Some(StateReply::new(self.mark, age_ms, whole, changes, configuration))
-    }
-
-    /// Takes another node's answer; `known` are the upstreams this node knows. Gives what is to be applied.
-    pub fn hear_state<'n>(
-        &mut self,
-        reply: StateReply,
-        known: impl Iterator<Item = &'n Name>,
-        now_us: u64,
-    ) -> Vec<Change> {
-        let begun = self.reading.as_ref().is_some_and(|reading| !reading.is_unbegun());
-        let useful = reply.age_ms < self.options.lease_ms && reply.leads_from(self.mark);
-        if begun || !useful || (self.mark.revision == 0 && !reply.whole) {
-            self.ask_failed(now_us);
-            return Vec::new();
-        }
-        let StateReply { mark, whole, .. } = reply;
-        self.freshness.confirm(now_us.saturating_sub(reply.age_ms * US_PER_MS), &self.options);
-        let changes = reply.into_changes(known);
-        self.mark.version = self.mark.version.max(mark.version);
-        if self.reading.take().is_some() {
-            self.rest_after_start(now_us);
-        }
-        match whole {
-            true => self.restart(mark.revision),
-            false => self.advance(mark.revision, &changes),
-        }
-        changes
-    }
-
-    /// Notes that a peer told nothing.
-    pub fn ask_failed(&mut self, now_us: u64) {
-        if self.reading.is_some() && self.start_asks > 0 {
-            self.rest_until_us = now_us + self.options.start_rest_ms * US_PER_MS;
-        }
-    }
 }
--- a/crates/pointvane-telemetry/src/lib.rs
+++ b/crates/pointvane-telemetry/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod clock;
 mod event;
+mod event_log;
 mod gate;
 mod log;
 mod metrics;
@@ -15,7 +16,8 @@
 
 pub use {
     clock::{MonotonicClock, wall_ms},
-    event::{Event, EventKind, EventLog, EventPage, LineForm, Program},
+    event::{Event, EventKind, Program},
+    event_log::{EventLog, EventPage, LineForm},
     gate::{LineGate, LineGateOptions, Passage},
     log::{LineFlush, logger, stdout_logger},
     metrics::Metrics,
--- a/crates/pointvane-telemetry/src/operator.rs
+++ b/crates/pointvane-telemetry/src/operator.rs
@@ -3,7 +3,7 @@
 //! Its connections are few and short, so that `rouille`'s way with kept connections does no harm here.
 
 use {
-    crate::{event::EventLog, metrics::Metrics},
+    crate::{event_log::EventLog, metrics::Metrics},
     eyre::{Result, eyre},
     rouille::{Request, Response, Server, router},
     serde::Serialize,
