Whole states of more than 512 upstreams are left to the platform

Now a node that would have to tell more than 512 upstreams tells nothing, and the asker goes to the platform, as it did before. Ruled out: passing relays on (a round's datagrams are some KB a second). Test: states (failed first).

--- a/crates/pointvane-dispatch/src/feed/peers.rs
+++ b/crates/pointvane-dispatch/src/feed/peers.rs
@@ -9,6 +9,17 @@
     pointvane_core::{Change, Name, US_PER_MS},
 };
 
+/// Upstreams beyond which a node that needs all of them is left to the platform: some hundred KB for each of hundreds of
+/// nodes would fill the links of those that are asked.
+const WHOLE_UPSTREAMS_MAX: usize = 512;
+
+/// All upstreams as changes, unless there are too many.
+fn whole_state(held: &impl HeldState) -> Option<Vec<Change>> {
+    let upstreams = held.upstreams();
+    let few = upstreams.len() <= WHOLE_UPSTREAMS_MAX;
+    few.then(|| upstreams.into_iter().map(Change::Upstream).collect())
+}
+
 impl Feed {
     /// Takes what another node relays; gives what is to be applied.
     ///
@@ -65,7 +76,10 @@
         }
         let steps = if known.revision == 0 { None } else { self.log.changes_since(known.revision) };
         let whole = steps.is_none();
-        let changes = steps.unwrap_or_else(|| held.upstreams().into_iter().map(Change::Upstream).collect());
+        let changes = match steps {
+            Some(steps) => steps,
+            None => whole_state(held)?,
+        };
         let configuration = (known.version < self.mark.version).then(|| held.configuration());
         Some(StateReply::new(self.mark, age_ms, whole, changes, configuration))
     }
--- a/crates/pointvane-dispatch/tests/states.rs
+++ b/crates/pointvane-dispatch/tests/states.rs
@@ -85,6 +85,26 @@
     expect_that!(peer.answer(&NOTHING, &held, 1_500 * MS).is_some(), eq(false));
 }
 
+/// A peer that holds many upstreams.
+struct ManyHeld(usize);
+
+impl HeldState for ManyHeld {
+    fn upstreams(&self) -> Vec<UpstreamRecord> {
+        (0..self.0).map(|number| record(&format!("i-{number}"), 1)).collect()
+    }
+
+    fn configuration(&self) -> RoutingConfiguration {
+        configuration(3)
+    }
+}
+
+#[gtest]
+fn a_state_too_large_to_be_passed_on_is_left_to_the_platform() {
+    let peer = read_up_to(7, 3);
+    expect_that!(peer.answer(&NOTHING, &ManyHeld(326), 2 * MS).is_some(), eq(true));
+    expect_that!(peer.answer(&NOTHING, &ManyHeld(2_999), 2 * MS).is_some(), eq(false));
+}
+
 #[gtest]
 fn a_peer_that_knows_no_more_tells_nothing() {
     let peer = read_up_to(7, 3);
