A relay is tested for its size with the longest segment that it may get on its way

Cause, found by reading: the size was tested with the segment of the first hop; one of a later hop can be nine bytes longer, so that in fleets of more than 150 others a relay within nine bytes of a datagram's bound would not have left the nodes that pass it on. No test shows it: it needs a datagram of that very size. Fleets of up to 150 others are told directly and not touched.

--- a/crates/pointvane-dispatch/src/fan_out.rs
+++ b/crates/pointvane-dispatch/src/fan_out.rs
@@ -39,6 +39,8 @@
 impl Segment {
     /// The whole line.
     pub const ALL: Self = Self { first: 0, last: u64::MAX };
+    /// The part whose bytes are the most in a datagram.
+    pub const LONGEST: Self = Self { first: u64::MAX, last: u64::MAX };
     /// No part: the word is not passed on.
     pub const NONE: Self = Self { first: 1, last: 0 };
 
--- a/crates/pointvane-node/src/relay.rs
+++ b/crates/pointvane-node/src/relay.rs
@@ -3,7 +3,9 @@
 use {
     crate::node::Node,
     pointvane_core::{PlatformAdapter, VmIdentity, VmState},
-    pointvane_dispatch::{Delegate, LineNode, Relay, RelayDatagram, Segment, delegates, fan_out, line_place},
+    pointvane_dispatch::{
+        Delegate, LineNode, Relay, RelayDatagram, Segment, WireRelay, delegates, fan_out, line_place,
+    },
     pointvane_mesh::{codec, rank},
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::UdpSocket, time::interval},
@@ -61,11 +63,14 @@
         let round = self.relay_round.get() + 1;
         self.relay_round.set(round);
         let origin = self.settings.borrow().gossip;
-        let datagram =
-            |relay: Relay| RelayDatagram { origin, round, segment: Segment::ALL, relay: relay.into() };
-        let whole = datagram(relay.clone());
-        let fits = codec::encode(&whole).is_ok();
-        self.pass_on(&if fits { whole } else { datagram(relay.without_changes()) });
+        let whole =
+            RelayDatagram { origin, round, segment: Segment::ALL, relay: WireRelay::from(relay.clone()) };
+        // Whatever its segment, it must fit all the way.
+        let longest = RelayDatagram { segment: Segment::LONGEST, ..whole.clone() };
+        self.pass_on(&match codec::encode(&longest) {
+            Ok(_) => whole,
+            Err(_) => RelayDatagram { relay: relay.without_changes().into(), ..whole },
+        });
     }
 
     /// Tells the few nodes by which all in the datagram's segment hear of it.
