Node: why calls to the platform and queries of peers gave nothing is counted

Two counters with a label reason; errors of the client and of queries are typed. No change of when anything is called or given up.

--- a/crates/pointvane-node/src/platform_client.rs
+++ b/crates/pointvane-node/src/platform_client.rs
@@ -14,7 +14,10 @@
     hyper_util::rt::TokioIo,
     pointvane_dispatch::CallFailure,
     std::{net::SocketAddr, time::Duration},
-    tokio::{task::spawn_local, time::timeout},
+    tokio::{
+        task::spawn_local,
+        time::{Instant, timeout_at},
+    },
 };
 
 /// Longest time for a new connection. Not measured: as long as an answer may take.
@@ -22,10 +25,47 @@
 /// Largest answer that is read, in bytes. Not measured: it bounds memory.
 const ANSWER_MAX_BYTES: usize = 8 << 20;
 
+/// Why a call gave no answer that can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// No connection came up.
+    Unreachable,
+    /// No head of an answer came in time, or the connection broke before it.
+    NoAnswer,
+    /// The answer's body broke off, or did not come whole in time.
+    BrokenOff,
+    /// The platform refused the call.
+    Refused,
+    /// The platform no longer holds the changes since the revision that is known.
+    HistoryGone,
+    /// The answer is too long, or cannot be understood.
+    Malformed,
+}
+
+impl CallError {
+    /// The value of the label `reason` in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::NoAnswer => "no-answer",
+            Self::BrokenOff => "broken-off",
+            Self::Refused => "refused",
+            Self::HistoryGone => "history-gone",
+            Self::Malformed => "malformed",
+        }
+    }
+
+    /// What the reader is told: it treats all that may pass alike.
+    pub const fn failure(self) -> CallFailure {
+        match self {
+            Self::Unreachable | Self::NoAnswer | Self::BrokenOff | Self::Refused => CallFailure::Unavailable,
+            Self::HistoryGone => CallFailure::HistoryGone,
+            Self::Malformed => CallFailure::Malformed,
+        }
+    }
+}
+
 /// The client; a connection on which a call failed is not used again.
-///
-/// Failures are told by kind only: the reader treats all of a kind alike, and the time line shows when the platform is lost
-/// and back.
 #[derive(Debug, Default)]
 pub struct PlatformClient {
     connection: Option<SendRequest<RelayBody>>,
@@ -35,34 +75,33 @@
     /// Calls the platform; gives the body of its answer.
     ///
     /// # Errors
-    /// A [`CallFailure`] when there is no usable answer within the time-out.
+    /// A [`CallError`] when there is no usable answer within the time-out.
     pub async fn call(
         &mut self,
         address: SocketAddr,
         target: &str,
         call_timeout: Duration,
-    ) -> Result<Bytes, CallFailure> {
+    ) -> Result<Bytes, CallError> {
         let mut sender = match self.connection.take() {
             Some(sender) if sender.is_ready() => sender,
             _ => open(address).await?,
         };
         let request = Request::get(target).header(HOST, address.to_string());
         // The target comes from the adapter; one that is no URI is as bad as an answer that cannot be understood.
-        let request = request.body(RelayBody::whole(Bytes::new())).map_err(|_| CallFailure::Malformed)?;
-        let exchange = async {
-            let (head, body) = sender.send_request(request).await?.into_parts();
-            Ok::<_, hyper::Error>((head.status, gather(body, ANSWER_MAX_BYTES).await?))
-        };
-        let answer = timeout(call_timeout, exchange).await.map_err(|_| CallFailure::Unavailable)?;
-        let (status, gathered) = answer.map_err(|_| CallFailure::Unavailable)?;
-        if gathered.rest.is_some() {
-            return Err(CallFailure::Malformed);
+        let request = request.body(RelayBody::whole(Bytes::new())).map_err(|_| CallError::Malformed)?;
+        let deadline = Instant::now() + call_timeout;
+        let head = timeout_at(deadline, sender.send_request(request)).await;
+        let (head, body) = head.ok().and_then(Result::ok).ok_or(CallError::NoAnswer)?.into_parts();
+        let body = timeout_at(deadline, gather(body, ANSWER_MAX_BYTES)).await;
+        let body = body.ok().and_then(Result::ok).ok_or(CallError::BrokenOff)?;
+        if body.rest.is_some() {
+            return Err(CallError::Malformed);
         }
         self.connection = Some(sender);
-        match status {
-            StatusCode::OK => Ok(gathered.bytes),
-            StatusCode::GONE => Err(CallFailure::HistoryGone),
-            _ => Err(CallFailure::Unavailable),
+        match head.status {
+            StatusCode::OK => Ok(body.bytes),
+            StatusCode::GONE => Err(CallError::HistoryGone),
+            _ => Err(CallError::Refused),
         }
     }
 
@@ -72,10 +111,10 @@
     }
 }
 
-async fn open(address: SocketAddr) -> Result<SendRequest<RelayBody>, CallFailure> {
-    let stream = socket::connect(address, CONNECT_TIMEOUT).await.map_err(|_| CallFailure::Unavailable)?;
+async fn open(address: SocketAddr) -> Result<SendRequest<RelayBody>, CallError> {
+    let stream = socket::connect(address, CONNECT_TIMEOUT).await.map_err(|_| CallError::Unreachable)?;
     let opened = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, driver) = opened.map_err(|_| CallFailure::Unavailable)?;
+    let (sender, driver) = opened.map_err(|_| CallError::Unreachable)?;
     spawn_local(driver);
     Ok(sender)
 }
--- a/crates/pointvane-node/src/platform_reader.rs
+++ b/crates/pointvane-node/src/platform_reader.rs
@@ -1,15 +1,22 @@
 //! Carries out the calls that [`pointvane_dispatch::PlatformReader`] asks for, and puts their answers in force.
 
 use {
-    crate::{node::Node, platform_client::PlatformClient, state_query},
+    crate::{
+        node::Node,
+        platform_client::{CallError, PlatformClient},
+        state_query::{self, QueryError},
+    },
     bytes::Bytes,
     pointvane_core::{Change, ChangePage, MalformedReply, PlatformAdapter},
-    pointvane_dispatch::{CallFailure, QueryTarget, ReaderCall, StateReply, StateRequest},
+    pointvane_dispatch::{QueryTarget, ReaderCall, StateReply, StateRequest},
     pointvane_telemetry::EventKind,
     std::{mem, net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::timeout,
 };
 
+/// The value of the label `reason` for a call that this node gave up, since peers have read on.
+const GIVEN_UP: &str = "given-up";
+
 /// Reads the platform for as long as the process lives.
 pub async fn read<A: PlatformAdapter>(node: Rc<Node<A>>) {
     let mut client = PlatformClient::default();
@@ -58,10 +65,14 @@
     let peer = node.fleet.peer_to_query(target, &node.settings());
     let reply = match peer {
         Some(peer) => query(node, peer, request, query_timeout).await,
-        None => None,
+        None => Err(QueryError::NoPeer),
     };
-    let Some((peer, reply)) = peer.zip(reply) else {
-        return node.platform.state_mut().query_failed(node.now_us());
+    let (peer, reply) = match reply {
+        Ok(answered) => answered,
+        Err(error) => {
+            node.report.query_failed(error.as_str());
+            return node.platform.state_mut().query_failed(node.now_us());
+        }
     };
     let (revision, age_ms) = (reply.mark.revision, reply.age_ms);
     let changes = {
@@ -74,15 +85,15 @@
     node.apply(changes);
 }
 
-/// A peer's answer; none if it knows no more or cannot be reached, which is the same here: the reader asks elsewhere.
+/// A peer's answer, with the peer.
 async fn query<A: PlatformAdapter>(
     node: &Node<A>,
     peer: SocketAddr,
     request: &StateRequest,
     query_timeout: Duration,
-) -> Option<StateReply> {
+) -> Result<(SocketAddr, StateReply), QueryError> {
     node.report.queried_peer();
-    state_query::query(peer, request, query_timeout).await.ok().flatten()
+    Ok((peer, state_query::query(peer, request, query_timeout).await?))
 }
 
 /// Reads one page of everything.
@@ -125,6 +136,7 @@
         () = node.platform.interrupted() => None,
     };
     let Some(answer) = answer else {
+        node.report.platform_call_failed(GIVEN_UP);
         node.report.note(EventKind::WatchRenewed { revision: after });
         return client.close();
     };
@@ -141,7 +153,7 @@
     client: &mut PlatformClient,
     target: &str,
     call_timeout: Duration,
-) -> Result<Bytes, CallFailure> {
+) -> Result<Bytes, CallError> {
     let address = node.settings().platform;
     node.report.called_platform();
     client.call(address, target, call_timeout).await
@@ -151,19 +163,20 @@
 fn decoded<A: PlatformAdapter>(
     node: &Node<A>,
     client: &mut PlatformClient,
-    answer: Result<Bytes, CallFailure>,
+    answer: Result<Bytes, CallError>,
     decode: impl Fn(&A, &[u8]) -> Result<ChangePage, MalformedReply>,
 ) -> Option<ChangePage> {
     // Why it cannot be understood is dropped: whatever it was, the reader reads everything anew, which shows on the time line.
-    let page = answer.and_then(|body| decode(&node.adapter, &body).map_err(|_| CallFailure::Malformed));
+    let page = answer.and_then(|body| decode(&node.adapter, &body).map_err(|_| CallError::Malformed));
     match page {
         Ok(mut page) => {
             node.note_refused_items(mem::take(&mut page.refused));
             Some(page)
         }
-        Err(failure) => {
+        Err(error) => {
             client.close();
-            node.platform.state_mut().call_failed(failure, node.now_us());
+            node.report.platform_call_failed(error.as_str());
+            node.platform.state_mut().call_failed(error.failure(), node.now_us());
             None
         }
     }
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -48,7 +48,9 @@
     repeats: Counter<u64>,
     probes: Counter<u64>,
     platform_calls: Counter<u64>,
+    platform_call_failures: Counter<u64>,
     peer_questions: Counter<u64>,
+    peer_question_failures: Counter<u64>,
     request_s: Histogram<f64>,
     upstream_s: Histogram<f64>,
 }
@@ -83,7 +85,9 @@
             repeats: counter("pointvane_node_repeats"),
             probes: counter("pointvane_node_probes"),
             platform_calls: counter("pointvane_node_platform_calls"),
+            platform_call_failures: counter("pointvane_node_platform_call_failures"),
             peer_questions: counter("pointvane_node_peer_questions"),
+            peer_question_failures: counter("pointvane_node_peer_question_failures"),
             request_s: histogram("pointvane_node_request"),
             upstream_s: histogram("pointvane_node_upstream"),
             metrics,
@@ -172,11 +176,21 @@
         self.platform_calls.add(1, &[]);
     }
 
+    /// Counts a call to the platform that gave nothing.
+    pub fn platform_call_failed(&self, reason: &'static str) {
+        self.platform_call_failures.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a query to another node.
     pub fn queried_peer(&self) {
         self.peer_questions.add(1, &[]);
     }
 
+    /// Counts a query to another node that gave nothing.
+    pub fn query_failed(&self, reason: &'static str) {
+        self.peer_question_failures.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// A label with a bounded number of values.
     fn label(&self, key: &'static str, value: &Name) -> KeyValue {
         let mut labels = self.labels.borrow_mut();
--- a/crates/pointvane-node/src/state_query.rs
+++ b/crates/pointvane-node/src/state_query.rs
@@ -11,7 +11,7 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         task::spawn_local,
-        time::timeout,
+        time::{Instant, timeout, timeout_at},
     },
 };
 
@@ -28,6 +28,31 @@
     }
 }
 
+/// Why a query gave no state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueryError {
+    /// No other node is known.
+    NoPeer,
+    /// No connection came up in time.
+    Unreachable,
+    /// No answer came in time, or it broke off.
+    NoAnswer,
+    /// The other node knows no more.
+    NothingNewer,
+}
+
+impl QueryError {
+    /// The value of the label `reason` in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoPeer => "no-peer",
+            Self::Unreachable => "unreachable",
+            Self::NoAnswer => "no-answer",
+            Self::NothingNewer => "nothing-newer",
+        }
+    }
+}
+
 /// Answers other nodes for as long as the process lives.
 pub async fn serve<A: PlatformAdapter + 'static>(node: Rc<Node<A>>, listener: TcpListener) {
     loop {
@@ -49,24 +74,23 @@
     stream.shutdown().await
 }
 
-/// Queries another node; none if it knows no more.
+/// Queries another node.
 ///
 /// # Errors
-/// Those of the connection, and a time-out.
+/// A [`QueryError`] when it gives nothing newer within the time-out.
 pub async fn query(
     peer: SocketAddr,
     request: &StateRequest,
-    exchange_timeout: Duration,
-) -> io::Result<Option<StateReply>> {
-    timeout(exchange_timeout, exchange(peer, request, exchange_timeout)).await?
+    query_timeout: Duration,
+) -> Result<StateReply, QueryError> {
+    let deadline = Instant::now() + query_timeout;
+    let stream = socket::connect(peer, query_timeout).await.map_err(|_| QueryError::Unreachable)?;
+    let reply = timeout_at(deadline, exchange(stream, request)).await;
+    let reply = reply.map_err(|_| QueryError::NoAnswer)?.map_err(|_| QueryError::NoAnswer)?;
+    reply.ok_or(QueryError::NothingNewer)
 }
 
-async fn exchange(
-    peer: SocketAddr,
-    request: &StateRequest,
-    exchange_timeout: Duration,
-) -> io::Result<Option<StateReply>> {
-    let mut stream = socket::connect(peer, exchange_timeout).await?;
+async fn exchange(mut stream: TcpStream, request: &StateRequest) -> io::Result<Option<StateReply>> {
     write_frame(&mut stream, request).await?;
     read_frame(&mut stream).await
 }
