--- /dev/null
+++ b/standins/tests/thin_links.rs
@@ -0,0 +1,103 @@
+//! A node whose link carries few bytes a second, and a configuration that takes longer to come than any time-out.
+
+mod users_platform;
+
+use {
+    googletest::prelude::*,
+    pointvane_core::{
+        CallerLimits, Change, RouteKind, RouteRule, RoutingConfiguration, ServiceRule, WeightedService,
+    },
+    pointvane_dispatch::{ReadMark, StateReply, StateRequest},
+    pointvane_mesh::codec,
+    std::{
+        net::{Ipv4Addr, SocketAddr, TcpListener},
+        thread,
+    },
+    users_platform::{HOST, Log, NodeProcess, Store, eventually, own_address, write_thinly},
+};
+
+/// What a link of 10 Mbit/s carries, in bytes a second.
+const THIN_BYTES_PER_S: u64 = 1_250_000;
+/// Routes of a large configuration: in the platform's form it takes a second on such a link.
+const ROUTES: usize = 5_000;
+/// Port on which nodes of these tests answer queries.
+const QUERY_PORT: u16 = 8_146;
+
+fn path(number: usize) -> String {
+    format!("/route-{number}/")
+}
+
+fn publish(store: &Store, version: u64, routes: usize) {
+    let paths: Vec<String> = (0..routes).map(path).collect();
+    let routes: Vec<_> = paths.iter().map(|path| (path.as_str(), "safe", 5_000, "app")).collect();
+    store.configure(version, &routes);
+}
+
+/// Waits until a node knows its last route; without an upstream it answers 503 then, before that 404 or 503.
+fn until_it_knows(node: &NodeProcess, routes: usize) {
+    node.until_ready();
+    let path = path(routes - 1);
+    eventually(|| node.request("GET", &path, "1", 1_000).is_ok_and(|answer| answer.status() == 503));
+}
+
+#[gtest]
+fn a_large_configuration_comes_over_a_thin_link_from_the_platform_and_from_a_peer() {
+    from_the_platform();
+    from_a_peer();
+}
+
+fn from_the_platform() {
+    let store = Store::start();
+    publish(&store, 5, 1);
+    let node = NodeProcess::start(&store);
+    node.until_ready();
+    store.send_thinly(THIN_BYTES_PER_S);
+    publish(&store, 6, ROUTES);
+    until_it_knows(&node, ROUTES);
+    // A node that starts must read it as well.
+    let second = NodeProcess::start(&store);
+    until_it_knows(&second, ROUTES);
+}
+
+fn from_a_peer() {
+    let peer = own_address();
+    serve_state(peer);
+    let nowhere = SocketAddr::from((own_address(), 8_142));
+    let node = NodeProcess::start_at(own_address(), nowhere, &[peer], Log::File);
+    until_it_knows(&node, ROUTES);
+}
+
+/// Plays a peer that knows a large configuration and answers queries over a thin link.
+fn serve_state(address: Ipv4Addr) {
+    let listener = TcpListener::bind((address, QUERY_PORT)).unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let Ok(_) = codec::read_frame::<StateRequest>(&mut stream) else { continue };
+            let mark = ReadMark { revision: 50, version: 6 };
+            let reply =
+                Some(StateReply::new(mark, 0, true, Vec::<Change>::new(), Some(large_configuration())));
+            // The node may give the exchange up.
+            _ = write_thinly(&mut stream, &codec::frame(&reply).unwrap(), THIN_BYTES_PER_S);
+        }
+    });
+}
+
+fn large_configuration() -> RoutingConfiguration {
+    let route = |number| RouteRule {
+        name: format!("r{number}").as_str().into(),
+        host: HOST.into(),
+        path_prefix: path(number).as_str().into(),
+        kind: RouteKind::Safe,
+        timeout_ms: 5_000,
+        target_latency_ms: 200,
+        attempts_max: 2,
+        priority: 1,
+        backends: vec![WeightedService { service: "app".into(), weight: 1 }],
+    };
+    RoutingConfiguration {
+        version: 6,
+        routes: (0..ROUTES).map(route).collect(),
+        services: vec![ServiceRule { name: "app".into(), health_path: "/health".into() }],
+        limits: CallerLimits::default(),
+    }
+}
--- a/standins/tests/users_platform/mod.rs
+++ b/standins/tests/users_platform/mod.rs
@@ -4,12 +4,14 @@
 mod message;
 mod node;
 mod store;
+mod thin_link;
 mod upstream;
 
 pub use {
     message::{Message, call, read_message, request_head},
     node::{Log, NodeProcess},
     store::Store,
+    thin_link::write_thinly,
     upstream::{Manner, Upstream},
 };
 
--- a/standins/tests/users_platform/store.rs
+++ b/standins/tests/users_platform/store.rs
@@ -5,13 +5,17 @@
         HOST,
         message::{Message, read_message},
         own_address,
+        thin_link::write_thinly,
         upstream::Upstream,
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     std::{
-        io::{self, BufReader, Write},
+        io::{self, BufReader},
         net::{SocketAddr, TcpListener, TcpStream},
-        sync::{Arc, Condvar, Mutex},
+        sync::{
+            Arc, Condvar, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -30,12 +34,18 @@
 pub struct Store {
     pub address: SocketAddr,
     stored: Arc<(Mutex<Stored>, Condvar)>,
+    /// Bytes that an answer carries each second; 0 for as many as loopback takes.
+    bytes_per_s: Arc<AtomicU64>,
 }
 
 impl Store {
     pub fn start() -> Self {
         let listener = TcpListener::bind((own_address(), 8_142)).unwrap();
-        let store = Self { address: listener.local_addr().unwrap(), stored: Arc::default() };
+        let store = Self {
+            address: listener.local_addr().unwrap(),
+            stored: Arc::default(),
+            bytes_per_s: Arc::default(),
+        };
         let served = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -46,6 +56,11 @@
         store
     }
 
+    /// Sends answers at so many bytes a second from now on.
+    pub fn send_thinly(&self, bytes_per_s: u64) {
+        self.bytes_per_s.store(bytes_per_s, Ordering::Relaxed);
+    }
+
     pub fn put(&self, key: &str, value: &str) {
         let mut stored = self.stored.0.lock().unwrap();
         stored.revision += 1;
@@ -102,7 +117,8 @@
         loop {
             let request = read_message(&mut reader)?;
             let body = self.answer(request.target());
-            write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())?;
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+            write_thinly(&mut stream, answer.as_bytes(), self.bytes_per_s.load(Ordering::Relaxed))?;
         }
     }
 
