Nodes tell each other what changed of the configuration, not all of it

Each node keeps the last deltas (4,096 routes at most) and sends those that lead from the asker's version to its own, the whole configuration if it has none. A delta names its versions and the count of routes it leads to; one that does not fit makes the node read everything anew. Routes of a configuration are shared, so that taking one out of the table copies nothing.

--- a/crates/pointvane-core/src/lib.rs
+++ b/crates/pointvane-core/src/lib.rs
@@ -1,7 +1,7 @@
 //! Types, units, the closed list of error kinds and the small traits at pointvane's interfaces.
 //!
 //! Of both forms: `error`, `identity`, `token_bucket`. Of the three programs: `key`, `request`, `traits`. Of the node: `adapter`,
-//! `published`, `routing`.
+//! `published`, `routing`, `routing_delta`.
 //!
 //! Nothing here does I/O, starts a thread or reads a clock. Times are microseconds of a monotonic clock
 //! (`*_us`) unless a name says otherwise.
@@ -15,6 +15,7 @@
 mod published;
 mod request;
 mod routing;
+mod routing_delta;
 mod token_bucket;
 mod traits;
 
@@ -26,6 +27,7 @@
     published::{Change, ChangePage, MalformedReply, RefusedItem, UpstreamLoad, UpstreamRecord},
     request::{Class, header},
     routing::{CallerLimits, RouteKind, RouteRule, RoutingConfiguration, ServiceRule, WeightedService},
+    routing_delta::{DeltaMismatch, RoutingDelta},
     token_bucket::TokenBucket,
     traits::{Clock, LoadReport, Observation, Platform, PlatformError, PlatformReading},
 };
--- a/crates/pointvane-core/src/published.rs
+++ b/crates/pointvane-core/src/published.rs
@@ -1,7 +1,7 @@
 //! What a platform publishes and upstreams report: entries of upstreams, changes, pages of changes, load.
 
 use {
-    crate::{Name, RoutingConfiguration},
+    crate::{Name, RoutingConfiguration, RoutingDelta},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -32,6 +32,8 @@
 pub enum Change {
     /// A configuration was published.
     Configuration(Box<RoutingConfiguration>),
+    /// Configurations were published, of which a peer told only what changed: each delta leads on from the one before.
+    ConfigurationDeltas(Vec<RoutingDelta>),
     /// An upstream appeared or changed.
     Upstream(UpstreamRecord),
     /// An upstream's entry was removed, or it expired.
@@ -44,7 +46,7 @@
         match self {
             Self::Upstream(record) => Some(&record.id),
             Self::UpstreamGone(id) => Some(id),
-            Self::Configuration(_) => None,
+            Self::Configuration(_) | Self::ConfigurationDeltas(_) => None,
         }
     }
 }
--- a/crates/pointvane-core/src/routing.rs
+++ b/crates/pointvane-core/src/routing.rs
@@ -5,6 +5,7 @@
 use {
     crate::Name,
     serde::{Deserialize, Serialize},
+    std::sync::Arc,
 };
 
 /// One published configuration, whole.
@@ -13,7 +14,7 @@
     /// The operators' version; larger is newer.
     pub version: u64,
     /// The routes, in no order.
-    pub routes: Vec<RouteRule>,
+    pub routes: Vec<Arc<RouteRule>>,
     /// The services that routes name.
     pub services: Vec<ServiceRule>,
     /// Limits for callers.
--- /dev/null
+++ b/crates/pointvane-core/tests/routing_delta.rs
@@ -0,0 +1,65 @@
+//! What nodes send each other of a configuration that changed.
+
+use {
+    googletest::prelude::*,
+    pointvane_core::{
+        CallerLimits, DeltaMismatch, RouteKind, RouteRule, RoutingConfiguration, RoutingDelta, ServiceRule,
+        WeightedService,
+    },
+    std::sync::Arc,
+};
+
+fn route(name: &str, timeout_ms: u64) -> Arc<RouteRule> {
+    Arc::new(RouteRule {
+        name: name.into(),
+        host: "app.example".into(),
+        path_prefix: format!("/{name}/").as_str().into(),
+        kind: RouteKind::Safe,
+        timeout_ms,
+        target_latency_ms: 200,
+        attempts_max: 2,
+        priority: 1,
+        backends: vec![WeightedService { service: "app".into(), weight: 1 }],
+    })
+}
+
+fn configuration(version: u64, routes: Vec<Arc<RouteRule>>) -> RoutingConfiguration {
+    let services = vec![ServiceRule { name: "app".into(), health_path: "/health".into() }];
+    RoutingConfiguration { version, routes, services, limits: CallerLimits::default() }
+}
+
+/// Routes by name, since their order means nothing.
+fn sorted(mut configuration: RoutingConfiguration) -> RoutingConfiguration {
+    configuration.routes.sort_by(|one, other| one.name.cmp(&other.name));
+    configuration
+}
+
+#[gtest]
+fn a_delta_leads_to_the_same_configuration() {
+    let old = configuration(4, vec![route("a", 1), route("b", 1), route("c", 1)]);
+    let mut new = configuration(7, vec![route("a", 1), route("b", 2), route("d", 1)]);
+    new.limits.body_bytes_max = 5;
+    new.services.push(ServiceRule { name: "other".into(), health_path: "/up".into() });
+    let delta = RoutingDelta::between(&old, &new).unwrap();
+    expect_that!(delta.changed.len(), eq(2), "what is the same is not sent");
+    expect_that!(delta.touched(), eq(3));
+    expect_that!(delta.apply(old).map(sorted), ok(eq(&sorted(new))));
+}
+
+#[gtest]
+fn a_delta_is_not_applied_to_another_configuration() {
+    let old = configuration(4, vec![route("a", 1), route("b", 1)]);
+    let new = configuration(7, vec![route("a", 1)]);
+    let delta = RoutingDelta::between(&old, &new).unwrap();
+    expect_that!(delta.apply(configuration(5, old.routes)), err(eq(&DeltaMismatch::Version)));
+    let damaged = configuration(4, vec![route("b", 1)]);
+    expect_that!(delta.apply(damaged), err(eq(&DeltaMismatch::Routes)));
+}
+
+#[gtest]
+fn routes_that_share_a_name_have_no_delta() {
+    let old = configuration(4, vec![route("a", 1)]);
+    let new = configuration(7, vec![route("a", 1), route("a", 2)]);
+    expect_that!(RoutingDelta::between(&old, &new), none());
+    expect_that!(RoutingDelta::between(&new, &old), none());
+}
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -15,7 +15,7 @@
 //! | when an upstream gets no new work | `ejection.rs` |
 //! | how many retries and probes a node may spend | `budget.rs` |
 //! | when the platform is read or another node is queried | `reader.rs` and its modules |
-//! | how changes reach all nodes | `relay.rs`, `fan_out.rs`, `state_query.rs`, `query_order.rs` |
+//! | how changes reach all nodes | `relay.rs`, `fan_out.rs`, `state_query.rs`, `query_order.rs`, `routing_log.rs` |
 //! | which nodes a caller is sent to | `directory.rs` |
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -39,6 +39,7 @@
 mod retry;
 mod route_times;
 mod routes;
+mod routing_log;
 mod search;
 mod state_query;
 mod subset;
@@ -68,9 +69,10 @@
     retry::{AttemptOutcome, Refusal, Verdict, judge, may_pass_on},
     route_times::RouteTimes,
     routes::{RouteTable, RoutedRequest},
+    routing_log::RoutingLog,
     search::{
         Found, PROBE_TIMEOUT_US, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep, search_time_ms,
     },
-    state_query::{KnownState, StateReply, StateRequest},
+    state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest},
     upstream::{LoadSample, UpstreamKey, UpstreamState},
 };
--- a/crates/pointvane-dispatch/src/reader/nodes.rs
+++ b/crates/pointvane-dispatch/src/reader/nodes.rs
@@ -1,11 +1,11 @@
 //! What becomes of other nodes' relays and answers, and what this node answers to their queries.
 
 use {
-    super::{CatchUp, PlatformCall, PlatformReader, ReaderRole},
+    super::{CatchUp, PlatformCall, PlatformReader, ReaderRole, snapshot::SnapshotRead},
     crate::{
         read_mark::ReadMark,
         relay::Relay,
-        state_query::{KnownState, StateReply, StateRequest},
+        state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest},
     },
     pointvane_core::{Change, Name, US_PER_MS},
 };
@@ -91,7 +91,8 @@
             Some(steps) => steps,
             None => whole_state(known_here)?,
         };
-        let configuration = (known.version < self.mark.version).then(|| known_here.configuration());
+        let older = known.version < self.mark.version;
+        let configuration = older.then(|| ConfigurationUpdate::new(known.version, known_here));
         Some(StateReply::new(self.mark, age_ms, whole, changes, configuration))
     }
 
@@ -122,6 +123,13 @@
         changes
     }
 
+    /// Takes note that the configuration in force is an older one than was read: a delta could not be applied. Everything is read
+    /// anew.
+    pub fn configuration_missing(&mut self, version_in_force: u64) {
+        self.mark.version = version_in_force;
+        self.snapshot = Some(SnapshotRead::default());
+    }
+
     /// Takes note that a query failed. After a start there is a pause before the next query.
     pub fn query_failed(&mut self, now_us: u64) {
         if self.snapshot.is_some() && self.start_queries > 0 {
--- a/crates/pointvane-dispatch/src/relay.rs
+++ b/crates/pointvane-dispatch/src/relay.rs
@@ -74,7 +74,7 @@
         match change {
             Change::Upstream(record) => Some(Self::Upstream(record)),
             Change::UpstreamGone(id) => Some(Self::Gone(id)),
-            Change::Configuration(_) => None,
+            Change::Configuration(_) | Change::ConfigurationDeltas(_) => None,
         }
     }
 }
--- a/crates/pointvane-dispatch/src/routes.rs
+++ b/crates/pointvane-dispatch/src/routes.rs
@@ -35,7 +35,7 @@
     pub fn new(configuration: RoutingConfiguration) -> Self {
         let mut by_host: HashMap<Name, Vec<Arc<RouteRule>>> = HashMap::new();
         for route in configuration.routes {
-            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+            by_host.entry(route.host.clone()).or_default().push(route);
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.as_str().len()));
@@ -56,14 +56,13 @@
 
     /// The configuration that the table was made from.
     pub fn configuration(&self) -> RoutingConfiguration {
-        let routes = self.by_host.values().flatten().map(|route| RouteRule::clone(route));
         let service = |(name, health_path): (&Name, &Name)| ServiceRule {
             name: name.clone(),
             health_path: health_path.clone(),
         };
         RoutingConfiguration {
             version: self.version,
-            routes: routes.collect(),
+            routes: self.by_host.values().flatten().cloned().collect(),
             services: self.health_paths.iter().map(service).collect(),
             limits: self.limits,
         }
--- a/crates/pointvane-dispatch/src/state_query.rs
+++ b/crates/pointvane-dispatch/src/state_query.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{read_mark::ReadMark, relay::WireChange},
-    pointvane_core::{Change, Name, RoutingConfiguration, UpstreamRecord},
+    pointvane_core::{Change, Name, RoutingConfiguration, RoutingDelta, UpstreamRecord},
     serde::{Deserialize, Serialize},
     std::collections::HashSet,
 };
@@ -13,6 +13,44 @@
     fn upstreams(&self) -> Vec<UpstreamRecord>;
     /// The configuration in force.
     fn configuration(&self) -> RoutingConfiguration;
+    /// What changed from a version to the configuration in force; none if that is not known.
+    fn configuration_since(&self, version: u64) -> Option<Vec<RoutingDelta>>;
+}
+
+/// How an answer brings the configuration in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConfigurationUpdate {
+    /// Whole.
+    Whole(Box<RoutingConfiguration>),
+    /// By what changed since the one that the querying node has.
+    Deltas(Vec<RoutingDelta>),
+}
+
+impl ConfigurationUpdate {
+    /// The update for a node that has a version.
+    pub fn new(known: u64, known_here: &impl KnownState) -> Self {
+        match known_here.configuration_since(known) {
+            Some(deltas) => Self::Deltas(deltas),
+            None => Self::Whole(Box::new(known_here.configuration())),
+        }
+    }
+
+    /// The version that a node with version `known` has after it; none if it cannot be applied there.
+    fn leads_to(&self, known: u64) -> Option<u64> {
+        match self {
+            Self::Whole(configuration) => Some(configuration.version),
+            Self::Deltas(deltas) => deltas.iter().try_fold(known, |version, delta| {
+                (delta.from_version == version).then_some(delta.to_version)
+            }),
+        }
+    }
+
+    fn into_change(self) -> Change {
+        match self {
+            Self::Whole(configuration) => Change::Configuration(configuration),
+            Self::Deltas(deltas) => Change::ConfigurationDeltas(deltas),
+        }
+    }
 }
 
 /// A query for what a node does not know yet.
@@ -33,7 +71,7 @@
     pub whole: bool,
     changes: Vec<WireChange>,
     /// The configuration, if the querying node has an older one.
-    pub configuration: Option<RoutingConfiguration>,
+    pub configuration: Option<ConfigurationUpdate>,
 }
 
 impl StateReply {
@@ -43,7 +81,7 @@
         age_ms: u64,
         whole: bool,
         changes: Vec<Change>,
-        configuration: Option<RoutingConfiguration>,
+        configuration: Option<ConfigurationUpdate>,
     ) -> Self {
         Self {
             mark,
@@ -56,7 +94,7 @@
 
     /// Whether a node that knows `known` knows everything up to the reply's mark by it.
     pub fn leads_from(&self, known: ReadMark) -> bool {
-        let brought = self.configuration.as_ref().map(|configuration| configuration.version);
+        let brought = self.configuration.as_ref().and_then(|update| update.leads_to(known.version));
         let configured = known.version >= self.mark.version || brought == Some(self.mark.version);
         configured && self.mark.revision >= known.revision
     }
@@ -69,8 +107,7 @@
             true => known.filter(|id| !listed.contains(id)).cloned().map(Change::UpstreamGone).collect(),
             false => Vec::new(),
         };
-        let configuration =
-            self.configuration.map(|configuration| Change::Configuration(Box::new(configuration)));
+        let configuration = self.configuration.map(ConfigurationUpdate::into_change);
         configuration.into_iter().chain(upstreams).chain(gone).collect()
     }
 }
--- a/crates/pointvane-dispatch/tests/fleet/mod.rs
+++ b/crates/pointvane-dispatch/tests/fleet/mod.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::common::{configuration, configured, page, told},
-    pointvane_core::{Change, ChangePage, RoutingConfiguration, UpstreamRecord},
+    pointvane_core::{Change, ChangePage, RoutingConfiguration, RoutingDelta, UpstreamRecord},
     pointvane_dispatch::{
         CallFailure, KnownState, PlatformReader, QueryCandidate, QueryTarget, ReadMark, ReaderCall,
         ReaderOptions, ReaderRole, Relay, StateReply, earlier_peer,
@@ -113,6 +113,10 @@
     fn configuration(&self) -> RoutingConfiguration {
         configuration(self.0.version)
     }
+
+    fn configuration_since(&self, _version: u64) -> Option<Vec<RoutingDelta>> {
+        None
+    }
 }
 
 /// One node of a run, with its reader and the call it waits for.
--- a/crates/pointvane-dispatch/tests/lapses.rs
+++ b/crates/pointvane-dispatch/tests/lapses.rs
@@ -48,7 +48,7 @@
                 Change::UpstreamGone(id) => {
                     _ = self.pool.entry_removed(&id, self.reader.grace_until_us(), now_us)
                 }
-                Change::Configuration(_) => {}
+                Change::Configuration(_) | Change::ConfigurationDeltas(_) => {}
             }
         }
     }
--- a/crates/pointvane-dispatch/tests/relays.rs
+++ b/crates/pointvane-dispatch/tests/relays.rs
@@ -42,7 +42,7 @@
             match change {
                 Change::Upstream(record) => _ = self.pool.upsert(record, now_us),
                 Change::UpstreamGone(id) => _ = self.pool.remove(&id),
-                Change::Configuration(_) => {}
+                Change::Configuration(_) | Change::ConfigurationDeltas(_) => {}
             }
         }
     }
--- a/crates/pointvane-dispatch/tests/routing.rs
+++ b/crates/pointvane-dispatch/tests/routing.rs
@@ -5,7 +5,7 @@
     pointvane_core::{Name, RouteKind, RouteRule, RoutingConfiguration, ServiceRule, WeightedService},
     pointvane_dispatch::{DirectoryMember, RouteTable, directory_addresses},
     rand::{SeedableRng, rngs::SmallRng},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 fn route(name: &str, host: &str, prefix: &str, backends: &[(&str, u32)]) -> RouteRule {
@@ -25,6 +25,7 @@
 }
 
 fn table(routes: Vec<RouteRule>) -> RouteTable {
+    let routes = routes.into_iter().map(Arc::new).collect();
     let services = vec![ServiceRule { name: "a".into(), health_path: "/up".into() }];
     RouteTable::new(RoutingConfiguration { version: 7, routes, services, ..RoutingConfiguration::default() })
 }
--- a/crates/pointvane-dispatch/tests/states.rs
+++ b/crates/pointvane-dispatch/tests/states.rs
@@ -5,7 +5,7 @@
 use {
     common::{configuration, configured, page, record, told},
     googletest::prelude::*,
-    pointvane_core::{Change, Name, RoutingConfiguration, UpstreamRecord},
+    pointvane_core::{Change, Name, RoutingConfiguration, RoutingDelta, UpstreamRecord},
     pointvane_dispatch::{
         KnownState, PlatformReader, ReadMark, ReaderCall, ReaderOptions, ReaderRole, Relay, StateReply,
         StateRequest,
@@ -29,6 +29,10 @@
     fn configuration(&self) -> RoutingConfiguration {
         configuration(self.version)
     }
+
+    fn configuration_since(&self, _version: u64) -> Option<Vec<RoutingDelta>> {
+        None
+    }
 }
 
 /// A reader that the platform has told everything up to a revision and version.
@@ -97,6 +101,10 @@
     fn configuration(&self) -> RoutingConfiguration {
         configuration(3)
     }
+
+    fn configuration_since(&self, _version: u64) -> Option<Vec<RoutingDelta>> {
+        None
+    }
 }
 
 #[gtest]
@@ -179,3 +187,48 @@
     watcher.receive_relay(relay(7, 3, Vec::new()), 0.0, now_us + 300 * MS);
     expect_that!(watcher.is_to_be_interrupted(), eq(false), "the call under way brings what is missing");
 }
+
+/// What a peer that has followed the configuration from version 2 to 4 holds.
+struct Followed;
+
+impl KnownState for Followed {
+    fn upstreams(&self) -> Vec<UpstreamRecord> {
+        Vec::new()
+    }
+
+    fn configuration(&self) -> RoutingConfiguration {
+        configuration(4)
+    }
+
+    fn configuration_since(&self, version: u64) -> Option<Vec<RoutingDelta>> {
+        let step = |from, to| RoutingDelta::between(&configuration(from), &configuration(to)).unwrap();
+        (version == 2).then(|| vec![step(2, 3), step(3, 4)])
+    }
+}
+
+#[gtest]
+fn a_peer_tells_only_what_changed_of_the_configuration() {
+    let mut peer = read_up_to(5, 2);
+    peer.next(2_000 * MS);
+    peer.watch_answered(page(8, vec![configured(4)]), 2_001 * MS);
+    let request = |revision, version| StateRequest { known: ReadMark { revision, version } };
+    let reply = peer.answer(&request(5, 2), &Followed, 2_002 * MS).unwrap();
+    let mut asker = read_up_to(5, 2);
+    let changes = hear(&mut asker, reply.clone(), 2_003 * MS);
+    expect_that!(changes, elements_are![matches_pattern!(Change::ConfigurationDeltas(len(eq(2))))]);
+    expect_that!(asker.mark(), eq(ReadMark { revision: 8, version: 4 }));
+    // Deltas are nothing to a node that has another version.
+    let mut other = read_up_to(5, 1);
+    expect_that!(hear(&mut other, reply, 2_003 * MS), is_empty());
+    // A version that the peer never had gets everything.
+    let whole = peer.answer(&request(5, 1), &Followed, 2_002 * MS).unwrap();
+    expect_that!(hear(&mut other, whole, 2_004 * MS), elements_are![eq(&configured(4))]);
+}
+
+#[gtest]
+fn a_node_whose_configuration_is_missing_reads_everything_anew() {
+    let mut reader = read_up_to(5, 4);
+    reader.configuration_missing(2);
+    expect_that!(reader.mark(), eq(ReadMark { revision: 5, version: 2 }));
+    expect_that!(reader.next(1_000 * MS), matches_pattern!(ReaderCall::Snapshot { next_page: none(), .. }));
+}
--- a/crates/pointvane-dispatch/tests/wire_format.rs
+++ b/crates/pointvane-dispatch/tests/wire_format.rs
@@ -3,13 +3,15 @@
 use {
     googletest::prelude::*,
     pointvane_core::{
-        CallerLimits, Change, Name, RouteKind, RouteRule, RoutingConfiguration, ServiceRule, UpstreamRecord,
-        WeightedService,
+        CallerLimits, Change, Name, RouteKind, RouteRule, RoutingConfiguration, RoutingDelta, ServiceRule,
+        UpstreamRecord, WeightedService,
+    },
+    pointvane_dispatch::{
+        ConfigurationUpdate, ReadMark, Relay, RelayDatagram, Segment, StateReply, StateRequest, WireRelay,
     },
-    pointvane_dispatch::{ReadMark, Relay, RelayDatagram, Segment, StateReply, StateRequest, WireRelay},
     pointvane_mesh::codec,
     serde::{Serialize, de::DeserializeOwned},
-    std::fmt::Write,
+    std::{fmt::Write, sync::Arc},
 };
 
 /// The golden lines, `name bytes-in-hexadecimal`.
@@ -62,12 +64,18 @@
     };
     RoutingConfiguration {
         version: 12,
-        routes: kinds.map(route).to_vec(),
+        routes: kinds.map(|kind| Arc::new(route(kind))).to_vec(),
         services: vec![ServiceRule { name: "board".into(), health_path: "/health".into() }],
         limits: CallerLimits::default(),
     }
 }
 
+fn delta() -> RoutingDelta {
+    let from = RoutingConfiguration { version: 9, routes: Vec::new(), ..configuration() };
+    let to = RoutingConfiguration { routes: configuration().routes[..1].to_vec(), ..configuration() };
+    RoutingDelta { removed: vec!["old".into()], ..RoutingDelta::between(&from, &to).unwrap() }
+}
+
 #[gtest]
 fn every_message_has_the_bytes_that_it_always_had() {
     let mut lines = Lines::default();
@@ -85,6 +93,9 @@
     lines.add("state-request", &StateRequest { known: mark });
     lines.add("no-state", &None::<StateReply>);
     lines.add("state-steps", &Some(StateReply::new(mark, 250, false, changes(), None)));
-    lines.add("state-whole", &Some(StateReply::new(mark, 250, true, changes(), Some(configuration()))));
+    let whole = ConfigurationUpdate::Whole(Box::new(configuration()));
+    lines.add("state-whole", &Some(StateReply::new(mark, 250, true, changes(), Some(whole))));
+    let deltas = ConfigurationUpdate::Deltas(vec![delta()]);
+    lines.add("state-deltas", &Some(StateReply::new(mark, 250, false, changes(), Some(deltas))));
     expect_that!(lines.0, eq(GOLDEN));
 }
--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -5,10 +5,10 @@
 use {
     crate::{connections::Connections, probe_table::ProbeTable},
     pointvane_config::{ChoicePolicy, NodeAdmissionOptions, NodeOptions},
-    pointvane_core::{Name, RouteRule, RoutingConfiguration},
+    pointvane_core::{DeltaMismatch, Name, RouteRule, RoutingConfiguration, RoutingDelta},
     pointvane_dispatch::{
         AdmissionPolicy, BudgetLimits, NodeBudgets, Pool, Ranking, RankingOptions, RetryBudget, RouteTable,
-        RouteTimes, RoutedRequest, SearchOptions, retry_after_ms,
+        RouteTimes, RoutedRequest, RoutingLog, SearchOptions, retry_after_ms,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
@@ -32,6 +32,7 @@
     /// Probes under way.
     pub probes: ProbeTable,
     routes: RefCell<Rc<RouteTable>>,
+    routing_log: RefCell<RoutingLog>,
     pool: RefCell<Pool>,
     budgets: RefCell<NodeBudgets>,
     route_times: RefCell<HashMap<Name, RouteTimes>>,
@@ -54,6 +55,7 @@
             connections: Connections::default(),
             probes: ProbeTable::default(),
             routes: RefCell::default(),
+            routing_log: RefCell::default(),
             pool: RefCell::new(Pool::new(ranking_options(policy), data_centre, seeder.random())),
             budgets: RefCell::new(NodeBudgets::new(now_us)),
             route_times: RefCell::default(),
@@ -68,13 +70,33 @@
 
     /// Puts a configuration in force, unless it is no newer than the one in force.
     pub fn accept_configuration(&self, configuration: RoutingConfiguration) -> bool {
-        let newer = configuration.version > self.routes.borrow().version();
+        let before = self.routes();
+        let newer = configuration.version > before.version();
         if newer {
+            self.routing_log.borrow_mut().replaced(&before.configuration(), &configuration);
             self.routes.replace(Rc::new(RouteTable::new(configuration)));
         }
         newer
     }
 
+    /// Puts the configuration in force that deltas lead to.
+    ///
+    /// # Errors
+    /// When they do not lead on from the one in force, which then stays.
+    pub fn accept_deltas(&self, deltas: Vec<RoutingDelta>) -> Result<(), DeltaMismatch> {
+        let base = self.routes().configuration();
+        let configuration = deltas.iter().try_fold(base, |base, delta| delta.apply(base))?;
+        self.routes.replace(Rc::new(RouteTable::new(configuration)));
+        let mut log = self.routing_log.borrow_mut();
+        deltas.into_iter().for_each(|delta| log.add(delta));
+        Ok(())
+    }
+
+    /// What changed from a version to the configuration in force; none if that is not known.
+    pub fn configuration_since(&self, version: u64) -> Option<Vec<RoutingDelta>> {
+        self.routing_log.borrow().since(version)
+    }
+
     /// The route of a request, with the service drawn for it.
     pub fn route(&self, host: &str, path: &str) -> Option<RoutedRequest> {
         self.routes.borrow().route(host, path, &mut self.rng.borrow_mut())
--- a/crates/pointvane-node/src/publication.rs
+++ b/crates/pointvane-node/src/publication.rs
@@ -4,7 +4,8 @@
     crate::node::Node,
     hyper::HeaderMap,
     pointvane_core::{
-        Change, Name, PlatformAdapter, RefusedItem, RoutingConfiguration, UpstreamLoad, UpstreamRecord,
+        Change, Name, PlatformAdapter, RefusedItem, RoutingConfiguration, RoutingDelta, UpstreamLoad,
+        UpstreamRecord,
     },
     pointvane_dispatch::UpstreamKey,
     pointvane_telemetry::EventKind,
@@ -33,6 +34,7 @@
         for change in changes {
             match change {
                 Change::Configuration(configuration) => self.apply_configuration(*configuration),
+                Change::ConfigurationDeltas(deltas) => self.apply_deltas(deltas),
                 Change::Upstream(record) => self.apply_upstream(record),
                 Change::UpstreamGone(id) => self.apply_removal(id),
             }
@@ -76,6 +78,21 @@
         }
     }
 
+    /// Puts in force what changed of the configuration; if that does not fit, everything is read anew.
+    fn apply_deltas(&self, deltas: Vec<RoutingDelta>) {
+        let index = self.platform.mark().revision;
+        let accepted = self.dispatcher.accept_deltas(deltas);
+        let revision = self.dispatcher.routes().version();
+        match accepted {
+            Ok(()) => self.report.note(EventKind::ConfigurationAccepted { revision, index }),
+            Err(mismatch) => {
+                self.platform.state_mut().configuration_missing(revision);
+                let reason = format!("changes do not fit the version in force: {mismatch:?}");
+                self.report.note(EventKind::ConfigurationRefused { revision, index, reason });
+            }
+        }
+    }
+
     /// Notes items that could not be understood.
     pub fn note_refused_items(&self, refused: Vec<RefusedItem>) {
         for RefusedItem { key, problem } in refused {
--- a/crates/pointvane-node/src/state_query.rs
+++ b/crates/pointvane-node/src/state_query.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{node::Node, socket},
-    pointvane_core::{PlatformAdapter, RoutingConfiguration, UpstreamRecord},
+    pointvane_core::{PlatformAdapter, RoutingConfiguration, RoutingDelta, UpstreamRecord},
     pointvane_dispatch::{KnownState, StateReply, StateRequest},
     pointvane_mesh::codec,
     serde::{Serialize, de::DeserializeOwned},
@@ -35,6 +35,10 @@
     fn configuration(&self) -> RoutingConfiguration {
         self.dispatcher.routes().configuration()
     }
+
+    fn configuration_since(&self, version: u64) -> Option<Vec<RoutingDelta>> {
+        self.dispatcher.configuration_since(version)
+    }
 }
 
 /// Why a query gave no state.
--- a/standins/tests/thin_links.rs
+++ b/standins/tests/thin_links.rs
@@ -7,10 +7,11 @@
     pointvane_core::{
         CallerLimits, Change, RouteKind, RouteRule, RoutingConfiguration, ServiceRule, WeightedService,
     },
-    pointvane_dispatch::{ReadMark, StateReply, StateRequest},
+    pointvane_dispatch::{ConfigurationUpdate, ReadMark, StateReply, StateRequest},
     pointvane_mesh::codec,
     std::{
         net::{Ipv4Addr, SocketAddr, TcpListener},
+        sync::Arc,
         thread,
     },
     users_platform::{HOST, Log, NodeProcess, Store, eventually, own_address, write_thinly},
@@ -71,16 +72,14 @@
 fn serve_state(address: Ipv4Addr) {
     let listener = TcpListener::bind((address, QUERY_PORT)).unwrap();
     let mark = ReadMark { revision: 50, version: 6 };
-    let reply = Some(StateReply::new(mark, 0, true, Vec::<Change>::new(), Some(large_configuration())));
+    let configuration = ConfigurationUpdate::Whole(Box::new(large_configuration()));
+    let reply = Some(StateReply::new(mark, 0, true, Vec::<Change>::new(), Some(configuration)));
     let answer = codec::frame(&reply).unwrap();
     thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
             let Ok(_) = codec::read_frame::<StateRequest>(&mut stream) else { continue };
-            let mark = ReadMark { revision: 50, version: 6 };
-            let reply =
-                Some(StateReply::new(mark, 0, true, Vec::<Change>::new(), Some(large_configuration())));
             // The node may give the exchange up.
-            _ = write_thinly(&mut stream, &codec::frame(&reply).unwrap(), THIN_BYTES_PER_S);
+            _ = write_thinly(&mut stream, &answer, THIN_BYTES_PER_S);
         }
     });
 }
@@ -99,7 +98,7 @@
     };
     RoutingConfiguration {
         version: 6,
-        routes: (0..ROUTES).map(route).collect(),
+        routes: (0..ROUTES).map(route).map(Arc::new).collect(),
         services: vec![ServiceRule { name: "app".into(), health_path: "/health".into() }],
         limits: CallerLimits::default(),
     }
