Fleet: the platform is read by the nodes with the widest links

Cause: what watchers have read goes out over their links to all others at once. By hash alone nine of ten watchers of the grown sites sit on a 10 Mbit/s link, while a few nodes have 200: a large configuration takes such a watcher a second to read, and the queries of a hundred peers do not fit its link, so that these read the platform themselves. The link's rate is in the settings (0 where it is not given) and in the member row; readers are ordered by it, then by hash as before, one a data centre first. Where all links are alike nothing changes. The form of member rows changes on purpose (golden file); nodes of earlier commits do not see these as members.

--- a/crates/pointvane-control/src/state.rs
+++ b/crates/pointvane-control/src/state.rs
@@ -296,5 +296,6 @@
         version: 0,
         entry: None,
         stamp: Stamp::default(),
+        link_mbps: 0,
     }
 }
--- a/crates/pointvane-mesh/src/member.rs
+++ b/crates/pointvane-mesh/src/member.rs
@@ -35,6 +35,8 @@
     pub entry: Option<EntryRow>,
     /// The configuration it holds.
     pub stamp: Stamp,
+    /// What its link carries, in Mbit/s; 0 where that is not known.
+    pub link_mbps: u32,
 }
 
 /// Precedence of a row over another about the same VM; the larger is kept.
--- a/crates/pointvane-mesh/src/rendezvous.rs
+++ b/crates/pointvane-mesh/src/rendezvous.rs
@@ -25,13 +25,18 @@
     hash ^ (hash >> 31)
 }
 
-/// The VMs that read a key of the platform: the best ranked, one a data centre before a second anywhere.
+/// The VMs that read a key of the platform: those with the widest links, the best ranked among equals, one a data centre before
+/// a second anywhere.
+///
+/// What readers have read goes out over their links to many others at once (docs/incidents/2026-12-02-late-configurations.md).
 pub fn choose_readers<'a>(key: &str, rows: impl Iterator<Item = &'a MemberRow>, count: usize) -> Vec<Name> {
-    let mut live: Vec<_> = rows.filter(|row| row.state == VmState::Live).map(|row| &row.identity).collect();
-    live.sort_by_key(|vm| (Reverse(rank(key, &vm.name)), vm.name.clone()));
+    let mut live: Vec<_> = rows.filter(|row| row.state == VmState::Live).collect();
+    let order = |row: &MemberRow| (Reverse(row.link_mbps), Reverse(rank(key, &row.identity.name)));
+    live.sort_by_cached_key(|row| (order(row), row.identity.name.clone()));
     let mut centres = BTreeSet::new();
-    let (firsts, others): (Vec<_>, Vec<_>) = live.into_iter().partition(|vm| centres.insert(&vm.data_centre));
-    firsts.into_iter().chain(others).take(count).map(|vm| vm.name.clone()).collect()
+    let (firsts, others): (Vec<_>, Vec<_>) =
+        live.into_iter().partition(|row| centres.insert(&row.identity.data_centre));
+    firsts.into_iter().chain(others).take(count).map(|row| row.identity.name.clone()).collect()
 }
 
 /// The entry VMs that callers of a service are sent to; all of them when `count` is 0 or covers them.
--- a/crates/pointvane-mesh/tests/many/mod.rs
+++ b/crates/pointvane-mesh/tests/many/mod.rs
@@ -134,6 +134,7 @@
         version: 0,
         entry: None,
         stamp: Stamp::default(),
+        link_mbps: 0,
     }
 }
 
--- a/crates/pointvane-mesh/tests/restart.rs
+++ b/crates/pointvane-mesh/tests/restart.rs
@@ -24,6 +24,7 @@
         version: 0,
         entry: None,
         stamp: Stamp::default(),
+        link_mbps: 0,
     };
     let options = MembershipOptions { seeds: seeds.to_vec(), ..MembershipOptions::default() };
     (Membership::new(options, me, u64::from(last_byte), 0), address)
--- a/crates/pointvane-mesh/tests/wire_format.rs
+++ b/crates/pointvane-mesh/tests/wire_format.rs
@@ -46,6 +46,7 @@
         version: 300,
         entry,
         stamp: Stamp { revision: 5, index: 700 },
+        link_mbps: 200,
     }
 }
 
--- a/crates/pointvane-node/src/fleet.rs
+++ b/crates/pointvane-node/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The other nodes: who is there, who of them reads the platform, and which to query for what this node lacks.
 //!
 //! Owns the membership, the sockets to other nodes and the relays received from them. All nodes compute the roles of
-//! readers alike, by rendezvous hashing over the members they know; `gossip.rs` and `relay.rs` carry the messages.
+//! readers alike, by link and rendezvous hashing over the members they know; `gossip.rs` and `relay.rs` carry the messages.
 
 use {
     crate::settings::NodeSettings,
@@ -260,6 +260,7 @@
         version: 0,
         entry: None,
         stamp: Stamp::default(),
+        link_mbps: settings.link_mbps,
     };
     Membership::new(options, me, seed, now_us)
 }
--- a/crates/pointvane-node/src/settings.rs
+++ b/crates/pointvane-node/src/settings.rs
@@ -29,6 +29,8 @@
     pub platform: SocketAddr,
     /// Addresses of other nodes that are contacted first.
     pub seeds: Vec<SocketAddr>,
+    /// What this VM's link carries, in Mbit/s; 0 where that is not known.
+    pub link_mbps: u32,
     /// Limits of the deployment.
     pub limits: NodeLimits,
 }
