Reader: watchers leave each other's relays to their own next watch; without the platform they query peers

And a watcher that the platform does not answer never queried a peer: it stayed without each configuration that relays told of. Tests: a_watcher_that_the_platform_does_not_answer_gets_the_configuration_from_peers (failed first), watchers_that_the_platform_answers_leave_each_others_relays_to_their_own_next_watch.

--- a/crates/pointvane-dispatch/src/reader/nodes.rs
+++ b/crates/pointvane-dispatch/src/reader/nodes.rs
@@ -33,7 +33,9 @@
         }
         let gap = relay.mark.revision > self.mark.revision && relay.since > self.mark.revision;
         if gap || relay.mark.version > self.mark.version {
-            self.begin_catch_up(relay.mark, position, now_us);
+            if !self.reads_soon() {
+                self.begin_catch_up(relay.mark, position, now_us);
+            }
             return Vec::new();
         }
         self.no_reader_heard = false;
@@ -42,14 +44,20 @@
         relay.changes
     }
 
+    /// Whether this node's own next call to the platform brings what others have read: a watcher that the platform answers pauses
+    /// for a moment at most.
+    fn reads_soon(&self) -> bool {
+        self.role == ReaderRole::Watcher && self.failures == 0
+    }
+
     fn begin_catch_up(&mut self, wanted: ReadMark, position: f64, now_us: u64) {
         if self.catch_up.is_some() || self.call.is_some() {
             // It is under way already, or the call under way will bring what is missing.
             return;
         }
         let delay_ms = (self.options.spread_ms as f64 * position) as u64;
-        let peer_queries = if self.role == ReaderRole::Watcher { 0 } else { self.options.peer_queries };
-        self.catch_up = Some(CatchUp { wanted, query_at_us: now_us + delay_ms * US_PER_MS, peer_queries });
+        let query_at_us = now_us + delay_ms * US_PER_MS;
+        self.catch_up = Some(CatchUp { wanted, query_at_us, peer_queries: self.options.peer_queries });
     }
 
     /// Takes this node's role, and the latest revision that any peer has read.
--- a/crates/pointvane-dispatch/tests/states.rs
+++ b/crates/pointvane-dispatch/tests/states.rs
@@ -7,8 +7,8 @@
     googletest::prelude::*,
     pointvane_core::{Change, Name, RoutingConfiguration, RoutingDelta, UpstreamRecord},
     pointvane_dispatch::{
-        KnownState, PlatformReader, ReadMark, ReaderCall, ReaderOptions, ReaderRole, Relay, StateReply,
-        StateRequest,
+        CallFailure, KnownState, PlatformReader, ReadMark, ReaderCall, ReaderOptions, ReaderRole, Relay,
+        StateReply, StateRequest,
     },
 };
 
@@ -232,3 +232,24 @@
     expect_that!(reader.mark(), eq(ReadMark { revision: 5, version: 2 }));
     expect_that!(reader.next(1_000 * MS), matches_pattern!(ReaderCall::Snapshot { next_page: none(), .. }));
 }
+
+#[gtest]
+fn watchers_that_the_platform_answers_leave_each_others_relays_to_their_own_next_watch() {
+    let mut watcher = read_up_to(5, 1);
+    watcher.compare_with_peers(ReaderRole::Watcher, 5, 10_000 * MS);
+    watcher.next(10_000 * MS);
+    watcher.watch_answered(page(6, vec![configured(2)]), 10_100 * MS);
+    watcher.receive_relay(relay(7, 3, Vec::new()), 0.0, 10_150 * MS);
+    expect_that!(watcher.next(10_150 * MS), matches_pattern!(ReaderCall::Wait { .. }), "it pauses");
+    expect_that!(watcher.next(10_400 * MS), matches_pattern!(ReaderCall::Watch { after: eq(&6), .. }));
+}
+
+#[gtest]
+fn a_watcher_that_the_platform_does_not_answer_gets_the_configuration_from_peers() {
+    let mut watcher = read_up_to(5, 1);
+    watcher.compare_with_peers(ReaderRole::Watcher, 5, 10_000 * MS);
+    watcher.next(10_000 * MS);
+    watcher.call_failed(CallFailure::Unavailable, 10_700 * MS);
+    watcher.receive_relay(relay(6, 2, Vec::new()), 0.0, 10_750 * MS);
+    expect_that!(watcher.next(10_750 * MS), matches_pattern!(ReaderCall::QueryPeer { .. }));
+}
