Nodes query the broadcaster that has read furthest

Cause: the broadcaster was whoever's relay came last. Test: the_broadcaster_is_the_one_that_has_read_furthest_while_it_is_heard.

--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -60,7 +60,7 @@
     },
     latency::LatencyQuantile,
     pool::Pool,
-    query_order::{QueryCandidate, earlier_peer, query_position},
+    query_order::{Broadcaster, QueryCandidate, earlier_peer, query_position},
     ranking::Wanted,
     ranking_options::{Ranking, RankingOptions},
     read_mark::ReadMark,
--- a/crates/pointvane-dispatch/src/query_order.rs
+++ b/crates/pointvane-dispatch/src/query_order.rs
@@ -5,12 +5,43 @@
 //! a node with an earlier position, which has most likely got the state by then. The broadcaster of the new state is
 //! queried by the first nodes, and by those whose query failed.
 
-use rand::{rngs::SmallRng, seq::IndexedRandom};
+use {
+    rand::{rngs::SmallRng, seq::IndexedRandom},
+    std::net::SocketAddr,
+};
 
 /// How much earlier the position of a node must be that is queried. Not measured: with `spread_ms` it gives that node
 /// 60 ms for its own query.
 const MARGIN: f64 = 0.2;
 
+/// Time after which a node whose relays are not received any more is no longer the broadcaster, in microseconds. Not measured: as
+/// long as a lease ([`crate::ReaderOptions`]).
+const BROADCASTER_AGE_MAX_US: u64 = 1_450_000;
+
+/// The node that has read furthest of those whose relays are received.
+///
+/// Of two watchers one has often read less: a query to it is in vain. In a storm of ten changes a second half the queries went
+/// to it, and the platform was called in its place (966 calls, 246 since; docs/incidents/2026-12-02-late-configurations.md).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Broadcaster {
+    /// Where it answers queries.
+    pub address: SocketAddr,
+    /// How far it has read.
+    pub revision: u64,
+    /// When its last relay was received, in microseconds of the steady clock.
+    pub received_at_us: u64,
+}
+
+impl Broadcaster {
+    /// This one, whose relay has just been received, unless the one held is still heard and has read further.
+    pub fn or_better(self, held: Option<Self>) -> Self {
+        let current =
+            |held: &Self| self.received_at_us.saturating_sub(held.received_at_us) < BROADCASTER_AGE_MAX_US;
+        let better = held.filter(|held| held.address != self.address && held.revision > self.revision);
+        better.filter(current).unwrap_or(self)
+    }
+}
+
 /// A node that may be queried.
 #[derive(Clone, Copy, Debug)]
 pub struct QueryCandidate<T> {
--- a/crates/pointvane-dispatch/src/reader/call.rs
+++ b/crates/pointvane-dispatch/src/reader/call.rs
@@ -44,7 +44,7 @@
     Any,
     /// One that queries before this one, see [`crate::earlier_peer`].
     Earlier,
-    /// The one whose relay was received last.
+    /// The one that has read furthest of those whose relays are received.
     Broadcaster,
 }
 
--- a/crates/pointvane-dispatch/src/relay.rs
+++ b/crates/pointvane-dispatch/src/relay.rs
@@ -46,6 +46,13 @@
     changes: Vec<WireChange>,
 }
 
+impl WireRelay {
+    /// How far the watcher has read.
+    pub fn mark(&self) -> ReadMark {
+        self.mark
+    }
+}
+
 /// A relay on its way through the fleet.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RelayDatagram {
--- a/crates/pointvane-dispatch/tests/states.rs
+++ b/crates/pointvane-dispatch/tests/states.rs
@@ -7,9 +7,10 @@
     googletest::prelude::*,
     pointvane_core::{Change, Name, RoutingConfiguration, RoutingDelta, UpstreamRecord},
     pointvane_dispatch::{
-        CallFailure, KnownState, PlatformReader, ReadMark, ReaderCall, ReaderOptions, ReaderRole, Relay,
-        StateReply, StateRequest,
+        Broadcaster, CallFailure, KnownState, PlatformReader, ReadMark, ReaderCall, ReaderOptions,
+        ReaderRole, Relay, StateReply, StateRequest,
     },
+    std::net::SocketAddr,
 };
 
 const MS: u64 = 1_000;
@@ -253,3 +254,22 @@
     watcher.receive_relay(relay(6, 2, Vec::new()), 0.0, 10_750 * MS);
     expect_that!(watcher.next(10_750 * MS), matches_pattern!(ReaderCall::QueryPeer { .. }));
 }
+
+#[gtest]
+fn the_broadcaster_is_the_one_that_has_read_furthest_while_it_is_heard() {
+    let heard = |port: u16, revision, at_ms| Broadcaster {
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        revision,
+        received_at_us: at_ms * MS,
+    };
+    let ahead = heard(1, 9, 1_000);
+    expect_that!(heard(2, 8, 1_300).or_better(Some(ahead)), eq(ahead));
+    expect_that!(
+        heard(2, 9, 1_300).or_better(Some(ahead)),
+        eq(heard(2, 9, 1_300)),
+        "it may be nearer to the end"
+    );
+    expect_that!(heard(1, 3, 1_300).or_better(Some(ahead)), eq(heard(1, 3, 1_300)), "it says so itself");
+    expect_that!(heard(2, 8, 2_450).or_better(Some(ahead)), eq(heard(2, 8, 2_450)), "the other is silent");
+    expect_that!(heard(2, 8, 1_300).or_better(None), eq(heard(2, 8, 1_300)));
+}
--- a/crates/pointvane-node/src/fleet.rs
+++ b/crates/pointvane-node/src/fleet.rs
@@ -7,8 +7,8 @@
     crate::settings::NodeSettings,
     pointvane_core::{Incarnation, Name, VmIdentity, VmState},
     pointvane_dispatch::{
-        DirectoryMember, Forwarder, OrderedNode, QueryCandidate, QueryTarget, ReaderRole, ReceivedRounds,
-        RelayDatagram, broadcast_position, earlier_peer, fan_out, forwarders, query_position,
+        Broadcaster, DirectoryMember, Forwarder, OrderedNode, QueryCandidate, QueryTarget, ReaderRole,
+        ReceivedRounds, RelayDatagram, broadcast_position, earlier_peer, fan_out, forwarders, query_position,
     },
     pointvane_mesh::{
         Action, EntryRow, GossipMessage, MemberRow, Membership, MembershipOptions, Stamp, Stamps,
@@ -45,8 +45,7 @@
     relay_socket: OnceCell<Rc<UdpSocket>>,
     received_rounds: RefCell<ReceivedRounds>,
     relay_round: Cell<u64>,
-    /// Where the node answers queries whose relay was received last.
-    broadcaster: Cell<Option<SocketAddr>>,
+    broadcaster: Cell<Option<Broadcaster>>,
     /// The latest revision of the platform that any peer has read.
     latest_revision: Cell<u64>,
     rng: RefCell<SmallRng>,
@@ -155,7 +154,9 @@
     pub fn is_new_relay(&self, datagram: &RelayDatagram, now_us: u64) -> bool {
         let new = self.received_rounds.borrow_mut().is_new(datagram.origin, datagram.round, now_us);
         if new {
-            self.broadcaster.set(Some(datagram.origin));
+            let revision = datagram.relay.mark().revision;
+            let heard = Broadcaster { address: datagram.origin, revision, received_at_us: now_us };
+            self.broadcaster.set(Some(heard.or_better(self.broadcaster.get())));
         }
         new
     }
@@ -197,11 +198,15 @@
     pub fn peer_to_query(&self, target: QueryTarget, settings: &NodeSettings) -> Option<SocketAddr> {
         match target {
             QueryTarget::Any => self.any_peer(settings),
-            QueryTarget::Earlier => self.earlier_peer().or(self.broadcaster.get()),
-            QueryTarget::Broadcaster => self.broadcaster.get(),
+            QueryTarget::Earlier => self.earlier_peer().or_else(|| self.broadcaster()),
+            QueryTarget::Broadcaster => self.broadcaster(),
         }
     }
 
+    fn broadcaster(&self) -> Option<SocketAddr> {
+        self.broadcaster.get().map(|broadcaster| broadcaster.address)
+    }
+
     /// Any other live node, or any other seed while none is known.
     fn any_peer(&self, settings: &NodeSettings) -> Option<SocketAddr> {
         let mut rng = self.rng.borrow_mut();
