Reader: a drain that a relay tells of is heeded though the configuration is missing

Drains are applied at once now; joins and removals wait for the state, since an older state may still come between. Test: a_relay_that_tells_of_a_drain_is_heeded_though_the_configuration_is_missing, failed first.

--- a/crates/pointvane-dispatch/src/reader/nodes.rs
+++ b/crates/pointvane-dispatch/src/reader/nodes.rs
@@ -22,6 +22,14 @@
     few.then(|| upstreams.into_iter().map(Change::Upstream).collect())
 }
 
+/// The changes by which upstreams drain: they bind a node at once, and hold whatever else it still lacks.
+///
+/// Upstreams that joined or are gone come with the state that is queried for, since an older state may still come between.
+fn drains(changes: Vec<Change>) -> Vec<Change> {
+    let drains = |change: &Change| matches!(change, Change::Upstream(record) if record.draining);
+    changes.into_iter().filter(drains).collect()
+}
+
 impl PlatformReader {
     /// Takes another node's relay; gives what is to be applied.
     ///
@@ -36,7 +44,7 @@
             if !self.reads_soon() {
                 self.begin_catch_up(relay.mark, position, now_us);
             }
-            return Vec::new();
+            return drains(relay.changes);
         }
         self.no_reader_heard = false;
         self.freshness.confirm(now_us.saturating_sub(relay.age_ms * US_PER_MS), &self.options);
--- a/crates/pointvane-dispatch/tests/states.rs
+++ b/crates/pointvane-dispatch/tests/states.rs
@@ -273,3 +273,29 @@
     expect_that!(heard(2, 8, 2_450).or_better(Some(ahead)), eq(heard(2, 8, 2_450)), "the other is silent");
     expect_that!(heard(2, 8, 1_300).or_better(None), eq(heard(2, 8, 1_300)));
 }
+
+#[gtest]
+fn a_relay_that_tells_of_a_drain_is_heeded_though_the_configuration_is_missing() {
+    let mut reader = read_up_to(5, 2);
+    let draining = Change::Upstream(UpstreamRecord { draining: true, ..record("a", 2) });
+    let changes = vec![draining.clone(), told("b", 1), Change::UpstreamGone("c".into())];
+    // The upstream that joined and the one that is gone come with the state that is queried for.
+    expect_that!(reader.receive_relay(relay(6, 3, changes), 0.5, 700 * MS), elements_are![eq(&draining)]);
+    expect_that!(reader.mark(), eq(ReadMark { revision: 5, version: 2 }));
+    expect_that!(reader.is_to_be_interrupted(), eq(true));
+}
+
+#[gtest]
+fn a_node_that_starts_while_the_platform_refuses_it_queries_peers_again() {
+    let mut reader = new_reader();
+    expect_that!(reader.next(0), matches_pattern!(ReaderCall::QueryPeer { .. }));
+    reader.query_failed(40 * MS);
+    expect_that!(reader.next(40 * MS), matches_pattern!(ReaderCall::Snapshot { .. }));
+    reader.call_failed(CallFailure::Unavailable, 50 * MS);
+    expect_that!(
+        reader.next(2_000 * MS),
+        matches_pattern!(ReaderCall::QueryPeer { request: eq(&NOTHING), .. })
+    );
+    reader.query_failed(2_040 * MS);
+    expect_that!(reader.next(2_040 * MS), matches_pattern!(ReaderCall::Snapshot { .. }));
+}
