Reader: a node that starts while the platform refuses it queries peers again

Found with the counters of calls and queries, in the test of thin links: a node whose one query of a peer had failed called the platform 26 times and no peer any more. Where the store turns some machines away, such a node served nobody though all its peers knew everything. Test: a_node_that_starts_while_the_platform_refuses_it_queries_peers_again, failed first.

--- a/crates/pointvane-dispatch/src/reader/answers.rs
+++ b/crates/pointvane-dispatch/src/reader/answers.rs
@@ -5,6 +5,7 @@
         CallFailure, PlatformCall, PlatformReader, ReaderOptions, ReaderRole,
         snapshot::{PageRead, SnapshotRead},
     },
+    crate::read_mark::ReadMark,
     pointvane_core::{Change, ChangePage, Name, US_PER_MS},
     rand::Rng,
 };
@@ -106,6 +107,10 @@
         if failure != CallFailure::Unavailable || self.snapshot.is_some() {
             self.snapshot = Some(SnapshotRead::default());
         }
+        if self.mark == ReadMark::default() {
+            // Peers may have read it meanwhile, or the platform may answer them and not this node.
+            self.start_queries = self.start_queries.max(1);
+        }
         if failure == CallFailure::HistoryGone {
             self.pause_until_us = now_us;
             return;
