Reader: peers are queried beside calls to the platform, and each step has its bound

Now: PlatformReader::next (platform) and ::next_query (peers) run beside each other; after 0.8 s without what is missing the platform is called whatever peers do; after an answer that broke off everything is read anew; the order is that of the wanted revision; pieces have 650 ms; the smaller of deltas and whole is sent, applied in one pass; a watch given up as hung counts as a failure. Queries have a type of their own.

--- a/crates/pointvane-core/src/routing_delta.rs
+++ b/crates/pointvane-core/src/routing_delta.rs
@@ -6,10 +6,7 @@
 use {
     crate::{CallerLimits, Name, RouteRule, RoutingConfiguration, ServiceRule},
     serde::{Deserialize, Serialize},
-    std::{
-        collections::{HashMap, HashSet},
-        sync::Arc,
-    },
+    std::{collections::HashMap, sync::Arc},
 };
 
 /// What changed from one configuration to a later one.
@@ -58,29 +55,36 @@
         })
     }
 
-    /// The configuration that it leads to.
+    /// The configuration that deltas lead to, each from the one before; one pass over its routes.
     ///
     /// # Errors
-    /// When it does not fit the configuration that it is applied to.
-    pub fn apply(&self, mut base: RoutingConfiguration) -> Result<RoutingConfiguration, DeltaMismatch> {
-        if base.version != self.from_version {
-            return Err(DeltaMismatch::Version);
-        }
-        let changed = self.changed.iter().map(|route| &route.name);
-        let replaced: HashSet<&Name> = changed.chain(&self.removed).collect();
-        base.routes.retain(|route| !replaced.contains(&route.name));
-        base.routes.extend(self.changed.iter().cloned());
-        if base.routes.len() != self.routes {
-            return Err(DeltaMismatch::Routes);
+    /// When one of them does not fit the configuration that it is applied to.
+    pub fn apply(deltas: &[Self], base: RoutingConfiguration) -> Result<RoutingConfiguration, DeltaMismatch> {
+        let Some(last) = deltas.last() else { return Ok(base) };
+        let mut version = base.version;
+        let mut routes: HashMap<Name, Arc<RouteRule>> =
+            base.routes.into_iter().map(|route| (route.name.clone(), route)).collect();
+        for delta in deltas {
+            if delta.from_version != version {
+                return Err(DeltaMismatch::Version);
+            }
+            delta.apply_to(&mut routes)?;
+            version = delta.to_version;
         }
         Ok(RoutingConfiguration {
-            version: self.to_version,
-            routes: base.routes,
-            services: self.services.clone(),
-            limits: self.limits,
+            version,
+            routes: routes.into_values().collect(),
+            services: last.services.clone(),
+            limits: last.limits,
         })
     }
 
+    fn apply_to(&self, routes: &mut HashMap<Name, Arc<RouteRule>>) -> Result<(), DeltaMismatch> {
+        self.removed.iter().for_each(|name| _ = routes.remove(name));
+        routes.extend(self.changed.iter().map(|route| (route.name.clone(), Arc::clone(route))));
+        if routes.len() == self.routes { Ok(()) } else { Err(DeltaMismatch::Routes) }
+    }
+
     /// Routes that it changes or removes: a measure of its size.
     pub fn touched(&self) -> usize {
         self.changed.len() + self.removed.len()
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -64,7 +64,10 @@
     ranking::Wanted,
     ranking_options::{Ranking, RankingOptions},
     read_mark::ReadMark,
-    reader::{CallFailure, PlatformReader, QueryTarget, ReaderCall, ReaderOptions, ReaderRole},
+    reader::{
+        CallFailure, PeerQuery, PlatformReader, QueryTarget, ReaderCall, ReaderOptions, ReaderQuery,
+        ReaderRole,
+    },
     relay::{Relay, RelayDatagram, RelayLog, WireRelay},
     retry::{AttemptOutcome, Refusal, Verdict, judge, may_pass_on},
     route_times::RouteTimes,
--- a/crates/pointvane-dispatch/src/query_order.rs
+++ b/crates/pointvane-dispatch/src/query_order.rs
@@ -20,8 +20,8 @@
 
 /// The node that has read furthest of those whose relays are received.
 ///
-/// Of two watchers one has often read less: a query to it is in vain. In a storm of ten changes a second half the queries went
-/// to it, and the platform was called in its place (966 calls, 246 since; docs/incidents/2026-12-02-late-configurations.md).
+/// Of two watchers one has often read less: a query to it is in vain, and the platform is called in its place
+/// (docs/incidents/2026-12-02-late-configurations.md).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Broadcaster {
     /// Where it answers queries.
--- a/crates/pointvane-dispatch/src/reader.rs
+++ b/crates/pointvane-dispatch/src/reader.rs
@@ -6,7 +6,8 @@
 //! other in an order that spreads the load (`query_order.rs`), and from the platform if that fails. Everything is
 //! read anew when the platform no longer holds the changes that are missing, or an answer cannot be trusted.
 //!
-//! The state machine takes the time and the answers and returns the next call; `pointvane-node` carries it out. Inputs that
+//! The state machine takes the time and the answers and returns the next call; `pointvane-node` carries it out. Calls to the
+//! platform and queries of peers run beside each other: [`PlatformReader::next`] and [`PlatformReader::next_query`]. Inputs that
 //! are old: a relay older than the lease is ignored; an outage of the platform longer than `outage_ms` opens a grace
 //! period for entries that may only have expired. Tests: `tests/reader.rs`, `tests/relays.rs`, `tests/states.rs`,
 //! `tests/lapses.rs`.
@@ -19,7 +20,7 @@
 mod snapshot;
 
 pub use {
-    call::{CallFailure, QueryTarget, ReaderCall, ReaderRole},
+    call::{CallFailure, PeerQuery, QueryTarget, ReaderCall, ReaderQuery, ReaderRole},
     options::ReaderOptions,
 };
 
@@ -49,6 +50,8 @@
     wanted: ReadMark,
     query_at_us: u64,
     peer_queries: u32,
+    /// When the platform is called, whatever peers do, unless they have brought it.
+    platform_at_us: u64,
 }
 
 /// A call to the platform that is under way.
@@ -56,8 +59,8 @@
 enum PlatformCall {
     /// A watch that waits for changes; nothing of an answer has come. It may hang.
     Waiting,
-    /// An answer is on its way, or about to be: it is given up only when it fails, however long it takes. Whoever begins a
-    /// large answer anew at each piece of news never gets it.
+    /// An answer is on its way, or about to be. It is not given up for news: whoever begins a large answer anew at each piece of
+    /// news never gets it. Peers are queried beside it.
     Fetching {
         /// Since when, in microseconds of the steady clock.
         since_us: u64,
@@ -65,8 +68,12 @@
 }
 
 impl PlatformCall {
-    const fn is_fetching(self) -> bool {
-        matches!(self, Self::Fetching { .. })
+    /// Since when an answer is fetched, in microseconds of the steady clock; none while the call waits.
+    const fn fetching_since_us(self) -> Option<u64> {
+        match self {
+            Self::Waiting => None,
+            Self::Fetching { since_us } => Some(since_us),
+        }
     }
 }
 
@@ -89,6 +96,8 @@
     call: Option<PlatformCall>,
     /// Revision that the last watch was made after.
     watched_after: u64,
+    /// Whether the watch under way hangs: it would have brought what peers have read.
+    hung: bool,
     /// Whether the call under way is made because no other reader was heard.
     no_reader_heard: bool,
     log: RelayLog,
@@ -112,6 +121,7 @@
             behind_since_us: None,
             call: None,
             watched_after: 0,
+            hung: false,
             no_reader_heard: false,
             log: RelayLog::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -140,12 +150,9 @@
         self.freshness.age_ms(now_us)
     }
 
-    /// What to do now; whatever was under way before has ended.
+    /// What to do now, beside queries of peers; whatever was under way before has ended.
     pub fn next(&mut self, now_us: u64) -> ReaderCall {
-        self.call = None;
-        if let Some(catch_up) = self.catch_up {
-            return self.next_of_catch_up(catch_up, now_us);
-        }
+        (self.call, self.hung) = (None, false);
         if now_us < self.pause_until_us {
             return ReaderCall::Wait { until_us: self.pause_until_us };
         }
@@ -160,14 +167,31 @@
         if now_us < poll_at_us {
             return ReaderCall::Wait { until_us: poll_at_us };
         }
-        self.no_reader_heard = true;
+        self.no_reader_heard = self.catch_up.take().is_none();
         self.watch(POLL_WAIT_MS, PlatformCall::Fetching { since_us: now_us })
     }
 
-    /// When a node that does not watch reads for itself, unless a relay renews its lease before.
+    /// Which peer to query now, beside calls to the platform, for what this node is known to lack.
+    pub fn next_query(&mut self, now_us: u64) -> ReaderQuery {
+        let Some(catch_up) = self.catch_up.as_mut().filter(|catch_up| catch_up.peer_queries > 0) else {
+            return ReaderQuery::Wait { until_us: u64::MAX };
+        };
+        if now_us < catch_up.query_at_us {
+            return ReaderQuery::Wait { until_us: catch_up.query_at_us };
+        }
+        catch_up.peer_queries -= 1;
+        let target = match catch_up.peer_queries {
+            0 => QueryTarget::Broadcaster,
+            _ => QueryTarget::Earlier { revision: catch_up.wanted.revision },
+        };
+        ReaderQuery::Peer(self.peer_query(target))
+    }
+
+    /// When a node that does not watch reads for itself: once peers have not brought what it lacks, or no relay renews its lease.
     fn poll_at_us(&self) -> u64 {
         let wait_us = if self.role == ReaderRole::Follower { self.follower_wait_us } else { 0 };
-        self.freshness.lease_until_us(&self.options) + wait_us
+        let lease_us = self.freshness.lease_until_us(&self.options) + wait_us;
+        self.catch_up.map_or(lease_us, |catch_up| catch_up.platform_at_us)
     }
 
     /// Queries a peer first, after a start; then reads the platform.
@@ -175,37 +199,20 @@
         let unbegun = self.snapshot.as_ref().is_some_and(SnapshotRead::is_unbegun);
         if self.start_queries > 0 && unbegun {
             self.start_queries -= 1;
-            return self.query_peer(QueryTarget::Any);
+            return ReaderCall::QueryPeer(self.peer_query(QueryTarget::Any));
         }
         let next_page = self.snapshot.as_ref().and_then(SnapshotRead::next_page);
         self.call = Some(PlatformCall::Fetching { since_us: now_us });
         ReaderCall::Snapshot { next_page, timeout_ms: self.options.timeout_ms }
     }
 
-    /// Queries peers for what is missing, the broadcaster last; then the platform.
-    fn next_of_catch_up(&mut self, catch_up: CatchUp, now_us: u64) -> ReaderCall {
-        if now_us < catch_up.query_at_us {
-            return ReaderCall::Wait { until_us: catch_up.query_at_us };
-        }
-        if catch_up.peer_queries > 0 {
-            self.catch_up = Some(CatchUp { peer_queries: catch_up.peer_queries - 1, ..catch_up });
-            let last = catch_up.peer_queries == 1;
-            return self.query_peer(if last { QueryTarget::Broadcaster } else { QueryTarget::Earlier });
-        }
-        (self.catch_up, self.no_reader_heard) = (None, false);
-        if now_us < self.pause_until_us {
-            return ReaderCall::Wait { until_us: self.pause_until_us };
-        }
-        self.watch(POLL_WAIT_MS, PlatformCall::Fetching { since_us: now_us })
-    }
-
-    fn query_peer(&self, target: QueryTarget) -> ReaderCall {
+    fn peer_query(&self, target: QueryTarget) -> PeerQuery {
         let request = StateRequest { known: self.mark };
         let timeout_ms = match target {
             QueryTarget::Any => self.options.start_timeout_ms,
-            QueryTarget::Earlier | QueryTarget::Broadcaster => self.options.peer_timeout_ms,
+            QueryTarget::Earlier { .. } | QueryTarget::Broadcaster => self.options.peer_timeout_ms,
         };
-        ReaderCall::QueryPeer { target, request, timeout_ms }
+        PeerQuery { target, request, timeout_ms }
     }
 
     fn watch(&mut self, wait_ms: u64, call: PlatformCall) -> ReaderCall {
@@ -260,8 +267,13 @@
         }
     }
 
-    /// Whether what the node does now is to end early: the platform is known to hold more, and nothing on its way brings it.
+    /// Whether the pause or the watch under way is to end early: there is something else to do now, or the watch hangs.
     pub fn is_to_be_interrupted(&self) -> bool {
-        self.catch_up.is_some() && !self.call.is_some_and(PlatformCall::is_fetching)
+        self.hung || (self.catch_up.is_some() && self.call.is_none())
+    }
+
+    /// Whether the platform is known to hold more than this node, so that peers are to be queried.
+    pub fn is_behind(&self) -> bool {
+        self.catch_up.is_some()
     }
 }
--- a/crates/pointvane-dispatch/src/reader/answers.rs
+++ b/crates/pointvane-dispatch/src/reader/answers.rs
@@ -42,10 +42,7 @@
 
     /// Takes the changes of a watch. Gives what is to be applied.
     pub fn watch_answered(&mut self, page: ChangePage, now_us: u64) -> Vec<Change> {
-        let began_us = match self.call {
-            Some(PlatformCall::Fetching { since_us }) => since_us,
-            _ => now_us,
-        };
+        let began_us = self.call.and_then(PlatformCall::fetching_since_us).unwrap_or(now_us);
         self.call_succeeded(now_us);
         if page.revision < self.watched_after {
             // The platform went back: only a read of everything can be trusted.
@@ -104,6 +101,7 @@
     /// Takes the failure of a call to the platform.
     pub fn call_failed(&mut self, failure: CallFailure, now_us: u64) {
         self.call = None;
+        // After an answer that broke off as well: a read of everything holds each value once, the changes each version of it.
         if failure != CallFailure::Unavailable || self.snapshot.is_some() {
             self.snapshot = Some(SnapshotRead::default());
         }
--- a/crates/pointvane-dispatch/src/reader/call.rs
+++ b/crates/pointvane-dispatch/src/reader/call.rs
@@ -6,14 +6,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReaderCall {
     /// Query another node for what it knows.
-    QueryPeer {
-        /// Which node.
-        target: QueryTarget,
-        /// What is known already.
-        request: StateRequest,
-        /// Time to the answer's first byte after which the query has failed, in milliseconds.
-        timeout_ms: u64,
-    },
+    QueryPeer(PeerQuery),
     /// Read everything from the platform.
     Snapshot {
         /// Where the page begins; none for the first.
@@ -37,13 +30,39 @@
     },
 }
 
+/// What to query peers for, beside calls to the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReaderQuery {
+    /// Query a peer.
+    Peer(PeerQuery),
+    /// Nothing until then.
+    Wait {
+        /// When to ask again, in microseconds of the steady clock.
+        until_us: u64,
+    },
+}
+
+/// A query of another node for what it knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerQuery {
+    /// Which node.
+    pub target: QueryTarget,
+    /// What is known already.
+    pub request: StateRequest,
+    /// Time to the answer's first byte after which the query has failed, in milliseconds.
+    pub timeout_ms: u64,
+}
+
 /// Which node is queried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QueryTarget {
     /// Any that is known.
     Any,
     /// One that queries before this one, see [`crate::earlier_peer`].
-    Earlier,
+    Earlier {
+        /// The revision in whose order they query.
+        revision: u64,
+    },
     /// The one that has read furthest of those whose relays are received.
     Broadcaster,
 }
@@ -53,6 +72,8 @@
 pub enum CallFailure {
     /// No connection, no answer in time, or a refusal.
     Unavailable,
+    /// An answer broke off, or did not come whole in time: it was too much for the link.
+    BrokenOff,
     /// The platform no longer holds the changes since the revision that is known.
     HistoryGone,
     /// The answer cannot be understood.
--- a/crates/pointvane-dispatch/src/reader/nodes.rs
+++ b/crates/pointvane-dispatch/src/reader/nodes.rs
@@ -41,7 +41,7 @@
         }
         let gap = relay.mark.revision > self.mark.revision && relay.since > self.mark.revision;
         if gap || relay.mark.version > self.mark.version {
-            if !self.reads_soon() {
+            if !self.reads_soon(now_us) {
                 self.begin_catch_up(relay.mark, position, now_us);
             }
             return drains(relay.changes);
@@ -52,20 +52,27 @@
         relay.changes
     }
 
-    /// Whether this node's own next call to the platform brings what others have read: a watcher that the platform answers pauses
-    /// for a moment at most.
-    fn reads_soon(&self) -> bool {
-        self.role == ReaderRole::Watcher && self.failures == 0
+    /// Whether this node's own calls to the platform soon bring what others have read: a watcher that the platform answers pauses
+    /// for a moment at most, unless an answer takes long to come.
+    fn reads_soon(&self, now_us: u64) -> bool {
+        let slow = self
+            .call
+            .and_then(PlatformCall::fetching_since_us)
+            .is_some_and(|since_us| now_us.saturating_sub(since_us) >= self.options.behind_ms * US_PER_MS);
+        self.role == ReaderRole::Watcher && self.failures == 0 && !slow
     }
 
     fn begin_catch_up(&mut self, wanted: ReadMark, position: f64, now_us: u64) {
-        if self.catch_up.is_some() || self.call.is_some() {
-            // It is under way already, or the call under way will bring what is missing.
+        if self.catch_up.is_some() {
             return;
         }
         let delay_ms = (self.options.spread_ms as f64 * position) as u64;
-        let query_at_us = now_us + delay_ms * US_PER_MS;
-        self.catch_up = Some(CatchUp { wanted, query_at_us, peer_queries: self.options.peer_queries });
+        self.catch_up = Some(CatchUp {
+            wanted,
+            query_at_us: now_us + delay_ms * US_PER_MS,
+            peer_queries: self.options.peer_queries,
+            platform_at_us: now_us + self.options.catch_up_ms * US_PER_MS,
+        });
     }
 
     /// Takes this node's role, and the latest revision that any peer has read.
@@ -73,9 +80,7 @@
         self.role = role;
         let ahead = latest > self.mark.revision;
         self.freshness.set_peers_ahead(ahead, now_us);
-        let fetching = self.call.is_some_and(PlatformCall::is_fetching);
-        let busy =
-            self.snapshot.is_some() || now_us < self.pause_until_us || self.catch_up.is_some() || fetching;
+        let busy = self.snapshot.is_some() || now_us < self.pause_until_us || self.catch_up.is_some();
         if !ahead || busy {
             self.behind_since_us = None;
             return;
@@ -83,8 +88,10 @@
         let since_us = *self.behind_since_us.get_or_insert(now_us);
         if now_us.saturating_sub(since_us) >= self.options.behind_ms * US_PER_MS {
             self.behind_since_us = None;
-            // The watch under way, if there is one, hangs: it would have brought what peers have read.
-            self.call = None;
+            if self.call == Some(PlatformCall::Waiting) {
+                self.hung = true;
+                self.failures = self.failures.saturating_add(1);
+            }
             self.begin_catch_up(ReadMark { revision: latest, version: 0 }, 0.0, now_us);
         }
     }
@@ -146,8 +153,11 @@
         self.snapshot = Some(SnapshotRead::default());
     }
 
-    /// Takes note that a query failed. After a start there is a pause before the next query.
+    /// Takes note that a query failed. After a start there is a pause before the next query; after the last one the platform is called.
     pub fn query_failed(&mut self, now_us: u64) {
+        if let Some(catch_up) = self.catch_up.as_mut().filter(|catch_up| catch_up.peer_queries == 0) {
+            catch_up.platform_at_us = now_us;
+        }
         if self.snapshot.is_some() && self.start_queries > 0 {
             self.pause_until_us = now_us + self.options.start_pause_ms * US_PER_MS;
         }
--- a/crates/pointvane-dispatch/src/reader/options.rs
+++ b/crates/pointvane-dispatch/src/reader/options.rs
@@ -25,6 +25,9 @@
     pub start_timeout_ms: u64,
     /// Pause between two of these queries, in milliseconds.
     pub start_pause_ms: u64,
+    /// Time within which peers must have brought a new state, in milliseconds; then the platform is called. Not measured: it leaves
+    /// half of the users' bound for changes to that call.
+    pub catch_up_ms: u64,
     /// Time over which all nodes query peers for a new state, in milliseconds. Not measured.
     pub spread_ms: u64,
     /// Pause of a watcher between the first byte of an answer with changes and the next call, in milliseconds, so that changes come
@@ -65,6 +68,7 @@
             start_queries: 1,
             start_timeout_ms: 40,
             start_pause_ms: 0,
+            catch_up_ms: 800,
             spread_ms: 300,
             settle_ms: 300,
             retry_ms: 100,
--- a/crates/pointvane-dispatch/src/routing_log.rs
+++ b/crates/pointvane-dispatch/src/routing_log.rs
@@ -24,7 +24,9 @@
 impl RoutingLog {
     /// Adds what changed when a configuration was replaced by another.
     pub fn replaced(&mut self, from: &RoutingConfiguration, to: &RoutingConfiguration) {
-        match RoutingDelta::between(from, to) {
+        // From no configuration at all everything changes: there is nothing to be saved.
+        let delta = if from.version == 0 { None } else { RoutingDelta::between(from, to) };
+        match delta {
             Some(delta) => self.add(delta),
             None => self.clear(),
         }
--- a/crates/pointvane-dispatch/src/state_query.rs
+++ b/crates/pointvane-dispatch/src/state_query.rs
@@ -27,11 +27,13 @@
 }
 
 impl ConfigurationUpdate {
-    /// The update for a node that has a version.
+    /// The update for a node that has a version: what changed, unless that is more than everything.
     pub fn new(known: u64, known_here: &impl KnownState) -> Self {
-        match known_here.configuration_since(known) {
+        let whole = known_here.configuration();
+        let smaller = |deltas: &Vec<RoutingDelta>| routes_of(deltas) <= whole.routes.len();
+        match known_here.configuration_since(known).filter(smaller) {
             Some(deltas) => Self::Deltas(deltas),
-            None => Self::Whole(Box::new(known_here.configuration())),
+            None => Self::Whole(Box::new(whole)),
         }
     }
 
@@ -53,6 +55,11 @@
     }
 }
 
+/// About how many routes deltas take the room of: what a delta holds beside routes is as long as one.
+fn routes_of(deltas: &[RoutingDelta]) -> usize {
+    deltas.iter().map(|delta| delta.touched() + 1).sum()
+}
+
 /// A query for what a node does not know yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateRequest {
--- a/crates/pointvane-mesh/src/rendezvous.rs
+++ b/crates/pointvane-mesh/src/rendezvous.rs
@@ -25,8 +25,8 @@
     hash ^ (hash >> 31)
 }
 
-/// The VMs that read a key of the platform: those with the widest links, the best ranked among equals, one a data centre before
-/// a second anywhere.
+/// The VMs that read a key of the platform: one a data centre before a second anywhere; where there is a choice those with the
+/// widest links, the best ranked among equals.
 ///
 /// What readers have read goes out over their links to many others at once (docs/incidents/2026-12-02-late-configurations.md).
 pub fn choose_readers<'a>(key: &str, rows: impl Iterator<Item = &'a MemberRow>, count: usize) -> Vec<Name> {
--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -85,7 +85,7 @@
     /// When they do not lead on from the one in force, which then stays.
     pub fn accept_deltas(&self, deltas: Vec<RoutingDelta>) -> Result<(), DeltaMismatch> {
         let base = self.routes().configuration();
-        let configuration = deltas.iter().try_fold(base, |base, delta| delta.apply(base))?;
+        let configuration = RoutingDelta::apply(&deltas, base)?;
         self.routes.replace(Rc::new(RouteTable::new(configuration)));
         let mut log = self.routing_log.borrow_mut();
         deltas.into_iter().for_each(|delta| log.add(delta));
--- a/crates/pointvane-node/src/fleet.rs
+++ b/crates/pointvane-node/src/fleet.rs
@@ -198,7 +198,7 @@
     pub fn peer_to_query(&self, target: QueryTarget, settings: &NodeSettings) -> Option<SocketAddr> {
         match target {
             QueryTarget::Any => self.any_peer(settings),
-            QueryTarget::Earlier => self.earlier_peer().or_else(|| self.broadcaster()),
+            QueryTarget::Earlier { revision } => self.earlier_peer(revision).or_else(|| self.broadcaster()),
             QueryTarget::Broadcaster => self.broadcaster(),
         }
     }
@@ -218,11 +218,11 @@
         settings.seeds.iter().copied().filter(|seed| *seed != settings.gossip).choose(&mut *rng)
     }
 
-    /// Another live node that queries for the latest revision well before this one.
-    fn earlier_peer(&self) -> Option<SocketAddr> {
+    /// Another live node that queries for a revision well before this one.
+    fn earlier_peer(&self, revision: u64) -> Option<SocketAddr> {
         let membership = self.membership.borrow();
         let me = &membership.me().identity;
-        let subject = query_subject(self.latest_revision.get());
+        let subject = query_subject(revision);
         let position = |name: &Name| query_position(rank(&subject, name));
         let live = membership.rows().skip(1).filter(|row| row.state == VmState::Live);
         let peers = live.map(|row| QueryCandidate {
--- a/crates/pointvane-node/src/gossip_loop.rs
+++ b/crates/pointvane-node/src/gossip_loop.rs
@@ -41,7 +41,7 @@
     fn compare_with_peers(&self) {
         let (role, latest) = (self.fleet.reader_role(), self.fleet.latest_revision());
         self.platform.state_mut().compare_with_peers(role, latest, self.now_us());
-        self.platform.interrupt_if_needed();
+        self.platform.tell_news();
     }
 }
 
--- a/crates/pointvane-node/src/platform_client.rs
+++ b/crates/pointvane-node/src/platform_client.rs
@@ -23,8 +23,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Longest time between two pieces of an answer's body. Not measured: as long as its first byte may take.
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(700);
-/// Longest time for the body of an answer. Worked out, not measured: a value of a megabyte with its base64 takes 1.1 s at
-/// 10 Mbit/s; four times that leaves room for other traffic on the link.
+/// Longest time for the body of an answer. Worked out, not measured: a value of a megabyte in base64 takes 1.1 s at 10 Mbit/s; four
+/// times that leaves room for other traffic on the link. Peers are queried beside it, and after it everything is read anew.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(4_500);
 /// Largest answer that is read, in bytes. Not measured: it bounds memory.
 const ANSWER_MAX_BYTES: usize = 8 << 20;
@@ -62,7 +62,8 @@
     /// What the reader is told: it treats all that may pass alike.
     pub const fn failure(self) -> CallFailure {
         match self {
-            Self::Unreachable | Self::NoAnswer | Self::BrokenOff | Self::Refused => CallFailure::Unavailable,
+            Self::Unreachable | Self::NoAnswer | Self::Refused => CallFailure::Unavailable,
+            Self::BrokenOff => CallFailure::BrokenOff,
             Self::HistoryGone => CallFailure::HistoryGone,
             Self::Malformed => CallFailure::Malformed,
         }
@@ -106,7 +107,7 @@
         Ok(PlatformAnswer { status: head.status, body, connection })
     }
 
-    /// Reads the body of an answer, however long it takes as long as it goes on coming, within [`TRANSFER_TIMEOUT`].
+    /// Reads the body of an answer as long as it goes on coming, within [`TRANSFER_TIMEOUT`].
     ///
     /// # Errors
     /// A [`CallError`] when it does not come whole, or is no success.
--- a/crates/pointvane-node/src/platform_reader.rs
+++ b/crates/pointvane-node/src/platform_reader.rs
@@ -8,7 +8,7 @@
     },
     bytes::Bytes,
     pointvane_core::{Change, ChangePage, MalformedReply, PlatformAdapter},
-    pointvane_dispatch::{QueryTarget, ReaderCall, StateReply, StateRequest},
+    pointvane_dispatch::{PeerQuery, ReaderCall, ReaderQuery, StateReply},
     pointvane_telemetry::EventKind,
     std::{mem, net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::timeout,
@@ -17,8 +17,30 @@
 /// The value of the label `reason` for a call that this node gave up, since peers have read on.
 const GIVEN_UP: &str = "given-up";
 
-/// Reads the platform for as long as the process lives.
+/// Reads the platform, and queries peers, for as long as the process lives.
 pub async fn read<A: PlatformAdapter>(node: Rc<Node<A>>) {
+    tokio::join!(call_platform(&node), query_peers(&node));
+}
+
+/// Queries peers for what this node is known to lack.
+async fn query_peers<A: PlatformAdapter>(node: &Node<A>) {
+    loop {
+        let call = node.platform.state_mut().next_query(node.now_us());
+        match call {
+            ReaderQuery::Peer(query) => {
+                query_peer(node, &query).await;
+                node.platform.tell_news();
+            }
+            ReaderQuery::Wait { until_us } => {
+                let wait = Duration::from_micros(until_us.saturating_sub(node.now_us()));
+                // Ends early when peers have read more; either way the reader says what is next.
+                _ = timeout(wait, node.platform.news()).await;
+            }
+        }
+    }
+}
+
+async fn call_platform<A: PlatformAdapter>(node: &Node<A>) {
     let mut client = PlatformClient::default();
     loop {
         let call = node.platform.state_mut().next(node.now_us());
@@ -28,20 +50,18 @@
                 // Ends early when the platform is known to hold more; either way the reader says what is next.
                 _ = timeout(wait, node.platform.interrupted()).await;
             }
-            ReaderCall::QueryPeer { target, request, timeout_ms } => {
-                query_peer(&node, target, &request, Duration::from_millis(timeout_ms)).await;
-            }
+            ReaderCall::QueryPeer(query) => query_peer(node, &query).await,
             ReaderCall::Snapshot { next_page, timeout_ms } => {
                 let call_timeout = Duration::from_millis(timeout_ms);
                 let before = node.platform.state().is_unreachable();
-                read_snapshot(&node, &mut client, next_page.as_deref(), call_timeout).await;
-                note_reachability(&node, before);
+                read_snapshot(node, &mut client, next_page.as_deref(), call_timeout).await;
+                note_reachability(node, before);
             }
             ReaderCall::Watch { after, wait_ms, timeout_ms } => {
                 let call_timeout = Duration::from_millis(timeout_ms);
                 let before = node.platform.state().is_unreachable();
-                watch(&node, &mut client, after, wait_ms, call_timeout).await;
-                note_reachability(&node, before);
+                watch(node, &mut client, after, wait_ms, call_timeout).await;
+                note_reachability(node, before);
             }
         }
     }
@@ -56,15 +76,10 @@
 }
 
 /// Queries another node for what it knows of the platform.
-async fn query_peer<A: PlatformAdapter>(
-    node: &Node<A>,
-    target: QueryTarget,
-    request: &StateRequest,
-    query_timeout: Duration,
-) {
-    let peer = node.fleet.peer_to_query(target, &node.settings());
+async fn query_peer<A: PlatformAdapter>(node: &Node<A>, query: &PeerQuery) {
+    let peer = node.fleet.peer_to_query(query.target, &node.settings());
     let reply = match peer {
-        Some(peer) => query(node, peer, request, query_timeout).await,
+        Some(peer) => ask(node, peer, query).await,
         None => Err(QueryError::NoPeer),
     };
     let (peer, reply) = match reply {
@@ -86,14 +101,14 @@
 }
 
 /// A peer's answer, with the peer.
-async fn query<A: PlatformAdapter>(
+async fn ask<A: PlatformAdapter>(
     node: &Node<A>,
     peer: SocketAddr,
-    request: &StateRequest,
-    query_timeout: Duration,
+    query: &PeerQuery,
 ) -> Result<(SocketAddr, StateReply), QueryError> {
     node.report.queried_peer();
-    Ok((peer, state_query::query(peer, request, query_timeout).await?))
+    let first_byte_timeout = Duration::from_millis(query.timeout_ms);
+    Ok((peer, state_query::query(peer, &query.request, first_byte_timeout).await?))
 }
 
 /// Reads one page of everything.
--- a/crates/pointvane-node/src/platform_state.rs
+++ b/crates/pointvane-node/src/platform_state.rs
@@ -18,7 +18,8 @@
 #[derive(Debug)]
 pub struct PlatformState {
     reader: RefCell<PlatformReader>,
-    interrupted: Notify,
+    /// Whoever pauses or waits looks again at what is to be done.
+    news: Notify,
 }
 
 impl PlatformState {
@@ -26,7 +27,7 @@
     pub fn new(settings: &NodeSettings, seed: u64) -> Self {
         Self {
             reader: RefCell::new(PlatformReader::new(reader_options(settings), seed)),
-            interrupted: Notify::new(),
+            news: Notify::new(),
         }
     }
 
@@ -45,16 +46,26 @@
         self.reader.borrow().mark()
     }
 
-    /// Ends a rest or a watch if the platform is known to hold more than was read.
-    pub fn interrupt_if_needed(&self) {
-        if self.reader.borrow().is_to_be_interrupted() {
-            self.interrupted.notify_waiters();
+    /// Ends pauses and hung watches if peers have read more.
+    pub fn tell_news(&self) {
+        if self.reader.borrow().is_behind() {
+            self.news.notify_waiters();
         }
     }
 
-    /// Returns once a rest or a watch is to end.
+    /// Returns once peers are known to have read more.
+    pub async fn news(&self) {
+        self.news.notified().await;
+    }
+
+    /// Returns once a pause, or a watch that hangs, is to end.
     pub async fn interrupted(&self) {
-        self.interrupted.notified().await;
+        loop {
+            self.news.notified().await;
+            if self.reader.borrow().is_to_be_interrupted() {
+                return;
+            }
+        }
     }
 }
 
--- a/crates/pointvane-node/src/relay_loop.rs
+++ b/crates/pointvane-node/src/relay_loop.rs
@@ -77,6 +77,6 @@
         if !changes.is_empty() {
             self.apply(changes);
         }
-        self.platform.interrupt_if_needed();
+        self.platform.tell_news();
     }
 }
--- a/crates/pointvane-node/src/state_query.rs
+++ b/crates/pointvane-node/src/state_query.rs
@@ -19,10 +19,11 @@
 const SEND_TIMEOUT: Duration = Duration::from_secs(4);
 /// Longest time for which another node's query is waited for. Not measured: longer than the other node waits for an answer.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
-/// Longest time between two pieces of an answer. Not measured: as long as its first byte may take.
-const PROGRESS_TIMEOUT: Duration = Duration::from_millis(200);
-/// Longest time for which an answer is read. Worked out, not measured: at 10 Mbit/s 1.5 s carry 1.9 MB, some 30,000 routes; after it
-/// the platform can still be called within the users' bound for changes.
+/// Longest time between two pieces of a message. Not measured: a lost segment is sent again after 200 ms, and once more after twice
+/// that.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(650);
+/// Longest time for which an answer is read. Worked out, not measured: at 10 Mbit/s 1.5 s carry 1.9 MB, some 30,000 routes. The platform
+/// is called beside it after `catch_up_ms`.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Bytes of an answer that are read at once. Not measured.
 const PIECE_BYTES: usize = 65_536;
