A failing test: expired entries are used after nodes are in touch again

docs/PROMISES.md says that the grace period after the store's return ends before a node is in touch again (3 s). The store's recovery is part of those 3 s, not added to them.

--- a/crates/pointvane-dispatch/tests/fleet/mod.rs
+++ b/crates/pointvane-dispatch/tests/fleet/mod.rs
@@ -240,6 +240,8 @@
     pub all_known_ms: u64,
     /// The longest time for which a change was published that a node did not know.
     pub longest_lag_ms: u64,
+    /// When the last grace period of expired entries was over at any node; 0 if there was none.
+    pub grace_over_ms: u64,
 }
 
 fn answer_questions(fleet: &mut [SimNode], network: SimNetwork, rng: &mut SmallRng, now_ms: u64) {
@@ -301,7 +303,13 @@
         let lag_ms = |node: &SimNode| platform.lag_ms(node.reader.mark().revision.max(1), now_ms);
         longest_lag_ms = longest_lag_ms.max(fleet.iter().map(lag_ms).max().unwrap_or_default());
     }
-    Played { calls: fleet.iter().map(|node| node.calls).sum(), all_known_ms, longest_lag_ms }
+    let grace_over_us = fleet.iter().map(|node| node.reader.grace_until_us()).max().unwrap_or_default();
+    Played {
+        calls: fleet.iter().map(|node| node.calls).sum(),
+        all_known_ms,
+        longest_lag_ms,
+        grace_over_ms: grace_over_us / MS,
+    }
 }
 
 fn relays(fleet: &mut [SimNode], now_ms: u64) -> Vec<Relay> {
--- a/crates/pointvane-dispatch/tests/reader.rs
+++ b/crates/pointvane-dispatch/tests/reader.rs
@@ -34,6 +34,23 @@
     }
 }
 
+/// Time after the end of trouble in the store after which calm nodes are in touch again, in milliseconds (`contact-ms`). The
+/// store's own recovery is part of it, not added to it.
+const IN_TOUCH_MS: u64 = 3_000;
+
+#[gtest]
+fn expired_entries_are_dropped_before_nodes_are_in_touch_again() {
+    for seed in 0..200 {
+        let end_ms = 8_000 + seed * 37;
+        let silent_to = if seed % 2 == 0 { Silent::All } else { Silent::Refusing };
+        let (silent_ms, changes_ms) = (4_000..end_ms, vec![1_700, end_ms - 500]);
+        let platform =
+            SimPlatform { silent_ms, silent_to, changes_ms, large: true, ..SimPlatform::default() };
+        let played = play(&platform, SOUND, seed, 18, end_ms + 8_000);
+        expect_that!(played.grace_over_ms, all!(gt(end_ms + 1_900), le(end_ms + IN_TOUCH_MS)), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn a_node_that_hears_no_peer_notices_a_hung_watch_by_itself() {
     for seed in 0..200 {
