Reader: the grace period of expired entries is over before nodes are in touch again

Cause: it began at each node's own first answer, up to 1.4 s after the platform's return, and lasted 2.2 s; the users count a node as in touch 3 s after the end of trouble in the store, which holds the store's recovery already. A watcher that the platform does not answer asks without waiting and pauses 0.2 s at most (0.4), so the return is noticed within 0.9 s; a node that hears that the platform answered a peer counts from then, also while it cannot apply yet what that peer has read; the period is 2.15 s (2.2).

--- a/crates/pointvane-dispatch/src/reader.rs
+++ b/crates/pointvane-dispatch/src/reader.rs
@@ -222,8 +222,12 @@
         ReaderCall::Watch { after: self.mark.revision, wait_ms, timeout_ms }
     }
 
-    /// How long a watcher waits: its next answer must come before the leases that its last one gave are over.
+    /// How long a watcher waits: its next answer must come before the leases that its last one gave are over. While the platform
+    /// does not answer it does not wait, so as to notice its return soon.
     fn wait_ms(&mut self, now_us: u64) -> u64 {
+        if self.is_unreachable() {
+            return POLL_WAIT_MS;
+        }
         // Before the first answer there is no lease to renew.
         let age_ms = self.freshness.age_ms(now_us).unwrap_or_default();
         let room_ms = self.options.lease_ms.saturating_sub(age_ms + LEASE_MARGIN_MS);
--- a/crates/pointvane-dispatch/src/reader/freshness.rs
+++ b/crates/pointvane-dispatch/src/reader/freshness.rs
@@ -8,6 +8,8 @@
     confirmed_at_us: Option<u64>,
     /// Since when peers are known to have read on without this node.
     peers_ahead_since_us: Option<u64>,
+    /// When the platform first answered a peer again, as far as this node has heard of it before it got an answer itself.
+    returned_at_us: Option<u64>,
     grace_until_us: u64,
 }
 
@@ -17,15 +19,25 @@
     /// After an outage for all nodes, upstreams whose entries expired get a grace period to register again. If peers read
     /// on meanwhile, the outage was this node's alone, and entries that went are gone.
     pub fn confirm(&mut self, at_us: u64, options: &ReaderOptions) {
-        let since = |began_us: Option<u64>| began_us.map_or(0, |began_us| at_us.saturating_sub(began_us));
-        let outage = since(self.confirmed_at_us) >= options.outage_ms * US_PER_MS;
-        let own_outage = since(self.peers_ahead_since_us) >= options.own_outage_ms * US_PER_MS;
-        if outage && !own_outage {
-            self.grace_until_us = at_us + options.grace_ms * US_PER_MS;
+        let returned_at_us = self.returned_at_us.take().map_or(at_us, |heard_us| heard_us.min(at_us));
+        let own_outage = elapsed_us(self.peers_ahead_since_us, at_us) >= options.own_outage_ms * US_PER_MS;
+        if self.is_outage(at_us, options) && !own_outage {
+            self.grace_until_us = returned_at_us + options.grace_ms * US_PER_MS;
         }
         self.confirmed_at_us = self.confirmed_at_us.max(Some(at_us));
     }
 
+    /// Takes note that the platform answered a peer, though this node cannot apply yet what it said.
+    pub fn answered_peer(&mut self, at_us: u64, options: &ReaderOptions) {
+        if self.is_outage(at_us, options) {
+            self.returned_at_us = Some(self.returned_at_us.map_or(at_us, |heard_us| heard_us.min(at_us)));
+        }
+    }
+
+    fn is_outage(&self, at_us: u64, options: &ReaderOptions) -> bool {
+        elapsed_us(self.confirmed_at_us, at_us) >= options.outage_ms * US_PER_MS
+    }
+
     /// Takes note whether peers have read on.
     pub fn set_peers_ahead(&mut self, ahead: bool, now_us: u64) {
         self.peers_ahead_since_us = if ahead { self.peers_ahead_since_us.or(Some(now_us)) } else { None };
@@ -46,3 +58,8 @@
         self.confirmed_at_us.map_or(0, |at_us| at_us + options.lease_ms * US_PER_MS)
     }
 }
+
+/// Time since something began; 0 if it did not.
+fn elapsed_us(began_us: Option<u64>, at_us: u64) -> u64 {
+    began_us.map_or(0, |began_us| at_us.saturating_sub(began_us))
+}
--- a/crates/pointvane-dispatch/src/reader/nodes.rs
+++ b/crates/pointvane-dispatch/src/reader/nodes.rs
@@ -40,14 +40,16 @@
             return Vec::new();
         }
         let gap = relay.mark.revision > self.mark.revision && relay.since > self.mark.revision;
+        let answered_at_us = now_us.saturating_sub(relay.age_ms * US_PER_MS);
         if gap || relay.mark.version > self.mark.version {
+            self.freshness.answered_peer(answered_at_us, &self.options);
             if !self.reads_soon(now_us) {
                 self.begin_catch_up(relay.mark, position, now_us);
             }
             return drains(relay.changes);
         }
         self.no_reader_heard = false;
-        self.freshness.confirm(now_us.saturating_sub(relay.age_ms * US_PER_MS), &self.options);
+        self.freshness.confirm(answered_at_us, &self.options);
         self.advance_to(relay.mark.revision, &relay.changes);
         relay.changes
     }
--- a/crates/pointvane-dispatch/src/reader/options.rs
+++ b/crates/pointvane-dispatch/src/reader/options.rs
@@ -35,7 +35,10 @@
     pub settle_ms: u64,
     /// First pause after a failed call, in milliseconds; it doubles. Not measured.
     pub retry_ms: u64,
-    /// Longest pause of a watcher after failed calls, in milliseconds. Not measured.
+    /// Longest pause of a watcher after failed calls, in milliseconds.
+    ///
+    /// With `timeout_ms` it bounds how late the platform's return is noticed: both and `grace_ms` together must stay under the 3 s
+    /// after which the users count a node as in touch again (`reader::expired_entries_are_dropped_before_nodes_are_in_touch_again`).
     pub retry_max_ms: u64,
     /// Longest pause of all other nodes after failed calls, in milliseconds: their calls add up. Not measured.
     pub retry_others_max_ms: u64,
@@ -51,8 +54,8 @@
     pub outage_ms: u64,
     /// Grace period after its return within which such entries come back, in milliseconds.
     ///
-    /// The users say about two seconds. With it a day with such an outage gave 0.837 on Heatline, 0.734 before
-    /// (docs/MEASUREMENTS.md, "The round on NEWS-24").
+    /// The users say about two seconds. With 2.2 s a day with such an outage gave 0.837 on Heatline, 0.734 before
+    /// (docs/MEASUREMENTS.md, "The round on NEWS-24"); why no longer: see `retry_max_ms`.
     pub grace_ms: u64,
     /// Time for which peers have read on after which an outage counts as this node's own, in milliseconds. Not measured.
     pub own_outage_ms: u64,
@@ -72,14 +75,14 @@
             spread_ms: 300,
             settle_ms: 300,
             retry_ms: 100,
-            retry_max_ms: 400,
+            retry_max_ms: 200,
             retry_others_max_ms: 1_600,
             behind_ms: 500,
             lease_ms: 1_450,
             follower_wait_min_ms: 120,
             follower_wait_max_ms: 280,
             outage_ms: 2_500,
-            grace_ms: 2_200,
+            grace_ms: 2_150,
             own_outage_ms: 1_000,
         }
     }
