Node: a request whose deadline is nearer than the least time of service is answered at once

Until now it was sent, held till its deadline and cancelled: its caller waited for nothing, and an upstream worked for nobody. The node follows the least latency of each route's attempts; with less than half of it left a request is not sent: 504, or what the attempts before it allow to say. Tests: a_request_whose_deadline_is_nearer_than_the_least_time_of_service_is_never_sent (failed first: ten of ten were run by an upstream), a_deadline_nearer_than_the_least_time_of_service_ends_the_request_at_once, the_least_latency_follows_upstreams_that_become_slower_or_quicker.

--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -28,6 +28,8 @@
     NoUpstream,
     /// It was not sent: it would have been too late (see `admission.rs`), or a hedge found no uncontended upstream.
     NotAdmitted,
+    /// No search was made: no upstream can finish it before its deadline.
+    DeadlineTooNear,
     /// An upstream was chosen.
     Tried(AttemptOutcome),
 }
@@ -71,6 +73,10 @@
         let outcome = match end {
             AttemptEnd::NoUpstream => return self.ended_unsent(ErrorKind::NoUpstream),
             AttemptEnd::NotAdmitted => return self.ended_unsent(ErrorKind::Overloaded),
+            AttemptEnd::DeadlineTooNear if self.may_have_run => {
+                return self.ended_unsent(ErrorKind::UpstreamTimeout);
+            }
+            AttemptEnd::DeadlineTooNear => return self.ended_unsent(ErrorKind::DeadlinePassed),
             AttemptEnd::Tried(outcome) => outcome,
         };
         self.may_have_run |= outcome.may_have_run();
--- a/crates/pointvane-dispatch/src/latency.rs
+++ b/crates/pointvane-dispatch/src/latency.rs
@@ -34,3 +34,26 @@
         self.estimate_ms
     }
 }
+
+/// Follows the least of the latest latencies.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeastLatency {
+    least_ms: Option<f64>,
+}
+
+/// Share by which the least latency rises with each larger one, so that it forgets upstreams that are gone. Not measured: about
+/// the last hundred count.
+const LEAST_RISE_SHARE: f64 = 0.01;
+
+impl LeastLatency {
+    /// Records one latency.
+    pub fn record(&mut self, time_ms: f64) {
+        let risen_ms = self.least_ms.map_or(time_ms, |least_ms| least_ms * (1.0 + LEAST_RISE_SHARE));
+        self.least_ms = Some(time_ms.min(risen_ms));
+    }
+
+    /// The least latency, in milliseconds; none before the first.
+    pub fn get_ms(&self) -> Option<f64> {
+        self.least_ms
+    }
+}
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -58,7 +58,7 @@
         DIRECT_MAX, FAN_OUT, Forwarder, OrderedNode, ReceivedRounds, Segment, broadcast_position, fan_out,
         forwarders,
     },
-    latency::LatencyQuantile,
+    latency::{LatencyQuantile, LeastLatency},
     pool::Pool,
     query_order::{Broadcaster, QueryCandidate, earlier_peer, query_position},
     ranking::Wanted,
--- a/crates/pointvane-dispatch/src/route_times.rs
+++ b/crates/pointvane-dispatch/src/route_times.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         hedge::{HEDGE_QUANTILE, hedge_after_ms},
-        latency::LatencyQuantile,
+        latency::{LatencyQuantile, LeastLatency},
     },
     pointvane_core::RouteRule,
 };
@@ -15,11 +15,16 @@
 /// First estimate of the baseline, as a share of the target latency. Not measured.
 const FIRST_BASELINE_SHARE: f64 = 0.25;
 
+/// Share of the least latency seen lately below which no upstream is expected to finish a request. Not measured: half of it leaves
+/// room for the smallest requests.
+const FINISH_SHARE: f64 = 0.5;
+
 /// Latencies of one route's requests.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteTimes {
     answer: LatencyQuantile,
     baseline: LatencyQuantile,
+    least: LeastLatency,
 }
 
 impl RouteTimes {
@@ -29,6 +34,7 @@
         Self {
             answer: LatencyQuantile::new(HEDGE_QUANTILE, target_ms * FIRST_ANSWER_SHARE),
             baseline: LatencyQuantile::new(BASELINE_QUANTILE, target_ms * FIRST_BASELINE_SHARE),
+            least: LeastLatency::default(),
         }
     }
 
@@ -37,6 +43,11 @@
         self.baseline.get_ms()
     }
 
+    /// Whether a request with so much time left, in milliseconds, cannot be finished by any upstream, as far as was measured.
+    pub fn cannot_finish(&self, left_ms: f64) -> bool {
+        self.least.get_ms().is_some_and(|least_ms| left_ms < least_ms * FINISH_SHARE)
+    }
+
     /// Time after which a request of the route gets a second attempt, in milliseconds; none if it may not.
     pub fn hedge_after_ms(&self, route: &RouteRule) -> Option<f64> {
         hedge_after_ms(route, self.answer.get_ms())
@@ -51,6 +62,7 @@
     /// its latency as a multiple of the baseline.
     pub fn record_attempt(&mut self, latency_ms: f64, cost: f64) -> f32 {
         self.baseline.record(latency_ms / cost);
+        self.least.record(latency_ms);
         (latency_ms / self.baseline.get_ms()) as f32
     }
 }
--- a/crates/pointvane-dispatch/tests/request_attempts.rs
+++ b/crates/pointvane-dispatch/tests/request_attempts.rs
@@ -7,8 +7,8 @@
     googletest::prelude::*,
     pointvane_core::{ErrorKind, Outcome, RouteKind},
     pointvane_dispatch::{
-        AttemptEnd, AttemptOutcome, NextStep, Refusal, RequestAttempts, RetryBudget, RetryBudgetOptions,
-        may_pass_on,
+        AttemptEnd, AttemptOutcome, LeastLatency, NextStep, Refusal, RequestAttempts, RetryBudget,
+        RetryBudgetOptions, RouteTimes, may_pass_on,
     },
 };
 
@@ -144,3 +144,32 @@
     }
     expect_that!(may_pass_on(RouteKind::Unsafe, 500), eq(true));
 }
+
+#[gtest]
+fn a_deadline_nearer_than_the_least_time_of_service_ends_the_request_at_once() {
+    let route = route(RouteKind::Safe);
+    let mut times = RouteTimes::new(&route);
+    expect_that!(times.cannot_finish(1.0), eq(false), "nothing was measured yet");
+    (0..100).for_each(|number| _ = times.record_attempt(100.0 + f64::from(number % 7), 1.0));
+    expect_that!(times.cannot_finish(49.0), eq(true));
+    expect_that!(times.cannot_finish(60.0), eq(false));
+    let mut attempts = RequestAttempts::started(&route, true);
+    let end = attempts.ended(AttemptEnd::DeadlineTooNear, 0, &mut budget(0));
+    expect_that!(end, eq(NextStep::GiveUp(ErrorKind::DeadlinePassed)));
+    // Not run is never said of what may have run.
+    let mut attempts = RequestAttempts::started(&route, true);
+    expect_that!(attempts.ended(BROKEN, 1, &mut budget(5)), eq(NextStep::Retry));
+    let end = attempts.ended(AttemptEnd::DeadlineTooNear, 1, &mut budget(5));
+    expect_that!(end, eq(NextStep::GiveUp(ErrorKind::UpstreamTimeout)));
+}
+
+#[gtest]
+fn the_least_latency_follows_upstreams_that_become_slower_or_quicker() {
+    let mut least = LeastLatency::default();
+    (0..50).for_each(|_| least.record(100.0));
+    expect_that!(least.get_ms(), some(near(100.0, 2.0)));
+    least.record(20.0);
+    expect_that!(least.get_ms(), some(eq(20.0)));
+    (0..300).for_each(|_| least.record(100.0));
+    expect_that!(least.get_ms(), some(near(100.0, 2.0)));
+}
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -42,6 +42,9 @@
     goal: SearchGoal,
 ) -> AttemptReport {
     let began_us = node.now_us();
+    if cannot_finish(&node, &request, began_us) {
+        return AttemptEnd::DeadlineTooNear.into();
+    }
     let key = match search(&node, &request, goal).await {
         Found::Uncontended(key) => key,
         Found::Contended(_) if goal == SearchGoal::UncontendedOnly => return AttemptEnd::NotAdmitted.into(),
@@ -70,6 +73,12 @@
     AttemptReport { end: AttemptEnd::Tried(outcome), answer: answer.ok() }
 }
 
+/// Whether its deadline is nearer than the least time of service: sending it would only take the upstream's time.
+fn cannot_finish<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest, now_us: u64) -> bool {
+    let left_ms = request.answer_by_us.saturating_sub(now_us) as f64 / US_PER_MS as f64;
+    node.dispatcher.route_times(&request.routed.route).cannot_finish(left_ms)
+}
+
 fn unresponsive_after<A: PlatformAdapter>(
     node: &Node<A>,
     request: &CallerRequest,
--- a/standins/tests/platform_node.rs
+++ b/standins/tests/platform_node.rs
@@ -283,3 +283,22 @@
     expect_that!(asked, le(10));
     expect_that!(runs(&upstreams), eq(60));
 }
+
+#[gtest]
+fn a_request_whose_deadline_is_nearer_than_the_least_time_of_service_is_never_sent() {
+    let (node, _store, upstreams) = served(&[Manner::After(80)]);
+    for number in 0..10 {
+        let answer = node.request("GET", "/safe/a", &format!("{number}"), 5_000).unwrap();
+        expect_that!(answer.status(), eq(200));
+    }
+    for number in 0..10 {
+        let answer = node.request("POST", "/unsafe/a", &format!("unsafe-{number}"), 5_000).unwrap();
+        expect_that!(answer.status(), eq(200));
+    }
+    let before = runs(&upstreams);
+    for number in 0..10 {
+        let answer = node.request("GET", "/safe/a", &format!("late-{number}"), 30).unwrap();
+        expect_that!(answer.status(), eq(504));
+    }
+    expect_that!(runs(&upstreams), eq(before));
+}
