Check: files of a file set that nothing reads are named

Cause: `pointvane check` read `fleet.toml` and `services/*.toml` and said nothing of what stood beside them, so that services/portal.yaml, portal.TOML or a service's file one directory too high or too low was left out of the configuration in silence. Now: check_directory (pointvane-config, stray_files.rs) adds a fault for each such file or directory, with its name, the key `(file)` and a remedy that says where it would be read; the exit code is 2, as for every fault. A directory is named once. Hidden names are left out, as version control and editors keep theirs there. Ruled out: the same in `pack` and `diff`. Found as it should be: a key that nothing reads was named already in every table of both files, with line and remedy; it has tests now.

--- a/crates/pointvane-config/src/fleet_file.rs
+++ b/crates/pointvane-config/src/fleet_file.rs
@@ -7,6 +7,7 @@
         fault::{Fault, Faults},
         section::Section,
         service_file::read_service,
+        stray_files::stray_files,
     },
     pointvane_core::Name,
     std::{
@@ -18,18 +19,29 @@
 };
 
 /// The file with the limits of the fleet.
-const FLEET_FILE: &str = "fleet.toml";
+pub const FLEET_FILE: &str = "fleet.toml";
 /// The directory with one file a service.
-const SERVICES_DIRECTORY: &str = "services";
+pub const SERVICES_DIRECTORY: &str = "services";
 /// The lowest share of the fleet's probe budget that is still a useful rate for one entry VM.
 const PROBE_SHARE_MIN_PER_S: f64 = 0.001;
 
-/// Reads and checks a file set.
+/// Reads and checks a file set; what stands beside its files is ignored.
 ///
 /// # Errors
 /// All the faults of all the files.
 pub fn read_directory(directory: &Path) -> Result<Configuration, Faults> {
-    let mut faults = Faults::default();
+    read_set(directory, Faults::default())
+}
+
+/// Reads and checks a file set, in which nothing may stand that is not read.
+///
+/// # Errors
+/// All the faults of all the files, stray ones included.
+pub fn check_directory(directory: &Path) -> Result<Configuration, Faults> {
+    read_set(directory, stray_files(directory))
+}
+
+fn read_set(directory: &Path, mut faults: Faults) -> Result<Configuration, Faults> {
     let (revision, limits) = read_fleet(directory, &mut faults);
     let mut services = Vec::new();
     let mut seen = Seen::default();
@@ -158,11 +170,16 @@
         return Vec::new();
     };
     let names = entries.flatten().map(|entry| Path::new(SERVICES_DIRECTORY).join(entry.file_name()));
-    let mut paths: Vec<_> = names.filter(|path| path.extension().is_some_and(|e| e == "toml")).collect();
+    let mut paths: Vec<_> = names.filter(|path| is_service_file(path)).collect();
     paths.sort();
     paths
 }
 
+/// Whether a path in the directory of services is read.
+pub fn is_service_file(path: &Path) -> bool {
+    path.extension().is_some_and(|extension| extension == "toml")
+}
+
 fn read_text(directory: &Path, file: &str, faults: &mut Faults) -> Option<String> {
     let text = fs::read_to_string(directory.join(file));
     if text.is_err() {
--- a/crates/pointvane-config/src/lib.rs
+++ b/crates/pointvane-config/src/lib.rs
@@ -17,12 +17,13 @@
 mod service_options;
 mod settings;
 mod settings_file;
+mod stray_files;
 
 pub use {
     configuration::{Configuration, FleetLimits, Policy, Route, Service, Upstream},
     diff::{Difference, diff},
     fault::{Fault, Faults},
-    fleet_file::read_directory,
+    fleet_file::{check_directory, read_directory},
     node_options::{
         ChoiceOptions, ChoicePolicy, LineOptions, NODE_OPTION_KEYS, NodeAdmissionOptions, NodeOptions,
         RepeatOptions, read_node_options,
--- a/crates/pointvane-config/tests/files.rs
+++ b/crates/pointvane-config/tests/files.rs
@@ -3,8 +3,8 @@
 use {
     googletest::prelude::*,
     pointvane_config::{
-        Configuration, PACKED_LIMIT_BYTES, PackError, Policy, diff, pack, read_directory, read_settings,
-        unpack,
+        Configuration, Fault, PACKED_LIMIT_BYTES, PackError, Policy, check_directory, diff, pack,
+        read_directory, read_settings, unpack,
     },
     std::{
         fs,
@@ -37,7 +37,9 @@
         let directory = std::env::temp_dir().join(directory);
         fs::create_dir_all(directory.join("services")).unwrap();
         for (file, text) in files {
-            fs::write(directory.join(file), text).unwrap();
+            let file = directory.join(file);
+            fs::create_dir_all(file.parent().unwrap()).unwrap();
+            fs::write(file, text).unwrap();
         }
         Self(directory)
     }
@@ -168,3 +170,96 @@
     expect_that!(found, eq(&vec![(2, "vm.name"), (4, "vm.address"), (12, "entry.port")]));
     expect_that!(faults.0.iter().all(|fault| !fault.remedy.is_empty()), eq(true));
 }
+
+/// The faults that a check finds, each as its file, line, key and problem, and all with a remedy.
+fn checked(files: &Files) -> Vec<(String, usize, String, String)> {
+    let faults = check_directory(&files.0).map_or_else(|faults| faults.0, |_| Vec::new());
+    expect_that!(faults, each(field!(Fault.remedy, not(eq("")))));
+    let told = faults.into_iter();
+    told.map(|fault| (fault.file.to_string(), fault.line, fault.key, fault.problem)).collect()
+}
+
+#[gtest]
+fn a_check_names_each_stray_file_and_reading_passes_it_over() {
+    let strays = [
+        "README.md",
+        "dispatch.toml",
+        "service/dispatch.toml",
+        "services/dispatch.toml~",
+        "services/notes",
+        "services/old/dispatch.toml",
+        "services/portal.TOML",
+    ];
+    let mut files = vec![("fleet.toml", FLEET), ("services/dispatch.toml", SERVICE)];
+    files.extend(strays.map(|stray| (stray, "")));
+    let files = Files::new("strays", &files);
+    let stray = |file: &str| (file.to_owned(), 1, "(file)".to_owned(), "nothing reads it".to_owned());
+    // A directory is named once, whatever it holds.
+    let named = [
+        "README.md",
+        "dispatch.toml",
+        "service",
+        "services/dispatch.toml~",
+        "services/notes",
+        "services/old",
+        "services/portal.TOML",
+    ];
+    expect_that!(checked(&files), eq(&named.map(stray).to_vec()));
+    expect_that!(files.read(), ok(eq(&good())));
+}
+
+#[gtest]
+fn a_stray_files_remedy_says_where_it_would_be_read() {
+    let strays = [("a.toml", ""), ("a.txt", ""), ("services/a.yaml", ""), ("services/b/a.toml", "")];
+    let files = [&[("fleet.toml", FLEET), ("services/dispatch.toml", SERVICE)][..], &strays].concat();
+    let files = Files::new("remedies", &files);
+    let faults = check_directory(&files.0).unwrap_err();
+    let remedies: Vec<_> = faults.0.iter().map(|fault| fault.remedy.as_str()).collect();
+    let expected = [
+        "move it to services/a.toml if it describes a service, or remove it",
+        "remove it, or keep it outside the file set",
+        "rename it to services/a.toml if it describes a service, or remove it",
+        "move service files right into services/, or remove it",
+    ];
+    expect_that!(remedies, eq(&expected.to_vec()));
+}
+
+#[gtest]
+fn hidden_files_are_no_strays_and_strays_are_told_with_all_other_faults() {
+    let hidden = [(".gitignore", ""), (".git/config", ""), ("services/.dispatch.toml.swp", "")];
+    let good = [("fleet.toml", FLEET), ("services/dispatch.toml", SERVICE)];
+    let files = Files::new("hidden", &[&good[..], &hidden].concat());
+    expect_that!(checked(&files), is_empty());
+    let files =
+        Files::new("mixed", &[("fleet.toml", "revision = 0\nentry_vms_max = 18\n"), good[1], ("a.txt", "")]);
+    let keys: Vec<_> = checked(&files).into_iter().map(|(file, line, key, _)| (file, line, key)).collect();
+    let expected = [("a.txt", 1, "(file)"), ("fleet.toml", 1, "revision")];
+    expect_that!(keys, eq(&expected.map(|(file, line, key)| (file.into(), line, key.into())).to_vec()));
+}
+
+#[gtest]
+fn each_key_that_nothing_reads_is_named_in_every_table() {
+    let fleet = format!("{FLEET}colour = 1\n");
+    let service = format!(
+        "colour = 2\n{SERVICE}colour = 3\n\n[load]\ncolour = 4\n\n[admission]\ncolour = 5\n\n[retry]\ncolour = 6\n\n\
+         [hedge]\ncolour = 7\n\n[ejection]\ncolour = 8\n\n[colours]\nred = 9\n"
+    );
+    let files = Files::new("keys", &[("fleet.toml", &fleet), ("services/dispatch.toml", &service)]);
+    let unknown =
+        |(file, line, key): (&str, usize, &str)| (file.into(), line, key.into(), "unknown key".into());
+    let service = "services/dispatch.toml";
+    let expected = [
+        ("fleet.toml", 3, "colour"),
+        (service, 1, "colour"),
+        (service, 10, "upstream[0].colour"),
+        (service, 13, "load.colour"),
+        (service, 16, "admission.colour"),
+        (service, 19, "retry.colour"),
+        (service, 22, "hedge.colour"),
+        (service, 25, "ejection.colour"),
+        (service, 27, "colours"),
+    ];
+    expect_that!(checked(&files), eq(&expected.map(unknown).to_vec()));
+    let faults = check_directory(&files.0).unwrap_err();
+    expect_that!(faults.0, each(field!(Fault.remedy, starts_with("remove it, or use one of: "))));
+}
--- a/crates/pointvane/src/files.rs
+++ b/crates/pointvane/src/files.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::Output,
-    pointvane_config::{Configuration, Faults, PackError, diff, pack, read_directory, unpack},
+    pointvane_config::{
+        Configuration, Faults, PackError, check_directory, diff, pack, read_directory, unpack,
+    },
     std::{
         fmt, fs, io,
         path::{Path, PathBuf},
@@ -38,7 +40,7 @@
 
 /// `pointvane check`.
 pub fn check(directory: &Path, output: Output) -> ExitCode {
-    match read_directory(directory) {
+    match check_directory(directory) {
         Ok(configuration) => {
             match output {
                 Output::Text => println!("{}: ok, revision {}", directory.display(), configuration.revision),
--- a/crates/pointvane/tests/client.rs
+++ b/crates/pointvane/tests/client.rs
@@ -62,6 +62,25 @@
     fs::remove_dir_all(directory).unwrap();
 }
 
+#[gtest]
+fn a_check_names_a_stray_file_and_a_key_that_nothing_reads() {
+    let directory = file_set("stray", "3\ncolour = 1");
+    fs::write(directory.join("services/portal.yaml"), "").unwrap();
+    let set = path(&directory, "");
+    let check = client(&["check", &set]);
+    expect_that!(check.status.code(), some(eq(2)));
+    let expected = "fleet.toml:2: colour: unknown key; remove it, or use one of: control_bytes_per_s, entry_vms_max, \
+                    key_life_ms, locate_keep_ms, revision\n\
+                    services/portal.yaml:1: (file): nothing reads it; rename it to services/portal.toml if it describes \
+                    a service, or remove it\n\
+                    2 fault(s)\n";
+    expect_that!(text(&check.stderr), eq(expected));
+    let json = client(&["check", &set, "--output", "json"]);
+    let faults: serde_json::Value = serde_json::from_slice(&json.stdout).unwrap();
+    expect_that!(faults[1]["file"].as_str(), some(eq("services/portal.yaml")));
+    fs::remove_dir_all(directory).unwrap();
+}
+
 #[gtest]
 fn what_cannot_be_reached_is_named() {
     let status = client(&["status", "127.0.0.1:1"]);
