--- a/crates/pointvane-control/src/run.rs
+++ b/crates/pointvane-control/src/run.rs
@@ -8,7 +8,8 @@
         platform::HttpPlatform,
         reader::Reader,
         serve::serve,
-        {state::State, value::ValueKind},
+        state::State,
+        value::{FetchOrder, ValueKind},
     },
     eyre::{Result, WrapErr},
     pointvane_config::Settings,
@@ -22,7 +23,7 @@
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
-            mpsc,
+            mpsc::{self, Receiver},
         },
         thread,
         time::Duration,
@@ -37,10 +38,7 @@
 /// # Errors
 /// When it cannot start.
 pub fn run(settings: Settings, log: slog::Logger) -> Result<()> {
-    let stop = Arc::new(AtomicBool::new(false));
-    flag::register(SIGTERM, Arc::clone(&stop))?;
-    flag::register(SIGINT, Arc::clone(&stop))?;
-
+    let stop = stop_on_signals()?;
     let address = SocketAddr::new(settings.vm.address, settings.control.port);
     let socket = UdpSocket::bind(address).wrap_err_with(|| format!("control port {address}"))?;
     let listener = TcpListener::bind(address).wrap_err_with(|| format!("control port {address}"))?;
@@ -54,16 +52,8 @@
     let state = Arc::new(state);
     let _operator = serve_operator(operator, metrics, Arc::clone(&events), Arc::clone(&state))?;
 
-    spawn(&state, move |state| fetch_ordered(state, &orders));
-    spawn(&state, keep_in_step);
-    for kind in [ValueKind::Configuration, ValueKind::VmList] {
-        let platform = HttpPlatform::new(platform_address);
-        spawn(&state, move |state| Reader::new(state, platform, kind).run());
-    }
-    let serving = Arc::clone(&state);
-    thread::spawn(move || serve(&serving, &listener));
-    let stop_gossip = Arc::clone(&stop);
-    spawn(&state, move |state| gossip(state, &socket, &stop_gossip));
+    start_readers(&state, platform_address, orders);
+    start_exchange(&state, socket, listener, Arc::clone(&stop));
     events.note(EventKind::Started);
 
     while !stop.load(Ordering::Relaxed) {
@@ -76,6 +66,31 @@
     Ok(())
 }
 
+/// A flag that is set once the process is asked to stop.
+fn stop_on_signals() -> Result<Arc<AtomicBool>> {
+    let stop = Arc::new(AtomicBool::new(false));
+    flag::register(SIGTERM, Arc::clone(&stop))?;
+    flag::register(SIGINT, Arc::clone(&stop))?;
+    Ok(stop)
+}
+
+/// Starts the threads that fetch values, from other VMs and from the platform.
+fn start_readers(state: &Arc<State>, platform: SocketAddr, orders: Receiver<FetchOrder>) {
+    spawn(state, move |state| fetch_ordered(state, &orders));
+    spawn(state, keep_in_step);
+    for kind in [ValueKind::Configuration, ValueKind::VmList] {
+        let platform = HttpPlatform::new(platform);
+        spawn(state, move |state| Reader::new(state, platform, kind).run());
+    }
+}
+
+/// Starts the threads that serve the feed and other VMs, and gossip until `stop` is set.
+fn start_exchange(state: &Arc<State>, socket: UdpSocket, listener: TcpListener, stop: Arc<AtomicBool>) {
+    let serving = Arc::clone(state);
+    thread::spawn(move || serve(&serving, &listener));
+    spawn(state, move |state| gossip(state, &socket, &stop));
+}
+
 fn spawn(state: &Arc<State>, work: impl FnOnce(&State) + Send + 'static) {
     let state = Arc::clone(state);
     thread::spawn(move || work(&state));
--- a/crates/pointvane-entry/src/forward.rs
+++ b/crates/pointvane-entry/src/forward.rs
@@ -9,16 +9,16 @@
         answer::strip_hop_by_hop,
         body::UpstreamBody,
         classify::Classified,
-        connections::{Connection, Connections, SendError},
+        connections::Connections,
         counters::EntryCounters,
         request_body::RequestBody,
         service::Attempt,
+        try_upstream::{Tried, try_hedged, try_once},
     },
-    hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue, http::request::Parts},
-    pointvane_balance::AttemptEnd,
-    pointvane_core::{ErrorKind, LoadReport, US_PER_MS, header},
-    std::{mem, time::Duration},
-    tokio::time::{Instant, sleep_until, timeout_at},
+    hyper::{Request, Response, header::HeaderValue, http::request::Parts},
+    pointvane_core::{ErrorKind, US_PER_MS, header},
+    std::{mem, ops::ControlFlow, time::Duration},
+    tokio::time::Instant,
 };
 
 /// Longest time for a body that streams under no deadline: a day. Not measured: only a bound.
@@ -33,18 +33,6 @@
     pub head: Parts,
 }
 
-/// How one attempt ended.
-enum Tried {
-    /// The head of an answer came.
-    Answer(Response<UpstreamBody>),
-    /// An answer came that says the upstream cannot serve; it is good enough if no other try is left.
-    BadAnswer(Response<UpstreamBody>),
-    /// Nothing was sent.
-    Unsent(RequestBody, ErrorKind),
-    /// Something may have been sent.
-    Broken(ErrorKind),
-}
-
 impl<'r> Outgoing<'r> {
     /// A request whose head is cleared for the next hop.
     pub fn new(request: &'r Classified, mut head: Parts) -> Self {
@@ -63,7 +51,8 @@
         request
     }
 
-    fn left_us(&self) -> u64 {
+    /// Time left until the deadline.
+    pub fn left_us(&self) -> u64 {
         self.request.deadline_us.saturating_sub(self.request.service.now_us())
     }
 
@@ -86,146 +75,88 @@
     connections: &Connections,
     counters: &EntryCounters,
 ) -> Result<Response<UpstreamBody>, ErrorKind> {
-    let repeatable = outgoing.request.repeatable && body.is_empty();
     let attempts_max = outgoing.request.service.lock().service().retry.attempts_max;
-    let (mut attempt, mut body) = (first, body);
-    let mut ran = false;
+    let mut attempts = Attempts::new(outgoing, body);
+    let mut attempt = first;
     for number in 1..=attempts_max {
         let upstream = attempt.upstream();
-        let tried = match repeatable {
-            true => try_hedged(outgoing, attempt, connections, counters).await,
-            false => try_once(outgoing, mem::take(&mut body), attempt, connections, counters).await,
-        };
-        let (next, failure) = match tried {
-            Tried::Answer(response) => return Ok(response),
-            Tried::BadAnswer(response) if repeatable && number < attempts_max => {
-                // The bad answer is dropped, and with it its connection.
-                let Some(next) = outgoing.request.service.retry(upstream) else {
-                    return Ok(response);
-                };
-                ran = true;
-                (next, ErrorKind::UpstreamBroken)
-            }
-            Tried::BadAnswer(response) => return Ok(response),
-            Tried::Unsent(unsent, kind) => {
-                body = unsent;
-                let next = outgoing.request.service.redirect(upstream);
-                (next.ok_or(final_kind(kind, ran))?, kind)
-            }
-            Tried::Broken(ErrorKind::UpstreamBroken) if repeatable => {
-                ran = true;
-                let next = outgoing.request.service.retry(upstream);
-                (next.ok_or(ErrorKind::UpstreamBroken)?, ErrorKind::UpstreamBroken)
-            }
-            Tried::Broken(kind) => return Err(final_kind(kind, ran)),
+        let tried = attempts.send(attempt, connections, counters).await;
+        let is_last = number == attempts_max;
+        let next = match attempts.after(tried, upstream, is_last)? {
+            Step::Break(response) => return Ok(response),
+            Step::Continue(next) => next,
         };
-        if number == attempts_max {
-            return Err(final_kind(failure, ran));
+        if is_last {
+            return Err(attempts.final_kind(next.failure));
         }
         counters.retried();
-        attempt = next;
+        attempt = next.attempt;
     }
-    Err(final_kind(ErrorKind::UpstreamUnreachable, ran))
+    Err(attempts.final_kind(ErrorKind::UpstreamUnreachable))
 }
 
-/// A later attempt that sent nothing does not make an earlier one unrun.
-fn final_kind(kind: ErrorKind, ran: bool) -> ErrorKind {
-    if ran { ErrorKind::UpstreamBroken } else { kind }
-}
-
-/// One attempt of repeatable work, with a second one beside it if it is slow and there is slack.
-async fn try_hedged(
-    outgoing: &Outgoing<'_>,
+/// Another attempt that may be made.
+struct NextAttempt {
     attempt: Attempt,
-    connections: &Connections,
-    counters: &EntryCounters,
-) -> Tried {
-    let first = attempt.upstream();
-    let hedge_after_us = outgoing.request.service.lock().hedge_after_us();
-    let first_try = try_once(outgoing, RequestBody::Empty, attempt, connections, counters);
-    let Some(hedge_after_us) = hedge_after_us else {
-        return first_try.await;
-    };
-    tokio::pin!(first_try);
-    let hedge_at = Instant::now() + Duration::from_micros(hedge_after_us);
-    tokio::select! {
-        biased;
-        tried = &mut first_try => return tried,
-        () = sleep_until(hedge_at) => {}
-    }
-    let Some(second) = outgoing.request.service.hedge(first) else {
-        return first_try.await;
-    };
-    counters.hedged();
-    let second_try = try_once(outgoing, RequestBody::Empty, second, connections, counters);
-    tokio::pin!(second_try);
-    // The one that loses is dropped, which cancels it at its upstream.
-    tokio::select! {
-        tried = &mut first_try => good_or(tried, second_try).await,
-        tried = &mut second_try => good_or(tried, first_try).await,
-    }
+    /// Why the one before failed.
+    failure: ErrorKind,
 }
 
-/// A good end, or else the other attempt's.
-async fn good_or(tried: Tried, other: impl Future<Output = Tried>) -> Tried {
-    if matches!(tried, Tried::Answer(_)) { tried } else { other.await }
-}
+/// What follows an attempt.
+type Step = ControlFlow<Response<UpstreamBody>, NextAttempt>;
 
-/// Sends a request to one upstream and waits for the head of its answer.
-async fn try_once(
-    outgoing: &Outgoing<'_>,
+/// The attempts of one request so far.
+struct Attempts<'o, 'r> {
+    outgoing: &'o Outgoing<'r>,
+    repeatable: bool,
+    /// The body, unless an attempt holds it or has sent it.
     body: RequestBody,
-    attempt: Attempt,
-    connections: &Connections,
-    counters: &EntryCounters,
-) -> Tried {
-    let give_up_at = outgoing.give_up_at(!body.is_empty());
-    let Ok(mut connection) = connections.get(attempt.address()).await else {
-        attempt.end(AttemptEnd::Failed);
-        return Tried::Unsent(body, ErrorKind::UpstreamUnreachable);
-    };
-    // Read again right before the first byte goes out: this process may have been paused.
-    if outgoing.left_us() == 0 {
-        return Tried::Broken(ErrorKind::DeadlinePassed);
+    /// Whether an attempt that failed may have run.
+    ran: bool,
+}
+
+impl<'o, 'r> Attempts<'o, 'r> {
+    fn new(outgoing: &'o Outgoing<'r>, body: RequestBody) -> Self {
+        let repeatable = outgoing.request.repeatable && body.is_empty();
+        Self { outgoing, repeatable, body, ran: false }
     }
-    counters.attempted();
-    let sent = timeout_at(give_up_at, connection.send(outgoing.build(body))).await;
-    match sent {
-        Err(_) => Tried::Broken(ErrorKind::UpstreamTimeout),
-        Ok(Err(SendError::Unsent(request))) => {
-            attempt.end(AttemptEnd::Failed);
-            Tried::Unsent(request.into_body(), ErrorKind::UpstreamUnreachable)
-        }
-        Ok(Err(SendError::Broken)) => {
-            attempt.end(AttemptEnd::Failed);
-            Tried::Broken(ErrorKind::UpstreamBroken)
-        }
-        Ok(Ok(response)) => {
-            counters.upstream_took(&outgoing.request.service.name, attempt.age_s());
-            answered(response, attempt, connection)
+
+    async fn send(&mut self, attempt: Attempt, connections: &Connections, counters: &EntryCounters) -> Tried {
+        if self.repeatable {
+            return try_hedged(self.outgoing, attempt, connections, counters).await;
         }
+        try_once(self.outgoing, mem::take(&mut self.body), attempt, connections, counters).await
     }
-}
-
-/// Takes the head of an answer; its body ends the attempt.
-fn answered(response: Response<Incoming>, mut attempt: Attempt, connection: Connection) -> Tried {
-    attempt.reported(load_report(&response));
-    let end = end_of(response.status());
-    let response = response.map(|body| UpstreamBody::new(body, connection, Some(attempt), end));
-    if end == AttemptEnd::Answered { Tried::Answer(response) } else { Tried::BadAnswer(response) }
-}
 
-/// What a status says of the upstream.
-fn end_of(status: StatusCode) -> AttemptEnd {
-    match status {
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => AttemptEnd::Shed,
-        status if status.is_server_error() => AttemptEnd::Failed,
-        _ => AttemptEnd::Answered,
+    /// What follows an attempt at `upstream`: the answer that the caller gets, or another attempt.
+    fn after(&mut self, tried: Tried, upstream: usize, is_last: bool) -> Result<Step, ErrorKind> {
+        let service = &self.outgoing.request.service;
+        let (next, failure) = match tried {
+            Tried::BadAnswer(response) if self.repeatable && !is_last => {
+                // The bad answer is dropped, and with it its connection.
+                let Some(next) = service.retry(upstream) else {
+                    return Ok(Step::Break(response));
+                };
+                self.ran = true;
+                (Some(next), ErrorKind::UpstreamBroken)
+            }
+            Tried::Answer(response) | Tried::BadAnswer(response) => return Ok(Step::Break(response)),
+            Tried::Unsent(unsent, kind) => {
+                self.body = unsent;
+                (service.redirect(upstream), kind)
+            }
+            Tried::Broken(ErrorKind::UpstreamBroken) if self.repeatable => {
+                self.ran = true;
+                (service.retry(upstream), ErrorKind::UpstreamBroken)
+            }
+            Tried::Broken(kind) => return Err(self.final_kind(kind)),
+        };
+        let attempt = next.ok_or(self.final_kind(failure))?;
+        Ok(Step::Continue(NextAttempt { attempt, failure }))
     }
-}
 
-/// The load report in an answer's head; one that cannot be read counts as none, since the answer is good all the same.
-pub fn load_report(response: &Response<Incoming>) -> Option<LoadReport> {
-    let value = response.headers().get(header::LOAD)?;
-    LoadReport::parse(value.to_str().ok()?)
+    /// A later attempt that sent nothing does not make an earlier one unrun.
+    fn final_kind(&self, kind: ErrorKind) -> ErrorKind {
+        if self.ran { ErrorKind::UpstreamBroken } else { kind }
+    }
 }
--- a/crates/pointvane-entry/src/lib.rs
+++ b/crates/pointvane-entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod status;
 mod stop;
 mod transitions;
+mod try_upstream;
 
 pub use {
     entry::Entry,
--- a/crates/pointvane-entry/src/maintain.rs
+++ b/crates/pointvane-entry/src/maintain.rs
@@ -1,7 +1,7 @@
 //! Upkeep of the services: waiting requests, probes, changes worth an event.
 
 use {
-    crate::{entry::Entry, forward::load_report, request_body::RequestBody, service::ServiceHandle},
+    crate::{entry::Entry, request_body::RequestBody, service::ServiceHandle, try_upstream::load_report},
     http_body_util::BodyExt,
     hyper::{Request, header::HOST},
     pointvane_core::{LoadReport, Name},
