Reader: a watcher without the platform queries peers again at the next relay

Found in reading the change: when both queries of a watcher had failed, what it lacked stayed noted with no query left, and no relay began another round as long as the platform did not answer it. Test: a_watcher_without_the_platform_queries_peers_again_when_all_queries_failed, failed first.

--- a/crates/pointvane-dispatch/src/reader.rs
+++ b/crates/pointvane-dispatch/src/reader.rs
@@ -48,7 +48,9 @@
 #[derive(Clone, Copy, Debug)]
 struct CatchUp {
     wanted: ReadMark,
+    /// When peers are queried.
     query_at_us: u64,
+    /// Queries that are left.
     peer_queries: u32,
     /// When the platform is called, whatever peers do, unless they have brought it.
     platform_at_us: u64,
@@ -93,6 +95,7 @@
     /// How long this node waits for a standby's relay after its lease.
     follower_wait_us: u64,
     behind_since_us: Option<u64>,
+    /// The call to the platform under way.
     call: Option<PlatformCall>,
     /// Revision that the last watch was made after.
     watched_after: u64,
@@ -160,6 +163,8 @@
             return self.next_of_snapshot(now_us);
         }
         if self.role == ReaderRole::Watcher {
+            // Its watch takes the place of a call for what peers did not bring; the next relay begins a new round of queries.
+            self.catch_up = self.catch_up.filter(|catch_up| now_us < catch_up.platform_at_us);
             let wait_ms = self.wait_ms(now_us);
             return self.watch(wait_ms, PlatformCall::Waiting);
         }
@@ -167,6 +172,7 @@
         if now_us < poll_at_us {
             return ReaderCall::Wait { until_us: poll_at_us };
         }
+        // A call for what peers did not bring says nothing of whether a reader is heard.
         self.no_reader_heard = self.catch_up.take().is_none();
         self.watch(POLL_WAIT_MS, PlatformCall::Fetching { since_us: now_us })
     }
--- a/crates/pointvane-dispatch/tests/states.rs
+++ b/crates/pointvane-dispatch/tests/states.rs
@@ -360,3 +360,22 @@
     reader.query_failed(2_040 * MS);
     expect_that!(reader.next(2_040 * MS), matches_pattern!(ReaderCall::Snapshot { .. }));
 }
+
+#[gtest]
+fn a_watcher_without_the_platform_queries_peers_again_when_all_queries_failed() {
+    let mut watcher = read_up_to(5, 1);
+    watcher.compare_with_peers(ReaderRole::Watcher, 5, 10_000 * MS);
+    watcher.next(10_000 * MS);
+    watcher.call_failed(CallFailure::Unavailable, 10_700 * MS);
+    watcher.receive_relay(relay(6, 2, Vec::new()), 0.0, 10_750 * MS);
+    for _ in 0..2 {
+        expect_that!(watcher.next_query(10_750 * MS), matches_pattern!(ReaderQuery::Peer(_)));
+        watcher.query_failed(10_760 * MS);
+    }
+    expect_that!(watcher.next_query(10_800 * MS), matches_pattern!(ReaderQuery::Wait { .. }));
+    // It goes on with its own watch, which fails as well.
+    expect_that!(watcher.next(11_000 * MS), matches_pattern!(ReaderCall::Watch { .. }));
+    watcher.call_failed(CallFailure::Unavailable, 11_700 * MS);
+    watcher.receive_relay(relay(7, 3, Vec::new()), 0.0, 11_750 * MS);
+    expect_that!(watcher.next_query(11_750 * MS), matches_pattern!(ReaderQuery::Peer(_)));
+}
