--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -42,15 +42,9 @@
     goal: SearchGoal,
 ) -> AttemptReport {
     let began_us = node.now_us();
-    if cannot_finish(&node, &request, began_us) {
-        return AttemptEnd::DeadlineTooNear.into();
-    }
-    let key = match search(&node, &request, goal).await {
-        Found::Uncontended(key) => key,
-        Found::Contended(_) if goal == SearchGoal::UncontendedOnly => return AttemptEnd::NotAdmitted.into(),
-        Found::Contended(key) if is_too_late(&node, &request, key) => return AttemptEnd::NotAdmitted.into(),
-        Found::Contended(key) => key,
-        Found::Nothing => return AttemptEnd::NoUpstream.into(),
+    let key = match admitted_upstream(&node, &request, goal).await {
+        Ok(key) => key,
+        Err(end) => return end.into(),
     };
     request.tried.borrow_mut().push(key);
     let Some(snapshot) = UpstreamSnapshot::of(&node, key) else {
@@ -73,6 +67,24 @@
     AttemptReport { end: AttemptEnd::Tried(outcome), answer: answer.ok() }
 }
 
+/// The upstream that the request is sent to, or why it is not sent.
+async fn admitted_upstream<A: PlatformAdapter + 'static>(
+    node: &Rc<Node<A>>,
+    request: &CallerRequest,
+    goal: SearchGoal,
+) -> Result<UpstreamKey, AttemptEnd> {
+    if cannot_finish(node, request, node.now_us()) {
+        return Err(AttemptEnd::DeadlineTooNear);
+    }
+    match search(node, request, goal).await {
+        Found::Uncontended(key) => Ok(key),
+        Found::Contended(_) if goal == SearchGoal::UncontendedOnly => Err(AttemptEnd::NotAdmitted),
+        Found::Contended(key) if is_too_late(node, request, key) => Err(AttemptEnd::NotAdmitted),
+        Found::Contended(key) => Ok(key),
+        Found::Nothing => Err(AttemptEnd::NoUpstream),
+    }
+}
+
 /// Whether its deadline is nearer than the least time of service: sending it would only take the upstream's time.
 fn cannot_finish<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest, now_us: u64) -> bool {
     let left_ms = request.answer_by_us.saturating_sub(now_us) as f64 / US_PER_MS as f64;
