Node: it may listen for other nodes at another address than the one it advertises

Option fleet.bind_ip; without it the advertised address is bound, as before. For VMs behind a proxy or address translation, and for tests that put a proxy between nodes.

cargo test -p pointvane-config -p pointvane-node -p pointvane-platform: all passed (the node crate has no tests of its own).

--- a/crates/pointvane-config/src/node_options.rs
+++ b/crates/pointvane-config/src/node_options.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{fault::Faults, file::read_file, section::Section},
-    std::path::Path,
+    std::{net::IpAddr, path::Path},
 };
 
 /// Every key of the options file; docs/OPERATIONS.md is checked against this list.
-pub const NODE_OPTION_KEYS: [&str; 9] = [
+pub const NODE_OPTION_KEYS: [&str; 10] = [
     "choice.policy",
     "choice.ask_first",
     "choice.ask_more",
@@ -16,6 +16,7 @@
     "lines.well_every",
     "lines.wrong_per_s",
     "lines.beliefs_per_s",
+    "fleet.bind_ip",
 ];
 
 /// Options of a node.
@@ -29,6 +30,8 @@
     pub repeats: RepeatOptions,
     /// Log lines on requests.
     pub lines: LineOptions,
+    /// How other nodes reach this one.
+    pub fleet: FleetOptions,
 }
 
 /// By what an upstream is chosen.
@@ -110,6 +113,13 @@
     }
 }
 
+/// How other nodes reach this one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FleetOptions {
+    /// The address on which other nodes' datagrams and queries are accepted; none for the advertised one.
+    pub bind_ip: Option<IpAddr>,
+}
+
 /// Reads and checks an options file.
 ///
 /// # Errors
@@ -119,7 +129,7 @@
 }
 
 fn read(top: &Section<'_, '_>) -> NodeOptions {
-    top.only(&["admission", "choice", "lines", "repeats"]);
+    top.only(&["admission", "choice", "fleet", "lines", "repeats"]);
     let defaults = NodeOptions::default();
     let choice = top.section("choice");
     choice.only(&["ask_first", "ask_more", "policy"]);
@@ -129,6 +139,8 @@
     repeats.only(&["hedge"]);
     let lines = top.section("lines");
     lines.only(&["beliefs_per_s", "well_every", "wrong_per_s"]);
+    let fleet = top.section("fleet");
+    fleet.only(&["bind_ip"]);
     NodeOptions {
         choice: ChoiceOptions {
             policy: choice.choice("policy", &ChoicePolicy::NAMES, defaults.choice.policy),
@@ -145,5 +157,6 @@
             wrong_per_s: lines.integer("wrong_per_s", 0..=100_000, Some(defaults.lines.wrong_per_s)),
             beliefs_per_s: lines.integer("beliefs_per_s", 0..=100_000, Some(defaults.lines.beliefs_per_s)),
         },
+        fleet: FleetOptions { bind_ip: fleet.parsed_if_given("bind_ip", "10.0.0.7") },
     }
 }
--- a/crates/pointvane-config/src/section.rs
+++ b/crates/pointvane-config/src/section.rs
@@ -177,6 +177,12 @@
         value
     }
 
+    /// A text that reads as a `T`, or none when it is absent.
+    pub fn parsed_if_given<T: FromStr>(&self, key: &str, example: &str) -> Option<T> {
+        self.entry(key)?;
+        self.parsed(key, example)
+    }
+
     /// One of the named choices.
     pub fn choice<T: Copy>(&self, key: &str, choices: &[(&str, T)], default: T) -> T {
         if self.entry(key).is_none() {
--- a/crates/pointvane-config/tests/docs.rs
+++ b/crates/pointvane-config/tests/docs.rs
@@ -49,12 +49,21 @@
 #[gtest]
 fn all_faults_of_an_options_file_are_told_at_once() {
     let file = std::env::temp_dir().join(format!("pointvane-options-{}", std::process::id()));
-    fs::write(&file, "[choice]\npolicy = \"best\"\nask_first = 0\n[lines]\nloud = true\n").unwrap();
+    fs::write(
+        &file,
+        "[choice]\npolicy = \"best\"\nask_first = 0\n[lines]\nloud = true\n[fleet]\nbind_ip = \"here\"\n",
+    )
+    .unwrap();
     let faults = read_node_options(&file).unwrap_err();
     let keys: Vec<&str> = faults.0.iter().map(|fault| fault.key.as_str()).collect();
     expect_that!(
         keys,
-        unordered_elements_are![eq(&"choice.policy"), eq(&"choice.ask_first"), eq(&"lines.loud")]
+        unordered_elements_are![
+            eq(&"choice.policy"),
+            eq(&"choice.ask_first"),
+            eq(&"lines.loud"),
+            eq(&"fleet.bind_ip")
+        ]
     );
     fs::write(&file, "[choice]\npolicy = \"own-least\"\n").unwrap();
     expect_that!(read_node_options(&file).unwrap().choice.policy, eq(ChoicePolicy::OwnLeast));
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -6,7 +6,7 @@
         serve::listen, settings::NodeSettings, state_query, stop, traffic,
     },
     eyre::{Result, WrapErr},
-    pointvane_config::NodeOptions,
+    pointvane_config::{FleetOptions, NodeOptions},
     pointvane_core::PlatformAdapter,
     pointvane_telemetry::EventKind,
     std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -37,17 +37,17 @@
     let report = Report::new(&settings.name, options.lines)?;
     let runtime = Builder::new_current_thread().enable_all().build().wrap_err("runtime")?;
     let node = Rc::new(Node::new(adapter, settings, &options, report));
-    LocalSet::new().block_on(&runtime, live(node, read_settings))
+    LocalSet::new().block_on(&runtime, live(node, options.fleet, read_settings))
 }
 
-async fn live<A, S>(node: Rc<Node<A>>, read_settings: S) -> Result<()>
+async fn live<A, S>(node: Rc<Node<A>>, fleet: FleetOptions, read_settings: S) -> Result<()>
 where
     A: PlatformAdapter + 'static,
     S: Fn() -> Result<NodeSettings> + 'static,
 {
     let terminate = signal(SignalKind::terminate()).wrap_err("signal")?;
     let reload = signal(SignalKind::hangup()).wrap_err("signal")?;
-    start(&node).await?;
+    start(&node, fleet).await?;
     node.report.note(EventKind::Started);
     until_terminated(&node, terminate, reload, &read_settings).await;
     stop::stop(Rc::clone(&node)).await;
@@ -56,10 +56,12 @@
 }
 
 /// Opens all sockets and starts what runs for as long as the process lives.
-async fn start<A: PlatformAdapter + 'static>(node: &Rc<Node<A>>) -> Result<()> {
+async fn start<A: PlatformAdapter + 'static>(node: &Rc<Node<A>>, fleet: FleetOptions) -> Result<()> {
     let settings = node.settings().clone();
-    let gossip = Rc::new(UdpSocket::bind(settings.gossip).await.wrap_err("gossip")?);
-    let relay_address = SocketAddr::new(settings.gossip.ip(), settings.gossip.port() + 1);
+    let advertised = settings.gossip;
+    let gossip_address = SocketAddr::new(fleet.bind_ip.unwrap_or(advertised.ip()), advertised.port());
+    let gossip = Rc::new(UdpSocket::bind(gossip_address).await.wrap_err("gossip")?);
+    let relay_address = SocketAddr::new(gossip_address.ip(), gossip_address.port() + 1);
     let relays = Rc::new(UdpSocket::bind(relay_address).await.wrap_err("relays")?);
     node.fleet.set_sockets(Rc::clone(&gossip), Rc::clone(&relays));
     listen(Rc::clone(node), settings.traffic, traffic::serve).await?;
@@ -69,7 +71,7 @@
         listen(Rc::clone(node), address, operator::operator).await?;
     }
     spawn_local(gossip_loop::run(Rc::clone(node), gossip));
-    let queries = TcpListener::bind(settings.gossip).await.wrap_err("queries of nodes")?;
+    let queries = TcpListener::bind(gossip_address).await.wrap_err("queries of nodes")?;
     spawn_local(state_query::serve(Rc::clone(node), queries));
     spawn_local(relay_loop::run(Rc::clone(node), relays));
     spawn_local(platform_reader::read(Rc::clone(node)));
--- a/crates/pointvane-node/src/settings.rs
+++ b/crates/pointvane-node/src/settings.rs
@@ -23,7 +23,8 @@
     pub directory: SocketAddr,
     /// Where operators read metrics, events and status, if anywhere.
     pub operator: Option<SocketAddr>,
-    /// Where datagrams and queries of other nodes are accepted; relays at the next port.
+    /// Where other nodes send datagrams and queries, as it is advertised to them; relays at the next port. They are accepted there
+    /// too, unless [`pointvane_config::FleetOptions`] names another address.
     pub gossip: SocketAddr,
     /// Where the platform answers.
     pub platform: SocketAddr,
