--- a/standins/tests/users_platform/node.rs
+++ b/standins/tests/users_platform/node.rs
@@ -45,27 +45,10 @@
 /// Options by which each request is told in lines.
 const ALL_LINES: &str = "[lines]\nwell_every = 1\nwrong_per_s = 100000\nbeliefs_per_s = 100000\n";
 
-impl NodeProcess {
-    pub fn start(store: &Store) -> Self {
-        Self::start_in(store, &[])
-    }
-
-    pub fn start_in(store: &Store, seeds: &[Ipv4Addr]) -> Self {
-        Self::start_with(store, seeds, Log::File)
-    }
-
-    pub fn start_with(store: &Store, seeds: &[Ipv4Addr], log: Log) -> Self {
-        Self::start_at(own_address(), store.address, seeds, log)
-    }
-
-    /// A node at an address; it may have run there before.
-    pub fn start_at(ip: Ipv4Addr, store: SocketAddr, seeds: &[Ipv4Addr], log: Log) -> Self {
-        let folder = std::env::temp_dir().join(format!("pointvane-{ip}"));
-        fs::create_dir_all(&folder).unwrap();
-        let settings = folder.join("boot.toml");
-        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:8146\"")).collect();
-        let text = format!(
-            r#"[self]
+fn settings_text(ip: Ipv4Addr, store: SocketAddr, seeds: &[Ipv4Addr]) -> String {
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:8146\"")).collect();
+    format!(
+        r#"[self]
 node-name = "node-{ip}"
 ip = "{ip}"
 zone = "one"
@@ -77,7 +60,7 @@
 ready = "{ip}:{READY_PORT}"
 directory = "{ip}:{DIRECTORY_PORT}"
 [platform.platform]
-address = "{}"
+address = "{store}"
 [terms.bounds]
 grace-s = 3
 budget-ratio = 0.2
@@ -85,20 +68,70 @@
 probes-per-s = 1000
 ttl_max_s = 5
 "#,
-            seeds.join(","),
-            store
-        );
-        fs::write(&settings, text).unwrap();
+        seeds.join(",")
+    )
+}
+
+/// Options that differ from the defaults.
+fn options_text(bound: Option<Ipv4Addr>, log: Log) -> String {
+    let mut text = String::new();
+    if log == Log::NeverRead {
+        text += ALL_LINES;
+    }
+    if let Some(bound) = bound {
+        text += &format!("[fleet]\nbind_ip = \"{bound}\"\n");
+    }
+    text
+}
+
+impl NodeProcess {
+    pub fn start(store: &Store) -> Self {
+        Self::start_in(store, &[])
+    }
+
+    pub fn start_in(store: &Store, seeds: &[Ipv4Addr]) -> Self {
+        Self::start_with(store, seeds, Log::File)
+    }
+
+    pub fn start_with(store: &Store, seeds: &[Ipv4Addr], log: Log) -> Self {
+        Self::start_at(own_address(), store.address, seeds, log)
+    }
+
+    /// A node at an address; it may have run there before.
+    pub fn start_at(ip: Ipv4Addr, store: SocketAddr, seeds: &[Ipv4Addr], log: Log) -> Self {
+        Self::launch(ip, None, store, seeds, log)
+    }
+
+    /// A node that advertises one address to the other nodes and listens for them at another.
+    pub fn start_bound(
+        advertised: Ipv4Addr,
+        bound: Ipv4Addr,
+        store: SocketAddr,
+        seeds: &[Ipv4Addr],
+        log: Log,
+    ) -> Self {
+        Self::launch(advertised, Some(bound), store, seeds, log)
+    }
+
+    fn launch(
+        ip: Ipv4Addr,
+        bound: Option<Ipv4Addr>,
+        store: SocketAddr,
+        seeds: &[Ipv4Addr],
+        log: Log,
+    ) -> Self {
+        let folder = std::env::temp_dir().join(format!("pointvane-{ip}"));
+        fs::create_dir_all(&folder).unwrap();
+        let settings = folder.join("boot.toml");
+        fs::write(&settings, settings_text(ip, store, seeds)).unwrap();
+        let options = folder.join("options.toml");
+        fs::write(&options, options_text(bound, log)).unwrap();
         let output = folder.join("stdout");
         let mut command = Command::new(program());
-        command.env("POINTVANE_BOOT", &settings).stderr(Stdio::inherit());
+        command.env("POINTVANE_BOOT", &settings).stderr(Stdio::inherit()).arg("--options").arg(options);
         match log {
             Log::File => command.stdout(fs::File::create(&output).unwrap()),
-            Log::NeverRead => {
-                let options = folder.join("options.toml");
-                fs::write(&options, ALL_LINES).unwrap();
-                command.arg("--options").arg(options).stdout(Stdio::piped())
-            }
+            Log::NeverRead => command.stdout(Stdio::piped()),
         };
         let node = Self { ip, child: command.spawn().unwrap(), settings, output };
         eventually(|| TcpStream::connect((ip, READY_PORT)).is_ok());
