Tests: proxies between nodes, and nodes that are well again after each cut

PeerProxy listens at the address that a node advertises and passes to the one that it binds: datagrams by a socket per sender, queries over TCP. Links: sound, slow, silent, lost in, lost out, reset.

--- /dev/null
+++ b/standins/tests/peer_links.rs
@@ -0,0 +1,246 @@
+//! Nodes that reach each other through proxies, while these pass, delay, lose or reset what nodes send to each other.
+
+#[path = "soak/peer_proxy.rs"]
+mod peer_proxy;
+mod users_platform;
+
+use {
+    googletest::prelude::*,
+    peer_proxy::{GOSSIP_PORT, PeerLink, PeerProxy, RELAY_PORT},
+    serde_json::Value,
+    std::{
+        io::{self, Read, Write},
+        net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
+        thread,
+        time::{Duration, Instant},
+    },
+    users_platform::{Log, NodeProcess, Store, call, eventually, own_address},
+};
+
+const OPERATOR_PORT: u16 = 9_464;
+const NODES: usize = 3;
+/// Delay of a slow link in these tests. Not measured: a query and its answer take twice that, which must stay well below the 200 ms
+/// (`peer_timeout_ms`) within which an answer must begin.
+const DELAY: Duration = Duration::from_millis(50);
+/// Time of a loss one way. Not measured: some times the time that all queries for one revision take.
+const LOSS: Duration = Duration::from_secs(3);
+/// Longest wait for one answer of an echo.
+const ECHO_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Nodes behind proxies. The first one alone reaches the platform's store: the others learn all from their peers.
+struct Fleet {
+    proxies: Vec<PeerProxy>,
+    nodes: Vec<NodeProcess>,
+    store: Store,
+}
+
+impl Fleet {
+    fn start() -> Self {
+        let store = Store::start();
+        let nowhere = SocketAddr::from((own_address(), 8_142));
+        let addresses: Vec<(Ipv4Addr, Ipv4Addr)> =
+            (0..NODES).map(|_| (own_address(), own_address())).collect();
+        let seeds: Vec<Ipv4Addr> = addresses.iter().map(|(advertised, _)| *advertised).collect();
+        let proxies = addresses.iter().map(|(advertised, bound)| PeerProxy::start(*advertised, *bound));
+        let proxies = proxies.collect();
+        let nodes = addresses.iter().enumerate().map(|(number, (advertised, bound))| {
+            let store = if number == 0 { store.address } else { nowhere };
+            NodeProcess::start_bound(*advertised, *bound, store, &seeds, Log::File)
+        });
+        let fleet = Self { proxies, nodes: nodes.collect(), store };
+        fleet.publish(1);
+        fleet
+    }
+
+    /// Sets the link before every node.
+    fn set(&self, link: PeerLink) {
+        self.proxies.iter().for_each(|proxy| proxy.set(link));
+    }
+
+    fn publish(&self, version: u64) {
+        self.store.configure(version, &[("/safe/", "safe", 2_000, "app")]);
+    }
+
+    fn until_all_are_well(&self, version: u64) {
+        for node in &self.nodes {
+            node.until_ready();
+            eventually(|| field(node, "members") == NODES as u64);
+            eventually(|| field(node, "configuration_version") == version);
+        }
+    }
+}
+
+/// A number in a node's status; 0 while it gives none.
+fn field(node: &NodeProcess, name: &str) -> u64 {
+    let head = "GET /status HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let answer = call((node.ip, OPERATOR_PORT).into(), head);
+    let status = answer.ok().and_then(|answer| serde_json::from_slice::<Value>(&answer.body).ok());
+    status.and_then(|status| status[name].as_u64()).unwrap_or_default()
+}
+
+#[gtest]
+fn nodes_behind_proxies_are_well_again_after_each_cut() {
+    let fleet = Fleet::start();
+    fleet.until_all_are_well(1);
+    for (version, cut) in [(2, PeerLink::Silent), (3, PeerLink::Reset)] {
+        fleet.set(cut);
+        for node in &fleet.nodes {
+            eventually(|| field(node, "members") == 1);
+        }
+        fleet.publish(version);
+        eventually(|| field(&fleet.nodes[0], "configuration_version") == version);
+        for node in &fleet.nodes[1..] {
+            expect_that!(field(node, "configuration_version"), eq(version - 1));
+        }
+        fleet.set(PeerLink::Sound);
+        fleet.until_all_are_well(version);
+    }
+}
+
+#[gtest]
+fn nodes_learn_a_configuration_over_slow_links() {
+    let fleet = Fleet::start();
+    fleet.until_all_are_well(1);
+    fleet.set(PeerLink::Slow(DELAY));
+    fleet.publish(2);
+    fleet.until_all_are_well(2);
+}
+
+#[gtest]
+fn nodes_learn_a_configuration_after_what_comes_to_them_was_lost() {
+    learn_after(PeerLink::LostIn);
+}
+
+/// A configuration is published during a loss; all nodes learn it after the loss.
+fn learn_after(loss: PeerLink) {
+    let fleet = Fleet::start();
+    fleet.until_all_are_well(1);
+    let before: Vec<u64> = fleet.proxies.iter().map(PeerProxy::lost).collect();
+    fleet.set(loss);
+    fleet.publish(2);
+    eventually(|| field(&fleet.nodes[0], "configuration_version") == 2);
+    // Longer than all queries for one revision take.
+    thread::sleep(LOSS);
+    for (proxy, before) in fleet.proxies.iter().zip(before) {
+        expect_that!(proxy.lost(), gt(before));
+    }
+    fleet.set(PeerLink::Sound);
+    fleet.until_all_are_well(2);
+}
+
+/// Answers datagrams at an address with themselves.
+fn echo_datagrams(address: SocketAddr) {
+    let socket = UdpSocket::bind(address).unwrap();
+    thread::spawn(move || {
+        let mut buffer = [0; 64];
+        while let Ok((length, from)) = socket.recv_from(&mut buffer) {
+            _ = socket.send_to(&buffer[..length], from);
+        }
+    });
+}
+
+/// Answers connections at an address with what they bring.
+fn echo_connections(address: SocketAddr) {
+    let listener = TcpListener::bind(address).unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || io::copy(&mut &stream, &mut &stream));
+        }
+    });
+}
+
+/// Sends a datagram to a port that is proxied.
+fn send(socket: &UdpSocket, to: SocketAddr, text: &str) {
+    socket.send_to(text.as_bytes(), to).unwrap();
+}
+
+/// The next datagram that comes back, which must come from where the first one was sent to.
+fn next(socket: &UdpSocket, expected_from: SocketAddr) -> String {
+    let mut buffer = [0; 64];
+    let (length, from) = socket.recv_from(&mut buffer).unwrap();
+    assert_eq!(from, expected_from);
+    String::from_utf8(buffer[..length].to_vec()).unwrap()
+}
+
+fn datagram_client() -> UdpSocket {
+    let socket = UdpSocket::bind((own_address(), 0)).unwrap();
+    socket.set_read_timeout(Some(ECHO_TIMEOUT)).unwrap();
+    socket
+}
+
+#[gtest]
+fn datagrams_pass_are_delayed_or_are_lost_and_answers_find_their_sender() {
+    let (advertised, bound) = (own_address(), own_address());
+    let proxy = PeerProxy::start(advertised, bound);
+    for port in [GOSSIP_PORT, RELAY_PORT] {
+        echo_datagrams((bound, port).into());
+        let to = SocketAddr::from((advertised, port));
+        let (one, other) = (datagram_client(), datagram_client());
+        send(&one, to, "one");
+        send(&other, to, "other");
+        expect_that!(next(&one, to), eq("one"));
+        expect_that!(next(&other, to), eq("other"));
+        for loss in [PeerLink::Silent, PeerLink::LostIn, PeerLink::LostOut, PeerLink::Reset] {
+            let lost = proxy.lost();
+            proxy.set(loss);
+            send(&one, to, "lost");
+            eventually(|| proxy.lost() == lost + 1);
+            proxy.set(PeerLink::Sound);
+            send(&one, to, "sound");
+            expect_that!(next(&one, to), eq("sound"));
+        }
+        proxy.set(PeerLink::Slow(DELAY));
+        let sent_at = Instant::now();
+        send(&one, to, "slow");
+        expect_that!(next(&one, to), eq("slow"));
+        // There and back.
+        expect_that!(sent_at.elapsed(), ge(2 * DELAY));
+        proxy.set(PeerLink::Sound);
+    }
+}
+
+/// Opens a connection and has it answered once.
+fn echoed_connection(to: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(to).unwrap();
+    stream.set_read_timeout(Some(ECHO_TIMEOUT)).unwrap();
+    stream.write_all(b"well").unwrap();
+    let mut answer = [0; 4];
+    stream.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"well");
+    stream
+}
+
+#[gtest]
+fn connections_pass_with_their_ends_lose_what_follows_a_loss_and_are_reset() {
+    let (advertised, bound) = (own_address(), own_address());
+    let proxy = PeerProxy::start(advertised, bound);
+    echo_connections((bound, GOSSIP_PORT).into());
+    let to = SocketAddr::from((advertised, GOSSIP_PORT));
+    let stream = echoed_connection(to);
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    expect_that!((&stream).read(&mut [0; 4]).unwrap(), eq(0));
+    for loss in [PeerLink::Silent, PeerLink::LostIn, PeerLink::LostOut] {
+        let mut stream = echoed_connection(to);
+        let lost = proxy.lost();
+        proxy.set(loss);
+        stream.write_all(b"lost").unwrap();
+        eventually(|| proxy.lost() == lost + 1);
+        proxy.set(PeerLink::Sound);
+        stream.write_all(b"more").unwrap();
+        eventually(|| proxy.lost() == lost + 2);
+    }
+    let mut stream = echoed_connection(to);
+    proxy.set(PeerLink::Reset);
+    expect_that!(stream.read(&mut [0; 4]).unwrap_err().kind(), eq(io::ErrorKind::ConnectionReset));
+}
+
+#[gtest]
+fn a_dropped_proxy_frees_its_addresses() {
+    let (advertised, bound) = (own_address(), own_address());
+    drop(PeerProxy::start(advertised, bound));
+    eventually(|| {
+        let gossip = UdpSocket::bind((advertised, GOSSIP_PORT)).is_ok();
+        let relays = UdpSocket::bind((advertised, RELAY_PORT)).is_ok();
+        gossip && relays && TcpListener::bind((advertised, GOSSIP_PORT)).is_ok()
+    });
+}
