--- a/standins/tests/thin_links.rs
+++ b/standins/tests/thin_links.rs
@@ -10,9 +10,11 @@
     pointvane_dispatch::{ConfigurationUpdate, ReadMark, StateReply, StateRequest},
     pointvane_mesh::codec,
     std::{
-        net::{Ipv4Addr, SocketAddr, TcpListener},
+        io::{self, Write},
+        net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
         sync::Arc,
         thread,
+        time::Duration,
     },
     users_platform::{HOST, Log, NodeProcess, Store, eventually, own_address, write_thinly},
 };
@@ -21,6 +23,8 @@
 const THIN_BYTES_PER_S: u64 = 1_250_000;
 /// Routes of a large configuration: in the platform's form it takes a second on such a link.
 const ROUTES: usize = 5_000;
+/// Pause within an answer. Not measured: a lost segment is sent again after some 200 ms.
+const PAUSE: Duration = Duration::from_millis(300);
 /// Port on which nodes of these tests answer queries.
 const QUERY_PORT: u16 = 7_660;
 
@@ -61,15 +65,30 @@
 }
 
 fn from_a_peer() {
+    learn_from_a_peer(|stream, answer| write_thinly(stream, answer, THIN_BYTES_PER_S));
+}
+
+#[gtest]
+fn a_pause_in_the_middle_of_a_peers_answer_does_not_break_it() {
+    learn_from_a_peer(|stream, answer| {
+        let (first, rest) = answer.split_at(answer.len() / 2);
+        stream.write_all(first)?;
+        thread::sleep(PAUSE);
+        stream.write_all(rest)
+    });
+}
+
+/// A node that can learn the configuration from a peer alone, which writes its answers so.
+fn learn_from_a_peer(write: impl Fn(&mut TcpStream, &[u8]) -> io::Result<()> + Send + 'static) {
     let peer = own_address();
-    serve_state(peer);
+    serve_state(peer, write);
     let nowhere = SocketAddr::from((own_address(), 8_142));
     let node = NodeProcess::start_at(own_address(), nowhere, &[peer], Log::File);
     until_it_knows(&node, ROUTES);
 }
 
-/// Plays a peer that knows a large configuration and answers queries over a thin link.
-fn serve_state(address: Ipv4Addr) {
+/// Plays a peer that knows a large configuration and writes its answers to queries so.
+fn serve_state(address: Ipv4Addr, write: impl Fn(&mut TcpStream, &[u8]) -> io::Result<()> + Send + 'static) {
     let listener = TcpListener::bind((address, QUERY_PORT)).unwrap();
     let mark = ReadMark { revision: 50, version: 6 };
     let configuration = ConfigurationUpdate::Whole(Box::new(large_configuration()));
@@ -79,7 +98,7 @@
         for mut stream in listener.incoming().flatten() {
             let Ok(_) = codec::read_frame::<StateRequest>(&mut stream) else { continue };
             // The node may give the exchange up.
-            _ = write_thinly(&mut stream, &answer, THIN_BYTES_PER_S);
+            _ = write(&mut stream, &answer);
         }
     });
 }
