--- a/standins/tests/users_platform/node.rs
+++ b/standins/tests/users_platform/node.rs
@@ -124,11 +124,15 @@
         fs::create_dir_all(&folder).unwrap();
         let settings = folder.join("boot.toml");
         fs::write(&settings, settings_text(ip, store, seeds)).unwrap();
-        let options = folder.join("options.toml");
-        fs::write(&options, options_text(bound, log)).unwrap();
         let output = folder.join("stdout");
         let mut command = Command::new(program());
-        command.env("POINTVANE_BOOT", &settings).stderr(Stdio::inherit()).arg("--options").arg(options);
+        command.env("POINTVANE_BOOT", &settings).stderr(Stdio::inherit());
+        let options = options_text(bound, log);
+        if !options.is_empty() {
+            let file = folder.join("options.toml");
+            fs::write(&file, options).unwrap();
+            command.arg("--options").arg(file);
+        }
         match log {
             Log::File => command.stdout(fs::File::create(&output).unwrap()),
             Log::NeverRead => command.stdout(Stdio::piped()),
