--- a/standins/tests/peer_links.rs
+++ b/standins/tests/peer_links.rs
@@ -111,6 +111,11 @@
     learn_after(PeerLink::LostIn);
 }
 
+#[gtest]
+fn nodes_learn_a_configuration_after_their_answers_were_lost() {
+    learn_after(PeerLink::LostOut);
+}
+
 /// A configuration is published during a loss; all nodes learn it after the loss.
 fn learn_after(loss: PeerLink) {
     let fleet = Fleet::start();
