--- a/standins/tests/users_platform/mod.rs
+++ b/standins/tests/users_platform/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins on loopback for the platform's store and for upstreams, and a node as a real process.
 #![allow(dead_code, unused_imports)]
 
+mod addresses;
 mod message;
 mod node;
 mod store;
@@ -8,6 +9,7 @@
 mod upstream;
 
 pub use {
+    addresses::own_address,
     message::{Message, call, read_message, request_head},
     node::{Log, NodeProcess},
     store::Store,
@@ -16,8 +18,6 @@
 };
 
 use std::{
-    net::Ipv4Addr,
-    sync::atomic::{AtomicU32, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -29,15 +29,6 @@
 /// Longest time for which a test waits for anything.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// A loopback address of its own for each thing that listens in these tests.
-pub fn own_address() -> Ipv4Addr {
-    static NEXT: AtomicU32 = AtomicU32::new(1);
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let process = std::process::id();
-    let third = (process / 199 + number / 250 * 100) % 250;
-    Ipv4Addr::new(127, (process % 199 + 20) as u8, third as u8, (number % 250 + 1) as u8)
-}
-
 /// Waits until something holds; fails when it never does.
 #[track_caller]
 pub fn eventually(mut holds: impl FnMut() -> bool) {
