--- a/standins/tests/users_platform/node.rs
+++ b/standins/tests/users_platform/node.rs
@@ -166,6 +166,10 @@
         call(self.traffic(), &request_head(method, path, id, deadline_ms))
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
         assert!(status.unwrap().success());
--- a/standins/tests/users_platform/store.rs
+++ b/standins/tests/users_platform/store.rs
@@ -61,6 +61,11 @@
         self.bytes_per_s.store(bytes_per_s, Ordering::Relaxed);
     }
 
+    /// Forgets all that it holds, for good: its threads outlive the test.
+    pub fn clear(&self) {
+        *self.stored.0.lock().unwrap() = Stored::default();
+    }
+
     pub fn put(&self, key: &str, value: &str) {
         let mut stored = self.stored.0.lock().unwrap();
         stored.revision += 1;
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -59,6 +59,8 @@
     pub runs: Arc<AtomicUsize>,
     /// Identities of these.
     pub ran: Arc<Mutex<Vec<String>>>,
+    /// Requests that reached it and were not told that it is another upstream, and when.
+    pub arrivals: Arc<Mutex<Vec<(String, Instant)>>>,
     /// Requests whose connection closed before their answer was due.
     pub left: Arc<AtomicUsize>,
     /// Questions about its health.
@@ -76,6 +78,7 @@
             manner: Arc::new(Mutex::new(manner)),
             runs: Arc::default(),
             ran: Arc::default(),
+            arrivals: Arc::default(),
             left: Arc::default(),
             asked: Arc::default(),
             last: Arc::default(),
@@ -136,6 +139,9 @@
                 refuse(&mut stream, "421 Misdirected Request", &id, "pointvane-not-executed: 1\r\n")?;
                 continue;
             }
+            if manner != Manner::Misdirected {
+                self.arrivals.lock().unwrap().push((id.clone(), Instant::now()));
+            }
             if !matches!(manner, Manner::Shed | Manner::Misdirected) {
                 self.runs.fetch_add(1, Ordering::SeqCst);
                 self.ran.lock().unwrap().push(id.clone());
