Soak: overlapping series, sizes by seed, bounds on versions and leaving upstreams

Callers hold up to 4 connections until the process is gone or an answer says close. Checked anew: versions in force 2.5 s after the store took them and none going back within a life, at nodes in touch; no work 2.5 s after an upstream left; no 3xx or 4xx of ours. A panic in any thread ends callers and so nodes (a test shows it); boot could count a new process' answers for the old life, which is mended.

--- /dev/null
+++ b/standins/tests/soak/directory.rs
@@ -0,0 +1,85 @@
+//! The upstreams of a soak: which are listed, and when those that leave were told to.
+
+use {
+    crate::{
+        contact::Contact,
+        proxy::Proxy,
+        users_platform::{Manner, Store, Upstream},
+    },
+    std::{
+        sync::{
+            Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Instant,
+    },
+};
+
+/// One upstream and the way to it.
+#[derive(Clone)]
+pub struct Listed {
+    pub upstream: Upstream,
+    /// None when it is reached directly.
+    pub link: Option<Proxy>,
+    /// Harm to the link.
+    pub contact: Contact,
+    /// When the store had taken that it leaves.
+    pub left: Option<Instant>,
+}
+
+/// All upstreams that ever were. Those that left serve on, so that work sent to them shows.
+pub struct Directory {
+    store: Store,
+    proxied: usize,
+    listed: Mutex<Vec<Listed>>,
+    sequence: AtomicU64,
+}
+
+impl Directory {
+    pub fn new(store: Store, proxied: usize) -> Self {
+        Self { store, proxied, listed: Mutex::default(), sequence: AtomicU64::new(0) }
+    }
+
+    /// A new upstream joins.
+    pub fn join(&self) {
+        let mut listed = self.listed.lock().unwrap();
+        let upstream = Upstream::start(&format!("i-{}", listed.len()), Manner::Well);
+        let links = listed.iter().filter(|one| one.link.is_some() && one.left.is_none()).count();
+        let link = (links < self.proxied).then(|| Proxy::start(upstream.address));
+        let one = Listed { upstream, link, contact: Contact::default(), left: None };
+        self.list(&one, "ready");
+        listed.push(one);
+    }
+
+    /// An upstream leaves: its entry says so, or goes. False when it had left before.
+    pub fn leave(&self, index: usize, says_so: bool) -> bool {
+        let mut listed = self.listed.lock().unwrap();
+        let one = &mut listed[index];
+        if one.left.is_some() {
+            return false;
+        }
+        if says_so {
+            self.list(one, "draining");
+        } else {
+            self.store.remove(&format!("servers/{}", one.upstream.id));
+        }
+        one.left = Some(Instant::now());
+        true
+    }
+
+    /// Indices of those that have not left.
+    pub fn staying(&self) -> Vec<usize> {
+        let listed = self.listed.lock().unwrap();
+        (0..listed.len()).filter(|index| listed[*index].left.is_none()).collect()
+    }
+
+    pub fn all(&self) -> Vec<Listed> {
+        self.listed.lock().unwrap().clone()
+    }
+
+    fn list(&self, one: &Listed, state: &str) {
+        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let address = one.link.as_ref().map_or(one.upstream.address, |link| link.address);
+        self.store.list_at(&one.upstream, address, state, sequence);
+    }
+}
--- /dev/null
+++ b/standins/tests/soak/disturbances.rs
@@ -0,0 +1,110 @@
+//! Single disturbances, drawn one after another.
+
+use {
+    crate::{fleet::Fleet, proxy::Link, site::Site, users_platform::Manner},
+    rand::{Rng, rngs::SmallRng, seq::IndexedRandom},
+    std::{thread, time::Duration},
+};
+
+/// Ways in which an upstream misbehaves.
+const MANNERS: [Manner; 9] = [
+    Manner::LoseAnswer,
+    Manner::OtherId,
+    Manner::Shed,
+    Manner::Bare503,
+    Manner::Misdirected,
+    Manner::CutShort,
+    Manner::Surplus,
+    Manner::Silent,
+    Manner::ForgetIdle,
+];
+const LINKS: [Link; 4] = [Link::Slow, Link::LostThere, Link::LostBack, Link::Broken];
+/// How long a disturbance lasts, in milliseconds.
+const LASTS_MS: std::ops::Range<u64> = 200..1_500;
+/// Longest rest between two disturbances, in milliseconds.
+const REST_MS: u64 = 300;
+
+/// Disturbs one thing after another.
+pub fn play(fleet: &Fleet, rng: &mut SmallRng, count: usize) {
+    for _ in 0..count {
+        disturb(fleet, rng);
+        thread::sleep(Duration::from_millis(rng.random_range(0..REST_MS)));
+    }
+}
+
+/// Does one thing to the fleet, and undoes it after a while.
+fn disturb(fleet: &Fleet, rng: &mut SmallRng) {
+    let site = fleet.sites.choose(rng).unwrap();
+    let time = Duration::from_millis(rng.random_range(LASTS_MS));
+    match rng.random_range(0..11) {
+        0 => pause(fleet, site, time),
+        1 => restart(fleet, site, "KILL", time / 4),
+        2 => restart(fleet, site, "TERM", time / 4),
+        3 => restart_while_paused(fleet, site, time),
+        4 | 5 => cut(fleet, std::slice::from_ref(site), *LINKS.choose(rng).unwrap(), time),
+        6 => cut(fleet, &fleet.sites, *LINKS.choose(rng).unwrap(), time),
+        7 | 8 => spoil_upstream(fleet, rng, time),
+        9 => replace(fleet, rng),
+        _ => {
+            fleet.count("configure");
+            fleet.versions.publish();
+        }
+    }
+}
+
+fn pause(fleet: &Fleet, site: &Site, time: Duration) {
+    fleet.count("pause");
+    site.pause(time);
+}
+
+pub fn restart(fleet: &Fleet, site: &Site, signal: &'static str, rest: Duration) {
+    if site.restart(signal, rest, &fleet.seeds()) {
+        fleet.count(signal);
+    }
+}
+
+/// A planned stop that begins while the process is paused.
+fn restart_while_paused(fleet: &Fleet, site: &Site, time: Duration) {
+    thread::scope(|scope| {
+        scope.spawn(|| pause(fleet, site, time));
+        thread::sleep(time / 2);
+        restart(fleet, site, "TERM", Duration::ZERO);
+    });
+}
+
+fn cut(fleet: &Fleet, sites: &[Site], link: Link, time: Duration) {
+    fleet.count(if sites.len() == 1 { "cut" } else { "cut all" });
+    let cuts: Vec<_> = sites.iter().map(|site| site.cut(link)).collect();
+    thread::sleep(time);
+    sites.iter().zip(cuts).for_each(|(site, cut)| site.mend(cut));
+}
+
+fn spoil_upstream(fleet: &Fleet, rng: &mut SmallRng, time: Duration) {
+    let listed = fleet.upstreams();
+    let one = listed.choose(rng).unwrap();
+    match &one.link {
+        Some(link) if rng.random_bool(0.5) => {
+            fleet.count("harm link");
+            let _harmed = one.contact.disturb();
+            link.set(*LINKS.choose(rng).unwrap());
+            thread::sleep(time);
+            link.set(Link::Sound);
+        }
+        _ => {
+            fleet.count("spoil");
+            one.upstream.set(*MANNERS.choose(rng).unwrap());
+            thread::sleep(time);
+            one.upstream.set(Manner::Well);
+        }
+    }
+}
+
+/// An upstream joins, and another one leaves.
+fn replace(fleet: &Fleet, rng: &mut SmallRng) {
+    fleet.count("replace");
+    let staying = fleet.directory.staying();
+    fleet.directory.join();
+    if let Some(index) = staying.choose(rng) {
+        fleet.directory.leave(*index, rng.random_bool(0.5));
+    }
+}
--- /dev/null
+++ b/standins/tests/soak/plan.rs
@@ -0,0 +1,84 @@
+//! The size of a run, drawn from its seed.
+
+use {
+    crate::machine,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::env,
+};
+
+/// Each seed that this divides is played at size.
+const LARGE_EVERY: u64 = 10;
+/// Nodes for each core of the machine in a run at size.
+const NODES_PER_CORE: usize = 5;
+/// Most nodes, whatever the machine bears.
+const NODES_MAX: usize = 100;
+/// Memory that a node may come to in a debug build, in bytes.
+const NODE_BYTES: usize = 96 << 20;
+/// Upstreams in a run at size that are reached through a proxy; each connection through one takes three threads.
+const PROXIED_MAX: usize = 6;
+/// Routes of a large configuration.
+const LARGE_ROUTES: std::ops::Range<usize> = 1_000..2_500;
+
+/// The size of a run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Node processes.
+    pub nodes: usize,
+    /// Upstreams in use at a time; threads of the harness.
+    pub upstreams: usize,
+    /// Of these, and of those that join later, how many are reached through a proxy.
+    pub proxied: usize,
+    pub callers: usize,
+    /// Connections that each caller holds.
+    pub connections: usize,
+    /// Threads that disturb the fleet one thing at a time, beside the one that plays the large series.
+    pub disturbers: usize,
+    /// Disturbances by each of these.
+    pub disturbances: usize,
+    /// Nodes or upstreams that a rolling series takes at once.
+    pub batch: usize,
+    /// Routes of each configuration beside those that the checks need.
+    pub bulk_routes: usize,
+}
+
+impl Plan {
+    pub fn of(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let large = env::var("POINTVANE_SOAK_LARGE").is_ok() || seed.is_multiple_of(LARGE_EVERY);
+        let mut plan = if large { Self::large() } else { Self::small(&mut rng) };
+        if rng.random_bool(0.25) {
+            plan.bulk_routes = rng.random_range(LARGE_ROUTES);
+        }
+        plan
+    }
+
+    fn small(rng: &mut SmallRng) -> Self {
+        Self {
+            nodes: rng.random_range(3..6),
+            upstreams: rng.random_range(3..7),
+            proxied: usize::MAX,
+            callers: 6,
+            connections: rng.random_range(1..4),
+            disturbers: 2,
+            disturbances: 8,
+            batch: 1,
+            bulk_routes: 0,
+        }
+    }
+
+    fn large() -> Self {
+        let borne = machine::available_bytes() / 2 / NODE_BYTES;
+        let nodes = (machine::cores() * NODES_PER_CORE).min(borne).clamp(3, NODES_MAX);
+        Self {
+            nodes,
+            upstreams: nodes,
+            proxied: PROXIED_MAX,
+            callers: machine::cores() * 2,
+            connections: 4,
+            disturbers: 4,
+            disturbances: 12,
+            batch: nodes.div_ceil(8),
+            bulk_routes: 0,
+        }
+    }
+}
--- /dev/null
+++ b/standins/tests/soak/site.rs
@@ -0,0 +1,133 @@
+//! One node, its way to the store, its lives, and what is done to it.
+
+use {
+    crate::{
+        contact::{Contact, Disturbance},
+        proxy::{Link, Proxy},
+        users_platform::{Log, NodeProcess, own_address},
+    },
+    std::{
+        fs,
+        net::{Ipv4Addr, SocketAddr},
+        path::Path,
+        sync::{
+            Mutex,
+            atomic::{AtomicBool, AtomicU32, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Longest time for which a signalled process may live on. Wall clock: grace is 3 s, and a pause may overlap.
+const END_PATIENCE: Duration = Duration::from_secs(20);
+const LOOK: Duration = Duration::from_millis(10);
+
+/// One node.
+pub struct Site {
+    /// Where the node listens; links between nodes begin and end here.
+    pub ip: Ipv4Addr,
+    /// Counts the processes that ran here.
+    pub life: AtomicU32,
+    pub contact: Contact,
+    process: Mutex<Option<NodeProcess>>,
+    restarts: AtomicBool,
+    store: Proxy,
+}
+
+impl Site {
+    pub fn new(store: SocketAddr) -> Self {
+        Self {
+            ip: own_address(),
+            life: AtomicU32::new(0),
+            contact: Contact::default(),
+            process: Mutex::default(),
+            restarts: AtomicBool::new(false),
+            store: Proxy::start(store),
+        }
+    }
+
+    pub fn boot(&self, seeds: &[Ipv4Addr]) {
+        let _starts = self.contact.disturb();
+        // Before the start: no answer of the new process may count for the old one.
+        self.life.fetch_add(1, Ordering::SeqCst);
+        let node = NodeProcess::start_at(self.ip, self.store.address, seeds, Log::File);
+        *self.process.lock().unwrap() = Some(node);
+    }
+
+    pub fn until_ready(&self) {
+        self.process.lock().unwrap().as_ref().unwrap().until_ready();
+    }
+
+    /// Stops the process for a time; other signals may come meanwhile.
+    pub fn pause(&self, time: Duration) {
+        let _paused = self.contact.disturb();
+        let life = self.life.load(Ordering::SeqCst);
+        self.signal("STOP");
+        thread::sleep(time);
+        if self.life.load(Ordering::SeqCst) == life {
+            self.signal("CONT");
+        }
+    }
+
+    /// Ends the process and starts it anew; false when it is being restarted already.
+    pub fn restart(&self, signal: &str, rest: Duration, seeds: &[Ipv4Addr]) -> bool {
+        if self.restarts.swap(true, Ordering::SeqCst) {
+            return false;
+        }
+        let _restarted = self.contact.disturb();
+        self.signal(signal);
+        self.until_ended();
+        *self.process.lock().unwrap() = None;
+        thread::sleep(rest);
+        self.boot(seeds);
+        self.restarts.store(false, Ordering::SeqCst);
+        true
+    }
+
+    /// Harms the link to the store until the guard is dropped by `mend`.
+    pub fn cut(&self, link: Link) -> Disturbance {
+        let disturbed = self.contact.disturb();
+        self.store.set(link);
+        disturbed
+    }
+
+    pub fn mend(&self, disturbed: Disturbance) {
+        self.store.set(Link::Sound);
+        drop(disturbed);
+    }
+
+    /// Whether the process ended though nobody ended it.
+    pub fn ended(&self) -> bool {
+        !self.process.lock().unwrap().as_mut().is_some_and(NodeProcess::is_running)
+    }
+
+    pub fn process_id(&self) -> Option<u32> {
+        self.process.lock().unwrap().as_ref().map(NodeProcess::id)
+    }
+
+    /// Copies the lines of the present life into a folder.
+    pub fn keep_log(&self, folder: &Path) {
+        if let Some(node) = self.process.lock().unwrap().as_ref() {
+            _ = fs::copy(&node.output, folder.join(format!("{}.log", self.ip)));
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let mut process = self.process.lock().unwrap();
+        // A process that has ended by now stays a zombie until it is looked at again under this lock.
+        if let Some(node) = process.as_mut()
+            && node.is_running()
+        {
+            node.signal(name);
+        }
+    }
+
+    fn until_ended(&self) {
+        let until = Instant::now() + END_PATIENCE;
+        while !self.ended() {
+            assert!(Instant::now() < until, "{} never ended after its signal", self.ip);
+            thread::sleep(LOOK);
+        }
+    }
+}
