Stand-ins, soak: smaller modules and functions; what is checked is unchanged

Manner and the answers of upstreams have files of their own; the soak's line is made by a function of its own.

--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -112,29 +112,34 @@
         thread::sleep(recovery::RECOVERY);
     });
     recovery::check(&fleet, &record, &ids);
-    let (left, behind) = departures::check(&fleet, &record);
+    let departed = departures::check(&fleet, &record);
     let upstreams: Vec<_> = fleet.upstreams().into_iter().map(|one| one.upstream).collect();
     let broken = record.broken(&upstreams);
-    println!(
-        "seed {seed}: {} nodes, {} of {} upstreams left, {} versions of {}+ routes, {:?}, answers {:?}, \
-         {} judged on versions, {behind} arrivals behind a leaving, {} stops over grace, {} stalls, {} s, {} broken",
+    let told = summary(&fleet, &plan, &record, departed);
+    println!("seed {seed}: {told}, {} s, {} broken", begun.elapsed().as_secs(), broken.len());
+    if !broken.is_empty() {
+        println!("seed {seed}: lines of nodes are kept in {}", fleet.keep_logs(seed).display());
+    }
+    broken
+}
+
+/// What a run came to, in one line; `departed` counts upstreams that left, and arrivals behind that.
+fn summary(fleet: &Fleet, plan: &Plan, record: &Record, departed: (usize, usize)) -> String {
+    let overdue: u32 = fleet.sites.iter().map(|site| site.overdue.load(Ordering::SeqCst)).sum();
+    format!(
+        "{} nodes, {} of {} upstreams left, {} versions of {}+ routes, {:?}, answers {:?}, {} judged on versions, \
+         {} arrivals behind a leaving, {overdue} stops over grace, {} stalls",
         plan.nodes,
-        left,
-        upstreams.len(),
+        departed.0,
+        fleet.upstreams().len(),
         fleet.versions.newest(),
         plan.bulk_routes,
         fleet.counts(),
         record.answers(),
         record.shown.judged(),
-        fleet.sites.iter().map(|site| site.overdue.load(Ordering::SeqCst)).sum::<u32>(),
+        departed.1,
         fleet.machine.count(),
-        begun.elapsed().as_secs(),
-        broken.len()
-    );
-    if !broken.is_empty() {
-        println!("seed {seed}: lines of nodes are kept in {}", fleet.keep_logs(seed).display());
-    }
-    broken
+    )
 }
 
 /// Seeds that are played: a few in CI, others by the environment.
--- /dev/null
+++ b/standins/tests/users_platform/manner.rs
@@ -0,0 +1,30 @@
+//! How a stand-in for an upstream behaves.
+
+/// How an upstream answers requests; it always answers questions about its health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    /// A whole answer.
+    Well,
+    /// A whole answer after this many milliseconds.
+    After(u64),
+    /// It runs the request and closes with no answer.
+    LoseAnswer,
+    /// It runs the request and answers with another request's id.
+    OtherId,
+    /// It says that it is full and did not run the request.
+    Shed,
+    /// It says 503 but not that it did not run the request.
+    Bare503,
+    /// It says that it is another upstream.
+    Misdirected,
+    /// It tells a length and closes before that.
+    CutShort,
+    /// A whole answer, and another one behind it.
+    Surplus,
+    /// It runs the request and never answers.
+    Silent,
+    /// It answers well and tells nothing of its load.
+    TellsNothing,
+    /// It answers well, but resets a connection that has rested when the next bytes come.
+    ForgetIdle,
+}
--- a/standins/tests/users_platform/mod.rs
+++ b/standins/tests/users_platform/mod.rs
@@ -2,19 +2,22 @@
 #![allow(dead_code, unused_imports)]
 
 mod addresses;
+mod manner;
 mod message;
 mod node;
 mod store;
 mod thin_link;
 mod upstream;
+mod upstream_answers;
 
 pub use {
     addresses::own_address,
+    manner::Manner,
     message::{Message, call, read_message, request_head},
     node::{Log, NodeProcess},
     store::Store,
     thin_link::write_thinly,
-    upstream::{Manner, Upstream},
+    upstream::Upstream,
 };
 
 use std::{
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -3,11 +3,13 @@
 use {
     super::{
         PATIENCE, STAMP,
+        manner::Manner,
         message::{Message, read_message},
         own_address,
+        upstream_answers::{closed_within, healthy, refuse, whole},
     },
     std::{
-        io::{self, BufReader, Read, Write},
+        io::{self, BufReader, Write},
         net::{SocketAddr, TcpListener, TcpStream},
         sync::{
             Arc, Mutex,
@@ -18,34 +20,6 @@
     },
 };
 
-/// How an upstream answers requests; it always answers questions about its health.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Manner {
-    /// A whole answer.
-    Well,
-    /// A whole answer after this many milliseconds.
-    After(u64),
-    /// It runs the request and closes with no answer.
-    LoseAnswer,
-    /// It runs the request and answers with another request's id.
-    OtherId,
-    /// It says that it is full and did not run the request.
-    Shed,
-    /// It says 503 but not that it did not run the request.
-    Bare503,
-    /// It says that it is another upstream.
-    Misdirected,
-    /// It tells a length and closes before that.
-    CutShort,
-    /// A whole answer, and another one behind it.
-    Surplus,
-    /// It runs the request and never answers.
-    Silent,
-    /// It answers well and tells nothing of its load.
-    TellsNothing,
-    /// It answers well, but resets a connection that has rested when the next bytes come.
-    ForgetIdle,
-}
 /// Rest after which such an upstream has forgotten a connection.
 const FORGOTTEN_AFTER: Duration = Duration::from_millis(100);
 
@@ -116,42 +90,36 @@
             let request = read_message(&mut reader)?;
             if request.target() == "/health" {
                 self.asked.fetch_add(1, Ordering::SeqCst);
-                if *self.manner.lock().unwrap() == Manner::TellsNothing {
-                    write!(
-                        stream,
-                        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\npointvane-instance-id: {}\r\n\r\n",
-                        self.id
-                    )?;
-                    continue;
-                }
-                write!(
-                    stream,
-                    "HTTP/1.1 200 OK\r\ncontent-length: 0\r\npointvane-instance-id: {}\r\npointvane-instance-load: 0,0,3,100\r\n\r\n",
-                    self.id
-                )?;
+                let tells_load = *self.manner.lock().unwrap() != Manner::TellsNothing;
+                healthy(&mut stream, &self.id, tells_load)?;
                 continue;
             }
-            *self.last.lock().unwrap() = request.clone();
-            let manner = *self.manner.lock().unwrap();
-            let id = request.header("pointvane-request-id").unwrap_or_default().to_owned();
-            let expected = request.header("pointvane-expect-instance").unwrap_or_default().to_owned();
-            if expected != self.id {
-                refuse(&mut stream, "421 Misdirected Request", &id, "pointvane-not-executed: 1\r\n")?;
-                continue;
-            }
-            if manner != Manner::Misdirected {
-                self.arrivals.lock().unwrap().push((id.clone(), Instant::now()));
-            }
-            if !matches!(manner, Manner::Shed | Manner::Misdirected) {
-                self.runs.fetch_add(1, Ordering::SeqCst);
-                self.ran.lock().unwrap().push(id.clone());
-            }
-            if !self.answer(&mut stream, manner, &id)? {
+            if !self.take(&mut stream, &request)? {
                 return Ok(());
             }
         }
     }
 
+    /// Takes one request; false when the connection is to be closed.
+    fn take(&self, stream: &mut TcpStream, request: &Message) -> io::Result<bool> {
+        *self.last.lock().unwrap() = request.clone();
+        let manner = *self.manner.lock().unwrap();
+        let id = request.header("pointvane-request-id").unwrap_or_default();
+        let expected = request.header("pointvane-expect-instance").unwrap_or_default();
+        if expected != self.id {
+            refuse(stream, "421 Misdirected Request", id, "pointvane-not-executed: 1\r\n")?;
+            return Ok(true);
+        }
+        if manner != Manner::Misdirected {
+            self.arrivals.lock().unwrap().push((id.into(), Instant::now()));
+        }
+        if !matches!(manner, Manner::Shed | Manner::Misdirected) {
+            self.runs.fetch_add(1, Ordering::SeqCst);
+            self.ran.lock().unwrap().push(id.into());
+        }
+        self.answer(stream, manner, id)
+    }
+
     /// Answers one request; false when the connection is to be closed.
     fn answer(&self, stream: &mut TcpStream, manner: Manner, id: &str) -> io::Result<bool> {
         match manner {
@@ -191,24 +159,3 @@
         Ok(true)
     }
 }
-
-fn whole(stream: &mut TcpStream, id: &str) -> io::Result<()> {
-    write!(
-        stream,
-        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\npointvane-request-id: {id}\r\n{STAMP}: s\r\npointvane-instance-load: 1,0,3,100\r\n\r\nhello"
-    )
-}
-
-fn refuse(stream: &mut TcpStream, status: &str, id: &str, extra: &str) -> io::Result<()> {
-    write!(stream, "HTTP/1.1 {status}\r\ncontent-length: 0\r\npointvane-request-id: {id}\r\n{extra}\r\n")
-}
-
-/// Whether the peer closes within a time.
-fn closed_within(stream: &TcpStream, time: Duration) -> bool {
-    if stream.set_read_timeout(Some(time)).is_err() {
-        return true;
-    }
-    let closed = matches!((&mut &*stream).read(&mut [0; 1]), Ok(0));
-    _ = stream.set_read_timeout(None);
-    closed
-}
--- /dev/null
+++ b/standins/tests/users_platform/upstream_answers.rs
@@ -0,0 +1,37 @@
+//! Answers that a stand-in for an upstream gives.
+
+use {
+    super::STAMP,
+    std::{
+        io::{self, Read, Write},
+        net::TcpStream,
+        time::Duration,
+    },
+};
+
+pub fn whole(stream: &mut TcpStream, id: &str) -> io::Result<()> {
+    write!(
+        stream,
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\npointvane-request-id: {id}\r\n{STAMP}: s\r\npointvane-instance-load: 1,0,3,100\r\n\r\nhello"
+    )
+}
+
+pub fn refuse(stream: &mut TcpStream, status: &str, id: &str, extra: &str) -> io::Result<()> {
+    write!(stream, "HTTP/1.1 {status}\r\ncontent-length: 0\r\npointvane-request-id: {id}\r\n{extra}\r\n")
+}
+
+/// Tells that it is well, and its load unless it keeps that to itself.
+pub fn healthy(stream: &mut TcpStream, upstream: &str, tells_load: bool) -> io::Result<()> {
+    let load = if tells_load { "pointvane-instance-load: 0,0,3,100\r\n" } else { "" };
+    write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\npointvane-instance-id: {upstream}\r\n{load}\r\n")
+}
+
+/// Whether the peer closes within a time.
+pub fn closed_within(stream: &TcpStream, time: Duration) -> bool {
+    if stream.set_read_timeout(Some(time)).is_err() {
+        return true;
+    }
+    let closed = matches!((&mut &*stream).read(&mut [0; 1]), Ok(0));
+    _ = stream.set_read_timeout(None);
+    closed
+}
