--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -21,6 +21,8 @@
 mod fleet;
 #[path = "soak/machine.rs"]
 mod machine;
+#[path = "soak/peer_proxy.rs"]
+mod peer_proxy;
 #[path = "soak/plan.rs"]
 mod plan;
 #[path = "soak/proxy.rs"]
--- a/standins/tests/soak/disturbances.rs
+++ b/standins/tests/soak/disturbances.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         fleet::Fleet,
+        peer_proxy::PeerLink,
         proxy::Link,
         site::Site,
         users_platform::{Manner, Upstream},
@@ -24,6 +25,10 @@
     Manner::ForgetIdle,
 ];
 const LINKS: [Link; 4] = [Link::Slow, Link::LostThere, Link::LostBack, Link::Broken];
+/// Delay of messages between nodes. Below the 200 ms that a node waits for the first byte of a peer's answer, there and back.
+const PEER_DELAY: Duration = Duration::from_millis(60);
+const PEER_LINKS: [PeerLink; 5] =
+    [PeerLink::Slow(PEER_DELAY), PeerLink::Silent, PeerLink::LostIn, PeerLink::LostOut, PeerLink::Reset];
 /// How long a disturbance lasts, in milliseconds.
 const LASTS_MS: std::ops::Range<u64> = 200..1_500;
 /// Longest rest between two disturbances, in milliseconds.
@@ -41,7 +46,7 @@
 fn disturb(fleet: &Fleet, rng: &mut SmallRng) {
     let site = fleet.sites.choose(rng).unwrap();
     let time = Duration::from_millis(rng.random_range(LASTS_MS));
-    match rng.random_range(0..11) {
+    match rng.random_range(0..13) {
         0 => pause(fleet, site, time),
         1 => restart(fleet, site, "KILL", time / 4),
         2 => restart(fleet, site, "TERM", time / 4),
@@ -50,6 +55,7 @@
         6 => cut(fleet, &fleet.sites, *LINKS.choose(rng).unwrap(), time),
         7 | 8 => spoil_upstream(fleet, rng, time),
         9 => replace(fleet, rng),
+        10 | 11 => cut_peers(fleet, site, *PEER_LINKS.choose(rng).unwrap(), time),
         _ => {
             fleet.count("configure");
             fleet.versions.publish();
@@ -84,6 +90,12 @@
     sites.iter().zip(cuts).for_each(|(site, cut)| site.mend(cut));
 }
 
+fn cut_peers(fleet: &Fleet, site: &Site, link: PeerLink, time: Duration) {
+    if site.cut_peers(link, time) {
+        fleet.count("cut peers");
+    }
+}
+
 fn spoil_upstream(fleet: &Fleet, rng: &mut SmallRng, time: Duration) {
     let listed = fleet.upstreams();
     let one = listed.choose(rng).unwrap();
--- a/standins/tests/soak/fleet.rs
+++ b/standins/tests/soak/fleet.rs
@@ -17,8 +17,7 @@
 
 /// All that a soak disturbs.
 ///
-/// Nodes speak to each other directly: each is told the others' own addresses by `seeds`. Proxies between nodes (UDP
-/// and TCP) would stand here, one for each ordered pair of sites, and `boot` would hand each site its own `seeds`.
+/// What other nodes send to the first [`Plan::peer_proxied`] nodes passes a proxy of theirs.
 pub struct Fleet {
     pub sites: Vec<Site>,
     pub versions: Versions,
@@ -33,7 +32,7 @@
     pub fn start(plan: &Plan) -> Self {
         let store = Store::start();
         let fleet = Self {
-            sites: (0..plan.nodes).map(|_| Site::new(store.address)).collect(),
+            sites: (0..plan.nodes).map(|node| Site::new(store.address, node < plan.peer_proxied)).collect(),
             versions: Versions::new(store.clone(), plan.bulk_routes),
             directory: Directory::new(store.clone(), plan.proxied),
             machine: Contact::default(),
--- a/standins/tests/soak/peer_proxy.rs
+++ b/standins/tests/soak/peer_proxy.rs
@@ -2,6 +2,7 @@
 //!
 //! The node advertises the proxy's address and listens at another one. What it sends of its own accord goes straight to the proxies
 //! of the others; only its answers to what came through its proxy go back through it. A full cut takes the proxies of both sides.
+#![allow(dead_code)]
 
 use std::{
     collections::HashMap,
--- a/standins/tests/soak/plan.rs
+++ b/standins/tests/soak/plan.rs
@@ -14,7 +14,7 @@
 const NODES_MAX: usize = 100;
 /// Memory that a node may come to in a debug build, in bytes.
 const NODE_BYTES: usize = 96 << 20;
-/// Upstreams in a run at size that are reached through a proxy; each connection through one takes three threads.
+/// Upstreams, and nodes, in a run at size that are reached through a proxy; each connection through one takes three threads.
 const PROXIED_MAX: usize = 6;
 /// Routes of a large configuration.
 const LARGE_ROUTES: std::ops::Range<usize> = 1_000..2_500;
@@ -28,6 +28,8 @@
     pub upstreams: usize,
     /// Of these, and of those that join later, how many are reached through a proxy.
     pub proxied: usize,
+    /// Nodes that other nodes reach through a proxy.
+    pub peer_proxied: usize,
     pub callers: usize,
     /// Connections that each caller holds.
     pub connections: usize,
@@ -57,6 +59,7 @@
             nodes: rng.random_range(3..6),
             upstreams: rng.random_range(3..7),
             proxied: usize::MAX,
+            peer_proxied: usize::MAX,
             callers: 6,
             connections: rng.random_range(1..4),
             disturbers: 2,
@@ -73,6 +76,7 @@
             nodes,
             upstreams: nodes,
             proxied: PROXIED_MAX,
+            peer_proxied: PROXIED_MAX,
             callers: machine::cores() * 2,
             connections: 4,
             disturbers: 4,
--- a/standins/tests/soak/site.rs
+++ b/standins/tests/soak/site.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         contact::{Contact, Disturbance},
+        peer_proxy::{PeerLink, PeerProxy},
         proxy::{Link, Proxy},
         users_platform::{Log, NodeProcess, own_address},
     },
@@ -27,7 +28,7 @@
 
 /// One node.
 pub struct Site {
-    /// Where the node listens; links between nodes begin and end here.
+    /// The address that the node advertises.
     pub ip: Ipv4Addr,
     /// Counts the processes that ran here.
     pub life: AtomicU32,
@@ -37,18 +38,34 @@
     process: Mutex<Option<NodeProcess>>,
     restarts: AtomicBool,
     store: Proxy,
+    peers: Option<PeerGate>,
+}
+
+/// The proxy that other nodes' messages pass, and where the node listens behind it.
+struct PeerGate {
+    proxy: PeerProxy,
+    bound: Ipv4Addr,
+}
+
+impl PeerGate {
+    fn before(advertised: Ipv4Addr) -> Self {
+        let bound = own_address();
+        Self { proxy: PeerProxy::start(advertised, bound), bound }
+    }
 }
 
 impl Site {
-    pub fn new(store: SocketAddr) -> Self {
+    pub fn new(store: SocketAddr, peer_proxied: bool) -> Self {
+        let ip = own_address();
         Self {
-            ip: own_address(),
+            ip,
             life: AtomicU32::new(0),
             contact: Contact::default(),
             overdue: AtomicU32::new(0),
             process: Mutex::default(),
             restarts: AtomicBool::new(false),
             store: Proxy::start(store),
+            peers: peer_proxied.then(|| PeerGate::before(ip)),
         }
     }
 
@@ -56,7 +73,11 @@
         let _starts = self.contact.disturb();
         // Before the start: no answer of the new process may count for the old one.
         self.life.fetch_add(1, Ordering::SeqCst);
-        let node = NodeProcess::start_at(self.ip, self.store.address, seeds, Log::File);
+        let store = self.store.address;
+        let node = match &self.peers {
+            Some(gate) => NodeProcess::start_bound(self.ip, gate.bound, store, seeds, Log::File),
+            None => NodeProcess::start_at(self.ip, store, seeds, Log::File),
+        };
         *self.process.lock().unwrap() = Some(node);
     }
 
@@ -104,6 +125,16 @@
         drop(disturbed);
     }
 
+    /// Harms what other nodes send to this one for a time; false if nothing stands between them.
+    pub fn cut_peers(&self, link: PeerLink, time: Duration) -> bool {
+        let Some(gate) = &self.peers else { return false };
+        let _disturbed = self.contact.disturb();
+        gate.proxy.set(link);
+        thread::sleep(time);
+        gate.proxy.set(PeerLink::Sound);
+        true
+    }
+
     /// Whether the process ended though nobody ended it.
     pub fn ended(&self) -> bool {
         !self.process.lock().unwrap().as_mut().is_some_and(NodeProcess::is_running)
