--- a/standins/tests/soak/fleet.rs
+++ b/standins/tests/soak/fleet.rs
@@ -5,6 +5,7 @@
         contact::Contact,
         directory::{Directory, Listed},
         plan::Plan,
+        proxy::Link,
         site::Site,
         users_platform::Store,
         versions::Versions,
@@ -32,7 +33,7 @@
     pub fn start(plan: &Plan) -> Self {
         let store = Store::start();
         let fleet = Self {
-            sites: (0..plan.nodes).map(|node| Site::new(store.address, node < plan.peer_proxied)).collect(),
+            sites: (0..plan.nodes).map(|node| Self::site(node, plan, &store)).collect(),
             versions: Versions::new(store.clone(), plan.bulk_routes),
             directory: Directory::new(store.clone(), plan.proxied),
             machine: Contact::default(),
@@ -48,6 +49,13 @@
         fleet
     }
 
+    /// Where configurations are large every other node has a thin link to the store.
+    fn site(node: usize, plan: &Plan, store: &Store) -> Site {
+        let thin = plan.bulk_routes > 0 && node.is_multiple_of(2);
+        let link = if thin { Link::Thin } else { Link::Sound };
+        Site::new(store.address, link, node < plan.peer_proxied)
+    }
+
     /// Addresses by which a node finds the others.
     pub fn seeds(&self) -> Vec<Ipv4Addr> {
         self.sites.iter().map(|site| site.ip).collect()
--- a/standins/tests/soak/proxy.rs
+++ b/standins/tests/soak/proxy.rs
@@ -17,6 +17,8 @@
     Sound,
     /// They pass later.
     Slow,
+    /// They pass at the rate of a thin link.
+    Thin,
     /// Those towards the server are lost, and those behind them.
     LostThere,
     /// Those towards the client are lost, and those behind them.
@@ -26,6 +28,8 @@
 }
 
 const DELAY: Duration = Duration::from_millis(120);
+/// What a thin link carries, in bytes a second: 10 Mbit/s.
+const THIN_BYTES_PER_S: f64 = 1_250_000.0;
 const LOOK: Duration = Duration::from_millis(20);
 
 /// A proxy before a server.
@@ -93,8 +97,10 @@
             (now, direction),
             (Link::LostThere, Direction::There) | (Link::LostBack, Direction::Back)
         );
-        if now == Link::Slow {
-            thread::sleep(DELAY);
+        match now {
+            Link::Slow => thread::sleep(DELAY),
+            Link::Thin => thread::sleep(Duration::from_secs_f64(length as f64 / THIN_BYTES_PER_S)),
+            _ => {}
         }
         if !lost && to.write_all(&buffer[..length]).is_err() {
             break;
--- a/standins/tests/soak/site.rs
+++ b/standins/tests/soak/site.rs
@@ -38,6 +38,8 @@
     process: Mutex<Option<NodeProcess>>,
     restarts: AtomicBool,
     store: Proxy,
+    /// The link to the store while nothing harms it.
+    store_link: Link,
     peers: Option<PeerGate>,
 }
 
@@ -55,8 +57,10 @@
 }
 
 impl Site {
-    pub fn new(store: SocketAddr, peer_proxied: bool) -> Self {
+    pub fn new(store: SocketAddr, store_link: Link, peer_proxied: bool) -> Self {
         let ip = own_address();
+        let store = Proxy::start(store);
+        store.set(store_link);
         Self {
             ip,
             life: AtomicU32::new(0),
@@ -64,7 +68,8 @@
             overdue: AtomicU32::new(0),
             process: Mutex::default(),
             restarts: AtomicBool::new(false),
-            store: Proxy::start(store),
+            store,
+            store_link,
             peers: peer_proxied.then(|| PeerGate::before(ip)),
         }
     }
@@ -121,7 +126,7 @@
     }
 
     pub fn mend(&self, disturbed: Disturbance) {
-        self.store.set(Link::Sound);
+        self.store.set(self.store_link);
         drop(disturbed);
     }
 
