Load curve: evidence ages by answers as well as by time; the red test is green

Cause: a level that is wrongly taken for slow gets no requests, so its evidence is not replaced, and by age alone (half life 15 s) 80 answers outweigh a start value of four for over a minute. Both red cases began with the belief that all levels but the first are five times slower, fill all slots, and first look below after some 100 s (traced by printing the levels every 5 s).

Ruled out: taking an answer's weight from levels that contradict the newest one (settles sooner from some starts, but erodes what is right: 4 of 135 cases under 0.9 after two minutes, 49 without knee and start at a third within ten seconds).

Each answer now ages all levels by one in 160 for each level. Simulated service, 135 cases, share of the best fixed limit: least from 120 s on 0.87 -> 0.945, cases under 0.9 2 -> 0; from 40 s on least 0.38 -> 0.92, cases under 0.9 24 -> 0 (new test); heavy tails, from 120 s on: cases under 0.9 3 -> 8, least 0.846 -> 0.872. Nothing changes where a node sees fewer answers than some 65 a second of a service with six slots, for there age binds first: one small node still needs a minute.

--- a/crates/pointvane-dispatch/src/load_curve.rs
+++ b/crates/pointvane-dispatch/src/load_curve.rs
@@ -28,6 +28,13 @@
 const WEIGHT_MAX: f32 = 80.0;
 /// Age at which an answer counts half, in microseconds. Measured together with [`WEIGHT_MAX`].
 const HALF_LIFE_US: f32 = 15_000_000.0;
+/// Answers for each level after which older evidence counts 1/e, whatever its age.
+///
+/// Requests no longer reach a level that is wrongly taken for slow, so its evidence is not replaced, and by age alone it outweighs the
+/// start value for a minute. Simulated service of the tests, 135 cases (nine knees, three seeds, five starts), least goodput as a share
+/// of the best fixed limit's from 40 s to 80 s: 0.38 by age alone, 0.92 so; cases under 0.9: 24 and none. With 80, 3 in 100 answers
+/// taking ten times as long put 17 cases under 0.9 after two minutes, with 160 eight, with 320 nine, by age alone three.
+const AGING_ANSWERS: f32 = 160.0;
 /// Answers for each of which one request may exceed the limit by one level.
 ///
 /// Without such requests, and with estimates that fade within seconds instead, goodput at a knee of 0.4 with a slowdown of 4 was 0.67
@@ -120,10 +127,12 @@
         beyond == 0
     }
 
+    /// Ages the evidence by the time since the last answer, and by this one.
     fn fade(&mut self, now_us: u64) {
         let elapsed_us = now_us.saturating_sub(self.recorded_at_us);
         self.recorded_at_us = now_us;
-        let share = (-(elapsed_us as f32) / HALF_LIFE_US).exp2();
+        let by_answer = 1.0 - 1.0 / (AGING_ANSWERS * self.levels.len() as f32);
+        let share = by_answer * (-(elapsed_us as f32) / HALF_LIFE_US).exp2();
         self.levels.iter_mut().for_each(|level| level.weight *= share);
     }
 
--- a/crates/pointvane-dispatch/tests/load_curve.rs
+++ b/crates/pointvane-dispatch/tests/load_curve.rs
@@ -46,14 +46,18 @@
 
 /// Plays a service that is offered more than it can do; gives the requests that finished in the measured part.
 ///
-/// `knees` are in force one after the other, each for the same time; the second half of the last one is measured.
+/// `knees` are in force one after the other, each for the same time; the last part of the last one is measured.
 fn goodput(knees: &[Knee], limit: &mut Limit, seed: u64) -> u32 {
+    goodput_in(160_000, knees, limit, seed)
+}
+
+/// The same, with each of the knees in force for a given time.
+fn goodput_in(phase_ms: u64, knees: &[Knee], limit: &mut Limit, seed: u64) -> u32 {
     const MEASURED_MS: u64 = 40_000;
-    const PHASE_MS: u64 = 160_000;
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut taken = [0_u32; UPSTREAMS];
     let mut ends: BinaryHeap<Reverse<(u64, usize, u32, u64)>> = BinaryHeap::new();
-    let until_us = PHASE_MS * knees.len() as u64 * MS;
+    let until_us = phase_ms * knees.len() as u64 * MS;
     let measured_from_us = until_us - MEASURED_MS * MS;
     let mut finished = 0;
     let mut now_us = 0;
@@ -77,7 +81,7 @@
             continue;
         }
         taken[upstream] += 1;
-        let knee = knees[(now_us / (PHASE_MS * MS)) as usize % knees.len()];
+        let knee = knees[(now_us / (phase_ms * MS)) as usize % knees.len()];
         let work_us = (knee.work_ms(occupancy, &mut rng) * MS as f32) as u64;
         ends.push(Reverse((now_us + work_us, upstream, taken[upstream], now_us)));
     }
@@ -130,8 +134,8 @@
     }
 }
 
-/// Known to be red: more seeds, and a start that takes all slots but one for slow. A knee of 0.8 with a slowdown of 2 gave 0.87 of the best
-/// in two of 135 cases.
+/// More seeds, and a start that takes all slots but one for slow. While evidence aged by time alone, a knee of 0.8 with a slowdown of 2
+/// gave 0.87 of the best in two of 135 cases.
 #[gtest]
 fn goodput_over_more_seeds_and_starts_is_within_a_tenth_of_the_best() {
     for knee in knees(0.0) {
@@ -147,6 +151,23 @@
     }
 }
 
+/// While evidence aged by time alone, 24 of 135 cases had less than nine tenths of the best here, the least 0.38.
+#[gtest]
+fn goodput_is_near_the_best_forty_seconds_after_the_start() {
+    const PHASE_MS: u64 = 80_000;
+    for (knee, seed) in knees(0.0).into_iter().flat_map(|knee| (0..3).map(move |seed| (knee, seed))) {
+        let fixed = |slots| Limit::Fixed(slots as f32 / SLOTS as f32);
+        let best =
+            (1..=SLOTS).map(|slots| goodput_in(PHASE_MS, &[knee], &mut fixed(slots), seed)).max().unwrap();
+        let starts = [0.2, 0.34, 0.51, 1.0].map(learned_before);
+        for start in starts.into_iter().chain([LoadCurve::new(SLOTS)]) {
+            let case = format!("{knee:?}, seed {seed}, start {}, best {best}", start.limit());
+            let learned = goodput_in(PHASE_MS, &[knee], &mut Limit::Learned(Box::new(start)), seed);
+            expect_that!(learned * 10, ge(best * 9), "{case}");
+        }
+    }
+}
+
 /// Three in a hundred requests take ten times as long. The throughputs of two limits may then differ by less than the estimates.
 #[gtest]
 fn with_heavy_tails_it_is_within_three_tenths() {
