Platform calls are counted by kind and reason

Each call is now counted by kind (changes, everything, a further page) and reason, and each that is no watcher's usual one writes a bounded line, platform-called. No decision changes.

--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -70,8 +70,8 @@
     ranking_options::{Ranking, RankingOptions},
     read_mark::ReadMark,
     reader::{
-        CallFailure, PeerQuery, PlatformReader, QueryTarget, ReaderCall, ReaderOptions, ReaderQuery,
-        ReaderRole,
+        CallFailure, CallReason, PeerQuery, PlatformReader, QueryTarget, ReaderCall, ReaderOptions,
+        ReaderQuery, ReaderRole,
     },
     relay::{Relay, RelayDatagram, RelayLog, WireRelay},
     retry::{AttemptOutcome, Refusal, Verdict, judge, may_pass_on},
--- a/crates/pointvane-dispatch/src/reader.rs
+++ b/crates/pointvane-dispatch/src/reader.rs
@@ -20,7 +20,7 @@
 mod snapshot;
 
 pub use {
-    call::{CallFailure, PeerQuery, QueryTarget, ReaderCall, ReaderQuery, ReaderRole},
+    call::{CallFailure, CallReason, PeerQuery, QueryTarget, ReaderCall, ReaderQuery, ReaderRole},
     options::ReaderOptions,
 };
 
@@ -118,7 +118,7 @@
             options,
             role: ReaderRole::Watcher,
             mark: ReadMark::default(),
-            snapshot: Some(SnapshotRead::default()),
+            snapshot: Some(SnapshotRead::new(CallReason::Start)),
             start_queries: options.start_queries,
             catch_up: None,
             pause_until_us: 0,
@@ -165,14 +165,15 @@
         if now_us < self.pause_until_us {
             return ReaderCall::Wait { until_us: self.pause_until_us };
         }
-        if self.snapshot.is_some() {
-            return self.next_of_snapshot(now_us);
+        if let Some(snapshot) = &self.snapshot {
+            let (reason, next_page) = (snapshot.reason(), snapshot.next_page());
+            return self.next_of_snapshot(reason, next_page, now_us);
         }
         if self.role == ReaderRole::Watcher {
             // Its watch takes the place of a call for what peers did not bring; the next relay begins a new round of queries.
             self.catch_up = self.catch_up.filter(|catch_up| now_us < catch_up.platform_at_us);
             let wait_ms = self.wait_ms(now_us);
-            return self.watch(wait_ms, PlatformCall::Waiting);
+            return self.watch(CallReason::Watching, wait_ms, PlatformCall::Waiting);
         }
         let poll_at_us = self.poll_at_us();
         if now_us < poll_at_us {
@@ -180,7 +181,8 @@
         }
         // A call for what peers did not bring says nothing of whether a reader is heard.
         self.no_reader_heard = self.catch_up.take().is_none();
-        self.watch(POLL_WAIT_MS, PlatformCall::Fetching { since_us: now_us })
+        let reason = if self.no_reader_heard { CallReason::LeaseOver } else { CallReason::CatchUp };
+        self.watch(reason, POLL_WAIT_MS, PlatformCall::Fetching { since_us: now_us })
     }
 
     /// Which peer to query now, beside calls to the platform, for what this node is known to lack.
@@ -207,15 +209,14 @@
     }
 
     /// Queries a peer first, after a start; then reads the platform.
-    fn next_of_snapshot(&mut self, now_us: u64) -> ReaderCall {
+    fn next_of_snapshot(&mut self, reason: CallReason, next_page: Option<String>, now_us: u64) -> ReaderCall {
         let unbegun = self.snapshot.as_ref().is_some_and(SnapshotRead::is_unbegun);
         if self.start_queries > 0 && unbegun {
             self.start_queries -= 1;
             return ReaderCall::QueryPeer(self.peer_query(QueryTarget::Any));
         }
-        let next_page = self.snapshot.as_ref().and_then(SnapshotRead::next_page);
         self.call = Some(PlatformCall::Fetching { since_us: now_us });
-        ReaderCall::Snapshot { next_page, timeout_ms: self.options.timeout_ms }
+        ReaderCall::Snapshot { reason, next_page, timeout_ms: self.options.timeout_ms }
     }
 
     fn peer_query(&self, target: QueryTarget) -> PeerQuery {
@@ -227,12 +228,13 @@
         PeerQuery { target, request, timeout_ms }
     }
 
-    fn watch(&mut self, wait_ms: u64, call: PlatformCall) -> ReaderCall {
+    fn watch(&mut self, reason: CallReason, wait_ms: u64, call: PlatformCall) -> ReaderCall {
+        let reason = if self.is_unreachable() { CallReason::Retry } else { reason };
         self.call = Some(call);
         self.watched_after = self.mark.revision;
         let timeout_ms = wait_ms + self.options.timeout_ms;
         let answer_bytes_max = self.answer_bytes_max();
-        ReaderCall::Watch { after: self.mark.revision, wait_ms, timeout_ms, answer_bytes_max }
+        ReaderCall::Watch { reason, after: self.mark.revision, wait_ms, timeout_ms, answer_bytes_max }
     }
 
     /// Size beyond which an answer to a watch is not read: that of everything which the platform holds.
--- a/crates/pointvane-dispatch/src/reader/answers.rs
+++ b/crates/pointvane-dispatch/src/reader/answers.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        CallFailure, PlatformCall, PlatformReader, ReaderOptions, ReaderRole,
+        CallFailure, CallReason, PlatformCall, PlatformReader, ReaderOptions, ReaderRole,
         snapshot::{PageRead, SnapshotRead, StateRead},
     },
     crate::read_mark::ReadMark,
@@ -25,7 +25,7 @@
         let began_us = self.call.and_then(PlatformCall::fetching_since_us).unwrap_or(now_us);
         self.call_succeeded(now_us);
         // A page that comes though none is due begins a new read.
-        let mut snapshot = self.snapshot.take().unwrap_or_default();
+        let mut snapshot = self.snapshot.take().unwrap_or_else(|| SnapshotRead::new(CallReason::Start));
         let PageRead { changes, complete } = snapshot.take(page, self.answer_bytes, known);
         self.raise_version(&changes);
         match complete {
@@ -67,7 +67,7 @@
         self.call_succeeded(now_us);
         if page.revision < self.watched_after {
             // The platform went back: only a read of everything can be trusted.
-            self.snapshot = Some(SnapshotRead::default());
+            self.snapshot = Some(SnapshotRead::new(CallReason::WentBack));
             return Vec::new();
         }
         if page.revision < self.mark.revision {
@@ -128,9 +128,15 @@
             _ => false,
         };
         // After an answer that broke off as well: a read of everything holds each value once, the changes each version of it.
-        if failure != CallFailure::Unavailable || self.snapshot.is_some() {
-            self.snapshot = Some(SnapshotRead::default());
-        }
+        let reason = match (failure, &self.snapshot) {
+            (_, Some(snapshot)) => Some(snapshot.reason()),
+            (CallFailure::Unavailable, None) => None,
+            (CallFailure::HistoryGone, None) => Some(CallReason::HistoryGone),
+            (CallFailure::BrokenOff | CallFailure::LongerThanState | CallFailure::Malformed, None) => {
+                Some(CallReason::BadAnswer)
+            }
+        };
+        self.snapshot = reason.map(SnapshotRead::new);
         if self.mark == ReadMark::default() {
             // Peers may have read it meanwhile, or the platform may answer them and not this node.
             self.start_queries = self.start_queries.max(1);
--- a/crates/pointvane-dispatch/src/reader/call.rs
+++ b/crates/pointvane-dispatch/src/reader/call.rs
@@ -9,6 +9,8 @@
     QueryPeer(PeerQuery),
     /// Read everything from the platform.
     Snapshot {
+        /// Why.
+        reason: CallReason,
         /// Where the page begins; none for the first.
         next_page: Option<String>,
         /// Time to the answer's first byte after which the call has failed, in milliseconds.
@@ -16,6 +18,8 @@
     },
     /// Wait for changes at the platform.
     Watch {
+        /// Why.
+        reason: CallReason,
         /// The revision that is known.
         after: u64,
         /// Longest wait for a change, in milliseconds.
@@ -69,6 +73,46 @@
     Broadcaster,
 }
 
+/// Why the platform is called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallReason {
+    /// Nothing was read yet.
+    Start,
+    /// This node watches for all.
+    Watching,
+    /// No other reader was heard in time.
+    LeaseOver,
+    /// Peers did not bring what this node lacks.
+    CatchUp,
+    /// The call before failed.
+    Retry,
+    /// The platform no longer holds the changes that are missing.
+    HistoryGone,
+    /// The platform answered with an older revision than before.
+    WentBack,
+    /// An answer broke off, was too long or could not be understood.
+    BadAnswer,
+    /// What changed of the configuration could not be applied.
+    ConfigurationMissing,
+}
+
+impl CallReason {
+    /// The value of the label `reason` in metrics and events.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Start => "start",
+            Self::Watching => "watching",
+            Self::LeaseOver => "lease-over",
+            Self::CatchUp => "catch-up",
+            Self::Retry => "retry",
+            Self::HistoryGone => "history-gone",
+            Self::WentBack => "went-back",
+            Self::BadAnswer => "bad-answer",
+            Self::ConfigurationMissing => "configuration-missing",
+        }
+    }
+}
+
 /// Why a call to the platform gave nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallFailure {
--- a/crates/pointvane-dispatch/src/reader/nodes.rs
+++ b/crates/pointvane-dispatch/src/reader/nodes.rs
@@ -1,7 +1,7 @@
 //! What becomes of other nodes' relays and answers, and what this node answers to their queries.
 
 use {
-    super::{CatchUp, PlatformCall, PlatformReader, ReaderRole, snapshot::SnapshotRead},
+    super::{CallReason, CatchUp, PlatformCall, PlatformReader, ReaderRole, snapshot::SnapshotRead},
     crate::{
         read_mark::ReadMark,
         relay::Relay,
@@ -152,7 +152,7 @@
     /// anew.
     pub fn configuration_missing(&mut self, version_in_force: u64) {
         self.mark.version = version_in_force;
-        self.snapshot = Some(SnapshotRead::default());
+        self.snapshot = Some(SnapshotRead::new(CallReason::ConfigurationMissing));
     }
 
     /// Takes note that a query failed. After a start there is a pause before the next query; after the last one the platform is called.
--- a/crates/pointvane-dispatch/src/reader/snapshot.rs
+++ b/crates/pointvane-dispatch/src/reader/snapshot.rs
@@ -1,13 +1,16 @@
 //! A read of everything, page by page.
 
 use {
+    super::CallReason,
     pointvane_core::{Change, ChangePage, Name, UpstreamRecord},
     std::collections::{HashMap, HashSet},
 };
 
 /// A read of everything that is under way.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct SnapshotRead {
+    /// Why everything is read.
+    reason: CallReason,
     next_page: Option<String>,
     /// Revision of the first page. Later pages may be newer, so the changes since the first are watched again.
     revision: Option<u64>,
@@ -38,6 +41,23 @@
 }
 
 impl SnapshotRead {
+    /// A read of which no page has come.
+    pub fn new(reason: CallReason) -> Self {
+        Self {
+            reason,
+            next_page: None,
+            revision: None,
+            seen: HashSet::new(),
+            size_bytes: 0,
+            changes: Vec::new(),
+        }
+    }
+
+    /// Why everything is read.
+    pub fn reason(&self) -> CallReason {
+        self.reason
+    }
+
     /// Where the next page begins; none for the first.
     pub fn next_page(&self) -> Option<String> {
         self.next_page.clone()
--- a/crates/pointvane-node/src/platform_client.rs
+++ b/crates/pointvane-node/src/platform_client.rs
@@ -27,6 +27,28 @@
 /// times that leaves room for other traffic on the link. Peers are queried beside it, and after it everything is read anew.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(4_500);
 
+/// What a call is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// Changes, waited for or not.
+    Changes,
+    /// Everything, of which this is the first page.
+    Everything,
+    /// A further page of everything.
+    Page,
+}
+
+impl CallKind {
+    /// The value of the label `kind` in metrics and events.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Changes => "changes",
+            Self::Everything => "everything",
+            Self::Page => "page",
+        }
+    }
+}
+
 /// Why a call gave no answer that can be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
--- a/crates/pointvane-node/src/platform_reader.rs
+++ b/crates/pointvane-node/src/platform_reader.rs
@@ -3,12 +3,12 @@
 use {
     crate::{
         node::Node,
-        platform_client::{CallError, PlatformAnswer, PlatformClient},
+        platform_client::{CallError, CallKind, PlatformAnswer, PlatformClient},
         state_query::{self, QueryError},
     },
     bytes::Bytes,
     pointvane_core::{Change, ChangePage, MalformedReply, PlatformAdapter},
-    pointvane_dispatch::{PeerQuery, ReaderCall, ReaderQuery, StateReply},
+    pointvane_dispatch::{CallReason, PeerQuery, ReaderCall, ReaderQuery, StateReply},
     pointvane_telemetry::EventKind,
     std::{mem, net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::timeout,
@@ -53,15 +53,18 @@
                 _ = timeout(wait, node.platform.interrupted()).await;
             }
             ReaderCall::QueryPeer(query) => query_peer(node, &query).await,
-            ReaderCall::Snapshot { next_page, timeout_ms } => {
+            ReaderCall::Snapshot { reason, next_page, timeout_ms } => {
                 let call_timeout = Duration::from_millis(timeout_ms);
                 let before = node.platform.state().is_unreachable();
+                let kind = if next_page.is_some() { CallKind::Page } else { CallKind::Everything };
+                note_call(node, kind, reason);
                 read_snapshot(node, &mut client, next_page.as_deref(), call_timeout).await;
                 note_reachability(node, before);
             }
-            ReaderCall::Watch { after, wait_ms, timeout_ms, answer_bytes_max } => {
+            ReaderCall::Watch { reason, after, wait_ms, timeout_ms, answer_bytes_max } => {
                 let call_timeout = Duration::from_millis(timeout_ms);
                 let before = node.platform.state().is_unreachable();
+                note_call(node, CallKind::Changes, reason);
                 let target = node.adapter.watch_target(after, wait_ms);
                 watch(node, &mut client, &target, answer_bytes_max, call_timeout).await;
                 note_reachability(node, before);
@@ -70,6 +73,15 @@
     }
 }
 
+/// Counts a call to the platform, and writes a line unless it is a watcher's usual one.
+fn note_call<A: PlatformAdapter>(node: &Node<A>, kind: CallKind, reason: CallReason) {
+    node.report.called_platform(kind, reason);
+    if reason != CallReason::Watching {
+        let kind = EventKind::PlatformCalled { call: kind.as_str().into(), reason: reason.as_str().into() };
+        node.report.note_bounded(node.now_us(), kind);
+    }
+}
+
 fn note_reachability<A: PlatformAdapter>(node: &Node<A>, unreachable_before: bool) {
     match (unreachable_before, node.platform.state().is_unreachable()) {
         (false, true) => node.report.note(EventKind::PlatformLost),
@@ -191,7 +203,6 @@
     call_timeout: Duration,
 ) -> Result<PlatformAnswer, CallError> {
     let address = node.settings().platform;
-    node.report.called_platform();
     client.call(address, target, call_timeout).await
 }
 
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -4,6 +4,7 @@
 //! sampling. What is suppressed is counted in a line of its own.
 
 use {
+    crate::platform_client::CallKind,
     eyre::Result,
     opentelemetry::{
         KeyValue,
@@ -11,6 +12,7 @@
     },
     pointvane_config::LineOptions,
     pointvane_core::{ErrorKind, Name},
+    pointvane_dispatch::CallReason,
     pointvane_telemetry::{
         EventKind, EventLog, GateDecision, LineFlush, LineForm, LineGate, LineGateOptions, Metrics, Program,
         stdout_logger,
@@ -179,8 +181,9 @@
     }
 
     /// Counts a call to the platform.
-    pub fn called_platform(&self) {
-        self.platform_calls.add(1, &[]);
+    pub fn called_platform(&self, kind: CallKind, reason: CallReason) {
+        let labels = [KeyValue::new("kind", kind.as_str()), KeyValue::new("reason", reason.as_str())];
+        self.platform_calls.add(1, &labels);
     }
 
     /// Counts a call to the platform that gave nothing.
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -90,6 +90,8 @@
     UpstreamGone { upstream: Name },
     /// Everything that the platform holds was read from it.
     PlatformRead { revision: u64, version: u64, upstreams: u64 },
+    /// The platform is called by a node that does not watch it, or because a call before brought no state.
+    PlatformCalled { call: Name, reason: Name },
     /// Another node told what it knows of the platform, from a word of the platform's of that age.
     StateTold { peer: SocketAddr, revision: u64, age_ms: u64 },
     /// An item of the platform could not be understood.
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -48,6 +48,11 @@
     ]
 }
 
+/// Kinds that came later, so that the numbers of those above stay.
+fn later_state_changes() -> Vec<EventKind> {
+    vec![EventKind::PlatformCalled { call: "changes".into(), reason: "lease-over".into() }]
+}
+
 fn decisions_on_requests() -> Vec<EventKind> {
     let upstream = Name::from("i-7");
     vec![
@@ -111,7 +116,8 @@
 #[gtest]
 fn every_event_is_written_as_it_always_was_and_reads_back() {
     let mut lines = String::new();
-    for (sequence, kind) in state_changes().into_iter().chain(decisions_on_requests()).enumerate() {
+    let kinds = state_changes().into_iter().chain(decisions_on_requests()).chain(later_state_changes());
+    for (sequence, kind) in kinds.enumerate() {
         let event =
             Event { sequence: sequence as u64, at_ms: 7, vm: "vm-1".into(), program: Program::Node, kind };
         let text = serde_json::to_string(&event).unwrap();
--- a/crates/pointvane/src/explain.rs
+++ b/crates/pointvane/src/explain.rs
@@ -26,7 +26,7 @@
 }
 
 /// Events that change what a process believes of the whole.
-const BELIEFS: [&str; 12] = [
+const BELIEFS: [&str; 13] = [
     "started",
     "stopping",
     "stopped",
@@ -36,6 +36,7 @@
     "platform-back",
     "platform-read",
     "state-told",
+    "platform-called",
     "watch-renewed",
     "item-refused",
     "lines-left-out",
