Reading of the platform: calls have a bound that does not grow with the fleet

Hypothesis: what the fleet pays for calls is made by nodes that are no readers, each for itself, whenever something goes wrong for all.

A relay tells the age of the platform's answer to its sender itself, and ends failures and pauses. - a reader that reads everything anew goes on relaying and answering. - peers pass on whole states of up to 8,192 upstreams, four at once; the log holds 1,024 changes; a peer that declines is no reason to call the platform at once. - a node that starts queries peers that have read something; each draws when it reads by itself, few early.

Ruled out: a second wait of followers while readers are heard whose calls fail (simulated fleet, all readers turned away: a change was unknown for 3.4 s at 472 nodes and 5.2 s at 1,800).

--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -81,6 +81,6 @@
     search::{
         Found, PROBE_TIMEOUT_US, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep, search_time_ms,
     },
-    state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest},
+    state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest, WholeStateLimit},
     upstream::{LoadSample, LoadWhenSent, UpstreamKey, UpstreamState},
 };
--- a/crates/pointvane-dispatch/src/reader.rs
+++ b/crates/pointvane-dispatch/src/reader.rs
@@ -2,7 +2,7 @@
 //!
 //! A few nodes read for all. Watchers hold a watch open and relay each answer to all nodes. A relay is also a lease: as long
 //! as the platform's answer behind it is young, a node need not read for itself. Without a watcher standbys read, and
-//! without these each node does. What a relay has no room for, such as a configuration, nodes query from each
+//! without these the others in turns (`turns.rs`); whoever of them is answered watches for all until a watcher is heard. What a relay has no room for, such as a configuration, nodes query from each
 //! other in an order that spreads the load (`query_order.rs`), and from the platform if that fails. Everything is
 //! read anew when the platform no longer holds the changes that are missing, or an answer cannot be trusted.
 //!
@@ -18,6 +18,8 @@
 mod nodes;
 mod options;
 mod snapshot;
+mod startup;
+mod turns;
 
 pub use {
     call::{CallFailure, CallReason, PeerQuery, QueryTarget, ReaderCall, ReaderQuery, ReaderRole},
@@ -34,6 +36,8 @@
     pointvane_core::US_PER_MS,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     snapshot::SnapshotRead,
+    startup::Startup,
+    turns::Turns,
 };
 
 /// Wait of a watch that only fetches what is there already, in milliseconds.
@@ -54,6 +58,8 @@
     peer_queries: u32,
     /// When the platform is called, whatever peers do, unless they have brought it.
     platform_at_us: u64,
+    /// Whether a peer answered that it knows no more.
+    declined: bool,
 }
 
 /// A call to the platform that is under way.
@@ -88,12 +94,11 @@
     /// A read of everything that is under way or due.
     snapshot: Option<SnapshotRead>,
     start_queries: u32,
+    startup: Startup,
     catch_up: Option<CatchUp>,
     pause_until_us: u64,
     failures: u32,
     freshness: Freshness,
-    /// How long this node waits for a standby's relay after its lease.
-    follower_wait_us: u64,
     behind_since_us: Option<u64>,
     /// The call to the platform under way.
     call: Option<PlatformCall>,
@@ -107,6 +112,11 @@
     hung: bool,
     /// Whether the call under way is made because no other reader was heard.
     no_reader_heard: bool,
+    /// Whether this node watches in the watchers' place: no reader was heard, and the platform answered.
+    stands_in: bool,
+    /// When the platform last answered this node itself, in microseconds of the steady clock.
+    answered_at_us: Option<u64>,
+    turns: Turns,
     log: RelayLog,
     rng: SmallRng,
 }
@@ -114,17 +124,18 @@
 impl PlatformReader {
     /// A node that has read nothing.
     pub fn new(options: ReaderOptions, seed: u64) -> Self {
-        let mut reader = Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        Self {
             options,
             role: ReaderRole::Watcher,
             mark: ReadMark::default(),
             snapshot: Some(SnapshotRead::new(CallReason::Start)),
             start_queries: options.start_queries,
+            startup: Startup::default(),
             catch_up: None,
             pause_until_us: 0,
             failures: 0,
             freshness: Freshness::default(),
-            follower_wait_us: 0,
             behind_since_us: None,
             call: None,
             state_bytes: 0,
@@ -132,11 +143,12 @@
             watched_after: 0,
             hung: false,
             no_reader_heard: false,
+            stands_in: false,
+            answered_at_us: None,
+            turns: Turns::new(&mut rng),
             log: RelayLog::default(),
-            rng: SmallRng::seed_from_u64(seed),
-        };
-        reader.draw_follower_wait();
-        reader
+            rng,
+        }
     }
 
     /// How far the platform is read; zeros before the first read.
@@ -169,7 +181,7 @@
             let (reason, next_page) = (snapshot.reason(), snapshot.next_page());
             return self.next_of_snapshot(reason, next_page, now_us);
         }
-        if self.role == ReaderRole::Watcher {
+        if self.watches() {
             // Its watch takes the place of a call for what peers did not bring; the next relay begins a new round of queries.
             self.catch_up = self.catch_up.filter(|catch_up| now_us < catch_up.platform_at_us);
             let wait_ms = self.wait_ms(now_us);
@@ -203,7 +215,10 @@
 
     /// When a node that does not watch reads for itself: once peers have not brought what it lacks, or no relay renews its lease.
     fn poll_at_us(&self) -> u64 {
-        let wait_us = if self.role == ReaderRole::Follower { self.follower_wait_us } else { 0 };
+        let wait_us = match self.role {
+            ReaderRole::Follower => self.turns.follower_wait_ms(&self.options) * US_PER_MS,
+            ReaderRole::Watcher | ReaderRole::Standby => 0,
+        };
         let lease_us = self.freshness.lease_until_us(&self.options) + wait_us;
         self.catch_up.map_or(lease_us, |catch_up| catch_up.platform_at_us)
     }
@@ -211,6 +226,10 @@
     /// Queries a peer first, after a start; then reads the platform.
     fn next_of_snapshot(&mut self, reason: CallReason, next_page: Option<String>, now_us: u64) -> ReaderCall {
         let unbegun = self.snapshot.as_ref().is_some_and(SnapshotRead::is_unbegun);
+        let starts = unbegun && reason == CallReason::Start;
+        if starts && self.startup.queries_peers(&self.options, now_us, &mut self.rng) {
+            return ReaderCall::QueryPeer(self.peer_query(QueryTarget::Any));
+        }
         if self.start_queries > 0 && unbegun {
             self.start_queries -= 1;
             return ReaderCall::QueryPeer(self.peer_query(QueryTarget::Any));
@@ -261,32 +280,41 @@
         self.rng.random_range(longest_ms * 3 / 4..=longest_ms)
     }
 
-    fn draw_follower_wait(&mut self) {
-        let (min_us, max_us) =
-            (self.options.follower_wait_min_ms * US_PER_MS, self.options.follower_wait_max_ms * US_PER_MS);
-        self.follower_wait_us = self.rng.random_range(min_us..=max_us);
-    }
-
     /// What this node relays to all others now, if the platform's answer behind it is current.
+    ///
+    /// The age is that of the platform's answer to this node itself: what it knows from other readers, these relay.
     pub fn relay(&self, now_us: u64) -> Option<Relay> {
-        let age_ms = self.current_age_ms(now_us)?;
-        Some(self.log.relay(self.mark, age_ms))
+        let answered_at_us = self.answered_at_us.filter(|_| self.trusts_what_it_knows())?;
+        let age_ms = now_us.saturating_sub(answered_at_us) / US_PER_MS;
+        (age_ms < self.options.lease_ms).then(|| self.log.relay(self.mark, age_ms))
+    }
+
+    /// Whether this node watches the platform for all, by its role or since no reader was heard.
+    pub fn watches(&self) -> bool {
+        self.role == ReaderRole::Watcher || self.stands_in
     }
 
-    /// Whether this node relays at regular intervals.
-    pub fn is_watcher(&self) -> bool {
-        self.role == ReaderRole::Watcher
+    /// Whether this node watches in the watchers' place.
+    pub fn stands_in(&self) -> bool {
+        self.stands_in
     }
 
-    /// Whether this node relays right after an answer of the platform: it is a watcher, or no other reader was heard.
+    /// Whether this node relays right after an answer of the platform: it watches, or no other reader was heard.
     pub fn broadcasts(&self) -> bool {
-        self.is_watcher() || self.no_reader_heard
+        self.watches() || self.no_reader_heard
     }
 
-    /// Age of the platform's last answer, if that is current and everything is read.
+    /// Age of the platform's last answer, if that is current and what is known is right up to its revision.
+    ///
+    /// A reader that reads everything anew still knows what it knew before, so it goes on answering queries.
     fn current_age_ms(&self, now_us: u64) -> Option<u64> {
         let age_ms = self.freshness.age_ms(now_us)?;
-        (self.snapshot.is_none() && age_ms < self.options.lease_ms).then_some(age_ms)
+        (self.trusts_what_it_knows() && age_ms < self.options.lease_ms).then_some(age_ms)
+    }
+
+    /// Whether what is known is right up to the revision that was read.
+    fn trusts_what_it_knows(&self) -> bool {
+        self.snapshot.as_ref().is_none_or(SnapshotRead::keeps_what_is_known)
     }
 
     /// Takes note that the platform's answer to the call under way has begun to come.
--- a/crates/pointvane-dispatch/src/reader/answers.rs
+++ b/crates/pointvane-dispatch/src/reader/answers.rs
@@ -76,7 +76,7 @@
         }
         self.raise_version(&page.changes);
         self.advance_to(page.revision, &page.changes);
-        if !page.changes.is_empty() && self.role == ReaderRole::Watcher {
+        if !page.changes.is_empty() && self.watches() {
             self.pause_between_answers(began_us, now_us);
         }
         page.changes
@@ -86,8 +86,10 @@
         self.call = None;
         self.failures = 0;
         self.pause_until_us = now_us;
+        self.answered_at_us = Some(now_us);
+        self.stands_in |= self.no_reader_heard && self.role != ReaderRole::Watcher;
         self.freshness.confirm(now_us, &self.options);
-        self.draw_follower_wait();
+        self.turns.draw(&mut self.rng);
     }
 
     fn raise_version(&mut self, changes: &[Change]) {
@@ -121,6 +123,7 @@
     /// Takes the failure of a call to the platform.
     pub fn call_failed(&mut self, failure: CallFailure, now_us: u64) {
         self.call = None;
+        self.stands_in &= failure != CallFailure::Unavailable;
         // A page of a read of everything that is too long is a failure like others: reading it again at once would not end.
         let answered = match failure {
             CallFailure::HistoryGone => true,
@@ -137,6 +140,10 @@
             }
         };
         self.snapshot = reason.map(SnapshotRead::new);
+        if failure == CallFailure::HistoryGone && !self.no_reader_heard && !self.watches() {
+            // Readers are heard, so a peer has it.
+            self.start_queries = self.start_queries.max(1);
+        }
         if self.mark == ReadMark::default() {
             // Peers may have read it meanwhile, or the platform may answer them and not this node.
             self.start_queries = self.start_queries.max(1);
@@ -151,15 +158,16 @@
         self.pause_until_us = now_us + self.rng.random_range(longest_ms / 2..=longest_ms) * US_PER_MS;
     }
 
-    /// The first pause is short. After that watchers stay quick, and others don't, since their calls add up.
+    /// The first pause is short, but for followers. After that watchers stay quick, and others don't, since their calls add up.
     fn retry_pause_max_ms(&self) -> u64 {
         let ReaderOptions { retry_ms, retry_max_ms, retry_others_max_ms, .. } = self.options;
         match (self.role, self.failures) {
             (ReaderRole::Watcher, failures) => {
                 (retry_ms << failures.min(RETRY_DOUBLINGS_MAX)).min(retry_max_ms)
             }
-            (_, 0) => retry_ms,
-            _ => retry_others_max_ms,
+            (ReaderRole::Standby, 0) => retry_ms,
+            (ReaderRole::Standby, _) => retry_others_max_ms,
+            (ReaderRole::Follower, _) => self.turns.retry_pause_max_ms(&self.options),
         }
     }
 }
--- a/crates/pointvane-dispatch/src/reader/nodes.rs
+++ b/crates/pointvane-dispatch/src/reader/nodes.rs
@@ -8,12 +8,13 @@
         state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest},
     },
     pointvane_core::{Change, Name, US_PER_MS},
+    std::mem,
 };
 
 /// Upstreams beyond which a node that needs all of them has to read the platform.
 ///
-/// Worked out, not measured: some hundred KB for each of hundreds of nodes would fill the links of those that are queried.
-const WHOLE_STATE_UPSTREAMS_MAX: usize = 512;
+/// Worked out, not measured: some 70 bytes each, so 0.6 MB, which a link of 10 Mbit/s carries in 0.5 s.
+const WHOLE_STATE_UPSTREAMS_MAX: usize = 8_192;
 
 /// All upstreams as changes, unless there are too many.
 fn whole_state(known: &impl KnownState) -> Option<Vec<Change>> {
@@ -36,9 +37,10 @@
     /// `position` is this node's in the order in which nodes query each other, from 0 for the first to 1.
     pub fn receive_relay(&mut self, relay: Relay, position: f64, now_us: u64) -> Vec<Change> {
         let older = relay.mark.revision < self.mark.revision || relay.age_ms >= self.options.lease_ms;
-        if self.snapshot.is_some() || older {
+        if self.must_read_everything() || older {
             return Vec::new();
         }
+        self.platform_lives(now_us);
         let gap = relay.mark.revision > self.mark.revision && relay.since > self.mark.revision;
         let answered_at_us = now_us.saturating_sub(relay.age_ms * US_PER_MS);
         if gap || relay.mark.version > self.mark.version {
@@ -48,12 +50,40 @@
             }
             return drains(relay.changes);
         }
+        // What led to a read of everything came from the relay.
+        self.snapshot = None;
         self.no_reader_heard = false;
         self.freshness.confirm(answered_at_us, &self.options);
         self.advance_to(relay.mark.revision, &relay.changes);
         relay.changes
     }
 
+    /// Whether only a read of everything is of use: none has succeeded yet, or one is under way, or what is known cannot be trusted.
+    fn must_read_everything(&self) -> bool {
+        self.snapshot.as_ref().is_some_and(|snapshot| {
+            self.watches() || !snapshot.is_unbegun() || !snapshot.keeps_what_is_known()
+        })
+    }
+
+    /// The platform answers another reader: a node that does not watch takes that for the end of its failures.
+    fn platform_lives(&mut self, now_us: u64) {
+        if !self.watches() && self.failures > 0 {
+            self.failures = 0;
+            self.pause_until_us = self.pause_until_us.min(now_us);
+        }
+    }
+
+    /// Takes note of another reader's relay, by an answer of the platform of an age in milliseconds. If that reader precedes this node, this
+    /// one no longer watches in the watchers' place.
+    pub fn hear_reader(&mut self, age_ms: u64, precedes: bool) {
+        self.stands_in &= !precedes || age_ms >= self.options.lease_ms;
+    }
+
+    /// Takes the count of nodes that are reached, this one included.
+    pub fn set_reached_nodes(&mut self, nodes: usize) {
+        self.turns.set_nodes(nodes);
+    }
+
     /// Whether this node's own calls to the platform soon bring what others have read: a watcher that the platform answers pauses
     /// for a moment at most, unless an answer takes long to come.
     fn reads_soon(&self, now_us: u64) -> bool {
@@ -61,7 +91,7 @@
             .call
             .and_then(PlatformCall::fetching_since_us)
             .is_some_and(|since_us| now_us.saturating_sub(since_us) >= self.options.behind_ms * US_PER_MS);
-        self.role == ReaderRole::Watcher && self.failures == 0 && !slow
+        self.watches() && self.failures == 0 && !slow
     }
 
     fn begin_catch_up(&mut self, wanted: ReadMark, position: f64, now_us: u64) {
@@ -74,6 +104,7 @@
             query_at_us: now_us + delay_ms * US_PER_MS,
             peer_queries: self.options.peer_queries,
             platform_at_us: now_us + self.options.catch_up_ms * US_PER_MS,
+            declined: false,
         });
     }
 
@@ -145,6 +176,7 @@
             true => self.restart_at(mark.revision),
             false => self.advance_to(mark.revision, &changes),
         }
+        self.query_again(now_us);
         changes
     }
 
@@ -155,12 +187,32 @@
         self.snapshot = Some(SnapshotRead::new(CallReason::ConfigurationMissing));
     }
 
+    /// Takes note that a peer answered a query and knows no more, or has no time. After the last one that is no reason to call the
+    /// platform at once: peers are queried again, and the platform is called when this node's turn comes.
+    pub fn query_declined(&mut self, now_us: u64) {
+        let Some(catch_up) = self.catch_up.as_mut().filter(|catch_up| catch_up.peer_queries == 0) else {
+            return self.query_failed(now_us);
+        };
+        if !mem::replace(&mut catch_up.declined, true) {
+            catch_up.platform_at_us += self.turns.declined_wait_ms(&self.options) * US_PER_MS;
+        }
+        self.query_again(now_us);
+    }
+
+    /// Begins another round of queries, if the last one is over and what is missing has not come.
+    fn query_again(&mut self, now_us: u64) {
+        if let Some(catch_up) = self.catch_up.as_mut().filter(|catch_up| catch_up.peer_queries == 0) {
+            catch_up.peer_queries = self.options.peer_queries;
+            catch_up.query_at_us = now_us + self.options.declined_pause_ms * US_PER_MS;
+        }
+    }
+
     /// Takes note that a query failed. After a start there is a pause before the next query; after the last one the platform is called.
     pub fn query_failed(&mut self, now_us: u64) {
         if let Some(catch_up) = self.catch_up.as_mut().filter(|catch_up| catch_up.peer_queries == 0) {
             catch_up.platform_at_us = now_us;
         }
-        if self.snapshot.is_some() && self.start_queries > 0 {
+        if self.snapshot.is_some() {
             self.pause_until_us = now_us + self.options.start_pause_ms * US_PER_MS;
         }
     }
--- a/crates/pointvane-dispatch/src/reader/snapshot.rs
+++ b/crates/pointvane-dispatch/src/reader/snapshot.rs
@@ -58,6 +58,11 @@
         self.reason
     }
 
+    /// Whether what this node knows stays true up to its revision until the read is done.
+    pub fn keeps_what_is_known(&self) -> bool {
+        !matches!(self.reason, CallReason::Start | CallReason::WentBack)
+    }
+
     /// Where the next page begins; none for the first.
     pub fn next_page(&self) -> Option<String> {
         self.next_page.clone()
--- /dev/null
+++ b/crates/pointvane-dispatch/src/reader/startup.rs
@@ -0,0 +1,34 @@
+//! Startup: for how long a node that knows nothing queries peers before it reads the platform itself.
+//!
+//! When all nodes start at once, a few read and the others get it from each other, a whole state being passed on by each node
+//! that has it. How many nodes start is known to none. So each draws the moment at which it reads by itself, few early and
+//! twice as many in each further step: where the state spreads, most have it before their moment comes, and where it does not,
+//! nobody waits for longer than the whole time.
+//! Input: none but the seeded randomness. Tests: `tests/large_fleets.rs`.
+
+use {super::ReaderOptions, pointvane_core::US_PER_MS, rand::Rng};
+
+/// Steps of the time, in each of which twice as many nodes read as in the one before.
+///
+/// With 8 steps in 1.6 s, nodes made 213 and 975 calls in fleets of 472 and 1,800 where a read takes 0.75 s; with 12 in 2 s 39 and 147 (simulated fleet,
+/// `tests/large_fleets.rs`).
+const STEPS: f64 = 12.0;
+
+/// When a node that knows nothing reads the platform itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Startup {
+    /// Drawn at the first question.
+    read_at_us: Option<u64>,
+}
+
+impl Startup {
+    /// Whether peers are still queried, rather than the platform read.
+    pub fn queries_peers(&mut self, options: &ReaderOptions, now_us: u64, rng: &mut impl Rng) -> bool {
+        let read_at_us = *self.read_at_us.get_or_insert_with(|| {
+            let span_us = (options.start_spread_ms * US_PER_MS) as f64;
+            let doubled: f64 = rng.random::<f64>() * (STEPS.exp2() - 1.0);
+            now_us + (span_us * (1.0 + doubled).log2() / STEPS) as u64
+        });
+        now_us < read_at_us
+    }
+}
--- a/crates/pointvane-dispatch/src/relay.rs
+++ b/crates/pointvane-dispatch/src/relay.rs
@@ -14,8 +14,9 @@
 /// Changes that one relay contains at most, so that it fits a datagram. Worked out, not measured; one that does not fit is
 /// sent without changes.
 const RELAYED_MAX: usize = 20;
-/// Changes that a log keeps at most. Not measured: it bounds memory.
-const KEPT_MAX: usize = 256;
+/// Changes that a log keeps at most. Not measured: it bounds memory to some 200 KB, and is more than a release or a crash of a part of a
+/// thousand upstreams changes within a lease.
+const KEPT_MAX: usize = 1_024;
 
 /// What a watcher sends to all others: how far the platform is read, how long ago it answered, and the last changes.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/pointvane-dispatch/src/state_query.rs
+++ b/crates/pointvane-dispatch/src/state_query.rs
@@ -60,6 +60,32 @@
     deltas.iter().map(|delta| delta.touched() + 1).sum()
 }
 
+/// Whole states that a node sends at once at most.
+///
+/// Worked out, not measured: four of 1,080 upstreams are some 0.3 MB, 0.12 s of a link of 20 Mbit/s. Whoever is turned away queries another
+/// node, which may have it by then.
+const WHOLE_STATES_AT_ONCE: usize = 4;
+
+/// The whole states that a node sends now, so that those who start do not fill the link of one node.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WholeStateLimit {
+    under_way: usize,
+}
+
+impl WholeStateLimit {
+    /// Counts another one, unless there are as many as may be.
+    pub fn begin(&mut self) -> bool {
+        let may = self.under_way < WHOLE_STATES_AT_ONCE;
+        self.under_way += usize::from(may);
+        may
+    }
+
+    /// Takes note that one was sent, or broke off.
+    pub fn end(&mut self) {
+        self.under_way -= 1;
+    }
+}
+
 /// A query for what a node does not know yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateRequest {
--- a/crates/pointvane-node/src/fleet.rs
+++ b/crates/pointvane-node/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::settings::NodeSettings,
-    pointvane_core::{Incarnation, Name, VmIdentity, VmState},
+    pointvane_core::{Incarnation, Name, US_PER_MS, VmIdentity, VmState},
     pointvane_dispatch::{
         Broadcaster, DirectoryMember, Forwarder, OrderedNode, QueryCandidate, QueryTarget, ReaderRole,
         ReceivedRounds, RelayDatagram, broadcast_position, earlier_peer, fan_out, forwarders, query_position,
@@ -31,6 +31,9 @@
 const WATCHERS: usize = 2;
 /// Nodes that read the platform when no watcher is heard. Not measured at other values.
 const STANDBYS: usize = 4;
+/// Time without a datagram of any other node after which this node counts as reaching none, in milliseconds. Not measured: at the least
+/// some five datagrams a second come from others, so that one in two thousand such spans is empty by chance.
+const PEER_SILENCE_MS: u64 = 1_500;
 /// What readers are ranked for. A name on the wire: nodes of all versions must rank alike.
 const READER_SUBJECT: &str = "platform";
 /// What nodes are ranked for when relays are passed on; a name on the wire, as above.
@@ -46,6 +49,8 @@
     received_rounds: RefCell<ReceivedRounds>,
     relay_round: Cell<u64>,
     broadcaster: Cell<Option<Broadcaster>>,
+    /// When a datagram of another node came last, in microseconds of the steady clock.
+    heard_at_us: Cell<u64>,
     /// The latest revision of the platform that any peer has read.
     latest_revision: Cell<u64>,
     rng: RefCell<SmallRng>,
@@ -68,6 +73,7 @@
             // Rounds of a later life are higher than all rounds of this one.
             relay_round: Cell::new(incarnation.0),
             broadcaster: Cell::default(),
+            heard_at_us: Cell::new(now_us),
             latest_revision: Cell::default(),
             rng: RefCell::new(SmallRng::from_rng(seeder)),
         }
@@ -85,6 +91,12 @@
         self.membership.borrow().rows().filter(|row| row.state != VmState::Dead).count()
     }
 
+    /// Nodes that share the turns at calling the platform, this one included: 1 while none of the others is heard.
+    pub fn reached_nodes(&self, now_us: u64) -> usize {
+        let silent = now_us.saturating_sub(self.heard_at_us.get()) >= PEER_SILENCE_MS * US_PER_MS;
+        if silent { 1 } else { self.size() }
+    }
+
     /// Nodes that callers may be sent to.
     pub fn directory_members(&self) -> Vec<DirectoryMember> {
         let membership = self.membership.borrow();
@@ -121,6 +133,7 @@
 
     /// Takes a message of another node.
     pub fn receive(&self, from: SocketAddr, message: &GossipMessage, now_us: u64) -> Vec<Action> {
+        self.heard_at_us.set(now_us);
         self.latest_revision.set(self.latest_revision.get().max(message.stamps.configuration.revision));
         self.membership.borrow_mut().receive(from, message, now_us)
     }
@@ -152,6 +165,7 @@
 
     /// Takes note of a relay; false if it is not newer than those received from its origin.
     pub fn is_new_relay(&self, datagram: &RelayDatagram, now_us: u64) -> bool {
+        self.heard_at_us.set(now_us);
         let new = self.received_rounds.borrow_mut().is_new(datagram.origin, datagram.round, now_us);
         if new {
             let revision = datagram.relay.mark().revision;
@@ -179,15 +193,24 @@
     /// What this node does for the others' reading of the platform.
     pub fn reader_role(&self) -> ReaderRole {
         let membership = self.membership.borrow();
-        let readers = choose_readers(READER_SUBJECT, membership.rows(), WATCHERS + STANDBYS);
-        let position = readers.iter().position(|name| *name == membership.me().identity.name);
-        match position {
+        match reader_position(&membership, &membership.me().identity.name) {
             Some(position) if position < WATCHERS => ReaderRole::Watcher,
             Some(_) => ReaderRole::Standby,
             None => ReaderRole::Follower,
         }
     }
 
+    /// Whether the node at an address precedes this one as a reader: chosen ones in their order, then the others by address.
+    pub fn precedes(&self, origin: SocketAddr) -> bool {
+        let membership = self.membership.borrow();
+        let order = |row: &MemberRow| {
+            let position = reader_position(&membership, &row.identity.name);
+            (position.is_none(), position, row.control_address())
+        };
+        let other = membership.rows().skip(1).find(|row| row.control_address() == origin);
+        other.is_some_and(|other| order(other) < order(membership.me()))
+    }
+
     /// This node's position in the order in which nodes query each other for a revision, from 0 to 1.
     pub fn query_position(&self, revision: u64) -> f64 {
         let membership = self.membership.borrow();
@@ -207,13 +230,17 @@
         self.broadcaster.get().map(|broadcaster| broadcaster.address)
     }
 
-    /// Any other live node, or any other seed while none is known.
+    /// Any other live node that has read something, one of this data centre if there is one; any other seed while none is known.
     fn any_peer(&self, settings: &NodeSettings) -> Option<SocketAddr> {
         let mut rng = self.rng.borrow_mut();
         let membership = self.membership.borrow();
-        let live = membership.rows().skip(1).filter(|row| row.state == VmState::Live);
-        if let Some(peer) = live.map(MemberRow::control_address).choose(&mut *rng) {
-            return Some(peer);
+        let me = &membership.me().identity;
+        let informed = |row: &&MemberRow| row.state == VmState::Live && row.stamp.revision > 0;
+        let near = |row: &&MemberRow| row.identity.data_centre == me.data_centre;
+        let others = || membership.rows().skip(1).filter(informed);
+        let near_one = others().filter(near).choose(&mut *rng);
+        if let Some(peer) = near_one.or_else(|| others().choose(&mut *rng)) {
+            return Some(peer.control_address());
         }
         settings.seeds.iter().copied().filter(|seed| *seed != settings.gossip).choose(&mut *rng)
     }
@@ -234,6 +261,12 @@
     }
 }
 
+/// The place of a node among the chosen readers, from 0; none if it is not one.
+fn reader_position(membership: &Membership, node: &Name) -> Option<usize> {
+    let readers = choose_readers(READER_SUBJECT, membership.rows(), WATCHERS + STANDBYS);
+    readers.iter().position(|name| name == node)
+}
+
 /// What nodes are ranked for when they query each other for a revision: another order for each.
 fn query_subject(revision: u64) -> String {
     format!("state/{revision}")
--- a/crates/pointvane-node/src/gossip_loop.rs
+++ b/crates/pointvane-node/src/gossip_loop.rs
@@ -40,7 +40,9 @@
     /// Compares what this node has read with what its peers have.
     fn compare_with_peers(&self) {
         let (role, latest) = (self.fleet.reader_role(), self.fleet.latest_revision());
-        self.platform.state_mut().compare_with_peers(role, latest, self.now_us());
+        let now_us = self.now_us();
+        self.platform.state_mut().set_reached_nodes(self.fleet.reached_nodes(now_us));
+        self.platform.state_mut().compare_with_peers(role, latest, now_us);
         self.platform.tell_news();
     }
 }
--- a/crates/pointvane-node/src/platform_reader.rs
+++ b/crates/pointvane-node/src/platform_reader.rs
@@ -101,7 +101,13 @@
         Ok(answered) => answered,
         Err(error) => {
             node.report.query_failed(error.as_str());
-            return node.platform.state_mut().query_failed(node.now_us());
+            let (mut state, now_us) = (node.platform.state_mut(), node.now_us());
+            return match error {
+                QueryError::NothingNewer => state.query_declined(now_us),
+                QueryError::NoPeer | QueryError::Unreachable | QueryError::NoAnswer => {
+                    state.query_failed(now_us)
+                }
+            };
         }
     };
     let (revision, age_ms) = (reply.mark.revision, reply.age_ms);
--- a/crates/pointvane-node/src/platform_state.rs
+++ b/crates/pointvane-node/src/platform_state.rs
@@ -4,15 +4,19 @@
 
 use {
     crate::settings::NodeSettings,
-    pointvane_dispatch::{PlatformReader, ReadMark, ReaderOptions},
+    pointvane_dispatch::{PlatformReader, ReadMark, ReaderOptions, WholeStateLimit},
     std::cell::{Ref, RefCell, RefMut},
     tokio::sync::Notify,
 };
 
-/// Peers that a node queries at the first start of all before it reads the platform. Not measured.
-const FIRST_START_QUERIES: u32 = 5;
-/// Pause between two of these queries, in milliseconds: the seeds need some time to read the platform. Not measured.
-const FIRST_START_PAUSE_MS: u64 = 250;
+/// Time over which nodes that are no seeds read the platform themselves after a start, in milliseconds. Measured with the steps of
+/// `pointvane-dispatch`'s `reader/startup.rs`.
+const START_SPREAD_MS: u64 = 2_000;
+/// Longest time to the first byte of a peer's answer after a start, in milliseconds. Not measured: a peer that has just started too may
+/// have hundreds of queries before this one.
+const START_TIMEOUT_MS: u64 = 150;
+/// Pause between two queries of peers after a start, in milliseconds. Not measured: hundreds of nodes query a few at first.
+const START_PAUSE_MS: u64 = 80;
 
 /// What a node has read of the platform.
 #[derive(Debug)]
@@ -20,6 +24,21 @@
     reader: RefCell<PlatformReader>,
     /// Whoever pauses or waits looks again at what is to be done.
     news: Notify,
+    whole_states: RefCell<WholeStateLimit>,
+}
+
+/// An answer to another node's query that is being sent; counted until it is dropped.
+#[derive(Debug)]
+pub struct AnswerUnderWay<'s> {
+    limit: Option<&'s RefCell<WholeStateLimit>>,
+}
+
+impl Drop for AnswerUnderWay<'_> {
+    fn drop(&mut self) {
+        if let Some(limit) = self.limit {
+            limit.borrow_mut().end();
+        }
+    }
 }
 
 impl PlatformState {
@@ -28,6 +47,7 @@
         Self {
             reader: RefCell::new(PlatformReader::new(reader_options(settings), seed)),
             news: Notify::new(),
+            whole_states: RefCell::default(),
         }
     }
 
@@ -41,6 +61,13 @@
         self.reader.borrow_mut()
     }
 
+    /// Begins an answer to another node's query; none if this node sends as many whole states as it may.
+    pub fn begin_answer(&self, whole: bool) -> Option<AnswerUnderWay<'_>> {
+        let limit = whole.then_some(&self.whole_states);
+        let may = limit.is_none_or(|limit| limit.borrow_mut().begin());
+        may.then_some(AnswerUnderWay { limit })
+    }
+
     /// How far the platform is read; zeros before the first read.
     pub fn mark(&self) -> ReadMark {
         self.reader.borrow().mark()
@@ -69,16 +96,17 @@
     }
 }
 
-/// At the first start of all, only the seeds read the platform at once; the others wait for what these have read.
+/// Seeds read the platform soon, as others start with them; these wait for what the seeds have read.
 fn reader_options(settings: &NodeSettings) -> ReaderOptions {
     let defaults = ReaderOptions::default();
     match (settings.first_start, settings.seeds.contains(&settings.gossip)) {
         (true, true) => ReaderOptions { start_queries: 0, ..defaults },
-        (true, false) => ReaderOptions {
-            start_queries: FIRST_START_QUERIES,
-            start_pause_ms: FIRST_START_PAUSE_MS,
+        (false, true) => defaults,
+        (_, false) => ReaderOptions {
+            start_spread_ms: START_SPREAD_MS,
+            start_timeout_ms: START_TIMEOUT_MS,
+            start_pause_ms: START_PAUSE_MS,
             ..defaults
         },
-        (false, _) => defaults,
     }
 }
--- a/crates/pointvane-node/src/relay_loop.rs
+++ b/crates/pointvane-node/src/relay_loop.rs
@@ -5,7 +5,7 @@
     pointvane_core::PlatformAdapter,
     pointvane_dispatch::{Forwarder, Relay, RelayDatagram, Segment, WireRelay},
     pointvane_mesh::codec,
-    std::{rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::UdpSocket, time::interval},
 };
 
@@ -23,7 +23,7 @@
     let mut ticks = interval(RELAY_INTERVAL);
     loop {
         ticks.tick().await;
-        if node.platform.state().is_watcher() {
+        if node.platform.state().watches() {
             node.send_relay();
         }
     }
@@ -37,7 +37,9 @@
         let Ok(datagram) = codec::decode::<RelayDatagram>(&buffer[..length]) else { continue };
         if node.fleet.is_new_relay(&datagram, node.now_us()) {
             node.pass_on(&datagram);
-            node.apply_relay(datagram.relay.into());
+            let relay = Relay::from(datagram.relay);
+            node.hear_reader(datagram.origin, relay.age_ms);
+            node.apply_relay(relay);
         }
     }
 }
@@ -71,6 +73,13 @@
         }
     }
 
+    /// Stops watching in the watchers' place once a reader that precedes this node is answered.
+    fn hear_reader(&self, origin: SocketAddr, age_ms: u64) {
+        if self.platform.state().stands_in() {
+            self.platform.state_mut().hear_reader(age_ms, self.fleet.precedes(origin));
+        }
+    }
+
     fn apply_relay(&self, relay: Relay) {
         let order = self.fleet.query_position(relay.mark.revision);
         let changes = self.platform.state_mut().receive_relay(relay, order, self.now_us());
--- a/crates/pointvane-node/src/state_query.rs
+++ b/crates/pointvane-node/src/state_query.rs
@@ -83,11 +83,20 @@
     stream.set_nodelay(true)?;
     let request: StateRequest = timeout(REQUEST_TIMEOUT, read_frame(&mut stream)).await??;
     let reply = node.platform.state().answer(&request, node, node.now_us());
-    timeout(SEND_TIMEOUT, write_frame(&mut stream, &reply)).await??;
+    let whole = reply.as_ref().is_some_and(|reply| reply.whole);
+    let sent = match node.platform.begin_answer(whole) {
+        Some(_under_way) => send_answer(&mut stream, &reply).await,
+        None => send_answer(&mut stream, &None).await,
+    };
+    sent?;
     // Closing the socket with its end unread would reset it and cut the answer off.
     stream.shutdown().await
 }
 
+async fn send_answer(stream: &mut TcpStream, reply: &Option<StateReply>) -> io::Result<()> {
+    timeout(SEND_TIMEOUT, write_frame(stream, reply)).await?
+}
+
 /// Queries another node. The answer's first byte must come within the time-out; then it may take as long as it goes on coming,
 /// within [`TRANSFER_TIMEOUT`].
 ///
