--- a/crates/pointvane-dispatch/src/reader.rs
+++ b/crates/pointvane-dispatch/src/reader.rs
@@ -2,9 +2,10 @@
 //!
 //! A few nodes read for all. Watchers hold a watch open and relay each answer to all nodes. A relay is also a lease: as long
 //! as the platform's answer behind it is young, a node need not read for itself. Without a watcher standbys read, and
-//! without these the others in turns (`turns.rs`); whoever of them is answered watches for all until a watcher is heard. What a relay has no room for, such as a configuration, nodes query from each
-//! other in an order that spreads the load (`query_order.rs`), and from the platform if that fails. Everything is
-//! read anew when the platform no longer holds the changes that are missing, or an answer cannot be trusted.
+//! without these the others in turns (`turns.rs`); whoever of them is answered watches for all until a watcher is heard. What
+//! a relay has no room for, such as a configuration, nodes query from each other in an order that spreads the load
+//! (`query_order.rs`), and from the platform if that fails. Everything is read anew when the platform no longer holds the
+//! changes that are missing, or an answer cannot be trusted. How a node starts: `startup.rs`.
 //!
 //! The state machine takes the time and the answers and returns the next call; `pointvane-node` carries it out. Calls to the
 //! platform and queries of peers run beside each other: [`PlatformReader::next`] and [`PlatformReader::next_query`]. Inputs that
--- a/crates/pointvane-dispatch/src/reader/answers.rs
+++ b/crates/pointvane-dispatch/src/reader/answers.rs
@@ -131,15 +131,7 @@
             _ => false,
         };
         // After an answer that broke off as well: a read of everything holds each value once, the changes each version of it.
-        let reason = match (failure, &self.snapshot) {
-            (_, Some(snapshot)) => Some(snapshot.reason()),
-            (CallFailure::Unavailable, None) => None,
-            (CallFailure::HistoryGone, None) => Some(CallReason::HistoryGone),
-            (CallFailure::BrokenOff | CallFailure::LongerThanState | CallFailure::Malformed, None) => {
-                Some(CallReason::BadAnswer)
-            }
-        };
-        self.snapshot = reason.map(SnapshotRead::new);
+        self.snapshot = self.reason_to_read_everything(failure).map(SnapshotRead::new);
         if failure == CallFailure::HistoryGone && !self.no_reader_heard && !self.watches() {
             // Readers are heard, so a peer has it.
             self.start_queries = self.start_queries.max(1);
@@ -158,6 +150,18 @@
         self.pause_until_us = now_us + self.rng.random_range(longest_ms / 2..=longest_ms) * US_PER_MS;
     }
 
+    /// Why everything is read after a failed call, if it is: a read of everything that was under way begins anew.
+    fn reason_to_read_everything(&self, failure: CallFailure) -> Option<CallReason> {
+        match (failure, &self.snapshot) {
+            (_, Some(snapshot)) => Some(snapshot.reason()),
+            (CallFailure::Unavailable, None) => None,
+            (CallFailure::HistoryGone, None) => Some(CallReason::HistoryGone),
+            (CallFailure::BrokenOff | CallFailure::LongerThanState | CallFailure::Malformed, None) => {
+                Some(CallReason::BadAnswer)
+            }
+        }
+    }
+
     /// The first pause is short, but for followers. After that watchers stay quick, and others don't, since their calls add up.
     fn retry_pause_max_ms(&self) -> u64 {
         let ReaderOptions { retry_ms, retry_max_ms, retry_others_max_ms, .. } = self.options;
--- a/crates/pointvane-dispatch/src/reader/startup.rs
+++ b/crates/pointvane-dispatch/src/reader/startup.rs
@@ -10,11 +10,12 @@
 
 /// Steps of the time, in each of which twice as many nodes read as in the one before.
 ///
-/// With 8 steps in 1.6 s, nodes made 213 and 975 calls in fleets of 472 and 1,800 where a read takes 0.75 s; with 12 in 2 s 39 and 147 (simulated fleet,
-/// `tests/large_fleets.rs`).
+/// With 8 steps in 1.6 s, fleets of 472 and 1,800 nodes made 213 and 975 calls where a read takes 0.75 s; with 12 in 2 s 39 and 147
+/// (simulated fleet, `tests/large_fleets.rs`).
 const STEPS: f64 = 12.0;
 
-/// First queries that reached no peer after which the platform is read: the nodes that all know from the start are not there, so nothing spreads.
+/// First queries that reached no peer after which the platform is read: the nodes that all know from the start are not there, so nothing
+/// spreads.
 ///
 /// When 18 nodes had lost power and came back one after the other within 0.4 s, the first knew something 0.35 s after its start, in
 /// place of 0.05 s, while it went on querying those that had not started.
