Grace of expired entries: a pause of the node itself is no outage of the platform

Traced in the lines of one node: it wrote nothing from 27.58 to 34.37 s (it was paused), was told revision 156 by a peer at 34.98, and dropped 13 upstreams only at 37.31: it had taken its pause for an outage of the platform, since peers had been ahead for less than a second of its own time, and kept expired entries for 2.15 s more. Time for which the process did not run no longer counts as outage (gaps of a second or more between ticks or calls). Test: after_a_pause_of_the_nodes_own_an_upstream_is_gone_at_once, red before.

--- a/crates/pointvane-dispatch/src/reader/freshness.rs
+++ b/crates/pointvane-dispatch/src/reader/freshness.rs
@@ -11,8 +11,15 @@
     /// When the platform first answered a peer again, as far as this node has heard of it before it got an answer itself.
     returned_at_us: Option<u64>,
     grace_until_us: u64,
+    /// When this process last looked at the time, as far as it does so at intervals.
+    ticked_at_us: Option<u64>,
+    /// Time since the last confirmation for which this process stood still, in microseconds.
+    stalled_us: u64,
 }
 
+/// Time between two ticks from which on this process counts as having stood still, in microseconds. Not measured: ten of the node's ticks.
+const STALL_MIN_US: u64 = 1_000_000;
+
 impl Freshness {
     /// Takes note that what is known was current at a time, by an answer of the platform or a relay.
     ///
@@ -25,6 +32,15 @@
             self.grace_until_us = returned_at_us + options.grace_ms * US_PER_MS;
         }
         self.confirmed_at_us = self.confirmed_at_us.max(Some(at_us));
+        self.stalled_us = 0;
+    }
+
+    /// Takes note of the time, at regular intervals. A process that was paused takes its own pause for no outage of the platform.
+    pub fn tick(&mut self, now_us: u64) {
+        let gap_us = elapsed_us(self.ticked_at_us.replace(now_us), now_us);
+        if gap_us >= STALL_MIN_US {
+            self.stalled_us += gap_us;
+        }
     }
 
     /// Takes note that the platform answered a peer, though this node cannot apply yet what it said.
@@ -35,7 +51,8 @@
     }
 
     fn is_outage(&self, at_us: u64, options: &ReaderOptions) -> bool {
-        elapsed_us(self.confirmed_at_us, at_us) >= options.outage_ms * US_PER_MS
+        elapsed_us(self.confirmed_at_us, at_us).saturating_sub(self.stalled_us)
+            >= options.outage_ms * US_PER_MS
     }
 
     /// Takes note whether peers have read on.
--- a/crates/pointvane-dispatch/src/reader/next_call.rs
+++ b/crates/pointvane-dispatch/src/reader/next_call.rs
@@ -22,6 +22,7 @@
     /// What to do now, beside queries of peers; whatever was under way before has ended.
     pub fn next(&mut self, now_us: u64) -> ReaderCall {
         (self.call, self.hung) = (None, false);
+        self.freshness.tick(now_us);
         if now_us < self.pause_until_us {
             return ReaderCall::Wait { until_us: self.pause_until_us };
         }
--- a/crates/pointvane-dispatch/src/reader/nodes.rs
+++ b/crates/pointvane-dispatch/src/reader/nodes.rs
@@ -94,6 +94,7 @@
     /// Takes this node's role, and the latest revision that any peer has read.
     pub fn compare_with_peers(&mut self, role: ReaderRole, latest: u64, now_us: u64) {
         self.role = role;
+        self.freshness.tick(now_us);
         let ahead = latest > self.mark.revision;
         self.freshness.set_peers_ahead(ahead, now_us);
         let busy = self.snapshot.is_some() || now_us < self.pause_until_us || self.catch_up.is_some();
--- a/crates/pointvane-dispatch/tests/lapses.rs
+++ b/crates/pointvane-dispatch/tests/lapses.rs
@@ -127,3 +127,17 @@
     let told: Vec<_> = reader.pool.records().map(|record| record.id.to_string()).collect();
     expect_that!(told, elements_are![eq("b")]);
 }
+
+/// A node woke after 7 s, took the pause for an outage of the platform, and for 2.3 s went on sending work to upstreams that had left meanwhile.
+#[gtest]
+fn after_a_pause_of_the_nodes_own_an_upstream_is_gone_at_once() {
+    let mut reader = Reader::new(&["a"], MS);
+    for now_ms in (100..3_000).step_by(100) {
+        reader.reader.compare_with_peers(ReaderRole::Watcher, 5, now_ms * MS);
+    }
+    reader.watch_answered(page(5, Vec::new()), 2_900);
+    // The process stands still.
+    reader.reader.compare_with_peers(ReaderRole::Watcher, 7, 10_000 * MS);
+    reader.watch_answered(page(7, vec![gone("a")]), 10_100);
+    expect_that!(reader.usable(10_200), eq(0));
+}
