--- a/crates/pointvane-dispatch/src/reader/startup.rs
+++ b/crates/pointvane-dispatch/src/reader/startup.rs
@@ -19,6 +19,8 @@
 ///
 /// When 18 nodes had lost power and came back one after the other within 0.4 s, the first knew something 0.35 s after its start, in
 /// place of 0.05 s, while it went on querying those that had not started.
+/// In a fleet of 472 hundreds of nodes read at once after a loss of power by this rule, which fills the platform's link: callers got 0.59
+/// of their worth in the worst windows, 0.66 without it (one play each). Not settled.
 const UNREACHED_MAX: u32 = 2;
 
 /// When a node that knows nothing reads the platform itself.
