--- a/crates/pointvane-core/src/adapter.rs
+++ b/crates/pointvane-core/src/adapter.rs
@@ -29,6 +29,8 @@
     pub not_run: &'static str,
     /// The upstream's identity.
     pub upstream: &'static str,
+    /// How much longer an upstream is cold, in milliseconds, in its answers to probes.
+    pub warm_up_left_ms: &'static str,
 }
 
 /// Translation between a platform's formats and the product's own types; it decides nothing.
--- a/crates/pointvane-core/src/error.rs
+++ b/crates/pointvane-core/src/error.rs
@@ -59,6 +59,8 @@
     Stopping,
     /// The entry VM holds no configuration yet.
     NotReady,
+    /// All upstreams that could run the work are in data centres that operators are emptying.
+    Evacuated,
 }
 
 /// One row of the table: how an [`ErrorKind`] is answered.
@@ -86,7 +88,7 @@
     AnswerRow { kind, name, status, outcome, retry_after }
 }
 
-const TABLE: [AnswerRow; 16] = [
+const TABLE: [AnswerRow; 17] = [
     row(ErrorKind::BadRequest, "bad-request", 400, Outcome::NotRun, false),
     row(ErrorKind::NoSuchService, "no-such-service", 404, Outcome::NotRun, false),
     row(ErrorKind::KeyMissing, "key-missing", 428, Outcome::NotRun, false),
@@ -103,6 +105,7 @@
     row(ErrorKind::UpstreamTimeout, "upstream-timeout", 504, Outcome::Unknown, false),
     row(ErrorKind::Stopping, "stopping", 503, Outcome::NotRun, true),
     row(ErrorKind::NotReady, "not-ready", 503, Outcome::NotRun, true),
+    row(ErrorKind::Evacuated, "evacuated", 503, Outcome::NotRun, true),
 ];
 
 impl ErrorKind {
--- a/crates/pointvane-core/src/lib.rs
+++ b/crates/pointvane-core/src/lib.rs
@@ -1,6 +1,6 @@
 //! Types, units, the closed list of error kinds and the small traits at pointvane's interfaces.
 //!
-//! Of both forms: `error`, `identity`, `token_bucket`. Of the three programs: `key`, `request`, `traits`. Of the node: `adapter`,
+//! Of both forms: `error`, `identity`, `token_bucket`. Of the three programs: `key`, `request`, `traits`. Of the node: `adapter`, `evacuation`,
 //! `published`, `routing`, `routing_delta`.
 //!
 //! Nothing here does I/O, starts a thread or reads a clock. Times are microseconds of a monotonic clock
@@ -10,6 +10,7 @@
 
 mod adapter;
 mod error;
+mod evacuation;
 mod identity;
 mod key;
 mod published;
@@ -22,9 +23,10 @@
 pub use {
     adapter::{DirectoryQuestion, HeaderNames, PlatformAdapter},
     error::{AnswerRow, ErrorKind, Outcome},
+    evacuation::Evacuation,
     identity::{Incarnation, Name, VmIdentity, VmState},
     key::{IdempotencyKey, KeyError},
-    published::{Change, ChangePage, MalformedReply, RefusedItem, UpstreamLoad, UpstreamRecord},
+    published::{Change, ChangePage, EntryKey, MalformedReply, RefusedItem, UpstreamLoad, UpstreamRecord},
     request::{Class, header},
     routing::{CallerLimits, RouteKind, RouteRule, RoutingConfiguration, ServiceRule, WeightedService},
     routing_delta::{DeltaMismatch, RoutingDelta},
--- a/crates/pointvane-core/src/published.rs
+++ b/crates/pointvane-core/src/published.rs
@@ -1,7 +1,7 @@
 //! What a platform publishes and upstreams report: entries of upstreams, changes, pages of changes, load.
 
 use {
-    crate::{Name, RoutingConfiguration, RoutingDelta},
+    crate::{Evacuation, Name, RoutingConfiguration, RoutingDelta},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -38,17 +38,41 @@
     Upstream(UpstreamRecord),
     /// An upstream's entry was removed, or it expired.
     UpstreamGone(Name),
+    /// A data centre is to be empty, or no longer.
+    Evacuation(Evacuation),
+}
+
+/// The entry that a change is about: a later change of the same entry replaces an earlier one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum EntryKey {
+    /// The entry of an upstream, by its identity.
+    Upstream(Name),
+    /// The evacuation of a data centre.
+    Evacuation(Name),
 }
 
 impl Change {
-    /// The upstream that it is about, if it is about one.
-    pub fn upstream(&self) -> Option<&Name> {
+    /// The entry that it is about; none for configurations, which are told apart by their versions.
+    pub fn entry(&self) -> Option<EntryKey> {
         match self {
-            Self::Upstream(record) => Some(&record.id),
-            Self::UpstreamGone(id) => Some(id),
+            Self::Upstream(record) => Some(EntryKey::Upstream(record.id.clone())),
+            Self::UpstreamGone(id) => Some(EntryKey::Upstream(id.clone())),
+            Self::Evacuation(evacuation) => Some(EntryKey::Evacuation(evacuation.data_centre.clone())),
             Self::Configuration(_) | Self::ConfigurationDeltas(_) => None,
         }
     }
+
+    /// The change by which this one's entry is gone, as of a revision; none if this one lists no entry.
+    pub fn removal(&self, revision: u64) -> Option<Self> {
+        match self {
+            Self::Upstream(record) => Some(Self::UpstreamGone(record.id.clone())),
+            Self::Evacuation(evacuation) if evacuation.active => {
+                let data_centre = evacuation.data_centre.clone();
+                Some(Self::Evacuation(Evacuation { data_centre, active: false, revision }))
+            }
+            _ => None,
+        }
+    }
 }
 
 /// A part of what is published at one moment, or of what changed.
--- a/crates/pointvane-core/src/routing.rs
+++ b/crates/pointvane-core/src/routing.rs
@@ -78,6 +78,8 @@
     pub name: Name,
     /// Path on which its upstreams report their health and load.
     pub health_path: Name,
+    /// Requests in a thousand seconds that a cold upstream bears; 0 where that is not limited.
+    pub cold_requests_per_1000_s: u64,
 }
 
 /// Limits for callers.
--- a/crates/pointvane-core/tests/core.rs
+++ b/crates/pointvane-core/tests/core.rs
@@ -79,6 +79,7 @@
         "upstream-timeout 504 unknown",
         "stopping 503 not-run retry-after",
         "not-ready 503 not-run retry-after",
+        "evacuated 503 not-run retry-after",
     ];
     expect_that!(rows, eq(&expected.map(String::from).to_vec()));
 }
--- a/crates/pointvane-core/tests/routing_delta.rs
+++ b/crates/pointvane-core/tests/routing_delta.rs
@@ -24,7 +24,8 @@
 }
 
 fn configuration(version: u64, routes: Vec<Arc<RouteRule>>) -> RoutingConfiguration {
-    let services = vec![ServiceRule { name: "app".into(), health_path: "/health".into() }];
+    let services =
+        vec![ServiceRule { name: "app".into(), health_path: "/health".into(), cold_requests_per_1000_s: 0 }];
     RoutingConfiguration { version, routes, services, limits: CallerLimits::default() }
 }
 
@@ -39,7 +40,11 @@
     let old = configuration(4, vec![route("a", 1), route("b", 1), route("c", 1)]);
     let mut new = configuration(7, vec![route("a", 1), route("b", 2), route("d", 1)]);
     new.limits.body_bytes_max = 5;
-    new.services.push(ServiceRule { name: "other".into(), health_path: "/up".into() });
+    new.services.push(ServiceRule {
+        name: "other".into(),
+        health_path: "/up".into(),
+        cold_requests_per_1000_s: 0,
+    });
     let delta = RoutingDelta::between(&old, &new).unwrap();
     expect_that!(delta.changed.len(), eq(2), "what is the same is not sent");
     expect_that!(delta.touched(), eq(3));
--- a/crates/pointvane-dispatch/src/admission.rs
+++ b/crates/pointvane-dispatch/src/admission.rs
@@ -10,7 +10,10 @@
 //! in time. Less urgent work is refused first. Tests: `the_least_urgent_work_is_told_to_come_back_first`,
 //! `no_work_is_sent_to_an_upstream_without_room` and `a_refusal_is_decided_within_a_twentieth_of_the_target`.
 
-use {pointvane_core::RouteRule, std::ops::RangeInclusive};
+use {
+    pointvane_core::{ErrorKind, RouteRule},
+    std::ops::RangeInclusive,
+};
 
 /// Shares of the route's target latency between which the retry time of a caller is drawn whom this node refused: the service is full,
 /// and room comes as work ends.
@@ -28,6 +31,11 @@
 ///
 /// Not measured.
 pub const RETRY_AFTER_DEFAULT_MS: u32 = 80;
+/// Retry time of a caller whose request only upstreams of evacuated data centres could run, in milliseconds.
+///
+/// Not measured: an evacuation lasts until operators take it back, so whoever comes back at once is refused once more.
+const RETRY_AFTER_EVACUATED_MS: u32 = 1_000;
+
 /// How late a request may be and still be sent.
 ///
 /// The defaults, 1.8 targets less 0.25 for each rank, gave 0.698 on eight plays of Roteiro Vivo, Skiphub and Heatline, 3.0 less 1.0 gave
@@ -82,12 +90,15 @@
     Upstream,
 }
 
-/// When a refused caller should retry, in milliseconds; `draw` lies between 0 and 1.
-pub fn retry_after_ms(route: &RouteRule, by: RefusedBy, draw: f64) -> f64 {
-    let shares = match by {
-        RefusedBy::Node => RETRY_AFTER_SHARES,
-        RefusedBy::Upstream => RETRY_AFTER_REJECTED_SHARES,
+/// When a caller should retry whose request was refused for `error`, in milliseconds; none where that error has no time of its own.
+/// `draw` lies between 0 and 1.
+pub fn retry_after_ms(route: &RouteRule, error: ErrorKind, by: RefusedBy, draw: f64) -> Option<u32> {
+    let shares = match (error, by) {
+        (ErrorKind::Evacuated, _) => return Some(RETRY_AFTER_EVACUATED_MS),
+        (ErrorKind::Overloaded, RefusedBy::Node) => RETRY_AFTER_SHARES,
+        (ErrorKind::Overloaded, RefusedBy::Upstream) => RETRY_AFTER_REJECTED_SHARES,
+        _ => return None,
     };
     let (least, most) = (shares.start(), shares.end());
-    route.target_latency_ms as f64 * (least + (most - least) * draw)
+    Some((route.target_latency_ms as f64 * (least + (most - least) * draw)) as u32)
 }
--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -8,6 +8,7 @@
 use {
     crate::{
         budget::RetryBudget,
+        eligibility::Ineligible,
         retry::{AttemptOutcome, Verdict, judge},
     },
     pointvane_core::{ErrorKind, RouteRule},
@@ -24,8 +25,8 @@
 /// How one attempt ended, the search for its upstream included.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
-    /// The service has no upstream left for this request.
-    NoUpstream,
+    /// The service has no upstream left for this request, for this reason.
+    NoUpstream(Ineligible),
     /// It was not sent: it would have been too late (see `admission.rs`), or a hedge found no uncontended upstream.
     NotAdmitted,
     /// No search was made: no upstream can finish it before its deadline.
@@ -71,7 +72,7 @@
     pub fn ended(&mut self, end: AttemptEnd, sends: u32, budget: &mut RetryBudget) -> NextStep {
         self.under_way -= 1;
         let outcome = match end {
-            AttemptEnd::NoUpstream => return self.ended_unsent(ErrorKind::NoUpstream),
+            AttemptEnd::NoUpstream(reason) => return self.ended_unsent(reason.error()),
             AttemptEnd::NotAdmitted => return self.ended_unsent(ErrorKind::Overloaded),
             AttemptEnd::DeadlineTooNear if self.may_have_run => {
                 return self.ended_unsent(ErrorKind::UpstreamTimeout);
@@ -80,7 +81,7 @@
             AttemptEnd::Tried(outcome) => outcome,
         };
         self.may_have_run |= outcome.may_have_run();
-        self.unsent += u32::from(outcome == AttemptOutcome::Unsent);
+        self.unsent += u32::from(outcome.is_unsent());
         self.has_answer |= matches!(outcome, AttemptOutcome::Answered { .. });
         match self.judge(outcome, self.attempts_left(sends)) {
             Verdict::Deliver => NextStep::Deliver,
--- a/crates/pointvane-dispatch/src/budget.rs
+++ b/crates/pointvane-dispatch/src/budget.rs
@@ -47,6 +47,11 @@
         self.retries.values_mut().for_each(|budget| budget.set_nodes(self.nodes));
     }
 
+    /// The most nodes that were ever seen at once, at least [`NODES_MIN`].
+    pub fn nodes(&self) -> usize {
+        self.nodes
+    }
+
     /// The share of the retry budget of a service.
     pub fn retries(&mut self, service: &Name, limits: &BudgetLimits) -> &mut RetryBudget {
         let nodes = self.nodes;
--- a/crates/pointvane-dispatch/src/ejection.rs
+++ b/crates/pointvane-dispatch/src/ejection.rs
@@ -71,7 +71,7 @@
             // The address belongs to another upstream now; the platform will say so soon.
             Self::NotRun(Refusal::Misdirected) => Effect::Eject,
             // A busy upstream is not a failing one: its load report tells the rest.
-            Self::NotRun(Refusal::Busy | Refusal::Other) => Effect::Nothing,
+            Self::NotRun(Refusal::Busy | Refusal::Other) | Self::Withheld(_) => Effect::Nothing,
             Self::Answered { failed: true } | Self::Unsent | Self::Broken | Self::TimedOut => Effect::Failure,
         }
     }
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! | which service a request goes to | `routes.rs` |
 //! | until when it must be answered | `deadline.rs` |
 //! | how long it is held at a node that has just started | `first_state.rs` |
+//! | whether an upstream may get work at all | `eligibility.rs`, with `evacuations.rs`, `warm_up.rs`, `ejection.rs` |
 //! | which upstreams are candidates, and in which order | `ranking.rs`, `subset.rs`, `upstream.rs` (cost) |
 //! | which pipelined requests are forwarded early | `pipeline.rs` |
 //! | which candidates are probed, and which is chosen | `search.rs` |
@@ -15,7 +16,7 @@
 //! | whether it is sent or refused | `admission.rs` |
 //! | whether another attempt is made, and what is answered | `attempts.rs`, `retry.rs` |
 //! | when a second attempt runs beside the first | `hedge.rs` |
-//! | when an upstream gets no new work | `ejection.rs` |
+//! | when an upstream that fails gets no new work | `ejection.rs` |
 //! | how many retries and probes a node may spend | `budget.rs` |
 //! | when the platform is read or another node is queried | `reader.rs` and its modules |
 //! | how changes reach all nodes | `relay.rs`, `fan_out.rs`, `state_query.rs`, `query_order.rs`, `routing_log.rs` |
@@ -29,6 +30,8 @@
 mod deadline;
 mod directory;
 mod ejection;
+mod eligibility;
+mod evacuations;
 mod fan_out;
 mod first_state;
 mod hedge;
@@ -51,6 +54,7 @@
 mod state_query;
 mod subset;
 mod upstream;
+mod warm_up;
 
 pub use {
     admission::{AdmissionPolicy, FinishEstimate, RETRY_AFTER_DEFAULT_MS, RefusedBy, retry_after_ms},
@@ -59,6 +63,8 @@
     deadline::answer_by_us,
     directory::{DirectoryMember, directory_addresses},
     ejection::{ProbeOutcome, unresponsive_after_ms},
+    eligibility::Ineligible,
+    evacuations::Evacuations,
     fan_out::{
         DIRECT_MAX, FAN_OUT, Forwarder, OrderedNode, ReceivedRounds, Segment, broadcast_position, fan_out,
         forwarders,
@@ -86,4 +92,5 @@
     },
     state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest, WholeStateLimit},
     upstream::{LoadSample, LoadWhenSent, UpstreamKey, UpstreamState},
+    warm_up::WarmUpBound,
 };
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -1,15 +1,18 @@
 //! All upstreams that a node knows: what the platform lists, what they report, which are forgotten.
 //!
-//! Owns the [`UpstreamState`] of each. Which of them a request should go to is decided in `ranking.rs`.
+//! Owns the [`UpstreamState`] of each, and the evacuations. Which of them may get work is decided in `eligibility.rs`, which a request
+//! should go to in `ranking.rs`.
 
 use {
     crate::{
+        evacuations::Evacuations,
         ranking_options::RankingOptions,
         service_state::ServiceState,
         subset::ServiceUpstreams,
         upstream::{LoadWhenSent, UpstreamKey, UpstreamState},
+        warm_up::WarmUpShares,
     },
-    pointvane_core::{Name, UpstreamLoad, UpstreamRecord},
+    pointvane_core::{Change, Evacuation, Name, UpstreamLoad, UpstreamRecord},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::collections::{BTreeMap, HashMap},
 };
@@ -31,6 +34,8 @@
     pub(crate) services: HashMap<Name, ServiceState>,
     /// Last sequence of removed upstreams, so that an older entry that comes late doesn't bring one back.
     removed: HashMap<Name, u64>,
+    pub(crate) evacuations: Evacuations,
+    pub(crate) warm_up: WarmUpShares,
     pub(crate) rng: SmallRng,
 }
 
@@ -46,6 +51,8 @@
             by_service: HashMap::new(),
             services: HashMap::new(),
             removed: HashMap::new(),
+            evacuations: Evacuations::default(),
+            warm_up: WarmUpShares::new(seed),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -123,6 +130,16 @@
         true
     }
 
+    /// Takes an entry on the evacuation of a data centre; true if it changes whether that may get work.
+    pub fn apply_evacuation(&mut self, evacuation: Evacuation) -> bool {
+        self.evacuations.apply(evacuation)
+    }
+
+    /// The evacuations that hold.
+    pub fn evacuations(&self) -> impl Iterator<Item = &Evacuation> {
+        self.evacuations.active()
+    }
+
     /// The platform's entries of all upstreams but those in their grace period.
     pub fn records(&self) -> impl Iterator<Item = &UpstreamRecord> {
         let listed = self.upstreams.values().filter(|state| state.grace_until_us.is_none());
@@ -134,6 +151,21 @@
         self.by_id.keys()
     }
 
+    /// What the platform lists, as the changes by which it became known: all entries but those in their grace period.
+    pub fn listed(&self) -> impl Iterator<Item = Change> {
+        self.records().cloned().map(Change::Upstream).chain(self.evacuation_changes())
+    }
+
+    /// The same, entries in their grace period included.
+    pub fn known(&self) -> impl Iterator<Item = Change> {
+        let known = self.upstreams.values().map(|state| Change::Upstream(state.record.clone()));
+        known.chain(self.evacuation_changes())
+    }
+
+    fn evacuation_changes(&self) -> impl Iterator<Item = Change> {
+        self.evacuations.active().cloned().map(Change::Evacuation)
+    }
+
     /// Number of upstreams.
     pub fn len(&self) -> usize {
         self.upstreams.len()
--- a/crates/pointvane-dispatch/src/ranking.rs
+++ b/crates/pointvane-dispatch/src/ranking.rs
@@ -1,6 +1,6 @@
 //! Ranking: which upstreams of a service a request should go to, the most promising first.
 //!
-//! Decided for each search (see `search.rs`). Inputs: the cost of each upstream that accepts work, whether it is in
+//! Decided for each search (see `search.rs`). Inputs: the cost of each upstream that may get work (`eligibility.rs`), whether it is in
 //! the node's data centre, the size of the request's body, the upstreams that the request was sent to before. Ejected ones
 //! are ranked only when there are no others. A random part is added to each cost, so that nodes with the same
 //! knowledge spread. Tests: `slow_and_full_upstreams_come_after_idle_ones`,
@@ -13,7 +13,7 @@
         upstream::{LoadWhenSent, UpstreamKey, UpstreamState},
     },
     pointvane_core::Name,
-    rand::Rng,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
 };
 
 /// Bytes in the unit of `far_factor_per_100_kb`.
@@ -36,13 +36,14 @@
         let Some(upstreams) = self.by_service.get(service) else {
             return Vec::new();
         };
-        let usable = |key: UpstreamKey| {
-            !wanted.tried.contains(&key) && self.upstreams.get(&key).is_some_and(UpstreamState::accepts_work)
-        };
-        let sound = |key: UpstreamKey| usable(key) && !self.upstreams[&key].is_ejected(now_us);
-        let mut keys = upstreams.subset(sound, &mut self.rng);
+        // Drawn from a copy, since eligibility borrows the pool.
+        let mut rng = SmallRng::from_rng(&mut self.rng);
+        let untried = |key: UpstreamKey| !wanted.tried.contains(&key);
+        let usable = |key: UpstreamKey| untried(key) && self.may_get_work(key, now_us);
+        let sound = |key: UpstreamKey| untried(key) && self.eligibility(key, now_us).is_ok();
+        let mut keys = upstreams.subset(sound, &mut rng);
         if keys.is_empty() {
-            keys = upstreams.subset(usable, &mut self.rng);
+            keys = upstreams.subset(usable, &mut rng);
         }
         let far_factor = self.far_factor(wanted.body_bytes);
         let mut ranked: Vec<(f32, UpstreamKey)> = Vec::with_capacity(keys.len());
--- a/crates/pointvane-dispatch/src/reader/answers.rs
+++ b/crates/pointvane-dispatch/src/reader/answers.rs
@@ -6,7 +6,7 @@
         snapshot::{PageRead, SnapshotRead, StateRead},
     },
     crate::read_mark::ReadMark,
-    pointvane_core::{Change, ChangePage, US_PER_MS, UpstreamRecord},
+    pointvane_core::{Change, ChangePage, US_PER_MS},
     rand::Rng,
 };
 
@@ -14,12 +14,11 @@
 const RETRY_DOUBLINGS_MAX: u32 = 8;
 
 impl PlatformReader {
-    /// Takes a page of a read of everything; `known` are the entries of the upstreams that this node knows. Gives what is to be
-    /// applied.
-    pub fn page_read<'r>(
+    /// Takes a page of a read of everything; `known` are the entries that this node knows. Gives what is to be applied.
+    pub fn page_read(
         &mut self,
         page: ChangePage,
-        known: impl Iterator<Item = &'r UpstreamRecord>,
+        known: impl Iterator<Item = Change>,
         now_us: u64,
     ) -> Vec<Change> {
         let began_us = self.call.and_then(PlatformCall::fetching_since_us).unwrap_or(now_us);
--- a/crates/pointvane-dispatch/src/reader/nodes.rs
+++ b/crates/pointvane-dispatch/src/reader/nodes.rs
@@ -6,12 +6,17 @@
     pointvane_core::{Change, US_PER_MS},
 };
 
-/// The changes by which upstreams drain: they bind a node at once, and hold whatever else it still lacks.
+/// The changes that bind a node at once, and hold whatever else it still lacks: upstreams that drain, which is final, and evacuations,
+/// which have revisions of their own.
 ///
 /// Upstreams that joined or are gone come with the state that is queried for, since an older state may still come between.
-fn drains(changes: Vec<Change>) -> Vec<Change> {
-    let drains = |change: &Change| matches!(change, Change::Upstream(record) if record.draining);
-    changes.into_iter().filter(drains).collect()
+fn binding_at_once(changes: Vec<Change>) -> Vec<Change> {
+    let binds = |change: &Change| match change {
+        Change::Upstream(record) => record.draining,
+        Change::Evacuation(_) => true,
+        Change::UpstreamGone(_) | Change::Configuration(_) | Change::ConfigurationDeltas(_) => false,
+    };
+    changes.into_iter().filter(binds).collect()
 }
 
 impl PlatformReader {
@@ -31,7 +36,7 @@
             if !self.reads_soon(now_us) {
                 self.begin_catch_up(relay.mark, position, now_us);
             }
-            return drains(relay.changes);
+            return binding_at_once(relay.changes);
         }
         // What led to a read of everything came from the relay.
         self.snapshot = None;
--- a/crates/pointvane-dispatch/src/reader/queries.rs
+++ b/crates/pointvane-dispatch/src/reader/queries.rs
@@ -6,20 +6,18 @@
         read_mark::ReadMark,
         state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest},
     },
-    pointvane_core::{Change, Name, US_PER_MS},
+    pointvane_core::{Change, US_PER_MS},
     std::mem,
 };
 
-/// Upstreams beyond which a node that needs all of them has to read the platform.
+/// Entries beyond which a node that needs all of them has to read the platform.
 ///
 /// Worked out, not measured: some 70 bytes each, so 0.6 MB, which a link of 10 Mbit/s carries in 0.5 s.
-const WHOLE_STATE_UPSTREAMS_MAX: usize = 8_192;
+const WHOLE_STATE_ENTRIES_MAX: usize = 8_192;
 
-/// All upstreams as changes, unless there are too many.
+/// All entries as changes, unless there are too many.
 fn whole_state(known: &impl KnownState) -> Option<Vec<Change>> {
-    let upstreams = known.upstreams();
-    let few = upstreams.len() <= WHOLE_STATE_UPSTREAMS_MAX;
-    few.then(|| upstreams.into_iter().map(Change::Upstream).collect())
+    Some(known.entries()).filter(|entries| entries.len() <= WHOLE_STATE_ENTRIES_MAX)
 }
 
 impl PlatformReader {
@@ -46,11 +44,11 @@
         Some(StateReply::new(self.mark, age_ms, whole, changes, configuration))
     }
 
-    /// Takes another node's answer; `known` are the upstreams that this node knows. Gives what is to be applied.
-    pub fn receive_state<'n>(
+    /// Takes another node's answer; `known` are the entries that this node knows. Gives what is to be applied.
+    pub fn receive_state(
         &mut self,
         reply: StateReply,
-        known: impl Iterator<Item = &'n Name>,
+        known: impl Iterator<Item = Change>,
         now_us: u64,
     ) -> Vec<Change> {
         let snapshot_begun = self.snapshot.as_ref().is_some_and(|snapshot| !snapshot.is_unbegun());
--- a/crates/pointvane-dispatch/src/reader/snapshot.rs
+++ b/crates/pointvane-dispatch/src/reader/snapshot.rs
@@ -2,7 +2,7 @@
 
 use {
     super::CallReason,
-    pointvane_core::{Change, ChangePage, Name, UpstreamRecord},
+    pointvane_core::{Change, ChangePage, EntryKey},
     std::collections::{HashMap, HashSet},
 };
 
@@ -14,7 +14,8 @@
     next_page: Option<String>,
     /// Revision of the first page. Later pages may be newer, so the changes since the first are watched again.
     revision: Option<u64>,
-    seen: HashSet<Name>,
+    /// The entries that were listed so far.
+    listed: HashSet<EntryKey>,
     size_bytes: usize,
     /// What differed from what was known before.
     changes: Vec<Change>,
@@ -47,7 +48,7 @@
             reason,
             next_page: None,
             revision: None,
-            seen: HashSet::new(),
+            listed: HashSet::new(),
             size_bytes: 0,
             changes: Vec::new(),
         }
@@ -76,25 +77,25 @@
     /// Takes a page that came in so many bytes; `known` are the entries that were known before. After the last page those not listed are gone.
     ///
     /// Entries that are listed as they were known are left out: peers that follow this node need only what changed.
-    pub fn take<'r>(
+    pub fn take(
         &mut self,
         page: ChangePage,
         size_bytes: usize,
-        known: impl Iterator<Item = &'r UpstreamRecord>,
+        known: impl Iterator<Item = Change>,
     ) -> PageRead {
         let revision = *self.revision.get_or_insert(page.revision);
         self.size_bytes += size_bytes;
-        self.seen.extend(page.changes.iter().filter_map(Change::upstream).cloned());
+        self.listed.extend(page.changes.iter().filter_map(Change::entry));
         self.next_page = page.next_page;
-        let known: HashMap<&Name, &UpstreamRecord> = known.map(|record| (&record.id, record)).collect();
-        let is_known = |change: &Change| match change {
-            Change::Upstream(record) => known.get(&record.id) == Some(&record),
-            _ => false,
+        let known: HashMap<EntryKey, Change> =
+            known.filter_map(|known| known.entry().map(|entry| (entry, known))).collect();
+        let is_known = |change: &Change| {
+            change.entry().is_some_and(|entry| known.get(&entry).is_some_and(|known| known == change))
         };
         let mut changes: Vec<Change> = page.changes.into_iter().filter(|change| !is_known(change)).collect();
         if self.next_page.is_none() {
-            let gone = known.keys().filter(|id| !self.seen.contains(**id));
-            changes.extend(gone.map(|id| Change::UpstreamGone(Name::clone(id))));
+            let gone = known.iter().filter(|(entry, _)| !self.listed.contains(*entry));
+            changes.extend(gone.filter_map(|(_, known)| known.removal(revision)));
         }
         self.changes.extend(changes.iter().cloned());
         let complete = self.next_page.is_none().then(|| StateRead {
--- a/crates/pointvane-dispatch/src/relay.rs
+++ b/crates/pointvane-dispatch/src/relay.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{fan_out::Segment, read_mark::ReadMark},
-    pointvane_core::{Change, Name, UpstreamRecord},
+    pointvane_core::{Change, EntryKey, Evacuation, Name, UpstreamRecord},
     serde::{Deserialize, Serialize},
     std::{
         collections::{HashSet, VecDeque},
@@ -27,7 +27,7 @@
     pub mark: ReadMark,
     /// Age of the platform's last answer to the watcher, in milliseconds.
     pub age_ms: u64,
-    /// The changes of upstreams, oldest first.
+    /// The changes of entries, oldest first.
     pub changes: Vec<Change>,
 }
 
@@ -67,13 +67,15 @@
     pub relay: WireRelay,
 }
 
-/// A change of an upstream as it goes over the wire.
+/// A change of an entry as it goes over the wire.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum WireChange {
     /// An upstream appeared or changed.
     Upstream(UpstreamRecord),
     /// An upstream's entry is gone.
     Gone(Name),
+    /// A data centre is to be empty, or no longer.
+    Evacuation(Evacuation),
 }
 
 impl WireChange {
@@ -82,6 +84,7 @@
         match change {
             Change::Upstream(record) => Some(Self::Upstream(record)),
             Change::UpstreamGone(id) => Some(Self::Gone(id)),
+            Change::Evacuation(evacuation) => Some(Self::Evacuation(evacuation)),
             Change::Configuration(_) | Change::ConfigurationDeltas(_) => None,
         }
     }
@@ -92,6 +95,7 @@
         match change {
             WireChange::Upstream(record) => Self::Upstream(record),
             WireChange::Gone(id) => Self::UpstreamGone(id),
+            WireChange::Evacuation(evacuation) => Self::Evacuation(evacuation),
         }
     }
 }
@@ -117,7 +121,7 @@
     changes: Vec<Change>,
 }
 
-/// The last changes of upstreams that a node has seen, for nodes that missed them: of each upstream the last one only.
+/// The last changes of entries that a node has seen, for nodes that missed them: of each entry the last one only.
 ///
 /// A node may apply changes that it has applied before, since none of them undoes another.
 #[derive(Clone, Debug, Default)]
@@ -137,8 +141,8 @@
     /// Adds the changes that lead to a revision.
     pub fn add(&mut self, revision: u64, changes: &[Change]) {
         let since = mem::replace(&mut self.revision, revision);
-        let upstreams = changes.iter().filter(|change| change.upstream().is_some());
-        self.batches.push_back(Batch { since, changes: upstreams.cloned().collect() });
+        let entries = changes.iter().filter(|change| change.entry().is_some());
+        self.batches.push_back(Batch { since, changes: entries.cloned().collect() });
         self.drop_overtaken();
         let mut kept: usize = self.batches.iter().map(|batch| batch.changes.len()).sum();
         while kept > KEPT_MAX || self.batches.len() > KEPT_MAX {
@@ -146,13 +150,13 @@
         }
     }
 
-    /// Drops changes that a later one of the same upstream has overtaken.
+    /// Drops changes that a later one of the same entry has overtaken.
     fn drop_overtaken(&mut self) {
-        let mut seen: HashSet<Name> = HashSet::new();
+        let mut seen: HashSet<EntryKey> = HashSet::new();
         for batch in self.batches.iter_mut().rev() {
             let kept = mem::take(&mut batch.changes).into_iter().rev();
             let mut kept: Vec<Change> =
-                kept.filter(|change| change.upstream().is_none_or(|id| seen.insert(id.clone()))).collect();
+                kept.filter(|change| change.entry().is_none_or(|entry| seen.insert(entry))).collect();
             kept.reverse();
             batch.changes = kept;
         }
--- a/crates/pointvane-dispatch/src/retry.rs
+++ b/crates/pointvane-dispatch/src/retry.rs
@@ -5,7 +5,10 @@
 //! upstream itself said that it did not run it. Tests: `work_that_may_not_be_repeated_is_never_sent_again_once_it_may_have_run`,
 //! `not_run_is_told_only_of_what_cannot_have_run`.
 
-use pointvane_core::{ErrorKind, RouteKind};
+use {
+    crate::eligibility::Ineligible,
+    pointvane_core::{ErrorKind, RouteKind},
+};
 
 /// Why an upstream says that it did not run a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,6 +33,8 @@
     NotRun(Refusal),
     /// Nothing was sent.
     Unsent,
+    /// Nothing was sent, since the upstream that was chosen may not get work any more.
+    Withheld(Ineligible),
     /// It may have run, and there is no answer that can be trusted.
     Broken,
     /// It may have run, and its deadline has passed.
@@ -42,6 +47,11 @@
         matches!(self, Self::Answered { .. } | Self::Broken | Self::TimedOut)
     }
 
+    /// Whether nothing was sent.
+    pub const fn is_unsent(self) -> bool {
+        matches!(self, Self::Unsent | Self::Withheld(_))
+    }
+
     /// The outcome's name in logs and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -51,6 +61,11 @@
             Self::NotRun(Refusal::Misdirected) => "not-run-misdirected",
             Self::NotRun(Refusal::Other) => "not-run",
             Self::Unsent => "unsent",
+            Self::Withheld(Ineligible::Gone) => "withheld-gone",
+            Self::Withheld(Ineligible::Draining) => "withheld-draining",
+            Self::Withheld(Ineligible::Evacuated) => "withheld-evacuated",
+            Self::Withheld(Ineligible::Cold) => "withheld-cold",
+            Self::Withheld(Ineligible::Ejected) => "withheld-ejected",
             Self::Broken => "broken",
             Self::TimedOut => "timed-out",
         }
@@ -80,11 +95,12 @@
             Verdict::Retry { takes_token: true }
         }
         AttemptOutcome::Answered { .. } => Verdict::Deliver,
-        AttemptOutcome::Unsent if retry => Verdict::Retry { takes_token: false },
+        _ if outcome.is_unsent() && retry => Verdict::Retry { takes_token: false },
         AttemptOutcome::NotRun(_) | AttemptOutcome::Broken if retry => Verdict::Retry { takes_token: true },
         AttemptOutcome::TimedOut => Verdict::GiveUp(ErrorKind::UpstreamTimeout),
         _ if may_have_run => Verdict::GiveUp(ErrorKind::UpstreamBroken),
         AttemptOutcome::Unsent => Verdict::GiveUp(ErrorKind::UpstreamUnreachable),
+        AttemptOutcome::Withheld(reason) => Verdict::GiveUp(reason.error()),
         AttemptOutcome::NotRun(_) | AttemptOutcome::Broken => Verdict::GiveUp(ErrorKind::Overloaded),
     }
 }
--- a/crates/pointvane-dispatch/src/routes.rs
+++ b/crates/pointvane-dispatch/src/routes.rs
@@ -16,7 +16,7 @@
     limits: CallerLimits,
     /// Routes of a host, those with longer prefixes first.
     by_host: HashMap<Name, Vec<Arc<RouteRule>>>,
-    health_paths: HashMap<Name, Name>,
+    services: HashMap<Name, ServiceRule>,
 }
 
 /// Where one request goes.
@@ -40,12 +40,12 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.as_str().len()));
         }
-        let health = configuration.services.into_iter().map(|service| (service.name, service.health_path));
+        let services = configuration.services.into_iter().map(|service| (service.name.clone(), service));
         Self {
             version: configuration.version,
             limits: configuration.limits,
             by_host,
-            health_paths: health.collect(),
+            services: services.collect(),
         }
     }
 
@@ -56,14 +56,10 @@
 
     /// The configuration that the table was made from.
     pub fn configuration(&self) -> RoutingConfiguration {
-        let service = |(name, health_path): (&Name, &Name)| ServiceRule {
-            name: name.clone(),
-            health_path: health_path.clone(),
-        };
         RoutingConfiguration {
             version: self.version,
             routes: self.by_host.values().flatten().cloned().collect(),
-            services: self.health_paths.iter().map(service).collect(),
+            services: self.services.values().cloned().collect(),
             limits: self.limits,
         }
     }
@@ -75,7 +71,13 @@
 
     /// Path on which a service's upstreams report their health and load.
     pub fn health_path(&self, service: &Name) -> Option<&Name> {
-        self.health_paths.get(service)
+        self.services.get(service).map(|service| &service.health_path)
+    }
+
+    /// Requests a second that a cold upstream bears, of the services that limit them.
+    pub fn cold_rates_per_s(&self) -> HashMap<Name, f64> {
+        let limited = self.services.values().filter(|service| service.cold_requests_per_1000_s > 0);
+        limited.map(|service| (service.name.clone(), service.cold_requests_per_1000_s as f64 / 1e3)).collect()
     }
 
     /// The route of a request; `host` may carry a port.
--- a/crates/pointvane-dispatch/src/search.rs
+++ b/crates/pointvane-dispatch/src/search.rs
@@ -8,7 +8,7 @@
 //! Tests: `tests/search.rs`.
 
 use {
-    crate::{pool::Pool, ranking::Wanted, upstream::UpstreamKey},
+    crate::{eligibility::Ineligible, pool::Pool, ranking::Wanted, upstream::UpstreamKey},
     pointvane_core::{Name, RouteRule},
     std::collections::VecDeque,
 };
@@ -69,8 +69,8 @@
     Uncontended(UpstreamKey),
     /// The best of the others.
     Contended(UpstreamKey),
-    /// The service has no upstream left.
-    Nothing,
+    /// The service has no upstream left for the request, for this reason.
+    Nothing(Ineligible),
 }
 
 /// What to do next.
@@ -142,14 +142,15 @@
     /// Takes a healthy answer to a probe; true if its upstream is chosen.
     pub fn answered(&mut self, key: UpstreamKey, pool: &Pool, now_us: u64) -> bool {
         self.answered.push(key);
-        pool.is_uncontended(key, now_us)
+        pool.is_uncontended(key, now_us) && pool.eligibility(key, now_us).is_ok()
     }
 
     /// Ranks the candidates; gives one that can be chosen without a probe.
     fn begin_pass(&mut self, pool: &mut Pool, now_us: u64) -> Option<Found> {
         let candidates = self.candidates(pool, now_us);
         if !self.options.probes || !pool.reports_load(&self.request.service) {
-            return Some(candidates.first().map_or(Found::Nothing, |key| Found::Uncontended(*key)));
+            let best = candidates.first().map(|key| Found::Uncontended(*key));
+            return best.or_else(|| Some(self.nothing(pool, now_us)));
         }
         if let Some(key) = candidates.iter().find(|key| pool.is_uncontended(**key, now_us)) {
             return Some(Found::Uncontended(*key));
@@ -165,11 +166,14 @@
         self.in_pass = false;
         let far_factor = pool.far_factor(self.request.body_bytes);
         let cost = |key: &UpstreamKey| pool.cost_with_distance(*key, far_factor, now_us);
-        let accepts_work = |key: &UpstreamKey| pool.get(*key).is_some_and(|state| state.accepts_work());
-        let answered = self.answered.drain(..).filter(accepts_work);
+        let answered = self.answered.drain(..).filter(|key| pool.may_get_work(*key, now_us));
         let best = answered.min_by(|a, b| cost(a).total_cmp(&cost(b)));
         best.or_else(|| self.candidates(pool, now_us).first().copied())
-            .map_or(Found::Nothing, Found::Contended)
+            .map_or_else(|| self.nothing(pool, now_us), Found::Contended)
+    }
+
+    fn nothing(&self, pool: &Pool, now_us: u64) -> Found {
+        Found::Nothing(pool.why_none(&self.request.service, &self.request.tried, now_us))
     }
 
     fn candidates(&self, pool: &mut Pool, now_us: u64) -> Vec<UpstreamKey> {
--- a/crates/pointvane-dispatch/src/state_query.rs
+++ b/crates/pointvane-dispatch/src/state_query.rs
@@ -2,15 +2,15 @@
 
 use {
     crate::{read_mark::ReadMark, relay::WireChange},
-    pointvane_core::{Change, Name, RoutingConfiguration, RoutingDelta, UpstreamRecord},
+    pointvane_core::{Change, EntryKey, RoutingConfiguration, RoutingDelta},
     serde::{Deserialize, Serialize},
     std::collections::HashSet,
 };
 
 /// What a node knows of the platform, beside the last changes.
 pub trait KnownState {
-    /// All upstreams but those in their grace period.
-    fn upstreams(&self) -> Vec<UpstreamRecord>;
+    /// All entries but those in their grace period, as the changes by which they became known.
+    fn entries(&self) -> Vec<Change>;
     /// The configuration in force.
     fn configuration(&self) -> RoutingConfiguration;
     /// What changed from a version to the configuration in force; none if that is not known.
@@ -55,6 +55,13 @@
     }
 }
 
+/// The changes by which the entries are gone that were known and are not listed, as of a revision.
+fn missing(known: impl Iterator<Item = Change>, listed: &[Change], revision: u64) -> Vec<Change> {
+    let listed: HashSet<EntryKey> = listed.iter().filter_map(Change::entry).collect();
+    let is_missing = |known: &Change| known.entry().is_some_and(|entry| !listed.contains(&entry));
+    known.filter(is_missing).filter_map(|known| known.removal(revision)).collect()
+}
+
 /// About how many routes deltas take the room of: what a delta holds beside routes is as long as one.
 fn routes_of(deltas: &[RoutingDelta]) -> usize {
     deltas.iter().map(|delta| delta.touched() + 1).sum()
@@ -100,7 +107,7 @@
     pub mark: ReadMark,
     /// Age of the platform's answer behind it, in milliseconds.
     pub age_ms: u64,
-    /// Whether the changes list all upstreams, and not only those that changed.
+    /// Whether the changes list all entries, and not only those that changed.
     pub whole: bool,
     changes: Vec<WireChange>,
     /// The configuration, if the querying node has an older one.
@@ -108,7 +115,7 @@
 }
 
 impl StateReply {
-    /// An answer that leads to `mark` by the given changes of upstreams.
+    /// An answer that leads to `mark` by the given changes of entries.
     pub fn new(
         mark: ReadMark,
         age_ms: u64,
@@ -132,15 +139,11 @@
         configured && self.mark.revision >= known.revision
     }
 
-    /// What is to be applied; `known` are the upstreams that the querying node knows.
-    pub fn into_changes<'n>(self, known: impl Iterator<Item = &'n Name>) -> Vec<Change> {
-        let upstreams: Vec<Change> = self.changes.into_iter().map(Change::from).collect();
-        let listed: HashSet<&Name> = upstreams.iter().filter_map(Change::upstream).collect();
-        let gone: Vec<Change> = match self.whole {
-            true => known.filter(|id| !listed.contains(id)).cloned().map(Change::UpstreamGone).collect(),
-            false => Vec::new(),
-        };
+    /// What is to be applied; `known` are the entries that the querying node knows.
+    pub fn into_changes(self, known: impl Iterator<Item = Change>) -> Vec<Change> {
+        let entries: Vec<Change> = self.changes.into_iter().map(Change::from).collect();
+        let gone = if self.whole { missing(known, &entries, self.mark.revision) } else { Vec::new() };
         let configuration = self.configuration.map(ConfigurationUpdate::into_change);
-        configuration.into_iter().chain(upstreams).chain(gone).collect()
+        configuration.into_iter().chain(entries).chain(gone).collect()
     }
 }
--- a/crates/pointvane-dispatch/src/upstream.rs
+++ b/crates/pointvane-dispatch/src/upstream.rs
@@ -72,6 +72,8 @@
     sent_since_report: u32,
     report: Option<LoadSample>,
     warm_at_us: u64,
+    /// The slot in which this node last sent it a request while it was cold (see `warm_up.rs`).
+    pub(crate) cold_slot_spent: Option<u64>,
     /// Running mean of this node's latencies there, as a multiple of the route's baseline.
     latency: f32,
     latency_at_us: u64,
@@ -88,6 +90,7 @@
             in_flight: 0,
             sent_since_report: 0,
             report: None,
+            cold_slot_spent: None,
             latency: 1.0,
             latency_at_us: 0,
             failures: FailureHistory::default(),
@@ -165,9 +168,14 @@
         self.failures.is_ejected(now_us)
     }
 
-    /// Whether the platform allows new work there.
-    pub fn accepts_work(&self) -> bool {
-        !self.record.draining
+    /// Whether it is cold: it bears fewer requests until it has warmed up.
+    pub fn is_cold(&self, now_us: u64) -> bool {
+        now_us < self.warm_at_us
+    }
+
+    /// Sets the end of its warm-up, in microseconds of the steady clock.
+    pub(crate) fn set_warm_at(&mut self, warm_at_us: u64) {
+        self.warm_at_us = warm_at_us;
     }
 
     /// Cost of a request sent now: its expected latency, more for an upstream that has failed lately.
@@ -180,7 +188,7 @@
         let occupancy = self.occupancy(now_us);
         let turns = occupancy.max(1.0);
         let filled = service.curve.factor(occupancy);
-        let cold = if now_us < self.warm_at_us { COLD_FACTOR } else { 1.0 };
+        let cold = if self.is_cold(now_us) { COLD_FACTOR } else { 1.0 };
         self.slowdown(service.mean_slowdown, now_us) * turns * filled * cold
     }
 
--- a/crates/pointvane-dispatch/tests/attempts.rs
+++ b/crates/pointvane-dispatch/tests/attempts.rs
@@ -183,10 +183,9 @@
 #[gtest]
 fn a_refused_caller_comes_back_within_its_time() {
     for draw in [0.0, 0.5, 1.0] {
-        let after_ms = retry_after_ms(&route(1), RefusedBy::Node, draw);
-        expect_that!(after_ms, all!(ge(100.0), le(260.0)));
-        let after_ms = retry_after_ms(&route(1), RefusedBy::Upstream, draw);
-        expect_that!(after_ms, all!(ge(12.0), le(32.0)), "another upstream has room");
+        let after_ms = |by| retry_after_ms(&route(1), ErrorKind::Overloaded, by, draw);
+        expect_that!(after_ms(RefusedBy::Node), some(all!(ge(100), le(260))));
+        expect_that!(after_ms(RefusedBy::Upstream), some(all!(ge(12), le(32))), "another upstream has room");
     }
 }
 
--- /dev/null
+++ b/crates/pointvane-dispatch/tests/evacuations.rs
@@ -0,0 +1,301 @@
+//! A data centre that operators are emptying gets no new work, however a node heard of it, until they take that back.
+
+mod common;
+
+use {
+    common::{configured, gone, page, record, told},
+    googletest::prelude::*,
+    pointvane_core::{Change, ErrorKind, Evacuation, Name, UpstreamLoad, UpstreamRecord},
+    pointvane_dispatch::{
+        CallFailure, Found, Ineligible, KnownState, PlatformReader, Pool, RankingOptions, ReadMark,
+        ReaderOptions, ReaderRole, Relay, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep,
+        StateReply, StateRequest, UpstreamKey, Wanted,
+    },
+    std::iter,
+};
+
+const MS: u64 = 1_000;
+const PROBES: SearchOptions = SearchOptions { probes: true, first_round: 2, second_round: 4 };
+
+fn evacuated(data_centre: &str, active: bool, revision: u64) -> Change {
+    Change::Evacuation(Evacuation { data_centre: data_centre.into(), active, revision })
+}
+
+fn upstream(id: &str, data_centre: &str) -> Change {
+    let port: u16 = id.bytes().map(u16::from).sum();
+    let address = format!("10.0.0.1:{port}").parse().unwrap();
+    Change::Upstream(UpstreamRecord { data_centre: data_centre.into(), address, ..record(id, 1) })
+}
+
+/// A node: its reader, and what it knows.
+struct Node {
+    reader: PlatformReader,
+    pool: Pool,
+}
+
+impl Node {
+    /// A node that knows nothing.
+    fn new() -> Self {
+        let pool = Pool::new(RankingOptions::default(), "one".into(), 1);
+        Self { reader: PlatformReader::new(ReaderOptions::default(), 1), pool }
+    }
+
+    /// A node that has read upstreams of two data centres at revision 5.
+    fn informed() -> Self {
+        let mut node = Self::new();
+        node.reads(page(5, vec![upstream("a", "one"), upstream("b", "one"), upstream("c", "two")]), MS);
+        node
+    }
+
+    fn apply(&mut self, changes: Vec<Change>, now_us: u64) {
+        for change in changes {
+            match change {
+                Change::Upstream(record) => _ = self.pool.upsert(record, now_us),
+                Change::UpstreamGone(id) => _ = self.pool.remove(&id),
+                Change::Evacuation(evacuation) => _ = self.pool.apply_evacuation(evacuation),
+                Change::Configuration(_) | Change::ConfigurationDeltas(_) => {}
+            }
+        }
+    }
+
+    fn reads(&mut self, page: pointvane_core::ChangePage, now_us: u64) {
+        let changes = self.reader.page_read(page, self.pool.listed(), now_us);
+        self.apply(changes, now_us);
+    }
+
+    fn watches(&mut self, revision: u64, changes: Vec<Change>, now_us: u64) {
+        self.reader.next(now_us);
+        let changes = self.reader.watch_answered(page(revision, changes), now_us);
+        self.apply(changes, now_us);
+    }
+
+    fn hears(&mut self, relay: Relay, now_us: u64) {
+        let changes = self.reader.receive_relay(relay, 0.0, now_us);
+        self.apply(changes, now_us);
+    }
+
+    fn queries(&mut self, peer: &Self, now_us: u64) {
+        let request = StateRequest { known: self.reader.mark() };
+        let reply = peer.reader.answer(&request, &peer.pool_state(), now_us).unwrap();
+        let changes = self.reader.receive_state(reply, self.pool.known(), now_us);
+        self.apply(changes, now_us);
+    }
+
+    fn pool_state(&self) -> Held {
+        Held(self.pool.listed().collect())
+    }
+
+    /// The data centres whose upstreams are candidates.
+    fn candidates(&mut self, now_us: u64) -> Vec<String> {
+        let wanted = Wanted { tried: &[], body_bytes: 0, count: 9 };
+        let keys = self.pool.candidates(&"dispatch".into(), &wanted, now_us);
+        let mut names: Vec<String> = keys.iter().map(|key| self.name(*key)).collect();
+        names.sort();
+        names
+    }
+
+    fn name(&self, key: UpstreamKey) -> String {
+        self.pool.get(key).unwrap().id().to_string()
+    }
+
+    fn key(&mut self, id: &str, now_us: u64) -> UpstreamKey {
+        let wanted = Wanted { tried: &[], body_bytes: 0, count: 9 };
+        let keys = self.pool.candidates(&"dispatch".into(), &wanted, now_us);
+        keys.into_iter().find(|key| self.name(*key) == id).unwrap()
+    }
+}
+
+struct Held(Vec<Change>);
+
+impl KnownState for Held {
+    fn entries(&self) -> Vec<Change> {
+        self.0.clone()
+    }
+
+    fn configuration(&self) -> pointvane_core::RoutingConfiguration {
+        common::configuration(0)
+    }
+
+    fn configuration_since(&self, _version: u64) -> Option<Vec<pointvane_core::RoutingDelta>> {
+        None
+    }
+}
+
+fn relay(since: u64, revision: u64, changes: Vec<Change>) -> Relay {
+    Relay { since, mark: ReadMark { revision, version: 0 }, age_ms: 0, changes }
+}
+
+#[gtest]
+fn an_evacuated_data_centre_has_no_candidates_until_that_is_taken_back() {
+    let mut node = Node::informed();
+    expect_that!(node.candidates(MS), elements_are![eq("a"), eq("b"), eq("c")]);
+    node.watches(6, vec![evacuated("one", true, 6)], 10 * MS);
+    expect_that!(node.candidates(10 * MS), elements_are![eq("c")]);
+    node.watches(7, vec![evacuated("one", false, 7)], 20 * MS);
+    expect_that!(node.candidates(20 * MS), elements_are![eq("a"), eq("b"), eq("c")]);
+}
+
+#[gtest]
+fn it_holds_for_upstreams_that_join_later_and_for_ejected_ones() {
+    let mut node = Node::informed();
+    node.watches(6, vec![evacuated("two", true, 6), upstream("d", "two")], 10 * MS);
+    for id in ["a", "b"] {
+        let key = node.key(id, 10 * MS);
+        (0..3).for_each(|_| node.pool.get_mut(key).unwrap().was_unresponsive(10 * MS));
+    }
+    expect_that!(node.candidates(11 * MS), elements_are![eq("a"), eq("b")], "ejected ones, and no others");
+}
+
+#[gtest]
+fn it_is_heard_by_a_relay_by_one_behind_a_gap_by_a_state_and_by_a_read_of_everything() {
+    let order = || vec![evacuated("one", true, 6)];
+    let mut by_relay = Node::informed();
+    by_relay.hears(relay(5, 6, order()), 10 * MS);
+    expect_that!(by_relay.candidates(10 * MS), elements_are![eq("c")], "relay");
+
+    let mut behind_a_gap = Node::informed();
+    behind_a_gap.reader.compare_with_peers(ReaderRole::Follower, 5, MS);
+    behind_a_gap.hears(relay(8, 9, order()), 10 * MS);
+    expect_that!(behind_a_gap.candidates(10 * MS), elements_are![eq("c")], "relay behind a gap");
+
+    let mut by_steps = Node::informed();
+    by_steps.queries(&by_relay, 20 * MS);
+    expect_that!(by_steps.candidates(20 * MS), elements_are![eq("c")], "steps of a peer");
+
+    let mut newcomer = Node::new();
+    newcomer.queries(&by_relay, 20 * MS);
+    expect_that!(newcomer.candidates(20 * MS), elements_are![eq("c")], "whole state of a peer");
+
+    let mut reader = Node::new();
+    reader.reads(page(9, vec![evacuated("one", true, 6), upstream("a", "one"), upstream("c", "two")]), MS);
+    expect_that!(reader.candidates(MS), elements_are![eq("c")], "read of everything");
+
+    let mut later = Node::informed();
+    later.reader.call_failed(CallFailure::HistoryGone, 10 * MS);
+    later
+        .reads(page(9, vec![evacuated("one", true, 6), upstream("a", "one"), upstream("c", "two")]), 20 * MS);
+    expect_that!(later.candidates(20 * MS), elements_are![eq("c")], "log that does not reach back");
+}
+
+#[gtest]
+fn it_ends_by_any_way_that_shows_it_gone() {
+    let emptied = || {
+        let mut node = Node::informed();
+        node.watches(6, vec![evacuated("one", true, 6)], 10 * MS);
+        node
+    };
+    let everything = || vec![upstream("a", "one"), upstream("b", "one"), upstream("c", "two")];
+    let mut by_read = emptied();
+    by_read.reader.call_failed(CallFailure::HistoryGone, 20 * MS);
+    by_read.reads(page(9, everything()), 30 * MS);
+    expect_that!(by_read.candidates(30 * MS).len(), eq(3), "read of everything without it");
+
+    let mut by_state = emptied();
+    let mark = ReadMark { revision: 9, version: 0 };
+    let reply = StateReply::new(mark, 0, true, everything(), None);
+    let changes = by_state.reader.receive_state(reply, by_state.pool.known(), 30 * MS);
+    by_state.apply(changes, 30 * MS);
+    expect_that!(by_state.candidates(30 * MS).len(), eq(3), "whole state without it");
+
+    let mut by_relay = emptied();
+    by_relay.hears(relay(6, 7, vec![evacuated("one", false, 7)]), 30 * MS);
+    expect_that!(by_relay.candidates(30 * MS).len(), eq(3), "relay");
+}
+
+#[gtest]
+fn neither_an_outage_nor_older_news_ends_it() {
+    let mut node = Node::informed();
+    node.reader.compare_with_peers(ReaderRole::Follower, 5, MS);
+    // Heard early, by a relay behind a gap; then a state of before it, whole, comes from a peer.
+    node.hears(relay(8, 9, vec![evacuated("one", true, 9)]), 10 * MS);
+    let mark = ReadMark { revision: 7, version: 0 };
+    let older = StateReply::new(mark, 0, true, vec![upstream("a", "one"), upstream("c", "two")], None);
+    let changes = node.reader.receive_state(older, node.pool.known(), 20 * MS);
+    node.apply(changes, 20 * MS);
+    expect_that!(node.candidates(20 * MS), elements_are![eq("c")], "older state");
+
+    for second in 0..30 {
+        node.reader.next(second * 1_000 * MS);
+        node.reader.call_failed(CallFailure::Unavailable, second * 1_000 * MS);
+    }
+    expect_that!(node.candidates(31_000 * MS), elements_are![eq("c")], "outage");
+
+    node.pool.apply_evacuation(Evacuation { data_centre: "one".into(), active: false, revision: 10 });
+    node.pool.apply_evacuation(Evacuation { data_centre: "one".into(), active: true, revision: 9 });
+    expect_that!(node.candidates(31_000 * MS).len(), eq(2), "an older order after it was taken back");
+}
+
+#[gtest]
+fn the_last_word_on_a_data_centre_alone_is_relayed() {
+    let mut watcher = Node::informed();
+    watcher.reader.compare_with_peers(ReaderRole::Watcher, 5, MS);
+    watcher.watches(6, vec![evacuated("one", true, 6), evacuated("two", true, 6)], 10 * MS);
+    watcher.watches(7, vec![evacuated("one", false, 7), told("d", 1), gone("d")], 400 * MS);
+    let relay = watcher.reader.relay(400 * MS).unwrap();
+    let last = [evacuated("two", true, 6), evacuated("one", false, 7), gone("d")];
+    expect_that!(relay.changes, elements_are![eq(&last[0]), eq(&last[1]), eq(&last[2])]);
+}
+
+#[gtest]
+fn a_send_that_was_chosen_before_is_withheld() {
+    let mut node = Node::informed();
+    let key = node.key("a", MS);
+    expect_that!(node.pool.begin_send(key, MS), ok(()));
+    node.watches(6, vec![evacuated("one", true, 6)], 10 * MS);
+    expect_that!(node.pool.begin_send(key, 10 * MS), err(eq(Ineligible::Evacuated)));
+    node.watches(7, vec![evacuated("one", false, 7)], 20 * MS);
+    expect_that!(node.pool.begin_send(key, 20 * MS), ok(()));
+    node.pool.remove(&Name::from("a"));
+    expect_that!(node.pool.begin_send(key, 30 * MS), err(eq(Ineligible::Gone)));
+}
+
+fn searched(node: &Node, goal: SearchGoal) -> Search {
+    _ = node;
+    let request = SearchRequest { service: "dispatch".into(), tried: Vec::new(), body_bytes: 0, goal };
+    Search::new(PROBES, request)
+}
+
+#[gtest]
+fn a_probe_that_was_sent_before_does_not_choose_its_upstream() {
+    let mut node = Node::informed();
+    for goal in [SearchGoal::UncontendedOnly, SearchGoal::Best { until_us: 50 * MS }] {
+        let mut search = searched(&node, goal);
+        let SearchStep::Probe { upstreams, .. } = search.next(&mut node.pool, MS) else { panic!("no probe") };
+        let key = node.key("a", MS);
+        expect_that!(upstreams.is_empty(), eq(false));
+        node.pool.apply_evacuation(Evacuation { data_centre: "one".into(), active: true, revision: MS });
+        let load = UpstreamLoad { running: 0, waiting: 0, slots: 3, slowdown_percent: 100 };
+        node.pool.record_load(key, load, 2 * MS);
+        expect_that!(search.answered(key, &node.pool, 2 * MS), eq(false));
+        node.pool.apply_evacuation(Evacuation { data_centre: "one".into(), active: false, revision: 2 * MS });
+        node.pool.record_load(key, load, 3 * MS);
+        expect_that!(search.answered(key, &node.pool, 3 * MS), eq(true));
+        node = Node::informed();
+    }
+}
+
+#[gtest]
+fn when_all_are_evacuated_the_refusal_says_so() {
+    let mut node = Node::informed();
+    node.watches(6, vec![evacuated("one", true, 6), evacuated("two", true, 6)], 10 * MS);
+    let mut search = searched(&node, SearchGoal::Best { until_us: 20 * MS });
+    let step = search.next(&mut node.pool, 30 * MS);
+    expect_that!(step, eq(&SearchStep::Done(Found::Nothing(Ineligible::Evacuated))));
+    expect_that!(Ineligible::Evacuated.error(), eq(ErrorKind::Evacuated));
+    let row = ErrorKind::Evacuated.answer();
+    expect_that!((row.status, row.name, row.retry_after), eq((503, "evacuated", true)));
+}
+
+#[gtest]
+fn evacuations_that_come_and_go_take_bounded_room() {
+    let mut node = Node::informed();
+    for revision in 0..10_000 {
+        let data_centre = Name::from(format!("dc-{revision}").as_str());
+        node.pool.apply_evacuation(Evacuation { data_centre: data_centre.clone(), active: true, revision });
+        node.pool.apply_evacuation(Evacuation { data_centre, active: false, revision: revision + 1 });
+    }
+    expect_that!(node.pool.evacuations().count(), eq(0));
+    expect_that!(node.pool.listed().count(), eq(3));
+    let configuration = iter::once(configured(1)).filter_map(|change| change.entry()).count();
+    expect_that!(configuration, eq(0));
+}
--- a/crates/pointvane-dispatch/tests/fleet/mod.rs
+++ b/crates/pointvane-dispatch/tests/fleet/mod.rs
@@ -2,8 +2,8 @@
 #![allow(dead_code)]
 
 use {
-    crate::common::{configuration, configured, page, record, told},
-    pointvane_core::{Change, ChangePage, RoutingConfiguration, RoutingDelta, UpstreamRecord},
+    crate::common::{configuration, configured, page, told},
+    pointvane_core::{Change, ChangePage, RoutingConfiguration, RoutingDelta},
     pointvane_dispatch::{
         Broadcaster, CallFailure, KnownState, PeerQuery, PlatformReader, QueryCandidate, QueryTarget,
         ReadMark, ReaderCall, ReaderOptions, ReaderQuery, ReaderRole, Relay, StateReply, earlier_peer,
@@ -176,8 +176,8 @@
 }
 
 impl KnownState for SimHeld {
-    fn upstreams(&self) -> Vec<UpstreamRecord> {
-        (0..self.upstreams).map(|number| record(&format!("i-{number}"), 1)).collect()
+    fn entries(&self) -> Vec<Change> {
+        (0..self.upstreams).map(|number| told(&format!("i-{number}"), 1)).collect()
     }
 
     fn configuration(&self) -> RoutingConfiguration {
@@ -343,7 +343,7 @@
         self.told = true;
         match pending.call {
             ReaderCall::Watch { .. } => self.reader.watch_answered(page, now_ms * MS),
-            _ => self.reader.page_read(page, [].iter(), now_ms * MS),
+            _ => self.reader.page_read(page, [].into_iter(), now_ms * MS),
         };
     }
 
@@ -386,7 +386,7 @@
             !reply.whole || whole_states[peer] <= WHOLE_STATES_PER_STEP
         });
         match reply {
-            Some(reply) => _ = fleet[asker].reader.receive_state(reply, [].iter(), now_ms * MS),
+            Some(reply) => _ = fleet[asker].reader.receive_state(reply, [].into_iter(), now_ms * MS),
             None if lost => fleet[asker].reader.query_failed(now_ms * MS),
             None => fleet[asker].reader.query_declined(now_ms * MS),
         }
--- a/crates/pointvane-dispatch/tests/lapses.rs
+++ b/crates/pointvane-dispatch/tests/lapses.rs
@@ -23,7 +23,7 @@
     fn new(ids: &[&str], now_us: u64) -> Self {
         let mut reader =
             PlatformReader::new(ReaderOptions { start_queries: 0, ..ReaderOptions::default() }, 1);
-        reader.page_read(page(5, Vec::new()), [].iter(), now_us);
+        reader.page_read(page(5, Vec::new()), [].into_iter(), now_us);
         let mut pool = Pool::new(RankingOptions::default(), "one".into(), 1);
         ids.iter().for_each(|id| _ = pool.upsert(record(id, 1), now_us));
         reader.compare_with_peers(ReaderRole::Watcher, 5, now_us);
@@ -48,7 +48,7 @@
                 Change::UpstreamGone(id) => {
                     _ = self.pool.entry_removed(&id, self.reader.grace_until_us(), now_us)
                 }
-                Change::Configuration(_) | Change::ConfigurationDeltas(_) => {}
+                Change::Evacuation(_) | Change::Configuration(_) | Change::ConfigurationDeltas(_) => {}
             }
         }
     }
--- a/crates/pointvane-dispatch/tests/reader.rs
+++ b/crates/pointvane-dispatch/tests/reader.rs
@@ -4,7 +4,7 @@
 mod fleet;
 
 use {
-    common::{configured, page, record, told},
+    common::{configured, page, told},
     fleet::{CUT, MS, SOUND, STEP_MS, Silent, SimNetwork, SimPlatform, play},
     googletest::prelude::*,
     pointvane_core::{Change, ChangePage},
@@ -197,8 +197,8 @@
 #[gtest]
 fn a_read_of_everything_forgets_what_is_no_longer_listed() {
     let mut reader = reader();
-    let known = [record("one", 1), record("two", 1)];
-    let changes = reader.page_read(page(5, vec![told("two", 1)]), known.iter(), MS);
+    let known = [told("one", 1), told("two", 1)];
+    let changes = reader.page_read(page(5, vec![told("two", 1)]), known.into_iter(), MS);
     expect_that!(changes, contains(eq(&Change::UpstreamGone("one".into()))));
     expect_that!(changes, not(contains(eq(&Change::UpstreamGone("two".into())))));
 }
@@ -207,10 +207,10 @@
 fn pages_are_watched_again_from_the_first_pages_revision() {
     let mut reader = reader();
     let first = ChangePage { next_page: Some("m".into()), ..page(5, vec![told("a", 1)]) };
-    reader.page_read(first, [].iter(), MS);
+    reader.page_read(first, [].into_iter(), MS);
     expect_that!(reader.next(MS), matches_pattern!(ReaderCall::Snapshot { next_page: some(eq("m")), .. }));
-    let known = [record("a", 1)];
-    let changes = reader.page_read(page(9, vec![told("n", 1)]), known.iter(), MS);
+    let known = [told("a", 1)];
+    let changes = reader.page_read(page(9, vec![told("n", 1)]), known.into_iter(), MS);
     expect_that!(changes.len(), eq(1), "an upstream of the first page is not gone");
     expect_that!(reader.next(1_000 * MS), matches_pattern!(ReaderCall::Watch { after: eq(&5), .. }));
 }
@@ -218,7 +218,7 @@
 #[gtest]
 fn a_history_that_is_gone_makes_it_read_everything_at_once() {
     let mut reader = reader();
-    reader.page_read(page(5, Vec::new()), [].iter(), MS);
+    reader.page_read(page(5, Vec::new()), [].into_iter(), MS);
     reader.call_failed(CallFailure::HistoryGone, 2 * MS);
     expect_that!(reader.next(2 * MS), matches_pattern!(ReaderCall::Snapshot { next_page: none(), .. }));
 }
@@ -226,7 +226,7 @@
 #[gtest]
 fn a_platform_that_went_back_is_read_anew() {
     let mut reader = reader();
-    reader.page_read(page(50, Vec::new()), [].iter(), MS);
+    reader.page_read(page(50, Vec::new()), [].into_iter(), MS);
     // A page answers a call: what counts is the revision that the call was made after.
     expect_that!(reader.next(1_000 * MS), matches_pattern!(ReaderCall::Watch { after: eq(&50), .. }));
     let older = vec![configured(3)];
--- a/crates/pointvane-dispatch/tests/relays.rs
+++ b/crates/pointvane-dispatch/tests/relays.rs
@@ -14,7 +14,7 @@
 /// A reader that has read everything at a revision.
 fn read_up_to(revision: u64) -> PlatformReader {
     let mut reader = PlatformReader::new(ReaderOptions::default(), 1);
-    reader.page_read(page(revision, Vec::new()), [].iter(), MS);
+    reader.page_read(page(revision, Vec::new()), [].into_iter(), MS);
     reader
 }
 
@@ -42,7 +42,7 @@
             match change {
                 Change::Upstream(record) => _ = self.pool.upsert(record, now_us),
                 Change::UpstreamGone(id) => _ = self.pool.remove(&id),
-                Change::Configuration(_) | Change::ConfigurationDeltas(_) => {}
+                Change::Evacuation(_) | Change::Configuration(_) | Change::ConfigurationDeltas(_) => {}
             }
         }
     }
--- a/crates/pointvane-dispatch/tests/request_attempts.rs
+++ b/crates/pointvane-dispatch/tests/request_attempts.rs
@@ -7,8 +7,8 @@
     googletest::prelude::*,
     pointvane_core::{ErrorKind, Outcome, RouteKind},
     pointvane_dispatch::{
-        AttemptEnd, AttemptOutcome, LeastLatency, NextStep, Refusal, RequestAttempts, RetryBudget,
-        RetryBudgetOptions, RouteTimes, may_pass_on,
+        AttemptEnd, AttemptOutcome, Ineligible, LeastLatency, NextStep, Refusal, RequestAttempts,
+        RetryBudget, RetryBudgetOptions, RouteTimes, may_pass_on,
     },
 };
 
@@ -85,7 +85,7 @@
 fn without_an_upstream_or_admission_the_request_is_refused() {
     let route = route(RouteKind::Safe);
     let step = |end| RequestAttempts::started(&route, true).ended(end, 0, &mut budget(5));
-    expect_that!(step(AttemptEnd::NoUpstream), eq(NextStep::GiveUp(ErrorKind::NoUpstream)));
+    expect_that!(step(AttemptEnd::NoUpstream(Ineligible::Gone)), eq(NextStep::GiveUp(ErrorKind::NoUpstream)));
     expect_that!(step(AttemptEnd::NotAdmitted), eq(NextStep::GiveUp(ErrorKind::Overloaded)));
 }
 
@@ -107,7 +107,7 @@
         attempts.hedge_due(1, &mut budget(5));
         attempts
     };
-    for end in [AttemptEnd::NotAdmitted, AttemptEnd::NoUpstream, BROKEN] {
+    for end in [AttemptEnd::NotAdmitted, AttemptEnd::NoUpstream(Ineligible::Gone), BROKEN] {
         let mut attempts = hedged();
         expect_that!(attempts.ended(end, 2, &mut budget(5)), eq(NextStep::Wait), "{end:?}");
         expect_that!(attempts.ended(WELL, 2, &mut budget(5)), eq(NextStep::Deliver));
@@ -128,7 +128,7 @@
 #[gtest]
 fn not_run_is_never_said_after_an_attempt_that_may_have_run() {
     let route = route(RouteKind::Safe);
-    for second in [BUSY, UNSENT, AttemptEnd::NoUpstream, AttemptEnd::NotAdmitted] {
+    for second in [BUSY, UNSENT, AttemptEnd::NoUpstream(Ineligible::Gone), AttemptEnd::NotAdmitted] {
         let mut attempts = RequestAttempts::started(&route, true);
         attempts.ended(BROKEN, 1, &mut budget(5));
         let NextStep::GiveUp(error) = attempts.ended(second, 2, &mut budget(0)) else { continue };
--- a/crates/pointvane-dispatch/tests/routing.rs
+++ b/crates/pointvane-dispatch/tests/routing.rs
@@ -26,7 +26,8 @@
 
 fn table(routes: Vec<RouteRule>) -> RouteTable {
     let routes = routes.into_iter().map(Arc::new).collect();
-    let services = vec![ServiceRule { name: "a".into(), health_path: "/up".into() }];
+    let services =
+        vec![ServiceRule { name: "a".into(), health_path: "/up".into(), cold_requests_per_1000_s: 0 }];
     RouteTable::new(RoutingConfiguration { version: 7, routes, services, ..RoutingConfiguration::default() })
 }
 
--- a/crates/pointvane-dispatch/tests/search.rs
+++ b/crates/pointvane-dispatch/tests/search.rs
@@ -7,8 +7,8 @@
     googletest::prelude::*,
     pointvane_core::{UpstreamLoad, UpstreamRecord},
     pointvane_dispatch::{
-        Found, Pool, RankingOptions, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep,
-        UpstreamKey, Wanted,
+        Found, Ineligible, Pool, RankingOptions, Search, SearchGoal, SearchOptions, SearchRequest,
+        SearchStep, UpstreamKey, Wanted,
     },
 };
 
@@ -156,6 +156,6 @@
     let without_probes = SearchOptions { probes: false, ..OPTIONS };
     for options in [OPTIONS, without_probes] {
         let step = search(options, best(20 * MS)).next(&mut pool(0), NOW);
-        expect_that!(step, eq(&SearchStep::Done(Found::Nothing)));
+        expect_that!(step, eq(&SearchStep::Done(Found::Nothing(Ineligible::Gone))));
     }
 }
--- a/crates/pointvane-dispatch/tests/states.rs
+++ b/crates/pointvane-dispatch/tests/states.rs
@@ -5,9 +5,7 @@
 use {
     common::{configuration, configured, page, record, route, told},
     googletest::prelude::*,
-    pointvane_core::{
-        Change, Name, RouteKind, RouteRule, RoutingConfiguration, RoutingDelta, UpstreamRecord,
-    },
+    pointvane_core::{Change, RouteKind, RouteRule, RoutingConfiguration, RoutingDelta, UpstreamRecord},
     pointvane_dispatch::{
         Broadcaster, CallFailure, KnownState, PeerQuery, PlatformReader, ReadMark, ReaderCall, ReaderOptions,
         ReaderQuery, ReaderRole, Relay, StateReply, StateRequest, WholeStateLimit,
@@ -26,8 +24,8 @@
 }
 
 impl KnownState for Held {
-    fn upstreams(&self) -> Vec<UpstreamRecord> {
-        self.ids.iter().map(|id| record(id, 1)).collect()
+    fn entries(&self) -> Vec<Change> {
+        self.ids.iter().map(|id| told(id, 1)).collect()
     }
 
     fn configuration(&self) -> RoutingConfiguration {
@@ -42,7 +40,7 @@
 /// A reader that the platform has told everything up to a revision and version.
 fn read_up_to(revision: u64, version: u64) -> PlatformReader {
     let mut reader = PlatformReader::new(ReaderOptions { start_queries: 0, ..ReaderOptions::default() }, 1);
-    reader.page_read(page(revision, vec![configured(version)]), [].iter(), MS);
+    reader.page_read(page(revision, vec![configured(version)]), [].into_iter(), MS);
     reader.compare_with_peers(ReaderRole::Follower, 0, MS);
     reader
 }
@@ -56,8 +54,7 @@
 }
 
 fn hear(reader: &mut PlatformReader, reply: StateReply, now_us: u64) -> Vec<Change> {
-    let known: [Name; 1] = ["old".into()];
-    reader.receive_state(reply, known.iter(), now_us)
+    reader.receive_state(reply, [told("old", 1)].into_iter(), now_us)
 }
 
 #[gtest]
@@ -102,8 +99,8 @@
 struct ManyHeld(usize);
 
 impl KnownState for ManyHeld {
-    fn upstreams(&self) -> Vec<UpstreamRecord> {
-        (0..self.0).map(|number| record(&format!("i-{number}"), 1)).collect()
+    fn entries(&self) -> Vec<Change> {
+        (0..self.0).map(|number| told(&format!("i-{number}"), 1)).collect()
     }
 
     fn configuration(&self) -> RoutingConfiguration {
@@ -258,7 +255,7 @@
 struct Followed;
 
 impl KnownState for Followed {
-    fn upstreams(&self) -> Vec<UpstreamRecord> {
+    fn entries(&self) -> Vec<Change> {
         Vec::new()
     }
 
--- a/crates/pointvane-dispatch/tests/wire_format.rs
+++ b/crates/pointvane-dispatch/tests/wire_format.rs
@@ -3,8 +3,8 @@
 use {
     googletest::prelude::*,
     pointvane_core::{
-        CallerLimits, Change, Name, RouteKind, RouteRule, RoutingConfiguration, RoutingDelta, ServiceRule,
-        UpstreamRecord, WeightedService,
+        CallerLimits, Change, Evacuation, Name, RouteKind, RouteRule, RoutingConfiguration, RoutingDelta,
+        ServiceRule, UpstreamRecord, WeightedService,
     },
     pointvane_dispatch::{
         ConfigurationUpdate, ReadMark, Relay, RelayDatagram, Segment, StateReply, StateRequest, WireRelay,
@@ -45,6 +45,10 @@
     }
 }
 
+fn evacuation(active: bool) -> Change {
+    Change::Evacuation(Evacuation { data_centre: "ub-2".into(), active, revision: 409 })
+}
+
 fn changes() -> Vec<Change> {
     vec![Change::Upstream(record()), Change::UpstreamGone(Name::from("i-8"))]
 }
@@ -65,7 +69,11 @@
     RoutingConfiguration {
         version: 12,
         routes: kinds.map(|kind| Arc::new(route(kind))).to_vec(),
-        services: vec![ServiceRule { name: "board".into(), health_path: "/health".into() }],
+        services: vec![ServiceRule {
+            name: "board".into(),
+            health_path: "/health".into(),
+            cold_requests_per_1000_s: 0,
+        }],
         limits: CallerLimits::default(),
     }
 }
@@ -97,5 +105,7 @@
     lines.add("state-whole", &Some(StateReply::new(mark, 250, true, changes(), Some(whole))));
     let deltas = ConfigurationUpdate::Deltas(vec![delta()]);
     lines.add("state-deltas", &Some(StateReply::new(mark, 250, false, changes(), Some(deltas))));
+    let evacuations = vec![evacuation(true), evacuation(false)];
+    lines.add("state-evacuations", &Some(StateReply::new(mark, 250, false, evacuations, None)));
     expect_that!(lines.0, eq(GOLDEN));
 }
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -81,7 +81,7 @@
         Found::Contended(_) if goal == SearchGoal::UncontendedOnly => Err(AttemptEnd::NotAdmitted),
         Found::Contended(key) if is_refused(node, request, key) => Err(AttemptEnd::NotAdmitted),
         Found::Contended(key) => Ok(key),
-        Found::Nothing => Err(AttemptEnd::NoUpstream),
+        Found::Nothing(reason) => Err(AttemptEnd::NoUpstream(reason)),
     }
 }
 
--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -5,10 +5,11 @@
 use {
     crate::{connections::Connections, probe_table::ProbeTable},
     pointvane_config::{ChoicePolicy, NodeAdmissionOptions, NodeOptions},
-    pointvane_core::{DeltaMismatch, Name, RouteRule, RoutingConfiguration, RoutingDelta},
+    pointvane_core::{DeltaMismatch, ErrorKind, Name, RouteRule, RoutingConfiguration, RoutingDelta},
     pointvane_dispatch::{
         AdmissionPolicy, BudgetLimits, NodeBudgets, PipelineLimits, Pool, Ranking, RankingOptions, RefusedBy,
-        RetryBudget, RouteTable, RouteTimes, RoutedRequest, RoutingLog, SearchOptions, retry_after_ms,
+        RetryBudget, RouteTable, RouteTimes, RoutedRequest, RoutingLog, SearchOptions, WarmUpBound,
+        retry_after_ms,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
@@ -83,7 +84,7 @@
         let newer = configuration.version > before.version();
         if newer {
             self.routing_log.borrow_mut().replaced(&before.configuration(), &configuration);
-            self.routes.replace(Rc::new(RouteTable::new(configuration)));
+            self.put_in_force(configuration);
         }
         newer
     }
@@ -95,12 +96,18 @@
     pub fn accept_deltas(&self, deltas: Vec<RoutingDelta>) -> Result<(), DeltaMismatch> {
         let base = self.routes().configuration();
         let configuration = RoutingDelta::apply(&deltas, base)?;
-        self.routes.replace(Rc::new(RouteTable::new(configuration)));
+        self.put_in_force(configuration);
         let mut log = self.routing_log.borrow_mut();
         deltas.into_iter().for_each(|delta| log.add(delta));
         Ok(())
     }
 
+    fn put_in_force(&self, configuration: RoutingConfiguration) {
+        let routes = RouteTable::new(configuration);
+        self.pool.borrow_mut().set_warm_up_rates(routes.cold_rates_per_s());
+        self.routes.replace(Rc::new(routes));
+    }
+
     /// What changed from a version to the configuration in force; none if that is not known.
     pub fn configuration_since(&self, version: u64) -> Option<Vec<RoutingDelta>> {
         self.routing_log.borrow().since(version)
@@ -138,16 +145,18 @@
         self.budgets.borrow_mut().take_probe(now_us)
     }
 
-    /// Divides the fleet's budgets among so many nodes.
-    pub fn share_budgets(&self, nodes: usize, limits: &BudgetLimits, now_us: u64) {
+    /// Divides the fleet's budgets, and what cold upstreams bear, among so many nodes.
+    pub fn share_budgets(&self, nodes: usize, limits: &BudgetLimits, warm_up: WarmUpBound, now_us: u64) {
         let upstreams = self.pool.borrow().len();
-        self.budgets.borrow_mut().divide(nodes, upstreams, limits, now_us);
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.divide(nodes, upstreams, limits, now_us);
+        self.pool.borrow_mut().share_warm_up(warm_up, budgets.nodes(), now_us);
     }
 
-    /// When a refused caller should retry, in milliseconds.
-    pub fn retry_after_ms(&self, route: &RouteRule, by: RefusedBy) -> u32 {
+    /// When a caller should retry whose request was refused for `error`, in milliseconds; none where the usual time holds.
+    pub fn retry_after_ms(&self, route: &RouteRule, error: ErrorKind, by: RefusedBy) -> Option<u32> {
         let draw = self.rng.borrow_mut().random::<f64>();
-        retry_after_ms(route, by, draw) as u32
+        retry_after_ms(route, error, by, draw)
     }
 }
 
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -125,12 +125,11 @@
         answer.ok_or_else(|| ErrorKind::UpstreamBroken.into())
     }
 
-    /// The reason for which the node itself answers, with the time to retry if it is overload.
+    /// The reason for which the node itself answers, with the time to retry if it has one of its own.
     fn refuse(&self, error: ErrorKind) -> Refused {
         let route = &self.request.routed.route;
         let by = if self.request.sends.get() > 0 { RefusedBy::Upstream } else { RefusedBy::Node };
-        let retry_after_ms =
-            (error == ErrorKind::Overloaded).then(|| self.node.dispatcher.retry_after_ms(route, by));
+        let retry_after_ms = self.node.dispatcher.retry_after_ms(route, error, by);
         Refused { retry_after_ms, ..error.into() }
     }
 }
--- a/crates/pointvane-node/src/headers.rs
+++ b/crates/pointvane-node/src/headers.rs
@@ -20,6 +20,8 @@
     pub not_run: HeaderName,
     /// The upstream's identity.
     pub upstream: HeaderName,
+    /// How much longer an upstream is cold, in milliseconds.
+    pub warm_up_left_ms: HeaderName,
 }
 
 impl From<HeaderNames> for Headers {
@@ -31,6 +33,7 @@
             load: HeaderName::from_static(names.load),
             not_run: HeaderName::from_static(names.not_run),
             upstream: HeaderName::from_static(names.upstream),
+            warm_up_left_ms: HeaderName::from_static(names.warm_up_left_ms),
         }
     }
 }
@@ -42,6 +45,13 @@
         text.trim().parse().ok()
     }
 
+    /// How much longer an upstream says that it is cold, in milliseconds; none if it says nothing, or not in a number.
+    pub fn warm_up_left_ms(&self, headers: &HeaderMap) -> Option<u64> {
+        let text = headers.get(&self.warm_up_left_ms)?.to_str().ok()?;
+        // A fraction is cut off, a negative time is none.
+        text.trim().parse::<f64>().ok().map(|left_ms| left_ms as u64)
+    }
+
     /// The identity that a caller gave its request, for log lines; empty if it gave none, or one that is no text.
     pub fn request_id_text(&self, headers: &HeaderMap) -> String {
         headers.get(&self.request_id).and_then(|id| id.to_str().ok()).unwrap_or_default().into()
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -89,7 +89,8 @@
 
     /// Divides the fleet's budgets among the nodes that are seen now, or were seen before.
     pub fn share_budgets(&self) {
-        let limits = self.settings().limits.budgets();
-        self.dispatcher.share_budgets(self.fleet.size(), &limits, self.now_us());
+        let limits = self.settings().limits.clone();
+        let (budgets, warm_up) = (limits.budgets(), limits.warm_up());
+        self.dispatcher.share_budgets(self.fleet.size(), &budgets, warm_up, self.now_us());
     }
 }
--- a/crates/pointvane-node/src/platform_reader.rs
+++ b/crates/pointvane-node/src/platform_reader.rs
@@ -113,7 +113,7 @@
     let (revision, age_ms) = (reply.mark.revision, reply.age_ms);
     let changes = {
         let pool = node.dispatcher.pool();
-        node.platform.state_mut().receive_state(reply, pool.ids(), node.now_us())
+        node.platform.state_mut().receive_state(reply, pool.known(), node.now_us())
     };
     if !changes.is_empty() {
         node.report.note(EventKind::StateTold { peer, revision, age_ms });
@@ -150,7 +150,7 @@
     let Some(page) = decoded(node, client, answer, A::snapshot) else { return };
     let changes = {
         let pool = node.dispatcher.pool();
-        node.platform.state_mut().page_read(page, pool.records(), node.now_us())
+        node.platform.state_mut().page_read(page, pool.listed(), node.now_us())
     };
     let mark = node.platform.mark();
     if mark.revision > 0 {
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -146,6 +146,9 @@
         return ProbeOutcome::OtherUpstream;
     }
     node.record_load(key, node.load_report(headers));
+    if let Some(left_ms) = node.headers.warm_up_left_ms(headers) {
+        node.dispatcher.pool_mut().record_warm_up(key, left_ms, node.now_us());
+    }
     let busy = headers.contains_key(&node.headers.not_run);
     if busy || answer.status() == StatusCode::OK { ProbeOutcome::Healthy } else { ProbeOutcome::Unhealthy }
 }
--- a/crates/pointvane-node/src/publication.rs
+++ b/crates/pointvane-node/src/publication.rs
@@ -4,8 +4,8 @@
     crate::node::Node,
     hyper::HeaderMap,
     pointvane_core::{
-        Change, Name, PlatformAdapter, RefusedItem, RoutingConfiguration, RoutingDelta, UpstreamLoad,
-        UpstreamRecord,
+        Change, Evacuation, Name, PlatformAdapter, RefusedItem, RoutingConfiguration, RoutingDelta,
+        UpstreamLoad, UpstreamRecord,
     },
     pointvane_dispatch::UpstreamKey,
     pointvane_telemetry::EventKind,
@@ -37,6 +37,7 @@
                 Change::ConfigurationDeltas(deltas) => self.apply_deltas(deltas),
                 Change::Upstream(record) => self.apply_upstream(record),
                 Change::UpstreamGone(id) => self.apply_removal(id),
+                Change::Evacuation(evacuation) => self.apply_evacuation(evacuation),
             }
         }
         self.share_budgets();
@@ -65,6 +66,13 @@
         }
     }
 
+    fn apply_evacuation(&self, evacuation: Evacuation) {
+        let Evacuation { data_centre, active, revision } = evacuation.clone();
+        if self.dispatcher.pool_mut().apply_evacuation(evacuation) {
+            self.report.note(EventKind::EvacuationChanged { data_centre, active, revision });
+        }
+    }
+
     /// Forgets upstreams whose entries expired during an outage of the store and did not come back.
     pub fn forget_expired(&self) {
         let expired = self.dispatcher.pool_mut().forget_expired(self.now_us());
--- a/crates/pointvane-node/src/settings.rs
+++ b/crates/pointvane-node/src/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     pointvane_core::Name,
-    pointvane_dispatch::BudgetLimits,
+    pointvane_dispatch::{BudgetLimits, WarmUpBound},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -47,6 +47,10 @@
     pub retry_slack: f64,
     /// Probes that one upstream may get each second, over the whole fleet.
     pub probes_per_s: f64,
+    /// Multiple of the rate that a cold upstream bears which it may get, over the whole fleet.
+    pub cold_overshoot: f64,
+    /// Requests in a second that it may get besides, over the whole fleet.
+    pub cold_slack: f64,
     /// How long callers may keep the directory's answer, in seconds.
     pub directory_keep_s: u64,
 }
@@ -60,6 +64,11 @@
             probes_per_upstream_per_s: self.probes_per_s,
         }
     }
+
+    /// The bound on what cold upstreams get.
+    pub fn warm_up(&self) -> WarmUpBound {
+        WarmUpBound { overshoot: self.cold_overshoot, slack: self.cold_slack }
+    }
 }
 
 /// What applies where a deployment bounds nothing. Not measured.
@@ -70,6 +79,8 @@
             retry_ratio: 0.1,
             retry_slack: 10.0,
             probes_per_s: 10.0,
+            cold_overshoot: 1.0,
+            cold_slack: 0.0,
             directory_keep_s: 5,
         }
     }
--- a/crates/pointvane-node/src/state_query.rs
+++ b/crates/pointvane-node/src/state_query.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{node::Node, socket},
-    pointvane_core::{PlatformAdapter, RoutingConfiguration, RoutingDelta, UpstreamRecord},
+    pointvane_core::{Change, PlatformAdapter, RoutingConfiguration, RoutingDelta},
     pointvane_dispatch::{KnownState, PeerQuery, ReadMark, StateReply, StateRequest},
     pointvane_mesh::codec,
     serde::{Serialize, de::DeserializeOwned},
@@ -33,8 +33,8 @@
 const PIECE_BYTES: usize = 65_536;
 
 impl<A: PlatformAdapter> KnownState for Node<A> {
-    fn upstreams(&self) -> Vec<UpstreamRecord> {
-        self.dispatcher.pool().records().cloned().collect()
+    fn entries(&self) -> Vec<Change> {
+        self.dispatcher.pool().listed().collect()
     }
 
     fn configuration(&self) -> RoutingConfiguration {
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -88,6 +88,8 @@
     UpstreamTold { service: Name, upstream: Name, draining: bool, entry_sequence: u64 },
     /// An upstream's entry is gone.
     UpstreamGone { upstream: Name },
+    /// A data centre's upstreams get no new work, or get it again; `revision` is the platform's.
+    EvacuationChanged { data_centre: Name, active: bool, revision: u64 },
     /// Everything that the platform holds was read from it.
     PlatformRead { revision: u64, version: u64, upstreams: u64 },
     /// The platform is called by a node that does not watch it, or because a call before brought no state.
--- a/standins/tests/thin_links.rs
+++ b/standins/tests/thin_links.rs
@@ -133,7 +133,11 @@
     RoutingConfiguration {
         version: 6,
         routes: (0..ROUTES).map(route).map(Arc::new).collect(),
-        services: vec![ServiceRule { name: "app".into(), health_path: "/health".into() }],
+        services: vec![ServiceRule {
+            name: "app".into(),
+            health_path: "/health".into(),
+            cold_requests_per_1000_s: 0,
+        }],
         limits: CallerLimits::default(),
     }
 }
--- a/standins/tests/users_platform/store.rs
+++ b/standins/tests/users_platform/store.rs
@@ -116,14 +116,33 @@
 
     /// Lists an upstream that is reached at another address than its own.
     pub fn list_at(&self, upstream: &Upstream, address: SocketAddr, state: &str, sequence: u64) {
+        self.list_with(upstream, address, "one", state, sequence);
+    }
+
+    /// Lists an upstream of a data centre.
+    pub fn list_in(&self, upstream: &Upstream, zone: &str) {
+        self.list_with(upstream, upstream.address, zone, "ready", 1);
+    }
+
+    fn list_with(&self, upstream: &Upstream, address: SocketAddr, zone: &str, state: &str, sequence: u64) {
         self.put(
             &format!("servers/{}", upstream.id),
             &format!(
-                r#"{{"address":"{address}","info":{{"service":"app","version":"v1","zone":"one","slots":3}},"status":{{"state":"{state}","sequence":{sequence},"warmup-left-ms":0}}}}"#
+                r#"{{"address":"{address}","info":{{"service":"app","version":"v1","zone":"{zone}","slots":3}},"status":{{"state":"{state}","sequence":{sequence},"warmup-left-ms":0}}}}"#
             ),
         );
     }
 
+    /// Asks that the upstreams of a data centre get no new work.
+    pub fn evacuate(&self, zone: &str) {
+        self.put(&format!("op/evacuate/{zone}"), "{}");
+    }
+
+    /// Takes that back.
+    pub fn take_back(&self, zone: &str) {
+        self.remove(&format!("op/evacuate/{zone}"));
+    }
+
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
