Evacuation in the three programs' form: a list in fleet.toml

Upstreams of a data centre that `evacuated` names get no new work; what they run is finished. When no other is left callers are told `evacuated`. A name that no upstream has is a fault of `check`. Packed sets without it keep their bytes. Tests: `an_evacuated_data_centre_gets_no_new_work_until_that_is_taken_back`, two of files.rs.

--- a/crates/pointvane-balance/benches/choose.rs
+++ b/crates/pointvane-balance/benches/choose.rs
@@ -18,6 +18,7 @@
         name: format!("u{number}").as_str().into(),
         data_centre: "dc-1".into(),
         address: ([10, 0, (number >> 8) as u8, number as u8], 80).into(),
+        evacuated: false,
         slots: 6,
     };
     Service {
--- a/crates/pointvane-balance/src/service.rs
+++ b/crates/pointvane-balance/src/service.rs
@@ -161,6 +161,7 @@
                 Decision::Start { upstream, waiter }
             }
             Err(NoPick::Nothing) => Decision::Refuse { kind: ErrorKind::NoUpstream, waiter },
+            Err(NoPick::Evacuated) => Decision::Refuse { kind: ErrorKind::Evacuated, waiter },
             Err(NoPick::Full | NoPick::Stale) => self.queue(arrival, waiter, now_us),
         }
     }
@@ -192,6 +193,10 @@
                 let Waiting { waiter, .. } = self.admission.pop()?;
                 Some(Dispatch::Refuse { kind: ErrorKind::NoUpstream, waiter })
             }
+            Err(NoPick::Evacuated) => {
+                let Waiting { waiter, .. } = self.admission.pop()?;
+                Some(Dispatch::Refuse { kind: ErrorKind::Evacuated, waiter })
+            }
             Err(NoPick::Full | NoPick::Stale) => None,
         }
     }
--- a/crates/pointvane-balance/src/service/pick.rs
+++ b/crates/pointvane-balance/src/service/pick.rs
@@ -17,6 +17,8 @@
     Full,
     /// No usable upstream has fresh evidence that it is not leaving.
     Stale,
+    /// All that are left are of evacuated data centres.
+    Evacuated,
     /// None is left.
     Nothing,
 }
@@ -28,7 +30,8 @@
         let bounded = self.service.policy == Policy::Shared && self.own > 0;
         let queue_share = self.service.admission.queue_share as f32;
         let records = &self.records;
-        let in_place = |i: usize| !records[i].retired && Some(i) != exclude;
+        let in_place =
+            |i: usize| !records[i].retired && !self.upstreams[i].upstream.evacuated && Some(i) != exclude;
         let fresh = |i: usize, s: &UpstreamView| in_place(i) && s.evidence.fresh(now_us, bound_us);
         let healthy = |i: usize, s: &UpstreamView| fresh(i, s) && !s.health.ejected(now_us);
         let roomy =
@@ -41,7 +44,7 @@
             return Err(NoPick::Full);
         }
         if states().all(|(_, state)| state.evidence.leaving()) {
-            return Err(NoPick::Nothing);
+            return Err(self.nothing());
         }
         // All that are known to stay are ejected: an ill upstream is better than none.
         if let Some(index) = self.chooser.choose(&self.upstreams, &context, fresh) {
@@ -54,7 +57,10 @@
     /// at a time takes the place of a probe, at the upstream last known to stay.
     fn fallback(&mut self, now_us: u64, exclude: Option<usize>) -> Result<usize, NoPick> {
         let candidates = || {
-            let staying = |&i: &usize| !self.records[i].retired && !self.upstreams[i].evidence.leaving();
+            let staying = |&i: &usize| {
+                let UpstreamView { upstream, evidence, .. } = &self.upstreams[i];
+                !self.records[i].retired && !upstream.evacuated && !evidence.leaving()
+            };
             (0..self.records.len()).filter(staying).filter(|&i| Some(i) != exclude)
         };
         if candidates().any(|i| self.probed_lately(i, now_us)) {
@@ -68,6 +74,15 @@
         idle.max_by_key(|&i| self.upstreams[i].evidence.staying_at_us()).ok_or(NoPick::Stale)
     }
 
+    /// Why nobody is left: an evacuation if there is one, since it ends when operators say so.
+    fn nothing(&self) -> NoPick {
+        let mut in_place = self.upstreams.iter().zip(&self.records).filter(|(_, record)| !record.retired);
+        match in_place.any(|(state, _)| state.upstream.evacuated) {
+            true => NoPick::Evacuated,
+            false => NoPick::Nothing,
+        }
+    }
+
     pub(super) fn start(&mut self, upstream: usize, now_us: u64) {
         self.own += 1;
         self.upstreams[upstream].own += 1;
--- a/crates/pointvane-balance/tests/service.rs
+++ b/crates/pointvane-balance/tests/service.rs
@@ -19,6 +19,7 @@
         data_centre: "dc-1".into(),
         address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
         slots: SLOTS,
+        evacuated: false,
     };
     Service {
         name: "dispatch".into(),
@@ -353,3 +354,32 @@
         expect_that!(allocated.count_total, eq(0), "{upstreams} upstreams, first {first}");
     }
 }
+
+/// Two upstreams, each in a data centre of its own, of which some are evacuated.
+fn of_two_data_centres(evacuated: [bool; 2]) -> Service {
+    let mut service = service(2);
+    for (upstream, evacuated) in service.upstreams.iter_mut().zip(evacuated) {
+        upstream.data_centre = upstream.name.clone();
+        upstream.evacuated = evacuated;
+    }
+    service
+}
+
+#[gtest]
+fn an_evacuated_data_centre_gets_no_new_work_until_that_is_taken_back() {
+    let mut bench = Bench::new(&of_two_data_centres([false, false]));
+    bench.balancer.configure(&of_two_data_centres([true, false]), &limits(), bench.now_us);
+    for _ in 0..SLOTS {
+        expect_that!(
+            bench.arrive(Class::Routine),
+            matches_pattern!(Decision::Start { upstream: eq(&1), .. })
+        );
+    }
+    let mut emptied = Bench::new(&of_two_data_centres([true, true]));
+    expect_that!(
+        emptied.arrive(Class::Routine),
+        matches_pattern!(Decision::Refuse { kind: eq(&ErrorKind::Evacuated), .. })
+    );
+    emptied.balancer.configure(&of_two_data_centres([false, true]), &limits(), emptied.now_us);
+    expect_that!(emptied.arrive(Class::Routine), matches_pattern!(Decision::Start { upstream: eq(&0), .. }));
+}
--- a/crates/pointvane-config/src/configuration.rs
+++ b/crates/pointvane-config/src/configuration.rs
@@ -110,4 +110,7 @@
     pub address: SocketAddr,
     /// Requests it runs at once.
     pub slots: u16,
+    /// Whether operators are emptying its data centre: it gets no new work.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub evacuated: bool,
 }
--- a/crates/pointvane-config/src/fleet_file.rs
+++ b/crates/pointvane-config/src/fleet_file.rs
@@ -39,25 +39,59 @@
 }
 
 fn read_set(directory: &Path, mut faults: Faults) -> Result<Configuration, Faults> {
-    let (revision, limits) = read_fleet(directory, &mut faults);
+    let FleetFile { revision, limits, evacuated } = read_fleet(directory, &mut faults);
     let mut services = Vec::new();
     let mut seen = Seen::default();
     for path in service_paths(directory, &mut faults) {
         services.extend(read_service_file(directory, &path, &limits, &mut seen, &mut faults));
     }
     services.sort_by(|a, b| a.name.cmp(&b.name));
+    evacuate(&evacuated, &mut services, &mut faults);
     faults.or(Configuration { revision, limits, services })
 }
 
-fn read_fleet(directory: &Path, faults: &mut Faults) -> (u64, FleetLimits) {
+/// What `fleet.toml` says.
+#[derive(Default)]
+struct FleetFile {
+    revision: u64,
+    limits: FleetLimits,
+    /// Data centres whose upstreams get no new work.
+    evacuated: Vec<Name>,
+}
+
+/// Marks the upstreams of evacuated data centres; one that no upstream is in is a fault, since nothing would be emptied.
+fn evacuate(evacuated: &[Name], services: &mut [Service], faults: &mut Faults) {
+    for data_centre in evacuated {
+        let upstreams = services.iter_mut().flat_map(|service| &mut service.upstreams);
+        let emptied = upstreams.filter(|upstream| upstream.data_centre == *data_centre);
+        if emptied.map(|upstream| upstream.evacuated = true).count() == 0 {
+            faults.0.push(Fault {
+                file: FLEET_FILE.into(),
+                line: 1,
+                key: "evacuated".into(),
+                problem: format!("no upstream is in data centre \"{data_centre}\""),
+                remedy: "name it as the upstreams' data_centre does, or remove it".into(),
+            });
+        }
+    }
+}
+
+fn read_fleet(directory: &Path, faults: &mut Faults) -> FleetFile {
     let text = read_text(directory, FLEET_FILE, faults).unwrap_or_default();
     let document = Document::new(FLEET_FILE, &text);
     let Some(table) = document.parse() else {
         faults.0.extend(document.into_faults().0);
-        return (0, FleetLimits::default());
+        return FleetFile::default();
     };
     let top = Section::top(&document, &table);
-    top.only(&["control_bytes_per_s", "entry_vms_max", "key_life_ms", "locate_keep_ms", "revision"]);
+    top.only(&[
+        "control_bytes_per_s",
+        "entry_vms_max",
+        "evacuated",
+        "key_life_ms",
+        "locate_keep_ms",
+        "revision",
+    ]);
     let revision = top.integer("revision", 1..=u64::MAX >> 1, None);
     let default = FleetLimits::default();
     let limits = FleetLimits {
@@ -74,8 +108,9 @@
         let remedy = format!("give at least locate_keep_ms = {}", limits.locate_keep_ms);
         top.fault("key_life_ms", "keys would end before the answer that carries them", remedy);
     }
+    let evacuated = top.texts("evacuated").iter().map(|name| name.as_str().into()).collect();
     faults.0.extend(document.into_faults().0);
-    (revision, limits)
+    FleetFile { revision, limits, evacuated }
 }
 
 /// Names and addresses already taken, with the file that took them.
--- a/crates/pointvane-config/src/service_file.rs
+++ b/crates/pointvane-config/src/service_file.rs
@@ -63,7 +63,13 @@
     let data_centre = section.text("data_centre", "ub-1");
     let slots = section.integer("slots", 1..=10_000, Some(slots));
     let address = section.parsed("address", "10.0.0.7:8080")?;
-    Some(Upstream { name: name.as_str().into(), data_centre: data_centre.as_str().into(), address, slots })
+    Some(Upstream {
+        name: name.as_str().into(),
+        data_centre: data_centre.as_str().into(),
+        address,
+        slots,
+        evacuated: false,
+    })
 }
 
 fn read_load(section: &Section<'_, '_>) -> LoadOptions {
--- a/crates/pointvane-config/tests/files.rs
+++ b/crates/pointvane-config/tests/files.rs
@@ -263,3 +263,20 @@
     let faults = check_directory(&files.0).unwrap_err();
     expect_that!(faults.0, each(field!(Fault.remedy, starts_with("remove it, or use one of: "))));
 }
+
+#[gtest]
+fn the_upstreams_of_an_evacuated_data_centre_are_marked() {
+    let fleet = format!("evacuated = [\"ub-1\"]\n{FLEET}");
+    let files = Files::new("evacuated", &[("fleet.toml", &fleet), ("services/dispatch.toml", SERVICE)]);
+    let configuration = files.read().unwrap();
+    expect_that!(configuration.services[0].upstreams.iter().all(|upstream| upstream.evacuated), eq(true));
+    expect_that!(good().services[0].upstreams.iter().any(|upstream| upstream.evacuated), eq(false));
+}
+
+#[gtest]
+fn an_evacuated_data_centre_that_no_upstream_is_in_is_a_fault() {
+    let fleet = format!("evacuated = [\"ub-7\"]\n{FLEET}");
+    let files = Files::new("nowhere", &[("fleet.toml", &fleet), ("services/dispatch.toml", SERVICE)]);
+    let faults = files.read().unwrap_err();
+    expect_that!(faults, elements_are![eq(&("fleet.toml".to_owned(), 1, "evacuated".to_owned()))]);
+}
