First reads may be stale

The platform serves a read that may be seconds old at a tenth of the cost. Pages of such a read may be unequally old, so the changes since the oldest are watched. Ruled out: stale reads of nodes that serve (their bounds run).

--- a/crates/pointvane-core/src/adapter.rs
+++ b/crates/pointvane-core/src/adapter.rs
@@ -33,12 +33,21 @@
     pub warm_up_left_ms: &'static str,
 }
 
+/// How new a read of everything must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadFreshness {
+    /// It holds all that was published before the call.
+    Newest,
+    /// It may lack what was published in the last seconds, if the platform serves such reads more cheaply.
+    MayBeStale,
+}
+
 /// Translation between a platform's formats and the product's own types; it decides nothing.
 pub trait PlatformAdapter {
     /// Names of the headers.
     fn headers(&self) -> HeaderNames;
     /// Target of the call that reads what is published, from the given place of an earlier page on.
-    fn snapshot_target(&self, next_page: Option<&str>) -> String;
+    fn snapshot_target(&self, next_page: Option<&str>, freshness: ReadFreshness) -> String;
     /// Decodes the answer to that call.
     ///
     /// # Errors
--- a/crates/pointvane-core/src/lib.rs
+++ b/crates/pointvane-core/src/lib.rs
@@ -21,7 +21,7 @@
 mod traits;
 
 pub use {
-    adapter::{DirectoryQuestion, HeaderNames, PlatformAdapter},
+    adapter::{DirectoryQuestion, HeaderNames, PlatformAdapter, ReadFreshness},
     error::{AnswerRow, ErrorKind, Outcome},
     evacuation::Evacuation,
     identity::{Incarnation, Name, VmIdentity, VmState},
--- a/crates/pointvane-dispatch/src/reader/call.rs
+++ b/crates/pointvane-dispatch/src/reader/call.rs
@@ -1,6 +1,6 @@
 //! What the reader asks its caller to do, and how that can fail.
 
-use crate::state_query::StateRequest;
+use {crate::state_query::StateRequest, pointvane_core::ReadFreshness};
 
 /// The next thing to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +13,8 @@
         reason: CallReason,
         /// Where the page begins; none for the first.
         next_page: Option<String>,
+        /// How new the page must be.
+        freshness: ReadFreshness,
         /// Time to the answer's first byte after which the call has failed, in milliseconds.
         timeout_ms: u64,
     },
@@ -99,6 +101,18 @@
 }
 
 impl CallReason {
+    /// How new a read of everything for this reason must be.
+    ///
+    /// A node that has just started may begin with what was published seconds ago: what followed comes with its first watch or
+    /// by the other nodes, within two seconds, before it counts as in touch. Platforms serve such reads at a fraction of the cost: after
+    /// a loss of power of all nodes most of their calls are of this kind.
+    pub const fn freshness(self) -> ReadFreshness {
+        match self {
+            Self::Start => ReadFreshness::MayBeStale,
+            _ => ReadFreshness::Newest,
+        }
+    }
+
     /// The value of the label `reason` in metrics and events.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/crates/pointvane-dispatch/src/reader/next_call.rs
+++ b/crates/pointvane-dispatch/src/reader/next_call.rs
@@ -84,7 +84,12 @@
             return ReaderCall::QueryPeer(self.peer_query(QueryTarget::Any));
         }
         self.call = Some(PlatformCall::Fetching { since_us: now_us });
-        ReaderCall::Snapshot { reason, next_page, timeout_ms: self.options.timeout_ms }
+        ReaderCall::Snapshot {
+            reason,
+            next_page,
+            freshness: reason.freshness(),
+            timeout_ms: self.options.timeout_ms,
+        }
     }
 
     fn peer_query(&self, target: QueryTarget) -> PeerQuery {
--- a/crates/pointvane-dispatch/src/reader/snapshot.rs
+++ b/crates/pointvane-dispatch/src/reader/snapshot.rs
@@ -12,7 +12,7 @@
     /// Why everything is read.
     reason: CallReason,
     next_page: Option<String>,
-    /// Revision of the first page. Later pages may be newer, so the changes since the first are watched again.
+    /// The lowest revision of a page: others may be newer, so the changes since this one are watched again.
     revision: Option<u64>,
     /// The entries that were listed so far.
     listed: HashSet<EntryKey>,
@@ -88,7 +88,8 @@
         size_bytes: usize,
         known: impl Iterator<Item = Change>,
     ) -> PageRead {
-        let revision = *self.revision.get_or_insert(page.revision);
+        let revision = self.revision.map_or(page.revision, |lowest| lowest.min(page.revision));
+        self.revision = Some(revision);
         self.size_bytes += size_bytes;
         self.listed.extend(page.changes.iter().filter_map(Change::entry));
         self.next_page = page.next_page;
--- a/crates/pointvane-dispatch/tests/startup.rs
+++ b/crates/pointvane-dispatch/tests/startup.rs
@@ -5,7 +5,7 @@
 use {
     common::{configured, page, told},
     googletest::prelude::*,
-    pointvane_core::{Change, ChangePage},
+    pointvane_core::{Change, ChangePage, ReadFreshness},
     pointvane_dispatch::{
         CallFailure, PeerQuery, PlatformReader, QueryTarget, ReadMark, ReaderCall, ReaderOptions, StateReply,
     },
@@ -120,3 +120,32 @@
     reader.query_failed(5_030 * MS);
     expect_that!(reader.next(5_050 * MS), matches_pattern!(ReaderCall::Snapshot { .. }));
 }
+
+#[gtest]
+fn a_first_read_may_be_stale_and_one_of_a_node_that_serves_may_not() {
+    let mut reader = newcomer(1);
+    reader.next(0);
+    reader.query_failed(30 * MS);
+    let first = reader.next(50 * MS);
+    let stale = ReadFreshness::MayBeStale;
+    expect_that!(first, matches_pattern!(ReaderCall::Snapshot { freshness: eq(&stale), .. }));
+    reader.page_read(page(5, vec![configured(3)]), [].into_iter(), 140 * MS);
+    reader.next(2_000 * MS);
+    reader.call_failed(CallFailure::HistoryGone, 2_100 * MS);
+    let mut call = reader.next(2_100 * MS);
+    while is_query(&call) {
+        reader.query_failed(2_200 * MS);
+        call = reader.next(5_000 * MS);
+    }
+    let newest = ReadFreshness::Newest;
+    expect_that!(call, matches_pattern!(ReaderCall::Snapshot { freshness: eq(&newest), .. }));
+}
+
+/// Pages of a stale read may come from copies of the platform that are not equally old.
+#[gtest]
+fn changes_since_the_oldest_page_are_watched() {
+    let mut reader = newcomer(1);
+    reader.page_read(ChangePage { next_page: Some("m".into()), ..page(9, Vec::new()) }, [].into_iter(), MS);
+    reader.page_read(page(6, vec![configured(3)]), [].into_iter(), 2 * MS);
+    expect_that!(reader.mark().revision, eq(6));
+}
--- a/crates/pointvane-node/src/platform_reader.rs
+++ b/crates/pointvane-node/src/platform_reader.rs
@@ -53,12 +53,13 @@
                 _ = timeout(wait, node.platform.interrupted()).await;
             }
             ReaderCall::QueryPeer(query) => query_peer(node, &query).await,
-            ReaderCall::Snapshot { reason, next_page, timeout_ms } => {
+            ReaderCall::Snapshot { reason, next_page, freshness, timeout_ms } => {
                 let call_timeout = Duration::from_millis(timeout_ms);
                 let before = node.platform.state().is_unreachable();
                 let kind = if next_page.is_some() { CallKind::Page } else { CallKind::Everything };
                 note_call(node, kind, reason);
-                read_snapshot(node, &mut client, next_page.as_deref(), call_timeout).await;
+                let target = node.adapter.snapshot_target(next_page.as_deref(), freshness);
+                read_snapshot(node, &mut client, &target, call_timeout).await;
                 note_reachability(node, before);
             }
             ReaderCall::Watch { reason, after, wait_ms, timeout_ms, answer_bytes_max } => {
@@ -135,12 +136,11 @@
 async fn read_snapshot<A: PlatformAdapter>(
     node: &Node<A>,
     client: &mut PlatformClient,
-    next_page: Option<&str>,
+    target: &str,
     call_timeout: Duration,
 ) {
     let first = node.platform.mark().revision == 0;
-    let target = node.adapter.snapshot_target(next_page);
-    let answer = match call(node, client, &target, call_timeout).await {
+    let answer = match call(node, client, target, call_timeout).await {
         Ok(answer) => {
             node.platform.state_mut().answer_began(node.now_us());
             client.read(answer, PAGE_BYTES_MAX).await
