--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -17,6 +17,8 @@
 mod directory;
 #[path = "soak/disturbances.rs"]
 mod disturbances;
+#[path = "soak/evacuations.rs"]
+mod evacuations;
 #[path = "soak/fleet.rs"]
 mod fleet;
 #[path = "soak/machine.rs"]
@@ -101,6 +103,9 @@
             scope.spawn(move || disturbances::play(fleet, &mut rng(disturber), plan.disturbances));
         }
         scope.spawn(move || series::play(fleet, plan, &mut rng(plan.disturbers)));
+        if plan.evacuates {
+            scope.spawn(move || evacuations::play(fleet, &mut rng(plan.disturbers + 1)));
+        }
     });
 }
 
@@ -115,6 +120,7 @@
     });
     recovery::check(&fleet, &record, &ids);
     let departed = departures::check(&fleet, &record);
+    evacuations::check(&fleet, &record);
     let upstreams: Vec<_> = fleet.upstreams().into_iter().map(|one| one.upstream).collect();
     let broken = record.broken(&upstreams);
     let told = summary(&fleet, &plan, &record, departed);
--- a/standins/tests/soak/departures.rs
+++ b/standins/tests/soak/departures.rs
@@ -28,7 +28,7 @@
 }
 
 /// Whether the node that sent a request was in touch, and its way to the upstream was sound.
-fn is_bound(fleet: &Fleet, one: &Listed, id: &str, at: Instant) -> bool {
+pub fn is_bound(fleet: &Fleet, one: &Listed, id: &str, at: Instant) -> bool {
     let site = id.split('-').nth(1).and_then(|site| site.parse::<usize>().ok());
     let Some(site) = site.and_then(|site| fleet.sites.get(site)) else {
         return true;
--- a/standins/tests/soak/directory.rs
+++ b/standins/tests/soak/directory.rs
@@ -3,6 +3,8 @@
 use {
     crate::{
         contact::Contact,
+        evacuations::DATA_CENTRES,
+        plan::Plan,
         proxy::Proxy,
         users_platform::{Manner, Store, Upstream},
     },
@@ -19,6 +21,7 @@
 #[derive(Clone)]
 pub struct Listed {
     pub upstream: Upstream,
+    pub data_centre: &'static str,
     /// None when it is reached directly.
     pub link: Option<Proxy>,
     /// Harm to the link.
@@ -31,13 +34,21 @@
 pub struct Directory {
     store: Store,
     proxied: usize,
+    data_centres: usize,
     listed: Mutex<Vec<Listed>>,
     sequence: AtomicU64,
 }
 
 impl Directory {
-    pub fn new(store: Store, proxied: usize) -> Self {
-        Self { store, proxied, listed: Mutex::default(), sequence: AtomicU64::new(0) }
+    pub fn new(store: Store, plan: &Plan) -> Self {
+        let data_centres = if plan.evacuates { DATA_CENTRES.len() } else { 1 };
+        Self {
+            store,
+            proxied: plan.proxied,
+            data_centres,
+            listed: Mutex::default(),
+            sequence: AtomicU64::new(0),
+        }
     }
 
     /// A new upstream joins.
@@ -46,7 +57,8 @@
         let upstream = Upstream::start(&format!("i-{}", listed.len()), Manner::Well);
         let links = listed.iter().filter(|one| one.link.is_some() && one.left.is_none()).count();
         let link = (links < self.proxied).then(|| Proxy::start(upstream.address));
-        let one = Listed { upstream, link, contact: Contact::default(), left: None };
+        let data_centre = DATA_CENTRES[listed.len() % self.data_centres];
+        let one = Listed { upstream, data_centre, link, contact: Contact::default(), left: None };
         self.list(&one, "ready");
         listed.push(one);
     }
@@ -80,6 +92,6 @@
     fn list(&self, one: &Listed, state: &str) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let address = one.link.as_ref().map_or(one.upstream.address, |link| link.address);
-        self.store.list_at(&one.upstream, address, state, sequence);
+        self.store.list_with(&one.upstream, address, one.data_centre, state, sequence);
     }
 }
--- a/standins/tests/soak/fleet.rs
+++ b/standins/tests/soak/fleet.rs
@@ -4,6 +4,7 @@
     crate::{
         contact::Contact,
         directory::{Directory, Listed},
+        evacuations::Evacuated,
         plan::Plan,
         proxy::Link,
         site::Site,
@@ -25,8 +26,10 @@
     pub directory: Directory,
     /// Stalls of the machine itself.
     pub machine: Contact,
+    /// Evacuations that are over.
+    pub evacuated: Mutex<Vec<Evacuated>>,
+    pub store: Store,
     counts: Mutex<BTreeMap<&'static str, usize>>,
-    store: Store,
 }
 
 impl Fleet {
@@ -35,8 +38,9 @@
         let fleet = Self {
             sites: (0..plan.nodes).map(|node| Self::site(node, plan, &store)).collect(),
             versions: Versions::new(store.clone(), plan.bulk_routes),
-            directory: Directory::new(store.clone(), plan.proxied),
+            directory: Directory::new(store.clone(), plan),
             machine: Contact::default(),
+            evacuated: Mutex::default(),
             counts: Mutex::default(),
             store,
         };
--- a/standins/tests/soak/plan.rs
+++ b/standins/tests/soak/plan.rs
@@ -3,7 +3,7 @@
 use {
     crate::machine,
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::env,
+    std::{env, ops::Range},
 };
 
 /// Each seed that this divides is played at size.
@@ -16,6 +16,8 @@
 const NODE_BYTES: usize = 96 << 20;
 /// Upstreams, and nodes, in a run at size that are reached through a proxy; each connection through one takes three threads.
 const PROXIED_MAX: usize = 6;
+/// Seeds whose runs have evacuations: those between stay as they were when some of them broke a promise.
+const EVACUATING_SEEDS: [Range<u64>; 2] = [0..1_000, 5_000..u64::MAX];
 /// Routes of a large configuration.
 const LARGE_ROUTES: std::ops::Range<usize> = 1_000..2_500;
 
@@ -39,6 +41,8 @@
     pub disturbances: usize,
     /// Nodes or upstreams that a rolling series takes at once.
     pub batch: usize,
+    /// Whether data centres are evacuated; all upstreams are in one if not.
+    pub evacuates: bool,
     /// Routes of each configuration beside those that the checks need.
     pub bulk_routes: usize,
 }
@@ -48,6 +52,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let large = env::var("POINTVANE_SOAK_LARGE").is_ok() || seed.is_multiple_of(LARGE_EVERY);
         let mut plan = if large { Self::large() } else { Self::small(&mut rng) };
+        plan.evacuates = EVACUATING_SEEDS.iter().any(|seeds| seeds.contains(&seed));
         if rng.random_bool(0.25) {
             plan.bulk_routes = rng.random_range(LARGE_ROUTES);
         }
@@ -65,6 +70,7 @@
             disturbers: 2,
             disturbances: 8,
             batch: 1,
+            evacuates: false,
             bulk_routes: 0,
         }
     }
@@ -82,6 +88,7 @@
             disturbers: 4,
             disturbances: 12,
             batch: nodes.div_ceil(8),
+            evacuates: false,
             bulk_routes: 0,
         }
     }
--- a/standins/tests/users_platform/store.rs
+++ b/standins/tests/users_platform/store.rs
@@ -124,7 +124,15 @@
         self.list_with(upstream, upstream.address, zone, "ready", 1);
     }
 
-    fn list_with(&self, upstream: &Upstream, address: SocketAddr, zone: &str, state: &str, sequence: u64) {
+    /// Lists an upstream with all that its entry says.
+    pub fn list_with(
+        &self,
+        upstream: &Upstream,
+        address: SocketAddr,
+        zone: &str,
+        state: &str,
+        sequence: u64,
+    ) {
         self.put(
             &format!("servers/{}", upstream.id),
             &format!(
