--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -9,7 +9,7 @@
 //! | until when it must be answered | `deadline.rs` |
 //! | how long it is held at a node that has just started | `first_state.rs` |
 //! | whether an upstream may get work at all | `eligibility.rs`, with `evacuations.rs`, `warm_up.rs`, `ejection.rs` |
-//! | which upstreams are candidates, and in which order | `ranking.rs`, `subset.rs`, `upstream.rs` (cost) |
+//! | which upstreams are candidates, and in which order | `ranking.rs`, `subset.rs`, `cost.rs` |
 //! | which pipelined requests are forwarded early | `pipeline.rs` |
 //! | which candidates are probed, and which is chosen | `search.rs` |
 //! | how many of their slots are filled, and what a fuller one costs | `load_curve.rs` |
@@ -27,6 +27,7 @@
 mod admission;
 mod attempts;
 mod budget;
+mod cost;
 mod deadline;
 mod directory;
 mod ejection;
@@ -44,6 +45,7 @@
 mod ranking_options;
 mod read_mark;
 mod reader;
+mod records;
 mod relay;
 mod retry;
 mod route_times;
