How a node learns has one room: replica, in the decisions and in the shell

Files moved, paths changed, nothing else: what stood in eight places of two crates (reader, relay, fan_out, state_query, query_order, routing_log, read_mark; platform_reader, platform_client, platform_state, relay_loop, state_query, publication) is one module each, whose page says which two doors lead in and which views lead out.

--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -18,8 +18,7 @@
 //! | when a second attempt runs beside the first | `hedge.rs` |
 //! | when an upstream that fails gets no new work | `ejection.rs` |
 //! | how many retries and probes a node may spend | `budget.rs` |
-//! | when the platform is read or another node is queried | `reader.rs` and its modules |
-//! | how changes reach all nodes | `relay.rs`, `fan_out.rs`, `state_query.rs`, `query_order.rs`, `routing_log.rs` |
+//! | how a node learns what the platform holds, and passes it on | `replica.rs` and its modules |
 //! | which nodes a caller is sent to | `directory.rs` |
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -33,27 +32,21 @@
 mod ejection;
 mod eligibility;
 mod evacuations;
-mod fan_out;
 mod first_state;
 mod hedge;
 mod latency;
 mod load_curve;
 mod pipeline;
 mod pool;
-mod query_order;
 mod ranking;
 mod ranking_options;
-mod read_mark;
-mod reader;
 mod records;
-mod relay;
+mod replica;
 mod retry;
 mod route_times;
 mod routes;
-mod routing_log;
 mod search;
 mod service_state;
-mod state_query;
 mod subset;
 mod upstream;
 mod warm_up;
@@ -67,32 +60,34 @@
     ejection::{ProbeOutcome, unresponsive_after_ms},
     eligibility::Ineligible,
     evacuations::Evacuations,
-    fan_out::{
-        DIRECT_MAX, FAN_OUT, Forwarder, OrderedNode, ReceivedRounds, Segment, broadcast_position, fan_out,
-        forwarders,
-    },
     first_state::{first_state_retry_after_ms, first_state_wait_ms},
     latency::{LatencyQuantile, LeastLatency},
     load_curve::LoadCurve,
     pipeline::{PipelineLimits, starts_early},
     pool::Pool,
-    query_order::{Broadcaster, QueryCandidate, earlier_peer, query_position},
     ranking::Wanted,
     ranking_options::{Ranking, RankingOptions},
-    read_mark::ReadMark,
-    reader::{
-        CallFailure, CallReason, PeerQuery, PlatformReader, QueryTarget, ReaderCall, ReaderOptions,
-        ReaderQuery, ReaderRole,
+    replica::{
+        fan_out::{
+            DIRECT_MAX, FAN_OUT, Forwarder, OrderedNode, ReceivedRounds, Segment, broadcast_position,
+            fan_out, forwarders,
+        },
+        query_order::{Broadcaster, QueryCandidate, earlier_peer, query_position},
+        read_mark::ReadMark,
+        reader::{
+            CallFailure, CallReason, PeerQuery, PlatformReader, QueryTarget, ReaderCall, ReaderOptions,
+            ReaderQuery, ReaderRole,
+        },
+        relay::{Relay, RelayDatagram, RelayLog, WireRelay},
+        routing_log::RoutingLog,
+        state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest, WholeStateLimit},
     },
-    relay::{Relay, RelayDatagram, RelayLog, WireRelay},
     retry::{AttemptOutcome, Refusal, Verdict, judge, may_pass_on},
     route_times::RouteTimes,
     routes::{RouteTable, RoutedRequest},
-    routing_log::RoutingLog,
     search::{
         Found, PROBE_TIMEOUT_US, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep, search_time_ms,
     },
-    state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest, WholeStateLimit},
     upstream::{LoadSample, LoadWhenSent, UpstreamKey, UpstreamState},
     warm_up::WarmUpBound,
 };
--- a/crates/pointvane-dispatch/src/reader.rs
+++ b/crates/pointvane-dispatch/src/replica/reader.rs
@@ -31,8 +31,8 @@
 
 use {
     crate::{
-        read_mark::ReadMark,
-        relay::{Relay, RelayLog},
+        replica::read_mark::ReadMark,
+        replica::relay::{Relay, RelayLog},
     },
     freshness::Freshness,
     pointvane_core::US_PER_MS,
--- a/crates/pointvane-dispatch/src/reader/call.rs
+++ b/crates/pointvane-dispatch/src/replica/reader/call.rs
@@ -1,6 +1,6 @@
 //! What the reader asks its caller to do, and how that can fail.
 
-use {crate::state_query::StateRequest, pointvane_core::ReadFreshness};
+use {crate::replica::state_query::StateRequest, pointvane_core::ReadFreshness};
 
 /// The next thing to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/pointvane-dispatch/src/reader/next_call.rs
+++ b/crates/pointvane-dispatch/src/replica/reader/next_call.rs
@@ -5,7 +5,7 @@
         CallReason, PeerQuery, PlatformCall, PlatformReader, QueryTarget, ReaderCall, ReaderOptions,
         ReaderQuery, ReaderRole, snapshot::SnapshotRead,
     },
-    crate::state_query::StateRequest,
+    crate::replica::state_query::StateRequest,
     pointvane_core::US_PER_MS,
     rand::Rng,
 };
--- a/crates/pointvane-dispatch/src/reader/queries.rs
+++ b/crates/pointvane-dispatch/src/replica/reader/queries.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{CallReason, PlatformReader, snapshot::SnapshotRead},
-    crate::state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest},
+    crate::replica::state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest},
     pointvane_core::{Change, US_PER_MS},
     std::mem,
 };
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         dispatcher::Dispatcher, fleet::Fleet, headers::Headers, lifecycle::Lifecycle,
-        platform_state::PlatformState, report::Report, settings::NodeSettings,
+        replica::platform_state::PlatformState, report::Report, settings::NodeSettings,
     },
     pointvane_config::NodeOptions,
     pointvane_core::{Clock, Incarnation, PlatformAdapter},
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -4,7 +4,7 @@
 //! sampling. What is suppressed is counted in a line of its own.
 
 use {
-    crate::platform_client::CallKind,
+    crate::replica::platform_client::CallKind,
     eyre::Result,
     opentelemetry::{
         KeyValue,
