--- a/standins/tests/evacuations.rs
+++ b/standins/tests/evacuations.rs
@@ -4,11 +4,14 @@
 
 use {
     googletest::prelude::*,
+    std::{thread, time::Duration},
     users_platform::{Manner, NodeProcess, Store, Upstream, eventually},
 };
 
 /// Requests that are sent to see where they go.
 const REQUESTS: usize = 40;
+/// Pause before each: longer than a load report counts as fresh, so that the one upstream whose report is always fresh does not get them all.
+const PAUSE: Duration = Duration::from_millis(25);
 
 /// A store with one upstream in each of two data centres.
 fn platform() -> (Store, [Upstream; 2]) {
@@ -25,6 +28,7 @@
     let before = upstreams.each_ref().map(Upstream::runs);
     let mut status = 0;
     for number in 0..REQUESTS {
+        thread::sleep(PAUSE);
         status = node.request("GET", "/a", &format!("r-{number}"), 2_000).unwrap().status();
     }
     let after = upstreams.each_ref().map(Upstream::runs);
