--- /dev/null
+++ b/crates/pointvane-dispatch/benches/candidates.rs
@@ -0,0 +1,43 @@
+//! Cost of ranking the upstreams of a service for one request: `cargo bench -p pointvane-dispatch --bench candidates`.
+//!
+//! Measured (medians, beside other load): 3.2 us for 271 upstreams, 3.7 us for 1,080. Before eligibility was asked for each of them, when draining and
+//! ejection alone were looked at: 2.6 and 3.2 us.
+
+use {
+    criterion::{Criterion, criterion_group, criterion_main},
+    pointvane_core::UpstreamRecord,
+    pointvane_dispatch::{Pool, RankingOptions, Wanted},
+    std::hint::black_box,
+};
+
+/// Upstreams of a service: of the shifted work's larger one, and of a large deployment.
+const SIZES: [usize; 2] = [271, 1_080];
+const DATA_CENTRES: [&str; 3] = ["one", "two", "three"];
+const NOW_US: u64 = 10_000_000;
+
+fn record(number: usize) -> UpstreamRecord {
+    UpstreamRecord {
+        id: format!("i-{number}").as_str().into(),
+        service: "dispatch".into(),
+        address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 80).into(),
+        data_centre: DATA_CENTRES[number % DATA_CENTRES.len()].into(),
+        slots: 4,
+        draining: false,
+        warm_up_left_ms: 0,
+        sequence: 1,
+    }
+}
+
+fn candidates(criterion: &mut Criterion) {
+    for size in SIZES {
+        let mut pool = Pool::new(RankingOptions::default(), DATA_CENTRES[0].into(), 1);
+        (0..size).for_each(|number| _ = pool.upsert(record(number), 0));
+        let wanted = Wanted { tried: &[], body_bytes: 300, count: 6 };
+        criterion.bench_function(&format!("candidates of {size} upstreams"), |bencher| {
+            bencher.iter(|| black_box(pool.candidates(&"dispatch".into(), &wanted, black_box(NOW_US))));
+        });
+    }
+}
+
+criterion_group!(benches, candidates);
+criterion_main!(benches);
--- a/crates/pointvane-dispatch/src/eligibility.rs
+++ b/crates/pointvane-dispatch/src/eligibility.rs
@@ -30,17 +30,6 @@
 }
 
 impl Ineligible {
-    /// The reason's name in logs and metrics.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Gone => "gone",
-            Self::Draining => "draining",
-            Self::Evacuated => "evacuated",
-            Self::Cold => "cold",
-            Self::Ejected => "ejected",
-        }
-    }
-
     /// Whether it holds though the service has no other upstream.
     pub const fn is_binding(self) -> bool {
         !matches!(self, Self::Ejected)
