--- a/crates/pointvane-dispatch/src/replica/reader.rs
+++ b/crates/pointvane-dispatch/src/replica/reader.rs
@@ -30,9 +30,9 @@
 };
 
 use {
-    crate::{
-        replica::read_mark::ReadMark,
-        replica::relay::{Relay, RelayLog},
+    crate::replica::{
+        read_mark::ReadMark,
+        relay::{Relay, RelayLog},
     },
     freshness::Freshness,
     pointvane_core::US_PER_MS,
--- a/crates/pointvane-dispatch/src/replica/reader/nodes.rs
+++ b/crates/pointvane-dispatch/src/replica/reader/nodes.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{CatchUp, PlatformCall, PlatformReader, ReaderRole},
-    crate::{replica::read_mark::ReadMark, replica::relay::Relay},
+    crate::replica::{read_mark::ReadMark, relay::Relay},
     pointvane_core::{Change, US_PER_MS},
 };
 
--- a/crates/pointvane-dispatch/src/replica/relay.rs
+++ b/crates/pointvane-dispatch/src/replica/relay.rs
@@ -1,7 +1,7 @@
 //! Relays: what watchers send to all other nodes of the platform's changes, and the log that relays are made of.
 
 use {
-    crate::{replica::fan_out::Segment, replica::read_mark::ReadMark},
+    crate::replica::{fan_out::Segment, read_mark::ReadMark},
     pointvane_core::{Change, EntryKey, Evacuation, Name, UpstreamRecord},
     serde::{Deserialize, Serialize},
     std::{
--- a/crates/pointvane-dispatch/src/replica/state_query.rs
+++ b/crates/pointvane-dispatch/src/replica/state_query.rs
@@ -1,7 +1,7 @@
 //! Queries between nodes for what a relay has no room for: the messages, and how an answer is applied.
 
 use {
-    crate::{replica::read_mark::ReadMark, replica::relay::WireChange},
+    crate::replica::{read_mark::ReadMark, relay::WireChange},
     pointvane_core::{Change, EntryKey, RoutingConfiguration, RoutingDelta},
     serde::{Deserialize, Serialize},
     std::collections::HashSet,
--- a/crates/pointvane-node/src/replica/platform_reader.rs
+++ b/crates/pointvane-node/src/replica/platform_reader.rs
@@ -3,8 +3,10 @@
 use {
     crate::{
         node::Node,
-        replica::platform_client::{CallError, CallKind, PlatformAnswer, PlatformClient},
-        replica::state_query::{self, QueryError},
+        replica::{
+            platform_client::{CallError, CallKind, PlatformAnswer, PlatformClient},
+            state_query::{self, QueryError},
+        },
     },
     bytes::Bytes,
     pointvane_core::{Change, ChangePage, MalformedReply, PlatformAdapter},
