--- a/standins/tests/users_platform/manner.rs
+++ b/standins/tests/users_platform/manner.rs
@@ -25,6 +25,8 @@
     Silent,
     /// It answers well and tells nothing of its load.
     TellsNothing,
+    /// It answers well, and says that it is cold for another minute.
+    Cold,
     /// It answers well, but resets a connection that has rested when the next bytes come.
     ForgetIdle,
     /// The same, and it tells nothing of its load.
--- a/standins/tests/users_platform/store.rs
+++ b/standins/tests/users_platform/store.rs
@@ -95,6 +95,11 @@
 
     /// Publishes a configuration: routes as path, kind, time-out and service.
     pub fn configure(&self, version: u64, routes: &[(&str, &str, u64, &str)]) {
+        self.configure_cold(version, routes, 0.0);
+    }
+
+    /// The same, with the requests a second that a cold upstream of the service bears.
+    pub fn configure_cold(&self, version: u64, routes: &[(&str, &str, u64, &str)], cold_per_s: f64) {
         let route = |(path, kind, timeout_ms, service): &(&str, &str, u64, &str)| {
             format!(
                 r#"{{"name":"r{path}","host":"{HOST}","path-prefix":"{path}","type":"{kind}","timeout-ms":{timeout_ms},"target-latency-ms":200,"priority":1,"service":"{service}","max-attempts":2}}"#
@@ -104,7 +109,7 @@
         self.put(
             "op/config",
             &format!(
-                r#"{{"version":"{version:08x}","routes":[{}],"services":[{{"name":"app","health-path":"/health","max-connections":100,"protocol":"h1","tls":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#,
+                r#"{{"version":"{version:08x}","routes":[{}],"services":[{{"name":"app","health-path":"/health","max-connections":100,"protocol":"h1","tls":false,"warmup-per-s":{cold_per_s}}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#,
                 routes.join(",")
             ),
         );
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -92,8 +92,7 @@
             if request.target() == "/health" {
                 self.asked.fetch_add(1, Ordering::SeqCst);
                 let manner = *self.manner.lock().unwrap();
-                let tells_load = !matches!(manner, Manner::TellsNothing | Manner::ForgetIdleSilently);
-                healthy(&mut stream, &self.id, tells_load)?;
+                healthy(&mut stream, &self.id, manner)?;
                 continue;
             }
             if !self.take(&mut stream, &request)? {
@@ -125,7 +124,7 @@
     /// Answers one request; false when the connection is to be closed.
     fn answer(&self, stream: &mut TcpStream, manner: Manner, id: &str) -> io::Result<bool> {
         match manner {
-            Manner::Well | Manner::ForgetIdle => whole(stream, id)?,
+            Manner::Well | Manner::Cold | Manner::ForgetIdle => whole(stream, id)?,
             Manner::After(ms) => {
                 if closed_within(stream, Duration::from_millis(ms)) {
                     self.left.fetch_add(1, Ordering::SeqCst);
--- a/standins/tests/users_platform/upstream_answers.rs
+++ b/standins/tests/users_platform/upstream_answers.rs
@@ -1,7 +1,7 @@
 //! Answers that a stand-in for an upstream gives.
 
 use {
-    super::STAMP,
+    super::{STAMP, manner::Manner},
     std::{
         io::{self, Read, Write},
         net::TcpStream,
@@ -20,10 +20,14 @@
     write!(stream, "HTTP/1.1 {status}\r\ncontent-length: 0\r\npointvane-request-id: {id}\r\n{extra}\r\n")
 }
 
-/// Tells that it is well, and its load unless it keeps that to itself.
-pub fn healthy(stream: &mut TcpStream, upstream: &str, tells_load: bool) -> io::Result<()> {
-    let load = if tells_load { "pointvane-instance-load: 0,0,3,100\r\n" } else { "" };
-    write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\npointvane-instance-id: {upstream}\r\n{load}\r\n")
+/// Tells that it is well, and what else its manner tells.
+pub fn healthy(stream: &mut TcpStream, upstream: &str, manner: Manner) -> io::Result<()> {
+    let told = match manner {
+        Manner::TellsNothing | Manner::ForgetIdleSilently => "",
+        Manner::Cold => "pointvane-instance-load: 0,0,3,100\r\npointvane-warmup-remaining: 60000\r\n",
+        _ => "pointvane-instance-load: 0,0,3,100\r\n",
+    };
+    write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\npointvane-instance-id: {upstream}\r\n{told}\r\n")
 }
 
 /// Whether the peer closes within a time.
