Admission: no more requests wait at an upstream than it runs

Found by reading: where the target is long beside the work, a request was in time behind dozens of others, more than any upstream queues; one that is over that rejects, or never answers. How many it lets wait is not published, so as many wait as run.

--- a/crates/pointvane-dispatch/src/admission.rs
+++ b/crates/pointvane-dispatch/src/admission.rs
@@ -44,6 +44,12 @@
 /// 0.814. The shifted work's scale-1 (two seeds): 0.610 without, 0.631 with 1.0, 0.623 with 1.4 wherever.
 const WAIT_MARGIN: f64 = 1.4;
 
+/// Largest occupancy at which a request waits at an upstream: as many wait as run.
+///
+/// Not measured: how many an upstream lets wait is not published, and one that is over that rejects, or never answers. It binds where the
+/// target is long beside the work.
+const WAIT_OCCUPANCY_MAX: f64 = 2.0;
+
 /// How late a request may be and still be sent.
 ///
 /// The defaults, 1.8 targets less 0.25 for each rank, gave 0.698 on eight plays of Roteiro Vivo, Skiphub and Heatline, 3.0 less 1.0 gave
@@ -69,6 +75,8 @@
     pub elapsed_ms: f64,
     /// Expected latency at its best upstream, in milliseconds.
     pub expected_ms: f64,
+    /// Share of that upstream's slots that are taken, this request included; over 1 if it would wait.
+    pub occupancy: f64,
     /// How much longer work takes at an upstream whose slots are all taken than at an empty one.
     pub full_factor: f64,
 }
@@ -77,7 +85,8 @@
     /// Whether a request would be in time though all slots of its upstream are taken.
     fn is_in_time_behind_others(&self, route: &RouteRule) -> bool {
         let finish_ms = self.elapsed_ms + self.expected_ms;
-        finish_ms * self.full_factor.max(WAIT_MARGIN) <= route.target_latency_ms as f64
+        let is_in_time = finish_ms * self.full_factor.max(WAIT_MARGIN) <= route.target_latency_ms as f64;
+        is_in_time && self.occupancy <= WAIT_OCCUPANCY_MAX
     }
 }
 
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -165,6 +165,7 @@
         elapsed_ms: request.elapsed_ms(snapshot.taken_at_us),
         expected_ms: f64::from(snapshot.load_when_sent.expected_latency)
             * node.dispatcher.route_times(route).baseline_ms(),
+        occupancy: f64::from(snapshot.load_when_sent.occupancy),
         full_factor: node.dispatcher.pool().full_factor(&request.routed.service).into(),
     };
     let has_room = node.dispatcher.pool_mut().has_room(key, snapshot.taken_at_us);
