Test of the peer proxy: the end of a connection no longer counts for the next one

Cause, in the test: when a connection of the test is dropped the proxy counts its end as lost as well, at any later time, and the next round had taken its count before; so a loss could be seen that had not happened yet, or be missed by the equality.

--- a/standins/tests/peer_links.rs
+++ b/standins/tests/peer_links.rs
@@ -233,6 +233,9 @@
         proxy.set(PeerLink::Sound);
         stream.write_all(b"more").unwrap();
         eventually(|| proxy.lost() == lost + 2);
+        // Its end is lost as well, and must not count for the next connection.
+        drop(stream);
+        eventually(|| proxy.lost() == lost + 3);
     }
     let mut stream = echoed_connection(to);
     proxy.set(PeerLink::Reset);
