Red: what two reads of everything differ by is told to nodes in between

Lines of all lives: node 215 read everything at revision 52 (i-4 there) and at 56 (gone); node 218 was told 52 by it and then 56 by node 224, which had read everything before i-4 joined and after it left, so its difference says nothing of i-4.

--- a/crates/pointvane-dispatch/tests/relays.rs
+++ b/crates/pointvane-dispatch/tests/relays.rs
@@ -3,10 +3,13 @@
 mod common;
 
 use {
-    common::{gone, page, record, told},
+    common::{configuration, gone, page, record, told},
     googletest::prelude::*,
-    pointvane_core::{Change, Name, UpstreamRecord},
-    pointvane_dispatch::{PlatformReader, Pool, RankingOptions, ReaderOptions, ReaderRole, Relay, Wanted},
+    pointvane_core::{Change, Name, RoutingConfiguration, RoutingDelta, UpstreamRecord},
+    pointvane_dispatch::{
+        CallFailure, KnownState, PlatformReader, Pool, RankingOptions, ReadMark, ReaderOptions, ReaderRole,
+        Relay, StateReply, StateRequest, Wanted,
+    },
 };
 
 const MS: u64 = 1_000;
@@ -87,3 +90,74 @@
     let key = pool.candidates(&"dispatch".into(), &wanted, 0)[0];
     expect_that!(pool.cost(key, 3_100 * MS), lt(pool.cost(key, 100 * MS)), "it is warm by then");
 }
+
+/// A reader that knew `known` at revision 47 and then read everything at 56, where `b` is listed alone.
+fn read_everything_again() -> PlatformReader {
+    let mut reader = read_up_to(47);
+    reader.compare_with_peers(ReaderRole::Watcher, 47, MS);
+    reader.call_failed(CallFailure::LongerThanState, 10 * MS);
+    reader.next(10 * MS);
+    reader.page_read(page(56, vec![told("b", 1)]), [told("a", 1)].into_iter(), 20 * MS);
+    reader
+}
+
+struct Knows(Vec<Change>);
+
+impl KnownState for Knows {
+    fn entries(&self) -> Vec<Change> {
+        self.0.clone()
+    }
+
+    fn configuration(&self) -> RoutingConfiguration {
+        configuration(0)
+    }
+
+    fn configuration_since(&self, _version: u64) -> Option<Vec<RoutingDelta>> {
+        None
+    }
+}
+
+/// An upstream that joined and left between two reads of everything stands in neither: whoever was told of it in between, by another
+/// reader, was sent the difference of the two and kept it. In the soak such a node sent it work for 7.7 s.
+#[gtest]
+fn what_two_reads_of_everything_differ_by_is_of_use_to_none_in_between() {
+    let reader = read_everything_again();
+    let answer = |revision| {
+        let request = StateRequest { known: ReadMark { revision, version: 0 } };
+        reader.answer(&request, &Knows(vec![told("b", 1)]), 30 * MS).unwrap()
+    };
+    let known = || [told("a", 1), told("joined-and-left", 1)].into_iter();
+    let in_between = answer(52).into_changes(known());
+    expect_that!(in_between, contains(eq(&gone("joined-and-left"))));
+    expect_that!(answer(47).whole, eq(false), "where the first read stood, the difference is all");
+    expect_that!(
+        answer(47).into_changes(known()),
+        unordered_elements_are![eq(&told("b", 1)), eq(&gone("a"))]
+    );
+}
+
+#[gtest]
+fn a_relay_tells_no_difference_of_two_reads_of_everything() {
+    let mut reader = read_everything_again();
+    let relay = reader.relay(30 * MS).unwrap();
+    expect_that!((relay.since, relay.changes.len()), eq((56, 0)));
+    reader.next(400 * MS);
+    reader.watch_answered(page(58, vec![told("c", 1)]), 500 * MS);
+    let relay = reader.relay(500 * MS).unwrap();
+    expect_that!((relay.since, relay.changes.len()), eq((56, 1)));
+}
+
+/// What a node was told by the steps of another is the difference of two marks as well.
+#[gtest]
+fn steps_that_were_received_are_of_use_to_none_in_between() {
+    let mut node = read_up_to(47);
+    let mark = ReadMark { revision: 56, version: 0 };
+    let steps = StateReply::new(mark, 0, false, vec![told("b", 1)], None);
+    node.receive_state(steps, [].into_iter(), 10 * MS);
+    let answer = |revision| {
+        let request = StateRequest { known: ReadMark { revision, version: 0 } };
+        node.answer(&request, &Knows(vec![told("b", 1)]), 20 * MS).unwrap()
+    };
+    expect_that!(answer(52).whole, eq(true));
+    expect_that!(answer(47).whole, eq(false));
+}
