Log of changes: a difference of two states leads on from the first of them only

A batch of the log says now whether it holds all that happened since the revision before (watches, relays) or what two states differ by (reads of everything, steps of another node). The latter is given to nodes that stand at its beginning alone; others get everything, and relays end before it. Ruled out: forgetting the log at each read of everything (nodes at the reader's last mark, which are most in a burst, would each need everything).

--- a/crates/pointvane-dispatch/src/replica/reader/answers.rs
+++ b/crates/pointvane-dispatch/src/replica/reader/answers.rs
@@ -5,6 +5,7 @@
         CallFailure, CallReason, PlatformCall, PlatformReader, ReaderOptions, ReaderRole,
         snapshot::{PageRead, SnapshotRead, StateRead},
     },
+    crate::replica::relay::ChangesHold,
     pointvane_core::{Change, ChangePage, US_PER_MS},
     rand::Rng,
 };
@@ -40,7 +41,7 @@
         if first || state.revision <= self.mark.revision {
             self.restart_at(state.revision);
         } else {
-            self.advance_to(state.revision, &state.changes);
+            self.advance_to(state.revision, &state.changes, ChangesHold::Difference);
         }
         if first {
             self.pause_after_start(now_us);
@@ -73,7 +74,7 @@
             return Vec::new();
         }
         self.raise_version(&page.changes);
-        self.advance_to(page.revision, &page.changes);
+        self.advance_to(page.revision, &page.changes, ChangesHold::All);
         if !page.changes.is_empty() && self.watches() {
             self.pause_between_answers(began_us, now_us);
         }
@@ -99,9 +100,9 @@
     }
 
     /// Everything up to a revision is known, by these changes.
-    pub(super) fn advance_to(&mut self, revision: u64, changes: &[Change]) {
+    pub(super) fn advance_to(&mut self, revision: u64, changes: &[Change], hold: ChangesHold) {
         if revision > self.mark.revision {
-            self.log.add(revision, changes);
+            self.log.add(revision, changes, hold);
         }
         self.set_revision(revision.max(self.mark.revision));
     }
--- a/crates/pointvane-dispatch/src/replica/reader/nodes.rs
+++ b/crates/pointvane-dispatch/src/replica/reader/nodes.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{CatchUp, PlatformCall, PlatformReader, ReaderRole},
-    crate::replica::{read_mark::ReadMark, relay::Relay},
+    crate::replica::{
+        read_mark::ReadMark,
+        relay::{ChangesHold, Relay},
+    },
     pointvane_core::{Change, US_PER_MS},
 };
 
@@ -42,7 +45,7 @@
         self.snapshot = None;
         self.no_reader_heard = false;
         self.freshness.confirm(answered_at_us, &self.options);
-        self.advance_to(relay.mark.revision, &relay.changes);
+        self.advance_to(relay.mark.revision, &relay.changes, ChangesHold::All);
         relay.changes
     }
 
--- a/crates/pointvane-dispatch/src/replica/reader/queries.rs
+++ b/crates/pointvane-dispatch/src/replica/reader/queries.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{CallReason, PlatformReader, snapshot::SnapshotRead},
-    crate::replica::state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest},
+    crate::replica::{
+        relay::ChangesHold,
+        state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest},
+    },
     pointvane_core::{Change, US_PER_MS},
     std::mem,
 };
@@ -63,7 +66,7 @@
         }
         match whole {
             true => self.restart_at(mark.revision),
-            false => self.advance_to(mark.revision, &changes),
+            false => self.advance_to(mark.revision, &changes, ChangesHold::Difference),
         }
         self.query_again(now_us);
         changes
--- a/crates/pointvane-dispatch/src/replica/relay.rs
+++ b/crates/pointvane-dispatch/src/replica/relay.rs
@@ -114,13 +114,34 @@
     }
 }
 
+/// Which nodes a batch of changes is of use to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangesHold {
+    /// All that happened since the revision before: to any node that knows that one or a later one.
+    All,
+    /// What two states differ by: to a node that knows the first of them. An entry that came and went between them stands in neither, so
+    /// a node that was told of it meanwhile would keep it: in the soak one sent work to such an upstream for 7.7 s.
+    Difference,
+}
+
 /// Changes that became known together.
 #[derive(Clone, Debug)]
 struct Batch {
     since: u64,
+    hold: ChangesHold,
     changes: Vec<Change>,
 }
 
+impl Batch {
+    /// Whether the changes lead on from a revision.
+    fn leads_from(&self, revision: u64) -> bool {
+        match self.hold {
+            ChangesHold::All => self.since <= revision,
+            ChangesHold::Difference => self.since == revision,
+        }
+    }
+}
+
 /// The last changes of entries that a node has seen, for nodes that missed them: of each entry the last one only.
 ///
 /// A node may apply changes that it has applied before, since none of them undoes another.
@@ -139,10 +160,10 @@
     }
 
     /// Adds the changes that lead to a revision.
-    pub fn add(&mut self, revision: u64, changes: &[Change]) {
+    pub fn add(&mut self, revision: u64, changes: &[Change], hold: ChangesHold) {
         let since = mem::replace(&mut self.revision, revision);
         let entries = changes.iter().filter(|change| change.entry().is_some());
-        self.batches.push_back(Batch { since, changes: entries.cloned().collect() });
+        self.batches.push_back(Batch { since, hold, changes: entries.cloned().collect() });
         self.drop_overtaken();
         let mut kept: usize = self.batches.iter().map(|batch| batch.changes.len()).sum();
         while kept > KEPT_MAX || self.batches.len() > KEPT_MAX {
@@ -162,20 +183,24 @@
         }
     }
 
-    /// The changes that follow on a revision, oldest first; none when the log does not reach back so far.
+    /// The changes that follow on a revision, oldest first; none when the log does not reach back so far, or that lies between two states
+    /// of which the difference alone is known.
     pub fn changes_since(&self, revision: u64) -> Option<Vec<Change>> {
         if revision == self.revision {
             return Some(Vec::new());
         }
         let first = self.batches.iter().rposition(|batch| batch.since <= revision)?;
+        if !self.batches[first].leads_from(revision) {
+            return None;
+        }
         Some(self.batches.iter().skip(first).flat_map(|batch| batch.changes.iter().cloned()).collect())
     }
 
-    /// A relay with as many of the last changes as it may contain.
+    /// A relay with as many of the last changes as it may contain: all that happened since some revision, so no difference of two states.
     pub fn relay(&self, mark: ReadMark, age_ms: u64) -> Relay {
         let mut room = RELAYED_MAX;
         let fits = |batch: &&Batch| {
-            let fits = batch.changes.len() <= room;
+            let fits = batch.hold == ChangesHold::All && batch.changes.len() <= room;
             room = room.saturating_sub(batch.changes.len());
             fits
         };
