Sight: attempts that broke say whether the upstream crashed, and whose and which request it was

Cause: lines said `broken` for a crash and for a lost answer alike, and named a request by an identity that is new at each attempt of its caller. Ruled out: waiting for the entry to go tells a crash 2 to 4.5 s late. Conclusion: one connection right after tells them apart; no decision changes yet: a crashed attempt is judged as a broken one.

--- a/crates/pointvane-dispatch/src/ejection.rs
+++ b/crates/pointvane-dispatch/src/ejection.rs
@@ -73,7 +73,11 @@
             Self::NotRun(Refusal::Misdirected) | Self::Unreachable => Effect::Eject,
             // A busy upstream is not a failing one: its load report tells the rest.
             Self::NotRun(Refusal::Busy | Refusal::Other) | Self::Withheld(_) => Effect::Nothing,
-            Self::Answered { failed: true } | Self::Unsent | Self::Broken | Self::TimedOut => Effect::Failure,
+            Self::Answered { failed: true }
+            | Self::Unsent
+            | Self::Broken
+            | Self::Crashed
+            | Self::TimedOut => Effect::Failure,
         }
     }
 }
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 //! | when an upstream that fails gets no new work | `ejection.rs` |
 //! | how many retries and probes a node may spend | `budget.rs` |
 //! | how a node learns what the platform holds, and passes it on | `replica.rs` and its modules |
+//! | which requests count as the same | `fingerprint.rs` |
 //! | which nodes a caller is sent to | `directory.rs` |
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -32,6 +33,7 @@
 mod ejection;
 mod eligibility;
 mod evacuations;
+mod fingerprint;
 mod first_state;
 mod hedge;
 mod latency;
@@ -60,6 +62,7 @@
     ejection::{ProbeOutcome, unresponsive_after_ms},
     eligibility::Ineligible,
     evacuations::Evacuations,
+    fingerprint::{FINGERPRINT_BODY_BYTES, FingerprintParts, RequestFingerprint},
     first_state::{first_state_retry_after_ms, first_state_wait_ms},
     latency::{LatencyQuantile, LeastLatency},
     load_curve::LoadCurve,
--- a/crates/pointvane-dispatch/src/retry.rs
+++ b/crates/pointvane-dispatch/src/retry.rs
@@ -39,6 +39,8 @@
     Withheld(Ineligible),
     /// It may have run, and there is no answer that can be trusted.
     Broken,
+    /// It may have run; its connection broke, and right after nobody listened at the upstream's address any more.
+    Crashed,
     /// It may have run, and its deadline has passed.
     TimedOut,
 }
@@ -46,7 +48,7 @@
 impl AttemptOutcome {
     /// Whether the request may have run at the upstream.
     pub const fn may_have_run(self) -> bool {
-        matches!(self, Self::Answered { .. } | Self::Broken | Self::TimedOut)
+        matches!(self, Self::Answered { .. } | Self::Broken | Self::Crashed | Self::TimedOut)
     }
 
     /// Whether nothing was sent.
@@ -70,6 +72,7 @@
             Self::Withheld(Ineligible::Cold) => "withheld-cold",
             Self::Withheld(Ineligible::Ejected) => "withheld-ejected",
             Self::Broken => "broken",
+            Self::Crashed => "crashed",
             Self::TimedOut => "timed-out",
         }
     }
@@ -99,14 +102,18 @@
         }
         AttemptOutcome::Answered { .. } => Verdict::Deliver,
         _ if outcome.is_unsent() && retry => Verdict::Retry { takes_token: false },
-        AttemptOutcome::NotRun(_) | AttemptOutcome::Broken if retry => Verdict::Retry { takes_token: true },
+        AttemptOutcome::NotRun(_) | AttemptOutcome::Broken | AttemptOutcome::Crashed if retry => {
+            Verdict::Retry { takes_token: true }
+        }
         AttemptOutcome::TimedOut => Verdict::GiveUp(ErrorKind::UpstreamTimeout),
         _ if may_have_run => Verdict::GiveUp(ErrorKind::UpstreamBroken),
         AttemptOutcome::Unsent | AttemptOutcome::Unreachable => {
             Verdict::GiveUp(ErrorKind::UpstreamUnreachable)
         }
         AttemptOutcome::Withheld(reason) => Verdict::GiveUp(reason.error()),
-        AttemptOutcome::NotRun(_) | AttemptOutcome::Broken => Verdict::GiveUp(ErrorKind::Overloaded),
+        AttemptOutcome::NotRun(_) | AttemptOutcome::Broken | AttemptOutcome::Crashed => {
+            Verdict::GiveUp(ErrorKind::Overloaded)
+        }
     }
 }
 
--- a/crates/pointvane-dispatch/tests/attempts.rs
+++ b/crates/pointvane-dispatch/tests/attempts.rs
@@ -12,7 +12,7 @@
 };
 
 const KINDS: [RouteKind; 3] = [RouteKind::Safe, RouteKind::Unsafe, RouteKind::Upload];
-const OUTCOMES: [AttemptOutcome; 8] = [
+const OUTCOMES: [AttemptOutcome; 9] = [
     AttemptOutcome::Answered { failed: false },
     AttemptOutcome::Answered { failed: true },
     AttemptOutcome::NotRun(Refusal::Busy),
@@ -20,6 +20,7 @@
     AttemptOutcome::NotRun(Refusal::Other),
     AttemptOutcome::Unsent,
     AttemptOutcome::Broken,
+    AttemptOutcome::Crashed,
     AttemptOutcome::TimedOut,
 ];
 
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        connections::RelayBody, exchange::exchange, in_flight::InFlight, node::Node, probe::search,
-        request::CallerRequest, snapshot::UpstreamSnapshot,
+        connections::RelayBody, crash_check::has_crashed, exchange::exchange, in_flight::InFlight,
+        node::Node, probe::search, request::CallerRequest, snapshot::UpstreamSnapshot,
     },
     hyper::Response,
     pointvane_core::{PlatformAdapter, US_PER_MS},
@@ -55,11 +55,12 @@
     let in_flight = InFlight::start(&node, &request, key, unresponsive_after(&node, &request, &snapshot));
     let answer = exchange(&node, &request, key).await;
     in_flight.ended();
+    let latency_us = node.now_us().saturating_sub(sent_at_us);
     let outcome = match &answer {
         Ok(response) => AttemptOutcome::Answered { failed: response.status().is_server_error() },
+        Err(AttemptOutcome::Broken) if has_crashed(snapshot.address).await => AttemptOutcome::Crashed,
         Err(outcome) => *outcome,
     };
-    let latency_us = node.now_us().saturating_sub(sent_at_us);
     record_outcome(&node, &request, key, &snapshot, outcome, latency_us as f64 / US_PER_MS as f64);
     let search_ms = sent_at_us.saturating_sub(began_us) / US_PER_MS;
     let times = AttemptTimes { search_ms, latency_ms: latency_us / US_PER_MS };
@@ -133,8 +134,11 @@
 ) {
     node.report.attempted(&snapshot.upstream, outcome.as_str(), times.latency_ms);
     let load = snapshot.load();
+    let succeeded = outcome == (AttemptOutcome::Answered { failed: false });
     let line = || EventKind::AttemptEnded {
         request: request.id.clone(),
+        fingerprint: (!succeeded).then(|| request.fingerprint().to_string()),
+        caller: (!succeeded).then_some(request.caller),
         service: request.routed.service.clone(),
         upstream: snapshot.upstream.clone(),
         outcome: outcome.as_str().into(),
@@ -147,7 +151,7 @@
         choose_ms: times.search_ms,
         took_ms: times.latency_ms,
     };
-    if outcome == (AttemptOutcome::Answered { failed: false }) {
+    if succeeded {
         node.report.success(line);
     } else {
         node.report.failure(node.now_us(), line);
--- a/crates/pointvane-node/src/caller_connection.rs
+++ b/crates/pointvane-node/src/caller_connection.rs
@@ -22,7 +22,9 @@
 
 /// Serves a caller's connection until it is closed.
 pub async fn serve<A: PlatformAdapter + 'static>(node: Rc<Node<A>>, stream: TcpStream) {
-    let pipeline = Rc::new(Pipeline::new(Rc::clone(&node)));
+    // A connection without a peer is closed already.
+    let Ok(peer) = stream.peer_addr() else { return };
+    let pipeline = Rc::new(Pipeline::new(Rc::clone(&node), peer.ip()));
     let bytes_max = node.dispatcher.pipeline.bytes_max;
     let stream = ReadAhead::new(stream, Rc::clone(&pipeline), head_bytes_max(&node), bytes_max);
     let service_node = Rc::clone(&node);
@@ -53,7 +55,7 @@
     };
     let mut response = match early {
         Some(response) => response,
-        None => traffic::answer(Rc::clone(&node), head, Some(body), arrived_at_us).await,
+        None => traffic::answer(Rc::clone(&node), head, Some(body), pipeline.arrival(arrived_at_us)).await,
     };
     // What stands behind an answer that closes counts as not read, so it must not have been forwarded.
     if !node.lifecycle.is_running() && !pipeline.has_early() {
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -11,6 +11,7 @@
 mod body;
 mod caller_connection;
 mod connections;
+mod crash_check;
 mod directory;
 mod dispatcher;
 mod exchange;
--- a/crates/pointvane-node/src/pipeline.rs
+++ b/crates/pointvane-node/src/pipeline.rs
@@ -5,7 +5,12 @@
 //! one. [`pointvane_dispatch::starts_early`] decides which requests are forwarded early.
 
 use {
-    crate::{connections::RelayBody, node::Node, request_head::parse_head, traffic},
+    crate::{
+        connections::RelayBody,
+        node::Node,
+        request_head::parse_head,
+        traffic::{self, Arrival},
+    },
     bytes::Bytes,
     hyper::{HeaderMap, Method, Response, Uri, http::request::Parts},
     pointvane_core::{PlatformAdapter, RouteKind},
@@ -13,6 +18,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::VecDeque,
+        net::IpAddr,
         rc::Rc,
     },
     tokio::{
@@ -24,6 +30,7 @@
 /// The unanswered requests of one connection.
 pub struct Pipeline<A: PlatformAdapter> {
     node: Rc<Node<A>>,
+    caller: IpAddr,
     /// Those that were read and not yet served, oldest first.
     waiting: RefCell<VecDeque<WaitingRequest>>,
     /// The head of the one that is served.
@@ -73,10 +80,11 @@
 }
 
 impl<A: PlatformAdapter + 'static> Pipeline<A> {
-    /// A connection on which nothing has come.
-    pub fn new(node: Rc<Node<A>>) -> Self {
+    /// A connection from a caller's address on which nothing has come.
+    pub fn new(node: Rc<Node<A>>, caller: IpAddr) -> Self {
         Self {
             node,
+            caller,
             waiting: RefCell::default(),
             in_service: RefCell::default(),
             answered: Cell::default(),
@@ -89,6 +97,11 @@
         self.answered.get() + 1
     }
 
+    /// From where a request came, and when.
+    pub fn arrival(&self, at_us: u64) -> Arrival {
+        Arrival { caller: self.caller, at_us }
+    }
+
     /// Whether another request may be read ahead.
     pub fn has_room(&self) -> bool {
         self.waiting.borrow().len() < self.node.dispatcher.pipeline.requests_max
@@ -172,7 +185,8 @@
     fn start(&self, head: Parts, kind: RouteKind, arrived_at_us: u64) -> EarlyAnswer {
         self.node.report.forwarded_early();
         let (method, uri, headers) = (head.method.clone(), head.uri.clone(), head.headers.clone());
-        let answer = spawn_local(traffic::answer(Rc::clone(&self.node), head, None, arrived_at_us));
+        let answer =
+            spawn_local(traffic::answer(Rc::clone(&self.node), head, None, self.arrival(arrived_at_us)));
         EarlyAnswer { method, uri, headers, kind, answer }
     }
 }
--- a/crates/pointvane-node/src/request.rs
+++ b/crates/pointvane-node/src/request.rs
@@ -5,11 +5,14 @@
     bytes::Bytes,
     hyper::{
         HeaderMap, Method, Uri,
-        header::{CONNECTION, HeaderName, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
+        header::{CONNECTION, HOST, HeaderName, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
     },
     pointvane_core::US_PER_MS,
-    pointvane_dispatch::{RoutedRequest, UpstreamKey},
-    std::cell::{Cell, RefCell},
+    pointvane_dispatch::{FingerprintParts, RequestFingerprint, RoutedRequest, UpstreamKey},
+    std::{
+        cell::{Cell, OnceCell, RefCell},
+        net::IpAddr,
+    },
 };
 
 /// Headers that concern one connection only.
@@ -32,6 +35,8 @@
     pub routed: RoutedRequest,
     /// The identity that its caller gave it, for log lines.
     pub id: String,
+    /// Where its caller's connection comes from.
+    pub caller: IpAddr,
     /// Its method.
     pub method: Method,
     /// Its target.
@@ -42,6 +47,8 @@
     pub body: Option<Bytes>,
     /// The first part and the rest of a body that is not; taken by the first attempt.
     pub stream: RefCell<Option<Gathered>>,
+    /// What tells it when it is sent again, once that was asked for.
+    pub known_fingerprint: OnceCell<RequestFingerprint>,
     /// When it arrived, in microseconds of the steady clock.
     pub arrived_at_us: u64,
     /// When it must be answered, on the same clock.
@@ -58,6 +65,30 @@
         now_us.saturating_sub(self.arrived_at_us) as f64 / US_PER_MS as f64
     }
 
+    /// What tells this request when its caller sends it again.
+    ///
+    /// A streamed body is gone once the request was sent, so this is asked for before.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        *self.known_fingerprint.get_or_init(|| {
+            let stream = self.stream.borrow();
+            let (body, body_length) = match (&self.body, stream.as_ref()) {
+                (Some(bytes), _) => (&bytes[..], Some(bytes.len() as u64)),
+                (None, Some(gathered)) => (&gathered.bytes[..], gathered.length),
+                (None, None) => (&[][..], None),
+            };
+            // A host that is no text has no route, so it comes with no request that gets here.
+            let host = self.headers.get(HOST).and_then(|host| host.to_str().ok()).or_else(|| self.uri.host());
+            RequestFingerprint::new(&FingerprintParts {
+                caller: self.caller,
+                method: self.method.as_str(),
+                host: host.unwrap_or_default(),
+                target: self.uri.path_and_query().map_or("/", |target| target.as_str()),
+                body,
+                body_length,
+            })
+        })
+    }
+
     /// Size of the body, as far as it has come.
     pub fn body_bytes(&self) -> usize {
         let streamed = || self.stream.borrow().as_ref().map_or(0, |gathered| gathered.bytes.len());
--- a/crates/pointvane-node/src/snapshot.rs
+++ b/crates/pointvane-node/src/snapshot.rs
@@ -4,6 +4,7 @@
     crate::node::Node,
     pointvane_core::{Name, PlatformAdapter, US_PER_MS, UpstreamLoad},
     pointvane_dispatch::{LoadSample, LoadWhenSent, UpstreamKey},
+    std::net::SocketAddr,
 };
 
 /// Percent in a cost of 1.
@@ -14,6 +15,8 @@
 pub struct UpstreamSnapshot {
     /// The upstream.
     pub upstream: Name,
+    /// Where it serves.
+    pub address: SocketAddr,
     /// Expected latency, as a multiple of uncontended work.
     pub cost: f32,
     /// When this was known, in microseconds of the steady clock.
@@ -29,9 +32,16 @@
         let taken_at_us = node.now_us();
         let pool = node.dispatcher.pool();
         let state = pool.get(key)?;
-        let (upstream, report) = (state.id().clone(), state.report());
+        let (upstream, address, report) = (state.id().clone(), state.address(), state.report());
         let load_when_sent = pool.load_when_sent(key, taken_at_us)?;
-        Some(Self { upstream, cost: pool.cost(key, taken_at_us), taken_at_us, load_when_sent, report })
+        Some(Self {
+            upstream,
+            address,
+            cost: pool.cost(key, taken_at_us),
+            taken_at_us,
+            load_when_sent,
+            report,
+        })
     }
 
     /// Its last load report; zeros, which no upstream reports as its slots, where there was none.
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -19,7 +19,8 @@
     pointvane_dispatch::{RoutedRequest, answer_by_us, first_state_retry_after_ms, first_state_wait_ms},
     pointvane_telemetry::EventKind,
     std::{
-        cell::{Cell, RefCell},
+        cell::{Cell, OnceCell, RefCell},
+        net::IpAddr,
         rc::Rc,
         time::Duration,
     },
@@ -30,15 +31,24 @@
 /// Not measured: it bounds the memory of a request; longer bodies are streamed and sent once.
 const BODY_GATHERED_BYTES: usize = 512 << 10;
 
-/// Answers one request of a caller, which arrived at a time in microseconds of the steady clock.
+/// From where and when a request came.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// Where its caller's connection comes from.
+    pub caller: IpAddr,
+    /// When it arrived, in microseconds of the steady clock.
+    pub at_us: u64,
+}
+
+/// Answers one request of a caller.
 pub async fn answer<A: PlatformAdapter + 'static>(
     node: Rc<Node<A>>,
     head: Parts,
     body: Option<Incoming>,
-    arrived_at_us: u64,
+    arrival: Arrival,
 ) -> Response<RelayBody> {
     let id = head.headers.get(&node.headers.request_id).cloned();
-    let answer = match read(&node, head, body, arrived_at_us).await {
+    let answer = match read(&node, head, body, arrival).await {
         Ok(request) => {
             let request = Rc::new(request);
             let answer = forward(Rc::clone(&node), Rc::clone(&request)).await;
@@ -46,7 +56,7 @@
             answer
         }
         Err(refused) => {
-            report_unrouted(&node, id.as_ref(), refused, arrived_at_us);
+            report_unrouted(&node, id.as_ref(), refused, arrival.at_us);
             Err(refused)
         }
     };
@@ -64,7 +74,7 @@
     node: &Node<A>,
     head: Parts,
     body: Option<Incoming>,
-    arrived_at_us: u64,
+    arrival: Arrival,
 ) -> Result<CallerRequest, Refused> {
     let caller_waits_ms = node.headers.caller_waits_ms(&head.headers);
     if !node.knows_platform() {
@@ -72,7 +82,7 @@
         node.platform.first_state(Duration::from_millis(wait_ms)).await;
     }
     let routed = routed(node, &head)?;
-    let answer_by_us = answer_by_us(&routed.route, caller_waits_ms, arrived_at_us);
+    let answer_by_us = answer_by_us(&routed.route, caller_waits_ms, arrival.at_us);
     let body_bytes_max = node.dispatcher.routes().limits().body_bytes_max;
     let length = body.as_ref().and_then(|body| body.size_hint().exact());
     if length.is_some_and(|length| length > body_bytes_max) {
@@ -87,7 +97,7 @@
         return Err(ErrorKind::DeadlinePassed.into());
     }
     let id = node.headers.request_id_text(&head.headers);
-    Ok(caller_request(id, head, gathered, routed, arrived_at_us, answer_by_us))
+    Ok(caller_request(id, head, gathered, routed, arrival, answer_by_us))
 }
 
 fn report_end<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest, answer: &FinalAnswer) {
@@ -162,7 +172,7 @@
     head: Parts,
     gathered: Gathered,
     routed: RoutedRequest,
-    arrived_at_us: u64,
+    arrival: Arrival,
     answer_by_us: u64,
 ) -> CallerRequest {
     let mut headers = head.headers;
@@ -171,19 +181,26 @@
         true => (None, Some(gathered)),
         false => (Some(gathered.bytes), None),
     };
-    CallerRequest {
+    let is_streamed = body.is_none();
+    let request = CallerRequest {
         routed,
         id,
+        caller: arrival.caller,
         method: head.method,
         uri: head.uri,
         headers,
         body,
         stream: RefCell::new(stream),
-        arrived_at_us,
+        known_fingerprint: OnceCell::new(),
+        arrived_at_us: arrival.at_us,
         answer_by_us,
         tried: RefCell::default(),
         sends: Cell::new(0),
+    };
+    if is_streamed {
+        request.fingerprint();
     }
+    request
 }
 
 /// An id for a log line; empty if the caller gave none, or one that is no text.
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -7,7 +7,10 @@
         de::{self, MapAccess, Visitor},
     },
     serde_json::{Map, Value},
-    std::{fmt, net::SocketAddr},
+    std::{
+        fmt,
+        net::{IpAddr, SocketAddr},
+    },
 };
 
 /// Name of an event's count; before `entry_sequence`, [`EventKind::UpstreamTold`] had a field of this name as well.
@@ -107,6 +110,12 @@
     /// An attempt of a request ended; what was believed of the upstream when it was chosen, and how old that was.
     AttemptEnded {
         request: String,
+        /// What tells the same request when a caller sends it again; none for an attempt that went well.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        fingerprint: Option<String>,
+        /// Address of the caller; none for an attempt that went well.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        caller: Option<IpAddr>,
         service: Name,
         upstream: Name,
         outcome: Name,
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -58,6 +58,8 @@
     vec![
         EventKind::AttemptEnded {
             request: "r-1".into(),
+            fingerprint: None,
+            caller: None,
             service: "board".into(),
             upstream: upstream.clone(),
             outcome: "answered".into(),
