Red: a request under which upstreams crash reaches more of them at every node

Cause as far as shown: nodes judge upstreams, never requests. The stand-in upstream learns to crash: nobody listens, then connections close.

--- a/standins/tests/users_platform/mod.rs
+++ b/standins/tests/users_platform/mod.rs
@@ -5,6 +5,7 @@
 mod manner;
 mod message;
 mod node;
+mod process;
 mod store;
 mod thin_link;
 mod upstream;
--- /dev/null
+++ b/standins/tests/users_platform/process.rs
@@ -0,0 +1,54 @@
+//! The life of a stand-in's process: what it listens at, its connections, and its crash.
+
+use {
+    socket2::SockRef,
+    std::{
+        net::{Shutdown, TcpListener, TcpStream},
+        sync::{Arc, Mutex},
+    },
+};
+
+#[derive(Default)]
+struct State {
+    listener: Option<Arc<TcpListener>>,
+    connections: Vec<TcpStream>,
+    crashes_on: Option<String>,
+}
+
+/// What ends when a stand-in crashes.
+#[derive(Clone, Default)]
+pub struct Process {
+    state: Arc<Mutex<State>>,
+}
+
+impl Process {
+    pub fn started(&self, listener: Arc<TcpListener>) {
+        self.state.lock().unwrap().listener = Some(listener);
+    }
+
+    pub fn opened(&self, connection: TcpStream) {
+        self.state.lock().unwrap().connections.push(connection);
+    }
+
+    pub fn crash_on(&self, target: &str) {
+        self.state.lock().unwrap().crashes_on = Some(target.into());
+    }
+
+    pub fn crashes_under(&self, target: &str) -> bool {
+        self.state.lock().unwrap().crashes_on.as_deref() == Some(target)
+    }
+
+    pub fn is_down(&self) -> bool {
+        self.state.lock().unwrap().listener.is_none()
+    }
+
+    /// Nobody listens from here on; only then do the connections close, as when a process ends.
+    pub fn crash(&self) {
+        let mut state = self.state.lock().unwrap();
+        // What is closed already cannot be shut down again.
+        if let Some(listener) = state.listener.take() {
+            _ = SockRef::from(&*listener).shutdown(Shutdown::Both);
+        }
+        state.connections.drain(..).for_each(|connection| _ = connection.shutdown(Shutdown::Both));
+    }
+}
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -6,6 +6,7 @@
         manner::Manner,
         message::{Message, read_message},
         own_address,
+        process::Process,
         upstream_answers::{closed_within, healthy, refuse, whole},
     },
     std::{
@@ -23,6 +24,9 @@
 /// Rest after which such an upstream has forgotten a connection.
 const FORGOTTEN_AFTER: Duration = Duration::from_millis(100);
 
+/// Time for which an upstream runs a request under which it crashes.
+const CRASHES_AFTER: Duration = Duration::from_millis(30);
+
 /// A stand-in for an upstream.
 #[derive(Clone)]
 pub struct Upstream {
@@ -41,6 +45,7 @@
     pub asked: Arc<AtomicUsize>,
     /// The last request that it got.
     pub last: Arc<Mutex<Message>>,
+    process: Process,
 }
 
 impl Upstream {
@@ -56,15 +61,43 @@
             left: Arc::default(),
             asked: Arc::default(),
             last: Arc::default(),
+            process: Process::default(),
         };
-        let served = upstream.clone();
+        upstream.listen(listener);
+        upstream
+    }
+
+    /// Accepts connections until it crashes.
+    fn listen(&self, listener: TcpListener) {
+        let listener = Arc::new(listener);
+        self.process.started(Arc::clone(&listener));
+        let upstream = self.clone();
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let upstream = served.clone();
+            while let Ok((stream, _)) = listener.accept() {
+                let upstream = upstream.clone();
                 thread::spawn(move || _ = upstream.serve(stream));
             }
         });
-        upstream
+    }
+
+    /// Crashes from now on under each request to this target.
+    pub fn crash_on(&self, target: &str) {
+        self.process.crash_on(target);
+    }
+
+    /// Whether it has crashed and not started again.
+    pub fn is_down(&self) -> bool {
+        self.process.is_down()
+    }
+
+    /// Ends at once, as a process that crashes: nobody listens any more, and all connections close.
+    pub fn crash(&self) {
+        self.process.crash();
+    }
+
+    /// Starts again at its address after a crash.
+    pub fn start_again(&self) {
+        self.listen(TcpListener::bind(self.address).unwrap());
     }
 
     pub fn set(&self, manner: Manner) {
@@ -77,6 +110,7 @@
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        self.process.opened(stream.try_clone()?);
         let mut reader = BufReader::new(stream.try_clone()?);
         loop {
             let waits_since = Instant::now();
@@ -118,6 +152,11 @@
             self.runs.fetch_add(1, Ordering::SeqCst);
             self.ran.lock().unwrap().push(id.into());
         }
+        if self.process.crashes_under(request.target()) {
+            thread::sleep(CRASHES_AFTER);
+            self.process.crash();
+            return Ok(false);
+        }
         self.answer(stream, manner, id)
     }
 
