Quarantine: a request under which upstreams crash is refused by all nodes until a trial runs well

Cause: a node judged upstreams by the requests that failed there and never a request by the upstreams that failed under it; what it knew of a request ended with its answer. Class: evidence that belongs to one thing is booked to another, and stays at one node. Ruled out: upstreams that crash for another reason (the test's upstreams crash under one target alone); lost answers (a connection right after a crash is refused). Evidence is runs that end one after the other: those that overlap count once, since upstreams that lose power end all that stands in them. One other node's word is not enough; a good run clears.

--- a/crates/pointvane-config/src/node_options.rs
+++ b/crates/pointvane-config/src/node_options.rs
@@ -6,7 +6,7 @@
 };
 
 /// Every key of the options file; docs/OPERATIONS.md is checked against this list.
-pub const NODE_OPTION_KEYS: [&str; 13] = [
+pub const NODE_OPTION_KEYS: [&str; 15] = [
     "choice.policy",
     "choice.ask_first",
     "choice.ask_more",
@@ -20,6 +20,8 @@
     "callers.pipeline_requests",
     "callers.pipeline_bytes",
     "callers.start_wait_ms",
+    "quarantine.after_crashes",
+    "quarantine.hold_ms",
 ];
 
 /// Options of a node.
@@ -37,6 +39,8 @@
     pub fleet: FleetOptions,
     /// How callers' connections are read.
     pub callers: CallerOptions,
+    /// When requests under which upstreams crash are refused.
+    pub quarantine: NodeQuarantineOptions,
 }
 
 /// By what an upstream is chosen.
@@ -148,6 +152,21 @@
     }
 }
 
+/// When requests under which upstreams crash are refused; why these values: `pointvane-dispatch/src/quarantine.rs`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeQuarantineOptions {
+    /// Upstreams that crash under a request, one after the other, before it is refused; 0 for never.
+    pub after_crashes: usize,
+    /// Time of the first quarantine, in milliseconds.
+    pub hold_ms: u64,
+}
+
+impl Default for NodeQuarantineOptions {
+    fn default() -> Self {
+        Self { after_crashes: 2, hold_ms: 8_000 }
+    }
+}
+
 /// Reads and checks an options file.
 ///
 /// # Errors
@@ -157,7 +176,7 @@
 }
 
 fn read(top: &Section<'_, '_>) -> NodeOptions {
-    top.only(&["admission", "callers", "choice", "fleet", "lines", "repeats"]);
+    top.only(&["admission", "callers", "choice", "fleet", "lines", "quarantine", "repeats"]);
     NodeOptions {
         choice: choice(&top.section("choice")),
         admission: admission(&top.section("admission")),
@@ -165,6 +184,7 @@
         lines: lines(&top.section("lines")),
         fleet: fleet(&top.section("fleet")),
         callers: callers(&top.section("callers")),
+        quarantine: quarantine(&top.section("quarantine")),
     }
 }
 
@@ -217,3 +237,12 @@
         start_wait_ms: section.integer("start_wait_ms", 0..=60_000, Some(defaults.start_wait_ms)),
     }
 }
+
+fn quarantine(section: &Section<'_, '_>) -> NodeQuarantineOptions {
+    section.only(&["after_crashes", "hold_ms"]);
+    let defaults = NodeQuarantineOptions::default();
+    NodeQuarantineOptions {
+        after_crashes: section.integer("after_crashes", 0..=8, Some(defaults.after_crashes)),
+        hold_ms: section.integer("hold_ms", 100..=3_600_000, Some(defaults.hold_ms)),
+    }
+}
--- a/crates/pointvane-core/src/error.rs
+++ b/crates/pointvane-core/src/error.rs
@@ -61,6 +61,8 @@
     NotReady,
     /// All upstreams that could run the work are in data centres that operators are emptying.
     Evacuated,
+    /// Upstreams crash under this request. No time to retry is told, since it would crash more.
+    RequestQuarantined,
 }
 
 /// One row of the table: how an [`ErrorKind`] is answered.
@@ -88,7 +90,7 @@
     AnswerRow { kind, name, status, outcome, retry_after }
 }
 
-const TABLE: [AnswerRow; 17] = [
+const TABLE: [AnswerRow; 18] = [
     row(ErrorKind::BadRequest, "bad-request", 400, Outcome::NotRun, false),
     row(ErrorKind::NoSuchService, "no-such-service", 404, Outcome::NotRun, false),
     row(ErrorKind::KeyMissing, "key-missing", 428, Outcome::NotRun, false),
@@ -106,6 +108,7 @@
     row(ErrorKind::Stopping, "stopping", 503, Outcome::NotRun, true),
     row(ErrorKind::NotReady, "not-ready", 503, Outcome::NotRun, true),
     row(ErrorKind::Evacuated, "evacuated", 503, Outcome::NotRun, true),
+    row(ErrorKind::RequestQuarantined, "request-quarantined", 503, Outcome::NotRun, false),
 ];
 
 impl ErrorKind {
--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -31,6 +31,8 @@
     NoUpstream(Ineligible),
     /// It was not sent: it would have been too late (see `admission.rs`), or a hedge found no uncontended upstream.
     NotAdmitted,
+    /// No search was made: upstreams crash under this request.
+    Quarantined,
     /// No search was made: no upstream can finish it before its deadline.
     DeadlineTooNear,
     /// An upstream was chosen.
@@ -75,6 +77,7 @@
         self.under_way -= 1;
         let outcome = match end {
             AttemptEnd::NoUpstream(reason) => return self.ended_unsent(reason.error()),
+            AttemptEnd::Quarantined => return self.ended_unsent(ErrorKind::RequestQuarantined),
             AttemptEnd::NotAdmitted => return self.ended_unsent(ErrorKind::Overloaded),
             AttemptEnd::DeadlineTooNear if self.may_have_run => {
                 return self.ended_unsent(ErrorKind::UpstreamTimeout);
--- a/crates/pointvane-dispatch/src/ejection.rs
+++ b/crates/pointvane-dispatch/src/ejection.rs
@@ -72,7 +72,9 @@
             // crashed at once, nodes that waited for three failures of each tried 746 times in vain within four seconds.
             Self::NotRun(Refusal::Misdirected) | Self::Unreachable => Effect::Eject,
             // A busy upstream is not a failing one: its load report tells the rest.
-            Self::NotRun(Refusal::Busy | Refusal::Other) | Self::Withheld(_) => Effect::Nothing,
+            Self::NotRun(Refusal::Busy | Refusal::Other) | Self::Withheld(_) | Self::Quarantined => {
+                Effect::Nothing
+            }
             Self::Answered { failed: true }
             | Self::Unsent
             | Self::Broken
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 //! | when an upstream that fails gets no new work | `ejection.rs` |
 //! | how many retries and probes a node may spend | `budget.rs` |
 //! | how a node learns what the platform holds, and passes it on | `replica.rs` and its modules |
+//! | which requests are not sent since upstreams crash under them | `quarantine.rs` |
 //! | which requests count as the same | `fingerprint.rs` |
 //! | which nodes a caller is sent to | `directory.rs` |
 #![forbid(unsafe_code)]
@@ -40,6 +41,7 @@
 mod load_curve;
 mod pipeline;
 mod pool;
+mod quarantine;
 mod ranking;
 mod ranking_options;
 mod records;
@@ -62,12 +64,16 @@
     ejection::{ProbeOutcome, unresponsive_after_ms},
     eligibility::Ineligible,
     evacuations::Evacuations,
-    fingerprint::{FINGERPRINT_BODY_BYTES, FingerprintParts, RequestFingerprint},
+    fingerprint::{FINGERPRINT_BODY_BYTES, HeadFingerprint, RequestFingerprint},
     first_state::{first_state_retry_after_ms, first_state_wait_ms},
     latency::{LatencyQuantile, LeastLatency},
     load_curve::LoadCurve,
     pipeline::{PipelineLimits, starts_early},
     pool::Pool,
+    quarantine::{
+        CrashId, NEWS_MAX, Quarantine, QuarantineChange, QuarantineMessage, QuarantineOptions, SuspectNews,
+        TrialTurn,
+    },
     ranking::Wanted,
     ranking_options::{Ranking, RankingOptions},
     replica::{
--- a/crates/pointvane-dispatch/src/retry.rs
+++ b/crates/pointvane-dispatch/src/retry.rs
@@ -37,6 +37,8 @@
     Unreachable,
     /// Nothing was sent, since the upstream that was chosen may not get work any more.
     Withheld(Ineligible),
+    /// Nothing was sent, since news came that upstreams crash under this request.
+    Quarantined,
     /// It may have run, and there is no answer that can be trusted.
     Broken,
     /// It may have run; its connection broke, and right after nobody listened at the upstream's address any more.
@@ -53,7 +55,7 @@
 
     /// Whether nothing was sent.
     pub const fn is_unsent(self) -> bool {
-        matches!(self, Self::Unsent | Self::Unreachable | Self::Withheld(_))
+        matches!(self, Self::Unsent | Self::Unreachable | Self::Withheld(_) | Self::Quarantined)
     }
 
     /// The outcome's name in logs and metrics.
@@ -71,6 +73,7 @@
             Self::Withheld(Ineligible::Evacuated) => "withheld-evacuated",
             Self::Withheld(Ineligible::Cold) => "withheld-cold",
             Self::Withheld(Ineligible::Ejected) => "withheld-ejected",
+            Self::Quarantined => "quarantined",
             Self::Broken => "broken",
             Self::Crashed => "crashed",
             Self::TimedOut => "timed-out",
@@ -101,6 +104,7 @@
             Verdict::Retry { takes_token: true }
         }
         AttemptOutcome::Answered { .. } => Verdict::Deliver,
+        AttemptOutcome::Quarantined => Verdict::GiveUp(ErrorKind::RequestQuarantined),
         _ if outcome.is_unsent() && retry => Verdict::Retry { takes_token: false },
         AttemptOutcome::NotRun(_) | AttemptOutcome::Broken | AttemptOutcome::Crashed if retry => {
             Verdict::Retry { takes_token: true }
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -55,13 +55,15 @@
     let in_flight = InFlight::start(&node, &request, key, unresponsive_after(&node, &request, &snapshot));
     let answer = exchange(&node, &request, key).await;
     in_flight.ended();
-    let latency_us = node.now_us().saturating_sub(sent_at_us);
+    let ended_at_us = node.now_us();
+    let latency_us = ended_at_us.saturating_sub(sent_at_us);
     let outcome = match &answer {
         Ok(response) => AttemptOutcome::Answered { failed: response.status().is_server_error() },
         Err(AttemptOutcome::Broken) if has_crashed(snapshot.address).await => AttemptOutcome::Crashed,
         Err(outcome) => *outcome,
     };
     record_outcome(&node, &request, key, &snapshot, outcome, latency_us as f64 / US_PER_MS as f64);
+    node.record_evidence(&request, outcome, sent_at_us, ended_at_us);
     let search_ms = sent_at_us.saturating_sub(began_us) / US_PER_MS;
     let times = AttemptTimes { search_ms, latency_ms: latency_us / US_PER_MS };
     report(&node, &request, goal, &snapshot, outcome, &times);
@@ -78,6 +80,9 @@
     if cannot_finish(node, request, node.now_us()) {
         return Err(AttemptEnd::DeadlineTooNear);
     }
+    if node.is_quarantined(request) {
+        return Err(AttemptEnd::Quarantined);
+    }
     match search(node, request, goal).await {
         Found::Uncontended(key) => Ok(key),
         Found::Contended(_) if goal == SearchGoal::UncontendedOnly => Err(AttemptEnd::NotAdmitted),
--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -7,9 +7,9 @@
     pointvane_config::{ChoicePolicy, NodeAdmissionOptions, NodeOptions},
     pointvane_core::{DeltaMismatch, ErrorKind, Name, RouteRule, RoutingConfiguration, RoutingDelta},
     pointvane_dispatch::{
-        AdmissionPolicy, BudgetLimits, NodeBudgets, PipelineLimits, Pool, Ranking, RankingOptions, RefusedBy,
-        RetryBudget, RouteTable, RouteTimes, RoutedRequest, RoutingLog, SearchOptions, WarmUpBound,
-        retry_after_ms,
+        AdmissionPolicy, BudgetLimits, NodeBudgets, PipelineLimits, Pool, Quarantine, Ranking,
+        RankingOptions, RefusedBy, RetryBudget, RouteTable, RouteTimes, RoutedRequest, RoutingLog,
+        SearchOptions, WarmUpBound, retry_after_ms,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
@@ -36,6 +36,7 @@
     pub connections: Connections,
     /// Probes under way.
     pub probes: ProbeTable,
+    quarantine: RefCell<Quarantine>,
     routes: RefCell<Rc<RouteTable>>,
     routing_log: RefCell<RoutingLog>,
     pool: RefCell<Pool>,
@@ -46,7 +47,13 @@
 
 impl Dispatcher {
     /// Nothing is known yet.
-    pub fn new(options: &NodeOptions, data_centre: Name, seeder: &mut SmallRng, now_us: u64) -> Self {
+    pub fn new(
+        options: &NodeOptions,
+        data_centre: Name,
+        quarantine: Quarantine,
+        seeder: &mut SmallRng,
+        now_us: u64,
+    ) -> Self {
         let NodeAdmissionOptions { target_share, rank_step } = options.admission;
         let policy = options.choice.policy;
         Self {
@@ -64,6 +71,7 @@
             hedges: options.repeats.hedge,
             connections: Connections::default(),
             probes: ProbeTable::default(),
+            quarantine: RefCell::new(quarantine),
             routes: RefCell::default(),
             routing_log: RefCell::default(),
             pool: RefCell::new(Pool::new(ranking_options(policy), data_centre, seeder.random())),
@@ -128,6 +136,11 @@
         self.pool.borrow_mut()
     }
 
+    /// Requests under which upstreams crash.
+    pub fn quarantine(&self) -> RefMut<'_, Quarantine> {
+        self.quarantine.borrow_mut()
+    }
+
     /// The measured times of a route.
     pub fn route_times(&self, route: &RouteRule) -> RefMut<'_, RouteTimes> {
         RefMut::map(self.route_times.borrow_mut(), |times| {
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -68,6 +68,10 @@
         return Err(AttemptOutcome::TimedOut);
     }
     let outgoing = outgoing(node, request, key, now_us).ok_or(AttemptOutcome::Unsent)?;
+    // Asked again, since news of it may have come during the search.
+    if !node.may_send(request, now_us) {
+        return Err(AttemptOutcome::Quarantined);
+    }
     // Asked again as well: it may have been evacuated, or begun to drain, since it was chosen.
     node.dispatcher.pool_mut().begin_send(key, now_us).map_err(AttemptOutcome::Withheld)?;
     request.sends.set(request.sends.get() + 1);
--- a/crates/pointvane-node/src/fleet.rs
+++ b/crates/pointvane-node/src/fleet.rs
@@ -8,7 +8,8 @@
     pointvane_core::{Incarnation, Name, US_PER_MS, VmIdentity, VmState},
     pointvane_dispatch::{
         Broadcaster, DirectoryMember, Forwarder, OrderedNode, QueryCandidate, QueryTarget, ReaderRole,
-        ReceivedRounds, RelayDatagram, broadcast_position, earlier_peer, fan_out, forwarders, query_position,
+        ReceivedRounds, RelayDatagram, RequestFingerprint, TrialTurn, broadcast_position, earlier_peer,
+        fan_out, forwarders, query_position,
     },
     pointvane_mesh::{
         Action, EntryRow, GossipMessage, MemberRow, Membership, MembershipOptions, Stamp, Stamps, rank,
@@ -29,6 +30,11 @@
 /// Time without a datagram of any other node after which this node counts as reaching none, in milliseconds. Not measured: at the least
 /// some five datagrams a second come from others, so that one in two thousand such spans is empty by chance.
 const PEER_SILENCE_MS: u64 = 1_500;
+/// Ports between that of membership datagrams and that of news of quarantined requests.
+pub const QUARANTINE_PORT_OFFSET: u16 = 2;
+/// Rounds in which other nodes are asked for what they know of quarantined requests, after a start or a pause. Not measured: 4 s, after which
+/// some of it has come by itself.
+pub const PULLS_MAX: u32 = 20;
 /// What nodes are ranked for when relays are passed on; a name on the wire, as above.
 const RELAY_SUBJECT: &str = "relay";
 
@@ -39,6 +45,7 @@
     membership: RefCell<Membership>,
     gossip_socket: OnceCell<Rc<UdpSocket>>,
     relay_socket: OnceCell<Rc<UdpSocket>>,
+    quarantine_socket: OnceCell<Rc<UdpSocket>>,
     received_rounds: RefCell<ReceivedRounds>,
     relay_round: Cell<u64>,
     broadcaster: Cell<Option<Broadcaster>>,
@@ -47,6 +54,8 @@
     /// The latest revision of the platform that any peer has read.
     latest_revision: Cell<u64>,
     rng: RefCell<SmallRng>,
+    /// Rounds in which other nodes are still asked for all that they know of quarantined requests.
+    pub pulls_left: Cell<u32>,
 }
 
 impl Fleet {
@@ -62,6 +71,7 @@
             membership: RefCell::new(membership(settings, incarnation, seeder.random(), now_us)),
             gossip_socket: OnceCell::new(),
             relay_socket: OnceCell::new(),
+            quarantine_socket: OnceCell::new(),
             received_rounds: RefCell::default(),
             // Rounds of a later life are higher than all rounds of this one.
             relay_round: Cell::new(incarnation.0),
@@ -69,14 +79,16 @@
             heard_at_us: Cell::new(now_us),
             latest_revision: Cell::default(),
             rng: RefCell::new(SmallRng::from_rng(seeder)),
+            pulls_left: Cell::new(PULLS_MAX),
         }
     }
 
-    /// Takes the sockets for gossip and relays; once.
-    pub fn set_sockets(&self, gossip: Rc<UdpSocket>, relays: Rc<UdpSocket>) {
-        // A second call would find both set already.
+    /// Takes the sockets for gossip, relays and news of quarantined requests; once.
+    pub fn set_sockets(&self, gossip: Rc<UdpSocket>, relays: Rc<UdpSocket>, quarantine: Rc<UdpSocket>) {
+        // A second call would find all set already.
         _ = self.gossip_socket.set(gossip);
         _ = self.relay_socket.set(relays);
+        _ = self.quarantine_socket.set(quarantine);
     }
 
     /// Nodes that are not known to be dead, this one included.
@@ -145,6 +157,31 @@
         }
     }
 
+    /// Sends news of quarantined requests to another node. What cannot leave now is as good as lost, which the rounds of news survive.
+    pub fn send_quarantine_news(&self, bytes: &[u8], to: SocketAddr) {
+        if let Some(socket) = self.quarantine_socket.get() {
+            _ = socket.try_send_to(bytes, to);
+        }
+    }
+
+    /// Where some other nodes, drawn at random, take news of quarantined requests: all of them if there are no more than `count`.
+    pub fn draw_quarantine_peers(&self, count: usize) -> Vec<SocketAddr> {
+        let membership = self.membership.borrow();
+        let others = membership.rows().skip(1).filter(|row| row.state != VmState::Dead);
+        let address = |row: &MemberRow| {
+            SocketAddr::new(row.identity.address, row.control_port + QUARANTINE_PORT_OFFSET)
+        };
+        others.map(address).choose_multiple(&mut *self.rng.borrow_mut(), count)
+    }
+
+    /// This node's place among those that may try a request after its quarantine.
+    pub fn trial_turn(&self, request: &RequestFingerprint) -> TrialTurn {
+        let membership = self.membership.borrow();
+        let position = rank(&request.to_string(), &membership.me().identity.name) as f64 / u64::MAX as f64;
+        let nodes = membership.rows().filter(|row| row.state != VmState::Dead).count();
+        TrialTurn { position, nodes }
+    }
+
     /// The latest revision of the platform that any peer has read.
     pub fn latest_revision(&self) -> u64 {
         self.latest_revision.get()
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -26,6 +26,8 @@
 mod pipeline;
 mod probe;
 mod probe_table;
+mod quarantine;
+mod quarantine_loop;
 mod read_ahead;
 mod reader_roles;
 mod replica;
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        dispatcher::Dispatcher, fleet::Fleet, headers::Headers, lifecycle::Lifecycle,
+        dispatcher::Dispatcher, fleet::Fleet, headers::Headers, lifecycle::Lifecycle, quarantine::quarantine,
         replica::platform_state::PlatformState, report::Report, settings::NodeSettings,
     },
     pointvane_config::NodeOptions,
@@ -13,6 +13,7 @@
     pointvane_telemetry::{MonotonicClock, wall_ms},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::cell::{Ref, RefCell},
+    tokio::sync::Notify,
 };
 
 /// One node.
@@ -34,6 +35,8 @@
     pub lifecycle: Lifecycle,
     settings: RefCell<NodeSettings>,
     clock: MonotonicClock,
+    /// Notified when other nodes are to learn at once of a request under which upstreams crash.
+    pub quarantine_news: Notify,
 }
 
 impl<A: PlatformAdapter> Node<A> {
@@ -47,12 +50,19 @@
             headers: adapter.headers().into(),
             adapter,
             report,
-            dispatcher: Dispatcher::new(options, settings.data_centre.clone(), &mut seeder, now_us),
+            dispatcher: Dispatcher::new(
+                options,
+                settings.data_centre.clone(),
+                quarantine(options, &settings.name, incarnation),
+                &mut seeder,
+                now_us,
+            ),
             fleet: Fleet::new(&settings, incarnation, &mut seeder, now_us),
             platform: PlatformState::new(&settings, seeder.random()),
             lifecycle: Lifecycle::default(),
             settings: RefCell::new(settings),
             clock,
+            quarantine_news: Notify::new(),
         }
     }
 
--- /dev/null
+++ b/crates/pointvane-node/src/quarantine.rs
@@ -0,0 +1,89 @@
+//! Requests under which upstreams crash: asks and tells [`Quarantine`] on behalf of the attempts of requests.
+
+use {
+    crate::{node::Node, request::CallerRequest},
+    pointvane_config::NodeOptions,
+    pointvane_core::{Incarnation, Name, PlatformAdapter},
+    pointvane_dispatch::{AttemptOutcome, Quarantine, QuarantineChange, QuarantineOptions},
+    pointvane_mesh::rank,
+    pointvane_telemetry::EventKind,
+};
+
+/// What nodes are ranked for to get an identity as reporters of crashes.
+const REPORTER_SUBJECT: &str = "reporter";
+
+/// The quarantine of a node that knows of no request.
+pub fn quarantine(options: &NodeOptions, node: &Name, incarnation: Incarnation) -> Quarantine {
+    let options = QuarantineOptions {
+        after_crashes: options.quarantine.after_crashes,
+        hold_ms: options.quarantine.hold_ms,
+    };
+    Quarantine::new(options, rank(REPORTER_SUBJECT, node), incarnation.0)
+}
+
+impl<A: PlatformAdapter> Node<A> {
+    /// Whether a request may not be sent now, since upstreams crash under it.
+    pub fn is_quarantined(&self, request: &CallerRequest) -> bool {
+        if !self.may_know(request) {
+            return false;
+        }
+        let fingerprint = request.fingerprint();
+        let turn = self.fleet.trial_turn(&fingerprint);
+        self.dispatcher.quarantine().refuses(&fingerprint, &turn, self.now_us())
+    }
+
+    /// Takes note that a request is sent now; false if it may not be.
+    pub fn may_send(&self, request: &CallerRequest, now_us: u64) -> bool {
+        if !self.may_know(request) {
+            return true;
+        }
+        let fingerprint = request.fingerprint();
+        let turn = self.fleet.trial_turn(&fingerprint);
+        self.dispatcher.quarantine().begin_send(&fingerprint, &turn, now_us)
+    }
+
+    /// Takes note of what the end of an attempt says of its request.
+    pub fn record_evidence(
+        &self,
+        request: &CallerRequest,
+        outcome: AttemptOutcome,
+        began_at_us: u64,
+        ended_at_us: u64,
+    ) {
+        let change = match outcome {
+            AttemptOutcome::Crashed => {
+                let fingerprint = request.fingerprint();
+                self.dispatcher.quarantine().crashed(fingerprint, began_at_us, ended_at_us)
+            }
+            AttemptOutcome::Answered { failed: false } if self.may_know(request) => {
+                self.dispatcher.quarantine().survived(request.fingerprint(), ended_at_us)
+            }
+            _ => return,
+        };
+        self.note_quarantine(change);
+        self.quarantine_news.notify_one();
+    }
+
+    /// Notes what changed for requests under which upstreams crash.
+    pub fn note_quarantine(&self, changes: impl IntoIterator<Item = QuarantineChange>) {
+        for change in changes {
+            let kind = match change {
+                QuarantineChange::Began { request, crashes, hold_ms } => EventKind::RequestQuarantined {
+                    fingerprint: request.to_string(),
+                    crashes: crashes as u64,
+                    hold_ms,
+                },
+                QuarantineChange::Lifted { request } => {
+                    EventKind::QuarantineLifted { fingerprint: request.to_string() }
+                }
+            };
+            self.report.quarantine_changed(&change);
+            self.report.note_bounded(self.now_us(), kind);
+        }
+    }
+
+    /// Whether anything may be known of a request; costs next to nothing while no upstream crashes.
+    fn may_know(&self, request: &CallerRequest) -> bool {
+        self.dispatcher.quarantine().may_know(|| request.head_fingerprint())
+    }
+}
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -12,7 +12,7 @@
     },
     pointvane_config::LineOptions,
     pointvane_core::{ErrorKind, Name},
-    pointvane_dispatch::CallReason,
+    pointvane_dispatch::{CallReason, QuarantineChange},
     pointvane_telemetry::{
         EventKind, EventLog, GateDecision, LineFlush, LineForm, LineGate, LineGateOptions, Metrics, Program,
         stdout_logger,
@@ -50,6 +50,8 @@
     repeats: Counter<u64>,
     probes: Counter<u64>,
     early_forwards: Counter<u64>,
+    quarantines: Counter<u64>,
+    quarantines_lifted: Counter<u64>,
     platform_calls: Counter<u64>,
     platform_call_failures: Counter<u64>,
     peer_questions: Counter<u64>,
@@ -88,6 +90,8 @@
             repeats: counter("pointvane_node_repeats"),
             probes: counter("pointvane_node_probes"),
             early_forwards: counter("pointvane_node_early_forwards"),
+            quarantines: counter("pointvane_node_quarantines"),
+            quarantines_lifted: counter("pointvane_node_quarantines_lifted"),
             platform_calls: counter("pointvane_node_platform_calls"),
             platform_call_failures: counter("pointvane_node_platform_call_failures"),
             peer_questions: counter("pointvane_node_peer_questions"),
@@ -180,6 +184,14 @@
         self.early_forwards.add(1, &[]);
     }
 
+    /// Counts what changed for a request under which upstreams crash.
+    pub fn quarantine_changed(&self, change: &QuarantineChange) {
+        match change {
+            QuarantineChange::Began { .. } => self.quarantines.add(1, &[]),
+            QuarantineChange::Lifted { .. } => self.quarantines_lifted.add(1, &[]),
+        }
+    }
+
     /// Counts a call to the platform.
     pub fn called_platform(&self, kind: CallKind, reason: CallReason) {
         let labels = [KeyValue::new("kind", kind.as_str()), KeyValue::new("reason", reason.as_str())];
--- a/crates/pointvane-node/src/request.rs
+++ b/crates/pointvane-node/src/request.rs
@@ -8,7 +8,7 @@
         header::{CONNECTION, HOST, HeaderName, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
     },
     pointvane_core::US_PER_MS,
-    pointvane_dispatch::{FingerprintParts, RequestFingerprint, RoutedRequest, UpstreamKey},
+    pointvane_dispatch::{HeadFingerprint, RequestFingerprint, RoutedRequest, UpstreamKey},
     std::{
         cell::{Cell, OnceCell, RefCell},
         net::IpAddr,
@@ -47,7 +47,9 @@
     pub body: Option<Bytes>,
     /// The first part and the rest of a body that is not; taken by the first attempt.
     pub stream: RefCell<Option<Gathered>>,
-    /// What tells it when it is sent again, once that was asked for.
+    /// What tells it when it is sent again but for its body, once that was asked for.
+    pub known_head: OnceCell<HeadFingerprint>,
+    /// The same with its body.
     pub known_fingerprint: OnceCell<RequestFingerprint>,
     /// When it arrived, in microseconds of the steady clock.
     pub arrived_at_us: u64,
@@ -70,22 +72,24 @@
     /// A streamed body is gone once the request was sent, so this is asked for before.
     pub fn fingerprint(&self) -> RequestFingerprint {
         *self.known_fingerprint.get_or_init(|| {
+            let head = self.head_fingerprint();
             let stream = self.stream.borrow();
             let (body, body_length) = match (&self.body, stream.as_ref()) {
                 (Some(bytes), _) => (&bytes[..], Some(bytes.len() as u64)),
                 (None, Some(gathered)) => (&gathered.bytes[..], gathered.length),
                 (None, None) => (&[][..], None),
             };
+            head.with_body(body, body_length)
+        })
+    }
+
+    /// The same without the body.
+    pub fn head_fingerprint(&self) -> HeadFingerprint {
+        *self.known_head.get_or_init(|| {
             // A host that is no text has no route, so it comes with no request that gets here.
             let host = self.headers.get(HOST).and_then(|host| host.to_str().ok()).or_else(|| self.uri.host());
-            RequestFingerprint::new(&FingerprintParts {
-                caller: self.caller,
-                method: self.method.as_str(),
-                host: host.unwrap_or_default(),
-                target: self.uri.path_and_query().map_or("/", |target| target.as_str()),
-                body,
-                body_length,
-            })
+            let target = self.uri.path_and_query().map_or("/", |target| target.as_str());
+            HeadFingerprint::new(self.caller, self.method.as_str(), host.unwrap_or_default(), target)
         })
     }
 
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::{
-        caller_connection, directory, gossip_loop,
+        caller_connection, directory,
+        fleet::QUARANTINE_PORT_OFFSET,
+        gossip_loop,
         node::Node,
-        operator,
+        operator, quarantine_loop,
         replica::{platform_reader, relay_loop, state_query},
         report::Report,
         serve::{listen, serve_in_turn},
@@ -69,7 +71,11 @@
     let gossip = Rc::new(UdpSocket::bind(gossip_address).await.wrap_err("gossip")?);
     let relay_address = SocketAddr::new(gossip_address.ip(), gossip_address.port() + 1);
     let relays = Rc::new(UdpSocket::bind(relay_address).await.wrap_err("relays")?);
-    node.fleet.set_sockets(Rc::clone(&gossip), Rc::clone(&relays));
+    let quarantine_address =
+        SocketAddr::new(gossip_address.ip(), gossip_address.port() + QUARANTINE_PORT_OFFSET);
+    let quarantine =
+        Rc::new(UdpSocket::bind(quarantine_address).await.wrap_err("news of quarantined requests")?);
+    node.fleet.set_sockets(Rc::clone(&gossip), Rc::clone(&relays), Rc::clone(&quarantine));
     listen(Rc::clone(node), settings.traffic, caller_connection::serve).await?;
     let readiness = |node, stream| serve_in_turn(node, stream, directory::readiness);
     listen(Rc::clone(node), settings.readiness, readiness).await?;
@@ -83,6 +89,7 @@
     let queries = TcpListener::bind(gossip_address).await.wrap_err("queries of nodes")?;
     spawn_local(state_query::serve(Rc::clone(node), queries));
     spawn_local(relay_loop::run(Rc::clone(node), relays));
+    spawn_local(quarantine_loop::run(Rc::clone(node), quarantine));
     spawn_local(platform_reader::read(Rc::clone(node)));
     Ok(())
 }
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -121,6 +121,7 @@
         Err(refused) => {
             node.report.refused(refused.kind);
             let row = refused.kind.answer();
+            let is_quarantined = refused.kind == ErrorKind::RequestQuarantined;
             node.report.failure(now_us, || EventKind::RequestRefused {
                 request: id,
                 route: Some(route),
@@ -130,6 +131,7 @@
                 attempts,
                 spent_ms,
                 come_back_ms: refused.retry_after_ms,
+                fingerprint: is_quarantined.then(|| request.fingerprint().to_string()),
             });
         }
     }
@@ -153,6 +155,7 @@
         attempts: 0,
         spent_ms: now_us.saturating_sub(arrived_at_us) / US_PER_MS,
         come_back_ms: refused.retry_after_ms,
+        fingerprint: None,
     });
 }
 
@@ -191,6 +194,7 @@
         headers,
         body,
         stream: RefCell::new(stream),
+        known_head: OnceCell::new(),
         known_fingerprint: OnceCell::new(),
         arrived_at_us: arrival.at_us,
         answer_by_us,
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -154,7 +154,14 @@
         attempts: u32,
         spent_ms: u64,
         come_back_ms: Option<u32>,
+        /// What tells the same request when a caller sends it again; given for requests that are quarantined.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        fingerprint: Option<String>,
     },
+    /// Upstreams crash under a request, so it is sent to none for a time; `crashes` in a row are known.
+    RequestQuarantined { fingerprint: String, crashes: u64, hold_ms: u64 },
+    /// A request that was quarantined has run well.
+    QuarantineLifted { fingerprint: String },
     /// Lines were left out, since there were too many.
     LinesLeftOut { count: u64 },
 }
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -101,6 +101,7 @@
             attempts: 0,
             spent_ms: 30,
             come_back_ms: Some(200),
+            fingerprint: None,
         },
         EventKind::RequestRefused {
             request: "r-1".into(),
@@ -111,6 +112,7 @@
             attempts: 0,
             spent_ms: 0,
             come_back_ms: None,
+            fingerprint: None,
         },
     ]
 }
--- a/crates/pointvane/src/explain.rs
+++ b/crates/pointvane/src/explain.rs
@@ -43,6 +43,12 @@
 ];
 /// Lines of one belief that are shown, the newest.
 const SHOWN_PER_BELIEF: usize = 1;
+/// Events on a request under which upstreams crash.
+const QUARANTINE_EVENTS: [&str; 2] = ["request-quarantined", "quarantine-lifted"];
+/// The event on one attempt.
+const ATTEMPT_ENDED: &str = "attempt-ended";
+/// Failed attempts of the same request under other identities that are shown, the newest: as many as quarantine it, and one more.
+const SHOWN_ATTEMPTS: usize = 3;
 /// Fields that every line has.
 const COMMON_FIELDS: [&str; 6] = ["msg", "level", "ts", "vm", "program", "request"];
 
@@ -88,6 +94,8 @@
     };
     let vms: BTreeSet<&str> = own.iter().map(|line| line.vm.as_str()).collect();
     let upstreams: BTreeSet<&str> = own.iter().filter_map(|line| line.fields["upstream"].as_str()).collect();
+    let fingerprints: BTreeSet<&str> =
+        own.iter().filter_map(|line| line.fields["fingerprint"].as_str()).collect();
     let mut told = Vec::new();
     for vm in vms {
         let before = || lines.iter().rev().filter(|line| line.vm == vm && line.at <= last.at);
@@ -100,11 +108,30 @@
             told.extend(before().filter(of_it).take(SHOWN_PER_BELIEF));
         }
     }
+    for fingerprint in fingerprints {
+        told.extend(of_the_same_request(request, fingerprint, lines, &last.at));
+    }
     told.extend(own);
     told.sort_by(|a, b| a.at.cmp(&b.at));
     told
 }
 
+/// What the same request did before under other identities, on any VM: its last quarantine and its last failed attempts.
+fn of_the_same_request<'l>(
+    request: &str,
+    fingerprint: &str,
+    lines: &'l [LogLine],
+    until: &str,
+) -> Vec<&'l LogLine> {
+    let same = || {
+        let before = lines.iter().rev().filter(|line| line.at.as_str() <= until);
+        before.filter(|line| line.fields["fingerprint"] == fingerprint && line.fields["request"] != request)
+    };
+    let quarantines = same().filter(|line| QUARANTINE_EVENTS.contains(&line.event.as_str()));
+    let attempts = same().filter(|line| line.event == ATTEMPT_ENDED);
+    quarantines.take(SHOWN_PER_BELIEF).chain(attempts.take(SHOWN_ATTEMPTS)).collect()
+}
+
 fn print(line: &LogLine, output: Output) {
     if output == Output::Json {
         return println!("{}", line.fields);
--- a/crates/pointvane/tests/client.rs
+++ b/crates/pointvane/tests/client.rs
@@ -129,6 +129,34 @@
     expect_that!(client(&["explain", "r-1", "/nowhere"]).status.code(), some(eq(2)));
 }
 
+/// Upstreams crash under it: the lines of the crashes have other identities, since its caller sent it anew.
+#[gtest]
+fn a_quarantined_request_is_explained_by_the_crashes_under_it() {
+    let line = |second: u32, vm: &str, rest: &str| {
+        format!("{{\"ts\":\"2026-01-01T00:00:0{second}Z\",\"vm\":\"{vm}\",\"program\":\"node\",{rest}}}\n")
+    };
+    let crashed = r#""msg":"attempt-ended","fingerprint":"f","outcome":"crashed""#;
+    let file = std::env::temp_dir().join(format!("pointvane-client-{}-quarantine", std::process::id()));
+    let lines = [
+        line(1, "a", &format!("{crashed},\"request\":\"r-1\",\"upstream\":\"i-1\"")),
+        line(2, "b", &format!("{crashed},\"request\":\"r-2\",\"upstream\":\"i-2\"")),
+        line(3, "b", r#""msg":"request-quarantined","fingerprint":"f","crashes":2,"hold_ms":8000"#),
+        line(3, "b", r#""msg":"request-quarantined","fingerprint":"another","crashes":2,"hold_ms":8000"#),
+        line(
+            4,
+            "c",
+            r#""msg":"request-refused","request":"r-3","error":"request-quarantined","fingerprint":"f""#,
+        ),
+    ];
+    fs::write(&file, lines.concat()).unwrap();
+    let told = client(&["explain", "r-3", file.to_str().unwrap()]);
+    fs::remove_file(&file).unwrap();
+    let told = text(&told.stdout);
+    expect_that!(told.lines().count(), eq(4), "{told}");
+    expect_that!(told, contains_substring("upstream=i-1"));
+    expect_that!(told, contains_substring("hold_ms=8000"));
+}
+
 /// An operator port that answers so many requests: `events` as the body of `/events`, 404 for everything else.
 fn operator_port(events: String, requests: usize) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/standins/tests/peer_links.rs
+++ b/standins/tests/peer_links.rs
@@ -6,7 +6,7 @@
 
 use {
     googletest::prelude::*,
-    peer_proxy::{GOSSIP_PORT, PeerLink, PeerProxy, RELAY_PORT},
+    peer_proxy::{GOSSIP_PORT, PeerLink, PeerProxy, QUARANTINE_PORT, RELAY_PORT},
     serde_json::Value,
     std::{
         io::{self, Read, Write},
@@ -177,7 +177,7 @@
 fn datagrams_pass_are_delayed_or_are_lost_and_answers_find_their_sender() {
     let (advertised, bound) = (own_address(), own_address());
     let proxy = PeerProxy::start(advertised, bound);
-    for port in [GOSSIP_PORT, RELAY_PORT] {
+    for port in [GOSSIP_PORT, RELAY_PORT, QUARANTINE_PORT] {
         echo_datagrams((bound, port).into());
         let to = SocketAddr::from((advertised, port));
         let (one, other) = (datagram_client(), datagram_client());
--- a/standins/tests/soak/peer_proxy.rs
+++ b/standins/tests/soak/peer_proxy.rs
@@ -23,6 +23,8 @@
 pub const GOSSIP_PORT: u16 = 7_660;
 /// Port for relays.
 pub const RELAY_PORT: u16 = 7_661;
+/// Port for news of quarantined requests.
+pub const QUARANTINE_PORT: u16 = 7_662;
 /// Time between two looks at the link while nothing comes. Not measured.
 const LOOK: Duration = Duration::from_millis(50);
 /// Time for a connection to a listener on loopback. Not measured.
@@ -104,7 +106,7 @@
             stopped: AtomicBool::default(),
             lost: AtomicU64::default(),
         });
-        for port in [GOSSIP_PORT, RELAY_PORT] {
+        for port in [GOSSIP_PORT, RELAY_PORT, QUARANTINE_PORT] {
             let outer = Arc::new(datagram_socket((advertised, port).into()).unwrap());
             let shared = Arc::clone(&shared);
             thread::spawn(move || pass_datagrams(&outer, (bound, port).into(), &shared));
--- a/standins/tests/users_platform/process.rs
+++ b/standins/tests/users_platform/process.rs
@@ -3,6 +3,7 @@
 use {
     socket2::SockRef,
     std::{
+        collections::HashMap,
         net::{Shutdown, TcpListener, TcpStream},
         sync::{Arc, Mutex},
     },
@@ -11,7 +12,8 @@
 #[derive(Default)]
 struct State {
     listener: Option<Arc<TcpListener>>,
-    connections: Vec<TcpStream>,
+    connections: HashMap<u64, TcpStream>,
+    opened: u64,
     crashes_on: Option<String>,
 }
 
@@ -26,8 +28,13 @@
         self.state.lock().unwrap().listener = Some(listener);
     }
 
-    pub fn opened(&self, connection: TcpStream) {
-        self.state.lock().unwrap().connections.push(connection);
+    /// Takes note of a connection for as long as the guard lives; a copy that stayed would keep it open.
+    pub fn opened(&self, connection: TcpStream) -> OpenConnection {
+        let mut state = self.state.lock().unwrap();
+        state.opened += 1;
+        let number = state.opened;
+        state.connections.insert(number, connection);
+        OpenConnection { process: self.clone(), number }
     }
 
     pub fn crash_on(&self, target: &str) {
@@ -49,6 +56,18 @@
         if let Some(listener) = state.listener.take() {
             _ = SockRef::from(&*listener).shutdown(Shutdown::Both);
         }
-        state.connections.drain(..).for_each(|connection| _ = connection.shutdown(Shutdown::Both));
+        state.connections.drain().for_each(|(_, connection)| _ = connection.shutdown(Shutdown::Both));
+    }
+}
+
+/// A connection that ends with the process.
+pub struct OpenConnection {
+    process: Process,
+    number: u64,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.process.state.lock().unwrap().connections.remove(&self.number);
     }
 }
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -110,7 +110,7 @@
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        self.process.opened(stream.try_clone()?);
+        let _open = self.process.opened(stream.try_clone()?);
         let mut reader = BufReader::new(stream.try_clone()?);
         loop {
             let waits_since = Instant::now();
