Soak: a request under which upstreams crash, sent again and again while all else is disturbed

From seed 6,000 on upstreams crash under one path, start again after 1.5 s, and the request comes 40 times at any node.

--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -11,6 +11,8 @@
 mod connection;
 #[path = "soak/contact.rs"]
 mod contact;
+#[path = "soak/crashing.rs"]
+mod crashing;
 #[path = "soak/departures.rs"]
 mod departures;
 #[path = "soak/directory.rs"]
@@ -59,8 +61,8 @@
     },
 };
 
-/// Seeds that CI plays; the last one has a large configuration.
-const CI_SEEDS: [u64; 4] = [1, 2, 3, 102];
+/// Seeds that CI plays; the fourth has a large configuration, in the last one upstreams crash under a request.
+const CI_SEEDS: [u64; 5] = [1, 2, 3, 102, 6_001];
 /// Seeds that once broke a promise, played in CI as well, each with a line on its cause.
 const REGRESSION_SEEDS: [u64; 1] = [
     // A node that was told of an upstream between two reads of everything kept it when it had left (`tests/relays.rs`).
@@ -109,6 +111,9 @@
         if plan.evacuates {
             scope.spawn(move || evacuations::play(fleet, &mut rng(plan.disturbers + 1)));
         }
+        if plan.crashes {
+            scope.spawn(move || crashing::play(fleet, &mut rng(plan.disturbers + 2)));
+        }
     });
 }
 
@@ -124,9 +129,10 @@
     recovery::check(&fleet, &record, &ids);
     let departed = departures::check(&fleet, &record);
     evacuations::check(&fleet, &record);
+    let crashed = crashing::check(&fleet, &record);
     let upstreams: Vec<_> = fleet.upstreams().into_iter().map(|one| one.upstream).collect();
     let broken = record.broken(&upstreams);
-    let told = summary(&fleet, &plan, &record, departed);
+    let told = summary(&fleet, &plan, &record, departed, crashed);
     println!("seed {seed}: {told}, {} s, {} broken", begun.elapsed().as_secs(), broken.len());
     if !broken.is_empty() {
         println!("seed {seed}: lines of nodes are kept in {}", fleet.keep_logs(seed).display());
@@ -135,11 +141,11 @@
 }
 
 /// What a run came to, in one line; `departed` counts upstreams that left, and arrivals behind that.
-fn summary(fleet: &Fleet, plan: &Plan, record: &Record, departed: (usize, usize)) -> String {
+fn summary(fleet: &Fleet, plan: &Plan, record: &Record, departed: (usize, usize), crashed: usize) -> String {
     let overdue: u32 = fleet.sites.iter().map(|site| site.overdue.load(Ordering::SeqCst)).sum();
     format!(
         "{} nodes, {} of {} upstreams left, {} versions of {}+ routes, {:?}, answers {:?}, {} judged on versions, \
-         {} arrivals behind a leaving, {overdue} stops over grace, {} stalls",
+         {} arrivals behind a leaving, {crashed} crashed under one request, {overdue} stops over grace, {} stalls",
         plan.nodes,
         departed.0,
         fleet.upstreams().len(),
--- a/standins/tests/soak/directory.rs
+++ b/standins/tests/soak/directory.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         contact::Contact,
+        crashing::CRASHING_PATH,
         evacuations::DATA_CENTRES,
         plan::Plan,
         proxy::Proxy,
@@ -35,6 +36,7 @@
     store: Store,
     proxied: usize,
     data_centres: usize,
+    crashes: bool,
     listed: Mutex<Vec<Listed>>,
     sequence: AtomicU64,
 }
@@ -46,6 +48,7 @@
             store,
             proxied: plan.proxied,
             data_centres,
+            crashes: plan.crashes,
             listed: Mutex::default(),
             sequence: AtomicU64::new(0),
         }
@@ -55,6 +58,9 @@
     pub fn join(&self) {
         let mut listed = self.listed.lock().unwrap();
         let upstream = Upstream::start(&format!("i-{}", listed.len()), Manner::Well);
+        if self.crashes {
+            upstream.crash_on(CRASHING_PATH);
+        }
         let links = listed.iter().filter(|one| one.link.is_some() && one.left.is_none()).count();
         let link = (links < self.proxied).then(|| Proxy::start(upstream.address));
         let data_centre = DATA_CENTRES[listed.len() % self.data_centres];
--- a/standins/tests/soak/plan.rs
+++ b/standins/tests/soak/plan.rs
@@ -18,6 +18,9 @@
 const PROXIED_MAX: usize = 6;
 /// Seeds whose runs have evacuations: those between stay as they were when some of them broke a promise.
 const EVACUATING_SEEDS: [Range<u64>; 2] = [0..1_000, 5_000..u64::MAX];
+/// The first seed in whose runs upstreams crash under a request. They are reached directly: a proxy accepts connections for an upstream that
+/// is gone, which hides that it crashed.
+const CRASHING_SEED: u64 = 6_000;
 /// Routes of a large configuration.
 const LARGE_ROUTES: std::ops::Range<usize> = 1_000..2_500;
 
@@ -43,6 +46,8 @@
     pub batch: usize,
     /// Whether data centres are evacuated; all upstreams are in one if not.
     pub evacuates: bool,
+    /// Whether upstreams crash under a request.
+    pub crashes: bool,
     /// Routes of each configuration beside those that the checks need.
     pub bulk_routes: usize,
 }
@@ -52,6 +57,10 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let large = env::var("POINTVANE_SOAK_LARGE").is_ok() || seed.is_multiple_of(LARGE_EVERY);
         let mut plan = if large { Self::large() } else { Self::small(&mut rng) };
+        plan.crashes = seed >= CRASHING_SEED;
+        if plan.crashes {
+            plan.proxied = 0;
+        }
         plan.evacuates = EVACUATING_SEEDS.iter().any(|seeds| seeds.contains(&seed));
         if rng.random_bool(0.25) {
             plan.bulk_routes = rng.random_range(LARGE_ROUTES);
@@ -71,6 +80,7 @@
             disturbances: 8,
             batch: 1,
             evacuates: false,
+            crashes: false,
             bulk_routes: 0,
         }
     }
@@ -89,6 +99,7 @@
             disturbances: 12,
             batch: nodes.div_ceil(8),
             evacuates: false,
+            crashes: false,
             bulk_routes: 0,
         }
     }
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -45,6 +45,8 @@
     pub asked: Arc<AtomicUsize>,
     /// The last request that it got.
     pub last: Arc<Mutex<Message>>,
+    /// Requests under which it crashed, and when.
+    pub crashes: Arc<Mutex<Vec<(String, Instant)>>>,
     process: Process,
 }
 
@@ -61,6 +63,7 @@
             left: Arc::default(),
             asked: Arc::default(),
             last: Arc::default(),
+            crashes: Arc::default(),
             process: Process::default(),
         };
         upstream.listen(listener);
@@ -154,6 +157,7 @@
         }
         if self.process.crashes_under(request.target()) {
             thread::sleep(CRASHES_AFTER);
+            self.crashes.lock().unwrap().push((id.into(), Instant::now()));
             self.process.crash();
             return Ok(false);
         }
