A life of an upstream is its identity and its start

Cause: entries were ordered by a count that starts anew with each life, so an upstream that started again under its identity was left out until its count had passed that of its former life, and a draining one for good. The start goes first in the order now, in the pool, in what is remembered of removed ones, and in all that nodes tell each other; a later life gets a state of its own, and kept connections to the former are closed. Ruled out: the health answer and load reports of a former life, which are booked by the former state's key.

--- a/crates/pointvane-core/src/lib.rs
+++ b/crates/pointvane-core/src/lib.rs
@@ -26,7 +26,9 @@
     evacuation::Evacuation,
     identity::{Incarnation, Name, VmIdentity, VmState},
     key::{IdempotencyKey, KeyError},
-    published::{Change, ChangePage, EntryKey, MalformedReply, RefusedItem, UpstreamLoad, UpstreamRecord},
+    published::{
+        Change, ChangePage, EntryAge, EntryKey, MalformedReply, RefusedItem, UpstreamLoad, UpstreamRecord,
+    },
     request::{Class, header},
     routing::{CallerLimits, RouteKind, RouteRule, RoutingConfiguration, ServiceRule, WeightedService},
     routing_delta::{DeltaMismatch, RoutingDelta},
--- a/crates/pointvane-core/src/published.rs
+++ b/crates/pointvane-core/src/published.rs
@@ -9,8 +9,10 @@
 /// One upstream as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
-    /// Identity of one life of the upstream.
+    /// Identity of the upstream; it keeps it when it starts again.
     pub id: Name,
+    /// When this life of it began, in milliseconds since 1970; none if its entry does not say so.
+    pub born_ms: Option<u64>,
     /// The service it belongs to.
     pub service: Name,
     /// Where it serves.
@@ -23,10 +25,24 @@
     pub draining: bool,
     /// How much longer it is slow from its start, in milliseconds.
     pub warm_up_left_ms: u64,
-    /// Number of the upstream's own updates; an entry with a smaller one is older.
+    /// Number of the updates in this life of the upstream; an entry with a smaller one is older.
     pub sequence: u64,
 }
 
+/// The place of an entry among all of its upstream: by lives, and by updates within one. An entry that names no start is older than all that do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EntryAge {
+    born_ms: Option<u64>,
+    sequence: u64,
+}
+
+impl UpstreamRecord {
+    /// The place of this entry among all of its upstream.
+    pub fn age(&self) -> EntryAge {
+        EntryAge { born_ms: self.born_ms, sequence: self.sequence }
+    }
+}
+
 /// One change of what a platform publishes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
--- a/crates/pointvane-dispatch/benches/candidates.rs
+++ b/crates/pointvane-dispatch/benches/candidates.rs
@@ -17,6 +17,7 @@
 
 fn record(number: usize) -> UpstreamRecord {
     UpstreamRecord {
+        born_ms: None,
         id: format!("i-{number}").as_str().into(),
         service: "dispatch".into(),
         address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 80).into(),
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -12,12 +12,12 @@
         upstream::{UpstreamKey, UpstreamState},
         warm_up::WarmUpShares,
     },
-    pointvane_core::{Change, Evacuation, Name, UpstreamRecord},
+    pointvane_core::{Change, EntryAge, Evacuation, Name, UpstreamRecord},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::collections::{BTreeMap, HashMap},
 };
 
-/// Removed upstreams whose last sequence is remembered. Bounds memory; not measured.
+/// Removed upstreams whose last entry is remembered. Bounds memory; not measured.
 const REMOVED_MAX: usize = 1_024;
 
 /// All upstreams that a node knows.
@@ -30,8 +30,8 @@
     by_id: HashMap<Name, UpstreamKey>,
     pub(crate) by_service: HashMap<Name, ServiceUpstreams>,
     pub(crate) services: HashMap<Name, ServiceState>,
-    /// Last sequence of removed upstreams, so that an older entry that comes late doesn't bring one back.
-    removed: HashMap<Name, u64>,
+    /// Age of the last entry of removed upstreams, so that an older one that comes late doesn't bring one back.
+    removed: HashMap<Name, EntryAge>,
     pub(crate) evacuations: Evacuations,
     pub(crate) warm_up: WarmUpShares,
     pub(crate) rng: SmallRng,
@@ -56,20 +56,23 @@
     }
 
     /// Takes the platform's entry of an upstream; false if it changes nothing.
+    ///
+    /// An upstream that has started again, that serves elsewhere or something else is a new one: of its load, its failures, its draining and
+    /// this node's requests there nothing holds any more.
     pub fn upsert(&mut self, record: UpstreamRecord, now_us: u64) -> bool {
         if let Some(state) = self.by_id.get(&record.id).and_then(|key| self.upstreams.get_mut(key)) {
             let same = record == state.record && state.grace_until_us.is_none();
-            if record.sequence < state.record.sequence || same {
+            if record.age() < state.record.age() || same {
                 return false;
             }
-            if state.record.service == record.service && state.record.address == record.address {
+            if is_same_life(&state.record, &record) {
                 state.update(record, now_us);
                 return true;
             }
             let id = record.id.clone();
             self.remove(&id);
         }
-        if self.removed.get(&record.id).is_some_and(|last| record.sequence <= *last) {
+        if self.removed.get(&record.id).is_some_and(|last| record.age() <= *last) {
             return false;
         }
         self.insert(record, now_us);
@@ -120,7 +123,7 @@
             if self.removed.len() >= REMOVED_MAX {
                 self.removed.clear();
             }
-            self.removed.insert(id.clone(), state.record.sequence);
+            self.removed.insert(id.clone(), state.record.age());
             if let Some(upstreams) = self.by_service.get_mut(&state.record.service) {
                 upstreams.remove(key);
             }
@@ -144,6 +147,11 @@
         listed.map(|state| &state.record)
     }
 
+    /// The platform's entry of an upstream.
+    pub fn record(&self, id: &Name) -> Option<&UpstreamRecord> {
+        self.by_id.get(id).and_then(|key| self.upstreams.get(key)).map(|state| &state.record)
+    }
+
     /// Identities of all upstreams.
     pub fn ids(&self) -> impl Iterator<Item = &Name> {
         self.by_id.keys()
@@ -184,3 +192,7 @@
         self.upstreams.get_mut(&key)
     }
 }
+
+fn is_same_life(one: &UpstreamRecord, other: &UpstreamRecord) -> bool {
+    (one.born_ms, &one.service, one.address) == (other.born_ms, &other.service, other.address)
+}
--- a/crates/pointvane-dispatch/tests/common/mod.rs
+++ b/crates/pointvane-dispatch/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 pub fn record(id: &str, sequence: u64) -> UpstreamRecord {
     UpstreamRecord {
+        born_ms: None,
         id: id.into(),
         service: "dispatch".into(),
         address: "10.0.0.1:80".parse().unwrap(),
--- a/crates/pointvane-dispatch/tests/upstreams.rs
+++ b/crates/pointvane-dispatch/tests/upstreams.rs
@@ -4,6 +4,7 @@
     googletest::prelude::*,
     pointvane_core::{Name, UpstreamLoad, UpstreamRecord},
     pointvane_dispatch::{AttemptOutcome, Pool, RankingOptions, Refusal, UpstreamKey, Wanted},
+    rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom},
     std::collections::BTreeMap,
 };
 
@@ -12,6 +13,7 @@
 
 fn record(id: &str, centre: &str, sequence: u64) -> UpstreamRecord {
     UpstreamRecord {
+        born_ms: None,
         id: id.into(),
         service: SERVICE.into(),
         address: "10.0.0.1:80".parse().unwrap(),
@@ -249,3 +251,47 @@
     expect_that!(ids(&pool, &left), elements_are![eq("b")]);
     expect_that!(candidates(&mut pool, &[], 1_000 * MS).len(), eq(2), "it is tried again");
 }
+
+fn life(born_ms: Option<u64>, sequence: u64) -> UpstreamRecord {
+    UpstreamRecord { born_ms, ..record("a", "one", sequence) }
+}
+
+#[gtest]
+fn a_later_life_replaces_all_that_was_known_of_the_earlier_one() {
+    let mut pool = pool(&[]);
+    pool.upsert(life(Some(1_000), 50), MS);
+    let former = candidates(&mut pool, &[], MS)[0];
+    pool.get_mut(former).unwrap().request_started();
+    pool.upsert(UpstreamRecord { draining: true, ..life(Some(1_000), 51) }, MS);
+    expect_that!(candidates(&mut pool, &[], MS), is_empty());
+    expect_that!(pool.upsert(life(Some(2_000), 1), 2 * MS), eq(true));
+    let later = candidates(&mut pool, &[], 2 * MS);
+    expect_that!(later.len(), eq(1));
+    expect_that!(later[0], not(eq(former)));
+    expect_that!(pool.get(former).is_none(), eq(true));
+    expect_that!(pool.get(later[0]).unwrap().in_flight(), eq(0));
+}
+
+/// In any order of arrival, and whether entries were gone in between, the newest life's newest entry holds.
+#[gtest]
+fn no_order_of_arrival_brings_a_former_life_back() {
+    let entries: Vec<UpstreamRecord> =
+        [(None, 70), (Some(1_000), 50), (Some(1_000), 51), (Some(2_000), 1), (Some(2_000), 2)]
+            .map(|(born_ms, sequence)| life(born_ms, sequence))
+            .to_vec();
+    let newest = entries.last().unwrap().clone();
+    for seed in 0..10_000 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut order = entries.clone();
+        order.extend(entries.iter().cloned());
+        order.shuffle(&mut rng);
+        let mut pool = pool(&[]);
+        for entry in order {
+            if rng.random_bool(0.2) && pool.record(&"a".into()).is_some_and(|held| *held != newest) {
+                pool.remove(&"a".into());
+            }
+            pool.upsert(entry, MS);
+        }
+        expect_that!(pool.record(&"a".into()), some(eq(&newest)), "{seed}");
+    }
+}
--- a/crates/pointvane-dispatch/tests/wire_format.rs
+++ b/crates/pointvane-dispatch/tests/wire_format.rs
@@ -34,6 +34,7 @@
 
 fn record() -> UpstreamRecord {
     UpstreamRecord {
+        born_ms: Some(1_790_000_000_000),
         id: "i-7".into(),
         service: "board".into(),
         address: "10.1.2.3:8080".parse().unwrap(),
--- a/crates/pointvane-node/src/replica/publication.rs
+++ b/crates/pointvane-node/src/replica/publication.rs
@@ -54,7 +54,13 @@
             draining: record.draining,
             entry_sequence: record.sequence,
         };
+        let before = self.dispatcher.pool().record(&record.id).cloned();
+        let born_ms = record.born_ms;
         if self.dispatcher.pool_mut().upsert(record, self.now_us()) {
+            if let Some(before) = before.filter(|before| before.born_ms != born_ms) {
+                // Kept connections to the former life have ended with it; behind a cut nothing has told so.
+                self.dispatcher.connections.discard(before.address);
+            }
             self.report.note_bounded(self.now_us(), kind);
         }
     }
