--- a/crates/pointvane-dispatch/tests/quarantine.rs
+++ b/crates/pointvane-dispatch/tests/quarantine.rs
@@ -203,6 +203,34 @@
     expect_that!(refused(&node, request, 621 * S), eq(false));
 }
 
+#[gtest]
+fn a_request_of_which_nothing_is_known_allocates_nothing() {
+    let none = node(1);
+    let mut some = node(1);
+    crash_twice(&mut some, request("/guilty"));
+    for node in [none, some] {
+        let allocated = allocation_counter::measure(|| {
+            node.may_know(|| request("/innocent").head());
+        });
+        expect_that!(allocated.count_total, eq(0));
+    }
+}
+
+/// A node that was suspended tells ages by a clock that stood still: what it tells seems younger by that time, and counts as long.
+#[gtest]
+fn crashes_that_a_suspended_node_tells_seem_younger_and_hold_longer() {
+    let (mut suspended, mut other) = (node(1), node(2));
+    let request = request("/a");
+    crash_twice(&mut suspended, request);
+    let told = suspended.take_urgent(S + 300 * MS);
+    // Others' clocks went on for five seconds.
+    other.receive(&told, 6 * S + 300 * MS);
+    other.crashed(request, 6 * S + 400 * MS, 6 * S + 500 * MS);
+    expect_that!(refused(&other, request, 6 * S + 500 * MS), eq(true));
+    expect_that!(refused(&other, request, 14 * S), eq(true));
+    expect_that!(refused(&other, request, 15 * S), eq(false));
+}
+
 /// At the bound the requests with the fewest crashes go first.
 #[gtest]
 fn memory_is_bounded_and_what_is_quarantined_stays() {
--- a/crates/pointvane-dispatch/tests/request_attempts.rs
+++ b/crates/pointvane-dispatch/tests/request_attempts.rs
@@ -192,3 +192,24 @@
         eq(NextStep::GiveUp(ErrorKind::UpstreamUnreachable))
     );
 }
+
+/// News may come before the search, or before the send; an attempt ahead of it may have run.
+#[gtest]
+fn a_quarantined_request_is_not_tried_elsewhere_and_not_run_is_told_only_if_true() {
+    const CRASHED: AttemptEnd = AttemptEnd::Tried(AttemptOutcome::Crashed);
+    const BEFORE_SEND: AttemptEnd = AttemptEnd::Tried(AttemptOutcome::Quarantined);
+    for kind in [RouteKind::Safe, RouteKind::Unsafe] {
+        let route = route(kind);
+        for end in [AttemptEnd::Quarantined, BEFORE_SEND] {
+            let step = RequestAttempts::started(&route, true).ended(end, 0, &mut budget(5));
+            expect_that!(step, eq(NextStep::GiveUp(ErrorKind::RequestQuarantined)), "{kind:?} {end:?}");
+        }
+    }
+    let route = route(RouteKind::Safe);
+    let mut attempts = RequestAttempts::started(&route, true);
+    expect_that!(attempts.ended(CRASHED, 1, &mut budget(5)), eq(NextStep::Retry));
+    let step = attempts.ended(AttemptEnd::Quarantined, 1, &mut budget(5));
+    expect_that!(step, eq(NextStep::GiveUp(ErrorKind::UpstreamBroken)));
+    expect_that!(ErrorKind::RequestQuarantined.answer().outcome, eq(Outcome::NotRun));
+    expect_that!(ErrorKind::RequestQuarantined.answer().retry_after, eq(false));
+}
