--- a/crates/pointvane-dispatch/src/quarantine.rs
+++ b/crates/pointvane-dispatch/src/quarantine.rs
@@ -1,5 +1,8 @@
 //! Quarantine: requests under which upstreams crash are not sent to more of them.
 //!
+//! Not every crash is its upstream's fault. While nodes judged upstreams alone, and each by itself, one read ended 50 upstreams of a service of 28,
+//! one or two at each node that it came to (docs/incidents/2026-12-03-requests-that-crash-upstreams.md).
+//!
 //! Decided before each search for an upstream, and again right before each send, so that what is queued, searching, hedged, retried or
 //! forwarded early heeds news that came meanwhile. Inputs: crashes of upstreams under requests and requests that ran well, as this node saw
 //! them or as others tell; the steady clock; how many nodes there are. What a request is: `fingerprint.rs`. What counts: `quarantine/evidence.rs`.
@@ -118,7 +121,7 @@
     reporter: u64,
     crash_number: u64,
     suspects: BTreeMap<RequestFingerprint, Suspect>,
-    /// Suspects by all but their bodies.
+    /// Suspects by all but their queries and bodies.
     heads: HashMap<HeadFingerprint, usize>,
     /// Pages of all suspects that were told so far.
     pages: usize,
@@ -138,7 +141,7 @@
         }
     }
 
-    /// Whether anything is known of a request that looks like this but for its body; false for nearly all requests, at little cost.
+    /// Whether anything is known of a request that looks like this but for its query and body; false for nearly all requests, at little cost.
     pub fn may_know(&self, head: impl FnOnce() -> HeadFingerprint) -> bool {
         !self.heads.is_empty() && self.heads.contains_key(&head())
     }
