--- a/crates/pointvane-dispatch/tests/quarantine_fleet.rs
+++ b/crates/pointvane-dispatch/tests/quarantine_fleet.rs
@@ -85,13 +85,11 @@
 
 #[gtest]
 fn a_request_that_comes_again_crashes_few_upstreams_at_every_size() {
-    // In CI the first of the waves, and what comes of it.
-    let until_us = if plays_all() { 120 * S } else { 30 * S };
     for (nodes, upstreams, by_hand, in_ci) in SIZES {
         for design in designs() {
             let figures = worst(
                 (0..seeds((by_hand, in_ci)))
-                    .map(|seed| waves(design, nodes, upstreams, 0.03, seed).run(until_us)),
+                    .map(|seed| waves(design, nodes, upstreams, 0.03, seed).run(120 * S)),
             );
             println!("{nodes} nodes, {design:?}: {figures:?}");
             if design == SHIPPED {
