--- a/crates/pointvane-dispatch/src/quarantine.rs
+++ b/crates/pointvane-dispatch/src/quarantine.rs
@@ -5,7 +5,7 @@
 //!
 //! Decided before each search for an upstream, and again right before each send, so that what is queued, searching, hedged, retried or
 //! forwarded early heeds news that came meanwhile. Inputs: crashes of upstreams under requests and requests that ran well, as this node saw
-//! them or as others tell; the steady clock; how many nodes there are. What a request is: `fingerprint.rs`. What counts: `quarantine/evidence.rs`.
+//! them or as others tell; the steady clock; how many nodes there are. What a request is: `fingerprint.rs`. What counts: `quarantine/crash_history.rs`.
 //!
 //! A request is in quarantine once [`QuarantineOptions::after_crashes`] upstreams have crashed under it, one after the other, with no good
 //! run since, by this node's own evidence or by that of two nodes. Then no node sends it until the time of quarantine is over. After that it is
@@ -15,20 +15,20 @@
 //! Missing or late evidence delays a quarantine and never causes one. Invariant: without a crash of an upstream while a request ran there,
 //! that request is never refused (`tests/quarantine.rs`). In fleets: `tests/quarantine_fleet.rs`; ways weighed: docs/design/crashing-requests.md.
 
-mod evidence;
+mod crash_history;
 mod news;
 mod news_budget;
 mod spread;
 
 pub use {
-    evidence::CrashId,
+    crash_history::CrashId,
     news::{NEWS_MAX, QuarantineMessage, SuspectNews},
     news_budget::NewsBudget,
 };
 
 use {
     crate::fingerprint::{HeadFingerprint, RequestFingerprint},
-    evidence::{Crash, Evidence},
+    crash_history::{Crash, CrashHistory},
     pointvane_core::{US_PER_MS, US_PER_S},
     std::collections::{BTreeMap, HashMap},
 };
@@ -104,7 +104,7 @@
 /// One request under which an upstream has crashed.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    evidence: Evidence,
+    history: CrashHistory,
     next_trial_at_us: i64,
     /// Rounds in which it is still sent on.
     rounds_left: u8,
@@ -157,7 +157,7 @@
         if let Some(suspect) = self.suspects.get_mut(request)
             && suspect.reported > 0
         {
-            let pause_us = TRIAL_PAUSE_US.max(2 * suspect.evidence.longest_run_us());
+            let pause_us = TRIAL_PAUSE_US.max(2 * suspect.history.longest_run_us());
             suspect.next_trial_at_us = now_us as i64 + pause_us;
         }
     }
@@ -176,7 +176,7 @@
         let id = CrashId { reporter: self.reporter, number: self.crash_number };
         let crash = Crash { id, began_at_us: began_at_us as i64, ended_at_us: ended_at_us as i64 };
         let suspect = self.suspect(request);
-        if suspect.evidence.add(crash) {
+        if suspect.history.add(crash) {
             suspect.urgent = true;
             suspect.rounds_left = NEWS_ROUNDS;
         }
@@ -186,7 +186,7 @@
     /// Takes note that a request ran to a good end.
     pub fn survived(&mut self, request: RequestFingerprint, now_us: u64) -> Option<QuarantineChange> {
         let suspect = self.suspects.get_mut(&request)?;
-        if suspect.evidence.survive(now_us as i64) {
+        if suspect.history.survive(now_us as i64) {
             suspect.rounds_left = NEWS_ROUNDS;
             suspect.urgent = suspect.reported > 0;
         }
@@ -200,7 +200,7 @@
         }
         let changes = news.iter().filter_map(|news| {
             let suspect = self.suspect(news.request);
-            if news.tell(&mut suspect.evidence, now_us as i64) {
+            if news.tell(&mut suspect.history, now_us as i64) {
                 suspect.rounds_left = NEWS_ROUNDS;
             }
             self.report_change(news.request)
@@ -210,7 +210,7 @@
 
     /// Forgets what is over for long.
     pub fn expire(&mut self, now_us: u64) {
-        let is_over = |suspect: &Suspect| now_us as i64 >= forgotten_at_us(&self.options, &suspect.evidence);
+        let is_over = |suspect: &Suspect| now_us as i64 >= forgotten_at_us(&self.options, &suspect.history);
         let over = self.suspects.iter().filter(|(_, suspect)| is_over(suspect)).map(|(request, _)| *request);
         over.collect::<Vec<_>>().iter().for_each(|request| self.forget(request));
     }
@@ -231,15 +231,15 @@
     }
 
     fn is_held(&self, suspect: &Suspect, turn: &TrialTurn, now_us: i64) -> bool {
-        if !self.binds(&suspect.evidence) {
+        if !self.binds(&suspect.history) {
             return false;
         }
-        let over_for_us = now_us - held_until_us(&self.options, &suspect.evidence);
+        let over_for_us = now_us - held_until_us(&self.options, &suspect.history);
         over_for_us < 0 || now_us < suspect.next_trial_at_us || !is_turn(turn, over_for_us)
     }
 
-    fn binds(&self, evidence: &Evidence) -> bool {
-        evidence.crashes().len() >= self.options.after_crashes && !evidence.rests_on_one_other(self.reporter)
+    fn binds(&self, history: &CrashHistory) -> bool {
+        history.crashes().len() >= self.options.after_crashes && !history.rests_on_one_other(self.reporter)
     }
 
     /// The entry of a request, made if there is none.
@@ -254,7 +254,7 @@
     }
 
     fn drop_least(&mut self) {
-        let weight = |suspect: &Suspect| (suspect.evidence.crashes().len(), suspect.evidence.latest_at_us());
+        let weight = |suspect: &Suspect| (suspect.history.crashes().len(), suspect.history.latest_at_us());
         let least =
             self.suspects.iter().min_by_key(|(_, suspect)| weight(suspect)).map(|(request, _)| *request);
         least.inspect(|request| self.forget(request));
@@ -273,8 +273,8 @@
     /// What has changed for a request since that was last asked.
     fn report_change(&mut self, request: RequestFingerprint) -> Option<QuarantineChange> {
         let suspect = self.suspects.get(&request)?;
-        let crashes = suspect.evidence.crashes().len();
-        let now = if self.binds(&suspect.evidence) { crashes } else { 0 };
+        let crashes = suspect.history.crashes().len();
+        let now = if self.binds(&suspect.history) { crashes } else { 0 };
         let hold_ms = hold_us(&self.options, crashes) as u64 / US_PER_MS;
         let suspect = self.suspects.get_mut(&request)?;
         let before = std::mem::replace(&mut suspect.reported, now);
@@ -294,14 +294,14 @@
     first_us.saturating_mul(HOLD_GROWTH.saturating_pow(further)).min(HOLD_MAX_US)
 }
 
-fn held_until_us(options: &QuarantineOptions, evidence: &Evidence) -> i64 {
-    let crashed_at_us = evidence.crashes().last().map_or(i64::MIN, |crash| crash.ended_at_us);
-    crashed_at_us.saturating_add(hold_us(options, evidence.crashes().len()))
+fn held_until_us(options: &QuarantineOptions, history: &CrashHistory) -> i64 {
+    let crashed_at_us = history.crashes().last().map_or(i64::MIN, |crash| crash.ended_at_us);
+    crashed_at_us.saturating_add(hold_us(options, history.crashes().len()))
 }
 
-fn forgotten_at_us(options: &QuarantineOptions, evidence: &Evidence) -> i64 {
-    let cleared_at_us = evidence.survived_at_us().map(|at_us| at_us + CLEARED_KEPT_US);
-    let held_until_us = evidence.crashes().last().map(|_| held_until_us(options, evidence) + KEPT_US);
+fn forgotten_at_us(options: &QuarantineOptions, history: &CrashHistory) -> i64 {
+    let cleared_at_us = history.survived_at_us().map(|at_us| at_us + CLEARED_KEPT_US);
+    let held_until_us = history.crashes().last().map(|_| held_until_us(options, history) + KEPT_US);
     held_until_us.max(cleared_at_us).unwrap_or(i64::MIN)
 }
 
--- a/crates/pointvane-dispatch/src/quarantine/evidence.rs
+++ b/crates/pointvane-dispatch/src/quarantine/crash_history.rs
@@ -43,7 +43,7 @@
 
 /// All that is known of one request.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Evidence {
+pub(super) struct CrashHistory {
     /// Crashes each of which began after the one before was over, oldest first.
     ///
     /// Requests that stood in upstreams which crash for another reason break off together: a rack without power, upstreams that end at once. A
@@ -53,7 +53,7 @@
     survived_at_us: Option<i64>,
 }
 
-impl Evidence {
+impl CrashHistory {
     /// Crashes in a row.
     pub fn crashes(&self) -> &[Crash] {
         &self.crashes
--- a/crates/pointvane-dispatch/src/quarantine/news.rs
+++ b/crates/pointvane-dispatch/src/quarantine/news.rs
@@ -1,7 +1,7 @@
 //! What nodes tell each other of requests under which upstreams crash: times go as ages, since clocks differ.
 
 use {
-    super::evidence::{Crash, CrashId, Evidence},
+    super::crash_history::{Crash, CrashHistory, CrashId},
     crate::fingerprint::RequestFingerprint,
     pointvane_core::US_PER_MS,
     serde::{Deserialize, Serialize},
@@ -38,8 +38,8 @@
 }
 
 impl SuspectNews {
-    pub(super) fn new(request: RequestFingerprint, evidence: &Evidence, now_us: i64) -> Self {
-        let crashes = evidence.crashes().iter().map(|crash| CrashNews {
+    pub(super) fn new(request: RequestFingerprint, history: &CrashHistory, now_us: i64) -> Self {
+        let crashes = history.crashes().iter().map(|crash| CrashNews {
             id: crash.id,
             began_ago_ms: age_ms(crash.began_at_us, now_us),
             ended_ago_ms: age_ms(crash.ended_at_us, now_us),
@@ -47,15 +47,15 @@
         Self {
             request,
             crashes: crashes.collect(),
-            survived_ago_ms: evidence.survived_at_us().map(|at_us| age_ms(at_us, now_us)),
+            survived_ago_ms: history.survived_at_us().map(|at_us| age_ms(at_us, now_us)),
         }
     }
 
     /// Adds what it tells to what is known; true if that changes anything.
-    pub(super) fn tell(&self, evidence: &mut Evidence, now_us: i64) -> bool {
-        let mut changed = self.survived_ago_ms.is_some_and(|ago_ms| evidence.survive(at_us(ago_ms, now_us)));
+    pub(super) fn tell(&self, history: &mut CrashHistory, now_us: i64) -> bool {
+        let mut changed = self.survived_ago_ms.is_some_and(|ago_ms| history.survive(at_us(ago_ms, now_us)));
         for crash in &self.crashes {
-            changed |= evidence.add(Crash {
+            changed |= history.add(Crash {
                 id: crash.id,
                 began_at_us: at_us(crash.began_ago_ms, now_us),
                 ended_at_us: at_us(crash.ended_ago_ms, now_us),
--- a/crates/pointvane-dispatch/src/quarantine/spread.rs
+++ b/crates/pointvane-dispatch/src/quarantine/spread.rs
@@ -40,7 +40,7 @@
     /// What is answered to a pull: those with the most crashes.
     pub fn pages_for_pull(&mut self, now_us: u64) -> Vec<Vec<SuspectNews>> {
         let mut all: Vec<_> = self.suspects.iter().collect();
-        all.sort_by_key(|(_, suspect)| Reverse(suspect.evidence.crashes().len()));
+        all.sort_by_key(|(_, suspect)| Reverse(suspect.history.crashes().len()));
         let chosen: Vec<_> =
             all.into_iter().map(|(request, _)| *request).take(PULL_PAGES * NEWS_MAX).collect();
         chosen.chunks(NEWS_MAX).map(|page| self.tell(page, now_us, |_| {})).collect()
@@ -49,7 +49,7 @@
     /// Some suspects for one datagram: those in quarantine first, the newest of them first.
     fn newest_first(&self, wanted: impl Fn(&Suspect) -> bool) -> Vec<RequestFingerprint> {
         let mut chosen: Vec<_> = self.suspects.iter().filter(|(_, suspect)| wanted(suspect)).collect();
-        chosen.sort_by_key(|(_, suspect)| Reverse((suspect.reported > 0, suspect.evidence.latest_at_us())));
+        chosen.sort_by_key(|(_, suspect)| Reverse((suspect.reported > 0, suspect.history.latest_at_us())));
         chosen.into_iter().map(|(request, _)| *request).take(NEWS_MAX).collect()
     }
 
@@ -62,7 +62,7 @@
         let news = requests.iter().filter_map(|request| {
             let suspect = self.suspects.get_mut(request)?;
             told(suspect);
-            Some(SuspectNews::new(*request, &suspect.evidence, now_us as i64))
+            Some(SuspectNews::new(*request, &suspect.history, now_us as i64))
         });
         news.collect()
     }
--- a/crates/pointvane-node/src/caller_connection.rs
+++ b/crates/pointvane-node/src/caller_connection.rs
@@ -55,7 +55,7 @@
     };
     let mut response = match early {
         Some(response) => response,
-        None => traffic::answer(Rc::clone(&node), head, Some(body), pipeline.arrival(arrived_at_us)).await,
+        None => traffic::answer(Rc::clone(&node), head, Some(body), pipeline.origin(arrived_at_us)).await,
     };
     // What stands behind an answer that closes counts as not read, so it must not have been forwarded.
     if !node.lifecycle.is_running() && !pipeline.has_early() {
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -68,12 +68,7 @@
         return Err(AttemptOutcome::TimedOut);
     }
     let outgoing = outgoing(node, request, key, now_us).ok_or(AttemptOutcome::Unsent)?;
-    // Asked again, since news of it may have come during the search.
-    if !node.may_send(request, now_us) {
-        return Err(AttemptOutcome::Quarantined);
-    }
-    // Asked again as well: it may have been evacuated, or begun to drain, since it was chosen.
-    node.dispatcher.pool_mut().begin_send(key, now_us).map_err(AttemptOutcome::Withheld)?;
+    begin_send(node, request, key, now_us)?;
     request.sends.set(request.sends.get() + 1);
     match connection.send(outgoing).await {
         Ok(response) => {
@@ -89,6 +84,21 @@
     }
 }
 
+/// Asks once more whether the request and the upstream may still go together: much may have become known during the search.
+fn begin_send<A: PlatformAdapter>(
+    node: &Node<A>,
+    request: &CallerRequest,
+    key: UpstreamKey,
+    now_us: u64,
+) -> Result<(), AttemptOutcome> {
+    // Upstreams may have crashed under it elsewhere.
+    if !node.may_send(request, now_us) {
+        return Err(AttemptOutcome::Quarantined);
+    }
+    // The upstream may have been evacuated, or begun to drain.
+    node.dispatcher.pool_mut().begin_send(key, now_us).map_err(AttemptOutcome::Withheld)
+}
+
 /// Reads the rest of an answer by which the upstream says that it did not run the request.
 async fn refused(answer: Answer, keepable: bool) -> AttemptOutcome {
     let Answer { head, body, connection } = answer;
--- a/crates/pointvane-node/src/fleet.rs
+++ b/crates/pointvane-node/src/fleet.rs
@@ -3,13 +3,16 @@
 //! Owns the membership, the sockets to other nodes and the relays received from them. All nodes compute the roles of
 //! readers alike, by link and rendezvous hashing over the members they know; `gossip.rs` and `relay.rs` carry the messages.
 
+mod quarantine_peers;
+
+pub use quarantine_peers::QUARANTINE_PORT_OFFSET;
+
 use {
     crate::{reader_roles, settings::NodeSettings},
     pointvane_core::{Incarnation, Name, US_PER_MS, VmIdentity, VmState},
     pointvane_dispatch::{
-        Broadcaster, DirectoryMember, Forwarder, HeadFingerprint, OrderedNode, QueryCandidate, QueryTarget,
-        ReaderRole, ReceivedRounds, RelayDatagram, TrialTurn, broadcast_position, earlier_peer, fan_out,
-        forwarders, query_position,
+        Broadcaster, DirectoryMember, Forwarder, OrderedNode, QueryCandidate, QueryTarget, ReaderRole,
+        ReceivedRounds, RelayDatagram, broadcast_position, earlier_peer, fan_out, forwarders, query_position,
     },
     pointvane_mesh::{
         Action, EntryRow, GossipMessage, MemberRow, Membership, MembershipOptions, Stamp, Stamps, rank,
@@ -30,11 +33,6 @@
 /// Time without a datagram of any other node after which this node counts as reaching none, in milliseconds. Not measured: at the least
 /// some five datagrams a second come from others, so that one in two thousand such spans is empty by chance.
 const PEER_SILENCE_MS: u64 = 1_500;
-/// Ports between that of membership datagrams and that of news of quarantined requests.
-pub const QUARANTINE_PORT_OFFSET: u16 = 2;
-/// Rounds in which other nodes are asked for what they know of quarantined requests, after a start or a pause. Not measured: 4 s, after which
-/// some of it has come by itself.
-pub const PULLS_MAX: u32 = 20;
 /// What nodes are ranked for when relays are passed on; a name on the wire, as above.
 const RELAY_SUBJECT: &str = "relay";
 
@@ -55,7 +53,7 @@
     latest_revision: Cell<u64>,
     rng: RefCell<SmallRng>,
     /// Rounds in which other nodes are still asked for all that they know of quarantined requests.
-    pub pulls_left: Cell<u32>,
+    pulls_left: Cell<u32>,
 }
 
 impl Fleet {
@@ -79,7 +77,7 @@
             heard_at_us: Cell::new(now_us),
             latest_revision: Cell::default(),
             rng: RefCell::new(SmallRng::from_rng(seeder)),
-            pulls_left: Cell::new(PULLS_MAX),
+            pulls_left: Cell::new(quarantine_peers::PULLS_MAX),
         }
     }
 
@@ -146,7 +144,7 @@
     /// Takes note that a datagram of another node has come; after a silence this node may have missed news of quarantined requests.
     fn heard_peer(&self, now_us: u64) {
         if now_us.saturating_sub(self.heard_at_us.replace(now_us)) >= PEER_SILENCE_MS * US_PER_MS {
-            self.pulls_left.set(PULLS_MAX);
+            self.pull_quarantines();
         }
     }
 
@@ -164,31 +162,6 @@
         }
     }
 
-    /// Sends news of quarantined requests to another node. What cannot leave now is as good as lost, which the rounds of news survive.
-    pub fn send_quarantine_news(&self, bytes: &[u8], to: SocketAddr) {
-        if let Some(socket) = self.quarantine_socket.get() {
-            _ = socket.try_send_to(bytes, to);
-        }
-    }
-
-    /// Where some other nodes, drawn at random, take news of quarantined requests: all of them if there are no more than `count`.
-    pub fn draw_quarantine_peers(&self, count: usize) -> Vec<SocketAddr> {
-        let membership = self.membership.borrow();
-        let others = membership.rows().skip(1).filter(|row| row.state != VmState::Dead);
-        let address = |row: &MemberRow| {
-            SocketAddr::new(row.identity.address, row.control_port + QUARANTINE_PORT_OFFSET)
-        };
-        others.map(address).choose_multiple(&mut *self.rng.borrow_mut(), count)
-    }
-
-    /// This node's place among those that may try a request after its quarantine; the same for all queries and bodies.
-    pub fn trial_turn(&self, request: HeadFingerprint) -> TrialTurn {
-        let membership = self.membership.borrow();
-        let position = rank(&request.to_string(), &membership.me().identity.name) as f64 / u64::MAX as f64;
-        let nodes = membership.rows().filter(|row| row.state != VmState::Dead).count();
-        TrialTurn { position, nodes }
-    }
-
     /// The latest revision of the platform that any peer has read.
     pub fn latest_revision(&self) -> u64 {
         self.latest_revision.get()
--- a/crates/pointvane-node/src/pipeline.rs
+++ b/crates/pointvane-node/src/pipeline.rs
@@ -9,7 +9,7 @@
         connections::RelayBody,
         node::Node,
         request_head::parse_head,
-        traffic::{self, Arrival},
+        traffic::{self, RequestOrigin},
     },
     bytes::Bytes,
     hyper::{HeaderMap, Method, Response, Uri, http::request::Parts},
@@ -98,8 +98,8 @@
     }
 
     /// From where a request came, and when.
-    pub fn arrival(&self, at_us: u64) -> Arrival {
-        Arrival { caller: self.caller, at_us }
+    pub fn origin(&self, at_us: u64) -> RequestOrigin {
+        RequestOrigin { caller: self.caller, at_us }
     }
 
     /// Whether another request may be read ahead.
@@ -186,7 +186,7 @@
         self.node.report.forwarded_early();
         let (method, uri, headers) = (head.method.clone(), head.uri.clone(), head.headers.clone());
         let answer =
-            spawn_local(traffic::answer(Rc::clone(&self.node), head, None, self.arrival(arrived_at_us)));
+            spawn_local(traffic::answer(Rc::clone(&self.node), head, None, self.origin(arrived_at_us)));
         EarlyAnswer { method, uri, headers, kind, answer }
     }
 }
--- a/crates/pointvane-node/src/quarantine_loop.rs
+++ b/crates/pointvane-node/src/quarantine_loop.rs
@@ -2,10 +2,7 @@
 //! of all that is known goes to one other node now and then. A node that has started or was paused pulls.
 
 use {
-    crate::{
-        fleet::{Fleet, PULLS_MAX},
-        node::Node,
-    },
+    crate::{fleet::Fleet, node::Node},
     pointvane_core::{PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{DIRECT_MAX, FAN_OUT, NewsBudget, QuarantineMessage, SuspectNews},
     pointvane_mesh::codec,
@@ -44,7 +41,7 @@
         ticks.tick().await;
         let now_us = node.now_us();
         if now_us.saturating_sub(before_us) > PAUSED_AFTER_US {
-            node.fleet.pulls_left.set(PULLS_MAX);
+            node.fleet.pull_quarantines();
         }
         before_us = now_us;
         pull(&node.fleet);
@@ -98,7 +95,7 @@
                 node.note_quarantine(changes);
             }
             QuarantineMessage::Pull => answer_pull(node, from),
-            QuarantineMessage::Pulled => node.fleet.pulls_left.set(0),
+            QuarantineMessage::Pulled => node.fleet.quarantines_pulled(),
         }
     }
 }
@@ -110,8 +107,9 @@
 }
 
 fn pull(fleet: &Fleet) {
-    let Some(left) = fleet.pulls_left.get().checked_sub(1) else { return };
-    fleet.pulls_left.set(left);
+    if !fleet.take_pull() {
+        return;
+    }
     for peer in fleet.draw_quarantine_peers(PULL_PEERS) {
         send_to(fleet, &QuarantineMessage::Pull, peer);
     }
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -78,11 +78,7 @@
                 .with_lines(LineForm::Fields)
                 .with_ring(EVENTS_KEPT),
             flush: RefCell::new(Some(flush)),
-            gate: RefCell::new(LineGate::new(LineGateOptions {
-                successes_every: lines.well_every,
-                failures_per_s: lines.wrong_per_s,
-                changes_per_s: lines.beliefs_per_s,
-            })),
+            gate: RefCell::new(line_gate(lines)),
             labels: RefCell::default(),
             requests: counter("pointvane_node_requests"),
             refusals: counter("pointvane_node_refusals"),
@@ -224,3 +220,11 @@
         }
     }
 }
+
+fn line_gate(lines: LineOptions) -> LineGate {
+    LineGate::new(LineGateOptions {
+        successes_every: lines.well_every,
+        failures_per_s: lines.wrong_per_s,
+        changes_per_s: lines.beliefs_per_s,
+    })
+}
--- a/crates/pointvane-node/src/request.rs
+++ b/crates/pointvane-node/src/request.rs
@@ -111,10 +111,8 @@
     /// The same without query and body.
     pub fn head_fingerprint(&self) -> HeadFingerprint {
         *self.known_head.get_or_init(|| {
-            // A host that is no text has no route, so it comes with no request that gets here.
-            let host = self.headers.get(HOST).and_then(|host| host.to_str().ok()).or_else(|| self.uri.host());
+            let host = requested_host(&self.headers, &self.uri);
             let credentials = self.headers.get(AUTHORIZATION).map(HeaderValue::as_bytes);
-            let host = host.unwrap_or_default();
             HeadFingerprint::new(self.method.as_str(), host, self.uri.path(), credentials)
         })
     }
@@ -126,6 +124,12 @@
     }
 }
 
+/// The host that a request asks for; empty, which has no route, if it names none or one that is no text.
+pub fn requested_host<'r>(headers: &'r HeaderMap, uri: &'r Uri) -> &'r str {
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok());
+    host.or_else(|| uri.host()).unwrap_or_default()
+}
+
 /// Takes out the headers that concern one connection only.
 pub fn strip_hop_headers(headers: &mut HeaderMap) {
     // Names that are no header names cannot be among the headers.
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -7,12 +7,12 @@
         connections::RelayBody,
         forward::{FinalAnswer, forward},
         node::Node,
-        request::{CallerRequest, strip_hop_headers},
+        request::{CallerRequest, requested_host, strip_hop_headers},
     },
     hyper::{
         Response, StatusCode,
         body::{Body, Incoming},
-        header::{HOST, HeaderValue},
+        header::HeaderValue,
         http::request::Parts,
     },
     pointvane_core::{ErrorKind, PlatformAdapter, RouteKind, US_PER_MS},
@@ -33,7 +33,7 @@
 
 /// From where and when a request came.
 #[derive(Clone, Copy, Debug)]
-pub struct Arrival {
+pub struct RequestOrigin {
     /// Where its caller's connection comes from.
     pub caller: IpAddr,
     /// When it arrived, in microseconds of the steady clock.
@@ -45,10 +45,10 @@
     node: Rc<Node<A>>,
     head: Parts,
     body: Option<Incoming>,
-    arrival: Arrival,
+    origin: RequestOrigin,
 ) -> Response<RelayBody> {
     let id = head.headers.get(&node.headers.request_id).cloned();
-    let answer = match read(&node, head, body, arrival).await {
+    let answer = match read(&node, head, body, origin).await {
         Ok(request) => {
             let request = Rc::new(request);
             let answer = forward(Rc::clone(&node), Rc::clone(&request)).await;
@@ -56,7 +56,7 @@
             answer
         }
         Err(refused) => {
-            report_unrouted(&node, id.as_ref(), refused, arrival.at_us);
+            report_unrouted(&node, id.as_ref(), refused, origin.at_us);
             Err(refused)
         }
     };
@@ -74,7 +74,7 @@
     node: &Node<A>,
     head: Parts,
     body: Option<Incoming>,
-    arrival: Arrival,
+    origin: RequestOrigin,
 ) -> Result<CallerRequest, Refused> {
     let caller_waits_ms = node.headers.caller_waits_ms(&head.headers);
     if !node.knows_platform() {
@@ -82,7 +82,7 @@
         node.platform.first_state(Duration::from_millis(wait_ms)).await;
     }
     let routed = routed(node, &head)?;
-    let answer_by_us = answer_by_us(&routed.route, caller_waits_ms, arrival.at_us);
+    let answer_by_us = answer_by_us(&routed.route, caller_waits_ms, origin.at_us);
     let body_bytes_max = node.dispatcher.routes().limits().body_bytes_max;
     let length = body.as_ref().and_then(|body| body.size_hint().exact());
     if length.is_some_and(|length| length > body_bytes_max) {
@@ -97,7 +97,12 @@
         return Err(ErrorKind::DeadlinePassed.into());
     }
     let id = node.headers.request_id_text(&head.headers);
-    Ok(caller_request(id, head, gathered, routed, arrival, answer_by_us))
+    let request = caller_request(id, head, gathered, routed, origin, answer_by_us);
+    if request.body.is_none() {
+        // The first attempt takes the body, after which nothing could tell the request any more.
+        request.fingerprints();
+    }
+    Ok(request)
 }
 
 fn report_end<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest, answer: &FinalAnswer) {
@@ -118,25 +123,32 @@
                 node.report.failure(now_us, line);
             }
         }
-        Err(refused) => {
-            node.report.refused(refused.kind);
-            let row = refused.kind.answer();
-            let is_quarantined = refused.kind == ErrorKind::RequestQuarantined;
-            node.report.failure(now_us, || EventKind::RequestRefused {
-                request: id,
-                route: Some(route),
-                version,
-                error: row.name.into(),
-                outcome: row.outcome.as_str().into(),
-                attempts,
-                spent_ms,
-                come_back_ms: refused.retry_after_ms,
-                fingerprint: is_quarantined.then(|| request.fingerprints().exact.to_string()),
-            });
-        }
+        Err(refused) => report_refused(node, request, *refused, now_us),
     }
 }
 
+fn report_refused<A: PlatformAdapter>(
+    node: &Node<A>,
+    request: &CallerRequest,
+    refused: Refused,
+    now_us: u64,
+) {
+    node.report.refused(refused.kind);
+    let row = refused.kind.answer();
+    let is_quarantined = refused.kind == ErrorKind::RequestQuarantined;
+    node.report.failure(now_us, || EventKind::RequestRefused {
+        request: request.id.clone(),
+        route: Some(request.routed.route.name.clone()),
+        version: request.routed.version,
+        error: row.name.into(),
+        outcome: row.outcome.as_str().into(),
+        attempts: request.sends.get(),
+        spent_ms: now_us.saturating_sub(request.arrived_at_us) / US_PER_MS,
+        come_back_ms: refused.retry_after_ms,
+        fingerprint: is_quarantined.then(|| request.fingerprints().exact.to_string()),
+    });
+}
+
 fn report_unrouted<A: PlatformAdapter>(
     node: &Node<A>,
     id: Option<&HeaderValue>,
@@ -164,9 +176,7 @@
         let retry_after_ms = Some(first_state_retry_after_ms(node.running_ms()));
         return Err(Refused { retry_after_ms, ..ErrorKind::NotReady.into() });
     }
-    // A host that is no text has no route, which the caller is told.
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).or_else(|| head.uri.host());
-    let routed = node.dispatcher.route(host.unwrap_or_default(), head.uri.path());
+    let routed = node.dispatcher.route(requested_host(&head.headers, &head.uri), head.uri.path());
     routed.ok_or_else(|| ErrorKind::NoSuchService.into())
 }
 
@@ -175,7 +185,7 @@
     head: Parts,
     gathered: Gathered,
     routed: RoutedRequest,
-    arrival: Arrival,
+    origin: RequestOrigin,
     answer_by_us: u64,
 ) -> CallerRequest {
     let mut headers = head.headers;
@@ -184,11 +194,10 @@
         true => (None, Some(gathered)),
         false => (Some(gathered.bytes), None),
     };
-    let is_streamed = body.is_none();
-    let request = CallerRequest {
+    CallerRequest {
         routed,
         id,
-        caller: arrival.caller,
+        caller: origin.caller,
         method: head.method,
         uri: head.uri,
         headers,
@@ -196,15 +205,11 @@
         stream: RefCell::new(stream),
         known_head: OnceCell::new(),
         known_fingerprints: OnceCell::new(),
-        arrived_at_us: arrival.at_us,
+        arrived_at_us: origin.at_us,
         answer_by_us,
         tried: RefCell::default(),
         sends: Cell::new(0),
-    };
-    if is_streamed {
-        request.fingerprints();
     }
-    request
 }
 
 /// An id for a log line; empty if the caller gave none, or one that is no text.
