--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        connections::RelayBody, crash_check::has_crashed, exchange::exchange, in_flight::InFlight,
+        connections::RelayBody, crash_check::has_crashed, exchange::{Exchanged, exchange}, in_flight::InFlight,
         node::Node, probe::search, request::CallerRequest, snapshot::UpstreamSnapshot,
     },
     hyper::Response,
@@ -36,6 +36,12 @@
     latency_ms: u64,
 }
 
+/// How an attempt ended, for its line.
+struct AttemptEnding {
+    outcome: AttemptOutcome,
+    retry_after: Option<String>,
+}
+
 /// Makes one attempt.
 pub async fn attempt<A: PlatformAdapter + 'static>(
     node: Rc<Node<A>>,
@@ -53,7 +59,7 @@
     };
     let sent_at_us = node.now_us();
     let in_flight = InFlight::start(&node, &request, key, unresponsive_after(&node, &request, &snapshot));
-    let answer = exchange(&node, &request, key).await;
+    let Exchanged { answer, retry_after } = exchange(&node, &request, key).await;
     in_flight.ended();
     let ended_at_us = node.now_us();
     let latency_us = ended_at_us.saturating_sub(sent_at_us);
@@ -66,7 +72,7 @@
     node.record_evidence(&request, outcome, sent_at_us, ended_at_us);
     let search_ms = sent_at_us.saturating_sub(began_us) / US_PER_MS;
     let times = AttemptTimes { search_ms, latency_ms: latency_us / US_PER_MS };
-    report(&node, &request, goal, &snapshot, outcome, &times);
+    report(&node, &request, goal, &snapshot, AttemptEnding { outcome, retry_after }, &times);
     // Without an answer the outcome, recorded above, is all there is.
     AttemptReport { end: AttemptEnd::Tried(outcome), answer: answer.ok() }
 }
@@ -134,9 +140,10 @@
     request: &CallerRequest,
     goal: SearchGoal,
     snapshot: &UpstreamSnapshot,
-    outcome: AttemptOutcome,
+    ending: AttemptEnding,
     times: &AttemptTimes,
 ) {
+    let AttemptEnding { outcome, retry_after } = ending;
     node.report.attempted(&snapshot.upstream, outcome.as_str(), times.latency_ms);
     let load = snapshot.load();
     let succeeded = outcome == (AttemptOutcome::Answered { failed: false });
@@ -147,6 +154,7 @@
         service: request.routed.service.clone(),
         upstream: snapshot.upstream.clone(),
         outcome: outcome.as_str().into(),
+        retry_after: retry_after.filter(|_| !succeeded),
         hedge: goal == SearchGoal::UncontendedOnly,
         cost_percent: snapshot.cost_percent(),
         running: load.running,
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -7,7 +7,12 @@
         node::Node,
         request::{CallerRequest, strip_hop_headers},
     },
-    hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue, http::response::Parts},
+    hyper::{
+        Request, Response, StatusCode,
+        body::Incoming,
+        header::{HeaderValue, RETRY_AFTER},
+        http::response::Parts,
+    },
     pointvane_core::{PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{AttemptOutcome, Ineligible, Refusal, UpstreamKey},
     std::rc::Rc,
@@ -17,6 +22,18 @@
 /// for again. Not measured: it bounds the memory of an answer.
 const ANSWER_GATHERED_BYTES: usize = 64 << 10;
 
+/// Bytes of a `Retry-After` that a line shows: more than any number of seconds or date has.
+const RETRY_AFTER_SHOWN_BYTES: usize = 40;
+
+/// What came of a request that was sent to an upstream.
+#[derive(Debug)]
+pub struct Exchanged {
+    /// Its answer, or the outcome if there is none that could be passed on.
+    pub answer: Result<Response<RelayBody>, AttemptOutcome>,
+    /// `Retry-After` of the answer, as the upstream wrote it, for lines.
+    pub retry_after: Option<String>,
+}
+
 /// An answer whose head has come.
 struct Answer {
     head: Parts,
@@ -25,15 +42,33 @@
 }
 
 /// Sends a request to an upstream and reads its answer.
-///
-/// # Errors
-/// The outcome, if there is no answer of the upstream that could be passed on.
 pub async fn exchange<A: PlatformAdapter>(
     node: &Rc<Node<A>>,
     request: &CallerRequest,
     key: UpstreamKey,
+) -> Exchanged {
+    match send(node, request, key).await {
+        Ok(answer) => {
+            let retry_after = retry_after_text(&answer.head);
+            Exchanged { answer: read(node, request, key, answer).await, retry_after }
+        }
+        Err(outcome) => Exchanged { answer: Err(outcome), retry_after: None },
+    }
+}
+
+/// `Retry-After` as it was written, cut off.
+fn retry_after_text(head: &Parts) -> Option<String> {
+    let value = head.headers.get(RETRY_AFTER)?.as_bytes();
+    Some(String::from_utf8_lossy(&value[..value.len().min(RETRY_AFTER_SHOWN_BYTES)]).into())
+}
+
+/// Reads an answer whose head has come.
+async fn read<A: PlatformAdapter>(
+    node: &Node<A>,
+    request: &CallerRequest,
+    key: UpstreamKey,
+    answer: Answer,
 ) -> Result<Response<RelayBody>, AttemptOutcome> {
-    let answer = send(node, request, key).await?;
     node.record_load(key, node.load_report(&answer.head.headers));
     let id = &node.headers.request_id;
     if answer.head.headers.get(id) != request.headers.get(id) {
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -119,6 +119,9 @@
         service: Name,
         upstream: Name,
         outcome: Name,
+        /// `Retry-After` of an answer that turned the request away, as the upstream wrote it, cut off after 40 bytes.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        retry_after: Option<String>,
         hedge: bool,
         cost_percent: u32,
         running: u32,
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -63,6 +63,7 @@
             service: "board".into(),
             upstream: upstream.clone(),
             outcome: "answered".into(),
+            retry_after: None,
             hedge: true,
             cost_percent: 130,
             running: 4,
