Dispatch, node: no file imports one that imports it

Cause: a reason why an upstream gets no work was a kind of end of an attempt, so retry needed the whole pool; warm-up took the pool; the node's quarantine made itself. Keys, ends of attempts and reasons stand in files of their own now, and warm-up takes one upstream's state.

--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -8,8 +8,9 @@
 use {
     crate::{
         budget::RetryBudget,
-        eligibility::Ineligible,
-        retry::{AttemptOutcome, Verdict, judge},
+        ineligible::Ineligible,
+        outcome::AttemptOutcome,
+        retry::{Verdict, judge},
     },
     pointvane_core::{ErrorKind, RouteRule},
 };
--- a/crates/pointvane-dispatch/src/ejection.rs
+++ b/crates/pointvane-dispatch/src/ejection.rs
@@ -5,7 +5,7 @@
 //! all others of its service are ejected as well. Tests: `failures_in_a_row_set_an_upstream_aside_for_a_time`,
 //! `if_all_are_set_aside_all_are_used`, `an_upstream_that_looks_well_but_never_answers_is_soon_left_alone`.
 
-use crate::retry::{AttemptOutcome, Refusal};
+use crate::outcome::{AttemptOutcome, Refusal};
 
 /// Consecutive failures that eject an upstream. Not measured.
 const FAILURES_TO_EJECT: u32 = 3;
--- a/crates/pointvane-dispatch/src/eligibility.rs
+++ b/crates/pointvane-dispatch/src/eligibility.rs
@@ -7,45 +7,10 @@
 //! `tests/warm_up.rs`, `tests/upstreams.rs`.
 
 use {
-    crate::{
-        pool::Pool,
-        upstream::{UpstreamKey, UpstreamState},
-    },
-    pointvane_core::{ErrorKind, Name},
+    crate::{ineligible::Ineligible, pool::Pool, upstream::UpstreamState, upstream_key::UpstreamKey},
+    pointvane_core::Name,
 };
 
-/// Why an upstream gets no new work now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Ineligible {
-    /// It is no longer known.
-    Gone,
-    /// It is draining.
-    Draining,
-    /// Operators are emptying its data centre.
-    Evacuated,
-    /// It is cold, and this node's share of what it bears is spent.
-    Cold,
-    /// It has failed. It is used all the same when there is no other.
-    Ejected,
-}
-
-impl Ineligible {
-    /// Whether it holds though the service has no other upstream.
-    pub const fn is_binding(self) -> bool {
-        !matches!(self, Self::Ejected)
-    }
-
-    /// How a request is answered that found no upstream for this reason.
-    pub const fn error(self) -> ErrorKind {
-        match self {
-            Self::Evacuated => ErrorKind::Evacuated,
-            // A share comes soon.
-            Self::Cold => ErrorKind::Overloaded,
-            Self::Gone | Self::Draining | Self::Ejected => ErrorKind::NoUpstream,
-        }
-    }
-}
-
 impl Pool {
     /// Whether an upstream may get a request now.
     ///
@@ -56,7 +21,7 @@
         let reasons = [
             (Ineligible::Draining, state.record.draining),
             (Ineligible::Evacuated, self.evacuations.is_evacuated(&state.record.data_centre)),
-            (Ineligible::Cold, self.is_withheld_as_cold(key, state, now_us)),
+            (Ineligible::Cold, self.warm_up.withholds(key, state, now_us)),
             (Ineligible::Ejected, state.is_ejected(now_us)),
         ];
         reasons.into_iter().find(|(_, holds)| *holds).map_or(Ok(()), |(reason, _)| Err(reason))
@@ -75,7 +40,9 @@
         match self.eligibility(key, now_us) {
             Err(reason) if reason.is_binding() => Err(reason),
             _ => {
-                self.spend_cold_share(key, now_us);
+                if let Some(state) = self.upstreams.get_mut(&key) {
+                    self.warm_up.spend(state, now_us);
+                }
                 Ok(())
             }
         }
--- /dev/null
+++ b/crates/pointvane-dispatch/src/ineligible.rs
@@ -0,0 +1,35 @@
+//! Why an upstream may get no request now. Which of these holds is decided in `eligibility.rs`.
+
+use pointvane_core::ErrorKind;
+
+/// Why an upstream gets no new work now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Ineligible {
+    /// It is no longer known.
+    Gone,
+    /// It is draining.
+    Draining,
+    /// Operators are emptying its data centre.
+    Evacuated,
+    /// It is cold, and this node's share of what it bears is spent.
+    Cold,
+    /// It has failed. It is used all the same when there is no other.
+    Ejected,
+}
+
+impl Ineligible {
+    /// Whether it holds though the service has no other upstream.
+    pub const fn is_binding(self) -> bool {
+        !matches!(self, Self::Ejected)
+    }
+
+    /// How a request is answered that found no upstream for this reason.
+    pub const fn error(self) -> ErrorKind {
+        match self {
+            Self::Evacuated => ErrorKind::Evacuated,
+            // A share comes soon.
+            Self::Cold => ErrorKind::Overloaded,
+            Self::Gone | Self::Draining | Self::Ejected => ErrorKind::NoUpstream,
+        }
+    }
+}
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -8,13 +8,13 @@
 //! | which service a request goes to | `routes.rs` |
 //! | until when it must be answered | `deadline.rs` |
 //! | how long it is held at a node that has just started | `first_state.rs` |
-//! | whether an upstream may get work at all | `eligibility.rs`, with `evacuations.rs`, `warm_up.rs`, `ejection.rs` |
+//! | whether an upstream may get work at all | `eligibility.rs`, with `ineligible.rs`, `evacuations.rs`, `warm_up.rs`, `ejection.rs` |
 //! | which upstreams are candidates, and in which order | `ranking.rs`, `subset.rs`, `cost.rs` |
 //! | which pipelined requests are forwarded early | `pipeline.rs` |
 //! | which candidates are probed, and which is chosen | `search.rs` |
 //! | how many of their slots are filled, and what a fuller one costs | `load_curve.rs` |
 //! | whether it is sent or refused | `admission.rs` |
-//! | whether another attempt is made, and what is answered | `attempts.rs`, `retry.rs` |
+//! | whether another attempt is made, and what is answered | `attempts.rs`, `retry.rs`, with `outcome.rs` |
 //! | when a second attempt runs beside the first | `hedge.rs` |
 //! | when an upstream that fails gets no new work | `ejection.rs` |
 //! | how many retries and probes a node may spend | `budget.rs` |
@@ -37,8 +37,10 @@
 mod fingerprint;
 mod first_state;
 mod hedge;
+mod ineligible;
 mod latency;
 mod load_curve;
+mod outcome;
 mod pipeline;
 mod pool;
 mod quarantine;
@@ -53,6 +55,7 @@
 mod service_state;
 mod subset;
 mod upstream;
+mod upstream_key;
 mod warm_up;
 
 pub use {
@@ -62,12 +65,13 @@
     deadline::answer_by_us,
     directory::{DirectoryMember, directory_addresses},
     ejection::{ProbeOutcome, unresponsive_after_ms},
-    eligibility::Ineligible,
     evacuations::Evacuations,
     fingerprint::{BodyFingerprint, FINGERPRINT_BODY_BYTES, HeadFingerprint, QueryScope, RequestFingerprint},
     first_state::{first_state_retry_after_ms, first_state_wait_ms},
+    ineligible::Ineligible,
     latency::{LatencyQuantile, LeastLatency},
     load_curve::LoadCurve,
+    outcome::{AttemptOutcome, Refusal},
     pipeline::{PipelineLimits, starts_early},
     pool::Pool,
     quarantine::{
@@ -91,12 +95,13 @@
         routing_log::RoutingLog,
         state_query::{ConfigurationUpdate, KnownState, StateReply, StateRequest, WholeStateLimit},
     },
-    retry::{AttemptOutcome, Refusal, Verdict, judge, may_pass_on},
+    retry::{Verdict, judge, may_pass_on},
     route_times::RouteTimes,
     routes::{RouteTable, RoutedRequest},
     search::{
         Found, PROBE_TIMEOUT_US, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep, search_time_ms,
     },
-    upstream::{LoadSample, LoadWhenSent, UpstreamKey, UpstreamState},
+    upstream::{LoadSample, LoadWhenSent, UpstreamState},
+    upstream_key::UpstreamKey,
     warm_up::WarmUpBound,
 };
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -9,8 +9,9 @@
         ranking_options::RankingOptions,
         service_state::ServiceState,
         subset::ServiceUpstreams,
-        upstream::{UpstreamKey, UpstreamState},
-        warm_up::WarmUpShares,
+        upstream::UpstreamState,
+        upstream_key::UpstreamKey,
+        warm_up::{WarmUpBound, WarmUpShares},
     },
     pointvane_core::{Change, EntryAge, Evacuation, Name, UpstreamRecord},
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -131,6 +132,16 @@
         true
     }
 
+    /// Sets the deployment's bound on cold upstreams, and the most nodes that were ever seen at once.
+    pub fn share_warm_up(&mut self, bound: WarmUpBound, nodes: usize, now_us: u64) {
+        self.warm_up.share(bound, nodes, now_us);
+    }
+
+    /// Sets the requests a second that a cold upstream of each service bears; services without a rate are left out.
+    pub fn set_warm_up_rates(&mut self, rates_per_s: HashMap<Name, f64>) {
+        self.warm_up.set_rates(rates_per_s);
+    }
+
     /// Takes an entry on the evacuation of a data centre; true if it changes whether that may get work.
     pub fn apply_evacuation(&mut self, evacuation: Evacuation) -> bool {
         self.evacuations.apply(evacuation)
--- a/crates/pointvane-dispatch/src/ranking.rs
+++ b/crates/pointvane-dispatch/src/ranking.rs
@@ -10,7 +10,8 @@
     crate::{
         pool::Pool,
         ranking_options::Ranking,
-        upstream::{LoadWhenSent, UpstreamKey, UpstreamState},
+        upstream::{LoadWhenSent, UpstreamState},
+        upstream_key::UpstreamKey,
     },
     pointvane_core::Name,
     rand::{Rng, SeedableRng, rngs::SmallRng},
--- a/crates/pointvane-dispatch/src/records.rs
+++ b/crates/pointvane-dispatch/src/records.rs
@@ -1,12 +1,8 @@
 //! What upstreams report and how attempts went, as it is recorded in the pool: of each upstream, and of its service together.
 
 use {
-    crate::{
-        pool::Pool,
-        service_state::ServiceState,
-        upstream::{LoadWhenSent, UpstreamKey},
-    },
-    pointvane_core::{Name, UpstreamLoad},
+    crate::{pool::Pool, service_state::ServiceState, upstream::LoadWhenSent, upstream_key::UpstreamKey},
+    pointvane_core::{Name, US_PER_MS, UpstreamLoad},
 };
 
 /// Unit of reported slowdowns.
@@ -24,6 +20,13 @@
         }
     }
 
+    /// Records what an upstream says of its warm-up, in milliseconds that are left.
+    pub fn record_warm_up(&mut self, key: UpstreamKey, left_ms: u64, now_us: u64) {
+        if let Some(state) = self.upstreams.get_mut(&key) {
+            state.set_warm_at(now_us + left_ms * US_PER_MS);
+        }
+    }
+
     /// Records the time that a healthy answer to a probe took, at an upstream that reports no load: whoever is slowed by its neighbours
     /// answers late, and its slots stay taken by slow work for a while.
     pub fn record_probe_time(&mut self, key: UpstreamKey, time_ms: f64, now_us: u64) {
--- a/crates/pointvane-dispatch/src/retry.rs
+++ b/crates/pointvane-dispatch/src/retry.rs
@@ -6,81 +6,10 @@
 //! `not_run_is_told_only_of_what_cannot_have_run`.
 
 use {
-    crate::eligibility::Ineligible,
+    crate::outcome::AttemptOutcome,
     pointvane_core::{ErrorKind, RouteKind},
 };
 
-/// Why an upstream says that it did not run a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refusal {
-    /// It is full, or its queue outlasted the deadline.
-    Busy,
-    /// Another upstream has the address now.
-    Misdirected,
-    /// Any other reason.
-    Other,
-}
-
-/// How one attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AttemptOutcome {
-    /// The upstream's own answer is there, good or bad.
-    Answered {
-        /// Whether its status is a server error.
-        failed: bool,
-    },
-    /// The upstream says that it did not run the request.
-    NotRun(Refusal),
-    /// Nothing was sent: a connection that was kept had ended.
-    Unsent,
-    /// Nothing was sent: no connection could be opened.
-    Unreachable,
-    /// Nothing was sent, since the upstream that was chosen may not get work any more.
-    Withheld(Ineligible),
-    /// Nothing was sent, since news came that upstreams crash under this request.
-    Quarantined,
-    /// It may have run, and there is no answer that can be trusted.
-    Broken,
-    /// It may have run; its connection broke, and right after nobody listened at the upstream's address any more.
-    Crashed,
-    /// It may have run, and its deadline has passed.
-    TimedOut,
-}
-
-impl AttemptOutcome {
-    /// Whether the request may have run at the upstream.
-    pub const fn may_have_run(self) -> bool {
-        matches!(self, Self::Answered { .. } | Self::Broken | Self::Crashed | Self::TimedOut)
-    }
-
-    /// Whether nothing was sent.
-    pub const fn is_unsent(self) -> bool {
-        matches!(self, Self::Unsent | Self::Unreachable | Self::Withheld(_) | Self::Quarantined)
-    }
-
-    /// The outcome's name in logs and metrics.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Answered { failed: false } => "answered",
-            Self::Answered { failed: true } => "answered-error",
-            Self::NotRun(Refusal::Busy) => "not-run-busy",
-            Self::NotRun(Refusal::Misdirected) => "not-run-misdirected",
-            Self::NotRun(Refusal::Other) => "not-run",
-            Self::Unsent => "unsent",
-            Self::Unreachable => "unreachable",
-            Self::Withheld(Ineligible::Gone) => "withheld-gone",
-            Self::Withheld(Ineligible::Draining) => "withheld-draining",
-            Self::Withheld(Ineligible::Evacuated) => "withheld-evacuated",
-            Self::Withheld(Ineligible::Cold) => "withheld-cold",
-            Self::Withheld(Ineligible::Ejected) => "withheld-ejected",
-            Self::Quarantined => "quarantined",
-            Self::Broken => "broken",
-            Self::Crashed => "crashed",
-            Self::TimedOut => "timed-out",
-        }
-    }
-}
-
 /// What to do after an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/pointvane-dispatch/src/search.rs
+++ b/crates/pointvane-dispatch/src/search.rs
@@ -10,7 +10,7 @@
 //! Tests: `tests/search.rs`.
 
 use {
-    crate::{eligibility::Ineligible, pool::Pool, ranking::Wanted, upstream::UpstreamKey},
+    crate::{ineligible::Ineligible, pool::Pool, ranking::Wanted, upstream_key::UpstreamKey},
     pointvane_core::{Name, RouteRule},
     std::collections::VecDeque,
 };
--- a/crates/pointvane-dispatch/src/subset.rs
+++ b/crates/pointvane-dispatch/src/subset.rs
@@ -8,7 +8,7 @@
 //! `all_upstreams_of_a_large_service_are_preferred_by_some_nodes_and_none_by_too_many`.
 
 use {
-    crate::upstream::UpstreamKey,
+    crate::upstream_key::UpstreamKey,
     rand::{rngs::SmallRng, seq::IndexedRandom},
 };
 
--- a/crates/pointvane-dispatch/src/upstream.rs
+++ b/crates/pointvane-dispatch/src/upstream.rs
@@ -5,16 +5,12 @@
 use {
     crate::{
         ejection::{Effect, FailureHistory, ProbeOutcome},
-        retry::AttemptOutcome,
+        outcome::AttemptOutcome,
     },
     pointvane_core::{Name, US_PER_MS, UpstreamLoad, UpstreamRecord},
     std::net::SocketAddr,
 };
 
-/// One upstream of a pool, for as long as the pool lives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct UpstreamKey(pub(crate) u64);
-
 /// A load report, and when it was received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadSample {
--- a/crates/pointvane-dispatch/src/warm_up.rs
+++ b/crates/pointvane-dispatch/src/warm_up.rs
@@ -8,11 +8,8 @@
 //! answers to probes. Without a rate cold upstreams are only ranked lower (`upstream.rs`). Tests: `tests/warm_up.rs`.
 
 use {
-    crate::{
-        pool::Pool,
-        upstream::{UpstreamKey, UpstreamState},
-    },
-    pointvane_core::{Name, US_PER_MS, US_PER_S},
+    crate::{upstream::UpstreamState, upstream_key::UpstreamKey},
+    pointvane_core::{Name, US_PER_S},
     std::collections::HashMap,
 };
 
@@ -75,6 +72,37 @@
     fn is_drawn(&self, key: UpstreamKey, probability: f64, now_us: u64) -> bool {
         unit(mixed(mixed(self.seed ^ mixed(key.0)) ^ self.slot(now_us))) < probability
     }
+
+    /// Sets the deployment's bound and the most nodes that were ever seen at once.
+    pub(crate) fn share(&mut self, bound: WarmUpBound, nodes: usize, now_us: u64) {
+        self.bound = bound;
+        self.nodes = nodes;
+        self.started_at_us.get_or_insert(now_us);
+    }
+
+    /// Sets the requests a second that a cold upstream of each service bears.
+    pub(crate) fn set_rates(&mut self, rates_per_s: HashMap<Name, f64>) {
+        self.rates_per_s = rates_per_s;
+    }
+
+    /// Whether an upstream is cold and this node has no draw for it that is left.
+    pub(crate) fn withholds(&self, key: UpstreamKey, state: &UpstreamState, now_us: u64) -> bool {
+        if !state.is_cold(now_us) {
+            return false;
+        }
+        let Some(probability) = self.probability(&state.record.service) else {
+            return false;
+        };
+        let spent = state.cold_slot_spent == Some(self.slot(now_us));
+        spent || !self.is_settled(now_us) || !self.is_drawn(key, probability, now_us)
+    }
+
+    /// Uses up this slot's draw for an upstream, if that is cold.
+    pub(crate) fn spend(&self, state: &mut UpstreamState, now_us: u64) {
+        if state.is_cold(now_us) {
+            state.cold_slot_spent = Some(self.slot(now_us));
+        }
+    }
 }
 
 /// The rate of draws of the whole fleet for one cold upstream, in requests a second: no more than it bears, and so few that the bound
@@ -99,44 +127,3 @@
 fn unit(hash: u64) -> f64 {
     (hash >> 11) as f64 / (1_u64 << 53) as f64
 }
-
-impl Pool {
-    /// Sets the deployment's bound and the most nodes that were ever seen at once.
-    pub fn share_warm_up(&mut self, bound: WarmUpBound, nodes: usize, now_us: u64) {
-        self.warm_up.bound = bound;
-        self.warm_up.nodes = nodes;
-        self.warm_up.started_at_us.get_or_insert(now_us);
-    }
-
-    /// Sets the requests a second that a cold upstream of each service bears; services without a rate are left out.
-    pub fn set_warm_up_rates(&mut self, rates_per_s: HashMap<Name, f64>) {
-        self.warm_up.rates_per_s = rates_per_s;
-    }
-
-    /// Records what an upstream says of its warm-up, in milliseconds that are left.
-    pub fn record_warm_up(&mut self, key: UpstreamKey, left_ms: u64, now_us: u64) {
-        if let Some(state) = self.upstreams.get_mut(&key) {
-            state.set_warm_at(now_us + left_ms * US_PER_MS);
-        }
-    }
-
-    /// Whether an upstream is cold and this node has no draw for it that is left.
-    pub(crate) fn is_withheld_as_cold(&self, key: UpstreamKey, state: &UpstreamState, now_us: u64) -> bool {
-        if !state.is_cold(now_us) {
-            return false;
-        }
-        let Some(probability) = self.warm_up.probability(&state.record.service) else {
-            return false;
-        };
-        let spent = state.cold_slot_spent == Some(self.warm_up.slot(now_us));
-        spent || !self.warm_up.is_settled(now_us) || !self.warm_up.is_drawn(key, probability, now_us)
-    }
-
-    /// Uses up this slot's draw for an upstream, if that is cold.
-    pub(crate) fn spend_cold_share(&mut self, key: UpstreamKey, now_us: u64) {
-        let slot = self.warm_up.slot(now_us);
-        if let Some(state) = self.upstreams.get_mut(&key).filter(|state| state.is_cold(now_us)) {
-            state.cold_slot_spent = Some(slot);
-        }
-    }
-}
--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -3,14 +3,17 @@
 //! Owns this state and hands it to the decisions of `pointvane-dispatch`; nothing is decided here.
 
 use {
-    crate::{connections::Connections, probe_table::ProbeTable},
+    crate::{connections::Connections, probe_table::ProbeTable, settings::NodeSettings},
     pointvane_config::{ChoicePolicy, NodeAdmissionOptions, NodeOptions},
-    pointvane_core::{DeltaMismatch, ErrorKind, Name, RouteRule, RoutingConfiguration, RoutingDelta},
+    pointvane_core::{
+        DeltaMismatch, ErrorKind, Incarnation, Name, RouteRule, RoutingConfiguration, RoutingDelta,
+    },
     pointvane_dispatch::{
-        AdmissionPolicy, BudgetLimits, NodeBudgets, PipelineLimits, Pool, Quarantine, Ranking,
-        RankingOptions, RefusedBy, RetryBudget, RouteTable, RouteTimes, RoutedRequest, RoutingLog,
+        AdmissionPolicy, BudgetLimits, NodeBudgets, PipelineLimits, Pool, Quarantine, QuarantineOptions,
+        Ranking, RankingOptions, RefusedBy, RetryBudget, RouteTable, RouteTimes, RoutedRequest, RoutingLog,
         SearchOptions, WarmUpBound, retry_after_ms,
     },
+    pointvane_mesh::rank,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
         cell::{Ref, RefCell, RefMut},
@@ -19,6 +22,9 @@
     },
 };
 
+/// What nodes are ranked for to get an identity as reporters of crashes.
+const REPORTER_SUBJECT: &str = "reporter";
+
 /// What a node needs to send requests to upstreams.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -49,8 +55,8 @@
     /// Nothing is known yet.
     pub fn new(
         options: &NodeOptions,
-        data_centre: Name,
-        quarantine: Quarantine,
+        node: &NodeSettings,
+        incarnation: Incarnation,
         seeder: &mut SmallRng,
         now_us: u64,
     ) -> Self {
@@ -71,10 +77,10 @@
             hedges: options.repeats.hedge,
             connections: Connections::default(),
             probes: ProbeTable::default(),
-            quarantine: RefCell::new(quarantine),
+            quarantine: RefCell::new(quarantine(options, &node.name, incarnation)),
             routes: RefCell::default(),
             routing_log: RefCell::default(),
-            pool: RefCell::new(Pool::new(ranking_options(policy), data_centre, seeder.random())),
+            pool: RefCell::new(Pool::new(ranking_options(policy), node.data_centre.clone(), seeder.random())),
             budgets: RefCell::new(NodeBudgets::new(now_us)),
             route_times: RefCell::default(),
             rng: RefCell::new(SmallRng::from_rng(seeder)),
@@ -181,3 +187,12 @@
     };
     RankingOptions { ranking, ..RankingOptions::default() }
 }
+
+/// The quarantine of a node that knows of no request.
+fn quarantine(options: &NodeOptions, node: &Name, incarnation: Incarnation) -> Quarantine {
+    let options = QuarantineOptions {
+        after_crashes: options.quarantine.after_crashes,
+        hold_ms: options.quarantine.hold_ms,
+    };
+    Quarantine::new(options, rank(REPORTER_SUBJECT, node), incarnation.0)
+}
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        dispatcher::Dispatcher, fleet::Fleet, headers::Headers, lifecycle::Lifecycle, quarantine::quarantine,
+        dispatcher::Dispatcher, fleet::Fleet, headers::Headers, lifecycle::Lifecycle,
         replica::platform_state::PlatformState, report::Report, settings::NodeSettings,
     },
     pointvane_config::NodeOptions,
@@ -50,13 +50,7 @@
             headers: adapter.headers().into(),
             adapter,
             report,
-            dispatcher: Dispatcher::new(
-                options,
-                settings.data_centre.clone(),
-                quarantine(options, &settings.name, incarnation),
-                &mut seeder,
-                now_us,
-            ),
+            dispatcher: Dispatcher::new(options, &settings, incarnation, &mut seeder, now_us),
             fleet: Fleet::new(&settings, incarnation, &mut seeder, now_us),
             platform: PlatformState::new(&settings, seeder.random()),
             lifecycle: Lifecycle::default(),
--- a/crates/pointvane-node/src/quarantine.rs
+++ b/crates/pointvane-node/src/quarantine.rs
@@ -1,26 +1,12 @@
-//! Requests under which upstreams crash: asks and tells [`Quarantine`] on behalf of the attempts of requests.
+//! Requests under which upstreams crash: asks and tells [`pointvane_dispatch::Quarantine`] on behalf of the attempts of requests.
 
 use {
     crate::{node::Node, request::CallerRequest},
-    pointvane_config::NodeOptions,
-    pointvane_core::{Incarnation, Name, PlatformAdapter},
-    pointvane_dispatch::{AttemptOutcome, Quarantine, QuarantineChange, QuarantineOptions},
-    pointvane_mesh::rank,
+    pointvane_core::PlatformAdapter,
+    pointvane_dispatch::{AttemptOutcome, QuarantineChange},
     pointvane_telemetry::EventKind,
 };
 
-/// What nodes are ranked for to get an identity as reporters of crashes.
-const REPORTER_SUBJECT: &str = "reporter";
-
-/// The quarantine of a node that knows of no request.
-pub fn quarantine(options: &NodeOptions, node: &Name, incarnation: Incarnation) -> Quarantine {
-    let options = QuarantineOptions {
-        after_crashes: options.quarantine.after_crashes,
-        hold_ms: options.quarantine.hold_ms,
-    };
-    Quarantine::new(options, rank(REPORTER_SUBJECT, node), incarnation.0)
-}
-
 impl<A: PlatformAdapter> Node<A> {
     /// Whether a request may not be sent now, since upstreams crash under it.
     pub fn is_quarantined(&self, request: &CallerRequest) -> bool {
