Red test corrected: the upstream that leaves is used before it says so

It asked that a request had reached the upstream that leaves, which is false where the answer to a probe says it first.

--- a/standins/tests/backing_off.rs
+++ b/standins/tests/backing_off.rs
@@ -106,7 +106,11 @@
 /// Its entry says that it is ready, and is written again and again: an upstream that leaves says so in its answers too.
 #[gtest]
 fn an_upstream_that_says_in_its_answers_that_it_leaves_gets_no_more_work() {
-    let site = Site::start(&[Manner::SayLeaving, Manner::Well]);
+    let site = Site::start(&[Manner::Well, Manner::Well]);
+    site.send_for(Duration::from_millis(500));
+    expect_that!(site.upstreams[0].runs(), ge(1), "it is used at all");
+    site.upstreams[0].set(Manner::SayLeaving);
+    let leaves_at = Instant::now();
     let statuses = thread::scope(|scope| {
         scope.spawn(|| {
             for sequence in 2..8 {
@@ -117,8 +121,7 @@
         site.send_for(LEAVES_WITHIN + Duration::from_secs(2))
     });
     expect_that!(statuses.iter().all(|status| *status == 200), eq(true));
-    let arrivals = arrivals(&site.upstreams[0]);
-    expect_that!(arrivals.len(), ge(1), "it is used at all");
-    let late = arrivals.iter().filter(|after| **after > LEAVES_WITHIN);
+    let arrivals = site.upstreams[0].arrivals.lock().unwrap();
+    let late = arrivals.iter().filter(|(_, at)| *at > leaves_at + LEAVES_WITHIN);
     expect_that!(late.count(), eq(0), "of {}", arrivals.len());
 }
