Upstreams that ask for no requests get none, and none that says that it leaves gets more work

What changed: Retry-After of a 503 and the word of leaving are read from the head of each answer, to requests and probes, before its body; both are reasons of eligibility, which ranking, searches, hedges, retries, early forwards and the check right before a send ask. After its time each node returns at a moment of its own, with one request at first. Where none is left a request is refused at once and told when the first is back, urgent callers first.

--- a/crates/pointvane-core/src/adapter.rs
+++ b/crates/pointvane-core/src/adapter.rs
@@ -31,6 +31,8 @@
     pub upstream: &'static str,
     /// How much longer an upstream is cold, in milliseconds, in its answers to probes.
     pub warm_up_left_ms: &'static str,
+    /// Set by an upstream that is leaving, in all its answers.
+    pub leaving: &'static str,
 }
 
 /// How new a read of everything must be.
@@ -66,4 +68,6 @@
     fn directory_answer(&self, addresses: &[SocketAddr], keep_s: u64) -> String;
     /// Decodes an upstream's load header; none if it cannot be understood.
     fn load(&self, text: &str) -> Option<UpstreamLoad>;
+    /// Whether a value of the header on leaving says that the upstream leaves.
+    fn is_leaving(&self, value: &[u8]) -> bool;
 }
--- a/crates/pointvane-core/src/error.rs
+++ b/crates/pointvane-core/src/error.rs
@@ -63,6 +63,8 @@
     Evacuated,
     /// Upstreams crash under this request. No time to retry is told, since it would crash more.
     RequestQuarantined,
+    /// All upstreams that could run the work have asked for no requests for a time, or are unusable for other reasons.
+    UpstreamsBackingOff,
 }
 
 /// One row of the table: how an [`ErrorKind`] is answered.
@@ -90,7 +92,7 @@
     AnswerRow { kind, name, status, outcome, retry_after }
 }
 
-const TABLE: [AnswerRow; 18] = [
+const TABLE: [AnswerRow; 19] = [
     row(ErrorKind::BadRequest, "bad-request", 400, Outcome::NotRun, false),
     row(ErrorKind::NoSuchService, "no-such-service", 404, Outcome::NotRun, false),
     row(ErrorKind::KeyMissing, "key-missing", 428, Outcome::NotRun, false),
@@ -109,6 +111,7 @@
     row(ErrorKind::NotReady, "not-ready", 503, Outcome::NotRun, true),
     row(ErrorKind::Evacuated, "evacuated", 503, Outcome::NotRun, true),
     row(ErrorKind::RequestQuarantined, "request-quarantined", 503, Outcome::NotRun, false),
+    row(ErrorKind::UpstreamsBackingOff, "upstreams-backing-off", 503, Outcome::NotRun, true),
 ];
 
 impl ErrorKind {
--- a/crates/pointvane-core/src/lib.rs
+++ b/crates/pointvane-core/src/lib.rs
@@ -1,6 +1,6 @@
 //! Types, units, the closed list of error kinds and the small traits at pointvane's interfaces.
 //!
-//! Of both forms: `error`, `identity`, `token_bucket`. Of the three programs: `key`, `request`, `traits`. Of the node: `adapter`, `evacuation`,
+//! Of both forms: `backoff`, `error`, `identity`, `retry_after`, `token_bucket`. Of the three programs: `key`, `request`, `traits`. Of the node: `adapter`, `evacuation`,
 //! `published`, `routing`, `routing_delta`.
 //!
 //! Nothing here does I/O, starts a thread or reads a clock. Times are microseconds of a monotonic clock
@@ -9,12 +9,14 @@
 #![warn(missing_docs)]
 
 mod adapter;
+mod backoff;
 mod error;
 mod evacuation;
 mod identity;
 mod key;
 mod published;
 mod request;
+mod retry_after;
 mod routing;
 mod routing_delta;
 mod token_bucket;
@@ -22,6 +24,7 @@
 
 pub use {
     adapter::{DirectoryQuestion, HeaderNames, PlatformAdapter, ReadFreshness},
+    backoff::Backoff,
     error::{AnswerRow, ErrorKind, Outcome},
     evacuation::Evacuation,
     identity::{Incarnation, Name, VmIdentity, VmState},
@@ -30,6 +33,7 @@
         Change, ChangePage, EntryAge, EntryKey, MalformedReply, RefusedItem, UpstreamLoad, UpstreamRecord,
     },
     request::{Class, header},
+    retry_after::retry_after_us,
     routing::{CallerLimits, RouteKind, RouteRule, RoutingConfiguration, ServiceRule, WeightedService},
     routing_delta::{DeltaMismatch, RoutingDelta},
     token_bucket::TokenBucket,
--- a/crates/pointvane-dispatch/src/admission.rs
+++ b/crates/pointvane-dispatch/src/admission.rs
@@ -37,6 +37,16 @@
 /// Not measured: an evacuation lasts until operators take it back, so whoever comes back at once is refused once more.
 const RETRY_AFTER_EVACUATED_MS: u32 = 1_000;
 
+/// Shares of the target latency within which callers come back after the first upstream does, if all wanted no requests; each rank of priority
+/// takes [`RETURN_RANK_SHARE`] more, so that what is urgent comes first.
+///
+/// Not measured.
+const RETURN_SHARE: f64 = 0.5;
+/// Share of the target latency by which each rank of priority comes back later.
+///
+/// Not measured: what admission takes off a rank's time.
+const RETURN_RANK_SHARE: f64 = 0.25;
+
 /// Least factor on the expected finish of a request that waits at an upstream: work varies, and so does what is before it.
 ///
 /// Simulated service of `tests/admission_queue.rs`, share of the requests in time in bursts of 0.94, 1.02 and 1.10 of what the upstreams bear,
@@ -122,14 +132,29 @@
 }
 
 /// When a caller should retry whose request was refused for `error`, in milliseconds; none where that error has no time of its own.
-/// `draw` lies between 0 and 1.
-pub fn retry_after_ms(route: &RouteRule, error: ErrorKind, by: RefusedBy, draw: f64) -> Option<u32> {
+/// `back_in_ms` is the time until the first upstream of its service may get work, if none may now; `draw` lies between 0 and 1.
+///
+/// That time is told as it is, also to callers that have less: whoever does not wait so long is refused once more, whatever it is told.
+pub fn retry_after_ms(
+    route: &RouteRule,
+    error: ErrorKind,
+    by: RefusedBy,
+    back_in_ms: Option<u64>,
+    draw: f64,
+) -> Option<u32> {
+    let target_ms = route.target_latency_ms as f64;
     let shares = match (error, by) {
         (ErrorKind::Evacuated, _) => return Some(RETRY_AFTER_EVACUATED_MS),
-        (ErrorKind::Overloaded, RefusedBy::Node) => RETRY_AFTER_SHARES,
-        (ErrorKind::Overloaded, RefusedBy::Upstream) => RETRY_AFTER_REJECTED_SHARES,
+        (ErrorKind::Overloaded | ErrorKind::UpstreamsBackingOff, _) if back_in_ms.is_some() => {
+            let share = RETURN_SHARE.mul_add(draw, RETURN_RANK_SHARE * f64::from(route.priority));
+            return back_in_ms.map(|back_in_ms| (back_in_ms as f64 + target_ms * share) as u32);
+        }
+        (ErrorKind::Overloaded | ErrorKind::UpstreamsBackingOff, RefusedBy::Node) => RETRY_AFTER_SHARES,
+        (ErrorKind::Overloaded | ErrorKind::UpstreamsBackingOff, RefusedBy::Upstream) => {
+            RETRY_AFTER_REJECTED_SHARES
+        }
         _ => return None,
     };
     let (least, most) = (shares.start(), shares.end());
-    Some((route.target_latency_ms as f64 * (least + (most - least) * draw)) as u32)
+    Some((target_ms * (least + (most - least) * draw)) as u32)
 }
--- a/crates/pointvane-dispatch/src/eligibility.rs
+++ b/crates/pointvane-dispatch/src/eligibility.rs
@@ -2,9 +2,9 @@
 //!
 //! The one place that says so: ranking asks it for candidates, searches for what they found, and each attempt, whether first, retry,
 //! hedge or forwarded early, right before its send, since searches and connections take time in which the answer may change. Log
-//! lines and metrics carry the reason. Inputs: the platform's entry of the upstream, evacuations, the limit of cold upstreams, the
-//! failures seen here. Whether an upstream has room for the request is admission's question. Tests: `tests/evacuations.rs`,
-//! `tests/warm_up.rs`, `tests/upstreams.rs`.
+//! lines and metrics carry the reason. Inputs: the platform's entry of the upstream, evacuations, what the upstream says of itself,
+//! the limit of cold upstreams, the failures seen here. Whether an upstream has room for the request is admission's question. Tests: `tests/evacuations.rs`,
+//! `tests/warm_up.rs`, `tests/notices.rs`, `tests/upstreams.rs`.
 
 use {
     crate::{ineligible::Ineligible, pool::Pool, upstream::UpstreamState, upstream_key::UpstreamKey},
@@ -20,7 +20,9 @@
         let state = self.upstreams.get(&key).ok_or(Ineligible::Gone)?;
         let reasons = [
             (Ineligible::Draining, state.record.draining),
+            (Ineligible::Leaving, state.notices.is_leaving),
             (Ineligible::Evacuated, self.evacuations.is_evacuated(&state.record.data_centre)),
+            (Ineligible::BackingOff, state.notices.backoff.holds(now_us)),
             (Ineligible::Cold, self.warm_up.withholds(key, state, now_us)),
             (Ineligible::Ejected, state.is_ejected(now_us)),
         ];
@@ -42,6 +44,7 @@
             _ => {
                 if let Some(state) = self.upstreams.get_mut(&key) {
                     self.warm_up.spend(state, now_us);
+                    state.notices.backoff.send_began(now_us);
                 }
                 Ok(())
             }
@@ -57,7 +60,7 @@
         let reasons: Vec<Ineligible> =
             others.filter_map(|(key, _)| self.eligibility(*key, now_us).err()).collect();
         // What passes soonest is told first.
-        let soonest = [Ineligible::Cold, Ineligible::Evacuated, Ineligible::Draining];
+        let soonest = [Ineligible::Cold, Ineligible::BackingOff, Ineligible::Evacuated, Ineligible::Draining];
         soonest.into_iter().find(|reason| reasons.contains(reason)).unwrap_or(Ineligible::Gone)
     }
 }
--- a/crates/pointvane-dispatch/src/ineligible.rs
+++ b/crates/pointvane-dispatch/src/ineligible.rs
@@ -9,8 +9,12 @@
     Gone,
     /// It is draining.
     Draining,
+    /// It says in its answers that it is leaving.
+    Leaving,
     /// Operators are emptying its data centre.
     Evacuated,
+    /// It asked this node for no requests for a time, or one is on trial there after that.
+    BackingOff,
     /// It is cold, and this node's share of what it bears is spent.
     Cold,
     /// It has failed. It is used all the same when there is no other.
@@ -29,7 +33,8 @@
             Self::Evacuated => ErrorKind::Evacuated,
             // A share comes soon.
             Self::Cold => ErrorKind::Overloaded,
-            Self::Gone | Self::Draining | Self::Ejected => ErrorKind::NoUpstream,
+            Self::BackingOff => ErrorKind::UpstreamsBackingOff,
+            Self::Gone | Self::Draining | Self::Leaving | Self::Ejected => ErrorKind::NoUpstream,
         }
     }
 }
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -8,7 +8,7 @@
 //! | which service a request goes to | `routes.rs` |
 //! | until when it must be answered | `deadline.rs` |
 //! | how long it is held at a node that has just started | `first_state.rs` |
-//! | whether an upstream may get work at all | `eligibility.rs`, with `ineligible.rs`, `evacuations.rs`, `warm_up.rs`, `ejection.rs` |
+//! | whether an upstream may get work at all | `eligibility.rs`, with `ineligible.rs`, `evacuations.rs`, `notices.rs`, `warm_up.rs`, `ejection.rs` |
 //! | which upstreams are candidates, and in which order | `ranking.rs`, `subset.rs`, `cost.rs` |
 //! | which pipelined requests are forwarded early | `pipeline.rs` |
 //! | which candidates are probed, and which is chosen | `search.rs` |
@@ -40,6 +40,7 @@
 mod ineligible;
 mod latency;
 mod load_curve;
+mod notices;
 mod outcome;
 mod pipeline;
 mod pool;
@@ -71,6 +72,7 @@
     ineligible::Ineligible,
     latency::{LatencyQuantile, LeastLatency},
     load_curve::LoadCurve,
+    notices::WithheldService,
     outcome::{AttemptOutcome, Refusal},
     pipeline::{PipelineLimits, starts_early},
     pool::Pool,
--- a/crates/pointvane-dispatch/src/outcome.rs
+++ b/crates/pointvane-dispatch/src/outcome.rs
@@ -62,6 +62,8 @@
             Self::Unreachable => "unreachable",
             Self::Withheld(Ineligible::Gone) => "withheld-gone",
             Self::Withheld(Ineligible::Draining) => "withheld-draining",
+            Self::Withheld(Ineligible::Leaving) => "withheld-leaving",
+            Self::Withheld(Ineligible::BackingOff) => "withheld-backing-off",
             Self::Withheld(Ineligible::Evacuated) => "withheld-evacuated",
             Self::Withheld(Ineligible::Cold) => "withheld-cold",
             Self::Withheld(Ineligible::Ejected) => "withheld-ejected",
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -9,11 +9,11 @@
         ranking_options::RankingOptions,
         service_state::ServiceState,
         subset::ServiceUpstreams,
-        upstream::UpstreamState,
+        upstream::{Notices, UpstreamState},
         upstream_key::UpstreamKey,
         warm_up::{WarmUpBound, WarmUpShares},
     },
-    pointvane_core::{Change, EntryAge, Evacuation, Name, UpstreamRecord},
+    pointvane_core::{Change, Evacuation, Name, UpstreamRecord},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::collections::{BTreeMap, HashMap},
 };
@@ -21,6 +21,15 @@
 /// Removed upstreams whose last entry is remembered. Bounds memory; not measured.
 const REMOVED_MAX: usize = 1_024;
 
+/// What is remembered of an upstream that was removed.
+#[derive(Debug)]
+struct RemovedUpstream {
+    /// Its last entry: an older one that comes late doesn't bring it back.
+    last: UpstreamRecord,
+    /// What it said of itself: it holds when the entry of the same life returns.
+    notices: Notices,
+}
+
 /// All upstreams that a node knows.
 #[derive(Debug)]
 pub struct Pool {
@@ -31,8 +40,7 @@
     by_id: HashMap<Name, UpstreamKey>,
     pub(crate) by_service: HashMap<Name, ServiceUpstreams>,
     pub(crate) services: HashMap<Name, ServiceState>,
-    /// Age of the last entry of removed upstreams, so that an older one that comes late doesn't bring one back.
-    removed: HashMap<Name, EntryAge>,
+    removed: HashMap<Name, RemovedUpstream>,
     pub(crate) evacuations: Evacuations,
     pub(crate) warm_up: WarmUpShares,
     pub(crate) rng: SmallRng,
@@ -73,7 +81,7 @@
             let id = record.id.clone();
             self.remove(&id);
         }
-        if self.removed.get(&record.id).is_some_and(|last| record.age() <= *last) {
+        if self.removed.get(&record.id).is_some_and(|removed| record.age() <= removed.last.age()) {
             return false;
         }
         self.insert(record, now_us);
@@ -88,17 +96,27 @@
         let draw = self.rng.random();
         self.by_service.entry(record.service.clone()).or_default().add(key, near, draw);
         self.services.entry(record.service.clone()).or_insert_with(|| ServiceState::new(record.slots));
-        self.upstreams.insert(key, UpstreamState::new(record, now_us));
+        let notices = self.notices_of_this_life(&record);
+        self.upstreams.insert(key, UpstreamState { notices, ..UpstreamState::new(record, now_us) });
+    }
+
+    /// What an upstream said of itself before its entry went and came back. Without a start nothing tells whether it is the same life.
+    fn notices_of_this_life(&self, record: &UpstreamRecord) -> Notices {
+        let removed = self
+            .removed
+            .get(&record.id)
+            .filter(|removed| record.born_ms.is_some() && is_same_life(&removed.last, record));
+        removed.map(|removed| removed.notices).unwrap_or_default()
     }
 
     /// Takes note that an upstream's entry is gone; true if the upstream is forgotten at once.
     ///
     /// Before `grace_until_us` the entry may only have expired while the store was away: the upstream stays in use until
-    /// then, unless it was draining.
+    /// then, unless it was draining or leaving.
     pub fn entry_removed(&mut self, id: &Name, grace_until_us: u64, now_us: u64) -> bool {
         let state = self.by_id.get(id).and_then(|key| self.upstreams.get_mut(key));
         if now_us < grace_until_us
-            && let Some(state) = state.filter(|state| !state.record.draining)
+            && let Some(state) = state.filter(|state| !state.record.draining && !state.notices.is_leaving)
         {
             state.grace_until_us.get_or_insert(grace_until_us);
             return false;
@@ -124,10 +142,11 @@
             if self.removed.len() >= REMOVED_MAX {
                 self.removed.clear();
             }
-            self.removed.insert(id.clone(), state.record.age());
             if let Some(upstreams) = self.by_service.get_mut(&state.record.service) {
                 upstreams.remove(key);
             }
+            let removed = RemovedUpstream { last: state.record, notices: state.notices };
+            self.removed.insert(id.clone(), removed);
         }
         true
     }
--- a/crates/pointvane-dispatch/src/subset.rs
+++ b/crates/pointvane-dispatch/src/subset.rs
@@ -18,7 +18,7 @@
 ///
 /// 16 scored slightly less on grown Heatline: 0.764 against 0.766 (quiet-1) and 0.846 against 0.849 (scale-1)
 /// (docs/MEASUREMENTS.md, "The round on NEWS-24").
-const SUBSET_MAX: usize = 32;
+pub(crate) const SUBSET_MAX: usize = 32;
 /// Upstreams beside the subset that are drawn anew for each request.
 ///
 /// 8 scored less on grown Heatline: 0.759 and 0.841 (docs/MEASUREMENTS.md, as above).
@@ -53,6 +53,16 @@
         self.far.retain(|place| place.key != key);
     }
 
+    /// Number of upstreams.
+    pub fn len(&self) -> usize {
+        self.near.len() + self.far.len()
+    }
+
+    /// All upstreams, those near first.
+    pub fn keys(&self) -> impl Iterator<Item = UpstreamKey> {
+        self.near.iter().chain(&self.far).map(|place| place.key)
+    }
+
     /// The upstreams to rank for one request, out of those that are usable.
     pub fn subset(&self, usable: impl Fn(UpstreamKey) -> bool, rng: &mut SmallRng) -> Vec<UpstreamKey> {
         let usable_place = |place: &&Position| usable(place.key);
--- a/crates/pointvane-dispatch/src/upstream.rs
+++ b/crates/pointvane-dispatch/src/upstream.rs
@@ -1,4 +1,5 @@
-//! What a node knows of one upstream: the platform's entry, the last load report, this node's own requests, latencies and failures there.
+//! What a node knows of one upstream: the platform's entry, the last load report, this node's own requests, latencies and failures
+//! there, and what the upstream said of itself.
 //!
 //! What a request sent there now is expected to cost follows from it in `cost.rs`, whether it may get one in `eligibility.rs`.
 
@@ -7,7 +8,7 @@
         ejection::{Effect, FailureHistory, ProbeOutcome},
         outcome::AttemptOutcome,
     },
-    pointvane_core::{Name, US_PER_MS, UpstreamLoad, UpstreamRecord},
+    pointvane_core::{Backoff, Name, US_PER_MS, UpstreamLoad, UpstreamRecord},
     std::net::SocketAddr,
 };
 
@@ -36,6 +37,13 @@
 /// Weight of the newest latency in the running mean of this node's own attempts. Not measured.
 const LATENCY_WEIGHT: f32 = 0.4;
 
+/// What an upstream has said of itself in this life (see `notices.rs`).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Notices {
+    pub(crate) backoff: Backoff,
+    pub(crate) is_leaving: bool,
+}
+
 /// One upstream as a node sees it.
 #[derive(Clone, Debug)]
 pub struct UpstreamState {
@@ -54,6 +62,7 @@
     pub(crate) latency: f32,
     pub(crate) latency_at_us: u64,
     pub(crate) failures: FailureHistory,
+    pub(crate) notices: Notices,
 }
 
 impl UpstreamState {
@@ -70,6 +79,7 @@
             latency: 1.0,
             latency_at_us: 0,
             failures: FailureHistory::default(),
+            notices: Notices::default(),
         }
     }
 
--- a/crates/pointvane-dispatch/src/warm_up.rs
+++ b/crates/pointvane-dispatch/src/warm_up.rs
@@ -73,6 +73,11 @@
         unit(mixed(mixed(self.seed ^ mixed(key.0)) ^ self.slot(now_us))) < probability
     }
 
+    /// The most nodes that were ever seen at once.
+    pub(crate) fn nodes(&self) -> usize {
+        self.nodes
+    }
+
     /// Sets the deployment's bound and the most nodes that were ever seen at once.
     pub(crate) fn share(&mut self, bound: WarmUpBound, nodes: usize, now_us: u64) {
         self.bound = bound;
--- a/crates/pointvane-dispatch/tests/admission_queue.rs
+++ b/crates/pointvane-dispatch/tests/admission_queue.rs
@@ -113,7 +113,8 @@
                 best.waiting.push_back(request);
             } else if request.returns < RETURNS_MAX {
                 let after_ms =
-                    retry_after_ms(&route, ErrorKind::Overloaded, RefusedBy::Node, rng.random()).unwrap();
+                    retry_after_ms(&route, ErrorKind::Overloaded, RefusedBy::Node, None, rng.random())
+                        .unwrap();
                 let (arrives_ms, returns) = (now_ms + f64::from(after_ms), request.returns + 1);
                 callers.push(Request { arrives_ms, returns, ..request });
             }
--- a/crates/pointvane-dispatch/tests/attempts.rs
+++ b/crates/pointvane-dispatch/tests/attempts.rs
@@ -201,7 +201,7 @@
 #[gtest]
 fn a_refused_caller_comes_back_within_its_time() {
     for draw in [0.0, 0.5, 1.0] {
-        let after_ms = |by| retry_after_ms(&route(1), ErrorKind::Overloaded, by, draw);
+        let after_ms = |by| retry_after_ms(&route(1), ErrorKind::Overloaded, by, None, draw);
         expect_that!(after_ms(RefusedBy::Node), some(all!(ge(100), le(260))));
         expect_that!(after_ms(RefusedBy::Upstream), some(all!(ge(12), le(32))), "another upstream has room");
     }
--- a/crates/pointvane-node/src/answer.rs
+++ b/crates/pointvane-node/src/answer.rs
@@ -8,7 +8,7 @@
         header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     },
     pointvane_core::{ErrorKind, PlatformAdapter},
-    pointvane_dispatch::RETRY_AFTER_DEFAULT_MS,
+    pointvane_dispatch::{RETRY_AFTER_DEFAULT_MS, WithheldService},
 };
 
 /// Milliseconds in a second, the unit of the header.
@@ -23,11 +23,13 @@
     pub status: Option<StatusCode>,
     /// When the caller should retry, where it is not the usual time, in milliseconds.
     pub retry_after_ms: Option<u32>,
+    /// What keeps work from the request's service, if no upstream of it may get any.
+    pub withheld: Option<WithheldService>,
 }
 
 impl From<ErrorKind> for Refused {
     fn from(kind: ErrorKind) -> Self {
-        Self { kind, status: None, retry_after_ms: None }
+        Self { kind, status: None, retry_after_ms: None, withheld: None }
     }
 }
 
--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -173,9 +173,15 @@
     }
 
     /// When a caller should retry whose request was refused for `error`, in milliseconds; none where the usual time holds.
-    pub fn retry_after_ms(&self, route: &RouteRule, error: ErrorKind, by: RefusedBy) -> Option<u32> {
+    pub fn retry_after_ms(
+        &self,
+        route: &RouteRule,
+        error: ErrorKind,
+        by: RefusedBy,
+        back_in_ms: Option<u64>,
+    ) -> Option<u32> {
         let draw = self.rng.borrow_mut().random::<f64>();
-        retry_after_ms(route, error, by, draw)
+        retry_after_ms(route, error, by, back_in_ms, draw)
     }
 }
 
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -75,10 +75,15 @@
         // It belongs to another request; so may all that follows on this connection.
         return Err(AttemptOutcome::Broken);
     }
+    let misdirected = answer.head.status == StatusCode::MISDIRECTED_REQUEST;
+    // Before its body is read: other requests must not be sent there meanwhile.
+    if !misdirected {
+        node.heed_notices(key, answer.head.status, &answer.head.headers);
+    }
     // A streamed request may still be on its way when its answer comes, so its connection is not used again.
     let keepable = request.body.is_some();
     let not_run = answer.head.headers.contains_key(&node.headers.not_run);
-    if not_run || answer.head.status == StatusCode::MISDIRECTED_REQUEST {
+    if not_run || misdirected {
         return Err(refused(answer, keepable).await);
     }
     read_body(answer, keepable).await
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -11,7 +11,8 @@
     hyper::Response,
     pointvane_core::{ErrorKind, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
-        NextStep, RefusedBy, RequestAttempts, RetryBudget, SearchGoal, may_pass_on, search_time_ms,
+        NextStep, RefusedBy, RequestAttempts, RetryBudget, SearchGoal, WithheldService, may_pass_on,
+        search_time_ms,
     },
     std::{cell::RefMut, rc::Rc, time::Duration},
     tokio::{
@@ -129,7 +130,17 @@
     fn refuse(&self, error: ErrorKind) -> Refused {
         let route = &self.request.routed.route;
         let by = if self.request.sends.get() > 0 { RefusedBy::Upstream } else { RefusedBy::Node };
-        let retry_after_ms = self.node.dispatcher.retry_after_ms(route, error, by);
-        Refused { retry_after_ms, ..error.into() }
+        let withheld = self.withheld(error);
+        let back_in_ms = withheld.and_then(|withheld| withheld.back_in_ms);
+        let retry_after_ms = self.node.dispatcher.retry_after_ms(route, error, by, back_in_ms);
+        Refused { retry_after_ms, withheld, ..error.into() }
+    }
+
+    /// What keeps work from the request's service, where that may be why it is refused.
+    fn withheld(&self, error: ErrorKind) -> Option<WithheldService> {
+        let asks =
+            matches!(error, ErrorKind::Overloaded | ErrorKind::UpstreamsBackingOff | ErrorKind::NoUpstream);
+        let now_us = self.node.now_us();
+        asks.then(|| self.node.dispatcher.pool().withheld(&self.request.routed.service, now_us)).flatten()
     }
 }
--- a/crates/pointvane-node/src/headers.rs
+++ b/crates/pointvane-node/src/headers.rs
@@ -22,6 +22,8 @@
     pub upstream: HeaderName,
     /// How much longer an upstream is cold, in milliseconds.
     pub warm_up_left_ms: HeaderName,
+    /// Set by an upstream that is leaving.
+    pub leaving: HeaderName,
 }
 
 impl From<HeaderNames> for Headers {
@@ -34,6 +36,7 @@
             not_run: HeaderName::from_static(names.not_run),
             upstream: HeaderName::from_static(names.upstream),
             warm_up_left_ms: HeaderName::from_static(names.warm_up_left_ms),
+            leaving: HeaderName::from_static(names.leaving),
         }
     }
 }
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -22,6 +22,7 @@
 mod in_flight;
 mod lifecycle;
 mod node;
+mod notices;
 mod operator;
 mod pipeline;
 mod probe;
--- /dev/null
+++ b/crates/pointvane-node/src/notices.rs
@@ -0,0 +1,62 @@
+//! Reads what upstreams say of themselves in the heads of their answers, and tells the pool, the time line and the metrics.
+
+use {
+    crate::node::Node,
+    hyper::{
+        StatusCode,
+        header::{HeaderMap, RETRY_AFTER},
+    },
+    pointvane_core::{Name, PlatformAdapter, US_PER_MS, retry_after_us},
+    pointvane_dispatch::{AttemptOutcome, UpstreamKey},
+    pointvane_telemetry::EventKind,
+};
+
+impl<A: PlatformAdapter> Node<A> {
+    /// Heeds the notices in an answer's head. The answer must be the upstream's own.
+    pub fn heed_notices(&self, key: UpstreamKey, status: StatusCode, headers: &HeaderMap) {
+        let retry_after = headers.get_all(RETRY_AFTER).into_iter().map(|value| value.as_bytes());
+        if let Some(for_us) = retry_after_us(status.as_u16(), retry_after) {
+            self.back_off(key, for_us);
+        }
+        let mut leaving = headers.get_all(&self.headers.leaving).into_iter();
+        if leaving.any(|value| self.adapter.is_leaving(value.as_bytes())) {
+            self.leaving(key);
+        }
+    }
+
+    fn back_off(&self, key: UpstreamKey, for_us: u64) {
+        let now_us = self.now_us();
+        let whole_us = self.dispatcher.pool_mut().record_back_off(key, for_us, now_us);
+        if let (Some(whole_us), Some((service, upstream))) = (whole_us, self.named(key)) {
+            self.report.backed_off();
+            let (asked_ms, back_off_ms) = (for_us / US_PER_MS, whole_us / US_PER_MS);
+            let kind = EventKind::UpstreamBackingOff { service, upstream, asked_ms, back_off_ms };
+            self.report.note_bounded(now_us, kind);
+        }
+    }
+
+    fn leaving(&self, key: UpstreamKey) {
+        let is_new = self.dispatcher.pool_mut().record_leaving(key);
+        if let (true, Some((service, upstream))) = (is_new, self.named(key)) {
+            self.report.left();
+            self.report.note_bounded(self.now_us(), EventKind::UpstreamLeaving { service, upstream });
+        }
+    }
+
+    /// Takes the end of an attempt: an upstream that wanted no requests for a time may have run one again.
+    pub fn note_return(&self, key: UpstreamKey, outcome: AttemptOutcome) {
+        let ran = matches!(outcome, AttemptOutcome::Answered { .. });
+        let now_us = self.now_us();
+        let is_back = self.dispatcher.pool_mut().record_return(key, ran, now_us);
+        if let (true, Some((service, upstream))) = (is_back, self.named(key)) {
+            self.report.note_bounded(now_us, EventKind::UpstreamReturned { service, upstream });
+        }
+    }
+
+    /// Service and identity of an upstream; none once it is forgotten.
+    fn named(&self, key: UpstreamKey) -> Option<(Name, Name)> {
+        let pool = self.dispatcher.pool();
+        let record = &pool.get(key)?.record;
+        Some((record.service.clone(), record.id.clone()))
+    }
+}
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -149,6 +149,7 @@
     if answered_by.is_some_and(|other| other.as_bytes() != id.as_str().as_bytes()) {
         return ProbeOutcome::OtherUpstream;
     }
+    node.heed_notices(key, answer.status(), headers);
     let load = node.load_report(headers);
     node.record_load(key, load);
     if load.is_none() && answer.status() == StatusCode::OK {
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -50,6 +50,8 @@
     repeats: Counter<u64>,
     probes: Counter<u64>,
     early_forwards: Counter<u64>,
+    back_offs: Counter<u64>,
+    leavings: Counter<u64>,
     quarantines: Counter<u64>,
     quarantines_lifted: Counter<u64>,
     platform_calls: Counter<u64>,
@@ -86,6 +88,8 @@
             repeats: counter("pointvane_node_repeats"),
             probes: counter("pointvane_node_probes"),
             early_forwards: counter("pointvane_node_early_forwards"),
+            back_offs: counter("pointvane_node_back_offs"),
+            leavings: counter("pointvane_node_leavings"),
             quarantines: counter("pointvane_node_quarantines"),
             quarantines_lifted: counter("pointvane_node_quarantines_lifted"),
             platform_calls: counter("pointvane_node_platform_calls"),
@@ -180,6 +184,16 @@
         self.early_forwards.add(1, &[]);
     }
 
+    /// Counts an upstream that wants no requests for a time, or for longer.
+    pub fn backed_off(&self) {
+        self.back_offs.add(1, &[]);
+    }
+
+    /// Counts an upstream that says that it is leaving.
+    pub fn left(&self) {
+        self.leavings.add(1, &[]);
+    }
+
     /// Counts what changed for a request under which upstreams crash.
     pub fn quarantine_changed(&self, change: &QuarantineChange) {
         match change {
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -145,6 +145,9 @@
         attempts: request.sends.get(),
         spent_ms: now_us.saturating_sub(request.arrived_at_us) / US_PER_MS,
         come_back_ms: refused.retry_after_ms,
+        upstreams: refused.withheld.map(|withheld| withheld.upstreams as u64),
+        backing_off: refused.withheld.map(|withheld| withheld.backing_off as u64),
+        back_in_ms: refused.withheld.and_then(|withheld| withheld.back_in_ms),
         fingerprint: is_quarantined.then(|| request.fingerprints().exact.to_string()),
     });
 }
@@ -167,6 +170,9 @@
         attempts: 0,
         spent_ms: now_us.saturating_sub(arrived_at_us) / US_PER_MS,
         come_back_ms: refused.retry_after_ms,
+        upstreams: None,
+        backing_off: None,
+        back_in_ms: None,
         fingerprint: None,
     });
 }
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -73,11 +73,13 @@
     PlatformWentBack { from: u64, to: u64 },
     /// An upstream is leaving: no new work for it.
     UpstreamLeaving { service: Name, upstream: Name },
+    /// An upstream asked for no requests for a time; it gets none for a little longer.
+    UpstreamBackingOff { service: Name, upstream: Name, asked_ms: u64, back_off_ms: u64 },
     /// An upstream that was leaving is not any more.
     UpstreamStaying { service: Name, upstream: Name },
     /// A failing upstream was set aside.
     UpstreamEjected { service: Name, upstream: Name },
-    /// An upstream is tried again after ejection.
+    /// An upstream is tried again after ejection, or has run a request again after it wanted none.
     UpstreamReturned { service: Name, upstream: Name },
     /// A service began to refuse work for overload.
     OverloadBegan { service: Name },
@@ -157,6 +159,15 @@
         attempts: u32,
         spent_ms: u64,
         come_back_ms: Option<u32>,
+        /// Upstreams of the service, if none of them may get work.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        upstreams: Option<u64>,
+        /// Those of them that asked for no requests for a time.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        backing_off: Option<u64>,
+        /// Time until the first of these may get work.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        back_in_ms: Option<u64>,
         /// What tells the same request when a caller sends it again; given for requests that are quarantined.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         fingerprint: Option<String>,
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -102,6 +102,9 @@
             attempts: 0,
             spent_ms: 30,
             come_back_ms: Some(200),
+            upstreams: None,
+            backing_off: None,
+            back_in_ms: None,
             fingerprint: None,
         },
         EventKind::RequestRefused {
@@ -113,6 +116,9 @@
             attempts: 0,
             spent_ms: 0,
             come_back_ms: None,
+            upstreams: None,
+            backing_off: None,
+            back_in_ms: None,
             fingerprint: None,
         },
     ]
