Entry programs: an upstream that wants no requests for a time gets none; processes return by one rule in both forms

Cause: the same as in the node: a 503 shrank the upstream's limit for a moment and its Retry-After was never read; probes went on too. Ruled out: a spread for fleets of few nodes an upstream (472 nodes: up to 20), 2 s (in use after 1 s).

--- a/crates/pointvane-balance/src/service.rs
+++ b/crates/pointvane-balance/src/service.rs
@@ -12,7 +12,7 @@
         upstream::UpstreamView,
     },
     pointvane_config::{FleetLimits, Service},
-    pointvane_core::{ErrorKind, TokenBucket},
+    pointvane_core::{ErrorKind, TokenBucket, US_PER_S},
     rand::{Rng, SeedableRng, rngs::SmallRng},
 };
 
@@ -162,6 +162,7 @@
             }
             Err(NoPick::Nothing) => Decision::Refuse { kind: ErrorKind::NoUpstream, waiter },
             Err(NoPick::Evacuated) => Decision::Refuse { kind: ErrorKind::Evacuated, waiter },
+            Err(NoPick::BackingOff) => Decision::Refuse { kind: ErrorKind::UpstreamsBackingOff, waiter },
             Err(NoPick::Full | NoPick::Stale) => self.queue(arrival, waiter, now_us),
         }
     }
@@ -197,13 +198,20 @@
                 let Waiting { waiter, .. } = self.admission.pop()?;
                 Some(Dispatch::Refuse { kind: ErrorKind::Evacuated, waiter })
             }
+            Err(NoPick::BackingOff) => {
+                let Waiting { waiter, .. } = self.admission.pop()?;
+                Some(Dispatch::Refuse { kind: ErrorKind::UpstreamsBackingOff, waiter })
+            }
             Err(NoPick::Full | NoPick::Stale) => None,
         }
     }
 
-    /// Seconds after which a refused caller should retry, random so that callers don't return together.
-    pub fn retry_after_s(&mut self) -> u64 {
-        self.rng.random_range(1..=RETRY_AFTER_S_MAX)
+    /// Seconds after which a refused caller should retry, random so that callers don't return together; where all upstreams want no
+    /// requests, from the return of the first on.
+    pub fn retry_after_s(&mut self, kind: ErrorKind, now_us: u64) -> u64 {
+        let back_in_us = self.back_in_us(now_us).filter(|_| kind == ErrorKind::UpstreamsBackingOff);
+        back_in_us.map_or(0, |back_in_us| back_in_us.div_ceil(US_PER_S))
+            + self.rng.random_range(1..=RETRY_AFTER_S_MAX)
     }
 
     /// This entry VM's own requests in flight.
--- a/crates/pointvane-balance/src/service/pick.rs
+++ b/crates/pointvane-balance/src/service/pick.rs
@@ -17,6 +17,8 @@
     Full,
     /// No usable upstream has fresh evidence that it is not leaving.
     Stale,
+    /// All that are left want no requests for a time.
+    BackingOff,
     /// All that are left are of evacuated data centres.
     Evacuated,
     /// None is left.
@@ -30,8 +32,10 @@
         let bounded = self.service.policy == Policy::Shared && self.own > 0;
         let queue_share = self.service.admission.queue_share as f32;
         let records = &self.records;
-        let in_place =
-            |i: usize| !records[i].retired && !self.upstreams[i].upstream.evacuated && Some(i) != exclude;
+        let in_place = |i: usize| {
+            let UpstreamView { upstream, backoff, .. } = &self.upstreams[i];
+            !records[i].retired && !upstream.evacuated && !backoff.holds(now_us) && Some(i) != exclude
+        };
         let fresh = |i: usize, s: &UpstreamView| in_place(i) && s.evidence.fresh(now_us, bound_us);
         let healthy = |i: usize, s: &UpstreamView| fresh(i, s) && !s.health.ejected(now_us);
         let roomy =
@@ -44,7 +48,7 @@
             return Err(NoPick::Full);
         }
         if states().all(|(_, state)| state.evidence.leaving()) {
-            return Err(self.nothing());
+            return Err(self.nothing(now_us));
         }
         // All that are known to stay are ejected: an ill upstream is better than none.
         if let Some(index) = self.chooser.choose(&self.upstreams, &context, fresh) {
@@ -58,8 +62,9 @@
     fn fallback(&mut self, now_us: u64, exclude: Option<usize>) -> Result<usize, NoPick> {
         let candidates = || {
             let staying = |&i: &usize| {
-                let UpstreamView { upstream, evidence, .. } = &self.upstreams[i];
-                !self.records[i].retired && !upstream.evacuated && !evidence.leaving()
+                let UpstreamView { upstream, evidence, backoff, .. } = &self.upstreams[i];
+                let is_usable = !upstream.evacuated && !evidence.leaving() && !backoff.holds(now_us);
+                !self.records[i].retired && is_usable
             };
             (0..self.records.len()).filter(staying).filter(|&i| Some(i) != exclude)
         };
@@ -74,17 +79,32 @@
         idle.max_by_key(|&i| self.upstreams[i].evidence.staying_at_us()).ok_or(NoPick::Stale)
     }
 
-    /// Why nobody is left: an evacuation if there is one, since it ends when operators say so.
-    fn nothing(&self) -> NoPick {
-        let mut in_place = self.upstreams.iter().zip(&self.records).filter(|(_, record)| !record.retired);
-        match in_place.any(|(state, _)| state.upstream.evacuated) {
-            true => NoPick::Evacuated,
-            false => NoPick::Nothing,
+    /// Why nobody is left: what passes by itself first, then an evacuation, since it ends when operators say so.
+    fn nothing(&self, now_us: u64) -> NoPick {
+        let in_place = || self.upstreams.iter().zip(&self.records).filter(|(_, record)| !record.retired);
+        if self.back_in_us(now_us).is_some() {
+            NoPick::BackingOff
+        } else if in_place().any(|(state, _)| state.upstream.evacuated) {
+            NoPick::Evacuated
+        } else {
+            NoPick::Nothing
         }
     }
 
+    /// Time until the first of the upstreams that want no requests may get some, in microseconds; none if none of them wants none.
+    pub(super) fn back_in_us(&self, now_us: u64) -> Option<u64> {
+        let in_place = self.upstreams.iter().zip(&self.records).filter(|(state, record)| {
+            !record.retired && !state.upstream.evacuated && !state.evidence.leaving()
+        });
+        in_place
+            .filter_map(|(state, _)| state.backoff.until_us(now_us))
+            .min()
+            .map(|until_us| until_us - now_us)
+    }
+
     pub(super) fn start(&mut self, upstream: usize, now_us: u64) {
         self.own += 1;
+        self.upstreams[upstream].backoff.send_began(now_us);
         self.upstreams[upstream].own += 1;
         self.records[upstream].started_at_us = now_us;
     }
--- a/crates/pointvane-balance/src/service/probe.rs
+++ b/crates/pointvane-balance/src/service/probe.rs
@@ -22,13 +22,17 @@
             return None;
         }
         let waits = !self.admission.is_empty();
+        // It wants no requests, and a probe takes a slot as they do.
+        let may_be_probed = |state: &UpstreamView| !state.backoff.holds(now_us);
         let due = |state: &UpstreamView| {
             let age_us = now_us.saturating_sub(state.evidence.staying_at_us());
             age_us > bound_us || (!waits && age_us > bound_us / 2)
         };
         let offset = self.rng.random_range(0..self.records.len().max(1));
         let order = (offset..self.records.len()).chain(0..offset);
-        let mut candidates = order.filter(|&i| !self.records[i].retired && due(&self.upstreams[i]));
+        let mut candidates = order.filter(|&i| {
+            !self.records[i].retired && may_be_probed(&self.upstreams[i]) && due(&self.upstreams[i])
+        });
         let index = candidates.find(|&i| !self.probed_lately(i, now_us))?;
         if !self.records[index].probes.take(1.0, now_us) {
             return None;
--- a/crates/pointvane-balance/src/service/result.rs
+++ b/crates/pointvane-balance/src/service/result.rs
@@ -2,7 +2,8 @@
 
 use {
     super::ServiceBalancer,
-    pointvane_core::{LoadReport, Name, US_PER_MS},
+    pointvane_core::{LoadReport, Name, US_PER_MS, return_spread_us},
+    rand::Rng,
 };
 
 /// How an attempt at an upstream ended.
@@ -31,6 +32,13 @@
     pub report: Option<LoadReport>,
 }
 
+impl AttemptEnd {
+    /// Whether the upstream has run the request.
+    const fn ran(self) -> bool {
+        matches!(self, Self::Answered)
+    }
+}
+
 /// Weight of the newest answer time in the service's running mean. Not measured.
 const LATENCY_SHARE: f32 = 0.02;
 /// Time after which a request that was started has reached its upstream. Not measured.
@@ -44,6 +52,7 @@
         let floor_allows = result.end == AttemptEnd::Failed && self.may_eject(now_us);
         let state = &mut self.upstreams[result.upstream];
         state.own = state.own.saturating_sub(1);
+        state.backoff.send_ended(result.end.ran(), now_us);
         state.health.settle(now_us, &self.service.ejection);
         match result.end {
             AttemptEnd::Answered => self.answered(result, now_us),
@@ -71,6 +80,19 @@
         self.hedges.earn(self.service.hedge.budget_share);
     }
 
+    /// Takes the word of an upstream that it wants no requests for a time.
+    pub fn back_off(&mut self, upstream: usize, for_us: u64, now_us: u64) {
+        let slots = self.upstreams[upstream].upstream.slots;
+        let spread_us = return_spread_us(self.limits.entry_vms_max as usize, slots.into(), for_us);
+        let later_us = self.rng.random_range(0..=spread_us);
+        self.upstreams[upstream].backoff.asked(for_us, later_us, now_us);
+    }
+
+    /// Whether an upstream has asked for no requests: to be asked right before a send, since connections take time.
+    pub fn wants_none(&self, upstream: usize, now_us: u64) -> bool {
+        self.upstreams[upstream].backoff.wants_none(now_us)
+    }
+
     /// Takes a load report that came with an answer or to a probe.
     pub fn reported(&mut self, upstream: usize, report: LoadReport, now_us: u64) {
         let record = &mut self.records[upstream];
--- a/crates/pointvane-balance/src/service/summary.rs
+++ b/crates/pointvane-balance/src/service/summary.rs
@@ -19,6 +19,8 @@
     pub leaving: bool,
     /// Whether it is ejected.
     pub ejected: bool,
+    /// Time for which it still wants no requests, in milliseconds; none if it wants some.
+    pub back_in_ms: Option<u64>,
     /// Age of the last sign that it is not leaving, in milliseconds; none if there never was one.
     pub evidence_age_ms: Option<u64>,
 }
@@ -35,6 +37,7 @@
                 total: state.total(&context),
                 leaving: state.evidence.leaving(),
                 ejected: state.health.ejected(now_us),
+                back_in_ms: state.backoff.until_us(now_us).map(|until_us| (until_us - now_us) / US_PER_MS),
                 evidence_age_ms: match state.evidence.staying_at_us() {
                     0 => None,
                     at_us => Some(now_us.saturating_sub(at_us) / US_PER_MS),
--- a/crates/pointvane-balance/src/upstream.rs
+++ b/crates/pointvane-balance/src/upstream.rs
@@ -7,7 +7,7 @@
         health::Health,
     },
     pointvane_config::{EjectionOptions, Upstream},
-    pointvane_core::US_PER_MS,
+    pointvane_core::{Backoff, US_PER_MS},
 };
 
 /// Weight of the newest answer time in the running mean. Not measured.
@@ -36,6 +36,8 @@
     pub evidence: Evidence,
     /// Failures and ejection.
     pub health: Health,
+    /// Whether it wants no requests for a time.
+    pub backoff: Backoff,
     latency_us: f32,
     latency_at_us: u64,
     limit_share: f32,
@@ -65,6 +67,7 @@
             others: OthersEstimate::default(),
             evidence: Evidence::default(),
             health,
+            backoff: Backoff::default(),
             latency_us: 0.0,
             latency_at_us: 0,
             limit_share: 1.0,
--- a/crates/pointvane-core/src/backoff.rs
+++ b/crates/pointvane-core/src/backoff.rs
@@ -12,6 +12,30 @@
 /// Not measured: longer than most work on the users' platform takes (24 to 370 ms), so that the answer comes first as a rule.
 const TRIAL_MAX_US: u64 = 500_000;
 
+/// Time of work at an upstream by which the return of processes is spread, in microseconds.
+///
+/// Not measured: work on the users' platform takes 24 to 370 ms. Processes return at the rate at which its slots come free.
+const WORK_US: u64 = 100_000;
+/// Processes for each slot of an upstream that may return to it at one moment: the few requests that each has do not come together.
+///
+/// Simulated (`pointvane-dispatch/tests/notices_fleet.rs`), requests of the first 100 ms at the upstream with the most, after a pause of 3 s of all
+/// upstreams, where 14 of 472 processes use each of 1,080 upstreams with 6 slots and 12 are borne: 10 or 11 at once; 9 to 20 where they
+/// return spread over 233 ms, since whatever returns first draws all.
+const PROCESSES_PER_SLOT: usize = 3;
+/// Longest time by which a process returns late, in microseconds.
+///
+/// Simulated as above, where 1,800 processes use 6 upstreams and 30 are borne: 95 if they return at once, 12 and 16 with 1 s (3 to 10 with 2 s); in use
+/// again after 0.2, 0.6 and 1 s.
+const RETURN_SPREAD_MAX_US: u64 = 1_000_000;
+
+/// The time by which a process at most returns late to an upstream of so many slots that it and others were asked to leave alone, in
+/// microseconds: no later than twice the time asked for.
+pub fn return_spread_us(processes: usize, slots: u32, for_us: u64) -> u64 {
+    let slots = slots.max(1) as usize;
+    let beyond = processes.saturating_sub(slots * PROCESSES_PER_SLOT) as u64;
+    (beyond * WORK_US / slots as u64).min(RETURN_SPREAD_MAX_US).min(for_us)
+}
+
 /// Whether one upstream wants no requests, and until when.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Backoff {
@@ -34,9 +58,14 @@
         true
     }
 
+    /// Whether the upstream wants nothing now; what is on trial there may go on.
+    pub fn wants_none(&self, now_us: u64) -> bool {
+        now_us < self.until_us
+    }
+
     /// Whether nothing may be sent there now.
     pub fn holds(&self, now_us: u64) -> bool {
-        now_us < self.until_us || now_us < self.trial_until_us
+        self.wants_none(now_us) || now_us < self.trial_until_us
     }
 
     /// Until when nothing may be sent there; none if something may be.
--- a/crates/pointvane-core/src/lib.rs
+++ b/crates/pointvane-core/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use {
     adapter::{DirectoryQuestion, HeaderNames, PlatformAdapter, ReadFreshness},
-    backoff::Backoff,
+    backoff::{Backoff, return_spread_us},
     error::{AnswerRow, ErrorKind, Outcome},
     evacuation::Evacuation,
     identity::{Incarnation, Name, VmIdentity, VmState},
--- a/crates/pointvane-core/tests/core.rs
+++ b/crates/pointvane-core/tests/core.rs
@@ -81,6 +81,7 @@
         "not-ready 503 not-run retry-after",
         "evacuated 503 not-run retry-after",
         "request-quarantined 503 not-run",
+        "upstreams-backing-off 503 not-run retry-after",
     ];
     expect_that!(rows, eq(&expected.map(String::from).to_vec()));
 }
--- a/crates/pointvane-dispatch/src/eligibility.rs
+++ b/crates/pointvane-dispatch/src/eligibility.rs
@@ -29,6 +29,13 @@
         reasons.into_iter().find(|(_, holds)| *holds).map_or(Ok(()), |(reason, _)| Err(reason))
     }
 
+    /// All upstreams that get no work now, with the reason.
+    pub fn ineligible(&self, now_us: u64) -> impl Iterator<Item = (&UpstreamState, Ineligible)> {
+        self.upstreams
+            .iter()
+            .filter_map(move |(key, state)| Some((state, self.eligibility(*key, now_us).err()?)))
+    }
+
     /// Whether an upstream may get a request if there is no better one.
     pub fn may_get_work(&self, key: UpstreamKey, now_us: u64) -> bool {
         self.eligibility(key, now_us).err().is_none_or(|reason| !reason.is_binding())
--- a/crates/pointvane-dispatch/src/ineligible.rs
+++ b/crates/pointvane-dispatch/src/ineligible.rs
@@ -27,6 +27,19 @@
         !matches!(self, Self::Ejected)
     }
 
+    /// The reason's name for operators.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Gone => "gone",
+            Self::Draining => "draining",
+            Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
+            Self::BackingOff => "backing-off",
+            Self::Cold => "cold",
+            Self::Ejected => "ejected",
+        }
+    }
+
     /// How a request is answered that found no upstream for this reason.
     pub const fn error(self) -> ErrorKind {
         match self {
--- a/crates/pointvane-dispatch/src/notices.rs
+++ b/crates/pointvane-dispatch/src/notices.rs
@@ -10,19 +10,17 @@
 //! Tests: `tests/notices.rs`, in fleets `tests/notices_fleet.rs`.
 
 use {
-    crate::{ineligible::Ineligible, pool::Pool, subset::SUBSET_MAX, upstream_key::UpstreamKey},
-    pointvane_core::{Name, US_PER_MS},
+    crate::{
+        ineligible::Ineligible,
+        pool::Pool,
+        subset::{SUBSET_MAX, ServiceUpstreams},
+        upstream_key::UpstreamKey,
+    },
+    pointvane_core::{Name, US_PER_MS, return_spread_us},
     rand::Rng,
     std::mem,
 };
 
-/// Time of work at an upstream by which the return of nodes is spread, in microseconds.
-///
-/// Not measured: work on the users' platform takes 24 to 370 ms. Nodes return at the rate at which its slots come free.
-const WORK_US: u64 = 100 * US_PER_MS;
-/// Longest time by which a node returns late, in microseconds: an upstream is not to be missed by anybody for longer. Not measured.
-const RETURN_SPREAD_MAX_US: u64 = 2_000 * US_PER_MS;
-
 /// The upstreams of a service none of which may get work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WithheldService {
@@ -36,22 +34,19 @@
 
 impl Pool {
     /// Takes the word of an upstream that it wants no requests for a time; the whole time for which it gets none, if that is longer than was known.
-    ///
-    /// All nodes may have been told so at one moment. They return spread over the time in which the upstream has slots for one request of each that
-    /// uses it, and no later than twice the time asked for.
     pub fn record_back_off(&mut self, key: UpstreamKey, for_us: u64, now_us: u64) -> Option<u64> {
-        let spread_us = self.return_spread_us(key)?.min(for_us);
-        let later_us = self.rng.random_range(0..=spread_us);
+        let record = &self.upstreams.get(&key)?.record;
+        let (nodes, slots) = (self.nodes_using(&record.service), record.slots);
+        let later_us = self.rng.random_range(0..=return_spread_us(nodes, slots, for_us));
         let state = self.upstreams.get_mut(&key)?;
         state.notices.backoff.asked(for_us, later_us, now_us).then_some(for_us + later_us)
     }
 
-    fn return_spread_us(&self, key: UpstreamKey) -> Option<u64> {
-        let record = &self.upstreams.get(&key)?.record;
-        let upstreams = self.by_service.get(&record.service)?.len().max(1);
-        let nodes = self.warm_up.nodes();
-        let using = nodes.min((nodes * SUBSET_MAX).div_ceil(upstreams));
-        Some((using as u64 * WORK_US / u64::from(record.slots.max(1))).min(RETURN_SPREAD_MAX_US))
+    /// How many nodes use an upstream of a service: of a large one each node uses a subset.
+    fn nodes_using(&self, service: &Name) -> usize {
+        let (nodes, upstreams) =
+            (self.warm_up.nodes(), self.by_service.get(service).map_or(0, ServiceUpstreams::len));
+        nodes.min((nodes * SUBSET_MAX).div_ceil(upstreams.max(1)))
     }
 
     /// Takes the word of an upstream that it is leaving; true if that was not known.
@@ -73,8 +68,8 @@
             match self.eligibility(key, now_us) {
                 Err(Ineligible::BackingOff) => {
                     withheld.backing_off += 1;
-                    let until_us = self.upstreams.get(&key)?.notices.backoff.until_us(now_us);
-                    let left_ms = until_us.map(|until_us| (until_us - now_us).div_ceil(US_PER_MS));
+                    let left_us = self.upstreams.get(&key)?.back_in_us(now_us);
+                    let left_ms = left_us.map(|left_us| left_us.div_ceil(US_PER_MS));
                     withheld.back_in_ms = withheld.back_in_ms.into_iter().chain(left_ms).min();
                 }
                 Err(reason) if reason.is_binding() => {}
--- a/crates/pointvane-dispatch/src/upstream.rs
+++ b/crates/pointvane-dispatch/src/upstream.rs
@@ -154,6 +154,11 @@
         self.failures.is_ejected(now_us)
     }
 
+    /// Time for which it still wants no requests, in microseconds; none if it wants some.
+    pub fn back_in_us(&self, now_us: u64) -> Option<u64> {
+        self.notices.backoff.until_us(now_us).map(|until_us| until_us - now_us)
+    }
+
     /// Whether it is cold: it bears fewer requests until it has warmed up.
     pub fn is_cold(&self, now_us: u64) -> bool {
         now_us < self.warm_at_us
--- a/crates/pointvane-entry/src/handle.rs
+++ b/crates/pointvane-entry/src/handle.rs
@@ -33,17 +33,17 @@
 async fn handle(entry: Arc<Entry>, request: Request<Incoming>) -> Response<AnswerBody> {
     let (head, incoming) = request.into_parts();
     let now_us = entry.clock.now_us();
-    let mut retry_after_s = RETRY_AFTER_S;
+    let mut service = None;
     let served = match read(&entry, &head, now_us) {
         Ok(request) => {
-            retry_after_s = request.service.lock().retry_after_s();
+            service = Some(Arc::clone(&request.service));
             serve(&entry, request, head, RequestBody::new(incoming), now_us).await
         }
         Err(kind) => Err(kind),
     };
     let mut response = served.unwrap_or_else(|kind| {
         entry.counters.refused(kind);
-        refuse(kind, retry_after_s)
+        refuse(kind, service.map_or(RETRY_AFTER_S, |service| service.retry_after_s(kind)))
     });
     if entry.is_stopping() {
         close_after(&mut response);
--- a/crates/pointvane-entry/src/service.rs
+++ b/crates/pointvane-entry/src/service.rs
@@ -112,6 +112,11 @@
         Some(self.attempt(upstream))
     }
 
+    /// Seconds after which a caller should retry whose request was refused for `kind`.
+    pub fn retry_after_s(&self, kind: ErrorKind) -> u64 {
+        self.lock().retry_after_s(kind, self.now_us())
+    }
+
     /// Requests refused for overload so far.
     pub fn overloaded(&self) -> u64 {
         self.overloaded.load(Ordering::Relaxed)
@@ -154,6 +159,16 @@
         self.service.now_us().saturating_sub(self.started_us) as f64 / US_PER_S as f64
     }
 
+    /// Whether the upstream has asked for no requests since the attempt was started.
+    pub fn is_unwanted(&self) -> bool {
+        self.service.lock().wants_none(self.upstream, self.service.now_us())
+    }
+
+    /// Takes the word of the upstream that it wants no requests for a time.
+    pub fn back_off(&self, for_us: u64) {
+        self.service.lock().back_off(self.upstream, for_us, self.service.now_us());
+    }
+
     /// Takes the load report that came with the answer's head.
     pub fn reported(&mut self, report: Option<LoadReport>) {
         self.report = report;
--- a/crates/pointvane-entry/src/transitions.rs
+++ b/crates/pointvane-entry/src/transitions.rs
@@ -43,6 +43,7 @@
 struct UpstreamStage {
     leaving: bool,
     ejected: bool,
+    backing_off: bool,
 }
 
 impl Transitions {
@@ -53,9 +54,13 @@
         let mut events: Vec<EventKind> = load_event(service, before, *load).into_iter().collect();
         for summary in upstreams {
             let key = (service.clone(), summary.name.clone());
-            let now = UpstreamStage { leaving: summary.leaving, ejected: summary.ejected };
+            let now = UpstreamStage {
+                leaving: summary.leaving,
+                ejected: summary.ejected,
+                backing_off: summary.back_in_ms.is_some(),
+            };
             let before = self.upstreams.insert(key, now).unwrap_or_default();
-            events.extend(upstream_event(service, &summary.name, before, now));
+            events.extend(upstream_event(service, summary, before, now));
         }
         events
     }
@@ -73,16 +78,30 @@
 /// Leaving goes first: an upstream that leaves is of no interest otherwise.
 fn upstream_event(
     service: &Name,
-    upstream: &Name,
+    summary: &UpstreamSummary,
     before: UpstreamStage,
     now: UpstreamStage,
 ) -> Option<EventKind> {
-    let (service, upstream) = (service.clone(), upstream.clone());
+    let (service, upstream) = (service.clone(), summary.name.clone());
     match (before.leaving, now.leaving, before.ejected, now.ejected) {
         (false, true, ..) => Some(EventKind::UpstreamLeaving { service, upstream }),
         (true, false, ..) => Some(EventKind::UpstreamStaying { service, upstream }),
         (_, _, false, true) => Some(EventKind::UpstreamEjected { service, upstream }),
         (_, _, true, false) => Some(EventKind::UpstreamReturned { service, upstream }),
+        _ => backoff_event(service, upstream, before, summary.back_in_ms),
+    }
+}
+
+/// One that wants no requests for a time, told when it was first seen to want none.
+fn backoff_event(
+    service: Name,
+    upstream: Name,
+    before: UpstreamStage,
+    back_in_ms: Option<u64>,
+) -> Option<EventKind> {
+    match (before.backing_off, back_in_ms) {
+        (false, Some(back_off_ms)) => Some(EventKind::UpstreamBackingOff { service, upstream, back_off_ms }),
+        (true, None) => Some(EventKind::UpstreamReturned { service, upstream }),
         _ => None,
     }
 }
--- a/crates/pointvane-entry/src/try_upstream.rs
+++ b/crates/pointvane-entry/src/try_upstream.rs
@@ -9,9 +9,9 @@
         request_body::RequestBody,
         service::Attempt,
     },
-    hyper::{Response, StatusCode, body::Incoming},
+    hyper::{Response, StatusCode, body::Incoming, header::RETRY_AFTER},
     pointvane_balance::AttemptEnd,
-    pointvane_core::{ErrorKind, LoadReport, header},
+    pointvane_core::{ErrorKind, LoadReport, header, retry_after_us},
     std::time::Duration,
     tokio::time::{Instant, sleep_until, timeout_at},
 };
@@ -83,6 +83,10 @@
     if outgoing.left_us() == 0 {
         return Tried::Broken(ErrorKind::DeadlinePassed);
     }
+    if attempt.is_unwanted() {
+        attempt.end(AttemptEnd::Cancelled);
+        return Tried::Unsent(body, ErrorKind::UpstreamsBackingOff);
+    }
     counters.attempted();
     let sent = timeout_at(give_up_at, connection.send(outgoing.build(body))).await;
     match sent {
@@ -105,6 +109,11 @@
 /// Takes the head of an answer; its body ends the attempt.
 fn answered(response: Response<Incoming>, mut attempt: Attempt, connection: Connection) -> Tried {
     attempt.reported(load_report(&response));
+    let retry_after = response.headers().get_all(RETRY_AFTER).into_iter().map(|value| value.as_bytes());
+    // At the head, not at the end of the body: other requests must not be sent there meanwhile.
+    if let Some(for_us) = retry_after_us(response.status().as_u16(), retry_after) {
+        attempt.back_off(for_us);
+    }
     let end = end_of(response.status());
     let response = response.map(|body| UpstreamBody::new(body, connection, Some(attempt), end));
     if end == AttemptEnd::Answered { Tried::Answer(response) } else { Tried::BadAnswer(response) }
--- a/crates/pointvane/src/status.rs
+++ b/crates/pointvane/src/status.rs
@@ -36,6 +36,8 @@
     total: f32,
     leaving: bool,
     ejected: bool,
+    #[serde(default)]
+    back_in_ms: Option<u64>,
     evidence_age_ms: Option<u64>,
 }
 
@@ -95,10 +97,11 @@
 }
 
 fn print_upstream(upstream: &UpstreamView) {
-    let state = match (upstream.leaving, upstream.ejected) {
-        (true, _) => "leaving",
-        (false, true) => "ejected",
-        (false, false) => "in use",
+    let state = match (upstream.leaving, upstream.back_in_ms, upstream.ejected) {
+        (true, ..) => "leaving".into(),
+        (false, Some(back_in_ms), _) => format!("backing off for {back_in_ms} ms"),
+        (false, None, true) => "ejected".into(),
+        (false, None, false) => String::from("in use"),
     };
     let age =
         upstream.evidence_age_ms.map_or("never heard".into(), |age_ms| format!("heard {age_ms} ms ago"));
