Clock: the time for which a machine was suspended counts

CLOCK_BOOTTIME in place of std's Instant, which stands still while a machine is suspended: pauses of upstreams, leases, load reports and times left of requests looked as fresh after it as before. Not shown by a real suspension, which cannot be brought about here.

--- a/crates/pointvane-telemetry/src/clock.rs
+++ b/crates/pointvane-telemetry/src/clock.rs
@@ -2,36 +2,51 @@
 
 use {
     pointvane_core::{Clock, US_PER_S},
-    std::time::{Instant, SystemTime, UNIX_EPOCH},
+    rustix::time::{ClockId, clock_gettime},
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 /// Where [`MonotonicClock`] starts, so that no time is ever 0, which means "never".
 const START_US: u64 = 1_000 * US_PER_S;
 
-/// Time since the process started.
+/// Time since the process started, that for which the machine was suspended included: `CLOCK_BOOTTIME`.
+///
+/// `std::time::Instant` stands still while a machine is suspended, and whatever rests on it then believes that leases, load reports, pauses of
+/// upstreams and times left of requests are as fresh as before.
 #[derive(Clone, Copy, Debug)]
 pub struct MonotonicClock {
-    started: Instant,
+    started: Duration,
 }
 
 impl MonotonicClock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Self { started: Instant::now() }
+        Self { started: boot_time() }
     }
 
     /// Milliseconds since the start.
     pub fn since_start_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        self.elapsed().as_millis() as u64
+    }
+
+    fn elapsed(&self) -> Duration {
+        boot_time().saturating_sub(self.started)
     }
 }
 
 impl Clock for MonotonicClock {
     fn now_us(&self) -> u64 {
-        START_US + self.started.elapsed().as_micros() as u64
+        START_US + self.elapsed().as_micros() as u64
     }
 }
 
+/// Time since the machine was booted.
+fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    // Neither is ever negative on this clock.
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 /// The wall clock, in milliseconds since 1970; 0 if it stands before that.
 pub fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -73,8 +73,8 @@
     PlatformWentBack { from: u64, to: u64 },
     /// An upstream is leaving: no new work for it.
     UpstreamLeaving { service: Name, upstream: Name },
-    /// An upstream asked for no requests for a time; it gets none for a little longer.
-    UpstreamBackingOff { service: Name, upstream: Name, asked_ms: u64, back_off_ms: u64 },
+    /// An upstream wants no requests for a time; it gets none from this process for so long.
+    UpstreamBackingOff { service: Name, upstream: Name, back_off_ms: u64 },
     /// An upstream that was leaving is not any more.
     UpstreamStaying { service: Name, upstream: Name },
     /// A failing upstream was set aside.
