--- a/crates/pointvane-node/src/notices.rs
+++ b/crates/pointvane-node/src/notices.rs
@@ -29,8 +29,8 @@
         let whole_us = self.dispatcher.pool_mut().record_back_off(key, for_us, now_us);
         if let (Some(whole_us), Some((service, upstream))) = (whole_us, self.named(key)) {
             self.report.backed_off();
-            let (asked_ms, back_off_ms) = (for_us / US_PER_MS, whole_us / US_PER_MS);
-            let kind = EventKind::UpstreamBackingOff { service, upstream, asked_ms, back_off_ms };
+            let back_off_ms = whole_us / US_PER_MS;
+            let kind = EventKind::UpstreamBackingOff { service, upstream, back_off_ms };
             self.report.note_bounded(now_us, kind);
         }
     }
--- a/crates/pointvane-node/src/operator.rs
+++ b/crates/pointvane-node/src/operator.rs
@@ -3,7 +3,7 @@
 use {
     crate::{answer::short, connections::RelayBody, node::Node},
     hyper::{Request, Response, StatusCode, body::Incoming},
-    pointvane_core::PlatformAdapter,
+    pointvane_core::{PlatformAdapter, US_PER_MS},
     serde::Serialize,
     std::{convert::Infallible, rc::Rc},
 };
@@ -13,6 +13,9 @@
 /// Content type of events and status.
 const JSON: &str = "application/json";
 
+/// Upstreams without work that the status lists. Bounds an answer; not measured.
+const WITHHELD_ROWS_MAX: usize = 64;
+
 /// The answer to `/status`.
 #[derive(Debug, Serialize)]
 struct Status {
@@ -25,6 +28,17 @@
     members: usize,
     quarantined_requests: usize,
     connections: usize,
+    withheld_upstreams: Vec<WithheldRow>,
+}
+
+/// An upstream that gets no work now.
+#[derive(Debug, Serialize)]
+struct WithheldRow {
+    upstream: String,
+    service: String,
+    reason: &'static str,
+    /// Time until it may get some, where that is known.
+    back_in_ms: Option<u64>,
 }
 
 /// Answers operators.
@@ -64,5 +78,18 @@
         members: node.fleet.directory_members().len(),
         quarantined_requests: node.dispatcher.quarantine().quarantined(),
         connections: node.lifecycle.connections_open(),
+        withheld_upstreams: withheld_upstreams(node),
     }
 }
+
+fn withheld_upstreams<A: PlatformAdapter>(node: &Node<A>) -> Vec<WithheldRow> {
+    let now_us = node.now_us();
+    let pool = node.dispatcher.pool();
+    let rows = pool.ineligible(now_us).map(|(state, reason)| WithheldRow {
+        upstream: state.id().to_string(),
+        service: state.record.service.to_string(),
+        reason: reason.as_str(),
+        back_in_ms: state.back_in_us(now_us).map(|back_in_us| back_in_us / US_PER_MS),
+    });
+    rows.take(WITHHELD_ROWS_MAX).collect()
+}
--- a/crates/pointvane/src/explain.rs
+++ b/crates/pointvane/src/explain.rs
@@ -143,6 +143,22 @@
     let told = fields.filter(|(name, value)| !COMMON_FIELDS.contains(&name.as_str()) && !value.is_null());
     let told: Vec<String> = told.map(|(name, value)| format!("{name}={}", plain(value))).collect();
     println!("{} {:<20} {:<24} {}", line.at, line.vm, line.event, told.join(" "));
+    if let Some(sentence) = withheld(&line.fields) {
+        println!("    {sentence}");
+    }
+}
+
+/// What kept work from a whole service when a request was refused, in a sentence.
+fn withheld(fields: &Value) -> Option<String> {
+    let number = |name: &str| fields.get(name)?.as_u64();
+    let (upstreams, backing_off) = (number("upstreams")?, number("backing_off")?);
+    let rest = match upstreams - backing_off.min(upstreams) {
+        0 => String::new(),
+        others => format!(", {others} get no work for other reasons"),
+    };
+    let first = number("back_in_ms")
+        .map_or(String::new(), |back_in_ms| format!(", the first for another {back_in_ms} ms"));
+    Some(format!("no upstream may get work: {backing_off} of {upstreams} want no requests{first}{rest}"))
 }
 
 fn plain(value: &Value) -> String {
