A streamed body that was not begun goes to another upstream

Cause: the body was taken before the last look at whether its upstream may get work, so that an upload whose upstream asked for a pause, was evacuated or began to drain meanwhile was refused though others could run it. Seen in the code, not in a run.

--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -59,8 +59,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RequestAttempts<'r> {
     route: &'r RouteRule,
-    /// Whether the body is still there to be sent again.
-    resendable: bool,
+    /// Whether the whole body is kept, so that two attempts may send it side by side.
+    is_body_kept: bool,
+    /// Whether the body is there to be sent: kept, or streamed and not begun.
+    has_body: bool,
     under_way: u32,
     unsent: u32,
     may_have_run: bool,
@@ -69,8 +71,21 @@
 
 impl<'r> RequestAttempts<'r> {
     /// A request whose first attempt is under way.
-    pub fn started(route: &'r RouteRule, resendable: bool) -> Self {
-        Self { route, resendable, under_way: 1, unsent: 0, may_have_run: false, has_answer: false }
+    pub fn started(route: &'r RouteRule, is_body_kept: bool) -> Self {
+        Self {
+            route,
+            is_body_kept,
+            has_body: is_body_kept,
+            under_way: 1,
+            unsent: 0,
+            may_have_run: false,
+            has_answer: false,
+        }
+    }
+
+    /// Takes note of whether a streamed body is still as its caller sends it: before the end of an attempt that may not have begun to send it.
+    pub fn streamed_body_left(&mut self, is_left: bool) {
+        self.has_body = self.is_body_kept || is_left;
     }
 
     /// Takes the end of an attempt; `sends` counts the attempts of this request that were sent so far.
@@ -99,7 +114,7 @@
 
     /// Takes the moment at which a second attempt is considered.
     pub fn hedge_due(&mut self, sends: u32, budget: &mut RetryBudget) -> NextStep {
-        if self.under_way != 1 || !self.attempts_left(sends) || !budget.take() {
+        if self.under_way != 1 || !self.is_body_kept || !self.attempts_left(sends) || !budget.take() {
             return NextStep::Wait;
         }
         self.under_way += 1;
@@ -116,7 +131,7 @@
     }
 
     fn attempts_left(&self, sends: u32) -> bool {
-        self.resendable && sends < self.route.attempts_max && self.unsent < UNSENT_MAX
+        self.has_body && sends < self.route.attempts_max && self.unsent < UNSENT_MAX
     }
 
     fn ended_unsent(&mut self, error: ErrorKind) -> NextStep {
--- a/crates/pointvane-dispatch/tests/request_attempts.rs
+++ b/crates/pointvane-dispatch/tests/request_attempts.rs
@@ -213,3 +213,19 @@
     expect_that!(ErrorKind::RequestQuarantined.answer().outcome, eq(Outcome::NotRun));
     expect_that!(ErrorKind::RequestQuarantined.answer().retry_after, eq(false));
 }
+
+/// Its upstream asked for no requests while the connection was made.
+#[gtest]
+fn a_streamed_body_that_was_not_begun_goes_elsewhere_and_is_never_hedged() {
+    let route = route(RouteKind::Upload);
+    let withheld = AttemptEnd::Tried(AttemptOutcome::Withheld(Ineligible::BackingOff));
+    let step = |is_left| {
+        let mut attempts = RequestAttempts::started(&route, false);
+        attempts.streamed_body_left(is_left);
+        let hedge = attempts.hedge_due(0, &mut budget(5));
+        expect_that!(hedge, eq(NextStep::Wait));
+        attempts.ended(withheld, 0, &mut budget(5))
+    };
+    expect_that!(step(true), eq(NextStep::Retry));
+    expect_that!(step(false), eq(NextStep::GiveUp(ErrorKind::UpstreamsBackingOff)));
+}
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -107,8 +107,9 @@
     if request.answer_by_us <= now_us {
         return Err(AttemptOutcome::TimedOut);
     }
-    let outgoing = outgoing(node, request, key, now_us).ok_or(AttemptOutcome::Unsent)?;
+    // Before a streamed body is taken, which could not go elsewhere then.
     begin_send(node, request, key, now_us)?;
+    let outgoing = outgoing(node, request, key, now_us).ok_or(AttemptOutcome::Unsent)?;
     request.sends.set(request.sends.get() + 1);
     match connection.send(outgoing).await {
         Ok(response) => {
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -61,6 +61,7 @@
                     // An attempt that panicked says nothing of what its upstream did.
                     let Some(Ok(result)) = ended else { return Err(ErrorKind::UpstreamBroken.into()) };
                     self.answer = result.answer.or(self.answer.take());
+                    attempts.streamed_body_left(request.stream.borrow().is_some());
                     attempts.ended(result.end, request.sends.get(), &mut self.retry_budget())
                 }
                 () = sleep_until(hedge_at.unwrap_or(deadline)), if hedge_at.is_some() => {
