--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -25,6 +25,8 @@
 mod fleet;
 #[path = "soak/machine.rs"]
 mod machine;
+#[path = "soak/notices.rs"]
+mod notices;
 #[path = "soak/peer_proxy.rs"]
 mod peer_proxy;
 #[path = "soak/plan.rs"]
@@ -61,8 +63,8 @@
     },
 };
 
-/// Seeds that CI plays; the fourth has a large configuration, in the last one upstreams crash under a request.
-const CI_SEEDS: [u64; 5] = [1, 2, 3, 102, 6_001];
+/// Seeds that CI plays; the fourth has a large configuration, in the next one upstreams crash under a request, in the last one they ask for pauses.
+const CI_SEEDS: [u64; 6] = [1, 2, 3, 102, 6_001, 7_001];
 /// Seeds that once broke a promise, played in CI as well, each with a line on its cause.
 const REGRESSION_SEEDS: [u64; 1] = [
     // A node that was told of an upstream between two reads of everything kept it when it had left (`tests/relays.rs`).
@@ -111,6 +113,9 @@
         if plan.evacuates {
             scope.spawn(move || evacuations::play(fleet, &mut rng(plan.disturbers + 1)));
         }
+        if plan.notices {
+            scope.spawn(move || notices::play(fleet, &mut rng(plan.disturbers + 3)));
+        }
         if plan.crashes {
             scope.spawn(move || crashing::play(fleet, &mut rng(plan.disturbers + 2)));
         }
@@ -130,9 +135,10 @@
     let departed = departures::check(&fleet, &record);
     evacuations::check(&fleet, &record);
     let crashed = crashing::check(&fleet, &record);
+    let judged = notices::check(&fleet, &record);
     let upstreams: Vec<_> = fleet.upstreams().into_iter().map(|one| one.upstream).collect();
     let broken = record.broken(&upstreams);
-    let told = summary(&fleet, &plan, &record, departed, crashed);
+    let told = summary(&fleet, &plan, &record, departed, crashed) + &format!(", {judged:?} notices judged");
     println!("seed {seed}: {told}, {} s, {} broken", begun.elapsed().as_secs(), broken.len());
     if !broken.is_empty() {
         println!("seed {seed}: lines of nodes are kept in {}", fleet.keep_logs(seed).display());
--- a/standins/tests/soak/departures.rs
+++ b/standins/tests/soak/departures.rs
@@ -29,9 +29,13 @@
 
 /// Whether the node that sent a request was in touch, and its way to the upstream was sound.
 pub fn is_bound(fleet: &Fleet, one: &Listed, id: &str, at: Instant) -> bool {
-    let site = id.split('-').nth(1).and_then(|site| site.parse::<usize>().ok());
-    let Some(site) = site.and_then(|site| fleet.sites.get(site)) else {
+    let Some(site) = site_of(id).and_then(|site| fleet.sites.get(site)) else {
         return true;
     };
     [&site.contact, &one.contact, &fleet.machine].iter().all(|contact| contact.sound(at, at))
 }
+
+/// The number of the node that a request came by.
+pub fn site_of(id: &str) -> Option<usize> {
+    id.split('-').nth(1)?.parse().ok()
+}
--- a/standins/tests/soak/plan.rs
+++ b/standins/tests/soak/plan.rs
@@ -18,9 +18,11 @@
 const PROXIED_MAX: usize = 6;
 /// Seeds whose runs have evacuations: those between stay as they were when some of them broke a promise.
 const EVACUATING_SEEDS: [Range<u64>; 2] = [0..1_000, 5_000..u64::MAX];
-/// The first seed in whose runs upstreams crash under a request. They are reached directly: a proxy accepts connections for an upstream that
+/// Seeds in whose runs upstreams crash under a request. They are reached directly: a proxy accepts connections for an upstream that
 /// is gone, which hides that it crashed.
-const CRASHING_SEED: u64 = 6_000;
+const CRASHING_SEEDS: Range<u64> = 6_000..7_000;
+/// The first seed in whose runs upstreams ask for pauses and say that they leave.
+const NOTICES_SEED: u64 = 7_000;
 /// Routes of a large configuration.
 const LARGE_ROUTES: std::ops::Range<usize> = 1_000..2_500;
 
@@ -48,6 +50,8 @@
     pub evacuates: bool,
     /// Whether upstreams crash under a request.
     pub crashes: bool,
+    /// Whether upstreams ask for pauses and say that they leave.
+    pub notices: bool,
     /// Routes of each configuration beside those that the checks need.
     pub bulk_routes: usize,
 }
@@ -57,7 +61,8 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let large = env::var("POINTVANE_SOAK_LARGE").is_ok() || seed.is_multiple_of(LARGE_EVERY);
         let mut plan = if large { Self::large() } else { Self::small(&mut rng) };
-        plan.crashes = seed >= CRASHING_SEED;
+        plan.crashes = CRASHING_SEEDS.contains(&seed);
+        plan.notices = seed >= NOTICES_SEED;
         if plan.crashes {
             plan.proxied = 0;
         }
@@ -81,6 +86,7 @@
             batch: 1,
             evacuates: false,
             crashes: false,
+            notices: false,
             bulk_routes: 0,
         }
     }
@@ -100,6 +106,7 @@
             batch: nodes.div_ceil(8),
             evacuates: false,
             crashes: false,
+            notices: false,
             bulk_routes: 0,
         }
     }
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -47,6 +47,10 @@
     pub last: Arc<Mutex<Message>>,
     /// Requests under which it crashed, and when.
     pub crashes: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// Requests that it answered by asking for a pause: when, and for how long.
+    pub pauses: Arc<Mutex<Vec<(String, Instant, Duration)>>>,
+    /// Requests in whose answers it said that it leaves, and when.
+    pub leavings: Arc<Mutex<Vec<(String, Instant)>>>,
     process: Process,
 }
 
@@ -64,6 +68,8 @@
             asked: Arc::default(),
             last: Arc::default(),
             crashes: Arc::default(),
+            pauses: Arc::default(),
+            leavings: Arc::default(),
             process: Process::default(),
         };
         upstream.listen(listener);
@@ -182,8 +188,15 @@
             )?,
             Manner::OtherId => whole(stream, "another")?,
             Manner::Shed => refuse(stream, "503 Service Unavailable", id, "pointvane-not-executed: 1\r\n")?,
-            Manner::AskForPause(pause_ms) => ask_for_pause(stream, id, pause_ms)?,
-            Manner::SayLeaving => whole_of_one_that_leaves(stream, id)?,
+            Manner::AskForPause(pause_ms) => {
+                ask_for_pause(stream, id, pause_ms)?;
+                let asked = (id.into(), Instant::now(), Duration::from_millis(pause_ms));
+                self.pauses.lock().unwrap().push(asked);
+            }
+            Manner::SayLeaving => {
+                whole_of_one_that_leaves(stream, id)?;
+                self.leavings.lock().unwrap().push((id.into(), Instant::now()));
+            }
             Manner::Bare503 => refuse(stream, "503 Service Unavailable", id, "")?,
             Manner::Misdirected => refuse(stream, "421 Misdirected Request", id, "")?,
             Manner::CutShort => {
