--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -50,7 +50,49 @@
 
 /// Kinds that came later, so that the numbers of those above stay.
 fn later_state_changes() -> Vec<EventKind> {
-    vec![EventKind::PlatformCalled { call: "changes".into(), reason: "lease-over".into() }]
+    vec![
+        EventKind::PlatformCalled { call: "changes".into(), reason: "lease-over".into() },
+        EventKind::UpstreamBackingOff { service: "board".into(), upstream: "i-7".into(), back_off_ms: 3_000 },
+        turned_away(),
+        refused_while_all_back_off(),
+    ]
+}
+
+fn turned_away() -> EventKind {
+    EventKind::AttemptEnded {
+        request: "r-1".into(),
+        fingerprint: None,
+        caller: None,
+        service: "board".into(),
+        upstream: "i-7".into(),
+        outcome: "not-run-busy".into(),
+        retry_after: Some("3".into()),
+        hedge: false,
+        cost_percent: 100,
+        running: 0,
+        waiting: 0,
+        pace_percent: 100,
+        load_age_ms: 0,
+        choose_ms: 1,
+        took_ms: 1,
+    }
+}
+
+fn refused_while_all_back_off() -> EventKind {
+    EventKind::RequestRefused {
+        request: "r-1".into(),
+        route: Some("read".into()),
+        version: 3,
+        error: "upstreams-backing-off".into(),
+        outcome: "not-run".into(),
+        attempts: 1,
+        spent_ms: 3,
+        come_back_ms: Some(1_900),
+        upstreams: Some(6),
+        backing_off: Some(6),
+        back_in_ms: Some(1_840),
+        fingerprint: None,
+    }
 }
 
 fn decisions_on_requests() -> Vec<EventKind> {
--- a/crates/pointvane/tests/client.rs
+++ b/crates/pointvane/tests/client.rs
@@ -129,6 +129,17 @@
     expect_that!(client(&["explain", "r-1", "/nowhere"]).status.code(), some(eq(2)));
 }
 
+#[gtest]
+fn a_refusal_while_no_upstream_may_get_work_is_explained_in_a_sentence() {
+    let directory = std::env::temp_dir().join(format!("pointvane-client-{}-withheld", std::process::id()));
+    fs::create_dir_all(&directory).unwrap();
+    let refused = r#"{"ts":"2026-01-01T00:00:04Z","vm":"a","program":"node","msg":"request-refused","request":"r-1","error":"upstreams-backing-off","upstreams":6,"backing_off":5,"back_in_ms":1840}"#;
+    fs::write(directory.join("a"), refused).unwrap();
+    let told = text(&client(&["explain", "r-1", &path(&directory, "a")]).stdout);
+    let sentence = "no upstream may get work: 5 of 6 want no requests, the first for another 1840 ms, 1 get no work for other reasons";
+    expect_that!(told, contains_substring(sentence));
+}
+
 /// Upstreams crash under it: the lines of the crashes have other identities, since its caller sent it anew.
 #[gtest]
 fn a_quarantined_request_is_explained_by_the_crashes_under_it() {
