--- a/crates/pointvane-entry/src/try_upstream.rs
+++ b/crates/pointvane-entry/src/try_upstream.rs
@@ -88,21 +88,22 @@
         return Tried::Unsent(body, ErrorKind::UpstreamsBackingOff);
     }
     counters.attempted();
-    let sent = timeout_at(give_up_at, connection.send(outgoing.build(body))).await;
-    match sent {
-        Err(_) => Tried::Broken(ErrorKind::UpstreamTimeout),
-        Ok(Err(SendError::Unsent(request))) => {
-            attempt.end(AttemptEnd::Failed);
-            Tried::Unsent(request.into_body(), ErrorKind::UpstreamUnreachable)
-        }
-        Ok(Err(SendError::Broken)) => {
-            attempt.end(AttemptEnd::Failed);
-            Tried::Broken(ErrorKind::UpstreamBroken)
-        }
+    match timeout_at(give_up_at, connection.send(outgoing.build(body))).await {
         Ok(Ok(response)) => {
             counters.upstream_took(&outgoing.request.service.name, attempt.age_s());
             answered(response, attempt, connection)
         }
+        Ok(Err(error)) => unanswered(error, attempt),
+        Err(_) => Tried::Broken(ErrorKind::UpstreamTimeout),
+    }
+}
+
+/// Takes the end of a connection without an answer.
+fn unanswered(error: SendError, attempt: Attempt) -> Tried {
+    attempt.end(AttemptEnd::Failed);
+    match error {
+        SendError::Unsent(request) => Tried::Unsent(request.into_body(), ErrorKind::UpstreamUnreachable),
+        SendError::Broken => Tried::Broken(ErrorKind::UpstreamBroken),
     }
 }
 
--- a/standins/src/bin/demo.rs
+++ b/standins/src/bin/demo.rs
@@ -115,17 +115,7 @@
     check(reports.len() == 2, "the callers did not end".into());
     print_reports(deployment, reports);
     for (report, service) in reports.iter().zip(&deployment.plan.services) {
-        let count = |name: &str, value: u64| (value == 0, format!("{}: {value} {name}", service.name));
-        for (holds, what) in [
-            count("cut", report.sum(|kind| kind.cut)),
-            count("wrong", report.sum(|kind| kind.wrong)),
-            count("unknown", report.sum(|kind| kind.unknown)),
-            count("without an entry VM", report.sum(|kind| kind.no_entry)),
-            count("without an end", report.lost),
-        ] {
-            check(holds, what);
-        }
-        check(report.sum(|kind| kind.whole) > 0, format!("{}: no whole answer", service.name));
+        callers_checks(report, &service.name).into_iter().for_each(|(holds, what)| check(holds, what));
     }
     for service in &deployment.plan.services {
         for number in 0..service.instances {
@@ -142,6 +132,19 @@
     Ok(failures)
 }
 
+/// What must hold of the calls to one service, in words.
+fn callers_checks(report: &LoadReport, service: &str) -> Vec<(bool, String)> {
+    let none = |name: &str, value: u64| (value == 0, format!("{service}: {value} {name}"));
+    vec![
+        none("cut", report.sum(|kind| kind.cut)),
+        none("wrong", report.sum(|kind| kind.wrong)),
+        none("unknown", report.sum(|kind| kind.unknown)),
+        none("without an entry VM", report.sum(|kind| kind.no_entry)),
+        none("without an end", report.lost),
+        (report.sum(|kind| kind.whole) > 0, format!("{service}: no whole answer")),
+    ]
+}
+
 fn print_reports(deployment: &Deployment, reports: &[LoadReport]) {
     let head = [
         "service", "kind", "calls", "whole", "cut", "wrong", "not run", "unknown", "p50 ms", "p99 ms",
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -86,6 +86,18 @@
 }
 
 impl Stream {
+    /// One call, to its end, noted in the report.
+    fn call(&self, call: Call, due: Instant, timed: bool) -> impl Future<Output = ()> + use<> {
+        let (callers, report) = (Arc::clone(&self.callers), Arc::clone(&self.report));
+        async move {
+            let mut took = Duration::ZERO;
+            let ending = call.run(&callers, &mut took).await;
+            let time = if call.kind.counts_from_sending() { took } else { due.elapsed() };
+            let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
+            report.note(&call.kind, &ending, timed.then_some(time));
+        }
+    }
+
     async fn run(self) {
         if self.rate.per_s <= 0.0 {
             return;
@@ -108,14 +120,7 @@
                 caller: rng.random_range(0..self.callers.len()),
             };
             let timed = due.duration_since(began) >= self.plan.warm_up;
-            let (callers, report) = (Arc::clone(&self.callers), Arc::clone(&self.report));
-            calls.spawn(async move {
-                let mut took = Duration::ZERO;
-                let ending = call.run(&callers, &mut took).await;
-                let time = if call.kind.counts_from_sending() { took } else { due.elapsed() };
-                let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
-                report.note(&call.kind, &ending, timed.then_some(time));
-            });
+            calls.spawn(self.call(call, due, timed));
             while calls.try_join_next().is_some() {}
         }
         let rest = async { while calls.join_next().await.is_some() {} };
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -1,21 +1,26 @@
 //! Upstreams: slots, a queue, times of service, a load report; draining, cutting answers off or breaking connections
 //! on demand. Each writes down what it ran.
 
+mod fleet;
+mod job;
+
+pub use fleet::Fleet;
+
 use {
-    crate::serve::{Answer, Handler, answer, parameter, serve},
+    crate::serve::{Answer, Handler, answer},
     http_body_util::BodyExt,
     hyper::{
-        Method, Request,
+        Request,
         body::Incoming,
         header::{HeaderValue, RETRY_AFTER},
     },
+    job::{Held, Job},
     pointvane_core::{LoadReport, header},
     rand::{SeedableRng, rngs::StdRng},
     rand_distr::{Distribution, LogNormal},
     serde::{Deserialize, Serialize},
     std::{
         collections::HashMap,
-        io,
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -201,55 +206,6 @@
     }
 }
 
-/// What a request asks of the upstream.
-struct Job {
-    id: String,
-    key: Option<String>,
-    deadline: Duration,
-    asked_ms: Option<f64>,
-    answer_bytes: usize,
-}
-
-impl Job {
-    fn of(request: &Request<Incoming>) -> Self {
-        let text = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
-        let deadline_ms = text(header::DEADLINE_MS).and_then(|value| value.parse().ok());
-        Self {
-            id: text("x-request-id").unwrap_or_default().into(),
-            key: text(header::KEY).map(str::to_owned),
-            deadline: Duration::from_millis(deadline_ms.unwrap_or(60_000)),
-            asked_ms: parameter(request, "work_ms"),
-            answer_bytes: parameter(request, "size").unwrap_or(200),
-        }
-    }
-}
-
-/// A request that is held; dropped unfinished, it was cancelled.
-struct Held<'u> {
-    upstream: &'u Upstream,
-    finished: bool,
-}
-
-impl<'u> Held<'u> {
-    fn new(upstream: &'u Upstream) -> Self {
-        upstream.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self { upstream, finished: false }
-    }
-
-    fn finished(mut self) {
-        self.finished = true;
-    }
-}
-
-impl Drop for Held<'_> {
-    fn drop(&mut self) {
-        self.upstream.in_flight.fetch_sub(1, Ordering::Relaxed);
-        if !self.finished {
-            self.upstream.cancelled.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-}
-
 impl Handler for Upstream {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Answer> {
         let behaviour = self.behaviour();
@@ -262,60 +218,6 @@
     }
 }
 
-/// Several upstreams in one process, with one address to steer them.
-#[derive(Debug)]
-pub struct Fleet {
-    upstreams: Vec<Arc<Upstream>>,
-}
-
-impl Fleet {
-    /// Starts the upstreams and their steering.
-    ///
-    /// # Errors
-    /// When an address cannot be listened on.
-    pub async fn start(specs: Vec<UpstreamSpec>, steering: SocketAddr, seed: u64) -> io::Result<()> {
-        let mut upstreams = Vec::new();
-        for (number, spec) in specs.into_iter().enumerate() {
-            let (address, cost) = (spec.address, Duration::from_secs_f64(spec.connect_ms / 1_000.0));
-            let upstream = Arc::new(Upstream::new(spec, seed + number as u64));
-            serve(address, Arc::clone(&upstream), cost).await?;
-            upstreams.push(upstream);
-        }
-        serve(steering, Arc::new(Self { upstreams }), Duration::ZERO).await
-    }
-}
-
-impl Handler for Fleet {
-    /// `POST /NAME` with a [`Behaviour`] as JSON sets it; `GET /NAME` answers what it has [`Done`].
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Answer> {
-        Some(self.steer(request).await)
-    }
-}
-
-impl Fleet {
-    async fn steer(&self, request: Request<Incoming>) -> Answer {
-        let name = request.uri().path().trim_start_matches('/').to_owned();
-        let Some(upstream) = self.upstreams.iter().find(|upstream| upstream.spec.name == name) else {
-            return answer(404, "");
-        };
-        if request.method() == Method::GET {
-            let mut done = lock(&upstream.done).clone();
-            done.cancelled = upstream.cancelled.load(Ordering::Relaxed);
-            return answer(200, serde_json::to_string(&done).unwrap_or_default());
-        }
-        let Ok(body) = request.into_body().collect().await else {
-            return answer(400, "");
-        };
-        match serde_json::from_slice(&body.to_bytes()) {
-            Ok(behaviour) => {
-                *lock(&upstream.behaviour) = behaviour;
-                answer(200, "ok\n")
-            }
-            Err(error) => answer(400, error.to_string()),
-        }
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
