--- a/crates/pointvane-core/tests/backoff.rs
+++ b/crates/pointvane-core/tests/backoff.rs
@@ -120,3 +120,20 @@
         }
     }
 }
+
+/// Bytes of any kind, those of numbers the most: nothing panics, and nothing is asked for longer than an hour.
+#[gtest]
+fn no_value_panics_or_asks_for_more_than_an_hour() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    for _ in 0..200_000 {
+        let length = rng.random_range(0..24);
+        let value: Vec<u8> = (0..length)
+            .map(|_| {
+                if rng.random_bool(0.2) { rng.random() } else { b"0123456789.,-+e "[rng.random_range(0..16)] }
+            })
+            .collect();
+        if let Some(us) = retry_after_us(503, [value.as_slice()]) {
+            assert!((1..=HOUR_US).contains(&us), "{value:?}");
+        }
+    }
+}
