--- a/standins/tests/backing_off.rs
+++ b/standins/tests/backing_off.rs
@@ -189,3 +189,26 @@
     let late = arrivals.iter().filter(|after| **after > UNDER_WAY).count();
     expect_that!(late, le(ARRIVALS_MAX), "of {}", arrivals.len());
 }
+
+/// What users would see: an upstream whose pause a node never heard of, since nobody waited for the answer any more: a hedge that lost, a caller that left.
+/// In the soak an upstream asked for 2.96 s in its answer to a hedge, 39 ms after its request had come and right when the first attempt was answered; 64
+/// more requests of that node came within the pause.
+#[gtest]
+fn a_pause_is_heeded_though_nobody_waits_for_the_answer_that_asks_for_it() {
+    let pause = Duration::from_millis(1_500);
+    let site = Site::start(&[Manner::AskForPauseLate(pause.as_millis() as u64)]);
+    let head = request_head("GET", "/safe/a", "leaves", 5_000);
+    let mut caller = TcpStream::connect((site.node.ip, 8_144)).unwrap();
+    caller.write_all(head.as_bytes()).unwrap();
+    // The caller leaves as soon as the request has arrived, before it is answered.
+    while site.upstreams[0].arrivals.lock().unwrap().is_empty() {
+        thread::yield_now();
+    }
+    drop(caller);
+    thread::sleep(Duration::from_millis(100));
+    site.upstreams[0].set(Manner::Well);
+    site.send_for(pause - Duration::from_millis(300));
+    let arrivals = arrivals(&site.upstreams[0]);
+    let in_pause = arrivals.iter().filter(|after| (UNDER_WAY..pause).contains(after));
+    expect_that!(in_pause.count(), le(ARRIVALS_MAX), "of {}", arrivals.len());
+}
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -24,6 +24,9 @@
 /// Rest after which such an upstream has forgotten a connection.
 const FORGOTTEN_AFTER: Duration = Duration::from_millis(100);
 
+/// Time after which an upstream turns a request away that does not do so at once.
+const ASKS_AFTER: Duration = Duration::from_millis(8);
+
 /// Time for which an upstream runs a request under which it crashes.
 const CRASHES_AFTER: Duration = Duration::from_millis(30);
 
@@ -157,7 +160,10 @@
         if manner != Manner::Misdirected {
             self.arrivals.lock().unwrap().push((id.into(), Instant::now()));
         }
-        if !matches!(manner, Manner::Shed | Manner::AskForPause(_) | Manner::Misdirected) {
+        if !matches!(
+            manner,
+            Manner::Shed | Manner::AskForPause(_) | Manner::AskForPauseLate(_) | Manner::Misdirected
+        ) {
             self.runs.fetch_add(1, Ordering::SeqCst);
             self.ran.lock().unwrap().push(id.into());
         }
@@ -193,6 +199,10 @@
                 let asked = (id.into(), Instant::now(), Duration::from_millis(pause_ms));
                 self.pauses.lock().unwrap().push(asked);
             }
+            Manner::AskForPauseLate(pause_ms) => {
+                thread::sleep(ASKS_AFTER);
+                ask_for_pause(stream, id, pause_ms)?;
+            }
             Manner::SayLeaving => {
                 whole_of_one_that_leaves(stream, id)?;
                 self.leavings.lock().unwrap().push((id.into(), Instant::now()));
