A pause asked for in an answer that nobody waits for any more is heeded

Cause: a hedge that loses, and an attempt whose caller left, are dropped with their connection, and with it the head of an answer that is on its way. Ruled out: cancelling later in general, which only moves the moment.

--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -4,6 +4,7 @@
     crate::{
         body::{Gathered, gather},
         connections::{Connection, Purpose, RelayBody, SendError},
+        head_wait,
         node::Node,
         request::{CallerRequest, strip_hop_headers},
     },
@@ -42,7 +43,7 @@
 }
 
 /// Sends a request to an upstream and reads its answer.
-pub async fn exchange<A: PlatformAdapter>(
+pub async fn exchange<A: PlatformAdapter + 'static>(
     node: &Rc<Node<A>>,
     request: &CallerRequest,
     key: UpstreamKey,
@@ -70,28 +71,27 @@
     answer: Answer,
 ) -> Result<Response<RelayBody>, AttemptOutcome> {
     node.record_load(key, node.load_report(&answer.head.headers));
-    let id = &node.headers.request_id;
-    if answer.head.headers.get(id) != request.headers.get(id) {
+    let id = request.headers.get(&node.headers.request_id);
+    if answer.head.headers.get(&node.headers.request_id) != id {
         // It belongs to another request; so may all that follows on this connection.
         return Err(AttemptOutcome::Broken);
     }
-    let misdirected = answer.head.status == StatusCode::MISDIRECTED_REQUEST;
     // Before its body is read: other requests must not be sent there meanwhile.
-    if !misdirected {
+    if node.is_own_answer(answer.head.status, &answer.head.headers, id) {
         node.heed_notices(key, answer.head.status, &answer.head.headers);
     }
     // A streamed request may still be on its way when its answer comes, so its connection is not used again.
     let keepable = request.body.is_some();
     let not_run = answer.head.headers.contains_key(&node.headers.not_run);
-    if not_run || misdirected {
+    if not_run || answer.head.status == StatusCode::MISDIRECTED_REQUEST {
         return Err(refused(answer, keepable).await);
     }
     read_body(answer, keepable).await
 }
 
 /// Sends a request and waits for the head of its answer.
-async fn send<A: PlatformAdapter>(
-    node: &Node<A>,
+async fn send<A: PlatformAdapter + 'static>(
+    node: &Rc<Node<A>>,
     request: &CallerRequest,
     key: UpstreamKey,
 ) -> Result<Answer, AttemptOutcome> {
@@ -101,7 +101,7 @@
     let repeatable = request.routed.route.kind.repeatable();
     let purpose = if repeatable { Purpose::Repeatable } else { Purpose::NonRepeatable };
     let connection = node.dispatcher.connections.get(address, purpose).await;
-    let mut connection = connection.map_err(|_| AttemptOutcome::Unreachable)?;
+    let connection = connection.map_err(|_| AttemptOutcome::Unreachable)?;
     // Read again right before the first byte goes out: this process may have been paused meanwhile.
     let now_us = node.now_us();
     if request.answer_by_us <= now_us {
@@ -111,7 +111,10 @@
     begin_send(node, request, key, now_us)?;
     let outgoing = outgoing(node, request, key, now_us).ok_or(AttemptOutcome::Unsent)?;
     request.sends.set(request.sends.get() + 1);
-    match connection.send(outgoing).await {
+    let id = request.headers.get(&node.headers.request_id).cloned();
+    let sent = head_wait::send(node, key, connection, outgoing, id).await;
+    let (connection, answer) = sent.ok_or(AttemptOutcome::Broken)?;
+    match answer {
         Ok(response) => {
             let (head, body) = response.into_parts();
             Ok(Answer { head, body, connection })
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -18,6 +18,7 @@
 mod fleet;
 mod forward;
 mod gossip_loop;
+mod head_wait;
 mod headers;
 mod in_flight;
 mod lifecycle;
--- a/crates/pointvane-node/src/notices.rs
+++ b/crates/pointvane-node/src/notices.rs
@@ -4,7 +4,7 @@
     crate::node::Node,
     hyper::{
         StatusCode,
-        header::{HeaderMap, RETRY_AFTER},
+        header::{HeaderMap, HeaderValue, RETRY_AFTER},
     },
     pointvane_core::{Name, PlatformAdapter, US_PER_MS, retry_after_us},
     pointvane_dispatch::{AttemptOutcome, UpstreamKey},
@@ -12,6 +12,11 @@
 };
 
 impl<A: PlatformAdapter> Node<A> {
+    /// Whether an answer is that of the upstream that the request was sent to, and to this request.
+    pub fn is_own_answer(&self, status: StatusCode, headers: &HeaderMap, id: Option<&HeaderValue>) -> bool {
+        status != StatusCode::MISDIRECTED_REQUEST && headers.get(&self.headers.request_id) == id
+    }
+
     /// Heeds the notices in an answer's head. The answer must be the upstream's own.
     pub fn heed_notices(&self, key: UpstreamKey, status: StatusCode, headers: &HeaderMap) {
         let retry_after = headers.get_all(RETRY_AFTER).into_iter().map(|value| value.as_bytes());
