A request that was withheld ends no trial of another after a pause

Cause: each end of an attempt was told to the upstream's back-off, also that of one whose send never began; with it the request on trial counted as over, and others could go beside it. Found by reading; only requests whose searches had ended before the trial began could bring it about.

--- a/crates/pointvane-dispatch/src/outcome.rs
+++ b/crates/pointvane-dispatch/src/outcome.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Whether its send began at the upstream; one whose time had passed by then counts as not begun.
+    pub const fn was_begun(self) -> bool {
+        matches!(self, Self::Answered { .. } | Self::NotRun(_) | Self::Unsent | Self::Broken | Self::Crashed)
+    }
+
     /// Whether nothing was sent.
     pub const fn is_unsent(self) -> bool {
         matches!(self, Self::Unsent | Self::Unreachable | Self::Withheld(_) | Self::Quarantined)
--- a/crates/pointvane-dispatch/tests/notices.rs
+++ b/crates/pointvane-dispatch/tests/notices.rs
@@ -7,8 +7,8 @@
     googletest::prelude::*,
     pointvane_core::{ErrorKind, RouteKind, RouteRule, UpstreamLoad, UpstreamRecord},
     pointvane_dispatch::{
-        Found, Ineligible, Pool, RankingOptions, RefusedBy, Search, SearchGoal, SearchOptions, SearchRequest,
-        SearchStep, UpstreamKey, Wanted, WithheldService, retry_after_ms,
+        AttemptOutcome, Found, Ineligible, Pool, RankingOptions, Refusal, RefusedBy, Search, SearchGoal,
+        SearchOptions, SearchRequest, SearchStep, UpstreamKey, Wanted, WithheldService, retry_after_ms,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom},
 };
@@ -238,6 +238,22 @@
     expect_that!(withheld, some(eq(WithheldService { upstreams: 2, backing_off: 0, back_in_ms: None })));
 }
 
+/// Its search was over when another request went there on trial; that it is withheld must not let a third one go beside that.
+#[gtest]
+fn an_attempt_that_was_withheld_ends_no_trial() {
+    for reason in [Ineligible::BackingOff, Ineligible::Draining, Ineligible::Gone] {
+        expect_that!(AttemptOutcome::Withheld(reason).was_begun(), eq(false));
+    }
+    for outcome in [AttemptOutcome::Unreachable, AttemptOutcome::Quarantined, AttemptOutcome::TimedOut] {
+        expect_that!(outcome.was_begun(), eq(false), "{outcome:?}");
+    }
+    let busy = AttemptOutcome::NotRun(Refusal::Busy);
+    let answered = AttemptOutcome::Answered { failed: true };
+    for outcome in [answered, busy, AttemptOutcome::Unsent, AttemptOutcome::Broken, AttemptOutcome::Crashed] {
+        expect_that!(outcome.was_begun(), eq(true), "{outcome:?}");
+    }
+}
+
 /// Callers that come back too early are refused once more; those with urgent work come before others.
 #[gtest]
 fn callers_come_back_once_the_first_upstream_does_and_urgent_ones_first() {
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -75,7 +75,10 @@
         Err(outcome) => outcome.in_light_of(&snapshot.load_when_sent),
     };
     record_outcome(&node, &request, key, &snapshot, outcome, latency_us as f64 / US_PER_MS as f64);
-    node.note_return(key, outcome);
+    // One that was withheld says nothing of the request that is on trial there.
+    if outcome.was_begun() {
+        node.note_return(key, outcome);
+    }
     node.record_evidence(&request, outcome, sent_at_us, ended_at_us);
     let search_ms = sent_at_us.saturating_sub(began_us) / US_PER_MS;
     let times = AttemptTimes { search_ms, latency_ms: latency_us / US_PER_MS };
--- a/standins/tests/backing_off.rs
+++ b/standins/tests/backing_off.rs
@@ -212,3 +212,17 @@
     let in_pause = arrivals.iter().filter(|after| (UNDER_WAY..pause).contains(after));
     expect_that!(in_pause.count(), le(ARRIVALS_MAX), "of {}", arrivals.len());
 }
+
+/// Other requests that find it on trial go elsewhere or are refused; that they ended says nothing of the one that is out.
+#[gtest]
+fn after_a_pause_one_request_goes_there_alone_until_it_is_answered() {
+    let (pause, work) = (Duration::from_secs(1), Duration::from_millis(150));
+    let site = Site::start(&[Manner::AskForPause(pause.as_millis() as u64)]);
+    site.node.request("GET", "/safe/a", "asked", 5_000).unwrap();
+    site.upstreams[0].set(Manner::After(work.as_millis() as u64));
+    site.send_for(pause + Duration::from_millis(800));
+    let arrivals = arrivals(&site.upstreams[0]);
+    let first = arrivals.iter().find(|after| **after >= pause).unwrap();
+    let beside = arrivals.iter().filter(|after| (*first..*first + work).contains(after));
+    expect_that!(beside.count(), eq(1), "{arrivals:?}");
+}
