Kept connections: the time for which a machine was suspended counts

A connection that rested through a suspension looked as if it had been used just now, also to work that may not be repeated and takes only those used within 50 ms. Their moments are taken of the clock that goes on. Not shown by a real suspension, which cannot be brought about here.

--- a/crates/pointvane-node/src/connections.rs
+++ b/crates/pointvane-node/src/connections.rs
@@ -10,12 +10,13 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
+    pointvane_telemetry::Moment,
     std::{
         cell::RefCell,
         collections::{HashMap, VecDeque},
         net::SocketAddr,
         rc::Rc,
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::task::spawn_local,
 };
@@ -55,9 +56,9 @@
 #[derive(Debug)]
 struct Idle {
     sender: SendRequest<RelayBody>,
-    since: Instant,
+    since: Moment,
     idle_time_max: Duration,
-    request_ended: Option<Instant>,
+    request_ended: Option<Moment>,
 }
 
 impl Idle {
@@ -87,7 +88,7 @@
     idle: Rc<IdleByAddress>,
     purpose: Purpose,
     reused: bool,
-    request_ended: Option<Instant>,
+    request_ended: Option<Moment>,
 }
 
 /// Why there is no answer.
@@ -189,18 +190,13 @@
     pub fn keep(self, answer: &HeaderMap) {
         let request_ended = match self.purpose {
             Purpose::Probe => self.request_ended,
-            Purpose::Repeatable | Purpose::NonRepeatable => Some(Instant::now()),
+            Purpose::Repeatable | Purpose::NonRepeatable => Some(Moment::now()),
         };
         let mut idle = self.idle.borrow_mut();
         let queue = idle.entry(self.address).or_default();
         if queue.len() < IDLE_MAX && !self.sender.is_closed() {
             let idle_time_max = idle_time_max(answer);
-            queue.push_back(Idle {
-                sender: self.sender,
-                since: Instant::now(),
-                idle_time_max,
-                request_ended,
-            });
+            queue.push_back(Idle { sender: self.sender, since: Moment::now(), idle_time_max, request_ended });
         }
     }
 }
--- a/crates/pointvane-telemetry/src/lib.rs
+++ b/crates/pointvane-telemetry/src/lib.rs
@@ -15,7 +15,7 @@
 mod program;
 
 pub use {
-    clock::{MonotonicClock, wall_ms},
+    clock::{Moment, MonotonicClock, wall_ms},
     event::{Event, EventKind, Program},
     event_log::{EventLog, EventPage, LineForm},
     gate::{GateDecision, LineGate, LineGateOptions},
