--- a/crates/pointvane-node/src/head_wait.rs
+++ b/crates/pointvane-node/src/head_wait.rs
@@ -23,7 +23,8 @@
 
 /// Time after a send for which an answer is heeded that nobody waits for any more.
 ///
-/// Lines of a recorded day: upstreams in other data centres turned requests away 0 to 3 ms after the send. It holds an upstream's slot for as long.
+/// Lines of a recorded day: of 1,099 requests that upstreams turned away 1,086 were answered within 3 ms of the send, all within 11 ms. Not measured at
+/// other values. An abandoned attempt holds its upstream's slot for as long.
 const HEEDED_FOR: Duration = Duration::from_millis(20);
 
 /// What came of a send, and the connection that it came on.
