Red: a pause asked for when a request's time is over is not heard; the entry hears none that nobody waits for

The entry closes with its caller or its deadline at once. The stand-ins' late refusal takes a time now.

--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -65,6 +65,8 @@
     pub dying: bool,
     /// Turns all work away and asks for a pause of so many seconds; 0 for none.
     pub pause_s: u32,
+    /// Time for which work is held before it is turned away, in milliseconds.
+    pub turn_away_after_ms: u64,
 }
 
 /// What one upstream did.
@@ -164,6 +166,7 @@
 
     async fn work(&self, request: Request<Incoming>, behaviour: Behaviour) -> Answer {
         if behaviour.pause_s > 0 {
+            sleep(Duration::from_millis(behaviour.turn_away_after_ms)).await;
             return self.turn_away(&behaviour);
         }
         let held = Held::new(self);
--- a/standins/tests/backing_off.rs
+++ b/standins/tests/backing_off.rs
@@ -196,7 +196,7 @@
 #[gtest]
 fn a_pause_is_heeded_though_nobody_waits_for_the_answer_that_asks_for_it() {
     let pause = Duration::from_millis(1_500);
-    let site = Site::start(&[Manner::AskForPauseLate(pause.as_millis() as u64)]);
+    let site = Site::start(&[Manner::AskForPauseLate { pause_ms: pause.as_millis() as u64, after_ms: 8 }]);
     let head = request_head("GET", "/safe/a", "leaves", 5_000);
     let mut caller = TcpStream::connect((site.node.ip, 8_144)).unwrap();
     caller.write_all(head.as_bytes()).unwrap();
@@ -213,6 +213,25 @@
     expect_that!(in_pause.count(), le(ARRIVALS_MAX), "of {}", arrivals.len());
 }
 
+/// What users would see: requests that wait in an upstream's queue until their time is over are turned away there with the word that it wants none for a
+/// while, and the node that sent them goes on sending. Each such answer is on its way when the node answers its caller by itself, and the
+/// connection that it comes on was closed.
+#[gtest]
+fn a_pause_is_heeded_that_is_asked_for_when_the_time_of_a_request_is_over() {
+    let (pause, caller_waits) = (Duration::from_millis(1_500), Duration::from_millis(400));
+    let after_ms = caller_waits.as_millis() as u64 + 5;
+    let site = Site::start(&[Manner::AskForPauseLate { pause_ms: pause.as_millis() as u64, after_ms }]);
+    let answer = site.node.request("GET", "/safe/a", "waits", caller_waits.as_millis() as u64).unwrap();
+    expect_that!(answer.status(), eq(504));
+    thread::sleep(Duration::from_millis(100));
+    site.upstreams[0].set(Manner::Well);
+    site.send_for(pause - Duration::from_millis(300));
+    let arrivals = arrivals(&site.upstreams[0]);
+    let asked = caller_waits;
+    let in_pause = arrivals.iter().filter(|after| (asked + UNDER_WAY..asked + pause).contains(after));
+    expect_that!(in_pause.count(), le(ARRIVALS_MAX), "of {}", arrivals.len());
+}
+
 /// Other requests that find it on trial go elsewhere or are refused; that they ended says nothing of the one that is out.
 #[gtest]
 fn after_a_pause_one_request_goes_there_alone_until_it_is_answered() {
--- a/standins/tests/data_path.rs
+++ b/standins/tests/data_path.rs
@@ -7,7 +7,11 @@
         deployment::{Deployment, Program, wait},
         upstream::{Behaviour, Done},
     },
-    std::{fs, io::Write, net::TcpStream},
+    std::{
+        fs,
+        io::Write,
+        net::{SocketAddr, TcpStream},
+    },
 };
 
 mod common;
@@ -247,3 +251,35 @@
     let retry_after_s: u64 = last.header("retry-after").unwrap().parse().unwrap();
     expect_that!(retry_after_s, ge(3));
 }
+
+/// Three programs: the answer in which an upstream asks for a pause comes when nobody waits for it any more, since its caller left or its time is
+/// over; requests sent after that are withheld all the same.
+#[gtest]
+fn an_entry_heeds_a_pause_though_nobody_waits_for_the_answer_that_asks_for_it() {
+    let left = |entry| {
+        let mut stream = TcpStream::connect(entry).unwrap();
+        stream.write_all(request("GET", "/dispatch/call", &[], "").as_bytes()).unwrap();
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    };
+    let waited = |entry| {
+        let answer = call(entry, &request("GET", "/dispatch/call", &[("pointvane-deadline-ms", "95")], ""));
+        expect_that!(answer.header("pointvane-error"), some(eq("upstream-timeout")));
+    };
+    pause_heeded_after(12, left);
+    pause_heeded_after(100, waited);
+}
+
+/// One request whose answer nobody waits for, to an upstream that turns it away after a time; those that follow are withheld.
+fn pause_heeded_after(turn_away_after_ms: u64, request_once: impl FnOnce(SocketAddr)) {
+    let deployment = deploy(1, 1, "");
+    let entry = deployment.vms[0].entry();
+    expect_that!(get(&deployment, "/dispatch/call?work_ms=1").status, eq(200));
+    set_behaviour(&deployment, &Behaviour { pause_s: 4, turn_away_after_ms, ..Behaviour::default() });
+    request_once(entry);
+    std::thread::sleep(std::time::Duration::from_millis(turn_away_after_ms + 100));
+    set_behaviour(&deployment, &Behaviour::default());
+    for _ in 0..10 {
+        let answer = get(&deployment, "/dispatch/call?work_ms=1");
+        expect_that!(answer.header("pointvane-error"), some(eq("upstreams-backing-off")));
+    }
+}
--- a/standins/tests/users_platform/manner.rs
+++ b/standins/tests/users_platform/manner.rs
@@ -29,8 +29,8 @@
     Cold,
     /// It turns requests away and asks for a pause of so many milliseconds; it reports itself idle all the while.
     AskForPause(u64),
-    /// The same, some milliseconds after the request came, whether or not anybody waits for the answer by then.
-    AskForPauseLate(u64),
+    /// The same, so many milliseconds after the request came, whether or not anybody waits for the answer by then.
+    AskForPauseLate { pause_ms: u64, after_ms: u64 },
     /// It answers well, and says in each answer that it is leaving.
     SayLeaving,
     /// It answers well, but resets a connection that has rested when the next bytes come.
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -24,9 +24,6 @@
 /// Rest after which such an upstream has forgotten a connection.
 const FORGOTTEN_AFTER: Duration = Duration::from_millis(100);
 
-/// Time after which an upstream turns a request away that does not do so at once.
-const ASKS_AFTER: Duration = Duration::from_millis(8);
-
 /// Time for which an upstream runs a request under which it crashes.
 const CRASHES_AFTER: Duration = Duration::from_millis(30);
 
@@ -162,7 +159,7 @@
         }
         if !matches!(
             manner,
-            Manner::Shed | Manner::AskForPause(_) | Manner::AskForPauseLate(_) | Manner::Misdirected
+            Manner::Shed | Manner::AskForPause(_) | Manner::AskForPauseLate { .. } | Manner::Misdirected
         ) {
             self.runs.fetch_add(1, Ordering::SeqCst);
             self.ran.lock().unwrap().push(id.into());
@@ -199,8 +196,8 @@
                 let asked = (id.into(), Instant::now(), Duration::from_millis(pause_ms));
                 self.pauses.lock().unwrap().push(asked);
             }
-            Manner::AskForPauseLate(pause_ms) => {
-                thread::sleep(ASKS_AFTER);
+            Manner::AskForPauseLate { pause_ms, after_ms } => {
+                thread::sleep(Duration::from_millis(after_ms));
                 ask_for_pause(stream, id, pause_ms)?;
             }
             Manner::SayLeaving => {
