Red: an entry does not heed a pause that an upstream asks for in its answer to a probe

Found by reading: only a request's answer was looked at for Retry-After; the answer to a probe gave its load report alone, whatever its status.

--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -65,6 +65,8 @@
     pub dying: bool,
     /// Turns all work away and asks for a pause of so many seconds; 0 for none.
     pub pause_s: u32,
+    /// Asks for the same pause in answers to probes, and runs the work that comes all the same.
+    pub pause_on_probes: bool,
     /// Time for which work is held before it is turned away, in milliseconds.
     pub turn_away_after_ms: u64,
 }
@@ -147,6 +149,9 @@
         if let Ok(_slot) = self.slots.acquire().await {
             sleep(time).await;
         }
+        if behaviour.pause_on_probes {
+            return self.turn_away(behaviour);
+        }
         self.reported(answer(200, "ok\n"), behaviour, 0)
     }
 
@@ -165,7 +170,7 @@
     }
 
     async fn work(&self, request: Request<Incoming>, behaviour: Behaviour) -> Answer {
-        if behaviour.pause_s > 0 {
+        if behaviour.pause_s > 0 && !behaviour.pause_on_probes {
             sleep(Duration::from_millis(behaviour.turn_away_after_ms)).await;
             return self.turn_away(&behaviour);
         }
--- a/standins/tests/data_path.rs
+++ b/standins/tests/data_path.rs
@@ -283,3 +283,17 @@
         expect_that!(answer.header("pointvane-error"), some(eq("upstreams-backing-off")));
     }
 }
+
+/// Three programs: an upstream may say in its answer to a probe that it wants nothing for a while.
+#[gtest]
+fn an_entry_heeds_a_pause_that_is_asked_for_in_the_answer_to_a_probe() {
+    let deployment = deploy(1, 1, "");
+    set_behaviour(&deployment, &Behaviour { pause_s: 4, pause_on_probes: true, ..Behaviour::default() });
+    // The first request waits for the upstream's probe.
+    for _ in 0..10 {
+        let answer = get(&deployment, "/dispatch/call?work_ms=1");
+        expect_that!(answer.header("pointvane-error"), some(eq("upstreams-backing-off")));
+    }
+    let Done { ran, turned_away, .. } = done(&deployment);
+    expect_that!((ran, turned_away), eq((0, 1)), "it gets neither work nor a second probe");
+}
