Entry programs: pauses are heeded in answers to probes and in answers that nobody waits for

Cause: the entry read what upstreams say of themselves in the answer to a request that was waited for, and nowhere else: a probe's answer gave its load report alone, and a hedge that lost, a caller that left or a deadline that passed closed the connection at once. Now: one file reads an answer's notices (notices.rs) for all three; an abandoned wait goes on by itself as long as the node's does (one rule in pointvane-core). Ruled out: a task for each request, as in the node: here another thread may run it, so the wait is polled in place and becomes a task only when it is abandoned.

--- a/crates/pointvane-entry/src/connections.rs
+++ b/crates/pointvane-entry/src/connections.rs
@@ -11,6 +11,7 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
+    pointvane_telemetry::Moment,
     std::{
         collections::HashMap,
         future::poll_fn,
@@ -33,10 +34,18 @@
 
 type Idle = Mutex<HashMap<SocketAddr, Place>>;
 
+/// An open connection that carries no request.
+#[derive(Debug)]
+struct Opened {
+    sender: SendRequest<RequestBody>,
+    /// Time that it took to open.
+    round_trip: Duration,
+}
+
 /// The idle connections of one address.
 #[derive(Debug, Default)]
 struct Place {
-    idle: Vec<SendRequest<RequestBody>>,
+    idle: Vec<Opened>,
     opening: usize,
 }
 
@@ -50,7 +59,7 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
-    sender: SendRequest<RequestBody>,
+    opened: Opened,
     idle: Arc<Idle>,
 }
 
@@ -73,18 +82,18 @@
     /// # Errors
     /// [`Unreachable`] when none can be made.
     pub async fn get(&self, address: SocketAddr) -> Result<Connection, Unreachable> {
-        while let Some(mut sender) = self.pop(address) {
-            if ready_now(&mut sender).await {
+        while let Some(mut opened) = self.pop(address) {
+            if ready_now(&mut opened.sender).await {
                 self.open_spare(address);
-                return Ok(Connection { address, sender, idle: Arc::clone(&self.idle) });
+                return Ok(Connection { address, opened, idle: Arc::clone(&self.idle) });
             }
         }
-        let sender = open(address).await?;
+        let opened = open(address).await?;
         self.open_spare(address);
-        Ok(Connection { address, sender, idle: Arc::clone(&self.idle) })
+        Ok(Connection { address, opened, idle: Arc::clone(&self.idle) })
     }
 
-    fn pop(&self, address: SocketAddr) -> Option<SendRequest<RequestBody>> {
+    fn pop(&self, address: SocketAddr) -> Option<Opened> {
         lock(&self.idle).get_mut(&address)?.idle.pop()
     }
 
@@ -109,13 +118,15 @@
     }
 }
 
-async fn open(address: SocketAddr) -> Result<SendRequest<RequestBody>, Unreachable> {
+async fn open(address: SocketAddr) -> Result<Opened, Unreachable> {
+    let began = Moment::now();
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| Unreachable)?.map_err(|_| Unreachable)?;
+    let round_trip = began.elapsed();
     stream.set_nodelay(true).map_err(|_| Unreachable)?;
     let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.map_err(|_| Unreachable)?;
     tokio::spawn(driver);
-    Ok(sender)
+    Ok(Opened { sender, round_trip })
 }
 
 fn lock(idle: &Idle) -> MutexGuard<'_, HashMap<SocketAddr, Place>> {
@@ -132,18 +143,23 @@
     /// # Errors
     /// Whether any byte may have been sent.
     pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
+        self.opened.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
             Some(request) => SendError::Unsent(Box::new(request)),
             None => SendError::Broken,
         })
     }
 
+    /// Time that it took to open: the path to its upstream, there and back.
+    pub fn round_trip(&self) -> Duration {
+        self.opened.round_trip
+    }
+
     /// Keeps the connection for another request.
     pub fn keep(self) {
         let mut places = lock(&self.idle);
         let kept = &mut places.entry(self.address).or_default().idle;
-        if kept.len() < IDLE_MAX && !self.sender.is_closed() {
-            kept.push(self.sender);
+        if kept.len() < IDLE_MAX && !self.opened.sender.is_closed() {
+            kept.push(self.opened);
         }
     }
 }
--- a/crates/pointvane-entry/src/maintain.rs
+++ b/crates/pointvane-entry/src/maintain.rs
@@ -1,10 +1,12 @@
 //! Upkeep of the services: waiting requests, probes, changes worth an event.
 
 use {
-    crate::{entry::Entry, request_body::RequestBody, service::ServiceHandle, try_upstream::load_report},
+    crate::{
+        entry::Entry, notices::Notices, notifier::Notifier, request_body::RequestBody, service::ServiceHandle,
+    },
     http_body_util::BodyExt,
     hyper::{Request, header::HOST},
-    pointvane_core::{LoadReport, Name},
+    pointvane_core::Name,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::{interval, timeout},
 };
@@ -43,9 +45,9 @@
         entry.counters.probed();
         let (entry, service) = (Arc::clone(entry), Arc::clone(service));
         tokio::spawn(async move {
-            let report = timeout(PROBE_TIMEOUT, probe(&entry, address, &path)).await;
-            if let Ok(Some(report)) = report {
-                service.lock().reported(index, report, service.now_us());
+            let notices = timeout(PROBE_TIMEOUT, probe(&entry, address, &path)).await;
+            if let Ok(Some(notices)) = notices {
+                Notifier { service: Arc::clone(&service), upstream: index }.heed(notices);
                 service.pump();
             }
         });
@@ -55,15 +57,15 @@
     }
 }
 
-/// One upstream's load report; none if it gives no usable one.
-async fn probe(entry: &Entry, address: SocketAddr, path: &Name) -> Option<LoadReport> {
+/// What one upstream says of itself; none if no whole answer came.
+async fn probe(entry: &Entry, address: SocketAddr, path: &Name) -> Option<Notices> {
     let mut connection = entry.connections.get(address).await.ok()?;
     let mut request = Request::new(RequestBody::Empty);
     *request.uri_mut() = path.as_str().parse().ok()?;
     request.headers_mut().insert(HOST, address.to_string().parse().ok()?);
     let response = connection.send(request).await.ok()?;
-    let report = load_report(&response);
+    let notices = Notices::of(&response);
     response.into_body().collect().await.ok()?;
     connection.keep();
-    report
+    Some(notices)
 }
--- a/crates/pointvane-entry/src/service.rs
+++ b/crates/pointvane-entry/src/service.rs
@@ -169,6 +169,11 @@
         self.service.lock().back_off(self.upstream, for_us, self.service.now_us());
     }
 
+    /// Its service.
+    pub fn service(&self) -> &Arc<ServiceHandle> {
+        &self.service
+    }
+
     /// Takes the load report that came with the answer's head.
     pub fn reported(&mut self, report: Option<LoadReport>) {
         self.report = report;
--- a/crates/pointvane-entry/src/try_upstream.rs
+++ b/crates/pointvane-entry/src/try_upstream.rs
@@ -5,13 +5,16 @@
         body::UpstreamBody,
         connections::{Connection, Connections, SendError},
         counters::EntryCounters,
+        head_wait,
+        notices::Notices,
+        notifier::Notifier,
         outgoing::Outgoing,
         request_body::RequestBody,
         service::Attempt,
     },
-    hyper::{Response, StatusCode, body::Incoming, header::RETRY_AFTER},
+    hyper::{Response, StatusCode, body::Incoming},
     pointvane_balance::AttemptEnd,
-    pointvane_core::{ErrorKind, LoadReport, header, retry_after_us},
+    pointvane_core::ErrorKind,
     std::time::Duration,
     tokio::time::{Instant, sleep_until, timeout_at},
 };
@@ -75,7 +78,7 @@
     counters: &EntryCounters,
 ) -> Tried {
     let give_up_at = outgoing.give_up_at(!body.is_empty());
-    let Ok(mut connection) = connections.get(attempt.address()).await else {
+    let Ok(connection) = connections.get(attempt.address()).await else {
         attempt.end(AttemptEnd::Failed);
         return Tried::Unsent(body, ErrorKind::UpstreamUnreachable);
     };
@@ -88,12 +91,14 @@
         return Tried::Unsent(body, ErrorKind::UpstreamsBackingOff);
     }
     counters.attempted();
-    match timeout_at(give_up_at, connection.send(outgoing.build(body))).await {
-        Ok(Ok(response)) => {
+    let answer_by_us = outgoing.request.deadline_us;
+    let sending = head_wait::send(connection, outgoing.build(body), Notifier::from(&attempt), answer_by_us);
+    match timeout_at(give_up_at, sending).await {
+        Ok((connection, Ok(response))) => {
             counters.upstream_took(&outgoing.request.service.name, attempt.age_s());
             answered(response, attempt, connection)
         }
-        Ok(Err(error)) => unanswered(error, attempt),
+        Ok((_, Err(error))) => unanswered(error, attempt),
         Err(_) => Tried::Broken(ErrorKind::UpstreamTimeout),
     }
 }
@@ -109,10 +114,10 @@
 
 /// Takes the head of an answer; its body ends the attempt.
 fn answered(response: Response<Incoming>, mut attempt: Attempt, connection: Connection) -> Tried {
-    attempt.reported(load_report(&response));
-    let retry_after = response.headers().get_all(RETRY_AFTER).into_iter().map(|value| value.as_bytes());
+    let notices = Notices::of(&response);
+    attempt.reported(notices.report);
     // At the head, not at the end of the body: other requests must not be sent there meanwhile.
-    if let Some(for_us) = retry_after_us(response.status().as_u16(), retry_after) {
+    if let Some(for_us) = notices.back_off_us {
         attempt.back_off(for_us);
     }
     let end = end_of(response.status());
@@ -128,9 +133,3 @@
         _ => AttemptEnd::Answered,
     }
 }
-
-/// The load report in an answer's head; one that cannot be read counts as none, since the answer is good all the same.
-pub fn load_report(response: &Response<Incoming>) -> Option<LoadReport> {
-    let value = response.headers().get(header::LOAD)?;
-    LoadReport::parse(value.to_str().ok()?)
-}
