Red: a pause that a later life asked for before its entry was known is forgotten whole

Found by reading, as left open by the postmortem. An answer names no life, so a pause asked for by an upstream that has just started again is recorded for the life before; its entry then takes all of it away, and as many requests as come go there before the first is answered.

--- a/crates/pointvane-dispatch/tests/notices.rs
+++ b/crates/pointvane-dispatch/tests/notices.rs
@@ -144,6 +144,28 @@
     }
 }
 
+/// An upstream that starts again serves before its entry says so, and an answer names no life: who asked just before may have been the later one. Where it was
+/// not, one request alone at first costs little.
+#[gtest]
+fn a_later_life_whose_pause_may_have_been_heard_before_its_entry_gets_one_request_at_first() {
+    for entry_goes_first in [false, true] {
+        let mut pool = pool(&["a"]);
+        let old = key(&mut pool, "a");
+        pool.record_back_off(old, ASKED, S);
+        if entry_goes_first {
+            pool.remove(&"a".into());
+        }
+        pool.upsert(listed("a", Some(2_000), 1), S + MS);
+        let new = candidates(&mut pool, S + 2 * MS)[0];
+        expect_that!(pool.begin_send(new, S + 2 * MS), ok(anything()));
+        for now_us in [S + 2 * MS, S + 100 * MS] {
+            expect_that!(pool.begin_send(new, now_us), err(eq(Ineligible::BackingOff)), "one is on trial");
+        }
+        pool.record_return(new, true, S + 120 * MS);
+        (0..3).for_each(|_| expect_that!(pool.begin_send(new, S + 120 * MS), ok(anything())));
+    }
+}
+
 /// Without a start nothing tells whether an entry that comes back is of the same life; an upstream must not be lost for ever.
 #[gtest]
 fn without_a_start_an_entry_that_comes_back_is_a_new_life() {
