A later life of an upstream whose pause may have been its own word gets one request at first

Cause: a pause is recorded for the life that is known when the answer comes; the entry of a later life took it away whole. Ruled out: keeping the pause whole (an hour asked for by the life before would cost the service an upstream that has just started); telling lives apart in answers (they name none).

--- a/crates/pointvane-core/src/backoff.rs
+++ b/crates/pointvane-core/src/backoff.rs
@@ -46,6 +46,13 @@
 }
 
 impl Backoff {
+    /// What holds for a later life of the upstream: what is known may have been asked for by that life already, before it was known, so one request goes there
+    /// alone at first.
+    pub fn for_later_life(self, now_us: u64) -> Self {
+        let until_us = if self.wants_none(now_us) { now_us } else { 0 };
+        Self { until_us, trial_until_us: 0 }
+    }
+
     /// Takes the word that an upstream wants nothing for a time, to which this process adds `later_us`; true if it gets nothing for longer than by
     /// what was known before. A shorter time takes nothing back of an earlier one.
     pub fn asked(&mut self, for_us: u64, later_us: u64, now_us: u64) -> bool {
--- a/crates/pointvane-dispatch/src/notices.rs
+++ b/crates/pointvane-dispatch/src/notices.rs
@@ -4,8 +4,9 @@
 //! the steady clock; how many nodes there are, and upstreams in the service. Both notices bind, also where the service has no other upstream
 //! (`eligibility.rs`), and both are told to this node: a pause is asked of one node, and that an upstream leaves each node hears from it or from
 //! the platform, which needs no third way (docs/design/backing-off.md). No notice ends another one: a shorter pause takes nothing back of a longer one,
-//! and an entry that says "ready" does not take back that its upstream leaves. A later life of the upstream knows nothing of them; the same life does
-//! when its entry goes and returns, if the entry names the life's start. What was told of a life that is no longer known changes nothing.
+//! and an entry that says "ready" does not take back that its upstream leaves. A later life of the upstream knows nothing of them, but that it is sent
+//! one request alone at first if the earlier one wanted none: it may have asked itself, before its entry was known. The same life knows of them when its entry
+//! goes and returns, if the entry names the life's start. What was told of a life that is no longer known changes nothing.
 //!
 //! Tests: `tests/notices.rs`, in fleets `tests/notices_fleet.rs`.
 
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -96,17 +96,17 @@
         let draw = self.rng.random();
         self.by_service.entry(record.service.clone()).or_default().add(key, near, draw);
         self.services.entry(record.service.clone()).or_insert_with(|| ServiceState::new(record.slots));
-        let notices = self.notices_of_this_life(&record);
+        let notices = self.notices_of(&record, now_us);
         self.upstreams.insert(key, UpstreamState { notices, ..UpstreamState::new(record, now_us) });
     }
 
-    /// What an upstream said of itself before its entry went and came back. Without a start nothing tells whether it is the same life.
-    fn notices_of_this_life(&self, record: &UpstreamRecord) -> Notices {
-        let removed = self
-            .removed
-            .get(&record.id)
-            .filter(|removed| record.born_ms.is_some() && is_same_life(&removed.last, record));
-        removed.map(|removed| removed.notices).unwrap_or_default()
+    /// What holds of what an upstream said of itself before this entry came. Without a start nothing tells whether it is the same life.
+    fn notices_of(&self, record: &UpstreamRecord, now_us: u64) -> Notices {
+        let Some(RemovedUpstream { last, notices }) = self.removed.get(&record.id) else {
+            return Notices::default();
+        };
+        let is_known_life = record.born_ms.is_some() && is_same_life(last, record);
+        if is_known_life { *notices } else { notices.for_later_life(now_us) }
     }
 
     /// Takes note that an upstream's entry is gone; true if the upstream is forgotten at once.
--- a/crates/pointvane-dispatch/src/upstream.rs
+++ b/crates/pointvane-dispatch/src/upstream.rs
@@ -31,6 +31,13 @@
     pub(crate) is_leaving: bool,
 }
 
+impl Notices {
+    /// What holds of them for a later life: that it left says nothing of that one, that it wanted no requests may have been its word already.
+    pub(crate) fn for_later_life(self, now_us: u64) -> Self {
+        Self { backoff: self.backoff.for_later_life(now_us), is_leaving: false }
+    }
+}
+
 /// One upstream as a node sees it.
 #[derive(Clone, Debug)]
 pub struct UpstreamState {
