Soak: upstreams start again under their identities, and take a moment to turn requests away, from seed 8,000 on

What the last soak could not bring about: restarts under the same identity beside pauses and leavings, entries that tell the start of a life, and pauses asked for some milliseconds after the request came, when a hedge may have lost already. Each that started again and stays must have been used since. Seeds below 8,000 stay as they were.

--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -37,6 +37,8 @@
 mod record;
 #[path = "soak/recovery.rs"]
 mod recovery;
+#[path = "soak/restarts.rs"]
+mod restarts;
 #[path = "soak/series.rs"]
 mod series;
 #[path = "soak/shown.rs"]
@@ -63,8 +65,9 @@
     },
 };
 
-/// Seeds that CI plays; the fourth has a large configuration, in the next one upstreams crash under a request, in the last one they ask for pauses.
-const CI_SEEDS: [u64; 6] = [1, 2, 3, 102, 6_001, 7_001];
+/// Seeds that CI plays; the fourth has a large configuration, in the next one upstreams crash under a request, then they ask for pauses, and
+/// in the last one they start again under their identities as well.
+const CI_SEEDS: [u64; 7] = [1, 2, 3, 102, 6_001, 7_001, 8_001];
 /// Seeds that once broke a promise, played in CI as well, each with a line on its cause.
 const REGRESSION_SEEDS: [u64; 1] = [
     // A node that was told of an upstream between two reads of everything kept it when it had left (`tests/relays.rs`).
@@ -116,6 +119,9 @@
         if plan.notices {
             scope.spawn(move || notices::play(fleet, &mut rng(plan.disturbers + 3)));
         }
+        if plan.restarts {
+            scope.spawn(move || restarts::play(fleet, &mut rng(plan.disturbers + 4)));
+        }
         if plan.crashes {
             scope.spawn(move || crashing::play(fleet, &mut rng(plan.disturbers + 2)));
         }
@@ -136,9 +142,11 @@
     evacuations::check(&fleet, &record);
     let crashed = crashing::check(&fleet, &record);
     let judged = notices::check(&fleet, &record);
+    let restarted = restarts::check(&fleet, &record);
     let upstreams: Vec<_> = fleet.upstreams().into_iter().map(|one| one.upstream).collect();
     let broken = record.broken(&upstreams);
-    let told = summary(&fleet, &plan, &record, departed, crashed) + &format!(", {judged:?} notices judged");
+    let told = summary(&fleet, &plan, &record, departed, crashed)
+        + &format!(", {judged:?} notices judged, {restarted} started again");
     println!("seed {seed}: {told}, {} s, {} broken", begun.elapsed().as_secs(), broken.len());
     if !broken.is_empty() {
         println!("seed {seed}: lines of nodes are kept in {}", fleet.keep_logs(seed).display());
--- a/standins/tests/soak/directory.rs
+++ b/standins/tests/soak/directory.rs
@@ -7,8 +7,9 @@
         evacuations::DATA_CENTRES,
         plan::Plan,
         proxy::Proxy,
-        users_platform::{Manner, Store, Upstream},
+        users_platform::{Life, Manner, Store, Upstream},
     },
+    pointvane_telemetry::wall_ms,
     std::{
         sync::{
             Mutex,
@@ -29,6 +30,10 @@
     pub contact: Contact,
     /// When the store had taken that it leaves.
     pub left: Option<Instant>,
+    /// Start of its life, in Unix milliseconds; none where entries do not tell it.
+    pub born_ms: Option<u64>,
+    /// When the store had taken the entry of its last life, if it started again.
+    pub restarted: Option<Instant>,
 }
 
 /// All upstreams that ever were. Those that left serve on, so that work sent to them shows.
@@ -37,6 +42,7 @@
     proxied: usize,
     data_centres: usize,
     crashes: bool,
+    restarts: bool,
     listed: Mutex<Vec<Listed>>,
     sequence: AtomicU64,
 }
@@ -49,6 +55,7 @@
             proxied: plan.proxied,
             data_centres,
             crashes: plan.crashes,
+            restarts: plan.restarts,
             listed: Mutex::default(),
             sequence: AtomicU64::new(0),
         }
@@ -64,8 +71,16 @@
         let links = listed.iter().filter(|one| one.link.is_some() && one.left.is_none()).count();
         let link = (links < self.proxied).then(|| Proxy::start(upstream.address));
         let data_centre = DATA_CENTRES[listed.len() % self.data_centres];
-        let one = Listed { upstream, data_centre, link, contact: Contact::default(), left: None };
-        self.list(&one, "ready");
+        let one = Listed {
+            upstream,
+            data_centre,
+            link,
+            contact: Contact::default(),
+            left: None,
+            born_ms: self.restarts.then(wall_ms),
+            restarted: None,
+        };
+        self.list(&one, "ready", self.next_sequence());
         listed.push(one);
     }
 
@@ -77,7 +92,7 @@
             return false;
         }
         if says_so {
-            self.list(one, "draining");
+            self.list(one, "draining", self.next_sequence());
         } else {
             self.store.remove(&format!("servers/{}", one.upstream.id));
         }
@@ -95,9 +110,31 @@
         self.listed.lock().unwrap().clone()
     }
 
-    fn list(&self, one: &Listed, state: &str) {
-        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+    /// Whether upstreams start again under their identities.
+    pub fn restarts(&self) -> bool {
+        self.restarts
+    }
+
+    /// The entry of a later life of an upstream, whose count of updates begins anew. False when it has left.
+    pub fn list_again(&self, index: usize) -> bool {
+        let mut listed = self.listed.lock().unwrap();
+        let one = &mut listed[index];
+        if one.left.is_some() {
+            return false;
+        }
+        one.born_ms = Some(wall_ms());
+        self.list(one, "ready", 1);
+        one.restarted = Some(Instant::now());
+        true
+    }
+
+    fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::SeqCst) + 1
+    }
+
+    fn list(&self, one: &Listed, state: &str, sequence: u64) {
         let address = one.link.as_ref().map_or(one.upstream.address, |link| link.address);
-        self.store.list_with(&one.upstream, address, one.data_centre, state, sequence);
+        let life = Life { sequence, born_ms: one.born_ms };
+        self.store.list_life(&one.upstream, address, one.data_centre, state, &life);
     }
 }
--- a/standins/tests/soak/notices.rs
+++ b/standins/tests/soak/notices.rs
@@ -22,6 +22,8 @@
 const COUNT: usize = 14;
 /// Pauses that are asked for, in milliseconds.
 const PAUSE_MS: Range<u64> = 600..3_000;
+/// Time that an upstream may take to turn a request away that it turns away at once, in milliseconds: the longest that was counted.
+const AFTER_MS: Range<u64> = 1..11;
 /// How long an upstream asks, or says that it leaves, in milliseconds.
 const LASTS_MS: Range<u64> = 100..1_500;
 /// Longest rest between two, in milliseconds.
@@ -39,7 +41,11 @@
     for _ in 0..COUNT {
         thread::sleep(Duration::from_millis(rng.random_range(0..REST_MS)));
         let time = Duration::from_millis(rng.random_range(LASTS_MS));
-        let asks = Manner::AskForPause(rng.random_range(PAUSE_MS));
+        let pause_ms = rng.random_range(PAUSE_MS);
+        let asks = match fleet.directory.restarts() && rng.random_bool(0.5) {
+            true => Manner::AskForPauseLate { pause_ms, after_ms: rng.random_range(AFTER_MS) },
+            false => Manner::AskForPause(pause_ms),
+        };
         match rng.random_range(0..8) {
             0 => {
                 fleet.count("all ask for a pause");
--- a/standins/tests/soak/plan.rs
+++ b/standins/tests/soak/plan.rs
@@ -23,6 +23,10 @@
 const CRASHING_SEEDS: Range<u64> = 6_000..7_000;
 /// The first seed in whose runs upstreams ask for pauses and say that they leave.
 const NOTICES_SEED: u64 = 7_000;
+/// The first seed in whose runs upstreams start again under their identities, and take a moment to turn requests away.
+const RESTARTS_SEED: u64 = 8_000;
+/// Upstreams in such a run that are reached through a proxy, which would hide that they crash.
+const PROXIED_BESIDE_RESTARTS: usize = 2;
 /// Routes of a large configuration.
 const LARGE_ROUTES: std::ops::Range<usize> = 1_000..2_500;
 
@@ -52,6 +56,8 @@
     pub crashes: bool,
     /// Whether upstreams ask for pauses and say that they leave.
     pub notices: bool,
+    /// Whether upstreams start again under their identities, and some of those that ask for pauses take a moment to do so.
+    pub restarts: bool,
     /// Routes of each configuration beside those that the checks need.
     pub bulk_routes: usize,
 }
@@ -63,6 +69,10 @@
         let mut plan = if large { Self::large() } else { Self::small(&mut rng) };
         plan.crashes = CRASHING_SEEDS.contains(&seed);
         plan.notices = seed >= NOTICES_SEED;
+        plan.restarts = seed >= RESTARTS_SEED;
+        if plan.restarts {
+            plan.proxied = plan.proxied.min(PROXIED_BESIDE_RESTARTS);
+        }
         if plan.crashes {
             plan.proxied = 0;
         }
@@ -87,6 +97,7 @@
             evacuates: false,
             crashes: false,
             notices: false,
+            restarts: false,
             bulk_routes: 0,
         }
     }
@@ -107,6 +118,7 @@
             evacuates: false,
             crashes: false,
             notices: false,
+            restarts: false,
             bulk_routes: 0,
         }
     }
--- a/standins/tests/users_platform/manner.rs
+++ b/standins/tests/users_platform/manner.rs
@@ -29,7 +29,8 @@
     Cold,
     /// It turns requests away and asks for a pause of so many milliseconds; it reports itself idle all the while.
     AskForPause(u64),
-    /// The same, so many milliseconds after the request came, whether or not anybody waits for the answer by then.
+    /// The same, so many milliseconds after the request came, whether or not anybody waits for the answer by then. Only a pause that is asked for on a
+    /// connection that still stands is kept in its record.
     AskForPauseLate { pause_ms: u64, after_ms: u64 },
     /// It answers well, and says in each answer that it is leaving.
     SayLeaving,
--- a/standins/tests/users_platform/store.rs
+++ b/standins/tests/users_platform/store.rs
@@ -37,6 +37,14 @@
     pub cold_per_s: f64,
 }
 
+/// What an entry says of a life of its upstream.
+pub struct Life {
+    /// Count of its updates.
+    pub sequence: u64,
+    /// Its start, in Unix milliseconds; none for an entry that does not tell it.
+    pub born_ms: Option<u64>,
+}
+
 impl Default for Terms {
     fn default() -> Self {
         Self { target_latency_ms: 200, cold_per_s: 0.0 }
@@ -158,10 +166,17 @@
         state: &str,
         sequence: u64,
     ) {
+        self.list_life(upstream, address, zone, state, &Life { sequence, born_ms: None });
+    }
+
+    /// The same, with the start of its life.
+    pub fn list_life(&self, upstream: &Upstream, address: SocketAddr, zone: &str, state: &str, life: &Life) {
+        let sequence = life.sequence;
+        let born = life.born_ms.map(|born_ms| format!(r#""born":{born_ms},"#)).unwrap_or_default();
         self.put(
             &format!("servers/{}", upstream.id),
             &format!(
-                r#"{{"address":"{address}","info":{{"service":"app","version":"v1","zone":"{zone}","slots":3}},"status":{{"state":"{state}","sequence":{sequence},"warmup-left-ms":0}}}}"#
+                r#"{{"address":"{address}",{born}"info":{{"service":"app","version":"v1","zone":"{zone}","slots":3}},"status":{{"state":"{state}","sequence":{sequence},"warmup-left-ms":0}}}}"#
             ),
         );
     }
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -198,7 +198,12 @@
             }
             Manner::AskForPauseLate { pause_ms, after_ms } => {
                 thread::sleep(Duration::from_millis(after_ms));
+                let is_heard = !closed_within(stream, Duration::from_nanos(1));
                 ask_for_pause(stream, id, pause_ms)?;
+                if is_heard {
+                    let asked = (id.into(), Instant::now(), Duration::from_millis(pause_ms));
+                    self.pauses.lock().unwrap().push(asked);
+                }
             }
             Manner::SayLeaving => {
                 whole_of_one_that_leaves(stream, id)?;
