--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -159,7 +159,8 @@
     let overdue: u32 = fleet.sites.iter().map(|site| site.overdue.load(Ordering::SeqCst)).sum();
     format!(
         "{} nodes, {} of {} upstreams left, {} versions of {}+ routes, {:?}, answers {:?}, {} judged on versions, \
-         {} arrivals behind a leaving, {crashed} crashed under one request, {overdue} stops over grace, {} stalls",
+         {} arrivals behind a leaving, {crashed} crashed under one request, {overdue} stops over grace, {} stalls, \
+         store's slowest answer {:?}",
         plan.nodes,
         departed.0,
         fleet.upstreams().len(),
@@ -170,6 +171,7 @@
         record.shown.judged(),
         departed.1,
         fleet.machine.count(),
+        fleet.store.slowest(),
     )
 }
 
--- a/standins/tests/users_platform/store.rs
+++ b/standins/tests/users_platform/store.rs
@@ -60,6 +60,8 @@
     bytes_per_s: Arc<AtomicU64>,
     /// Calls that read everything.
     range_calls: Arc<AtomicU64>,
+    /// Longest time that an answer took to make, the wait of a watch not included, in microseconds.
+    slowest_us: Arc<AtomicU64>,
 }
 
 impl Store {
@@ -70,6 +72,7 @@
             stored: Arc::default(),
             bytes_per_s: Arc::default(),
             range_calls: Arc::default(),
+            slowest_us: Arc::default(),
         };
         let served = store.clone();
         thread::spawn(move || {
@@ -91,6 +94,11 @@
         self.range_calls.load(Ordering::Relaxed)
     }
 
+    /// Longest time that an answer took to make, the wait of a watch not included.
+    pub fn slowest(&self) -> Duration {
+        Duration::from_micros(self.slowest_us.load(Ordering::Relaxed))
+    }
+
     /// Forgets all that it holds, for good: its threads outlive the test.
     pub fn clear(&self) {
         *self.stored.0.lock().unwrap() = Stored::default();
@@ -212,6 +220,7 @@
         };
         let number = |name: &str| query(name).and_then(|value| value.parse::<u64>().ok()).unwrap_or_default();
         let (lock, changed) = &*self.stored;
+        let mut working = Working { since: Instant::now(), slowest_us: &self.slowest_us };
         let mut stored = lock.lock().unwrap();
         if target.starts_with("/kv-range") {
             self.range_calls.fetch_add(1, Ordering::Relaxed);
@@ -224,6 +233,7 @@
         while stored.revision <= after && Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
             stored = changed.wait_timeout(stored, left).unwrap().0;
+            working.since = Instant::now();
         }
         let events = stored.events.iter().filter(|(revision, _, _)| *revision > after);
         let events: Vec<String> =
@@ -232,6 +242,18 @@
     }
 }
 
+/// An answer that is being made; its time is noted when it is dropped.
+struct Working<'s> {
+    since: Instant,
+    slowest_us: &'s AtomicU64,
+}
+
+impl Drop for Working<'_> {
+    fn drop(&mut self) {
+        self.slowest_us.fetch_max(self.since.elapsed().as_micros() as u64, Ordering::Relaxed);
+    }
+}
+
 fn item(key: &str, value: Option<&Vec<u8>>, revision: u64) -> String {
     match value {
         Some(value) => {
