Red: an entry whose warm-up is a huge number overflows a node's clock

Property tests of the messages between nodes (relays, states, news of crashes), damaged or with numbers that no node writes, applied to what takes them. Seen: a warm-up of over 1.8e16 ms, in an entry of another writer or a message of a node that errs, overflows: a panic in debug builds, a time of no meaning in others.

--- /dev/null
+++ b/crates/pointvane-dispatch/tests/foreign_messages.rs
@@ -0,0 +1,256 @@
+//! Messages between nodes that were damaged on their way, or that no node writes: they are refused or taken, and nothing panics. The order of what is
+//! known may suffer from a node that errs; the process must not.
+//!
+//! `PROPTEST_CASES=1000000 cargo test --release -p pointvane-dispatch --test foreign_messages` plays more.
+
+mod common;
+
+use {
+    common::{configuration, gone, page, record, told},
+    googletest::prelude::*,
+    pointvane_core::{Change, Evacuation, RouteKind, UpstreamRecord},
+    pointvane_dispatch::{
+        BodyFingerprint, ConfigurationUpdate, FAN_OUT, HeadFingerprint, OrderedNode, PlatformReader, Pool,
+        Quarantine, QuarantineMessage, QuarantineOptions, QueryScope, RankingOptions, ReadMark,
+        ReaderOptions, ReceivedRounds, Relay, RelayDatagram, RouteTable, Segment, StateReply, StateRequest,
+        Wanted, WireRelay, forwarders,
+    },
+    pointvane_mesh::codec,
+    proptest::{
+        collection::vec,
+        prelude::*,
+        sample::{Index, select},
+        test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::env,
+};
+
+/// Cases in CI; by hand as many as `PROPTEST_CASES` says.
+const CASES: u32 = 2_000;
+const S: u64 = 1_000_000;
+const NOW_US: u64 = 1_000 * S;
+/// Numbers at which sums and differences go wrong.
+const ODD: [u64; 9] =
+    [0, 1, 5, 127, u32::MAX as u64, i64::MAX as u64, i64::MAX as u64 + 1, u64::MAX - 1, u64::MAX];
+
+/// A node that takes messages, and has read everything at revision 5.
+struct Node {
+    reader: PlatformReader,
+    pool: Pool,
+    routes: RouteTable,
+    rounds: ReceivedRounds,
+    quarantine: Quarantine,
+}
+
+impl Node {
+    fn new() -> Self {
+        let mut reader = PlatformReader::new(ReaderOptions::default(), 1);
+        reader.page_read(page(5, vec![told("a", 1)]), [].into_iter(), NOW_US);
+        let mut pool = Pool::new(RankingOptions::default(), "one".into(), 1);
+        pool.upsert(record("a", 1), NOW_US);
+        Self {
+            reader,
+            pool,
+            routes: RouteTable::new(configuration(3)),
+            rounds: ReceivedRounds::default(),
+            quarantine: Quarantine::new(QuarantineOptions::default(), 7, 0),
+        }
+    }
+
+    fn apply(&mut self, changes: Vec<Change>, now_us: u64) {
+        for change in changes {
+            match change {
+                Change::Upstream(record) => _ = self.pool.upsert(record, now_us),
+                Change::UpstreamGone(id) => _ = self.pool.remove(&id),
+                Change::Evacuation(evacuation) => _ = self.pool.apply_evacuation(evacuation),
+                Change::Configuration(configuration) => self.routes = RouteTable::new(*configuration),
+                // Deltas that do not fit the version in force are refused.
+                Change::ConfigurationDeltas(_) => {}
+            }
+        }
+    }
+
+    fn take_relay(&mut self, datagram: RelayDatagram) {
+        if self.rounds.is_new(datagram.origin, datagram.round, NOW_US) {
+            let mut nodes = [1, u64::MAX, 7 << 40].map(|hash| OrderedNode { hash, node: hash });
+            let mut rng = SmallRng::seed_from_u64(1);
+            forwarders(datagram.segment, 7 << 40, &mut nodes, FAN_OUT, &mut rng);
+            let relay = Relay::from(datagram.relay);
+            let changes = self.reader.receive_relay(relay, 0.5, NOW_US);
+            self.apply(changes, NOW_US);
+        }
+        self.go_on();
+    }
+
+    fn take_state(&mut self, reply: StateReply) {
+        let known: Vec<Change> = self.pool.known().collect();
+        let changes = self.reader.receive_state(reply, known.into_iter(), NOW_US);
+        self.apply(changes, NOW_US);
+        self.go_on();
+    }
+
+    fn take_quarantine(&mut self, message: QuarantineMessage) {
+        if let QuarantineMessage::News(news) = message {
+            self.quarantine.receive(&news, NOW_US);
+            self.quarantine.expire(NOW_US + S);
+            self.quarantine.next_page(NOW_US + S);
+        }
+    }
+
+    /// What a node does next with what it knows by then.
+    fn go_on(&mut self) {
+        for now_us in [NOW_US, NOW_US + S, NOW_US + 3_600 * S] {
+            self.reader.next(now_us);
+            self.reader.next_query(now_us);
+            self.reader.relay(now_us);
+            let wanted = Wanted { tried: &[], body_bytes: 0, count: 4 };
+            for key in self.pool.candidates(&"dispatch".into(), &wanted, now_us) {
+                // Whether it may is not asked here.
+                _ = self.pool.begin_send(key, now_us);
+            }
+            self.pool.forget_expired(now_us);
+        }
+    }
+}
+
+fn odd() -> impl Strategy<Value = u64> {
+    prop_oneof![select(ODD.to_vec()), any::<u64>(), 0..20_u64]
+}
+
+fn any_record() -> impl Strategy<Value = UpstreamRecord> {
+    (select(vec!["a", "b", ""]), prop::option::of(odd()), odd(), odd(), any::<bool>()).prop_map(
+        |(id, born_ms, sequence, warm_up_left_ms, draining)| UpstreamRecord {
+            born_ms,
+            draining,
+            warm_up_left_ms,
+            slots: warm_up_left_ms as u32,
+            ..record(id, sequence)
+        },
+    )
+}
+
+fn any_change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        4 => any_record().prop_map(Change::Upstream),
+        1 => select(vec!["a", "b", ""]).prop_map(gone),
+        1 => (odd(), any::<bool>()).prop_map(|(revision, active)| {
+            Change::Evacuation(Evacuation { data_centre: "one".into(), active, revision })
+        }),
+    ]
+}
+
+fn any_mark() -> impl Strategy<Value = ReadMark> {
+    (odd(), odd()).prop_map(|(revision, version)| ReadMark { revision, version })
+}
+
+fn any_relay() -> impl Strategy<Value = RelayDatagram> {
+    (odd(), any_mark(), odd(), vec(any_change(), 0..5), odd(), (odd(), odd())).prop_map(
+        |(since, mark, age_ms, changes, round, (first, last))| RelayDatagram {
+            origin: "10.0.0.9:7660".parse().unwrap(),
+            round,
+            segment: Segment { first, last },
+            relay: WireRelay::from(Relay { since, mark, age_ms, changes }),
+        },
+    )
+}
+
+fn any_state() -> impl Strategy<Value = StateReply> {
+    (any_mark(), odd(), any::<bool>(), vec(any_change(), 0..5), prop::option::of(odd())).prop_map(
+        |(mark, age_ms, whole, changes, version)| {
+            let update = version.map(|version| {
+                let mut configuration = configuration(version);
+                configuration.routes.push(common::route(RouteKind::Safe).into());
+                ConfigurationUpdate::Whole(Box::new(configuration))
+            });
+            StateReply::new(mark, age_ms, whole, changes, update)
+        },
+    )
+}
+
+/// News as a node writes them, of crashes at odd times.
+fn any_news() -> impl Strategy<Value = QuarantineMessage> {
+    vec((0..3_u64, 0..2_000 * S, 0..10 * S), 0..6).prop_map(|crashes| {
+        let mut node = Quarantine::new(QuarantineOptions::default(), u64::MAX, u64::MAX - 10);
+        for (number, began_us, took_us) in crashes {
+            let head = HeadFingerprint::new("GET", "app.example", &format!("/{number}"), None);
+            let request = head.with_rest(QueryScope::Any, BodyFingerprint::new(b"", Some(0)));
+            node.crashed(request, began_us, began_us + took_us);
+        }
+        QuarantineMessage::News(node.next_page(NOW_US))
+    })
+}
+
+/// Bytes of a message with some of them changed and the rest cut off.
+fn damaged(mut bytes: Vec<u8>, flips: &[(Index, u8)], cut: Option<Index>) -> Vec<u8> {
+    if bytes.len() > 1 {
+        for (at, value) in flips {
+            // The first byte is the version.
+            let at = 1 + at.index(bytes.len() - 1);
+            bytes[at] = *value;
+        }
+    }
+    if let Some(cut) = cut {
+        bytes.truncate(cut.index(bytes.len() + 1));
+    }
+    bytes
+}
+
+fn damage() -> impl Strategy<Value = (Vec<(Index, u8)>, Option<Index>)> {
+    (vec((any::<Index>(), any::<u8>()), 0..4), prop::option::weighted(0.1, any::<Index>()))
+}
+
+fn runner() -> TestRunner {
+    let cases = env::var("PROPTEST_CASES").map_or(CASES, |cases| cases.parse().unwrap());
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+#[gtest]
+fn whatever_a_relay_says_it_does_no_harm_to_the_process() {
+    let played = runner().run(&(vec(any_relay(), 1..4), damage()), |(relays, (flips, cut))| {
+        let mut node = Node::new();
+        for relay in relays {
+            let bytes = damaged(codec::encode(&relay).unwrap(), &flips, cut);
+            node.take_relay(relay);
+            if let Ok(relay) = codec::decode::<RelayDatagram>(&bytes) {
+                node.take_relay(relay);
+            }
+        }
+        Ok(())
+    });
+    played.unwrap();
+}
+
+#[gtest]
+fn whatever_a_state_says_it_does_no_harm_to_the_process() {
+    let played = runner().run(&(vec(any_state(), 1..4), damage()), |(states, (flips, cut))| {
+        let mut node = Node::new();
+        for state in states {
+            let bytes = damaged(codec::encode(&state).unwrap(), &flips, cut);
+            node.take_state(state);
+            if let Ok(state) = codec::decode::<StateReply>(&bytes) {
+                node.take_state(state);
+            }
+        }
+        Ok(())
+    });
+    played.unwrap();
+}
+
+#[gtest]
+fn whatever_news_say_they_do_no_harm_to_the_process() {
+    let played = runner().run(&(any_news(), damage(), odd()), |(news, (flips, cut), number)| {
+        let mut node = Node::new();
+        let bytes = damaged(codec::encode(&news).unwrap(), &flips, cut);
+        node.take_quarantine(news);
+        if let Ok(news) = codec::decode::<QuarantineMessage>(&bytes) {
+            node.take_quarantine(news);
+        }
+        let request = StateRequest { known: ReadMark { revision: number, version: number } };
+        let bytes = damaged(codec::encode(&request).unwrap(), &flips, cut);
+        _ = codec::decode::<StateRequest>(&bytes);
+        Ok(())
+    });
+    played.unwrap();
+}
