A warm-up that is told as a huge number counts as ten minutes

Cause: the time left was multiplied into microseconds unbounded; an entry of another writer, a health answer or a message of a node that errs could overflow the clock.

--- a/crates/pointvane-dispatch/src/records.rs
+++ b/crates/pointvane-dispatch/src/records.rs
@@ -4,7 +4,7 @@
     crate::{
         load_when_sent::LoadWhenSent, pool::Pool, service_state::ServiceState, upstream_key::UpstreamKey,
     },
-    pointvane_core::{Name, US_PER_MS, UpstreamLoad},
+    pointvane_core::{Name, UpstreamLoad},
 };
 
 /// Unit of reported slowdowns.
@@ -25,7 +25,7 @@
     /// Records what an upstream says of its warm-up, in milliseconds that are left.
     pub fn record_warm_up(&mut self, key: UpstreamKey, left_ms: u64, now_us: u64) {
         if let Some(state) = self.upstreams.get_mut(&key) {
-            state.set_warm_at(now_us + left_ms * US_PER_MS);
+            state.set_warm_up(left_ms, now_us);
         }
     }
 
--- a/crates/pointvane-dispatch/src/upstream.rs
+++ b/crates/pointvane-dispatch/src/upstream.rs
@@ -24,6 +24,11 @@
 /// Weight of the newest latency in the running mean of this node's own attempts. Not measured.
 const LATENCY_WEIGHT: f32 = 0.4;
 
+/// Longest warm-up that is believed, in milliseconds.
+///
+/// Not measured: the users' upstreams are cold for 3 s. An entry may come from another writer, and a huge number overflows the clock.
+const WARM_UP_MAX_MS: u64 = 600_000;
+
 /// What an upstream has said of itself in this life (see `notices.rs`).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Notices {
@@ -63,7 +68,7 @@
     /// An upstream of which only the platform's entry is known.
     pub fn new(record: UpstreamRecord, now_us: u64) -> Self {
         Self {
-            warm_at_us: warm_at_us(&record, now_us),
+            warm_at_us: warm_at_us(record.warm_up_left_ms, now_us),
             record,
             grace_until_us: None,
             in_flight: 0,
@@ -81,7 +86,7 @@
     pub fn update(&mut self, record: UpstreamRecord, now_us: u64) {
         let draining = self.record.draining || record.draining;
         self.grace_until_us = None;
-        self.warm_at_us = warm_at_us(&record, now_us);
+        self.set_warm_up(record.warm_up_left_ms, now_us);
         self.record = UpstreamRecord { draining, ..record };
     }
 
@@ -158,12 +163,13 @@
         now_us < self.warm_at_us
     }
 
-    /// Sets the end of its warm-up, in microseconds of the steady clock.
-    pub(crate) fn set_warm_at(&mut self, warm_at_us: u64) {
-        self.warm_at_us = warm_at_us;
+    /// Takes the time for which it is still cold, in milliseconds.
+    pub(crate) fn set_warm_up(&mut self, left_ms: u64, now_us: u64) {
+        self.warm_at_us = warm_at_us(left_ms, now_us);
     }
 }
 
-fn warm_at_us(record: &UpstreamRecord, now_us: u64) -> u64 {
-    now_us + record.warm_up_left_ms * US_PER_MS
+/// The end of a warm-up, in microseconds of the steady clock.
+fn warm_at_us(left_ms: u64, now_us: u64) -> u64 {
+    now_us + left_ms.min(WARM_UP_MAX_MS) * US_PER_MS
 }
