--- a/crates/pointvane-config/src/fleet_file.rs
+++ b/crates/pointvane-config/src/fleet_file.rs
@@ -93,6 +93,13 @@
         "revision",
     ]);
     let revision = top.integer("revision", 1..=u64::MAX >> 1, None);
+    let limits = read_limits(&top);
+    let evacuated = top.texts("evacuated").iter().map(|name| name.as_str().into()).collect();
+    faults.0.extend(document.into_faults().0);
+    FleetFile { revision, limits, evacuated }
+}
+
+fn read_limits(top: &Section<'_, '_>) -> FleetLimits {
     let default = FleetLimits::default();
     let limits = FleetLimits {
         entry_vms_max: top.integer("entry_vms_max", 1..=10_000, None),
@@ -108,9 +115,7 @@
         let remedy = format!("give at least locate_keep_ms = {}", limits.locate_keep_ms);
         top.fault("key_life_ms", "keys would end before the answer that carries them", remedy);
     }
-    let evacuated = top.texts("evacuated").iter().map(|name| name.as_str().into()).collect();
-    faults.0.extend(document.into_faults().0);
-    FleetFile { revision, limits, evacuated }
+    limits
 }
 
 /// Names and addresses already taken, with the file that took them.
--- a/crates/pointvane-entry/src/head_wait.rs
+++ b/crates/pointvane-entry/src/answer_wait.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         connections::{Connection, SendError},
-        notices::Notices,
+        head_notices::HeadNotices,
         notifier::Notifier,
         request_body::RequestBody,
     },
@@ -28,7 +28,7 @@
     request: Request<RequestBody>,
     notifier: Notifier,
     answer_by_us: u64,
-) -> HeadWait<impl Future<Output = Sent> + Send + 'static> {
+) -> AnswerWait<impl Future<Output = Sent> + Send + 'static> {
     let sent_at_us = notifier.service.now_us();
     let round_trip_us = connection.round_trip().as_micros() as u64;
     let sending = async move {
@@ -36,18 +36,18 @@
         (connection, answer)
     };
     let times = SentRequest { sent_at_us, answer_by_us, round_trip_us };
-    HeadWait { sending: Some(Box::pin(sending)), notifier, times }
+    AnswerWait { sending: Some(Box::pin(sending)), notifier, times }
 }
 
 /// The wait for the head of an answer; dropped before it came, it goes on by itself for a while.
-pub struct HeadWait<F: Future<Output = Sent> + Send + 'static> {
+pub struct AnswerWait<F: Future<Output = Sent> + Send + 'static> {
     /// None once the head has come.
     sending: Option<Pin<Box<F>>>,
     notifier: Notifier,
     times: SentRequest,
 }
 
-impl<F: Future<Output = Sent> + Send + 'static> Future for HeadWait<F> {
+impl<F: Future<Output = Sent> + Send + 'static> Future for AnswerWait<F> {
     type Output = Sent;
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Sent> {
@@ -60,7 +60,7 @@
     }
 }
 
-impl<F: Future<Output = Sent> + Send + 'static> Drop for HeadWait<F> {
+impl<F: Future<Output = Sent> + Send + 'static> Drop for AnswerWait<F> {
     fn drop(&mut self) {
         // Without a runtime the process is ending, and nothing is sent any more.
         let (Some(sending), Ok(runtime)) = (self.sending.take(), Handle::try_current()) else { return };
@@ -69,7 +69,7 @@
         let notifier = self.notifier.clone();
         runtime.spawn(async move {
             if let Ok((_, Ok(answer))) = timeout(heeded_for, sending).await {
-                notifier.heed(Notices::of(&answer));
+                notifier.heed(HeadNotices::of(&answer));
             }
         });
     }
--- a/crates/pointvane-entry/src/notices.rs
+++ b/crates/pointvane-entry/src/head_notices.rs
@@ -9,14 +9,14 @@
 
 /// What the head of one answer says.
 #[derive(Clone, Copy, Debug)]
-pub struct Notices {
+pub struct HeadNotices {
     /// The load report, which also tells whether the upstream leaves; none if there is none that can be read, since the answer is good all the same.
     pub report: Option<LoadReport>,
     /// Time for which the upstream wants no requests, in microseconds.
     pub back_off_us: Option<u64>,
 }
 
-impl Notices {
+impl HeadNotices {
     /// Reads them.
     pub fn of(response: &Response<Incoming>) -> Self {
         let load = response.headers().get(header::LOAD);
--- a/crates/pointvane-entry/src/lib.rs
+++ b/crates/pointvane-entry/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admit;
 mod answer;
+mod answer_wait;
 mod body;
 mod classify;
 mod connections;
@@ -17,12 +18,11 @@
 mod feed;
 mod forward;
 mod handle;
-mod head_wait;
+mod head_notices;
 mod kept_answer;
 mod keyed;
 mod maintain;
 mod members;
-mod notices;
 mod notifier;
 mod outgoing;
 mod request_body;
--- a/crates/pointvane-entry/src/maintain.rs
+++ b/crates/pointvane-entry/src/maintain.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        entry::Entry, notices::Notices, notifier::Notifier, request_body::RequestBody, service::ServiceHandle,
+        entry::Entry, head_notices::HeadNotices, notifier::Notifier, request_body::RequestBody,
+        service::ServiceHandle,
     },
     http_body_util::BodyExt,
     hyper::{Request, header::HOST},
@@ -58,13 +59,13 @@
 }
 
 /// What one upstream says of itself; none if no whole answer came.
-async fn probe(entry: &Entry, address: SocketAddr, path: &Name) -> Option<Notices> {
+async fn probe(entry: &Entry, address: SocketAddr, path: &Name) -> Option<HeadNotices> {
     let mut connection = entry.connections.get(address).await.ok()?;
     let mut request = Request::new(RequestBody::Empty);
     *request.uri_mut() = path.as_str().parse().ok()?;
     request.headers_mut().insert(HOST, address.to_string().parse().ok()?);
     let response = connection.send(request).await.ok()?;
-    let notices = Notices::of(&response);
+    let notices = HeadNotices::of(&response);
     response.into_body().collect().await.ok()?;
     connection.keep();
     Some(notices)
--- a/crates/pointvane-entry/src/notifier.rs
+++ b/crates/pointvane-entry/src/notifier.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        notices::Notices,
+        head_notices::HeadNotices,
         service::{Attempt, ServiceHandle},
     },
     std::sync::Arc,
@@ -25,7 +25,7 @@
 
 impl Notifier {
     /// Records the notices of one answer.
-    pub fn heed(&self, notices: Notices) {
+    pub fn heed(&self, notices: HeadNotices) {
         let now_us = self.service.now_us();
         let mut balancer = self.service.lock();
         if let Some(report) = notices.report {
--- a/crates/pointvane-entry/src/try_upstream.rs
+++ b/crates/pointvane-entry/src/try_upstream.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
+        answer_wait,
         body::UpstreamBody,
         connections::{Connection, Connections, SendError},
         counters::EntryCounters,
-        head_wait,
-        notices::Notices,
+        head_notices::HeadNotices,
         notifier::Notifier,
         outgoing::Outgoing,
         request_body::RequestBody,
@@ -92,7 +92,7 @@
     }
     counters.attempted();
     let answer_by_us = outgoing.request.deadline_us;
-    let sending = head_wait::send(connection, outgoing.build(body), Notifier::from(&attempt), answer_by_us);
+    let sending = answer_wait::send(connection, outgoing.build(body), Notifier::from(&attempt), answer_by_us);
     match timeout_at(give_up_at, sending).await {
         Ok((connection, Ok(response))) => {
             counters.upstream_took(&outgoing.request.service.name, attempt.age_s());
@@ -114,7 +114,7 @@
 
 /// Takes the head of an answer; its body ends the attempt.
 fn answered(response: Response<Incoming>, mut attempt: Attempt, connection: Connection) -> Tried {
-    let notices = Notices::of(&response);
+    let notices = HeadNotices::of(&response);
     attempt.reported(notices.report);
     // At the head, not at the end of the body: other requests must not be sent there meanwhile.
     if let Some(for_us) = notices.back_off_us {
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -69,11 +69,7 @@
     in_flight.ended();
     let ended_at_us = node.now_us();
     let latency_us = ended_at_us.saturating_sub(sent_at_us);
-    let outcome = match &answer {
-        Ok(response) => AttemptOutcome::Answered { failed: response.status().is_server_error() },
-        Err(AttemptOutcome::Broken) if has_crashed(snapshot.address).await => AttemptOutcome::Crashed,
-        Err(outcome) => outcome.in_light_of(&snapshot.load_when_sent),
-    };
+    let outcome = outcome(&answer, &snapshot).await;
     record_outcome(&node, &request, key, &snapshot, outcome, latency_us as f64 / US_PER_MS as f64);
     // One that was withheld says nothing of the request that is on trial there.
     if outcome.was_begun() {
@@ -87,6 +83,18 @@
     AttemptReport { end: AttemptEnd::Tried(outcome), answer: answer.ok() }
 }
 
+/// What an exchange shows, in the light of what was known of the upstream when the request was sent.
+async fn outcome(
+    answer: &Result<Response<RelayBody>, AttemptOutcome>,
+    snapshot: &UpstreamSnapshot,
+) -> AttemptOutcome {
+    match answer {
+        Ok(response) => AttemptOutcome::Answered { failed: response.status().is_server_error() },
+        Err(AttemptOutcome::Broken) if has_crashed(snapshot.address).await => AttemptOutcome::Crashed,
+        Err(outcome) => outcome.in_light_of(&snapshot.load_when_sent),
+    }
+}
+
 /// The upstream that the request is sent to, or why it is not sent.
 async fn admitted_upstream<A: PlatformAdapter + 'static>(
     node: &Rc<Node<A>>,
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -4,7 +4,7 @@
     crate::{
         body::{Gathered, gather},
         connections::{Connection, Purpose, RelayBody, SendError},
-        head_wait::{self, AwaitedAnswer},
+        head_wait::{self, AwaitedAnswer, Sent},
         node::Node,
         request::{CallerRequest, strip_hop_headers},
     },
@@ -114,7 +114,11 @@
     let id = request.headers.get(&node.headers.request_id).cloned();
     let awaited = AwaitedAnswer { key, id, answer_by_us: request.answer_by_us };
     let sent = head_wait::send(node, connection, outgoing, awaited).await;
-    let (connection, answer) = sent.ok_or(AttemptOutcome::Broken)?;
+    sent.ok_or(AttemptOutcome::Broken).and_then(|sent| came(sent, request))
+}
+
+/// What came of a send: the head of the answer, or why there is none.
+fn came((connection, answer): Sent, request: &CallerRequest) -> Result<Answer, AttemptOutcome> {
     match answer {
         Ok(response) => {
             let (head, body) = response.into_parts();
--- a/crates/pointvane-node/src/head_wait.rs
+++ b/crates/pointvane-node/src/head_wait.rs
@@ -29,7 +29,7 @@
 }
 
 /// What came of a send, and the connection that it came on.
-type Sent = (Connection, Result<Response<Incoming>, SendError>);
+pub type Sent = (Connection, Result<Response<Incoming>, SendError>);
 
 /// Sends a request and waits for the head of its answer; none if the wait itself ended, as when the process stops.
 pub async fn send<A: PlatformAdapter + 'static>(
