Metric: items of the platform that could not be understood, by what part of them cannot be

A bounded line named their keys; nothing counted them, so an operator could not see how many entries another writer replaces, nor that it goes on. Six reasons, decoded where the item is.

--- a/crates/pointvane-core/src/lib.rs
+++ b/crates/pointvane-core/src/lib.rs
@@ -32,7 +32,8 @@
     key::{IdempotencyKey, KeyError},
     late_answer::SentRequest,
     published::{
-        Change, ChangePage, EntryAge, EntryKey, MalformedReply, RefusedItem, UpstreamLoad, UpstreamRecord,
+        Change, ChangePage, EntryAge, EntryKey, ItemFault, MalformedReply, RefusedItem, UpstreamLoad,
+        UpstreamRecord,
     },
     request::{Class, header},
     retry_after::retry_after_us,
--- a/crates/pointvane-core/src/published.rs
+++ b/crates/pointvane-core/src/published.rs
@@ -109,10 +109,43 @@
 pub struct RefusedItem {
     /// Its key.
     pub key: String,
+    /// What part of it cannot be understood, for counters.
+    pub fault: ItemFault,
     /// What is wrong with it.
     pub problem: String,
 }
 
+/// The part of an item that cannot be understood.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ItemFault {
+    /// The encoding of its value.
+    Encoding,
+    /// The form of its value: a field is missing or of another type.
+    Form,
+    /// A version.
+    Version,
+    /// A route.
+    Route,
+    /// An upstream's state.
+    State,
+    /// An upstream's address.
+    Address,
+}
+
+impl ItemFault {
+    /// Its name in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Encoding => "encoding",
+            Self::Form => "form",
+            Self::Version => "version",
+            Self::Route => "route",
+            Self::State => "state",
+            Self::Address => "address",
+        }
+    }
+}
+
 /// An answer of the platform that cannot be understood at all; says why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MalformedReply(pub String);
--- a/crates/pointvane-node/src/replica/publication.rs
+++ b/crates/pointvane-node/src/replica/publication.rs
@@ -112,7 +112,8 @@
 
     /// Notes items that could not be understood.
     pub fn note_refused_items(&self, refused: Vec<RefusedItem>) {
-        for RefusedItem { key, problem } in refused {
+        for RefusedItem { key, fault, problem } in refused {
+            self.report.refused_item(fault);
             self.report.note_bounded(self.now_us(), EventKind::ItemRefused { key, problem });
         }
     }
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -11,7 +11,7 @@
         metrics::{Counter, Histogram},
     },
     pointvane_config::LineOptions,
-    pointvane_core::{ErrorKind, Name},
+    pointvane_core::{ErrorKind, ItemFault, Name},
     pointvane_dispatch::{CallReason, QuarantineChange},
     pointvane_telemetry::{
         EventKind, EventLog, GateDecision, LineFlush, LineForm, LineGate, LineGateOptions, Metrics, Program,
@@ -56,6 +56,7 @@
     quarantines_lifted: Counter<u64>,
     platform_calls: Counter<u64>,
     platform_call_failures: Counter<u64>,
+    items_refused: Counter<u64>,
     peer_questions: Counter<u64>,
     peer_question_failures: Counter<u64>,
     request_s: Histogram<f64>,
@@ -94,6 +95,7 @@
             quarantines_lifted: counter("pointvane_node_quarantines_lifted"),
             platform_calls: counter("pointvane_node_platform_calls"),
             platform_call_failures: counter("pointvane_node_platform_call_failures"),
+            items_refused: counter("pointvane_node_items_refused"),
             peer_questions: counter("pointvane_node_peer_questions"),
             peer_question_failures: counter("pointvane_node_peer_question_failures"),
             request_s: histogram("pointvane_node_request"),
@@ -213,6 +215,11 @@
         self.platform_call_failures.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts an item of the platform that could not be understood.
+    pub fn refused_item(&self, fault: ItemFault) {
+        self.items_refused.add(1, &[KeyValue::new("reason", fault.as_str())]);
+    }
+
     /// Counts a query to another node.
     pub fn queried_peer(&self) {
         self.peer_questions.add(1, &[]);
--- a/standins/tests/operator_ports.rs
+++ b/standins/tests/operator_ports.rs
@@ -79,6 +79,18 @@
     compare(&offered("node", address), NODE);
 }
 
+#[gtest]
+fn a_node_counts_the_entries_that_it_cannot_understand() {
+    let store = Store::start();
+    store.put("servers/i-of-another-writer", "rubbish");
+    store.configure(5, &[("/safe/", "safe", 5_000, "app")]);
+    let node = NodeProcess::start(&store);
+    node.until_ready();
+    let text = get(SocketAddr::from((node.ip, NODE_OPERATOR_PORT)), "/metrics");
+    let counted = text.lines().find(|line| line.starts_with("pointvane_node_items_refused_total")).unwrap();
+    expect_that!(counted, contains_substring(r#"reason="form""#));
+}
+
 /// Compares with a golden list, in which `?` marks what shows only in some runs.
 fn compare(offered: &str, golden: &str) {
     let offered: BTreeSet<&str> = offered.lines().collect();
