Tests: an answer that nobody waits for is judged only where its upstream was not held up itself

Traced: the stand-in counted the caller's whole time from its own arrival on, not the time that it had been given, so it answered the search's time (10 ms and more beside load) later than an upstream does, and then by the machine's delays: later than the 20 ms for which such an answer is waited for, on a connection that was closed. Now it counts the time that it was given, answers 10 ms after that, and keeps a pause in its record only if the connection still stood; the request is sent again, ten times at most, until one such answer was given, and that pause must be heeded.

--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -69,6 +69,8 @@
     pub pause_on_probes: bool,
     /// Time for which work is held before it is turned away, in milliseconds.
     pub turn_away_after_ms: u64,
+    /// Holds work until the time that it was given is over before it is turned away.
+    pub turn_away_at_deadline: bool,
 }
 
 /// What one upstream did.
@@ -100,6 +102,8 @@
 
 /// What a sleep takes longer than asked, on average, in milliseconds.
 const SLEEP_LATE_MS: f64 = 0.6;
+/// Time after the deadline at which work is turned away that was held until then: after whoever sent it has given it up.
+const LATE: Duration = Duration::from_millis(10);
 /// What a cut answer promises and does not give.
 const CUT_BYTES: u64 = 10_000;
 
@@ -171,7 +175,11 @@
 
     async fn work(&self, request: Request<Incoming>, behaviour: Behaviour) -> Answer {
         if behaviour.pause_s > 0 && !behaviour.pause_on_probes {
-            sleep(Duration::from_millis(behaviour.turn_away_after_ms)).await;
+            sleep(match behaviour.turn_away_at_deadline {
+                true => Job::of(&request).deadline + LATE,
+                false => Duration::from_millis(behaviour.turn_away_after_ms),
+            })
+            .await;
             return self.turn_away(&behaviour);
         }
         let held = Held::new(self);
--- a/standins/tests/backing_off.rs
+++ b/standins/tests/backing_off.rs
@@ -33,6 +33,10 @@
 /// Pause between two requests of a caller: longer than a load report counts as fresh, so that all upstreams are candidates.
 const BETWEEN: Duration = Duration::from_millis(25);
 const CALLERS: usize = 6;
+/// Times that a request is sent whose answer nobody waits for, until one was answered in time.
+const TRIES: usize = 10;
+/// Time by which the answer to such a request has come or been cut off.
+const SETTLED: Duration = Duration::from_millis(100);
 
 struct Site {
     node: NodeProcess,
@@ -55,6 +59,30 @@
         Self { node, store, upstreams }
     }
 
+    /// Has one request after another sent whose answer nobody waits for, until the only upstream has asked for a pause on a connection that still
+    /// stood: where the machine holds the upstream up for longer than such an answer is waited for, nothing is judged.
+    fn until_asked(&self, request: impl Fn(usize)) {
+        for number in 0..TRIES {
+            request(number);
+            thread::sleep(SETTLED);
+            if !self.upstreams[0].pauses.lock().unwrap().is_empty() {
+                return;
+            }
+        }
+        panic!("never asked for a pause on a connection that still stood");
+    }
+
+    /// Expects that the only upstream gets the pause that it asked for.
+    fn expect_heeded(&self, pause: Duration) {
+        let (_, asked, _) = self.upstreams[0].pauses.lock().unwrap()[0].clone();
+        self.upstreams[0].set(Manner::Well);
+        self.send_for(pause.saturating_sub(asked.elapsed()));
+        let bound = asked + UNDER_WAY..asked + pause;
+        let arrivals = self.upstreams[0].arrivals.lock().unwrap();
+        let in_pause = arrivals.iter().filter(|(_, at)| bound.contains(at)).count();
+        expect_that!(in_pause, le(ARRIVALS_MAX), "of {}", arrivals.len());
+    }
+
     /// Has callers send requests for a time; gives their statuses.
     fn send_for(&self, time: Duration) -> Vec<u16> {
         let until = Instant::now() + time;
@@ -197,20 +225,16 @@
 fn a_pause_is_heeded_though_nobody_waits_for_the_answer_that_asks_for_it() {
     let pause = Duration::from_millis(1_500);
     let site = Site::start(&[Manner::AskForPauseLate { pause_ms: pause.as_millis() as u64, after_ms: 8 }]);
-    let head = request_head("GET", "/safe/a", "leaves", 5_000);
-    let mut caller = TcpStream::connect((site.node.ip, 8_144)).unwrap();
-    caller.write_all(head.as_bytes()).unwrap();
-    // The caller leaves as soon as the request has arrived, before it is answered.
-    while site.upstreams[0].arrivals.lock().unwrap().is_empty() {
-        thread::yield_now();
-    }
-    drop(caller);
-    thread::sleep(Duration::from_millis(100));
-    site.upstreams[0].set(Manner::Well);
-    site.send_for(pause - Duration::from_millis(300));
-    let arrivals = arrivals(&site.upstreams[0]);
-    let in_pause = arrivals.iter().filter(|after| (UNDER_WAY..pause).contains(after));
-    expect_that!(in_pause.count(), le(ARRIVALS_MAX), "of {}", arrivals.len());
+    site.until_asked(|number| {
+        let head = request_head("GET", "/safe/a", &format!("leaves-{number}"), 5_000);
+        let mut caller = TcpStream::connect((site.node.ip, 8_144)).unwrap();
+        caller.write_all(head.as_bytes()).unwrap();
+        // The caller leaves as soon as the request has arrived, before it is answered.
+        while site.upstreams[0].arrivals.lock().unwrap().len() <= number {
+            thread::yield_now();
+        }
+    });
+    site.expect_heeded(pause);
 }
 
 /// What users would see: requests that wait in an upstream's queue until their time is over are turned away there with the word that it wants none for a
@@ -218,18 +242,13 @@
 /// connection that it comes on was closed.
 #[gtest]
 fn a_pause_is_heeded_that_is_asked_for_when_the_time_of_a_request_is_over() {
-    let (pause, caller_waits) = (Duration::from_millis(1_500), Duration::from_millis(400));
-    let after_ms = caller_waits.as_millis() as u64 + 5;
-    let site = Site::start(&[Manner::AskForPauseLate { pause_ms: pause.as_millis() as u64, after_ms }]);
-    let answer = site.node.request("GET", "/safe/a", "waits", caller_waits.as_millis() as u64).unwrap();
-    expect_that!(answer.status(), eq(504));
-    thread::sleep(Duration::from_millis(100));
-    site.upstreams[0].set(Manner::Well);
-    site.send_for(pause - Duration::from_millis(300));
-    let arrivals = arrivals(&site.upstreams[0]);
-    let asked = caller_waits;
-    let in_pause = arrivals.iter().filter(|after| (asked + UNDER_WAY..asked + pause).contains(after));
-    expect_that!(in_pause.count(), le(ARRIVALS_MAX), "of {}", arrivals.len());
+    let pause = Duration::from_millis(1_500);
+    let site = Site::start(&[Manner::AskForPauseAtDeadline(pause.as_millis() as u64)]);
+    site.until_asked(|number| {
+        let answer = site.node.request("GET", "/safe/a", &format!("waits-{number}"), 400).unwrap();
+        expect_that!(answer.status(), eq(504));
+    });
+    site.expect_heeded(pause);
 }
 
 /// Other requests that find it on trial go elsewhere or are refused; that they ended says nothing of the one that is out.
--- a/standins/tests/data_path.rs
+++ b/standins/tests/data_path.rs
@@ -265,18 +265,24 @@
         let answer = call(entry, &request("GET", "/dispatch/call", &[("pointvane-deadline-ms", "95")], ""));
         expect_that!(answer.header("pointvane-error"), some(eq("upstream-timeout")));
     };
-    pause_heeded_after(12, left);
-    pause_heeded_after(100, waited);
+    let pauses = Behaviour { pause_s: 4, ..Behaviour::default() };
+    expect_pause_heeded(&Behaviour { turn_away_after_ms: 10, ..pauses.clone() }, left);
+    expect_pause_heeded(&Behaviour { turn_away_at_deadline: true, ..pauses }, waited);
 }
 
-/// One request whose answer nobody waits for, to an upstream that turns it away after a time; those that follow are withheld.
-fn pause_heeded_after(turn_away_after_ms: u64, request_once: impl FnOnce(SocketAddr)) {
+/// Requests whose answers nobody waits for, to an upstream that turns them away after a time, until one was turned away on a connection that still stood; those
+/// that follow are withheld. Where the machine holds the upstream up for longer than such an answer is waited for, nothing is judged.
+fn expect_pause_heeded(asks: &Behaviour, request_once: impl Fn(SocketAddr)) {
     let deployment = deploy(1, 1, "");
     let entry = deployment.vms[0].entry();
     expect_that!(get(&deployment, "/dispatch/call?work_ms=1").status, eq(200));
-    set_behaviour(&deployment, &Behaviour { pause_s: 4, turn_away_after_ms, ..Behaviour::default() });
-    request_once(entry);
-    std::thread::sleep(std::time::Duration::from_millis(turn_away_after_ms + 100));
+    set_behaviour(&deployment, asks);
+    let was_asked = (0..10).any(|_| {
+        request_once(entry);
+        std::thread::sleep(std::time::Duration::from_millis(150));
+        done(&deployment).turned_away > 0
+    });
+    expect_that!(was_asked, eq(true), "on a connection that still stood");
     set_behaviour(&deployment, &Behaviour::default());
     for _ in 0..10 {
         let answer = get(&deployment, "/dispatch/call?work_ms=1");
--- a/standins/tests/users_platform/manner.rs
+++ b/standins/tests/users_platform/manner.rs
@@ -1,5 +1,7 @@
 //! How a stand-in for an upstream behaves.
 
+use super::message::Message;
+
 /// How an upstream answers requests; it always answers questions about its health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Manner {
@@ -32,6 +34,8 @@
     /// The same, so many milliseconds after the request came, whether or not anybody waits for the answer by then. Only a pause that is asked for on a
     /// connection that still stands is kept in its record.
     AskForPauseLate { pause_ms: u64, after_ms: u64 },
+    /// The same, when the time that the request was given is over.
+    AskForPauseAtDeadline(u64),
     /// It answers well, and says in each answer that it is leaving.
     SayLeaving,
     /// It answers well, but resets a connection that has rested when the next bytes come.
@@ -39,3 +43,19 @@
     /// The same, and it tells nothing of its load.
     ForgetIdleSilently,
 }
+
+/// Time after the deadline at which work is turned away that was held until then, in milliseconds: after whoever sent it has given it up.
+const LATE_MS: u64 = 10;
+
+impl Manner {
+    /// The manner in which one request is answered: what rests on the time that it was given is resolved.
+    pub fn for_request(self, request: &Message) -> Self {
+        match self {
+            Self::AskForPauseAtDeadline(pause_ms) => {
+                let given_ms = request.header("pointvane-deadline-ms").and_then(|text| text.parse().ok());
+                Self::AskForPauseLate { pause_ms, after_ms: given_ms.unwrap_or(0) + LATE_MS }
+            }
+            other => other,
+        }
+    }
+}
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -7,7 +7,9 @@
         message::{Message, read_message},
         own_address,
         process::Process,
-        upstream_answers::{ask_for_pause, closed_within, healthy, refuse, whole, whole_of_one_that_leaves},
+        upstream_answers::{
+            ask_for_pause, closed_within, healthy, is_closed, refuse, whole, whole_of_one_that_leaves,
+        },
     },
     std::{
         io::{self, BufReader, Write},
@@ -147,7 +149,7 @@
     /// Takes one request; false when the connection is to be closed.
     fn take(&self, stream: &mut TcpStream, request: &Message) -> io::Result<bool> {
         *self.last.lock().unwrap() = request.clone();
-        let manner = *self.manner.lock().unwrap();
+        let manner = self.manner.lock().unwrap().for_request(request);
         let id = request.header("pointvane-request-id").unwrap_or_default();
         let expected = request.header("pointvane-expect-instance").unwrap_or_default();
         if expected != self.id {
@@ -198,7 +200,7 @@
             }
             Manner::AskForPauseLate { pause_ms, after_ms } => {
                 thread::sleep(Duration::from_millis(after_ms));
-                let is_heard = !closed_within(stream, Duration::from_nanos(1));
+                let is_heard = !is_closed(stream)?;
                 ask_for_pause(stream, id, pause_ms)?;
                 if is_heard {
                     let asked = (id.into(), Instant::now(), Duration::from_millis(pause_ms));
@@ -222,6 +224,7 @@
                 whole(stream, id)?;
                 whole(stream, id)?;
             }
+            Manner::AskForPauseAtDeadline(_) => unreachable!("resolved when the request was taken"),
             Manner::Silent => {
                 closed_within(stream, PATIENCE);
                 return Ok(false);
--- a/standins/tests/users_platform/upstream_answers.rs
+++ b/standins/tests/users_platform/upstream_answers.rs
@@ -57,3 +57,11 @@
     _ = stream.set_read_timeout(None);
     closed
 }
+
+/// Whether the peer has closed by now.
+pub fn is_closed(stream: &TcpStream) -> io::Result<bool> {
+    stream.set_nonblocking(true)?;
+    let closed = matches!(stream.peek(&mut [0; 1]), Ok(0));
+    stream.set_nonblocking(false)?;
+    Ok(closed)
+}
