--- a/crates/pointvane-dispatch/benches/candidate_quantiles.rs
+++ b/crates/pointvane-dispatch/benches/candidate_quantiles.rs
@@ -1,5 +1,8 @@
 //! What ranking the upstreams of a service for one request costs at the median and in one of a hundred requests, and how often it allocates:
-//! `cargo bench -p pointvane-dispatch --bench candidate_quantiles`. Single calls are timed, the clock's own cost (some 30 ns) included.
+//! `cargo bench -p pointvane-dispatch --bench candidate_quantiles`. Single calls are timed, the clock's own cost included.
+//!
+//! Measured beside heavy load, medians of three plays, p50 and p99: before what upstreams say of themselves was asked for, 4.1 and 6.9 us for 271 upstreams, 4.6 and 8.5
+//! us for 1,080, 6.2 and 16.0 us for 10,000; with it 4.3 and 9.5, 4.7 and 8.7, 6.6 and 19.8 us; 8 allocations each time. Single plays differ by more.
 
 use {
     pointvane_core::UpstreamRecord,
