Entry programs: an upstream that was slow once is used again, also where nothing is loaded

Cause: slowness faded with age as 1/(1 + age/300 ms), so never to nothing; where all are idle the least difference decides, and what is never asked is never found to be fast. Once asked, one fast answer moved its mean by a tenth and made that mean young again. Now: half of it is forgotten each 300 ms, as its constant said; less than a twentieth counts as none; an answer after a rest weighs as much as what is forgotten. Ruled out: a random choice at times (it would send work to slow upstreams under load as well); the cut alone (1 of 200 requests in place of 0). Test: 0 of 200 requests before, its share (20 or more) after; pointvane-balance 29 of 29.

--- a/crates/pointvane-balance/src/upstream.rs
+++ b/crates/pointvane-balance/src/upstream.rs
@@ -14,6 +14,10 @@
 const LATENCY_SHARE: f32 = 0.1;
 /// Age at which half of an upstream's slowness is forgotten. Not measured.
 const SLOWNESS_HALF_LIFE_US: f32 = (300 * US_PER_MS) as f32;
+/// Slowness that counts as none: where nothing is loaded the least difference decides, and an upstream that is never asked is never found to be fast again.
+///
+/// Not measured: a twentieth is less than answer times differ by chance. Without it one slow answer of three idle upstreams' first left it without any of the next 200 requests.
+const SLOWNESS_LEAST: f32 = 0.05;
 /// Largest slowness that one answer shows, as a multiple of the service's mean. Not measured.
 const SLOWNESS_MAX: f32 = 8.0;
 /// What a failure rate of 1 adds to the factor on the score. Not measured: failures have to weigh like load.
@@ -99,7 +103,9 @@
 
     /// Takes the time of a whole answer, queueing at the upstream taken out by `queue_turns`.
     pub fn answered(&mut self, latency_us: f32, now_us: u64) {
-        let share = if self.latency_us == 0.0 { 1.0 } else { LATENCY_SHARE };
+        // What is known fades: an answer after a long rest tells more than the mean of those before it.
+        let faded = 1.0 - self.latency_trust(now_us);
+        let share = if self.latency_us == 0.0 { 1.0 } else { LATENCY_SHARE.max(faded) };
         self.latency_us += (latency_us - self.latency_us) * share;
         self.latency_at_us = now_us;
         self.limit_share = (self.limit_share + SHED_RECOVERY).min(1.0);
@@ -110,13 +116,18 @@
         self.limit_share = (self.limit_share * SHED_FACTOR).max(1.0 / f32::from(self.upstream.slots));
     }
 
+    /// How much the mean of its answer times still says, from 1 right after an answer to 0.
+    fn latency_trust(&self, now_us: u64) -> f32 {
+        let age_us = now_us.saturating_sub(self.latency_at_us) as f32;
+        (-age_us / SLOWNESS_HALF_LIFE_US).exp2()
+    }
+
     fn slowness(&self, context: &ScoreContext<'_>) -> f32 {
         if self.latency_us == 0.0 || context.latency_us == 0.0 {
             return 1.0;
         }
-        let age_us = context.now_us.saturating_sub(self.latency_at_us) as f32;
-        let trust = SLOWNESS_HALF_LIFE_US / (SLOWNESS_HALF_LIFE_US + age_us);
         let ratio = (self.latency_us / context.latency_us).clamp(1.0, SLOWNESS_MAX);
-        1.0 + (ratio - 1.0) * trust
+        let slower = (ratio - 1.0) * self.latency_trust(context.now_us);
+        if slower < SLOWNESS_LEAST { 1.0 } else { 1.0 + slower }
     }
 }
