--- a/crates/pointvane-entry/src/answer_wait.rs
+++ b/crates/pointvane-entry/src/answer_wait.rs
@@ -5,7 +5,7 @@
     crate::{
         connections::{Connection, SendError},
         head_notices::HeadNotices,
-        notifier::Notifier,
+        notice_recorder::NoticeRecorder,
         request_body::RequestBody,
     },
     hyper::{Request, Response, body::Incoming},
@@ -26,24 +26,24 @@
 pub fn send(
     mut connection: Connection,
     request: Request<RequestBody>,
-    notifier: Notifier,
+    recorder: NoticeRecorder,
     answer_by_us: u64,
 ) -> AnswerWait<impl Future<Output = Sent> + Send + 'static> {
-    let sent_at_us = notifier.service.now_us();
+    let sent_at_us = recorder.service.now_us();
     let round_trip_us = connection.round_trip().as_micros() as u64;
     let sending = async move {
         let answer = connection.send(request).await;
         (connection, answer)
     };
     let times = SentRequest { sent_at_us, answer_by_us, round_trip_us };
-    AnswerWait { sending: Some(Box::pin(sending)), notifier, times }
+    AnswerWait { sending: Some(Box::pin(sending)), recorder, times }
 }
 
 /// The wait for the head of an answer; dropped before it came, it goes on by itself for a while.
 pub struct AnswerWait<F: Future<Output = Sent> + Send + 'static> {
     /// None once the head has come.
     sending: Option<Pin<Box<F>>>,
-    notifier: Notifier,
+    recorder: NoticeRecorder,
     times: SentRequest,
 }
 
@@ -64,12 +64,12 @@
     fn drop(&mut self) {
         // Without a runtime the process is ending, and nothing is sent any more.
         let (Some(sending), Ok(runtime)) = (self.sending.take(), Handle::try_current()) else { return };
-        let now_us = self.notifier.service.now_us();
+        let now_us = self.recorder.service.now_us();
         let heeded_for = Duration::from_micros(self.times.heeded_until_us(now_us).saturating_sub(now_us));
-        let notifier = self.notifier.clone();
+        let recorder = self.recorder.clone();
         runtime.spawn(async move {
             if let Ok((_, Ok(answer))) = timeout(heeded_for, sending).await {
-                notifier.heed(HeadNotices::of(&answer));
+                recorder.heed(HeadNotices::of(&answer));
             }
         });
     }
--- a/crates/pointvane-entry/src/lib.rs
+++ b/crates/pointvane-entry/src/lib.rs
@@ -23,7 +23,7 @@
 mod keyed;
 mod maintain;
 mod members;
-mod notifier;
+mod notice_recorder;
 mod outgoing;
 mod request_body;
 mod routes;
--- a/crates/pointvane-entry/src/maintain.rs
+++ b/crates/pointvane-entry/src/maintain.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        entry::Entry, head_notices::HeadNotices, notifier::Notifier, request_body::RequestBody,
+        entry::Entry, head_notices::HeadNotices, notice_recorder::NoticeRecorder, request_body::RequestBody,
         service::ServiceHandle,
     },
     http_body_util::BodyExt,
@@ -48,7 +48,7 @@
         tokio::spawn(async move {
             let notices = timeout(PROBE_TIMEOUT, probe(&entry, address, &path)).await;
             if let Ok(Some(notices)) = notices {
-                Notifier { service: Arc::clone(&service), upstream: index }.heed(notices);
+                NoticeRecorder { service: Arc::clone(&service), upstream: index }.heed(notices);
                 service.pump();
             }
         });
--- a/crates/pointvane-entry/src/notifier.rs
+++ b/crates/pointvane-entry/src/notice_recorder.rs
@@ -10,20 +10,20 @@
 
 /// An upstream of a service, of which notices are recorded.
 #[derive(Clone, Debug)]
-pub struct Notifier {
+pub struct NoticeRecorder {
     /// The service.
     pub service: Arc<ServiceHandle>,
     /// Index of the upstream.
     pub upstream: usize,
 }
 
-impl From<&Attempt> for Notifier {
+impl From<&Attempt> for NoticeRecorder {
     fn from(attempt: &Attempt) -> Self {
         Self { service: Arc::clone(attempt.service()), upstream: attempt.upstream() }
     }
 }
 
-impl Notifier {
+impl NoticeRecorder {
     /// Records the notices of one answer.
     pub fn heed(&self, notices: HeadNotices) {
         let now_us = self.service.now_us();
--- a/crates/pointvane-entry/src/try_upstream.rs
+++ b/crates/pointvane-entry/src/try_upstream.rs
@@ -7,7 +7,7 @@
         connections::{Connection, Connections, SendError},
         counters::EntryCounters,
         head_notices::HeadNotices,
-        notifier::Notifier,
+        notice_recorder::NoticeRecorder,
         outgoing::Outgoing,
         request_body::RequestBody,
         service::Attempt,
@@ -92,7 +92,8 @@
     }
     counters.attempted();
     let answer_by_us = outgoing.request.deadline_us;
-    let sending = answer_wait::send(connection, outgoing.build(body), Notifier::from(&attempt), answer_by_us);
+    let sending =
+        answer_wait::send(connection, outgoing.build(body), NoticeRecorder::from(&attempt), answer_by_us);
     match timeout_at(give_up_at, sending).await {
         Ok((connection, Ok(response))) => {
             counters.upstream_took(&outgoing.request.service.name, attempt.age_s());
