Soak: each request that is not served is told, with its id, status, time and the node's lines; size and a control by hand

The check is the same, 30 of 30; what it says of each that is missing is new. POINTVANE_SOAK_NODES gives a run at size the nodes of another machine (80 of the entry; here five cores draw 25), POINTVANE_SOAK_CONTROL plays a plan with no disturbance.

--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -2,7 +2,8 @@
 //! the promises by what callers and upstreams see and what the store had taken.
 //!
 //! A short run stands in CI. `POINTVANE_SOAK_SEEDS=100..150 cargo test -p pointvane-standins --test soak` plays others;
-//! every tenth seed, and with `POINTVANE_SOAK_LARGE=1` each, has as many nodes as the machine bears. Nodes are
+//! every tenth seed, and with `POINTVANE_SOAK_LARGE=1` each, has as many nodes as the machine bears, or as many as
+//! `POINTVANE_SOAK_NODES` says. `POINTVANE_SOAK_CONTROL=1` plays the same plans with no disturbance at all. Nodes are
 //! processes; upstreams, the store and callers are threads of the harness.
 
 #[path = "soak/caller.rs"]
@@ -63,7 +64,7 @@
         path::Path,
         sync::atomic::{AtomicBool, AtomicU64, Ordering},
         thread,
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
@@ -77,6 +78,11 @@
     5_044,
 ];
 
+/// Set to play plans without their disturbances: what breaks then is brought about by the load of the machine alone.
+const CONTROL: &str = "POINTVANE_SOAK_CONTROL";
+/// Time for which callers go on in such a run.
+const CONTROL_LASTS: Duration = Duration::from_secs(20);
+
 /// Tells callers to stop when dropped: also when the harness panics, since a scope waits for all its threads.
 struct StopWhenDropped<'a>(&'a AtomicBool);
 
@@ -140,7 +146,10 @@
     let fleet = Fleet::start(&plan);
     let (record, ids) = (Record::default(), AtomicU64::new(0));
     beside_callers(&fleet, &plan, seed, &record, &ids, || {
-        disturb(&fleet, &plan, seed);
+        match env::var_os(CONTROL) {
+            Some(_) => thread::sleep(CONTROL_LASTS),
+            None => disturb(&fleet, &plan, seed),
+        }
         thread::sleep(recovery::RECOVERY);
     });
     recovery::check(&fleet, &record, &ids);
--- a/standins/tests/soak/plan.rs
+++ b/standins/tests/soak/plan.rs
@@ -10,6 +10,8 @@
 const LARGE_EVERY: u64 = 10;
 /// Nodes for each core of the machine in a run at size.
 const NODES_PER_CORE: usize = 5;
+/// Set to the nodes of runs at size, whatever the machine bears: a seed gives the same plan on every machine only if its size is the same.
+const NODES: &str = "POINTVANE_SOAK_NODES";
 /// Most nodes, whatever the machine bears.
 const NODES_MAX: usize = 100;
 /// Memory that a node may come to in a debug build, in bytes.
@@ -109,14 +111,16 @@
     }
 
     fn large() -> Self {
+        let told = env::var(NODES).ok().map(|nodes| nodes.parse::<usize>().expect("a number of nodes"));
+        let cores = told.map_or_else(machine::cores, |nodes| nodes.div_ceil(NODES_PER_CORE));
         let borne = machine::available_bytes() / 2 / NODE_BYTES;
-        let nodes = (machine::cores() * NODES_PER_CORE).min(borne).clamp(3, NODES_MAX);
+        let nodes = told.unwrap_or_else(|| (cores * NODES_PER_CORE).min(borne).clamp(3, NODES_MAX));
         Self {
             nodes,
             upstreams: nodes,
             proxied: PROXIED_MAX,
             peer_proxied: PROXIED_MAX,
-            callers: machine::cores() * 2,
+            callers: cores * 2,
             connections: 4,
             disturbers: 4,
             disturbances: 12,
--- a/standins/tests/soak/recovery.rs
+++ b/standins/tests/soak/recovery.rs
@@ -5,12 +5,15 @@
         caller::{DEADLINE_MS, TRAFFIC_PORT},
         fleet::Fleet,
         record::Record,
-        users_platform::{call, request_head},
+        site::Site,
+        users_platform::{Message, call, request_head},
         versions::Marker,
     },
     std::{
+        io,
         sync::atomic::{AtomicU64, Ordering},
-        time::Duration,
+        thread,
+        time::{Duration, Instant},
     },
 };
 
@@ -18,20 +21,52 @@
 pub const RECOVERY: Duration = Duration::from_secs(5);
 /// Requests to each node after that time, all of which must be served.
 const LAST_REQUESTS: usize = 30;
+/// Time for a node's last lines to be written. They tell more than the answer, but nothing is judged by them.
+const LINES_WITHIN: Duration = Duration::from_millis(200);
+
+/// A request that was not served.
+struct Unserved {
+    id: String,
+    took: Duration,
+    answer: io::Result<Message>,
+}
+
+impl Unserved {
+    /// What its caller saw, and the node's own lines about it.
+    fn explain(&self, site: &Site) -> String {
+        let seen = match &self.answer {
+            Ok(answer) => {
+                let body = String::from_utf8_lossy(&answer.body);
+                let retry_after = answer.header("retry-after").unwrap_or("none");
+                format!("{} {}, retry after {retry_after}", answer.status(), body.trim())
+            }
+            Err(error) => format!("no answer: {error}"),
+        };
+        let lines = site.lines_with(&self.id).join("\n    ");
+        format!("{} after {:?}: {seen}\n    {lines}", self.id, self.took)
+    }
+}
 
 /// All nodes run and serve on the newest version's route, and send nothing to upstreams that left.
 pub fn check(fleet: &Fleet, record: &Record, ids: &AtomicU64) {
     let left = runs_of_left(fleet);
     let head = Marker::Since(fleet.versions.newest()).path();
     for (index, site) in fleet.sites.iter().enumerate() {
-        let served = (0..LAST_REQUESTS).filter(|_| {
-            let id = format!("safe-{index}-{}", ids.fetch_add(1, Ordering::SeqCst));
-            let head = request_head("GET", &head, &id, DEADLINE_MS);
-            call((site.ip, TRAFFIC_PORT).into(), &head).is_ok_and(|answer| answer.status() == 200)
-        });
-        let served = served.count();
+        let unserved: Vec<Unserved> = (0..LAST_REQUESTS)
+            .filter_map(|_| {
+                let id = format!("safe-{index}-{}", ids.fetch_add(1, Ordering::SeqCst));
+                unserved(site, &head, id)
+            })
+            .collect();
+        let served = LAST_REQUESTS - unserved.len();
         if served < LAST_REQUESTS {
-            record.broke(format!("{} served {served} of {LAST_REQUESTS} after all was healed", site.ip));
+            thread::sleep(LINES_WITHIN);
+            let why: Vec<String> = unserved.iter().map(|one| one.explain(site)).collect();
+            let why = why.join("\n  ");
+            record.broke(format!(
+                "{} served {served} of {LAST_REQUESTS} after all was healed:\n  {why}",
+                site.ip
+            ));
         }
         if site.ended() {
             record.broke(format!("{} ended by itself", site.ip));
@@ -43,6 +78,15 @@
     }
 }
 
+/// Sends a request; gives it back if it is not served.
+fn unserved(site: &Site, path: &str, id: String) -> Option<Unserved> {
+    let sent_at = Instant::now();
+    let head = request_head("GET", path, &id, DEADLINE_MS);
+    let answer = call((site.ip, TRAFFIC_PORT).into(), &head);
+    let is_served = answer.as_ref().is_ok_and(|answer| answer.status() == 200);
+    (!is_served).then(|| Unserved { id, took: sent_at.elapsed(), answer })
+}
+
 fn runs_of_left(fleet: &Fleet) -> Vec<usize> {
     fleet.upstreams().iter().filter(|one| one.left.is_some()).map(|one| one.upstream.runs()).collect()
 }
--- a/standins/tests/soak/site.rs
+++ b/standins/tests/soak/site.rs
@@ -167,6 +167,12 @@
         self.process.lock().unwrap().as_ref().map(NodeProcess::id)
     }
 
+    /// Lines of the present life that hold a text.
+    pub fn lines_with(&self, text: &str) -> Vec<String> {
+        let lines = self.process.lock().unwrap().as_ref().map(NodeProcess::lines).unwrap_or_default();
+        lines.lines().filter(|line| line.contains(text)).map(Into::into).collect()
+    }
+
     /// Copies the lines of all lives into a folder.
     pub fn keep_logs(&self, folder: &Path) {
         let past = fs::read_dir(&self.past_lives).into_iter().flatten().flatten();
