Soak: one descriptor a connection; a stand-in that cannot accept says so and goes on

What callers saw: in runs of 80 nodes requests that no upstream answered after all was healed, and runs that ended with "Too many open files". Cause: each connection to a stand-in took three descriptors of the harness (the stream, a copy to read, a copy to close it by), each proxied one four.

--- a/standins/tests/soak/peer_proxy.rs
+++ b/standins/tests/soak/peer_proxy.rs
@@ -243,9 +243,11 @@
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(LOOK))?;
     }
-    let (from, to, back) = (client.try_clone()?, server.try_clone()?, Arc::clone(shared));
-    thread::spawn(move || pass_bytes(server, client, Direction::Out, &back));
-    pass_bytes(from, to, Direction::In, shared);
+    // Both directions share the two descriptors.
+    let (client, server) = (Arc::new(client), Arc::new(server));
+    let (from, to, back) = (Arc::clone(&server), Arc::clone(&client), Arc::clone(shared));
+    thread::spawn(move || pass_bytes(&from, &to, Direction::Out, &back));
+    pass_bytes(&client, &server, Direction::In, shared);
     Ok(())
 }
 
@@ -255,14 +257,14 @@
 }
 
 /// Passes bytes one way until they end, or until the link or the proxy ends the connection.
-fn pass_bytes(mut from: TcpStream, mut to: TcpStream, direction: Direction, shared: &Shared) {
+fn pass_bytes(mut from: &TcpStream, mut to: &TcpStream, direction: Direction, shared: &Shared) {
     let mut buffer = vec![0; PIECE_BYTES];
     let mut lost = false;
     loop {
         let read = from.read(&mut buffer);
         let link = shared.link();
         if link == PeerLink::Reset || shared.is_stopped() {
-            _ = reset_at_close(&from).and_then(|()| reset_at_close(&to));
+            _ = reset_at_close(from).and_then(|()| reset_at_close(to));
             return;
         }
         let length = match read {
--- a/standins/tests/soak/proxy.rs
+++ b/standins/tests/soak/proxy.rs
@@ -102,14 +102,16 @@
     let server = TcpStream::connect(server)?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
-    let (from, to, back) = (client.try_clone()?, server.try_clone()?, way.clone());
-    thread::spawn(move || pass(server, client, &back, Direction::Back));
-    pass(from, to, way, Direction::There);
+    // Both directions share the two descriptors.
+    let (client, server) = (Arc::new(client), Arc::new(server));
+    let (from, to, back) = (Arc::clone(&server), Arc::clone(&client), way.clone());
+    thread::spawn(move || pass(&from, &to, &back, Direction::Back));
+    pass(&client, &server, way, Direction::There);
     Ok(())
 }
 
 /// Passes bytes one way until either side ends or the link breaks.
-fn pass(mut from: TcpStream, mut to: TcpStream, way: &Way, direction: Direction) {
+fn pass(mut from: &TcpStream, mut to: &TcpStream, way: &Way, direction: Direction) {
     _ = from.set_read_timeout(Some(LOOK));
     let mut buffer = [0; 4_096];
     let mut lost = false;
--- a/standins/tests/soak/recovery.rs
+++ b/standins/tests/soak/recovery.rs
@@ -49,6 +49,11 @@
 
 /// All nodes run and serve on the newest version's route, and send nothing to upstreams that left.
 pub fn check(fleet: &Fleet, record: &Record, ids: &AtomicU64) {
+    let failures = fleet.upstreams().into_iter().filter_map(|one| {
+        let failure = one.upstream.accept_failure.lock().unwrap().clone()?;
+        Some(format!("the harness could not accept a connection to {}: {failure}", one.upstream.id))
+    });
+    failures.for_each(|failure| record.broke(failure));
     let left = runs_of_left(fleet);
     let head = Marker::Since(fleet.versions.newest()).path();
     for (index, site) in fleet.sites.iter().enumerate() {
--- a/standins/tests/users_platform/process.rs
+++ b/standins/tests/users_platform/process.rs
@@ -12,7 +12,7 @@
 #[derive(Default)]
 struct State {
     listener: Option<Arc<TcpListener>>,
-    connections: HashMap<u64, TcpStream>,
+    connections: HashMap<u64, Arc<TcpStream>>,
     opened: u64,
     crashes_on: Option<String>,
 }
@@ -28,8 +28,8 @@
         self.state.lock().unwrap().listener = Some(listener);
     }
 
-    /// Takes note of a connection for as long as the guard lives; a copy that stayed would keep it open.
-    pub fn opened(&self, connection: TcpStream) -> OpenConnection {
+    /// Takes note of a connection for as long as the guard lives; a reference that stayed would keep it open.
+    pub fn opened(&self, connection: Arc<TcpStream>) -> OpenConnection {
         let mut state = self.state.lock().unwrap();
         state.opened += 1;
         let number = state.opened;
@@ -50,6 +50,11 @@
         self.state.lock().unwrap().listener.is_none()
     }
 
+    /// Whether it is this listener that it listens at now.
+    pub fn listens_at(&self, listener: &Arc<TcpListener>) -> bool {
+        self.state.lock().unwrap().listener.as_ref().is_some_and(|current| Arc::ptr_eq(current, listener))
+    }
+
     /// Nobody listens from here on; only then do the connections close, as when a process ends.
     pub fn crash(&self) {
         let mut state = self.state.lock().unwrap();
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -27,6 +27,9 @@
 /// Rest after which such an upstream has forgotten a connection.
 const FORGOTTEN_AFTER: Duration = Duration::from_millis(100);
 
+/// Rest after a connection that could not be accepted.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
 /// Time for which an upstream runs a request under which it crashes.
 const CRASHES_AFTER: Duration = Duration::from_millis(30);
 
@@ -65,6 +68,8 @@
     pub limits: Arc<Mutex<Vec<LimitSaid>>>,
     /// Requests in whose answers it said that it leaves, and when.
     pub leavings: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// Why it could not accept a connection the last time it failed to, as where the process has no descriptors left.
+    pub accept_failure: Arc<Mutex<Option<String>>>,
     process: Process,
 }
 
@@ -85,6 +90,7 @@
             pauses: Arc::default(),
             limits: Arc::default(),
             leavings: Arc::default(),
+            accept_failure: Arc::default(),
             process: Process::default(),
         };
         upstream.listen(listener);
@@ -97,13 +103,25 @@
         self.process.started(Arc::clone(&listener));
         let upstream = self.clone();
         thread::spawn(move || {
-            while let Ok((stream, _)) = listener.accept() {
-                let upstream = upstream.clone();
-                thread::spawn(move || _ = upstream.serve(stream));
+            loop {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let upstream = upstream.clone();
+                        thread::spawn(move || _ = upstream.serve(stream));
+                    }
+                    Err(_) if !upstream.process.listens_at(&listener) => return,
+                    Err(error) => upstream.note_failed_accept(&error),
+                }
             }
         });
     }
 
+    /// A stand-in that cannot accept is a fault of the harness, not one that a promise has to bear.
+    fn note_failed_accept(&self, error: &io::Error) {
+        *self.accept_failure.lock().unwrap() = Some(error.to_string());
+        thread::sleep(ACCEPT_AGAIN);
+    }
+
     /// Crashes from now on under each request to this path.
     pub fn crash_on(&self, path: &str) {
         self.process.crash_on(path);
@@ -132,10 +150,12 @@
         self.runs.load(Ordering::SeqCst)
     }
 
-    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+    fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        let _open = self.process.opened(stream.try_clone()?);
-        let mut reader = BufReader::new(stream.try_clone()?);
+        // One descriptor a connection: a large fleet holds thousands of them.
+        let stream = Arc::new(stream);
+        let _open = self.process.opened(Arc::clone(&stream));
+        let mut reader = BufReader::new(&*stream);
         loop {
             let waits_since = Instant::now();
             let manner = *self.manner.lock().unwrap();
@@ -150,17 +170,17 @@
             if request.target() == "/health" {
                 self.asked.fetch_add(1, Ordering::SeqCst);
                 let manner = *self.manner.lock().unwrap();
-                healthy(&mut stream, &self.id, manner)?;
+                healthy(&stream, &self.id, manner)?;
                 continue;
             }
-            if !self.take(&mut stream, &request)? {
+            if !self.take(&stream, &request)? {
                 return Ok(());
             }
         }
     }
 
     /// Takes one request; false when the connection is to be closed.
-    fn take(&self, stream: &mut TcpStream, request: &Message) -> io::Result<bool> {
+    fn take(&self, stream: &TcpStream, request: &Message) -> io::Result<bool> {
         *self.last.lock().unwrap() = request.clone();
         let manner = self.manner.lock().unwrap().for_request(request);
         let id = request.header("pointvane-request-id").unwrap_or_default();
@@ -206,7 +226,7 @@
     }
 
     /// Answers one request; false when the connection is to be closed.
-    fn answer(&self, stream: &mut TcpStream, manner: Manner, id: &str) -> io::Result<bool> {
+    fn answer(&self, mut stream: &TcpStream, manner: Manner, id: &str) -> io::Result<bool> {
         match manner {
             Manner::Well | Manner::Cold | Manner::ForgetIdle => whole(stream, id)?,
             Manner::NameLimit { per_1000_s } => whole_of_one_that_names_a_limit(stream, id, per_1000_s)?,
--- a/standins/tests/users_platform/upstream_answers.rs
+++ b/standins/tests/users_platform/upstream_answers.rs
@@ -9,19 +9,19 @@
     },
 };
 
-pub fn whole(stream: &mut TcpStream, id: &str) -> io::Result<()> {
+pub fn whole(mut stream: &TcpStream, id: &str) -> io::Result<()> {
     write!(
         stream,
         "HTTP/1.1 200 OK\r\ncontent-length: 5\r\npointvane-request-id: {id}\r\n{STAMP}: s\r\npointvane-instance-load: 1,0,3,100\r\n\r\nhello"
     )
 }
 
-pub fn refuse(stream: &mut TcpStream, status: &str, id: &str, extra: &str) -> io::Result<()> {
+pub fn refuse(mut stream: &TcpStream, status: &str, id: &str, extra: &str) -> io::Result<()> {
     write!(stream, "HTTP/1.1 {status}\r\ncontent-length: 0\r\npointvane-request-id: {id}\r\n{extra}\r\n")
 }
 
 /// A whole answer that says that its upstream is leaving.
-pub fn whole_of_one_that_leaves(stream: &mut TcpStream, id: &str) -> io::Result<()> {
+pub fn whole_of_one_that_leaves(mut stream: &TcpStream, id: &str) -> io::Result<()> {
     write!(
         stream,
         "HTTP/1.1 200 OK\r\ncontent-length: 5\r\npointvane-request-id: {id}\r\n{STAMP}: s\r\nserver-leaving: 1\r\npointvane-instance-load: 1,0,3,100\r\n\r\nhello"
@@ -29,7 +29,7 @@
 }
 
 /// A whole answer that names how many requests its upstream takes.
-pub fn whole_of_one_that_names_a_limit(stream: &mut TcpStream, id: &str, per_1000_s: u32) -> io::Result<()> {
+pub fn whole_of_one_that_names_a_limit(mut stream: &TcpStream, id: &str, per_1000_s: u32) -> io::Result<()> {
     let limit = f64::from(per_1000_s) / 1e3;
     write!(
         stream,
@@ -38,7 +38,7 @@
 }
 
 /// Turns a request away and asks for a pause, as one that has nothing to do.
-pub fn ask_for_pause(stream: &mut TcpStream, id: &str, pause_ms: u64) -> io::Result<()> {
+pub fn ask_for_pause(stream: &TcpStream, id: &str, pause_ms: u64) -> io::Result<()> {
     let seconds = pause_ms as f64 / 1e3;
     let told = format!(
         "pointvane-not-executed: 1\r\nretry-after: {seconds}\r\npointvane-instance-load: 0,0,3,100\r\n"
@@ -47,7 +47,7 @@
 }
 
 /// Tells that it is well, and what else its manner tells.
-pub fn healthy(stream: &mut TcpStream, upstream: &str, manner: Manner) -> io::Result<()> {
+pub fn healthy(mut stream: &TcpStream, upstream: &str, manner: Manner) -> io::Result<()> {
     let told = match manner {
         Manner::TellsNothing | Manner::ForgetIdleSilently => "",
         Manner::SayLeaving => "pointvane-instance-load: 0,0,3,100\r\nserver-leaving: 1\r\n",
