Admission: time lost on upstreams that cannot be reached does not make a request late

What callers saw: 503 overloaded after 340 ms, though other upstreams had nothing to do and the caller gave two seconds. Cause: a connection that does not come up takes 300 ms. The request was admitted before that and nothing was sent, so it is decided on once more at the next upstream, where 340 ms and the 30 expected are more than 1.55 targets of 200 ms: refused as late, for time that the node itself had spent. Its caller comes back later still. Test: two upstreams that answer probes late and four that take no connections; before [503, 200, ...], now all are served, also work that may run once. Why it works: the elapsed time that admission reads leaves out attempts of which nothing was sent; deadline, room and what searches took count as before. The three programs decide on admission once and are not concerned.

--- a/crates/pointvane-dispatch/src/admission.rs
+++ b/crates/pointvane-dispatch/src/admission.rs
@@ -2,7 +2,7 @@
 //! retry.
 //!
 //! Decided once for each request, right before its first send; a request that may have reached an upstream is never
-//! refused. Inputs: the time since it arrived (steady clock), the expected latency at the best upstream (as a multiple of the
+//! refused. Inputs: the time since it arrived (steady clock) without that spent on upstreams that could not be reached, the expected latency at the best upstream (as a multiple of the
 //! route's baseline), whether that has room, how much full upstreams of the service slow down, the route's target latency and priority. All
 //! estimates exist from the start (see [`crate::RouteTimes`], [`crate::Pool::load_when_sent`], [`crate::Pool::has_room`] and
 //! [`crate::Pool::full_factor`]), so no input can be missing.
@@ -81,7 +81,7 @@
 /// When a request would be finished if it were sent now.
 #[derive(Clone, Copy, Debug)]
 pub struct FinishEstimate {
-    /// Time since the request arrived, in milliseconds.
+    /// Time since the request arrived, without that spent on upstreams that could not be reached, in milliseconds.
     pub elapsed_ms: f64,
     /// Expected latency at its best upstream, in milliseconds.
     pub expected_ms: f64,
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -70,6 +70,9 @@
     let ended_at_us = node.now_us();
     let latency_us = ended_at_us.saturating_sub(sent_at_us);
     let outcome = outcome(&answer, &snapshot).await;
+    if outcome.is_unsent() {
+        request.unreached_us.set(request.unreached_us.get() + latency_us);
+    }
     record_outcome(&node, &request, key, &snapshot, outcome, latency_us as f64 / US_PER_MS as f64);
     // One that was withheld says nothing of the request that is on trial there.
     if outcome.was_begun() {
@@ -197,7 +200,7 @@
     };
     let route = &request.routed.route;
     let estimate = FinishEstimate {
-        elapsed_ms: request.elapsed_ms(snapshot.taken_at_us),
+        elapsed_ms: request.elapsed_at_reached_ms(snapshot.taken_at_us),
         expected_ms: f64::from(snapshot.load_when_sent.expected_latency)
             * node.dispatcher.route_times(route).baseline_ms(),
         occupancy: f64::from(snapshot.load_when_sent.occupancy),
--- a/crates/pointvane-node/src/request.rs
+++ b/crates/pointvane-node/src/request.rs
@@ -84,6 +84,8 @@
     pub tried: RefCell<Vec<UpstreamKey>>,
     /// Attempts of which at least a byte may have left.
     pub sends: Cell<u32>,
+    /// Time spent on upstreams that could not be reached, in microseconds.
+    pub unreached_us: Cell<u64>,
 }
 
 impl CallerRequest {
@@ -92,6 +94,11 @@
         now_us.saturating_sub(self.arrived_at_us) as f64 / US_PER_MS as f64
     }
 
+    /// The same without what was spent on upstreams that could not be reached: by then the request was admitted.
+    pub fn elapsed_at_reached_ms(&self, now_us: u64) -> f64 {
+        self.elapsed_ms(now_us.saturating_sub(self.unreached_us.get()))
+    }
+
     /// What tells this request when it comes again, with the same query and with any; the same of one without a query.
     ///
     /// A streamed body is gone once the request was sent, so this is asked for before.
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -233,6 +233,7 @@
         answer_by_us,
         tried: RefCell::default(),
         sends: Cell::new(0),
+        unreached_us: Cell::new(0),
     }
 }
 
--- a/standins/tests/users_platform/manner.rs
+++ b/standins/tests/users_platform/manner.rs
@@ -27,6 +27,8 @@
     Silent,
     /// It answers well and tells nothing of its load.
     TellsNothing,
+    /// It answers requests well, and questions about its health only after so many milliseconds.
+    LateHealth(u64),
     /// It answers well, and says that it is cold for another minute.
     Cold,
     /// It turns requests away and asks for a pause of so many milliseconds; it reports itself idle all the while.
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -170,6 +170,9 @@
             if request.target() == "/health" {
                 self.asked.fetch_add(1, Ordering::SeqCst);
                 let manner = *self.manner.lock().unwrap();
+                if let Manner::LateHealth(after_ms) = manner {
+                    thread::sleep(Duration::from_millis(after_ms));
+                }
                 healthy(&stream, &self.id, manner)?;
                 continue;
             }
@@ -228,7 +231,7 @@
     /// Answers one request; false when the connection is to be closed.
     fn answer(&self, mut stream: &TcpStream, manner: Manner, id: &str) -> io::Result<bool> {
         match manner {
-            Manner::Well | Manner::Cold | Manner::ForgetIdle => whole(stream, id)?,
+            Manner::Well | Manner::Cold | Manner::LateHealth(_) | Manner::ForgetIdle => whole(stream, id)?,
             Manner::NameLimit { per_1000_s } => whole_of_one_that_names_a_limit(stream, id, per_1000_s)?,
             Manner::After(ms) => {
                 if closed_within(stream, Duration::from_millis(ms)) {
