Hedges: considered again as long as none was sent, and long after the target at any upstream

What callers saw: 504 at their deadline of two seconds, with one attempt, though other upstreams had nothing to do. Cause: a hedge was considered at one moment only. If no probe was answered within 30 ms just then, no upstream counted as uncontended, or if the budget had no token, the request waited for its silent upstream to the end. A hedge that was not sent spent its token all the same, so the next slow request found none. The three programs had the same single moment. Why it works: the time since the start doubles from try to try (both forms, pointvane-core), so a request is looked at some four times in two seconds; a token comes back when one of the two attempts ends unsent, since no upstream got a second request then; from two targets on, the best upstream will do: admission lets nothing pass that is expected to take so long. Bound by the same budget and the route's attempts.

--- a/crates/pointvane-core/src/lib.rs
+++ b/crates/pointvane-core/src/lib.rs
@@ -13,6 +13,7 @@
 mod backoff;
 mod error;
 mod evacuation;
+mod hedge_schedule;
 mod identity;
 mod key;
 mod late_answer;
@@ -31,6 +32,7 @@
     backoff::{Backoff, return_spread_us},
     error::{AnswerRow, ErrorKind, Outcome},
     evacuation::Evacuation,
+    hedge_schedule::HedgeSchedule,
     identity::{Incarnation, Name, VmIdentity, VmState},
     key::{IdempotencyKey, KeyError},
     late_answer::SentRequest,
--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -43,7 +43,7 @@
     Wait,
     /// Make another attempt in place of the one that ended.
     Retry,
-    /// Make another attempt beside the one under way, at an uncontended upstream only.
+    /// Make another attempt beside the one under way (see [`crate::hedge_goal`]).
     Hedge,
     /// Answer with the best upstream's answer so far.
     Deliver,
@@ -63,6 +63,8 @@
     unsent: u32,
     may_have_run: bool,
     has_answer: bool,
+    /// Whether a token was taken for an attempt beside another one.
+    has_hedge_token: bool,
 }
 
 impl<'r> RequestAttempts<'r> {
@@ -76,6 +78,7 @@
             unsent: 0,
             may_have_run: false,
             has_answer: false,
+            has_hedge_token: false,
         }
     }
 
@@ -87,6 +90,7 @@
     /// Takes the end of an attempt; `sends` counts the attempts of this request that were sent so far.
     pub fn ended(&mut self, end: AttemptEnd, sends: u32, budget: &mut RetryBudget) -> NextStep {
         self.under_way -= 1;
+        self.give_back_unsent(end, budget);
         let outcome = match end {
             AttemptEnd::NoUpstream(reason) => return self.ended_unsent(reason.error()),
             AttemptEnd::Quarantined => return self.ended_unsent(ErrorKind::RequestQuarantined),
@@ -114,9 +118,20 @@
             return NextStep::Wait;
         }
         self.under_way += 1;
+        self.has_hedge_token = true;
         NextStep::Hedge
     }
 
+    /// Gives a hedge's token back when one of the two attempts ends unsent: then the other is no repeat.
+    fn give_back_unsent(&mut self, end: AttemptEnd, budget: &mut RetryBudget) {
+        let is_unsent = !matches!(end, AttemptEnd::Tried(outcome) if !outcome.is_unsent());
+        if self.has_hedge_token && is_unsent {
+            budget.give_back();
+        }
+        // The token of two attempts of which one was sent and ended is spent.
+        self.has_hedge_token = false;
+    }
+
     /// Takes the moment at which the request has to be answered.
     pub fn deadline_passed(&self) -> NextStep {
         self.give_up(ErrorKind::UpstreamTimeout)
--- a/crates/pointvane-dispatch/src/budget.rs
+++ b/crates/pointvane-dispatch/src/budget.rs
@@ -128,6 +128,11 @@
         }
         enough
     }
+
+    /// Takes back a token whose retry or hedge was not sent.
+    pub fn give_back(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.tokens_max.max(1.0));
+    }
 }
 
 /// Part of the fleet's probe budget that is used; with the savings, the budget is kept over each [`PROBE_WINDOW_S`].
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -78,6 +78,7 @@
     evacuations::Evacuations,
     fingerprint::{BodyFingerprint, FINGERPRINT_BODY_BYTES, HeadFingerprint, QueryScope, RequestFingerprint},
     first_state::{first_state_retry_after_ms, first_state_wait_ms},
+    hedge::hedge_goal,
     ineligible::Ineligible,
     latency::{LatencyQuantile, LeastLatency},
     limits::{LIMITS_MAX, LimitAnnouncement, LimitMessage},
--- a/crates/pointvane-dispatch/tests/request_attempts.rs
+++ b/crates/pointvane-dispatch/tests/request_attempts.rs
@@ -5,10 +5,10 @@
 use {
     common::route,
     googletest::prelude::*,
-    pointvane_core::{ErrorKind, Outcome, RouteKind},
+    pointvane_core::{ErrorKind, HedgeSchedule, Outcome, RouteKind},
     pointvane_dispatch::{
         AttemptEnd, AttemptOutcome, Ineligible, LeastLatency, NextStep, Refusal, RequestAttempts,
-        RetryBudget, RetryBudgetOptions, RouteTimes, may_pass_on,
+        RetryBudget, RetryBudgetOptions, RouteTimes, SearchGoal, hedge_goal, may_pass_on,
     },
 };
 
@@ -229,3 +229,39 @@
     expect_that!(step(true), eq(NextStep::Retry));
     expect_that!(step(false), eq(NextStep::GiveUp(ErrorKind::UpstreamsBackingOff)));
 }
+
+/// A hedge that was never sent spent a token all the same, and the next slow request found none.
+#[gtest]
+fn a_hedge_that_was_not_sent_costs_no_token() {
+    let route = route(RouteKind::Safe);
+    let unsent = [AttemptEnd::NotAdmitted, AttemptEnd::NoUpstream(Ineligible::Gone), UNSENT];
+    for end in unsent {
+        let mut budget = budget(1);
+        let mut attempts = RequestAttempts::started(&route, true);
+        expect_that!(attempts.hedge_due(1, &mut budget), eq(NextStep::Hedge));
+        expect_that!(attempts.ended(end, 1, &mut budget), eq(NextStep::Wait));
+        expect_that!(attempts.hedge_due(1, &mut budget), eq(NextStep::Hedge), "{end:?}");
+    }
+    let mut budget = budget(1);
+    let mut attempts = RequestAttempts::started(&route, true);
+    expect_that!(attempts.hedge_due(1, &mut budget), eq(NextStep::Hedge));
+    expect_that!(attempts.ended(BUSY, 2, &mut budget), eq(NextStep::Wait));
+    expect_that!(budget.take(), eq(false), "both were sent");
+}
+
+#[gtest]
+fn a_hedge_is_considered_again_at_doubling_times_and_goes_anywhere_long_after_the_target() {
+    let route = route(RouteKind::Safe);
+    let mut schedule = HedgeSchedule::new(30.0);
+    let times: Vec<f64> = (0..4)
+        .map(|_| {
+            let at_ms = schedule.next_ms();
+            schedule.tried();
+            at_ms
+        })
+        .collect();
+    expect_that!(times, elements_are![eq(&30.0), eq(&60.0), eq(&120.0), eq(&240.0)]);
+    let target_ms = route.target_latency_ms as f64;
+    expect_that!(hedge_goal(&route, target_ms * 1.9, 0), eq(SearchGoal::UncontendedOnly));
+    expect_that!(hedge_goal(&route, target_ms * 2.0, 0), matches_pattern!(SearchGoal::Best { .. }));
+}
--- a/crates/pointvane-entry/src/try_upstream.rs
+++ b/crates/pointvane-entry/src/try_upstream.rs
@@ -14,11 +14,14 @@
     },
     hyper::{Response, StatusCode, body::Incoming},
     pointvane_balance::AttemptEnd,
-    pointvane_core::ErrorKind,
+    pointvane_core::{ErrorKind, HedgeSchedule, US_PER_MS},
     std::time::Duration,
     tokio::time::{Instant, sleep_until, timeout_at},
 };
 
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1_000.0;
+
 /// How one attempt ended.
 pub enum Tried {
     /// The head of an answer came.
@@ -45,14 +48,18 @@
         return first_try.await;
     };
     tokio::pin!(first_try);
-    let hedge_at = Instant::now() + Duration::from_micros(hedge_after_us);
-    tokio::select! {
-        biased;
-        tried = &mut first_try => return tried,
-        () = sleep_until(hedge_at) => {}
-    }
-    let Some(second) = outgoing.request.service.hedge(first) else {
-        return first_try.await;
+    let began = Instant::now();
+    let mut schedule = HedgeSchedule::new(hedge_after_us as f64 / US_PER_MS as f64);
+    let second = loop {
+        let hedge_at = began + Duration::from_secs_f64(schedule.next_ms() / MS_PER_S);
+        tokio::select! {
+            biased;
+            tried = &mut first_try => return tried,
+            () = sleep_until(hedge_at) => schedule.tried(),
+        }
+        if let Some(second) = outgoing.request.service.hedge(first) {
+            break second;
+        }
     };
     counters.hedged();
     let second_try = try_once(outgoing, RequestBody::Empty, second, connections, counters);
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -36,6 +36,15 @@
     }
 }
 
+/// Which attempt of its request it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptPlace {
+    /// The first, or one in place of another that ended.
+    Alone,
+    /// One beside another that is under way.
+    Hedge,
+}
+
 /// Times of an attempt, in milliseconds.
 struct AttemptTimes {
     search_ms: u64,
@@ -53,6 +62,7 @@
     node: Rc<Node<A>>,
     request: Rc<CallerRequest>,
     goal: SearchGoal,
+    place: AttemptPlace,
 ) -> AttemptReport {
     let began_us = node.now_us();
     let key = match admitted_upstream(&node, &request, goal).await {
@@ -81,7 +91,7 @@
     node.record_evidence(&request, outcome, sent_at_us, ended_at_us);
     let search_ms = sent_at_us.saturating_sub(began_us) / US_PER_MS;
     let times = AttemptTimes { search_ms, latency_ms: latency_us / US_PER_MS };
-    report(&node, &request, goal, &snapshot, AttemptEnding { outcome, retry_after }, &times);
+    report(&node, &request, place, &snapshot, AttemptEnding { outcome, retry_after }, &times);
     // Without an answer the outcome, recorded above, is all there is.
     AttemptReport { end: AttemptEnd::Tried(outcome), answer: answer.ok() }
 }
@@ -159,7 +169,7 @@
 fn report<A: PlatformAdapter>(
     node: &Node<A>,
     request: &CallerRequest,
-    goal: SearchGoal,
+    place: AttemptPlace,
     snapshot: &UpstreamSnapshot,
     ending: AttemptEnding,
     times: &AttemptTimes,
@@ -176,7 +186,7 @@
         upstream: snapshot.upstream.clone(),
         outcome: outcome.as_str().into(),
         retry_after: retry_after.filter(|_| !succeeded),
-        hedge: goal == SearchGoal::UncontendedOnly,
+        hedge: place == AttemptPlace::Hedge,
         cost_percent: snapshot.cost_percent(),
         running: load.running,
         waiting: load.waiting,
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -3,16 +3,16 @@
 use {
     crate::{
         answer::Refused,
-        attempt::{AttemptReport, attempt},
+        attempt::{AttemptPlace, AttemptReport, attempt},
         connections::RelayBody,
         node::Node,
         request::CallerRequest,
     },
     hyper::Response,
-    pointvane_core::{ErrorKind, PlatformAdapter, US_PER_MS},
+    pointvane_core::{ErrorKind, HedgeSchedule, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
-        NextStep, RefusedBy, RequestAttempts, RetryBudget, SearchGoal, WithheldService, may_pass_on,
-        search_time_ms,
+        NextStep, RefusedBy, RequestAttempts, RetryBudget, SearchGoal, WithheldService, hedge_goal,
+        may_pass_on, search_time_ms,
     },
     std::{cell::RefMut, rc::Rc, time::Duration},
     tokio::{
@@ -21,6 +21,9 @@
     },
 };
 
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1_000.0;
+
 /// An upstream's answer, ready for the caller, or the reason for which the node itself answers.
 pub type FinalAnswer = Result<Response<RelayBody>, Refused>;
 
@@ -53,9 +56,12 @@
         let mut attempts = RequestAttempts::started(&request.routed.route, request.body.is_some());
         self.retry_budget().earn();
         let deadline = self.deadline(started_at_us);
-        let mut hedge_at = self.hedge_at().filter(|at| *at < deadline);
+        let began = Instant::now();
+        let mut hedges = self.hedge_schedule();
         self.start_best();
         loop {
+            let hedge_at = hedges.map(|hedges| began + Duration::from_secs_f64(hedges.next_ms() / MS_PER_S));
+            let hedge_at = hedge_at.filter(|at| *at < deadline);
             let step = tokio::select! {
                 ended = self.under_way.join_next() => {
                     // An attempt that panicked says nothing of what its upstream did.
@@ -65,7 +71,7 @@
                     attempts.ended(result.end, request.sends.get(), &mut self.retry_budget())
                 }
                 () = sleep_until(hedge_at.unwrap_or(deadline)), if hedge_at.is_some() => {
-                    hedge_at = None;
+                    hedges.iter_mut().for_each(HedgeSchedule::tried);
                     attempts.hedge_due(request.sends.get(), &mut self.retry_budget())
                 }
                 () = sleep_until(deadline) => attempts.deadline_passed(),
@@ -86,7 +92,10 @@
             }
             NextStep::Hedge => {
                 self.node.report.repeated(true);
-                self.start(SearchGoal::UncontendedOnly);
+                let now_us = self.node.now_us();
+                let elapsed_ms = self.request.elapsed_ms(now_us);
+                let goal = hedge_goal(&self.request.routed.route, elapsed_ms, now_us);
+                self.start(goal, AttemptPlace::Hedge);
             }
             NextStep::Deliver => return Some(self.deliver()),
             NextStep::GiveUp(error) => return Some(Err(self.refuse(error))),
@@ -94,15 +103,16 @@
         None
     }
 
-    fn start(&mut self, goal: SearchGoal) {
-        self.under_way.spawn_local(attempt(Rc::clone(&self.node), Rc::clone(&self.request), goal));
+    fn start(&mut self, goal: SearchGoal, place: AttemptPlace) {
+        let (node, request) = (Rc::clone(&self.node), Rc::clone(&self.request));
+        self.under_way.spawn_local(attempt(node, request, goal, place));
     }
 
     /// Starts an attempt at the best upstream, after a short search for an uncontended one.
     fn start_best(&mut self) {
         let search_ms = search_time_ms(&self.request.routed.route);
         let until_us = self.node.now_us() + (search_ms * US_PER_MS as f64) as u64;
-        self.start(SearchGoal::Best { until_us });
+        self.start(SearchGoal::Best { until_us }, AttemptPlace::Alone);
     }
 
     fn deadline(&self, now_us: u64) -> Instant {
@@ -110,10 +120,10 @@
     }
 
     /// When a second attempt is considered, if ever.
-    fn hedge_at(&self) -> Option<Instant> {
+    fn hedge_schedule(&self) -> Option<HedgeSchedule> {
         let route = &self.request.routed.route;
         let after_ms = self.node.dispatcher.route_times(route).hedge_after_ms(route)?;
-        self.node.dispatcher.hedges.then(|| Instant::now() + Duration::from_secs_f64(after_ms / 1e3))
+        self.node.dispatcher.hedges.then(|| HedgeSchedule::new(after_ms))
     }
 
     fn retry_budget(&self) -> RefMut<'_, RetryBudget> {
--- a/standins/tests/stalled_upstreams.rs
+++ b/standins/tests/stalled_upstreams.rs
@@ -73,3 +73,24 @@
     expect_that!(statuses(&node, "safe", 12), each(eq(&200)));
     expect_that!(statuses(&node, "unsafe", 12), each(eq(&200)));
 }
+
+/// A request that waited for a silent upstream until its deadline, since the one moment at which a hedge was considered found no uncontended one.
+#[gtest]
+fn a_request_that_waits_for_a_silent_upstream_is_hedged_as_long_as_there_is_time() {
+    let store = Store::start();
+    store.configure(5, &ROUTES);
+    let start = |number, manner| {
+        let upstream = Upstream::start(&format!("i-{number}"), manner);
+        store.list(&upstream, "ready", 1);
+        upstream
+    };
+    let _good = start(0, Manner::LateHealth(PROBED_MS));
+    let silent = start(1, Manner::Well);
+    let node = NodeProcess::start(&store);
+    node.until_ready();
+    // Requests earn the budget of which a hedge takes.
+    expect_that!(statuses(&node, "safe", 40), each(eq(&200)));
+    silent.set(Manner::Silent);
+    expect_that!(statuses(&node, "safe", 16), each(eq(&200)));
+    expect_that!(silent.runs(), ge(1));
+}
