Quotas: a coordinator that has just started gives out less than the quota's rate until it has seen a window

What callers of other accounts saw: upstreams that are given more than an account's share after all nodes have started again. Cause: a coordinator that has started took the quota for used as if evenly, so a fifth of it came free each second. Why it works: 0.7 of the rate comes free while a window has not passed, and the rest with its end. Usual demand, 1/1.6 of the rate, stays below that; taking the window for used at its latest would refuse all for five seconds. The new test fails before: 200 in place of 400 after four seconds.

--- a/crates/pointvane-dispatch/src/quota/coordinator.rs
+++ b/crates/pointvane-dispatch/src/quota/coordinator.rs
@@ -4,8 +4,8 @@
 //! the other is lost. Reports hold all that a node admitted within the window, so a coordinator that has just become one knows the use of
 //! the whole window after one round of reports, and a report that comes twice counts once. What a node admitted that reports no more
 //! leaves the window by the ages that it told. What nodes have lost that started again, as coordinators too, others know that were told of it;
-//! a coordinator that has just started itself takes the quota for used, as if evenly, so that until a window has passed an account gets no
-//! more than its quota each window, which is more than its usual requests. Where a part of the fleet cannot be reached, the account may use the part of its quota
+//! a coordinator that has just started itself takes the quota for used, and until a window has passed gives out less than the quota's rate,
+//! which is more than an account's usual requests: what was used may have been used right before. Where a part of the fleet cannot be reached, the account may use the part of its quota
 //! here that the nodes which can be reached are of all: the others, if they live, do the same.
 
 use {
@@ -29,6 +29,9 @@
 const BROADCAST_CHANGE_PER_MILLE: u16 = 50;
 /// The whole, in thousandths.
 const WHOLE: u16 = PER_MILLE as u16;
+/// Part of the quota's rate that a coordinator which has just started gives out until it has seen a whole window: of a burst before its start everything
+/// may still be in the window when that ends.
+const UNSEEN_RATE_SHARE: f64 = 0.7;
 /// Shortest time to retry, in milliseconds.
 const RETRY_AFTER_MIN_MS: f64 = 100.0;
 /// Microseconds in a second.
@@ -75,6 +78,11 @@
     window_us.saturating_sub(age_us) as f64 / window_us as f64
 }
 
+/// The part of a quota that may have been used before a coordinator started and still be within the window, after so long a life.
+fn unseen_left(window_us: u64, life_us: u64) -> f64 {
+    if life_us < window_us { 1.0 - UNSEEN_RATE_SHARE * life_us as f64 / window_us as f64 } else { 0.0 }
+}
+
 /// One life of a node.
 type Reporter = (SocketAddr, u64);
 
@@ -219,14 +227,16 @@
     fn used(&self, terms: &Terms) -> f64 {
         let Terms { window_us, fleet_share, started_us, now_us } = *terms;
         let quota = self.quota.in_window(window_us);
-        let start = Checkpoint { used: fleet_share, at_us: started_us };
         let reported = self.reported_within(window_us, window_us, now_us);
-        let by = |checkpoint: Checkpoint| {
-            let since_us = now_us.saturating_sub(checkpoint.at_us).min(window_us);
+        let at_least = |left: f64, at_us: u64| {
+            let since_us = now_us.saturating_sub(at_us).min(window_us);
             let since = self.reported_within(since_us, window_us, now_us);
-            since + (reported - since).max(checkpoint.left(window_us, now_us) * quota)
+            since + (reported - since).max(left * quota)
         };
-        [Some(start), self.told].into_iter().flatten().map(by).fold(reported, f64::max)
+        let unseen =
+            at_least(fleet_share * unseen_left(window_us, now_us.saturating_sub(started_us)), started_us);
+        let told = self.told.map(|told| at_least(told.left(window_us, now_us), told.at_us));
+        reported.max(unseen).max(told.unwrap_or_default())
     }
 
     fn reported_within(&self, time_us: u64, window_us: u64, now_us: u64) -> f64 {
--- a/crates/pointvane-dispatch/tests/quota.rs
+++ b/crates/pointvane-dispatch/tests/quota.rs
@@ -189,6 +189,20 @@
     expect_that!(share(few, long_ago, STARTED_US), eq(1_000));
 }
 
+/// A fleet that starts again right after a burst: its coordinators gave out the quota again as that burst would have left the window evenly.
+#[gtest]
+fn what_may_have_been_used_before_a_coordinator_started_counts_until_a_window_has_passed() {
+    let used = |life_us| {
+        let mut quotas = Quotas::new(WINDOW_US, NOW_US);
+        let usage =
+            AccountUsage { account: account(), admitted: [0; 5], offered_per_1000_s: 0, told: None };
+        quotas.coordinate((address(1), 1), &usage, QUOTA, CONNECTED, NOW_US + life_us).unwrap().used_per_mille
+    };
+    expect_that!(used(0), eq(1_000));
+    expect_that!(used(4 * S), ge(400), "a burst right before the start is all in the window still");
+    expect_that!(used(5 * S), eq(0));
+}
+
 #[gtest]
 fn a_small_share_is_broadcast_at_once_and_repeated_and_its_end_is_told() {
     let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
