Limits: a process that does not know the others yet sends the part of one in the largest fleet

What callers saw: a node that has just started sent an upstream with a limit nothing for 1.5 s, however high the limit and whether or not there are other nodes: 115 of 172 requests refused in the first 1.5 s before one upstream that names 100,000 a second. Entries did so until control had told the members. Cause: without a place in the order of the fleet its part was none. The wait itself is right: a node that has just heard the first others does not know those that started with it, and a fleet whose nodes each take themselves for one of few goes over the limit. What is the worst that it does by not waiting? With the part that the limit gives to the last of the largest fleet, nothing: if all of 2,000 nodes (entry_vms_max entries) send that, they send the limit at most. So that is sent until then: nothing of 2.5 a second, 50 a second of 100,000. A node without other seeds is alone and waits for nobody. Test: three callers of a node in its first second, once alone, once with a seed that never answers; before [200, 503, ...] in both, now all served. That the parts of such processes add up to the limit at most has a unit test.

--- a/crates/pointvane-balance/src/service/limit.rs
+++ b/crates/pointvane-balance/src/service/limit.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// The place of this entry VM while it does not know the others: what it sends then is within the limit though all have started together.
+    pub fn limit_place_without_members(&self) -> LimitPlace {
+        LimitPlace::last_of(self.limits.entry_vms_max as usize)
+    }
+
     /// Works out anew which part of each limit this entry VM may send, and forgets limits that were not confirmed for long.
     pub fn place_limits(&mut self, place: impl Fn(&Name) -> Option<LimitPlace>, now_us: u64) {
         for upstream in 0..self.upstreams.len() {
--- a/crates/pointvane-core/src/request_limit.rs
+++ b/crates/pointvane-core/src/request_limit.rs
@@ -66,6 +66,13 @@
     pub reached_share: f64,
 }
 
+impl LimitPlace {
+    /// The last place in a fleet of so many processes: that of one which does not know the others yet. If all of a fleet that is no larger take it, they send the limit at most.
+    pub const fn last_of(processes: usize) -> Self {
+        Self { before: processes.saturating_sub(1), processes, reached_share: 1.0 }
+    }
+}
+
 /// A limit that holds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct HeldLimit {
--- a/crates/pointvane-core/tests/request_limit.rs
+++ b/crates/pointvane-core/tests/request_limit.rs
@@ -94,6 +94,16 @@
     expect_that!(limited(2_500, place(2, 18)).holds(100 * S), eq(false));
 }
 
+/// A process that has just started sent an upstream nothing, however high its limit was.
+#[gtest]
+fn processes_that_do_not_know_each_other_yet_together_send_at_most_the_limit() {
+    for (per_1000_s, part_per_s) in [(2_500, 0.0), (1_999_000, 0.0), (2_000_000, 1.0), (100_000_000, 50.0)] {
+        let limit = limited(per_1000_s, Some(LimitPlace::last_of(2_000)));
+        expect_that!(limit.part_per_s(), some(eq(part_per_s)), "{per_1000_s}");
+    }
+    expect_that!(limited(6_000, Some(LimitPlace::last_of(1))).part_per_s(), some(eq(6.0)));
+}
+
 #[gtest]
 fn a_part_of_the_fleet_that_reaches_nobody_else_sends_its_part_only() {
     let half = Some(LimitPlace { before: 0, processes: 9, reached_share: 0.5 });
--- a/crates/pointvane-entry/src/entry.rs
+++ b/crates/pointvane-entry/src/entry.rs
@@ -146,9 +146,14 @@
     /// Works out anew which part of each upstream's limit this VM may send.
     pub fn place_limits(&self) {
         let members = self.members();
-        let place = |upstream: &Name| members.limit_place(upstream).filter(|_| !self.is_stopping());
         for service in &self.routes().services {
-            service.lock().place_limits(place, service.now_us());
+            let now_us = service.now_us();
+            let mut balancer = service.lock();
+            let unknown = balancer.limit_place_without_members();
+            let place = |upstream: &Name| {
+                (!self.is_stopping()).then(|| members.limit_place(upstream).unwrap_or(unknown))
+            };
+            balancer.place_limits(place, now_us);
         }
     }
 
--- a/crates/pointvane-node/src/limit_loop.rs
+++ b/crates/pointvane-node/src/limit_loop.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::node::Node,
-    pointvane_core::{Name, PlatformAdapter},
+    pointvane_core::{LimitPlace, Name, PlatformAdapter},
     pointvane_dispatch::{Forwarder, LIMITS_MAX, LimitAnnouncement, LimitMessage, Segment, UpstreamKey},
     pointvane_mesh::codec,
     std::{collections::HashMap, rc::Rc, time::Duration},
@@ -24,13 +24,13 @@
 }
 
 /// What a node's part of a limit was worked out from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 struct PartBasis {
     /// Changes of the membership by then.
     changes: u64,
     per_1000_s: Option<u32>,
     doublings: u32,
-    is_known: bool,
+    place: Option<LimitPlace>,
 }
 
 async fn follow<A: PlatformAdapter>(node: &Node<A>) {
@@ -61,8 +61,8 @@
     for key in limited {
         let Some((upstream, mut basis)) = basis(node, key, now_us) else { continue };
         let may_use = node.lifecycle.is_running();
-        let place = node.fleet.limit_place(&upstream, contact, node.running_ms()).filter(|_| may_use);
-        basis.is_known = place.is_some();
+        let place = may_use.then(|| node.fleet.limit_place(&upstream, contact, node.running_ms()));
+        basis.place = place;
         if parts.insert(key, basis) != Some(basis) {
             node.dispatcher.pool_mut().set_limit_place(key, place, now_us);
         }
@@ -76,7 +76,7 @@
         changes: node.fleet.changes(),
         per_1000_s: state.limit().per_1000_s(),
         doublings: state.limit().doublings(now_us),
-        is_known: false,
+        place: None,
     };
     Some((state.id().clone(), basis))
 }
--- a/standins/tests/limits.rs
+++ b/standins/tests/limits.rs
@@ -144,3 +144,37 @@
     site.send_for(Duration::from_secs(6));
     expect_that!(most_in_window(&site.upstreams[0], BINDS_AFTER), le(allowed(2.5)));
 }
+
+/// Statuses of what three callers of a node ask for in its first second.
+fn first_second(node: &NodeProcess) -> Vec<u16> {
+    let until = Instant::now() + Duration::from_secs(1);
+    let call = |caller: usize| {
+        let mut statuses = Vec::new();
+        while Instant::now() < until {
+            let id = format!("{caller}-{}", statuses.len());
+            statuses.push(node.request("GET", "/safe/a", &id, 3_000).unwrap().status());
+            thread::sleep(BETWEEN);
+        }
+        statuses
+    };
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..3).map(|caller| scope.spawn(move || call(caller))).collect();
+        callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
+    })
+}
+
+/// A node that had just started sent an upstream with a limit nothing for 1.5 s, however high the limit and whether or not there were others.
+#[gtest]
+fn a_node_that_has_just_started_serves_what_a_limit_far_above_its_requests_allows() {
+    let store = Store::start();
+    store.configure(5, &ROUTES);
+    let upstream = Upstream::start("i-0", Manner::NameLimit { per_1000_s: 4_000_000_000 });
+    store.list(&upstream, "ready", 1);
+    let alone = NodeProcess::start(&store);
+    alone.until_ready();
+    expect_that!(first_second(&alone), each(eq(&200)));
+    // Nobody answers at this address: the node does not know whether others live.
+    let unheard = NodeProcess::start_in(&store, &[users_platform::own_address()]);
+    unheard.until_ready();
+    expect_that!(first_second(&unheard), each(eq(&200)));
+}
