Quotas: a share holds no longer than its coordinators answer, and reports are sent until they are answered

What callers of other accounts saw: more than an account's share while a part of the fleet was cut off. Cause: a node that no longer reached its coordinators went on admitting by the share that it had for 1.5 s, and where it had none for 0.7 s; with demand at five times the rate what is left of the quota is gone in 0.9 s. A report was sent once for each request, so a lost one told a node nothing of its contact. Why it works: 0.25 s without an answer, and a node goes by its own part of the quota; reports that are not answered are sent again every 0.1 to 0.25 s, so that one lost datagram does not count for longer. A node that is answered decides as before. Tests: a new one (20 admitted in place of 0 before); two changed: the time after which coordinators count as lost is 0.3 s at most in place of 0.8, and a report that nobody answered comes again.

--- a/crates/pointvane-dispatch/src/quota/local.rs
+++ b/crates/pointvane-dispatch/src/quota/local.rs
@@ -18,8 +18,8 @@
 const NEAR_PER_MILLE: u16 = 300;
 /// Time for which a coordinator's share holds, in microseconds.
 const SHARE_HOLDS_US: u64 = 1_500 * US_PER_MS;
-/// Time without an answer to a report after which the coordinators count as lost, in microseconds.
-const ANSWER_WITHIN_US: u64 = 700 * US_PER_MS;
+/// Time without an answer to a report after which the coordinators count as lost, in microseconds: shares that were told before hold no more.
+const ANSWER_WITHIN_US: u64 = 250 * US_PER_MS;
 /// When a caller should retry that a node refused which knows of no other, in milliseconds: another node may know more.
 const RETRY_ELSEWHERE_MS: u32 = 50;
 /// Requests in a window that a node admits though its part of the quota is less.
@@ -105,9 +105,10 @@
         self.usage.offer(now_us);
         self.unreported = true;
         let decision = match self.share(now_us) {
-            _ if !contact.connected => self.within_allowance(quota, contact, now_us),
+            _ if !contact.connected || self.are_coordinators_lost(now_us) => {
+                self.within_allowance(quota, contact, now_us)
+            }
             Some(share) => share.drawn(draw),
-            None if self.are_coordinators_lost(now_us) => self.within_allowance(quota, contact, now_us),
             None => QuotaDecision::Admitted,
         };
         if decision == QuotaDecision::Admitted {
@@ -167,7 +168,9 @@
         let share = self.share(now_us);
         let near = share.is_some_and(|share| share.used_per_mille >= NEAR_PER_MILLE);
         let interval_us = if near { REPORT_NEAR_US } else { REPORT_US };
-        self.unreported && now_us.saturating_sub(self.reported_at_us) >= interval_us
+        // One that was not answered is sent again: the answer tells whether the coordinators can be reached.
+        let is_wanted = self.unreported || self.unanswered_since_us.is_some();
+        is_wanted && now_us.saturating_sub(self.reported_at_us) >= interval_us
     }
 
     /// Its use, for its coordinators.
--- a/crates/pointvane-dispatch/tests/quota.rs
+++ b/crates/pointvane-dispatch/tests/quota.rs
@@ -90,12 +90,24 @@
     let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
     (0..5).for_each(|_| expect_that!(admit(&mut quotas, CONNECTED, S, 0.0), eq(true)));
     expect_that!(quotas.take_reports(S).len(), eq(1));
-    expect_that!(admit(&mut quotas, CONNECTED, S + 600 * MS, 0.0), eq(true));
-    expect_that!(admit(&mut quotas, CONNECTED, S + 800 * MS, 0.0), eq(false));
+    expect_that!(admit(&mut quotas, CONNECTED, S + 200 * MS, 0.0), eq(true));
+    expect_that!(admit(&mut quotas, CONNECTED, S + 300 * MS, 0.0), eq(false));
     quotas.receive_shares(address(1), &share(1_000), S + 900 * MS);
     expect_that!(admit(&mut quotas, CONNECTED, S + 900 * MS, 0.0), eq(true));
 }
 
+/// A share that goes on holding while its coordinators are out of reach: both parts of a fleet that is cut in two admitted by it for 1.5 s.
+#[gtest]
+fn a_share_holds_no_longer_than_its_coordinators_answer() {
+    let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
+    quotas.receive_shares(address(1), &share(1_000), S);
+    let admitted =
+        |quotas: &mut Quotas, now_us| (0..20).filter(|_| admit(quotas, CONNECTED, now_us, 0.0)).count();
+    expect_that!(admitted(&mut quotas, S), eq(20));
+    expect_that!(quotas.take_reports(S + 100 * MS).len(), eq(1));
+    expect_that!(admitted(&mut quotas, S + 400 * MS), eq(0), "its part was used");
+}
+
 #[gtest]
 fn a_request_that_was_not_sent_is_given_back() {
     let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
@@ -116,6 +128,8 @@
     (0..3).for_each(|_| _ = admit(&mut quotas, CONNECTED, 4 * S, 0.0));
     let reports = quotas.take_reports(4 * S);
     expect_that!(reports[0].admitted, eq([3, 0, 4, 0, 0]));
+    expect_that!(quotas.take_reports(4 * S + 300 * MS).len(), eq(1), "not answered, so sent again");
+    quotas.receive_shares(address(1), &share(1_000), 4 * S + 300 * MS);
     expect_that!(quotas.take_reports(5 * S).len(), eq(0), "nothing new");
     expect_that!(quotas.is_idle(), eq(false));
     _ = quotas.take_reports(20 * S);
