Quotas: parts below one request are drawn by lot, and a node that has heard no other yet admits nothing

What callers of other accounts saw: more than an account's share where nodes are many beside its quota, cut off or just started. Cause: a node that hears nobody admitted at least one request in a window whatever its part: 293 of 586 nodes cut off each alone admitted up to 293 where their parts add up to 90 (30 a second). A node that had just started did so too before it had heard any other. Why it works: the lot is drawn once a window, so nodes together admit what their parts add up to, however often each is asked; a node that knows of no other admits nothing in its first half second, in which it hears the others if there are any, and one request in a window after that, as before: it may be the only one. Its callers are told to retry after 50 ms. Tests: 60 nodes whose parts add up to fifteen (60 before), a node 0.3 s after its start.

--- a/crates/pointvane-dispatch/src/quota.rs
+++ b/crates/pointvane-dispatch/src/quota.rs
@@ -4,12 +4,13 @@
 //! an account within the window (`quota/local.rs`) to its coordinators (`quota/coordinator.rs`), and again to others that take their place.
 //! While the account is well within its quota everything is admitted. Near it, coordinators tell all nodes which part of its requests to admit, drawn at random, so that callers of all nodes are
 //! treated alike however few each node sees. Inputs: the account's quota, the part told last, whether other nodes and coordinators are
-//! heard. A node that hears nobody, or gets no answer to its reports, admits an equal part of the quota, and at least one request in a
-//! window: its callers are told to retry soon, and find other nodes. A request that is admitted and then not sent is given back.
+//! heard. A node that hears nobody, or gets no answer to its reports, admits an equal part of the quota (`quota/allowance.rs`): its callers are told to retry
+//! soon, and find other nodes.  A request that is admitted and then not sent is given back.
 //!
-//! Invariant: in any window the nodes together admit at most the quota, beyond it what arrives before the coordinators know of it, and a request for each node
-//! that is cut off. Tests: `tests/quota.rs`, in fleets `tests/quota_fleet.rs`.
+//! Invariant: in any window the nodes together admit at most the quota, and beyond it what arrives before the coordinators know of it.
+//! Tests: `tests/quota.rs`, in fleets `tests/quota_fleet.rs`.
 
+mod allowance;
 mod coordinator;
 mod local;
 mod messages;
@@ -19,7 +20,7 @@
 
 use {
     coordinator::Coordinator,
-    local::LocalAccount,
+    local::{AdmitTerms, LocalAccount},
     messages::PER_MILLE,
     pointvane_core::{Name, Quota},
     std::{collections::HashMap, net::SocketAddr},
@@ -52,6 +53,7 @@
 #[derive(Clone, Debug)]
 pub struct Quotas {
     window_us: u64,
+    started_us: u64,
     accounts: HashMap<Name, LocalAccount>,
     has_unknown: bool,
     coordinator: Coordinator,
@@ -62,6 +64,7 @@
     pub fn new(window_us: u64, now_us: u64) -> Self {
         Self {
             window_us,
+            started_us: now_us,
             accounts: HashMap::new(),
             has_unknown: false,
             coordinator: Coordinator::new(window_us, now_us),
@@ -83,7 +86,8 @@
             None => self.accounts.entry(account.clone()).or_insert_with(|| LocalAccount::new(window_us)),
         };
         self.has_unknown |= local.was_never_reported();
-        local.admit(quota.in_window(window_us), contact, now_us, draw)
+        let life_us = now_us.saturating_sub(self.started_us);
+        local.admit(&AdmitTerms { quota: quota.in_window(window_us), contact, life_us, now_us, draw })
     }
 
     /// Takes back a request that was admitted at a time and not sent.
--- a/crates/pointvane-dispatch/src/quota/local.rs
+++ b/crates/pointvane-dispatch/src/quota/local.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         FleetContact, QuotaDecision,
+        allowance::{Allowance, own_part},
         messages::{AccountShare, AccountUsage, PER_MILLE, ToldUse},
         usage::Usage,
     },
@@ -22,8 +23,6 @@
 const ANSWER_WITHIN_US: u64 = 250 * US_PER_MS;
 /// When a caller should retry that a node refused which knows of no other, in milliseconds: another node may know more.
 const RETRY_ELSEWHERE_MS: u32 = 50;
-/// Requests in a window that a node admits though its part of the quota is less.
-const ALLOWANCE_MIN: f64 = 1.0;
 
 /// A coordinator's share, as it was received.
 #[derive(Clone, Copy, Debug)]
@@ -62,6 +61,22 @@
     shares: Vec<ReceivedShare>,
     /// The greatest use that was told last, and when, in microseconds of the steady clock.
     told: Option<(u16, u64)>,
+    allowance: Allowance,
+    window_us: u64,
+}
+
+/// What a request is decided by, besides what is known of its account.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmitTerms {
+    /// Requests that the account may use in a window.
+    pub quota: f64,
+    /// What the node sees of the fleet.
+    pub contact: FleetContact,
+    /// Time since the node started, in microseconds.
+    pub life_us: u64,
+    pub now_us: u64,
+    /// Lies between 0 and 1.
+    pub draw: f32,
 }
 
 impl LocalAccount {
@@ -74,6 +89,8 @@
             unanswered_since_us: None,
             shares: Vec::new(),
             told: None,
+            allowance: Allowance::default(),
+            window_us,
         }
     }
 
@@ -100,14 +117,13 @@
         holding.min_by_key(|share| share.share_per_mille).copied()
     }
 
-    /// Whether a request is admitted, of an account that may use so many in a window.
-    pub fn admit(&mut self, quota: f64, contact: FleetContact, now_us: u64, draw: f32) -> QuotaDecision {
+    /// Whether a request is admitted.
+    pub fn admit(&mut self, terms: &AdmitTerms) -> QuotaDecision {
+        let AdmitTerms { contact, now_us, draw, .. } = *terms;
         self.usage.offer(now_us);
         self.unreported = true;
         let decision = match self.share(now_us) {
-            _ if !contact.connected || self.are_coordinators_lost(now_us) => {
-                self.within_allowance(quota, contact, now_us)
-            }
+            _ if !contact.connected || self.are_coordinators_lost(now_us) => self.within_allowance(terms),
             Some(share) => share.drawn(draw),
             None => QuotaDecision::Admitted,
         };
@@ -118,9 +134,11 @@
     }
 
     /// Decides by this node's own part of the quota.
-    fn within_allowance(&mut self, quota: f64, contact: FleetContact, now_us: u64) -> QuotaDecision {
-        let part = contact.nodes.map_or(0.0, |nodes| quota / nodes.max(1) as f64);
-        if f64::from(self.usage.admitted(now_us)) < part.max(ALLOWANCE_MIN) {
+    fn within_allowance(&mut self, terms: &AdmitTerms) -> QuotaDecision {
+        let AdmitTerms { quota, contact, life_us, now_us, draw } = *terms;
+        let part = own_part(quota, contact, life_us);
+        let admitted = self.usage.admitted(now_us);
+        if self.allowance.covers(part, admitted, self.window_us, now_us, draw) {
             QuotaDecision::Admitted
         } else {
             QuotaDecision::Refused { retry_after_ms: RETRY_ELSEWHERE_MS }
--- a/crates/pointvane-dispatch/tests/quota.rs
+++ b/crates/pointvane-dispatch/tests/quota.rs
@@ -108,6 +108,29 @@
     expect_that!(admitted(&mut quotas, S + 400 * MS), eq(0), "its part was used");
 }
 
+/// Parts of less than a request: each node of a part that is cut off admitted one, 293 nodes far more than their part of the quota.
+#[gtest]
+fn nodes_that_hear_nobody_together_admit_what_their_parts_add_up_to() {
+    let many = FleetContact { connected: false, nodes: Some(60), reached_share: 0.5 };
+    let draws = (0..60).map(|node| node as f32 / 60.0);
+    let admitted: usize = draws
+        .map(|draw| {
+            let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
+            (0..10).filter(|_| admit(&mut quotas, many, NOW_US, draw)).count()
+        })
+        .sum();
+    expect_that!(admitted, eq(15), "fifteen in a window, whichever nodes are asked how often");
+}
+
+/// A fleet that starts again at the peak of demand: each node admitted a request before it knew of any other.
+#[gtest]
+fn a_node_that_has_just_started_admits_nothing_before_it_hears_others() {
+    let unknown = FleetContact { connected: false, nodes: None, reached_share: 1.0 };
+    let mut quotas = Quotas::new(WINDOW_US, NOW_US);
+    expect_that!(admit(&mut quotas, unknown, NOW_US + 300 * MS, 0.0), eq(false));
+    expect_that!(admit(&mut quotas, unknown, NOW_US + 600 * MS, 0.0), eq(true), "it may be the only one");
+}
+
 #[gtest]
 fn a_request_that_was_not_sent_is_given_back() {
     let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
