Quotas: coordinators that no longer hear each other give out a part of the quota

What callers of other accounts saw: up to 1.2 times what an account may use while a fleet is cut in two as demand rises. Cause: each part had a coordinator, and each gave out the whole quota until the membership noticed, 1.4 s later; what is left is gone in 0.9 s. Why it works: coordinators of the same accounts send each other a heartbeat every 0.1 s, or less often if they are many (100 a second for a node at most), and one that heard none for 0.35 s gives out 0.55 of the quota: both together 1.1, within what is allowed beyond, and an account's usual requests, 0.52 of the quota, are served while a coordinator only ends.

--- a/crates/pointvane-dispatch/src/quota.rs
+++ b/crates/pointvane-dispatch/src/quota.rs
@@ -5,15 +5,16 @@
 //! While the account is well within its quota everything is admitted. Near it, coordinators tell all nodes which part of its requests to admit, drawn at random, so that callers of all nodes are
 //! treated alike however few each node sees. Inputs: the account's quota, the part told last, whether other nodes and coordinators are
 //! heard. A node that hears nobody, or gets no answer to its reports, admits an equal part of the quota (`quota/allowance.rs`): its callers are told to retry
-//! soon, and find other nodes.  A request that is admitted and then not sent is given back.
+//! soon, and find other nodes. Coordinators that no longer hear each other (`quota/peers.rs`) divide the quota. A request that is admitted and then not sent is given back.
 //!
 //! Invariant: in any window the nodes together admit at most the quota, and beyond it what arrives before the coordinators know of it.
-//! Tests: `tests/quota.rs`, in fleets `tests/quota_fleet.rs`.
+//! Tests: `tests/quota.rs`, `tests/quota_peers.rs`, in fleets `tests/quota_fleet.rs`.
 
 mod allowance;
 mod coordinator;
 mod local;
 mod messages;
+mod peers;
 mod usage;
 
 pub use messages::{ACCOUNTS_MAX, AccountShare, AccountUsage, QuotaMessage, ToldUse};
@@ -157,6 +158,31 @@
         self.coordinator.share(&usage.account, contact.reached_share, now_us)
     }
 
+    /// The accounts that this node coordinates and of which it does not know who else does.
+    pub fn accounts_without_peer(&self) -> Vec<Name> {
+        self.coordinator.accounts_without_peer()
+    }
+
+    /// Takes note of the other coordinator of an account; none if this node is the only one.
+    pub fn set_peer(&mut self, account: &Name, peer: Option<SocketAddr>, now_us: u64) {
+        self.coordinator.set_peer(account, peer, now_us);
+    }
+
+    /// Has the other coordinators of all accounts looked up again: the membership has changed.
+    pub fn forget_peers(&mut self) {
+        self.coordinator.forget_peers();
+    }
+
+    /// Takes note of a message of another node; false if that is none of the other coordinators.
+    pub fn heard(&mut self, from: SocketAddr, now_us: u64) -> bool {
+        self.coordinator.heard(from, now_us)
+    }
+
+    /// The other coordinators that are due for a heartbeat now.
+    pub fn take_heartbeats(&mut self, now_us: u64) -> Vec<SocketAddr> {
+        self.coordinator.take_heartbeats(now_us)
+    }
+
     /// Shares that this node, as a coordinator, has to tell all nodes now.
     pub fn take_broadcast(&mut self, contact: FleetContact, now_us: u64) -> Vec<AccountShare> {
         self.coordinator.take_broadcast(contact.reached_share, now_us)
--- a/crates/pointvane-dispatch/src/quota/coordinator.rs
+++ b/crates/pointvane-dispatch/src/quota/coordinator.rs
@@ -9,7 +9,10 @@
 //! here that the nodes which can be reached are of all: the others, if they live, do the same.
 
 use {
-    super::messages::{AccountShare, AccountUsage, FIFTHS, PER_MILLE, ToldUse},
+    super::{
+        messages::{AccountShare, AccountUsage, FIFTHS, PER_MILLE, ToldUse},
+        peers::CoordinatorPeers,
+    },
     pointvane_core::{Name, PER_1000_S, Quota, US_PER_MS},
     std::{
         collections::{BTreeMap, HashMap},
@@ -32,6 +35,9 @@
 /// Part of the quota's rate that a coordinator which has just started gives out until it has seen a whole window: of a burst before its start everything
 /// may still be in the window when that ends.
 const UNSEEN_RATE_SHARE: f64 = 0.7;
+/// Part of the quota that a coordinator gives out while it does not hear the other one, which does the same if it lives. More than half, since the other may
+/// only have ended, and an account's usual requests are to be served meanwhile.
+const SHARE_WITHOUT_PEER: f64 = 0.55;
 /// Shortest time to retry, in milliseconds.
 const RETRY_AFTER_MIN_MS: f64 = 100.0;
 /// Microseconds in a second.
@@ -96,6 +102,16 @@
     /// The most that nodes had been told by other coordinators before that.
     told: Option<Checkpoint>,
     broadcast: Option<Broadcast>,
+    peer: Peer,
+}
+
+/// Who else coordinates an account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Peer {
+    /// To be looked up.
+    Unknown,
+    Nobody,
+    Node(SocketAddr),
 }
 
 /// What a share is reckoned from.
@@ -109,6 +125,18 @@
     now_us: u64,
 }
 
+impl Terms {
+    /// The same, with a part of the quota only where the other coordinator is out of reach.
+    fn without_silent(&self, peer: Peer, peers: &CoordinatorPeers) -> Self {
+        match peer {
+            Peer::Node(address) if peers.is_silent(address, self.now_us) => {
+                Self { fleet_share: self.fleet_share.min(SHARE_WITHOUT_PEER), ..*self }
+            }
+            Peer::Unknown | Peer::Nobody | Peer::Node(_) => *self,
+        }
+    }
+}
+
 /// The share that was broadcast last.
 #[derive(Clone, Copy, Debug)]
 struct Broadcast {
@@ -122,18 +150,56 @@
     window_us: u64,
     started_us: u64,
     accounts: HashMap<Name, Coordinated>,
+    peers: CoordinatorPeers,
 }
 
 impl Coordinator {
     /// A coordinator of a process that has started now.
     pub fn new(window_us: u64, now_us: u64) -> Self {
-        Self { window_us, started_us: now_us, accounts: HashMap::new() }
+        Self { window_us, started_us: now_us, accounts: HashMap::new(), peers: CoordinatorPeers::default() }
     }
 
     fn terms(&self, fleet_share: f64, now_us: u64) -> Terms {
         Terms { window_us: self.window_us, fleet_share, started_us: self.started_us, now_us }
     }
 
+    /// The accounts of which it is not known who else coordinates them.
+    pub fn accounts_without_peer(&self) -> Vec<Name> {
+        let unknown = self.accounts.iter().filter(|(_, coordinated)| coordinated.peer == Peer::Unknown);
+        unknown.map(|(account, _)| account.clone()).collect()
+    }
+
+    /// Takes note of who else coordinates an account.
+    pub fn set_peer(&mut self, account: &Name, peer: Option<SocketAddr>, now_us: u64) {
+        if let Some(coordinated) = self.accounts.get_mut(account) {
+            coordinated.peer = peer.map_or(Peer::Nobody, Peer::Node);
+            self.follow_peers(now_us);
+        }
+    }
+
+    /// Has all looked up again.
+    pub fn forget_peers(&mut self) {
+        self.accounts.values_mut().for_each(|coordinated| coordinated.peer = Peer::Unknown);
+    }
+
+    fn follow_peers(&mut self, now_us: u64) {
+        let peers = self.accounts.values().filter_map(|coordinated| match coordinated.peer {
+            Peer::Node(address) => Some(address),
+            Peer::Unknown | Peer::Nobody => None,
+        });
+        self.peers.follow(&peers.collect(), now_us);
+    }
+
+    /// Takes note of a message of another node; false if that is none of the other coordinators.
+    pub fn heard(&mut self, from: SocketAddr, now_us: u64) -> bool {
+        self.peers.heard(from, now_us)
+    }
+
+    /// The other coordinators that are due for a heartbeat now.
+    pub fn take_heartbeats(&mut self, now_us: u64) -> Vec<SocketAddr> {
+        self.peers.take_due(now_us)
+    }
+
     /// Takes what a life of a node uses of an account.
     pub fn receive(&mut self, reporter: Reporter, usage: &AccountUsage, quota: Quota, now_us: u64) {
         let empty = || Coordinated::new(quota, now_us);
@@ -150,7 +216,8 @@
     /// How much of an account's requests may be admitted; `fleet_share` is the part of the fleet that can be reached. None if nothing was reported of it.
     pub fn share(&self, account: &Name, fleet_share: f64, now_us: u64) -> Option<AccountShare> {
         let coordinated = self.accounts.get(account)?;
-        Some(coordinated.share(account, &self.terms(fleet_share, now_us)))
+        let terms = self.terms(fleet_share, now_us);
+        Some(coordinated.share(account, &terms.without_silent(coordinated.peer, &self.peers)))
     }
 
     /// Shares that all nodes have to learn now: those that changed, and those that are less than the whole now and then.
@@ -159,7 +226,7 @@
         let terms = self.terms(fleet_share, now_us);
         let mut shares = Vec::new();
         for (account, coordinated) in &mut self.accounts {
-            let share = coordinated.share(account, &terms);
+            let share = coordinated.share(account, &terms.without_silent(coordinated.peer, &self.peers));
             if coordinated.is_due(share.share_per_mille, now_us) {
                 let share_per_mille = share.share_per_mille;
                 coordinated.broadcast = Some(Broadcast { share_per_mille, at_us: now_us });
@@ -180,13 +247,24 @@
         for coordinated in self.accounts.values_mut() {
             coordinated.by_node.retain(|_, usage| now_us.saturating_sub(usage.at_us) < window_us);
         }
+        let before = self.accounts.len();
         self.accounts.retain(|_, coordinated| !coordinated.by_node.is_empty());
+        if self.accounts.len() < before {
+            self.follow_peers(now_us);
+        }
     }
 }
 
 impl Coordinated {
     fn new(quota: Quota, now_us: u64) -> Self {
-        Self { quota, by_node: BTreeMap::new(), began_us: now_us, told: None, broadcast: None }
+        Self {
+            quota,
+            by_node: BTreeMap::new(),
+            began_us: now_us,
+            told: None,
+            broadcast: None,
+            peer: Peer::Unknown,
+        }
     }
 
     /// Takes what a node was told, if that was before this coordinator had any report: what it told itself says nothing more.
--- a/crates/pointvane-dispatch/src/quota/messages.rs
+++ b/crates/pointvane-dispatch/src/quota/messages.rs
@@ -35,6 +35,13 @@
         /// The accounts.
         accounts: Vec<AccountShare>,
     },
+    /// The sender coordinates accounts together with the receiver, and lives.
+    Heartbeat {
+        /// Where the sender takes these messages, as it is advertised: what its datagrams come from may differ.
+        origin: SocketAddr,
+        /// Whether the receiver is to send one back.
+        wants_reply: bool,
+    },
 }
 
 /// What one node uses of an account.
--- a/crates/pointvane-dispatch/tests/quota_simulation/mod.rs
+++ b/crates/pointvane-dispatch/tests/quota_simulation/mod.rs
@@ -5,7 +5,11 @@
     pointvane_core::Quota,
     pointvane_dispatch::{AccountShare, AccountUsage, FleetContact, QuotaDecision, Quotas},
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom},
-    std::{collections::BTreeMap, net::SocketAddr, ops::Range},
+    std::{
+        collections::BTreeMap,
+        net::{IpAddr, SocketAddr},
+        ops::Range,
+    },
 };
 
 pub const MS: u64 = 1_000;
@@ -106,6 +110,17 @@
         worst
     }
 
+    /// The part of all requests that was refused though no more than the quota was asked for in the window that ends with it.
+    pub fn refused_below(&self, quota: Quota) -> f64 {
+        let is_below = |at: u64| {
+            let window = at.saturating_sub(WINDOW_US)..=at;
+            let offered = self.requests.iter().filter(|(other, _)| window.contains(other)).count();
+            offered as f64 <= quota.in_window(WINDOW_US)
+        };
+        let refused = self.requests.iter().filter(|(at, ok)| !ok && is_below(*at)).count();
+        refused as f64 / self.requests.len().max(1) as f64
+    }
+
     /// The part of the requests of a time that was refused.
     pub fn refused_share(&self, when: Range<u64>) -> f64 {
         let of: Vec<bool> =
@@ -132,6 +147,7 @@
 enum Message {
     Usage { from: usize, life: u64, usages: Vec<AccountUsage> },
     Shares { origin: usize, shares: Vec<AccountShare> },
+    Heartbeat { from: usize, wants_reply: bool },
 }
 
 struct Simulation<'p> {
@@ -293,6 +309,12 @@
             let (to, message) = entry.remove();
             self.nodes[to].heard_us = now_us;
             match message {
+                Message::Heartbeat { from, wants_reply } => {
+                    let is_followed = self.nodes[to].quotas.heard(address(from), now_us);
+                    if wants_reply && !is_followed {
+                        self.send(to, from, Message::Heartbeat { from: to, wants_reply: false }, now_us);
+                    }
+                }
                 Message::Usage { from, life, usages } => {
                     let shares = self.coordinate(to, from, life, &usages, now_us);
                     self.send(to, from, Message::Shares { origin: to, shares }, now_us);
@@ -328,7 +350,9 @@
         if self.nodes[index].coordinators != coordinators {
             self.nodes[index].coordinators = coordinators;
             self.nodes[index].quotas.report_again(&ACCOUNT.into());
+            self.nodes[index].quotas.forget_peers();
         }
+        self.follow_peers(index, now_us);
         let usages = self.nodes[index].quotas.take_reports(now_us);
         if !usages.is_empty() {
             let life = self.nodes[index].life;
@@ -356,6 +380,17 @@
         }
     }
 
+    /// Looks up who else coordinates the account, and sends the heartbeats that are due.
+    fn follow_peers(&mut self, index: usize, now_us: u64) {
+        for account in self.nodes[index].quotas.accounts_without_peer() {
+            let peer = self.coordinators(index, now_us).into_iter().find(|other| *other != index);
+            self.nodes[index].quotas.set_peer(&account, peer.map(address), now_us);
+        }
+        for peer in self.nodes[index].quotas.take_heartbeats(now_us) {
+            self.send(index, number(peer), Message::Heartbeat { from: index, wants_reply: true }, now_us);
+        }
+    }
+
     fn request(&mut self, at_us: u64, now_us: u64) {
         let one = self.plan.all_to_one.contains(&at_us);
         let index = if one { 0 } else { self.rng.random_range(0..self.nodes.len()) };
@@ -373,6 +408,11 @@
     }
 }
 
+fn number(address: SocketAddr) -> usize {
+    let IpAddr::V4(ip) = address.ip() else { unreachable!("all are IPv4") };
+    usize::from(ip.octets()[2]) * 250 + usize::from(ip.octets()[3])
+}
+
 fn address(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7_663))
 }
--- a/crates/pointvane-node/src/fleet/quota_peers.rs
+++ b/crates/pointvane-node/src/fleet/quota_peers.rs
@@ -23,6 +23,16 @@
     Other(SocketAddr),
 }
 
+impl CoordinatorNode {
+    /// The address of another node; none for this one.
+    pub fn other(self) -> Option<SocketAddr> {
+        match self {
+            Self::Own => None,
+            Self::Other(address) => Some(address),
+        }
+    }
+}
+
 impl Fleet {
     /// What this node sees of the fleet. Nodes that are dead and did not leave as planned may live behind a cut, and count.
     pub fn contact(&self, settings: &NodeSettings, now_us: u64) -> FleetContact {
@@ -62,6 +72,11 @@
         live.into_iter().take(COORDINATORS).map(node).collect()
     }
 
+    /// Where other nodes send this one messages on quotas.
+    pub fn own_quota_address(&self) -> SocketAddr {
+        quota_address(self.membership.borrow().me())
+    }
+
     /// The nodes that shares of accounts are passed on to.
     pub fn quota_forwarders(&self, origin: SocketAddr, segment: Segment) -> Vec<Forwarder<SocketAddr>> {
         self.forwarders(origin, segment, QUOTA_PORT_OFFSET)
--- a/crates/pointvane-node/src/quota_loop.rs
+++ b/crates/pointvane-node/src/quota_loop.rs
@@ -1,4 +1,4 @@
-//! Messages between nodes on the quotas of client accounts: reports to coordinators, and the shares by which these answer.
+//! Messages between nodes on the quotas of client accounts: reports to coordinators, the shares by which these answer, and heartbeats between coordinators.
 //!
 //! Nothing is sent, and no timer runs, while no request of an account with a quota comes.
 
@@ -34,8 +34,12 @@
         let mut coordinators = Coordinators::default();
         while !node.dispatcher.quotas.borrow_mut().is_idle() {
             coordinators.follow(&node.fleet, &node.dispatcher.quotas);
+            follow_peers(node);
             tokio::select! {
-                _ = ticks.tick() => broadcast(node),
+                _ = ticks.tick() => {
+                    send_heartbeats(node);
+                    broadcast(node);
+                }
                 () = node.quotas_used.notified() => {}
             }
             report(node);
@@ -50,6 +54,12 @@
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
         let Ok(message) = codec::decode::<QuotaMessage>(&buffer[..length]) else { continue };
         match message {
+            QuotaMessage::Heartbeat { origin, wants_reply } => {
+                let is_peer = node.dispatcher.quotas.borrow_mut().heard(origin, node.now_us());
+                if wants_reply && !is_peer {
+                    send_to(node, &heartbeat(node, false), origin);
+                }
+            }
             QuotaMessage::Usage { life, accounts } => {
                 let shares = coordinate(node, (from, life), &accounts);
                 send_to(node, &own_shares(node, Segment::NONE, shares), from);
@@ -76,6 +86,7 @@
             return;
         }
         self.as_of = fleet.changes();
+        quotas.borrow_mut().forget_peers();
         let accounts: Vec<Name> = quotas.borrow_mut().accounts().cloned().collect();
         let before = mem::take(&mut self.by_account);
         for account in accounts {
@@ -88,6 +99,24 @@
     }
 }
 
+/// Looks up who else coordinates the accounts that this node coordinates.
+fn follow_peers<A: PlatformAdapter>(node: &Node<A>) {
+    let accounts = node.dispatcher.quotas.borrow_mut().accounts_without_peer();
+    for account in accounts {
+        let peer = node.fleet.coordinators(&account).into_iter().find_map(CoordinatorNode::other);
+        node.dispatcher.quotas.borrow_mut().set_peer(&account, peer, node.now_us());
+    }
+}
+
+fn send_heartbeats<A: PlatformAdapter>(node: &Node<A>) {
+    let due = node.dispatcher.quotas.borrow_mut().take_heartbeats(node.now_us());
+    due.into_iter().for_each(|peer| send_to(node, &heartbeat(node, true), peer));
+}
+
+fn heartbeat<A: PlatformAdapter>(node: &Node<A>, wants_reply: bool) -> QuotaMessage {
+    QuotaMessage::Heartbeat { origin: node.fleet.own_quota_address(), wants_reply }
+}
+
 /// Tells the coordinators of accounts what this node uses of them.
 fn report<A: PlatformAdapter>(node: &Node<A>) {
     let reports = node.dispatcher.quotas.borrow_mut().take_reports(node.now_us());
