Quotas: a check that comes a little early leaves out no heartbeat; formatting

Read as a newcomer: checks come every 100 ms and heartbeats were due every 100 ms, so a check a millisecond early left one out; with the next one lost, 0.35 s had passed and a coordinator that lives counted as out of reach. A heartbeat is sent up to 20 ms before it is due, and the next one is due by the first one's time, so that no more are sent. `OtherCoordinator` is no longer a second `Peer`.

--- a/crates/pointvane-dispatch/src/quota/coordinator.rs
+++ b/crates/pointvane-dispatch/src/quota/coordinator.rs
@@ -102,12 +102,12 @@
     /// The most that nodes had been told by other coordinators before that.
     told: Option<Checkpoint>,
     broadcast: Option<Broadcast>,
-    peer: Peer,
+    peer: OtherCoordinator,
 }
 
 /// Who else coordinates an account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Peer {
+enum OtherCoordinator {
     /// To be looked up.
     Unknown,
     Nobody,
@@ -127,12 +127,12 @@
 
 impl Terms {
     /// The same, with a part of the quota only where the other coordinator is out of reach.
-    fn without_silent(&self, peer: Peer, peers: &CoordinatorPeers) -> Self {
+    fn without_silent(&self, peer: OtherCoordinator, peers: &CoordinatorPeers) -> Self {
         match peer {
-            Peer::Node(address) if peers.is_silent(address, self.now_us) => {
+            OtherCoordinator::Node(address) if peers.is_silent(address, self.now_us) => {
                 Self { fleet_share: self.fleet_share.min(SHARE_WITHOUT_PEER), ..*self }
             }
-            Peer::Unknown | Peer::Nobody | Peer::Node(_) => *self,
+            OtherCoordinator::Unknown | OtherCoordinator::Nobody | OtherCoordinator::Node(_) => *self,
         }
     }
 }
@@ -165,27 +165,28 @@
 
     /// The accounts of which it is not known who else coordinates them.
     pub fn accounts_without_peer(&self) -> Vec<Name> {
-        let unknown = self.accounts.iter().filter(|(_, coordinated)| coordinated.peer == Peer::Unknown);
+        let unknown =
+            self.accounts.iter().filter(|(_, coordinated)| coordinated.peer == OtherCoordinator::Unknown);
         unknown.map(|(account, _)| account.clone()).collect()
     }
 
     /// Takes note of who else coordinates an account.
     pub fn set_peer(&mut self, account: &Name, peer: Option<SocketAddr>, now_us: u64) {
         if let Some(coordinated) = self.accounts.get_mut(account) {
-            coordinated.peer = peer.map_or(Peer::Nobody, Peer::Node);
+            coordinated.peer = peer.map_or(OtherCoordinator::Nobody, OtherCoordinator::Node);
             self.follow_peers(now_us);
         }
     }
 
     /// Has all looked up again.
     pub fn forget_peers(&mut self) {
-        self.accounts.values_mut().for_each(|coordinated| coordinated.peer = Peer::Unknown);
+        self.accounts.values_mut().for_each(|coordinated| coordinated.peer = OtherCoordinator::Unknown);
     }
 
     fn follow_peers(&mut self, now_us: u64) {
         let peers = self.accounts.values().filter_map(|coordinated| match coordinated.peer {
-            Peer::Node(address) => Some(address),
-            Peer::Unknown | Peer::Nobody => None,
+            OtherCoordinator::Node(address) => Some(address),
+            OtherCoordinator::Unknown | OtherCoordinator::Nobody => None,
         });
         self.peers.follow(&peers.collect(), now_us);
     }
@@ -263,7 +264,7 @@
             began_us: now_us,
             told: None,
             broadcast: None,
-            peer: Peer::Unknown,
+            peer: OtherCoordinator::Unknown,
         }
     }
 
--- a/crates/pointvane-dispatch/src/quota/peers.rs
+++ b/crates/pointvane-dispatch/src/quota/peers.rs
@@ -16,6 +16,8 @@
 const INTERVAL_MIN_US: u64 = 100 * US_PER_MS;
 /// Time that each coordinator takes of the interval, in microseconds: bounds the datagrams of a node that has many.
 const INTERVAL_PER_PEER_US: u64 = 10 * US_PER_MS;
+/// How much earlier than due a heartbeat is sent, in microseconds: checks come at about the same interval, and one that came a little early would leave a heartbeat out.
+const EARLY_US: u64 = 20 * US_PER_MS;
 /// Intervals without a heartbeat after which a coordinator counts as out of reach.
 const SILENT_INTERVALS: f64 = 3.5;
 
@@ -23,6 +25,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     heard_at_us: u64,
+    /// When the last heartbeat was sent, or was due if that is later.
     sent_at_us: u64,
 }
 
@@ -54,9 +57,11 @@
     /// Coordinators that are due for a heartbeat now.
     pub fn take_due(&mut self, now_us: u64) -> Vec<SocketAddr> {
         let interval_us = self.interval_us();
-        let due = self.peers.iter_mut().filter(|(_, peer)| now_us >= peer.sent_at_us + interval_us);
+        let is_due = |peer: &Peer| now_us + EARLY_US >= peer.sent_at_us + interval_us;
+        let due = self.peers.iter_mut().filter(|(_, peer)| is_due(peer));
         due.map(|(address, peer)| {
-            peer.sent_at_us = now_us;
+            let due_at_us = peer.sent_at_us + interval_us;
+            peer.sent_at_us = due_at_us.clamp(now_us, now_us + EARLY_US);
             *address
         })
         .collect()
