--- a/crates/pointvane-core/src/hedge_schedule.rs
+++ b/crates/pointvane-core/src/hedge_schedule.rs
@@ -2,6 +2,9 @@
 
 /// Factor by which the time since the start grows from one try of a hedge to the next.
 const NEXT_TRY_FACTOR: f64 = 2.0;
+/// Time of the earliest try: from nothing, no factor leads to a later one.
+const FIRST_TRY_MIN_MS: f64 = 1.0;
+
 /// When a hedge of one request is considered, in milliseconds since its first attempt began.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HedgeSchedule {
@@ -11,7 +14,7 @@
 impl HedgeSchedule {
     /// A schedule whose first try is due after so many milliseconds.
     pub fn new(first_ms: f64) -> Self {
-        Self { next_ms: first_ms }
+        Self { next_ms: first_ms.max(FIRST_TRY_MIN_MS) }
     }
 
     /// When the next try is due.
--- a/crates/pointvane-dispatch/tests/request_attempts.rs
+++ b/crates/pointvane-dispatch/tests/request_attempts.rs
@@ -261,6 +261,13 @@
         })
         .collect();
     expect_that!(times, elements_are![eq(&30.0), eq(&60.0), eq(&120.0), eq(&240.0)]);
+    let mut at_once = HedgeSchedule::new(0.0);
+    at_once.tried();
+    expect_that!(
+        at_once.next_ms(),
+        ge(1.0),
+        "a route without a target, whose tries would never come to an end"
+    );
     let target_ms = route.target_latency_ms as f64;
     expect_that!(hedge_goal(&route, target_ms * 1.9, 0), eq(SearchGoal::UncontendedOnly));
     expect_that!(hedge_goal(&route, target_ms * 2.0, 0), matches_pattern!(SearchGoal::Best { .. }));
