Limits: a process's part is worked out with the word itself, not at the next look

What callers saw: at the first word of an upstream on its limit, however high, single requests were refused with upstreams-limited; an entry refused all for up to half a second. Cause: a limit without a place sends nothing, and places were worked out by a loop: in the node after the loop had been woken, in the entry at the next of its rounds. Requests between are refused.

--- a/crates/pointvane-balance/src/service/limit.rs
+++ b/crates/pointvane-balance/src/service/limit.rs
@@ -23,6 +23,14 @@
     }
 
     fn follow_limit(&mut self, upstream: usize, change: Option<LimitChange>, now_us: u64) {
+        if matches!(change, Some(LimitChange::Set(_))) {
+            // Nothing is sent before a place is set, and places are worked out again only now and then.
+            let (place, phase) = (self.limit_place_without_members(), self.rng.random());
+            let limit = &mut self.upstreams[upstream].limit;
+            if limit.part_per_s() == Some(0.0) {
+                limit.set_place(Some(place), phase, now_us);
+            }
+        }
         if change == Some(LimitChange::Lifted) {
             let slots = self.upstreams[upstream].upstream.slots;
             let spread_us = return_spread_us(self.limits.entry_vms_max as usize, slots.into(), US_PER_S);
--- a/crates/pointvane-balance/tests/limits.rs
+++ b/crates/pointvane-balance/tests/limits.rs
@@ -132,3 +132,20 @@
     };
     expect_that!(got(2_000, 4_000), ge(50), "a sixth of 500 requests is 83");
 }
+
+/// An entry VM withheld all from an upstream from its first word on a limit until places were worked out the next time, up to half a second later.
+#[gtest]
+fn a_limit_far_above_what_is_sent_withholds_nothing_before_places_are_worked_out() {
+    let limits = FleetLimits { entry_vms_max: ENTRY_VMS as u32, ..FleetLimits::default() };
+    let mut balancer: ServiceBalancer<u32> = ServiceBalancer::new(&service(1), &limits, 1, START_US);
+    balancer.reported(0, LoadReport::default(), START_US);
+    balancer.record_limit(0, LimitNotice::Advertised(100_000_000), Some(START_US), START_US);
+    for step in 1..=50 {
+        let now_us = START_US + step * 5 * US_PER_MS;
+        let arrival = Arrival { class: Class::Routine, deadline_us: now_us + US_PER_S };
+        let decision = balancer.arrive(arrival, 0, now_us);
+        expect_that!(decision, matches_pattern!(Decision::Start { upstream: eq(&0), .. }), "{step}");
+        let (end, report) = (AttemptEnd::Answered, Some(LoadReport::default()));
+        balancer.finish(&AttemptResult { upstream: 0, end, latency_us: US_PER_MS, report }, now_us);
+    }
+}
--- a/crates/pointvane-node/src/limit_loop.rs
+++ b/crates/pointvane-node/src/limit_loop.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::node::Node,
-    pointvane_core::{LimitPlace, Name, PlatformAdapter},
+    pointvane_core::{LimitPlace, PlatformAdapter},
     pointvane_dispatch::{Forwarder, LIMITS_MAX, LimitAnnouncement, LimitMessage, Segment, UpstreamKey},
     pointvane_mesh::codec,
     std::{collections::HashMap, rc::Rc, time::Duration},
@@ -57,28 +57,33 @@
     let now_us = node.now_us();
     let limited = node.dispatcher.pool().limited();
     parts.retain(|key, _| limited.contains(key));
-    let contact = node.fleet.contact(&node.settings(), now_us);
     for key in limited {
-        let Some((upstream, mut basis)) = basis(node, key, now_us) else { continue };
-        let may_use = node.lifecycle.is_running();
-        let place = may_use.then(|| node.fleet.limit_place(&upstream, contact, node.running_ms()));
-        basis.place = place;
+        let Some(basis) = basis(node, key, now_us) else { continue };
         if parts.insert(key, basis) != Some(basis) {
-            node.dispatcher.pool_mut().set_limit_place(key, place, now_us);
+            node.dispatcher.pool_mut().set_limit_place(key, basis.place, now_us);
         }
     }
 }
 
-fn basis<A: PlatformAdapter>(node: &Node<A>, key: UpstreamKey, now_us: u64) -> Option<(Name, PartBasis)> {
+/// Works out this node's part of one limit, whatever it rested on before.
+pub fn place_limit<A: PlatformAdapter>(node: &Node<A>, key: UpstreamKey) {
+    let now_us = node.now_us();
+    if let Some(basis) = basis(node, key, now_us) {
+        node.dispatcher.pool_mut().set_limit_place(key, basis.place, now_us);
+    }
+}
+
+fn basis<A: PlatformAdapter>(node: &Node<A>, key: UpstreamKey, now_us: u64) -> Option<PartBasis> {
     let pool = node.dispatcher.pool();
     let state = pool.get(key)?;
-    let basis = PartBasis {
+    let contact = node.fleet.contact(&node.settings(), now_us);
+    let place = || node.fleet.limit_place(state.id(), contact, node.running_ms());
+    Some(PartBasis {
         changes: node.fleet.changes(),
         per_1000_s: state.limit().per_1000_s(),
         doublings: state.limit().doublings(now_us),
-        place: None,
-    };
-    Some((state.id().clone(), basis))
+        place: node.lifecycle.is_running().then(place),
+    })
 }
 
 /// Sends all nodes the announcements that are due.
--- a/crates/pointvane-node/src/notices.rs
+++ b/crates/pointvane-node/src/notices.rs
@@ -1,7 +1,7 @@
 //! Reads what upstreams say of themselves in the heads of their answers, and tells the pool, the time line and the metrics.
 
 use {
-    crate::node::Node,
+    crate::{limit_loop, node::Node},
     hyper::{
         StatusCode,
         header::{HeaderMap, HeaderValue, RETRY_AFTER},
@@ -46,6 +46,8 @@
 
     /// Notes that an upstream's limit has changed; this node's part of it is worked out next.
     pub fn note_limit(&self, key: UpstreamKey, change: LimitChange) {
+        // At once: until its part is worked out nothing is sent.
+        limit_loop::place_limit(self, key);
         self.limits_changed.notify_one();
         self.report.limit_changed();
         let per_1000_s = match change {
--- a/standins/tests/limits.rs
+++ b/standins/tests/limits.rs
@@ -145,14 +145,15 @@
     expect_that!(most_in_window(&site.upstreams[0], BINDS_AFTER), le(allowed(2.5)));
 }
 
-/// Statuses of what three callers of a node ask for in its first second.
-fn first_second(node: &NodeProcess) -> Vec<u16> {
+/// What three callers of a node get in its first second: statuses, and why what was not served was not.
+fn first_second(node: &NodeProcess) -> Vec<(u16, String)> {
     let until = Instant::now() + Duration::from_secs(1);
     let call = |caller: usize| {
         let mut statuses = Vec::new();
         while Instant::now() < until {
             let id = format!("{caller}-{}", statuses.len());
-            statuses.push(node.request("GET", "/safe/a", &id, 3_000).unwrap().status());
+            let answer = node.request("GET", "/safe/a", &id, 3_000).unwrap();
+            statuses.push((answer.status(), String::from_utf8_lossy(&answer.body).trim().to_owned()));
             thread::sleep(BETWEEN);
         }
         statuses
@@ -172,9 +173,9 @@
     store.list(&upstream, "ready", 1);
     let alone = NodeProcess::start(&store);
     alone.until_ready();
-    expect_that!(first_second(&alone), each(eq(&200)));
+    expect_that!(first_second(&alone), each(eq(&(200, "hello".to_owned()))));
     // Nobody answers at this address: the node does not know whether others live.
     let unheard = NodeProcess::start_in(&store, &[users_platform::own_address()]);
     unheard.until_ready();
-    expect_that!(first_second(&unheard), each(eq(&200)));
+    expect_that!(first_second(&unheard), each(eq(&(200, "hello".to_owned()))));
 }
