--- a/crates/pointvane-dispatch/tests/quota_simulation/mod.rs
+++ b/crates/pointvane-dispatch/tests/quota_simulation/mod.rs
@@ -58,6 +58,15 @@
     pub is_connected_inside: bool,
 }
 
+impl Partition {
+    /// Returns whether each node of a fleet is in this partition.
+    fn members(&self, nodes: usize) -> Vec<bool> {
+        let mut members = vec![false; nodes];
+        self.nodes.iter().for_each(|index| members[*index] = true);
+        members
+    }
+}
+
 /// Load and faults of a run.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -73,6 +82,11 @@
     pub restarts: Vec<(u64, Vec<usize>)>,
     /// Probability that a datagram is lost.
     pub datagram_loss: f64,
+    /// Nodes that become coordinators before any other; the rest follow in random order.
+    pub first_coordinators: Vec<usize>,
+    /// Seed of a separate generator for requests, so that they are the same whatever messages are sent.
+    /// `None`: requests and messages draw from one generator.
+    pub request_seed: Option<u64>,
     pub end_us: u64,
 }
 
@@ -87,6 +101,8 @@
             partitions: Vec::new(),
             restarts: Vec::new(),
             datagram_loss: 0.01,
+            first_coordinators: Vec::new(),
+            request_seed: None,
             end_us: 30 * S,
         }
     }
@@ -97,6 +113,8 @@
 pub struct RunResult {
     /// Time of each request, and whether it was admitted.
     pub requests: Vec<(u64, bool)>,
+    /// Node that received each request.
+    pub receivers: Vec<usize>,
     /// Number of datagrams sent, including lost ones.
     pub datagrams: usize,
 }
@@ -171,7 +189,11 @@
     last_sequence: u64,
     /// Number of nodes in each partition, as the membership of nodes reflects it.
     nodes_by_partition: BTreeMap<usize, usize>,
+    /// Whether each node is in the partition, by partition and node.
+    partition_members: Vec<Vec<bool>>,
     rng: SmallRng,
+    /// Generator for requests if it is separate.
+    request_rng: Option<SmallRng>,
     result: RunResult,
 }
 
@@ -180,6 +202,10 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut coordinator_order: Vec<usize> = (0..scenario.nodes).collect();
     coordinator_order.shuffle(&mut rng);
+    // The sort is stable, so that the other nodes remain in random order.
+    let first = &scenario.first_coordinators;
+    coordinator_order
+        .sort_by_key(|index| first.iter().position(|other| other == index).unwrap_or(first.len()));
     let node = |_| Node {
         quotas: Quotas::new(WINDOW_US, 0),
         incarnation: 1,
@@ -196,7 +222,13 @@
         in_flight: BTreeMap::new(),
         last_sequence: 0,
         nodes_by_partition: BTreeMap::new(),
+        partition_members: scenario
+            .partitions
+            .iter()
+            .map(|partition| partition.members(scenario.nodes))
+            .collect(),
         rng,
+        request_rng: scenario.request_seed.map(SmallRng::seed_from_u64),
         result: RunResult::default(),
     };
     let mut now_us = LOAD_START_US;
@@ -234,7 +266,7 @@
             .map_or(0.0, |(_, rate)| *rate);
         let mut expected = rate * STEP_US as f64 / S as f64;
         while expected > 0.0 {
-            if self.rng.random_bool(expected.min(1.0)) {
+            if self.request_rng().random_bool(expected.min(1.0)) {
                 self.request(at_us, now_us);
             }
             expected -= 1.0;
@@ -268,7 +300,8 @@
             .scenario
             .partitions
             .iter()
-            .position(|partition| partition.when.contains(&at_us) && partition.nodes.contains(&index));
+            .zip(&self.partition_members)
+            .position(|(partition, members)| partition.when.contains(&at_us) && members[index]);
         match partition.map(|position| (position, &self.scenario.partitions[position])) {
             None => 0,
             Some((position, partition)) if partition.is_connected_inside => position + 1,
@@ -412,14 +445,19 @@
         }
     }
 
+    fn request_rng(&mut self) -> &mut SmallRng {
+        self.request_rng.as_mut().unwrap_or(&mut self.rng)
+    }
+
     fn request(&mut self, at_us: u64, now_us: u64) {
         let is_single_node = self.scenario.single_node_load.contains(&at_us);
-        let index = if is_single_node { 0 } else { self.rng.random_range(0..self.nodes.len()) };
+        let nodes = self.nodes.len();
+        let index = if is_single_node { 0 } else { self.request_rng().random_range(0..nodes) };
         let mut fleet_view = self.fleet_view(index, now_us);
         if self.scenario.strategy == Strategy::EqualParts {
             fleet_view.connected = false;
         }
-        let draw = self.rng.random();
+        let draw = self.request_rng().random();
         let decision = self.nodes[index].quotas.admit(
             &ACCOUNT_NAME.into(),
             self.scenario.quota,
@@ -433,6 +471,7 @@
             self.tick(index, now_us);
         }
         self.result.requests.push((at_us, decision == QuotaDecision::Admitted));
+        self.result.receivers.push(index);
     }
 }
 
