Quota simulation: broadcasts leave out members that are considered dead

The node's broadcast goes to the members that it considers live (`Fleet::forwarders`); the simulated one went to all. After a partition of isolated nodes each of them, its own coordinator, sent its near-zero share to the whole fleet until the membership had noticed the end of the partition, which hid what the others admitted. Stricter: fewer low shares.

--- a/crates/pointvane-dispatch/tests/quota_simulation/mod.rs
+++ b/crates/pointvane-dispatch/tests/quota_simulation/mod.rs
@@ -428,7 +428,13 @@
         let shares = self.nodes[index].quotas.take_broadcast(fleet_view, now_us);
         if !shares.is_empty() {
             self.nodes[index].quotas.receive_shares(address(index), &shares, now_us);
-            for other in (0..self.nodes.len()).filter(|other| *other != index) {
+            let at_us = now_us - LOAD_START_US;
+            let partition_id = self.detected_partition_id(index, at_us);
+            // Nodes leave out members that they consider dead.
+            let is_live = |other: &usize| self.detected_partition_id(*other, at_us) == partition_id;
+            let others: Vec<usize> =
+                (0..self.nodes.len()).filter(|other| *other != index).filter(is_live).collect();
+            for other in others {
                 self.send(index, other, Message::Shares { origin: index, shares: shares.clone() }, now_us);
             }
         }
