Quotas: reports tell where in each fifth of the window requests were admitted

What callers of other accounts saw: an account went over its quota when one node received all its requests right after a burst, and after bursts at nodes with few requests. Cause: coordinators took the requests of each fifth of the window for evenly spread. A node with few requests reports right after one, at age 0, so a burst counted as spread over the second before it and left the window up to a second too early. By forced order: the share rises at 4.3 s though the burst of 0 to 0.5 s is still in the window. Why it works: reports carry the mean position within each fifth, and coordinators take requests for even over the widest range with that mean; a burst at the report counts until it has left, evenly spread ones as before. The form of quota messages has one more field: replace all nodes of a fleet together. The golden line and the tests' reports have it, too.

--- a/crates/pointvane-dispatch/src/quota/coordinator.rs
+++ b/crates/pointvane-dispatch/src/quota/coordinator.rs
@@ -57,22 +57,36 @@
 #[derive(Clone, Copy, Debug)]
 struct NodeUsage {
     admitted: [u32; FIFTHS],
+    mean_age_per_mille: [u16; FIFTHS],
     offered_per_1000_s: u32,
     at_us: u64,
 }
 
 impl NodeUsage {
-    /// Returns the number of requests admitted within the last `time_us`, assuming an even rate within each
-    /// fifth of the window.
+    /// Returns the number of requests admitted within the last `time_us`.
     fn admitted_within(&self, time_us: u64, window_us: u64, now_us: u64) -> f64 {
         let unreported_us = now_us.saturating_sub(self.at_us);
         let fifths = time_us.saturating_sub(unreported_us) as f64 * FIFTHS as f64 / window_us as f64;
-        let within =
-            |(fifth, count): (usize, &u32)| f64::from(*count) * (fifths - fifth as f64).clamp(0.0, 1.0);
+        let within = |(fifth, count): (usize, &u32)| {
+            let mean_position = (f64::from(self.mean_age_per_mille[fifth]) / f64::from(PER_MILLE)).min(1.0);
+            f64::from(*count) * part_before((fifths - fifth as f64).clamp(0.0, 1.0), mean_position)
+        };
         self.admitted.iter().enumerate().map(within).sum()
     }
 }
 
+/// Returns the fraction of the requests of a fifth that lie before a position in it, given their mean
+/// position. They are taken as even over the widest range with that mean.
+fn part_before(position: f64, mean_position: f64) -> f64 {
+    let first = (2.0 * mean_position - 1.0).max(0.0);
+    let last = (2.0 * mean_position).min(1.0);
+    if position >= last && position > 0.0 {
+        1.0
+    } else {
+        ((position - first) / (last - first).max(f64::EPSILON)).clamp(0.0, 1.0)
+    }
+}
+
 /// An estimate of the usage of a quota that does not come from counts in reports.
 #[derive(Clone, Copy, Debug)]
 struct UsageEstimate {
@@ -220,11 +234,11 @@
         let empty = || CoordinatedAccount::new(quota, now_us);
         let state = self.accounts.entry(usage.account.clone()).or_insert_with(empty);
         state.quota = quota;
-        let AccountUsage { admitted, offered_per_1000_s, fleet_usage, .. } = *usage;
+        let AccountUsage { admitted, mean_age_per_mille, offered_per_1000_s, fleet_usage, .. } = *usage;
         if let Some(fleet_usage) = fleet_usage {
             state.receive_fleet_usage(&fleet_usage, self.window_us, now_us);
         }
-        let usage = NodeUsage { admitted, offered_per_1000_s, at_us: now_us };
+        let usage = NodeUsage { admitted, mean_age_per_mille, offered_per_1000_s, at_us: now_us };
         state.usage_by_reporter.insert(reporter, usage);
     }
 
--- a/crates/pointvane-dispatch/src/quota/local.rs
+++ b/crates/pointvane-dispatch/src/quota/local.rs
@@ -206,9 +206,11 @@
         self.unreported = false;
         self.reported_at_us = now_us;
         self.unanswered_since_us.get_or_insert(now_us);
+        let (admitted, mean_age_per_mille) = self.usage.admitted_by_fifths(now_us);
         AccountUsage {
             account: account.clone(),
-            admitted: self.usage.admitted_by_fifths(now_us),
+            admitted,
+            mean_age_per_mille,
             offered_per_1000_s: self.usage.offered_per_1000_s(now_us),
             fleet_usage: self.fleet_usage(now_us),
         }
--- a/crates/pointvane-dispatch/src/quota/messages.rs
+++ b/crates/pointvane-dispatch/src/quota/messages.rs
@@ -53,6 +53,8 @@
     pub account: Name,
     /// Requests that the node admitted within the window, by fifths of the window, the most recent first.
     pub admitted: [u32; FIFTHS],
+    /// Mean position of these requests within each fifth, in thousandths: 0 at its most recent end.
+    pub mean_age_per_mille: [u16; FIFTHS],
     /// Current rate of requests offered at the node, admitted or not, in requests per 1000 s.
     pub offered_per_1000_s: u32,
     /// Fleet-wide usage that a coordinator last sent to the node.
--- a/crates/pointvane-dispatch/src/quota/usage.rs
+++ b/crates/pointvane-dispatch/src/quota/usage.rs
@@ -1,7 +1,11 @@
 //! Counts of an account's requests at one node: those admitted within the window, and the current rate of
 //! those offered.
 
-use {super::messages::FIFTHS, pointvane_core::PER_1000_S};
+use {
+    super::messages::{FIFTHS, PER_MILLE},
+    pointvane_core::PER_1000_S,
+    std::array,
+};
 
 /// Number of buckets that the window is divided into.
 const BUCKETS: usize = 20;
@@ -56,16 +60,21 @@
         self.admitted.iter().sum()
     }
 
-    /// Returns the same number by fifths of the window, the most recent first. The current bucket belongs to
-    /// that one.
-    pub fn admitted_by_fifths(&mut self, now_us: u64) -> [u32; FIFTHS] {
+    /// Returns the number of requests admitted within the window by fifths of it, the most recent first, and
+    /// their mean position within each fifth, in thousandths from its most recent end. The current bucket
+    /// belongs to the most recent fifth.
+    pub fn admitted_by_fifths(&mut self, now_us: u64) -> ([u32; FIFTHS], [u16; FIFTHS]) {
         self.advance(now_us);
-        let mut fifths = [0; FIFTHS];
+        let current_part = (now_us % self.bucket_us) as f64 / self.bucket_us as f64;
+        let (mut admitted, mut positions) = ([0_u32; FIFTHS], [0.0; FIFTHS]);
         for age in (0..BUCKETS_KEPT as u64).filter(|age| *age <= self.newest_bucket) {
             let fifth = age.saturating_sub(1) as usize * FIFTHS / BUCKETS;
-            fifths[fifth] += self.admitted[slot(self.newest_bucket - age)];
+            let count = self.admitted[slot(self.newest_bucket - age)];
+            admitted[fifth] += count;
+            positions[fifth] += f64::from(count) * position_in_fifth(age, current_part, fifth);
         }
-        fifths
+        let mean = |fifth: usize| positions[fifth] / f64::from(admitted[fifth].max(1)) * f64::from(PER_MILLE);
+        (admitted, array::from_fn(|fifth| mean(fifth) as u16))
     }
 
     /// Returns the rate of offered requests over the last `RATE_BUCKETS` buckets, in requests per 1000 s.
@@ -96,6 +105,13 @@
     }
 }
 
+/// Returns the middle of a bucket as a position within its fifth, from 0 at the most recent end to 1.
+/// `current_part` is the elapsed fraction of the current bucket, whose age is 0.
+fn position_in_fifth(age: u64, current_part: f64, fifth: usize) -> f64 {
+    let middle = if age == 0 { current_part / 2.0 } else { age as f64 - 0.5 + current_part };
+    (middle * FIFTHS as f64 / BUCKETS as f64 - fifth as f64).clamp(0.0, 1.0)
+}
+
 /// Returns the index of a bucket in the ring.
 fn slot(bucket: u64) -> usize {
     (bucket % BUCKETS_KEPT as u64) as usize
--- a/crates/pointvane-dispatch/tests/quota.rs
+++ b/crates/pointvane-dispatch/tests/quota.rs
@@ -21,6 +21,9 @@
 const CONNECTED: FleetView = FleetView { connected: true, nodes: Some(10), reachable_share: 1.0 };
 const ISOLATED: FleetView = FleetView { connected: false, nodes: Some(10), reachable_share: 0.1 };
 
+/// Mean positions of requests that are spread evenly over each fifth of the window.
+const EVEN: [u16; 5] = [500; 5];
+
 fn account() -> Name {
     "a".into()
 }
@@ -46,6 +49,7 @@
         let usage = AccountUsage {
             account: account(),
             admitted: [*admitted, 0, 0, 0, 0],
+            mean_age_per_mille: EVEN,
             offered_per_1000_s: offered_per_s * 1_000,
             fleet_usage: None,
         };
@@ -192,6 +196,7 @@
     let usage = AccountUsage {
         account: account(),
         admitted: [6, 0, 0, 0, 0],
+        mean_age_per_mille: EVEN,
         offered_per_1000_s: 1_000,
         fleet_usage: None,
     };
@@ -208,7 +213,13 @@
 fn reported_requests_leave_the_window_by_their_age() {
     let used = |admitted, later_us| {
         let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
-        let usage = AccountUsage { account: account(), admitted, offered_per_1000_s: 0, fleet_usage: None };
+        let usage = AccountUsage {
+            account: account(),
+            admitted,
+            mean_age_per_mille: EVEN,
+            offered_per_1000_s: 0,
+            fleet_usage: None,
+        };
         quotas.coordinate((address(1), 1), &usage, QUOTA, CONNECTED, 10 * S);
         let other = AccountUsage { admitted: [0; 5], ..usage };
         quotas
@@ -223,6 +234,38 @@
     expect_that!(used([3; 5], 5 * S), eq(0));
 }
 
+/// Guards against a burst that is taken for even within a fifth of the window: it left the window too early.
+#[gtest]
+fn a_burst_leaves_the_window_when_all_of_it_has() {
+    let used = |mean_age_per_mille, later_us| {
+        let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
+        let usage = AccountUsage {
+            account: account(),
+            admitted: [15, 0, 0, 0, 0],
+            mean_age_per_mille: [mean_age_per_mille; 5],
+            offered_per_1000_s: 0,
+            fleet_usage: None,
+        };
+        quotas.coordinate((address(1), 1), &usage, QUOTA, CONNECTED, 10 * S);
+        let other = AccountUsage { admitted: [0; 5], ..usage };
+        let answer = quotas.coordinate((address(2), 1), &other, QUOTA, CONNECTED, 10 * S + later_us);
+        answer.unwrap().used_per_mille
+    };
+    expect_that!(used(0, 4_900 * MS), eq(1_000), "right before the report");
+    expect_that!(used(250, 4_500 * MS), eq(1_000), "in the later half of the second before the report");
+    expect_that!(used(750, 4_500 * MS), eq(0), "in the earlier half of it");
+    expect_that!(used(u16::MAX, 4_500 * MS), eq(0), "an invalid position counts as the oldest");
+}
+
+#[gtest]
+fn a_report_tells_the_positions_of_requests_within_the_fifths_of_the_window() {
+    let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
+    (0..4).for_each(|_| _ = admit(&mut quotas, CONNECTED, 4 * S, 0.0));
+    expect_that!(quotas.take_reports(4 * S)[0].mean_age_per_mille[0], le(125), "just now");
+    let report = &quotas.take_reports(4 * S + 800 * MS)[0];
+    expect_that!(report.mean_age_per_mille[0], all!(ge(650), le(900)));
+}
+
 #[gtest]
 fn a_coordinator_that_has_just_started_assumes_that_the_quota_is_used() {
     let share = |admitted_counts, fleet_usage, started_us| {
@@ -230,6 +273,7 @@
         let usage = AccountUsage {
             account: account(),
             admitted: admitted_counts,
+            mean_age_per_mille: EVEN,
             offered_per_1000_s: 20_000,
             fleet_usage,
         };
@@ -251,8 +295,13 @@
 fn possible_usage_before_a_coordinator_started_counts_until_a_window_has_passed() {
     let used = |life_us| {
         let mut quotas = Quotas::new(WINDOW_US, NOW_US);
-        let usage =
-            AccountUsage { account: account(), admitted: [0; 5], offered_per_1000_s: 0, fleet_usage: None };
+        let usage = AccountUsage {
+            account: account(),
+            admitted: [0; 5],
+            mean_age_per_mille: EVEN,
+            offered_per_1000_s: 0,
+            fleet_usage: None,
+        };
         quotas.coordinate((address(1), 1), &usage, QUOTA, CONNECTED, NOW_US + life_us).unwrap().used_per_mille
     };
     expect_that!(used(0), eq(1_000));
@@ -266,6 +315,7 @@
     let usage = |admitted| AccountUsage {
         account: account(),
         admitted: [admitted, 0, 0, 0, 0],
+        mean_age_per_mille: EVEN,
         offered_per_1000_s: 20_000,
         fleet_usage: None,
     };
--- a/crates/pointvane-dispatch/tests/quota_peers.rs
+++ b/crates/pointvane-dispatch/tests/quota_peers.rs
@@ -38,6 +38,7 @@
     let usage = AccountUsage {
         account: account(number),
         admitted: [9, 0, 0, 0, 0],
+        mean_age_per_mille: [500; 5],
         offered_per_1000_s: 10_000,
         fleet_usage: None,
     };
--- a/crates/pointvane-dispatch/tests/wire_format.rs
+++ b/crates/pointvane-dispatch/tests/wire_format.rs
@@ -127,6 +127,7 @@
     let usage = AccountUsage {
         account: "yard".into(),
         admitted: [300, 20, 0, 0, 1],
+        mean_age_per_mille: [125, 500, 0, 0, 875],
         offered_per_1000_s: 8_500,
         fleet_usage: Some(FleetUsage { used_per_mille: 990, age_ms: 70 }),
     };
