Quotas: limits on spans shorter than the window

What callers of other accounts saw: an account went over its quota when a cut or a restart came soon after demand had risen. Cause: all that was left of a quota was granted within 0.4 s. A burst leaves the window at once, five seconds later, and a coordinator that restarts or is cut off meanwhile does not know of it. Why it works: within one to four fifths of the window the burst, the rate and ten requests are granted, so that what can be forgotten at one moment is little more than the burst. In steady overload an account gets its quota as before.

--- a/crates/pointvane-dispatch/src/quota.rs
+++ b/crates/pointvane-dispatch/src/quota.rs
@@ -21,6 +21,7 @@
 mod coordinator;
 mod local;
 mod messages;
+mod pace;
 mod peers;
 mod usage;
 
--- a/crates/pointvane-dispatch/src/quota/coordinator.rs
+++ b/crates/pointvane-dispatch/src/quota/coordinator.rs
@@ -18,6 +18,7 @@
 use {
     super::{
         messages::{AccountShare, AccountUsage, FIFTHS, FleetUsage, PER_MILLE},
+        pace::requests_in_span,
         peers::CoordinatorPeers,
     },
     pointvane_core::{Name, PER_1000_S, Quota, US_PER_MS},
@@ -319,8 +320,8 @@
         let quota = self.quota.requests_in_window(window_us) * fleet_share;
         let used = self.used(inputs);
         let offered_per_s = self.offered_per_s(now_us);
-        let remaining =
-            (quota - self.used(&ShareInputs { now_us: now_us + FORECAST_US, ..*inputs })).max(0.0);
+        let forecast = ShareInputs { now_us: now_us + FORECAST_US, ..*inputs };
+        let remaining = (quota - self.used(&forecast)).min(self.paced_remaining(&forecast)).max(0.0);
         let allowed_per_s = remaining * US_PER_S / FORECAST_US as f64;
         let share = if offered_per_s <= allowed_per_s { 1.0 } else { allowed_per_s / offered_per_s };
         // Time in which the quota's rate replenishes the requests refused within one second.
@@ -356,6 +357,17 @@
         reported.max(before_start).max(prior.unwrap_or_default())
     }
 
+    /// Returns the number of requests that the limits on spans shorter than the window leave.
+    fn paced_remaining(&self, inputs: &ShareInputs) -> f64 {
+        let ShareInputs { window_us, fleet_share, now_us, .. } = *inputs;
+        let spans = (1..FIFTHS as u64).map(|fifths| fifths * window_us / FIFTHS as u64);
+        let remaining = spans.map(|span_us| {
+            requests_in_span(self.quota, span_us, window_us) * fleet_share
+                - self.reported_within(span_us, window_us, now_us)
+        });
+        remaining.fold(f64::INFINITY, f64::min)
+    }
+
     /// Returns the reported number of requests that all nodes admitted within the last `time_us`.
     fn reported_within(&self, time_us: u64, window_us: u64, now_us: u64) -> f64 {
         self.usage_by_reporter.values().map(|usage| usage.admitted_within(time_us, window_us, now_us)).sum()
--- a/crates/pointvane-dispatch/tests/quota.rs
+++ b/crates/pointvane-dispatch/tests/quota.rs
@@ -190,6 +190,30 @@
     expect_that!(whole, gt(half));
 }
 
+/// Guards against a burst that uses up the quota at once, which a restart or a partition may then hide.
+#[gtest]
+fn the_burst_is_granted_at_once_and_the_rest_at_the_rate() {
+    let quota = Quota { requests_per_1000_s: 200_000, burst: 200 };
+    let share = |admitted| {
+        let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
+        let usage = AccountUsage {
+            account: account(),
+            admitted: [admitted, 0, 0, 0, 0],
+            mean_age_per_mille: [0; 5],
+            offered_per_1000_s: 1_000_000,
+            fleet_usage: None,
+        };
+        quotas.coordinate((address(1), 1), &usage, quota, CONNECTED, NOW_US).unwrap().share_per_mille
+    };
+    expect_that!(share(0), eq(1_000));
+    expect_that!(
+        share(300),
+        all!(ge(200), le(300)),
+        "110 of 400 requests offered until the forecast horizon"
+    );
+    expect_that!(share(500), eq(0), "the window alone would leave 700");
+}
+
 #[gtest]
 fn a_duplicate_report_counts_once_and_an_earlier_incarnation_until_it_leaves_the_window() {
     let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
