Quotas: the equal part of a node accrues from its start, or from the loss of its coordinators

What callers of other accounts saw: an account went over its quota when nodes restarted behind a cut, or when a cut came while load was unequal between both sides. Cause: a node that reaches no coordinator had its whole equal part at once, beside what the fleet had used; one that had restarted had forgotten its own count, too. Why it works: the part accrues evenly over a window since the node started or a report stayed unanswered, which is what the quota's rate frees in this time.

--- a/crates/pointvane-dispatch/src/quota/allowance.rs
+++ b/crates/pointvane-dispatch/src/quota/allowance.rs
@@ -35,13 +35,13 @@
 }
 
 impl Allowance {
-    /// Whether a part of the quota covers one more request, given the number admitted within the window.
-    pub fn covers(&mut self, part: f64, admitted: u32, window_us: u64, now_us: u64, draw: f32) -> bool {
+    /// Whether the rest of a part of the quota, in requests, covers one more request.
+    pub fn covers(&mut self, rest: f64, window_us: u64, now_us: u64, draw: f32) -> bool {
         let window_draw = match self.window_draw {
             Some(window_draw) if now_us < window_draw.until_us => window_draw,
             _ => WindowDraw { draw, until_us: now_us + window_us },
         };
         self.window_draw = Some(window_draw);
-        part - f64::from(admitted) > f64::from(window_draw.draw)
+        rest > f64::from(window_draw.draw)
     }
 }
--- a/crates/pointvane-dispatch/src/quota/local.rs
+++ b/crates/pointvane-dispatch/src/quota/local.rs
@@ -62,6 +62,8 @@
     reported_at_us: u64,
     /// When the first report was sent since a coordinator last answered.
     unanswered_since_us: Option<u64>,
+    /// When a coordinator last answered, 0 if none did.
+    answered_at_us: u64,
     /// The last share of each coordinator; some may have expired.
     shares: Vec<ReceivedShare>,
     /// Highest fleet-wide usage received lately, in thousandths of the quota, and the time of receipt in
@@ -93,6 +95,7 @@
             unreported: false,
             reported_at_us: 0,
             unanswered_since_us: None,
+            answered_at_us: 0,
             shares: Vec::new(),
             fleet_usage: None,
             allowance: Allowance::default(),
@@ -147,8 +150,12 @@
     fn decide_by_allowance(&mut self, inputs: &AdmissionInputs) -> QuotaDecision {
         let AdmissionInputs { quota, fleet_view, uptime_us, now_us, draw } = *inputs;
         let part = equal_part(quota, fleet_view, uptime_us);
-        let admitted = self.usage.admitted(now_us);
-        if self.allowance.covers(part, admitted, self.window_us, now_us, draw) {
+        let alone_since_us = self.unanswered_since_us.unwrap_or(self.answered_at_us).max(now_us - uptime_us);
+        let alone_us = now_us.saturating_sub(alone_since_us).min(self.window_us);
+        let accrued = part * alone_us as f64 / self.window_us as f64;
+        let left_of_accrued = accrued - f64::from(self.usage.admitted_since(alone_since_us, now_us));
+        let left_of_part = part - f64::from(self.usage.admitted(now_us));
+        if self.allowance.covers(left_of_accrued.min(left_of_part), self.window_us, now_us, draw) {
             QuotaDecision::Admitted
         } else {
             QuotaDecision::Refused { retry_after_ms: RETRY_AT_OTHER_NODE_MS }
@@ -164,6 +171,7 @@
     /// Stores a share sent by the coordinator `origin`.
     pub fn receive_share(&mut self, origin: SocketAddr, share: &AccountShare, now_us: u64) {
         self.unanswered_since_us = None;
+        self.answered_at_us = now_us;
         self.record_fleet_usage(share.used_per_mille, now_us);
         self.shares.retain(|other| other.origin != origin && other.is_valid(now_us));
         self.shares.push(ReceivedShare {
--- a/crates/pointvane-dispatch/src/quota/usage.rs
+++ b/crates/pointvane-dispatch/src/quota/usage.rs
@@ -60,6 +60,14 @@
         self.admitted.iter().sum()
     }
 
+    /// Returns the number of requests admitted since a time within the window, and those of that time's bucket.
+    pub fn admitted_since(&mut self, since_us: u64, now_us: u64) -> u32 {
+        self.advance(now_us);
+        let oldest = (self.newest_bucket + 1).saturating_sub(BUCKETS_KEPT as u64);
+        let first = (since_us / self.bucket_us).max(oldest);
+        (first..=self.newest_bucket).map(|bucket| self.admitted[slot(bucket)]).sum()
+    }
+
     /// Returns the number of requests admitted within the window by fifths of it, the most recent first, and
     /// their mean position within each fifth, in thousandths from its most recent end. The current bucket
     /// belongs to the most recent fifth.
