Quotas: a coordinator that has just started counts the other one as unreachable until it has heard it

What callers of other accounts saw: an account went over its quota when a fleet restarted during or right before a cut. Cause: the coordinators of both sides, just started, each granted the whole until heartbeats had been missed for 0.35 s.

--- a/crates/pointvane-dispatch/src/quota/coordinator.rs
+++ b/crates/pointvane-dispatch/src/quota/coordinator.rs
@@ -156,12 +156,14 @@
 impl ShareInputs {
     /// Returns these inputs, with the quota reduced if the other coordinator is unreachable.
     fn adjusted_for_peer(&self, peer: PeerCoordinator, peers: &CoordinatorPeers) -> Self {
-        match peer {
-            PeerCoordinator::Node(address) if peers.is_unreachable(address, self.now_us) => {
-                Self { fleet_share: self.fleet_share.min(SHARE_WITHOUT_PEER), ..*self }
-            }
-            PeerCoordinator::Unknown | PeerCoordinator::NoPeer | PeerCoordinator::Node(_) => *self,
-        }
+        let is_starting = self.now_us.saturating_sub(self.started_us) < self.window_us;
+        let is_alone = match peer {
+            PeerCoordinator::Unknown | PeerCoordinator::NoPeer => false,
+            PeerCoordinator::Node(address) if is_starting => !peers.is_heard(address, self.now_us),
+            PeerCoordinator::Node(address) => peers.is_unreachable(address, self.now_us),
+        };
+        let fleet_share = if is_alone { self.fleet_share.min(SHARE_WITHOUT_PEER) } else { self.fleet_share };
+        Self { fleet_share, ..*self }
     }
 }
 
--- a/crates/pointvane-dispatch/src/quota/peers.rs
+++ b/crates/pointvane-dispatch/src/quota/peers.rs
@@ -26,8 +26,10 @@
 /// Heartbeat state of one other coordinator.
 #[derive(Clone, Copy, Debug)]
 struct Peer {
-    /// Time at which its last message arrived, or at which tracking began.
-    received_at_us: u64,
+    /// Time at which its last message arrived.
+    received_at_us: Option<u64>,
+    /// Time at which tracking began.
+    tracked_since_us: u64,
     /// Time at which the last heartbeat was sent, or its due time if that is later.
     sent_at_us: u64,
 }
@@ -43,7 +45,11 @@
     pub fn track(&mut self, peers: &HashSet<SocketAddr>, now_us: u64) {
         self.peers.retain(|address, _| peers.contains(address));
         for address in peers {
-            self.peers.entry(*address).or_insert(Peer { received_at_us: now_us, sent_at_us: 0 });
+            self.peers.entry(*address).or_insert(Peer {
+                received_at_us: None,
+                tracked_since_us: now_us,
+                sent_at_us: 0,
+            });
         }
     }
 
@@ -52,7 +58,7 @@
         let peer = self.peers.get_mut(&from);
         let is_tracked = peer.is_some();
         if let Some(peer) = peer {
-            peer.received_at_us = now_us;
+            peer.received_at_us = Some(now_us);
         }
         is_tracked
     }
@@ -72,9 +78,21 @@
 
     /// Whether a tracked coordinator is unreachable; false for one that is not tracked.
     pub fn is_unreachable(&self, address: SocketAddr, now_us: u64) -> bool {
-        let unreachable_after_us = (self.interval_us() as f64 * UNREACHABLE_AFTER_INTERVALS) as u64;
         let peer = self.peers.get(&address);
-        peer.is_some_and(|peer| now_us.saturating_sub(peer.received_at_us) >= unreachable_after_us)
+        peer.is_some_and(|peer| {
+            let last_us = peer.received_at_us.unwrap_or(peer.tracked_since_us);
+            now_us.saturating_sub(last_us) >= self.unreachable_after_us()
+        })
+    }
+
+    /// Whether a message of a tracked coordinator arrived lately.
+    pub fn is_heard(&self, address: SocketAddr, now_us: u64) -> bool {
+        let received_at_us = self.peers.get(&address).and_then(|peer| peer.received_at_us);
+        received_at_us.is_some_and(|at_us| now_us.saturating_sub(at_us) < self.unreachable_after_us())
+    }
+
+    fn unreachable_after_us(&self) -> u64 {
+        (self.interval_us() as f64 * UNREACHABLE_AFTER_INTERVALS) as u64
     }
 
     fn interval_us(&self) -> u64 {
--- a/crates/pointvane-dispatch/tests/quota_peers.rs
+++ b/crates/pointvane-dispatch/tests/quota_peers.rs
@@ -61,6 +61,19 @@
     expect_that!(share_answered_to_report(&mut quotas, 0, NOW_US + 400 * MS), eq(1_000));
 }
 
+/// Guards against coordinators that start during a partition, one in each part: each granted the whole quota
+/// until heartbeats were missed.
+#[gtest]
+fn a_coordinator_that_has_just_started_grants_a_part_of_the_quota_until_it_has_heard_its_peer() {
+    let mut quotas = Quotas::new(WINDOW_US, NOW_US);
+    let later_us = NOW_US + 4_500 * MS;
+    _ = share_answered_to_report(&mut quotas, 0, later_us);
+    quotas.set_peer(&account(0), Some(address(2)), later_us);
+    let alone = share_answered_to_report(&mut quotas, 0, later_us);
+    expect_that!(quotas.record_message(address(2), later_us), eq(true));
+    expect_that!(share_answered_to_report(&mut quotas, 0, later_us), gt(alone));
+}
+
 #[gtest]
 fn a_coordinator_without_a_known_peer_grants_the_whole_quota() {
     let mut quotas = coordinator(1);
