Quotas: the granted part of a quota grows over a window when nodes become reachable

What callers of other accounts saw: an account went over its quota when nodes restarted around the end of a partition. Cause: coordinators granted the whole quota as soon as the membership had noticed the end of the partition, while usage of the other part was unknown: its nodes had restarted and forgotten it. Why it works: from half of the quota, which is the usual demand, the granted part grows to the whole within one window; by then unknown usage has left it.

--- a/crates/pointvane-dispatch/src/quota/coordinator.rs
+++ b/crates/pointvane-dispatch/src/quota/coordinator.rs
@@ -47,6 +47,8 @@
 /// same if it is running. More than half, because the other may have stopped and the account's usual requests
 /// have to be served.
 const SHARE_WITHOUT_PEER: f64 = 0.55;
+/// Smallest fraction of the quota from which the granted fraction grows: about the usual demand of an account.
+const REACH_MIN: f64 = 0.5;
 /// Shortest delay after which a refused caller should retry, in milliseconds.
 const RETRY_AFTER_MIN_MS: f64 = 100.0;
 /// Microseconds in a second.
@@ -181,16 +183,48 @@
     started_us: u64,
     accounts: HashMap<Name, CoordinatedAccount>,
     peers: CoordinatorPeers,
+    reach: Option<Reach>,
+}
+
+/// Fraction of the fleet whose part of the quotas is granted.
+#[derive(Clone, Copy, Debug)]
+struct Reach {
+    share: f64,
+    at_us: u64,
+}
+
+impl Reach {
+    /// Returns the fraction to grant now, given the reachable fraction. It grows over a window, since nodes
+    /// that become reachable may have used their part, and may have restarted since.
+    fn update(self, fleet_share: f64, window_us: u64, now_us: u64) -> Self {
+        let elapsed_windows = now_us.saturating_sub(self.at_us) as f64 / window_us as f64;
+        let grown = self.share + (1.0 - REACH_MIN) * elapsed_windows;
+        Self { share: grown.max(REACH_MIN).min(fleet_share), at_us: now_us }
+    }
 }
 
 impl Coordinator {
     /// Creates an empty coordinator for a process that starts at `now_us`.
     pub fn new(window_us: u64, now_us: u64) -> Self {
-        Self { window_us, started_us: now_us, accounts: HashMap::new(), peers: CoordinatorPeers::default() }
+        Self {
+            window_us,
+            started_us: now_us,
+            accounts: HashMap::new(),
+            peers: CoordinatorPeers::default(),
+            reach: None,
+        }
     }
 
-    fn share_inputs(&self, fleet_share: f64, now_us: u64) -> ShareInputs {
-        ShareInputs { window_us: self.window_us, fleet_share, started_us: self.started_us, now_us }
+    fn share_inputs(&mut self, fleet_share: f64, now_us: u64) -> ShareInputs {
+        let before = self.reach.unwrap_or(Reach { share: fleet_share, at_us: now_us });
+        let reach = before.update(fleet_share, self.window_us, now_us);
+        self.reach = Some(reach);
+        ShareInputs {
+            window_us: self.window_us,
+            fleet_share: reach.share,
+            started_us: self.started_us,
+            now_us,
+        }
     }
 
     /// Accounts whose other coordinator has not been looked up.
@@ -247,9 +281,9 @@
 
     /// Returns the share of an account's requests that nodes may admit, `None` without any report on the
     /// account. `fleet_share` is the reachable fraction of the fleet.
-    pub fn share(&self, account: &Name, fleet_share: f64, now_us: u64) -> Option<AccountShare> {
-        let state = self.accounts.get(account)?;
+    pub fn share(&mut self, account: &Name, fleet_share: f64, now_us: u64) -> Option<AccountShare> {
         let inputs = self.share_inputs(fleet_share, now_us);
+        let state = self.accounts.get(account)?;
         Some(state.share(account, &inputs.adjusted_for_peer(state.peer, &self.peers)))
     }
 
--- a/crates/pointvane-dispatch/tests/quota.rs
+++ b/crates/pointvane-dispatch/tests/quota.rs
@@ -201,6 +201,27 @@
     expect_that!(whole, gt(half));
 }
 
+/// Guards against a whole quota granted as soon as a partition ends, though nodes of the other part may have
+/// restarted and forgotten their usage.
+#[gtest]
+fn the_share_grows_over_a_window_when_nodes_become_reachable() {
+    let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
+    let usage = AccountUsage {
+        account: account(),
+        admitted: [8, 0, 0, 0, 0],
+        mean_age_per_mille: EVEN,
+        offered_per_1000_s: 10_000,
+        fleet_usage: None,
+    };
+    let mut share = |reachable_share, now_us| {
+        let fleet_view = FleetView { reachable_share, ..CONNECTED };
+        quotas.coordinate((address(1), 1), &usage, QUOTA, fleet_view, now_us).unwrap().share_per_mille
+    };
+    expect_that!(share(0.5, NOW_US), eq(0), "8 requests admitted of 7.5 granted");
+    expect_that!(share(1.0, NOW_US + 100 * MS), le(150), "8.6 granted");
+    expect_that!(share(1.0, NOW_US + 5 * S), eq(1_000));
+}
+
 /// Guards against a burst that uses up the quota at once, which a restart or a partition may then hide.
 #[gtest]
 fn the_burst_is_granted_at_once_and_the_rest_at_the_rate() {
