Quotas: a node counts as isolated after 850 ms without a datagram

Cause: isolated nodes without any report under way admitted the first request of an account for 1.5 s. Why it works: pings go out every 400 ms, so within 850 ms two of its own pings, and all of other nodes, have to fail; a datagram lost now and then is no isolation. Only quotas use this time: a node that counts as isolated admits its part of a quota and tells callers to retry at once.

--- a/crates/pointvane-node/src/fleet/quota_peers.rs
+++ b/crates/pointvane-node/src/fleet/quota_peers.rs
@@ -17,6 +17,10 @@
 /// Number of nodes that stand in for the coordinators of an account when these do not answer. Several, since a
 /// partition that cuts off the coordinators may cut off some of these as well.
 const SUBSTITUTES: usize = 5;
+/// Time without a datagram from any other node after which this node admits only its part of a quota, in
+/// milliseconds: two ping intervals and a round trip.
+const QUOTA_ISOLATION_TIMEOUT_MS: u64 = 850;
+
 /// A node that coordinates an account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CoordinatorNode {
@@ -52,7 +56,7 @@
         let reached = remaining().filter(|row| row.state != VmState::Dead).count().max(1);
         let nodes = remaining().count().max(1);
         FleetView {
-            connected: !self.is_isolated(now_us),
+            connected: self.silence_us(now_us) < QUOTA_ISOLATION_TIMEOUT_MS * US_PER_MS,
             nodes: Some(nodes),
             reachable_share: reached as f64 / nodes as f64,
         }
@@ -60,7 +64,12 @@
 
     /// Whether no datagram from another node arrived within the isolation timeout.
     pub(super) fn is_isolated(&self, now_us: u64) -> bool {
-        now_us.saturating_sub(self.last_datagram_at_us.get()) >= super::ISOLATION_TIMEOUT_MS * US_PER_MS
+        self.silence_us(now_us) >= super::ISOLATION_TIMEOUT_MS * US_PER_MS
+    }
+
+    /// Time since the last datagram from another node, in microseconds.
+    fn silence_us(&self, now_us: u64) -> u64 {
+        now_us.saturating_sub(self.last_datagram_at_us.get())
     }
 
     /// The nodes that coordinate an account.
