--- a/crates/pointvane-dispatch/tests/quota_fleet.rs
+++ b/crates/pointvane-dispatch/tests/quota_fleet.rs
@@ -11,13 +11,18 @@
     pointvane_core::Quota,
     quota_simulation::{Partition, S, Scenario, Strategy, bound, run},
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::index::sample},
-    std::env,
+    std::{env, thread},
 };
 
 /// Environment variable that enables all seeds and fleet sizes, for a release build.
 const ALL_SEEDS_ENV: &str = "POINTVANE_QUOTA_ALL";
 /// Environment variable with a number of nodes and a seed: prints that run.
 const SINGLE_RUN_ENV: &str = "POINTVANE_QUOTA_SEED";
+/// Environment variable with a range of seeds, `FROM..TO`: plays them with requests that do not depend on the
+/// messages.
+const SEED_RANGE_ENV: &str = "POINTVANE_QUOTA_SEEDS";
+/// Number of threads that play a range of seeds.
+const THREADS: u64 = 6;
 /// Numbers of seeds of runs with faults: with `POINTVANE_QUOTA_ALL`, and by default.
 const SEEDS_ALL_AND_DEFAULT: (u64, u64) = (1_000, 12);
 /// Fraction of requests below the quota that may be refused in steady state.
@@ -131,6 +136,32 @@
     expect_that!(result.peak_window() as f64, le(bound(scenario.quota)));
 }
 
+/// Plays a range of seeds by hand: `POINTVANE_QUOTA_SEEDS=FROM..TO`.
+#[gtest]
+fn no_window_of_a_range_of_seeds_goes_beyond_what_is_allowed() {
+    let Ok(value) = env::var(SEED_RANGE_ENV) else { return };
+    let (from, to) = value.split_once("..").expect("FROM..TO");
+    let (from, to): (u64, u64) = (from.parse().unwrap(), to.parse().unwrap());
+    for nodes in [18, 94, 586] {
+        let play = |seed| {
+            let scenario = scenario_with_faults(nodes, Strategy::Coordinated, seed);
+            let scenario = Scenario { request_seed: Some(seed), ..scenario };
+            run(&scenario, seed).peak_window() as f64 / bound(scenario.quota)
+        };
+        let play_every = |first| (first..to).step_by(THREADS as usize).map(|seed| (seed, play(seed)));
+        let peaks: Vec<(u64, f64)> = thread::scope(|scope| {
+            let threads: Vec<_> = (from..from + THREADS)
+                .map(|first| scope.spawn(move || play_every(first).collect::<Vec<_>>()))
+                .collect();
+            threads.into_iter().flat_map(|thread| thread.join().unwrap()).collect()
+        });
+        let worst = peaks.iter().map(|(_, peak)| *peak).fold(0.0, f64::max);
+        let over: Vec<_> = peaks.iter().filter(|(_, peak)| *peak > 1.0).collect();
+        println!("{nodes} nodes, {} seeds: {} over, worst window {worst:.3}", peaks.len(), over.len());
+        expect_that!(over, is_empty(), "{nodes} nodes: seeds and worst windows as parts of the bound");
+    }
+}
+
 /// Prints one run by half seconds: `POINTVANE_QUOTA_SEED=NODES,SEED`.
 #[gtest]
 fn print_a_single_run() {
