Limits: failing test of bursts when a rank is set again

Each time a rank is set, the pacer allows a whole burst again: Pacer::set moves the next request to at most one interval from now, and with it forgets the requests that were sent as a burst. A node sets ranks again at each change of the membership (checked every 200 ms) and of the advertised number.

--- a/crates/pointvane-core/tests/request_limit.rs
+++ b/crates/pointvane-core/tests/request_limit.rs
@@ -246,3 +246,22 @@
 fn a_request_limit_takes_at_most_100_bytes() {
     expect_that!(size_of::<RequestLimit>(), le(100));
 }
+
+/// Guards against a burst for each change in the membership, however small.
+#[gtest]
+fn a_repeated_or_changed_rank_allows_no_further_burst() {
+    for (per_1000_s, other_per_1000_s) in [(400_000, 400_000), (400_000, 401_000), (40_000, 20_000)] {
+        let mut limit = limited(per_1000_s, limit_rank(0, 1));
+        let mut requests = 0;
+        for (index, from_us) in (S..5 * S).step_by(100_000).enumerate() {
+            let advertised = [other_per_1000_s, per_1000_s][index % 2];
+            limit.record_response(Advertised(advertised), Some(from_us), from_us);
+            limit.set_rank(limit_rank(0, 1), 0.5, from_us);
+            requests += sent(&mut limit, from_us, from_us + 100_000);
+        }
+        let per_s = f64::from(per_1000_s.max(other_per_1000_s)) / 1e3;
+        expect_that!(requests as f64, le(per_s * 4.25 + 1.0), "{per_1000_s} {other_per_1000_s}");
+        let min_per_s = f64::from(per_1000_s.min(other_per_1000_s)) / 1e3;
+        expect_that!(requests as f64, ge(min_per_s * 3.9), "{per_1000_s} {other_per_1000_s}");
+    }
+}
