Limits: a rank that is set again gives no further burst

Pacer::set keeps requests counted that were sent ahead of time as a burst: the next request is due at the latest one interval after now, as before, but what was saved up does not come back.

--- a/crates/pointvane-core/src/request_limit/pace.rs
+++ b/crates/pointvane-core/src/request_limit/pace.rs
@@ -32,6 +32,8 @@
     }
 
     /// Sets the rate. If it was 0 before, the first request waits for the fraction `phase` of an interval.
+    /// Otherwise the next request is due after at most one interval, and requests sent as a burst stay
+    /// counted.
     pub(super) fn set(&mut self, per_s: f64, phase: f64, now_us: u64) {
         let is_starting = self.per_s == 0.0 && per_s > 0.0;
         self.per_s = per_s;
@@ -40,7 +42,8 @@
             self.next_us = self.next_us.max(now_us + wait_us);
         }
         if per_s > 0.0 {
-            self.next_us = self.next_us.min(now_us + interval_us(per_s));
+            let ahead_max_us = interval_us(per_s).max(BURST_US as u64);
+            self.next_us = self.next_us.min(now_us + ahead_max_us);
         }
     }
 
