--- a/crates/pointvane-dispatch/src/quota.rs
+++ b/crates/pointvane-dispatch/src/quota.rs
@@ -5,24 +5,28 @@
 //! (`quota/coordinator.rs`), and report again when other nodes become coordinators. While the account is well
 //! below its quota, every request is admitted. Near the quota, coordinators send all nodes the share of
 //! requests to admit. Nodes apply it by random sampling, so that callers are treated alike at all nodes,
-//! however few requests each node receives.
+//! however few requests each node receives. Within spans shorter than the window the coordinators grant the
+//! burst and the quota's rate only (`quota/pace.rs`).
 //!
 //! Inputs: the account's quota, the last share received, whether other nodes and the coordinators are
 //! reachable. A node that is isolated or gets no answer to its reports admits an equal part of the quota
-//! (`quota/allowance.rs`) and tells refused callers to retry soon, so that they reach other nodes.
-//! Coordinators that no longer receive each other's heartbeats (`quota/peers.rs`) divide the quota between
-//! them. A request that was admitted but not sent is refunded.
+//! (`quota/allowance.rs`), which accrues over a window, and tells refused callers to retry soon, so that they reach other nodes.
+//! Reports that stay unanswered also go to substitutes of the coordinators. Coordinators that no longer
+//! receive each other's heartbeats (`quota/peers.rs`) divide the quota between them. A request that was admitted but not sent is refunded.
 //!
 //! Invariant: in any window the nodes together admit at most the quota plus what arrives before the
 //! coordinators learn of it. Tests: `tests/quota.rs`, `tests/quota_peers.rs`, in fleets
-//! `tests/quota_fleet.rs`.
+//! `tests/quota_fleet.rs`, `tests/quota_order.rs`.
 
 mod allowance;
 mod coordinator;
+mod estimate;
 mod local;
 mod messages;
+mod node_usage;
 mod pace;
 mod peers;
+mod reach;
 mod usage;
 
 pub use messages::{ACCOUNTS_PER_DATAGRAM_MAX, AccountShare, AccountUsage, FleetUsage, QuotaMessage};
--- a/crates/pointvane-dispatch/src/quota/coordinator.rs
+++ b/crates/pointvane-dispatch/src/quota/coordinator.rs
@@ -10,16 +10,24 @@
 //! Nodes and coordinators lose their counts when they restart. Nodes pass on the fleet-wide usage that
 //! earlier coordinators sent them. A coordinator whose own process has just started assumes that the whole
 //! quota is used: the usage may lie right before its start. Until a window has passed it grants less than the
-//! quota's rate, but more than the usual demand of an account.
+//! quota's rate, but more than the usual demand of an account (`quota/estimate.rs`), and counts the other
+//! coordinator as unreachable until it has received a message from it.
 //!
 //! If a part of the fleet is unreachable, the account's quota is scaled by the fraction of nodes that is
-//! reachable. Coordinators on the other side of a partition do the same.
+//! reachable (`quota/reach.rs`). Coordinators on the other side of a partition do the same.
+//!
+//! Nodes whose reports stay unanswered send them also to the next nodes in the order of coordinators. Such a
+//! substitute computes and broadcasts shares like a coordinator, of a part of the quota until it has received
+//! a message from a coordinator: the coordinators may be granting the quota to nodes that it cannot reach.
 
 use {
     super::{
+        estimate::{UsageEstimate, usage_before_start},
         messages::{AccountShare, AccountUsage, FIFTHS, FleetUsage, PER_MILLE},
+        node_usage::NodeUsage,
         pace::requests_in_span,
         peers::CoordinatorPeers,
+        reach::Reach,
     },
     pointvane_core::{Name, PER_1000_S, Quota, US_PER_MS},
     std::{
@@ -40,15 +48,10 @@
 const BROADCAST_CHANGE_PER_MILLE: u16 = 50;
 /// A share of 100 %, in thousandths.
 const FULL_SHARE: u16 = PER_MILLE as u16;
-/// Fraction of the quota's rate that a coordinator grants until a whole window has passed since its start. It
-/// is below 1 because all of a burst right before the start may still be in the window when that time ends.
-const STARTUP_RATE_SHARE: f64 = 0.7;
 /// Fraction of the quota that a coordinator grants while the other one is unreachable; the other does the
 /// same if it is running. More than half, because the other may have stopped and the account's usual requests
 /// have to be served.
 const SHARE_WITHOUT_PEER: f64 = 0.55;
-/// Smallest fraction of the quota from which the granted fraction grows: about the usual demand of an account.
-const REACH_MIN: f64 = 0.5;
 /// Shortest delay after which a refused caller should retry, in milliseconds.
 const RETRY_AFTER_MIN_MS: f64 = 100.0;
 /// Microseconds in a second.
@@ -56,67 +59,6 @@
 /// Milliseconds in a second.
 const MS_PER_S: f64 = 1e3;
 
-/// The last report of one node.
-#[derive(Clone, Copy, Debug)]
-struct NodeUsage {
-    admitted: [u32; FIFTHS],
-    mean_age_per_mille: [u16; FIFTHS],
-    offered_per_1000_s: u32,
-    at_us: u64,
-}
-
-impl NodeUsage {
-    /// Returns the number of requests admitted within the last `time_us`.
-    fn admitted_within(&self, time_us: u64, window_us: u64, now_us: u64) -> f64 {
-        let unreported_us = now_us.saturating_sub(self.at_us);
-        let fifths = time_us.saturating_sub(unreported_us) as f64 * FIFTHS as f64 / window_us as f64;
-        let within = |(fifth, count): (usize, &u32)| {
-            let mean_position = (f64::from(self.mean_age_per_mille[fifth]) / f64::from(PER_MILLE)).min(1.0);
-            f64::from(*count) * part_before((fifths - fifth as f64).clamp(0.0, 1.0), mean_position)
-        };
-        self.admitted.iter().enumerate().map(within).sum()
-    }
-}
-
-/// Returns the fraction of the requests of a fifth that lie before a position in it, given their mean
-/// position. They are taken as even over the widest range with that mean.
-fn part_before(position: f64, mean_position: f64) -> f64 {
-    let first = (2.0 * mean_position - 1.0).max(0.0);
-    let last = (2.0 * mean_position).min(1.0);
-    if position >= last && position > 0.0 {
-        1.0
-    } else {
-        ((position - first) / (last - first).max(f64::EPSILON)).clamp(0.0, 1.0)
-    }
-}
-
-/// An estimate of the usage of a quota that does not come from counts in reports.
-#[derive(Clone, Copy, Debug)]
-struct UsageEstimate {
-    /// Used fraction of the quota.
-    used_share: f64,
-    at_us: u64,
-}
-
-impl UsageEstimate {
-    /// Returns the fraction of the quota that is still within the window, assuming that it was used at an
-    /// even rate.
-    fn remaining_share(&self, window_us: u64, now_us: u64) -> f64 {
-        self.used_share * window_part_left(window_us, now_us.saturating_sub(self.at_us))
-    }
-}
-
-/// Returns the fraction of a window that is left after `age_us`.
-fn window_part_left(window_us: u64, age_us: u64) -> f64 {
-    window_us.saturating_sub(age_us) as f64 / window_us as f64
-}
-
-/// Returns the fraction of a quota that may have been used before a coordinator started `uptime_us` ago and
-/// still be within the window.
-fn usage_before_start(window_us: u64, uptime_us: u64) -> f64 {
-    if uptime_us < window_us { 1.0 - STARTUP_RATE_SHARE * uptime_us as f64 / window_us as f64 } else { 0.0 }
-}
-
 /// Address of a reporting node and incarnation of its process.
 type Reporter = (SocketAddr, u64);
 
@@ -163,9 +105,11 @@
         let is_starting = self.now_us.saturating_sub(self.started_us) < self.window_us;
         let is_alone = match peer {
             PeerCoordinator::Unknown | PeerCoordinator::NoPeer => false,
-            PeerCoordinator::Node(address) if is_starting => !peers.is_heard(address, self.now_us),
+            PeerCoordinator::Node(address) if is_starting => {
+                !peers.is_confirmed_reachable(address, self.now_us)
+            }
             PeerCoordinator::Node(address) => peers.is_unreachable(address, self.now_us),
-            PeerCoordinator::Primary(address) => !peers.is_heard(address, self.now_us),
+            PeerCoordinator::Primary(address) => !peers.is_confirmed_reachable(address, self.now_us),
         };
         let fleet_share = if is_alone { self.fleet_share.min(SHARE_WITHOUT_PEER) } else { self.fleet_share };
         Self { fleet_share, ..*self }
@@ -189,23 +133,6 @@
     reach: Option<Reach>,
 }
 
-/// Fraction of the fleet whose part of the quotas is granted.
-#[derive(Clone, Copy, Debug)]
-struct Reach {
-    share: f64,
-    at_us: u64,
-}
-
-impl Reach {
-    /// Returns the fraction to grant now, given the reachable fraction. It grows over a window, since nodes
-    /// that become reachable may have used their part, and may have restarted since.
-    fn update(self, fleet_share: f64, window_us: u64, now_us: u64) -> Self {
-        let elapsed_windows = now_us.saturating_sub(self.at_us) as f64 / window_us as f64;
-        let grown = self.share + (1.0 - REACH_MIN) * elapsed_windows;
-        Self { share: grown.max(REACH_MIN).min(fleet_share), at_us: now_us }
-    }
-}
-
 impl Coordinator {
     /// Creates an empty coordinator for a process that starts at `now_us`.
     pub fn new(window_us: u64, now_us: u64) -> Self {
@@ -282,12 +209,10 @@
         let empty = || CoordinatedAccount::new(quota, now_us);
         let state = self.accounts.entry(usage.account.clone()).or_insert_with(empty);
         state.quota = quota;
-        let AccountUsage { admitted, mean_age_per_mille, offered_per_1000_s, fleet_usage, .. } = *usage;
-        if let Some(fleet_usage) = fleet_usage {
+        if let Some(fleet_usage) = usage.fleet_usage {
             state.receive_fleet_usage(&fleet_usage, self.window_us, now_us);
         }
-        let usage = NodeUsage { admitted, mean_age_per_mille, offered_per_1000_s, at_us: now_us };
-        state.usage_by_reporter.insert(reporter, usage);
+        state.usage_by_reporter.insert(reporter, NodeUsage::new(usage, now_us));
     }
 
     /// Returns the share of an account's requests that nodes may admit, `None` without any report on the
--- a/crates/pointvane-dispatch/src/quota/local.rs
+++ b/crates/pointvane-dispatch/src/quota/local.rs
@@ -152,18 +152,25 @@
     fn decide_by_allowance(&mut self, inputs: &AdmissionInputs) -> QuotaDecision {
         let AdmissionInputs { quota, fleet_view, uptime_us, now_us, draw } = *inputs;
         let part = equal_part(quota, fleet_view, uptime_us);
-        let alone_since_us = self.unanswered_since_us.unwrap_or(self.answered_at_us).max(now_us - uptime_us);
-        let alone_us = now_us.saturating_sub(alone_since_us).min(self.window_us);
-        let accrued = part * alone_us as f64 / self.window_us as f64;
-        let left_of_accrued = accrued - f64::from(self.usage.admitted_since(alone_since_us, now_us));
-        let left_of_part = part - f64::from(self.usage.admitted(now_us));
-        if self.allowance.covers(left_of_accrued.min(left_of_part), self.window_us, now_us, draw) {
+        let started_us = now_us.saturating_sub(uptime_us);
+        let rest = self.rest_of_part(part, started_us, now_us);
+        if self.allowance.covers(rest, self.window_us, now_us, draw) {
             QuotaDecision::Admitted
         } else {
             QuotaDecision::Refused { retry_after_ms: RETRY_AT_OTHER_NODE_MS }
         }
     }
 
+    /// Returns what is left of this node's part of the quota, in requests. The part accrues over a window
+    /// since the node started or lost its coordinators: until then its requests counted as the fleet's usage.
+    fn rest_of_part(&mut self, part: f64, started_us: u64, now_us: u64) -> f64 {
+        let alone_since_us = self.unanswered_since_us.unwrap_or(self.answered_at_us).max(started_us);
+        let alone_us = now_us.saturating_sub(alone_since_us).min(self.window_us);
+        let accrued = part * alone_us as f64 / self.window_us as f64;
+        let rest_of_accrued = accrued - f64::from(self.usage.admitted_since(alone_since_us, now_us));
+        rest_of_accrued.min(part - f64::from(self.usage.admitted(now_us)))
+    }
+
     /// Refunds a request that was admitted at `admitted_at_us` but not sent.
     pub fn refund(&mut self, admitted_at_us: u64) {
         self.usage.refund(admitted_at_us);
--- a/crates/pointvane-dispatch/src/quota/peers.rs
+++ b/crates/pointvane-dispatch/src/quota/peers.rs
@@ -85,8 +85,8 @@
         })
     }
 
-    /// Whether a message of a tracked coordinator arrived lately.
-    pub fn is_heard(&self, address: SocketAddr, now_us: u64) -> bool {
+    /// Whether a message of a tracked coordinator arrived within the timeout.
+    pub fn is_confirmed_reachable(&self, address: SocketAddr, now_us: u64) -> bool {
         let received_at_us = self.peers.get(&address).and_then(|peer| peer.received_at_us);
         received_at_us.is_some_and(|at_us| now_us.saturating_sub(at_us) < self.unreachable_after_us())
     }
