Quotas: the part of an isolated node accrues although it answers its own reports

Cause: such a node becomes its own coordinator, and each answer of its own began the accrual of its part anew. The new test fails before.

--- a/crates/pointvane-dispatch/src/quota/local.rs
+++ b/crates/pointvane-dispatch/src/quota/local.rs
@@ -66,6 +66,8 @@
     unanswered_since_us: Option<u64>,
     /// When a coordinator last answered, 0 if none did.
     answered_at_us: u64,
+    /// Since when this node has decided by its part of the quota, `None` while coordinators answer.
+    alone_since_us: Option<u64>,
     /// The last share of each coordinator; some may have expired.
     shares: Vec<ReceivedShare>,
     /// Highest fleet-wide usage received lately, in thousandths of the quota, and the time of receipt in
@@ -98,6 +100,7 @@
             reported_at_us: 0,
             unanswered_since_us: None,
             answered_at_us: 0,
+            alone_since_us: None,
             shares: Vec::new(),
             fleet_usage: None,
             allowance: Allowance::default(),
@@ -135,12 +138,15 @@
         let AdmissionInputs { fleet_view, now_us, draw, .. } = *inputs;
         self.usage.record_offered(now_us);
         self.unreported = true;
-        let decision = match self.smallest_valid_share(now_us) {
-            _ if !fleet_view.connected || self.are_coordinators_unreachable(now_us) => {
-                self.decide_by_allowance(inputs)
+        let is_alone = !fleet_view.connected || self.are_coordinators_unreachable(now_us);
+        let decision = if is_alone {
+            self.decide_by_allowance(inputs)
+        } else {
+            self.alone_since_us = None;
+            match self.smallest_valid_share(now_us) {
+                Some(share) => share.decide(draw),
+                None => QuotaDecision::Admitted,
             }
-            Some(share) => share.decide(draw),
-            None => QuotaDecision::Admitted,
         };
         if decision == QuotaDecision::Admitted {
             self.usage.record_admitted(now_us);
@@ -164,7 +170,9 @@
     /// Returns what is left of this node's part of the quota, in requests. The part accrues over a window
     /// since the node started or lost its coordinators: until then its requests counted as the fleet's usage.
     fn rest_of_part(&mut self, part: f64, started_us: u64, now_us: u64) -> f64 {
-        let alone_since_us = self.unanswered_since_us.unwrap_or(self.answered_at_us).max(started_us);
+        let lost_us = self.unanswered_since_us.unwrap_or(self.answered_at_us).max(started_us);
+        // A node that is isolated becomes its own coordinator, whose answers do not end that.
+        let alone_since_us = *self.alone_since_us.get_or_insert(lost_us);
         let alone_us = now_us.saturating_sub(alone_since_us).min(self.window_us);
         let accrued = part * alone_us as f64 / self.window_us as f64;
         let rest_of_accrued = accrued - f64::from(self.usage.admitted_since(alone_since_us, now_us));
--- a/crates/pointvane-dispatch/tests/quota.rs
+++ b/crates/pointvane-dispatch/tests/quota.rs
@@ -156,6 +156,22 @@
     expect_that!(admitted(NOW_US + 5 * S), eq(9));
 }
 
+/// Guards against isolated nodes that refuse every request once they coordinate the account themselves.
+#[gtest]
+fn the_part_of_an_isolated_node_accrues_although_it_answers_its_own_reports() {
+    let isolated = FleetView { connected: false, nodes: Some(1), reachable_share: 1.0 };
+    let mut quotas = Quotas::new(WINDOW_US, STARTED_US);
+    _ = admit(&mut quotas, CONNECTED, NOW_US, 0.0);
+    _ = quotas.take_reports(NOW_US);
+    let mut admitted = 0;
+    for half_second in 1..=10 {
+        let now_us = NOW_US + half_second * 500 * MS;
+        admitted += usize::from(admit(&mut quotas, isolated, now_us, 0.0));
+        quotas.receive_shares(address(1), &share(1_000), now_us);
+    }
+    expect_that!(admitted, ge(9), "ten requests in a window that allows 15");
+}
+
 /// Guards against partitions that cut off both coordinators: each node admitted every request until a report
 /// of its own was unanswered.
 #[gtest]
