Quotas: a substitute grants shares only while it does not receive messages of the coordinator

Cause: a substitute broadcast a share as soon as one node had reported to it, before the coordinator could answer its heartbeat; and once it heard the coordinator it granted the whole quota, though it knows the usage of the reporting nodes alone. Why it works: a substitute has 150 ms in which its heartbeat may be answered, and grants nothing while it is; nodes without an answer go by their parts, as before. The node looks up its role before it answers a report.

--- a/crates/pointvane-dispatch/src/quota.rs
+++ b/crates/pointvane-dispatch/src/quota.rs
@@ -171,6 +171,23 @@
         }
     }
 
+    /// Stores a usage report as a coordinator. `reporter` is the address of the reporting node and the
+    /// incarnation of its process.
+    pub fn receive_report(
+        &mut self,
+        reporter: (SocketAddr, u64),
+        usage: &AccountUsage,
+        quota: Quota,
+        now_us: u64,
+    ) {
+        self.coordinator.receive(reporter, usage, quota, now_us);
+    }
+
+    /// Returns the share to answer a report on an account with, `None` if this node has none to grant.
+    pub fn share(&mut self, account: &Name, fleet_view: FleetView, now_us: u64) -> Option<AccountShare> {
+        self.coordinator.share(account, fleet_view.reachable_share, now_us)
+    }
+
     /// Processes a usage report as a coordinator and returns the share to answer with. `reporter` is the
     /// address of the reporting node and the incarnation of its process.
     pub fn coordinate(
@@ -181,8 +198,8 @@
         fleet_view: FleetView,
         now_us: u64,
     ) -> Option<AccountShare> {
-        self.coordinator.receive(reporter, usage, quota, now_us);
-        self.coordinator.share(&usage.account, fleet_view.reachable_share, now_us)
+        self.receive_report(reporter, usage, quota, now_us);
+        self.share(&usage.account, fleet_view, now_us)
     }
 
     /// Accounts that this node coordinates and whose other coordinator has not been looked up.
--- a/crates/pointvane-dispatch/src/quota/coordinator.rs
+++ b/crates/pointvane-dispatch/src/quota/coordinator.rs
@@ -17,8 +17,8 @@
 //! reachable (`quota/reach.rs`). Coordinators on the other side of a partition do the same.
 //!
 //! Nodes whose reports stay unanswered send them also to the next nodes in the order of coordinators. Such a
-//! substitute computes and broadcasts shares like a coordinator, of a part of the quota until it has received
-//! a message from a coordinator: the coordinators may be granting the quota to nodes that it cannot reach.
+//! substitute computes and broadcasts shares like a coordinator, of a part of the quota, while it receives no
+//! messages from the first coordinator itself: that one may be granting the quota to nodes out of reach.
 
 use {
     super::{
@@ -88,6 +88,17 @@
     Primary(SocketAddr),
 }
 
+impl PeerCoordinator {
+    /// Whether this node may grant shares. A substitute may not while a coordinator is reachable, which knows
+    /// more of the account's usage.
+    fn may_grant(self, peers: &CoordinatorPeers, now_us: u64) -> bool {
+        match self {
+            Self::Unknown | Self::NoPeer | Self::Node(_) => true,
+            Self::Primary(address) => peers.is_lost(address, now_us),
+        }
+    }
+}
+
 /// Inputs to the computation of a share, besides the state of its account.
 #[derive(Clone, Copy, Debug)]
 struct ShareInputs {
@@ -109,7 +120,7 @@
                 !peers.is_confirmed_reachable(address, self.now_us)
             }
             PeerCoordinator::Node(address) => peers.is_unreachable(address, self.now_us),
-            PeerCoordinator::Primary(address) => !peers.is_confirmed_reachable(address, self.now_us),
+            PeerCoordinator::Primary(_) => true,
         };
         let fleet_share = if is_alone { self.fleet_share.min(SHARE_WITHOUT_PEER) } else { self.fleet_share };
         Self { fleet_share, ..*self }
@@ -216,10 +227,13 @@
     }
 
     /// Returns the share of an account's requests that nodes may admit, `None` without any report on the
-    /// account. `fleet_share` is the reachable fraction of the fleet.
+    /// account, or if this node is a substitute for a coordinator that is reachable. `fleet_share` is the reachable fraction of the fleet.
     pub fn share(&mut self, account: &Name, fleet_share: f64, now_us: u64) -> Option<AccountShare> {
         let inputs = self.share_inputs(fleet_share, now_us);
         let state = self.accounts.get(account)?;
+        if !state.peer.may_grant(&self.peers, now_us) {
+            return None;
+        }
         Some(state.share(account, &inputs.adjusted_for_peer(state.peer, &self.peers)))
     }
 
@@ -230,6 +244,9 @@
         let inputs = self.share_inputs(fleet_share, now_us);
         let mut shares = Vec::new();
         for (account, state) in &mut self.accounts {
+            if !state.peer.may_grant(&self.peers, now_us) {
+                continue;
+            }
             let share = state.share(account, &inputs.adjusted_for_peer(state.peer, &self.peers));
             if state.is_broadcast_due(share.share_per_mille, now_us) {
                 let share_per_mille = share.share_per_mille;
--- a/crates/pointvane-dispatch/src/quota/peers.rs
+++ b/crates/pointvane-dispatch/src/quota/peers.rs
@@ -23,6 +23,9 @@
 /// Number of heartbeat intervals without a message after which a coordinator counts as unreachable.
 const UNREACHABLE_AFTER_INTERVALS: f64 = 3.5;
 
+/// Time after tracking began until which a coordinator may answer the first heartbeat, in microseconds.
+const ANSWER_TIMEOUT_US: u64 = 150 * US_PER_MS;
+
 /// Heartbeat state of one other coordinator.
 #[derive(Clone, Copy, Debug)]
 struct Peer {
@@ -91,6 +94,13 @@
         received_at_us.is_some_and(|at_us| now_us.saturating_sub(at_us) < self.unreachable_after_us())
     }
 
+    /// Whether a tracked coordinator has not answered a heartbeat, and no message of it arrived lately.
+    pub fn is_lost(&self, address: SocketAddr, now_us: u64) -> bool {
+        let tracked_us = |peer: &Peer| now_us.saturating_sub(peer.tracked_since_us);
+        let had_time = self.peers.get(&address).is_some_and(|peer| tracked_us(peer) >= ANSWER_TIMEOUT_US);
+        had_time && !self.is_confirmed_reachable(address, now_us)
+    }
+
     fn unreachable_after_us(&self) -> u64 {
         (self.interval_us() as f64 * UNREACHABLE_AFTER_INTERVALS) as u64
     }
--- a/crates/pointvane-dispatch/src/quota/reach.rs
+++ b/crates/pointvane-dispatch/src/quota/reach.rs
@@ -19,7 +19,10 @@
 impl Reach {
     /// Returns the fraction to grant now, given the reachable fraction.
     pub fn update(self, fleet_share: f64, window_us: u64, now_us: u64) -> Self {
-        let elapsed_windows = now_us.saturating_sub(self.at_us) as f64 / window_us as f64;
+        let elapsed_us = now_us.saturating_sub(self.at_us);
+        // After a time without accounts it is unknown when nodes became reachable.
+        let counted_us = if elapsed_us < window_us { elapsed_us } else { 0 };
+        let elapsed_windows = counted_us as f64 / window_us as f64;
         let grown = self.share + (1.0 - REACH_MIN) * elapsed_windows;
         Self { share: grown.max(REACH_MIN).min(fleet_share), at_us: now_us }
     }
--- a/crates/pointvane-dispatch/tests/quota_peers.rs
+++ b/crates/pointvane-dispatch/tests/quota_peers.rs
@@ -74,19 +74,28 @@
     expect_that!(share_answered_to_report(&mut quotas, 0, later_us), gt(alone));
 }
 
-/// Guards against a substitute that grants the whole quota beside coordinators that it cannot reach.
+/// Guards against substitutes that grant shares beside coordinators: these know usage that a substitute does
+/// not, so that it granted a second quota, or throttled the fleet after the loss of a few datagrams.
 #[gtest]
-fn a_substitute_grants_a_part_of_the_quota_until_it_has_heard_a_coordinator() {
-    let mut quotas = coordinator(1);
+fn a_substitute_grants_a_part_of_the_quota_once_its_coordinator_has_not_answered() {
+    let mut quotas = Quotas::new(WINDOW_US, 0);
+    let report = |admitted| AccountUsage {
+        account: account(0),
+        admitted: [admitted, 0, 0, 0, 0],
+        mean_age_per_mille: [500; 5],
+        offered_per_1000_s: 10_000,
+        fleet_usage: None,
+    };
+    let later_us = NOW_US + 200 * MS;
+    quotas.receive_report((address(1), 1), &report(9), QUOTA, NOW_US);
     quotas.set_primary(&account(0), address(2), NOW_US);
-    expect_that!(
-        share_answered_to_report(&mut quotas, 0, NOW_US),
-        eq(0),
-        "9 requests admitted, 8.25 granted"
-    );
+    expect_that!(quotas.share(&account(0), FLEET_VIEW, NOW_US), none());
     expect_that!(quotas.take_due_heartbeats(NOW_US), elements_are![eq(&address(2))]);
-    expect_that!(quotas.record_message(address(2), NOW_US + 5 * MS), eq(true));
-    expect_that!(share_answered_to_report(&mut quotas, 0, NOW_US + 5 * MS), eq(1_000));
+    let share = quotas.share(&account(0), FLEET_VIEW, later_us).unwrap();
+    expect_that!(share.share_per_mille, eq(0), "9 requests admitted, 8.25 granted");
+    expect_that!(quotas.record_message(address(2), later_us), eq(true));
+    expect_that!(quotas.share(&account(0), FLEET_VIEW, later_us), none());
+    expect_that!(quotas.take_broadcast(FLEET_VIEW, later_us), is_empty());
 }
 
 #[gtest]
--- a/crates/pointvane-dispatch/tests/quota_simulation/mod.rs
+++ b/crates/pointvane-dispatch/tests/quota_simulation/mod.rs
@@ -395,13 +395,13 @@
         now_us: u64,
     ) -> Vec<AccountShare> {
         let (fleet_view, quota) = (self.fleet_view(at, now_us), self.scenario.quota);
+        let reporter = (address(from), incarnation);
+        for usage in usages {
+            self.nodes[at].quotas.receive_report(reporter, usage, quota, now_us);
+        }
+        self.look_up_peers(at, now_us);
         let quotas = &mut self.nodes[at].quotas;
-        usages
-            .iter()
-            .filter_map(|usage| {
-                quotas.coordinate((address(from), incarnation), usage, quota, fleet_view, now_us)
-            })
-            .collect()
+        usages.iter().filter_map(|usage| quotas.share(&usage.account, fleet_view, now_us)).collect()
     }
 
     fn tick(&mut self, index: usize, now_us: u64) {
@@ -450,8 +450,8 @@
         }
     }
 
-    /// Looks up the other coordinator of the account, and sends the heartbeats that are due.
-    fn update_peers(&mut self, index: usize, now_us: u64) {
+    /// Looks up the other coordinator of the account.
+    fn look_up_peers(&mut self, index: usize, now_us: u64) {
         for account in self.nodes[index].quotas.accounts_without_peer() {
             let coordinators = self.coordinators(index, now_us);
             let peer = coordinators.iter().copied().find(|other| *other != index).map(address);
@@ -462,6 +462,11 @@
                 _ => self.nodes[index].quotas.set_peer(&account, peer, now_us),
             }
         }
+    }
+
+    /// Looks up the other coordinator of the account, and sends the heartbeats that are due.
+    fn update_peers(&mut self, index: usize, now_us: u64) {
+        self.look_up_peers(index, now_us);
         for peer in self.nodes[index].quotas.take_due_heartbeats(now_us) {
             self.send(index, node_index(peer), Message::Heartbeat { from: index, wants_reply: true }, now_us);
         }
--- a/crates/pointvane-node/src/quota_loop.rs
+++ b/crates/pointvane-node/src/quota_loop.rs
@@ -173,13 +173,16 @@
     let now_us = node.now_us();
     let fleet_view = node.fleet.view(&node.settings(), now_us);
     let routes = node.dispatcher.routes();
-    let mut quotas = node.dispatcher.quotas.borrow_mut();
-    let share = |usage: &AccountUsage| {
+    for usage in usages {
         // An account that is not in this node's configuration is left to the other coordinator.
-        let quota = routes.quota(&usage.account)?;
-        quotas.coordinate(reporter, usage, quota, fleet_view, now_us)
-    };
-    let shares = usages.iter().filter_map(share).collect();
+        let Some(quota) = routes.quota(&usage.account) else { continue };
+        node.dispatcher.quotas.borrow_mut().receive_report(reporter, usage, quota, now_us);
+    }
+    update_peers(node);
+    let mut quotas = node.dispatcher.quotas.borrow_mut();
+    let is_known = |usage: &&AccountUsage| routes.quota(&usage.account).is_some();
+    let known = usages.iter().filter(is_known);
+    let shares = known.filter_map(|usage| quotas.share(&usage.account, fleet_view, now_us)).collect();
     node.quotas_used.notify_one();
     shares
 }
