--- a/crates/pointvane-dispatch/src/quota.rs
+++ b/crates/pointvane-dispatch/src/quota.rs
@@ -9,10 +9,11 @@
 //! burst and the quota's rate only (`quota/pace.rs`).
 //!
 //! Inputs: the account's quota, the last share received, whether other nodes and the coordinators are
-//! reachable. A node that is isolated or gets no answer to its reports admits an equal part of the quota
-//! (`quota/allowance.rs`), which accrues over a window, and tells refused callers to retry soon, so that they reach other nodes.
-//! Reports that stay unanswered also go to substitutes of the coordinators. Coordinators that no longer
-//! receive each other's heartbeats (`quota/peers.rs`) divide the quota between them. A request that was admitted but not sent is refunded.
+//! reachable. Reports that stay unanswered also go to substitutes of the coordinators. A node that is isolated
+//! or gets no answer at all admits an equal part of the quota, which accrues over a window
+//! (`quota/allowance.rs`), and tells refused callers to retry soon, so that they reach other nodes.
+//! Coordinators that no longer receive each other's heartbeats (`quota/peers.rs`) divide the quota between
+//! them. A request that was admitted but not sent is refunded.
 //!
 //! Invariant: in any window the nodes together admit at most the quota plus what arrives before the
 //! coordinators learn of it. Tests: `tests/quota.rs`, `tests/quota_peers.rs`, in fleets
--- a/crates/pointvane-dispatch/tests/quota_simulation/mod.rs
+++ b/crates/pointvane-dispatch/tests/quota_simulation/mod.rs
@@ -38,8 +38,9 @@
 const ISOLATION_TIMEOUT_US: u64 = 850 * MS;
 /// Time from the restart of a node until it receives messages of other nodes.
 const DISCOVERY_DELAY_US: u64 = 300 * MS;
-/// Number of nodes that coordinate an account, and of their substitutes.
+/// Number of nodes that coordinate an account, as in `fleet/quota_peers.rs` of `pointvane-node`.
 const COORDINATORS: usize = 2;
+/// Number of their substitutes.
 const SUBSTITUTES: usize = 5;
 const ACCOUNT_NAME: &str = "account";
 
@@ -116,8 +117,6 @@
 pub struct RunResult {
     /// Time of each request, and whether it was admitted.
     pub requests: Vec<(u64, bool)>,
-    /// Node that received each request.
-    pub receivers: Vec<usize>,
     /// Number of datagrams sent, including lost ones.
     pub datagrams: usize,
 }
@@ -343,6 +342,7 @@
         self.first_in_order(COORDINATORS, index, now_us)
     }
 
+    /// Returns the first reachable nodes in the order of coordinators, as a node sees them.
     fn first_in_order(&self, count: usize, index: usize, now_us: u64) -> Vec<usize> {
         let at_us = now_us - LOAD_START_US;
         let partition_id = self.detected_partition_id(index, at_us);
@@ -498,7 +498,6 @@
             self.tick(index, now_us);
         }
         self.result.requests.push((at_us, decision == QuotaDecision::Admitted));
-        self.result.receivers.push(index);
     }
 }
 
--- a/crates/pointvane-dispatch/tests/quota_traffic/exchange.rs
+++ b/crates/pointvane-dispatch/tests/quota_traffic/exchange.rs
@@ -1,4 +1,5 @@
-//! What a node does on a tick, on a wake-up and on a datagram, as in `quota_loop.rs` of `pointvane-node`.
+//! What a node does on a tick, on a wake-up and on a datagram, as in `quota_loop.rs` of `pointvane-node`. All
+//! coordinators answer, so that substitutes are left out.
 
 use {
     super::{
