--- a/crates/pointvane-dispatch/src/quota/coordinator.rs
+++ b/crates/pointvane-dispatch/src/quota/coordinator.rs
@@ -227,7 +227,8 @@
     }
 
     /// Returns the share of an account's requests that nodes may admit, `None` without any report on the
-    /// account, or if this node is a substitute for a coordinator that is reachable. `fleet_share` is the reachable fraction of the fleet.
+    /// account, or if this node is a substitute for a coordinator that is reachable. `fleet_share` is the
+    /// reachable fraction of the fleet.
     pub fn share(&mut self, account: &Name, fleet_share: f64, now_us: u64) -> Option<AccountShare> {
         let inputs = self.share_inputs(fleet_share, now_us);
         let state = self.accounts.get(account)?;
