Node: count how connections to upstreams fail and how probes end; source address of connections

Before any change of logic: the hypotheses on the incident differ by whether connections are refused, reset or hang, and by how probes end. Both were dropped (connections.rs) or not counted (probe.rs).

New metrics: pointvane_node_connect_failures by cause and pointvane_node_probe_outcomes by outcome. New option fleet.source_ip: the source address of connections to upstreams. VMs with several addresses need it, and stand-ins can then cut off single nodes by address.

--- a/crates/pointvane-config/src/node_options.rs
+++ b/crates/pointvane-config/src/node_options.rs
@@ -7,7 +7,7 @@
 };
 
 /// Every key of the options file; a test compares docs/OPERATIONS.md with this list.
-pub const NODE_OPTION_KEYS: [&str; 15] = [
+pub const NODE_OPTION_KEYS: [&str; 16] = [
     "choice.policy",
     "choice.ask_first",
     "choice.ask_more",
@@ -18,6 +18,7 @@
     "lines.wrong_per_s",
     "lines.beliefs_per_s",
     "fleet.bind_ip",
+    "fleet.source_ip",
     "callers.pipeline_requests",
     "callers.pipeline_bytes",
     "callers.start_wait_ms",
@@ -36,7 +37,7 @@
     pub repeats: HedgingOptions,
     /// Sampling and rate limits of log lines.
     pub lines: LogOptions,
-    /// Address for traffic from other nodes.
+    /// Local addresses of the node.
     pub fleet: FleetOptions,
     /// Limits on callers' connections.
     pub callers: CallerOptions,
@@ -123,12 +124,14 @@
     }
 }
 
-/// Address for traffic from other nodes.
+/// Local addresses of a node, where they are not the advertised one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FleetOptions {
     /// Local address on which datagrams and queries from other nodes are accepted; `None` for the advertised
     /// address.
     pub bind_ip: Option<IpAddr>,
+    /// Source address of connections to upstreams; `None` lets the system choose.
+    pub source_ip: Option<IpAddr>,
 }
 
 /// Default of [`CallerOptions::start_wait_ms`].
@@ -229,8 +232,11 @@
 }
 
 fn read_fleet(section: &Section<'_, '_>) -> FleetOptions {
-    section.reject_unknown_keys(&["bind_ip"]);
-    FleetOptions { bind_ip: section.parsed_optional("bind_ip", "10.0.0.7") }
+    section.reject_unknown_keys(&["bind_ip", "source_ip"]);
+    FleetOptions {
+        bind_ip: section.parsed_optional("bind_ip", "10.0.0.7"),
+        source_ip: section.parsed_optional("source_ip", "10.0.0.7"),
+    }
 }
 
 fn read_callers(section: &Section<'_, '_>) -> CallerOptions {
--- a/crates/pointvane-config/tests/file_formats.rs
+++ b/crates/pointvane-config/tests/file_formats.rs
@@ -73,6 +73,7 @@
 beliefs_per_s = 9
 [fleet]
 bind_ip = "10.0.0.7"
+source_ip = "10.0.0.8"
 [callers]
 pipeline_requests = 5
 pipeline_bytes = 6000
@@ -152,6 +153,7 @@
         ": 8",
         ": 9",
         "10.0.0.7",
+        "10.0.0.8",
         "requests: 5",
         ": 6000",
     ];
--- a/crates/pointvane-dispatch/src/ejection.rs
+++ b/crates/pointvane-dispatch/src/ejection.rs
@@ -90,6 +90,17 @@
 }
 
 impl ProbeOutcome {
+    /// The name of the outcome in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Healthy => "healthy",
+            Self::Unhealthy => "unhealthy",
+            Self::OtherUpstream => "other-upstream",
+            Self::ReusedConnectionSilent => "reused-connection-silent",
+            Self::NoAnswer { .. } => "no-answer",
+        }
+    }
+
     pub(crate) const fn effect(self) -> Effect {
         match self {
             // An answered probe does not offset failed requests.
--- a/crates/pointvane-node/src/connections.rs
+++ b/crates/pointvane-node/src/connections.rs
@@ -15,7 +15,8 @@
     std::{
         cell::RefCell,
         collections::{HashMap, VecDeque},
-        net::SocketAddr,
+        io,
+        net::{IpAddr, SocketAddr},
         rc::Rc,
         time::Duration,
     },
@@ -78,9 +79,11 @@
 type IdleByAddress = RefCell<HashMap<SocketAddr, VecDeque<IdleConnection>>>;
 
 /// Pooled connections by upstream address.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Connections {
     idle: Rc<IdleByAddress>,
+    /// Local address of new connections; none lets the system choose.
+    source_ip: Option<IpAddr>,
 }
 
 /// A connection for one request; closed when dropped without [`Self::keep`].
@@ -104,13 +107,48 @@
     Broken,
 }
 
-/// No connection could be opened.
-///
-/// The cause is discarded: in any case the attempt counts as unsent and another upstream is tried.
-#[derive(Clone, Copy, Debug)]
-pub struct Unreachable;
+/// Why no connection could be opened. Whatever the cause, nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectError {
+    /// Nothing listens at the address.
+    Refused,
+    /// The connection was reset while it was opened.
+    Reset,
+    /// It was not established within [`CONNECT_TIMEOUT`].
+    TimedOut,
+    /// Any other error of the socket or the HTTP handshake.
+    Other,
+}
+
+impl ConnectError {
+    /// The value of the label `cause` in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Reset => "reset",
+            Self::TimedOut => "timed-out",
+            Self::Other => "other",
+        }
+    }
+}
+
+impl From<io::Error> for ConnectError {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Self::Refused,
+            io::ErrorKind::ConnectionReset => Self::Reset,
+            io::ErrorKind::TimedOut => Self::TimedOut,
+            _ => Self::Other,
+        }
+    }
+}
 
 impl Connections {
+    /// Creates an empty pool whose connections are opened from `source_ip`, if given.
+    pub fn new(source_ip: Option<IpAddr>) -> Self {
+        Self { idle: Rc::default(), source_ip }
+    }
+
     /// Takes a connection from the pool, or opens a new one.
     ///
     /// Probes take the connection that was idle longest. Requests take the most recently used one, since
@@ -119,8 +157,8 @@
     /// one.
     ///
     /// # Errors
-    /// [`Unreachable`] when a new connection cannot be opened.
-    pub async fn get(&self, address: SocketAddr, purpose: Purpose) -> Result<Connection, Unreachable> {
+    /// [`ConnectError`] when a new connection cannot be opened.
+    pub async fn get(&self, address: SocketAddr, purpose: Purpose) -> Result<Connection, ConnectError> {
         if let Some(IdleConnection { sender, round_trip, request_ended_at, .. }) = self.pop(address, purpose)
         {
             let idle = Rc::clone(&self.idle);
@@ -140,14 +178,15 @@
     /// Opens a new connection.
     ///
     /// # Errors
-    /// [`Unreachable`] when the upstream refuses, does not answer in time, or the HTTP handshake fails.
-    pub async fn open(&self, address: SocketAddr, purpose: Purpose) -> Result<Connection, Unreachable> {
+    /// [`ConnectError`] when the upstream refuses, does not answer in time, or the HTTP handshake fails.
+    pub async fn open(&self, address: SocketAddr, purpose: Purpose) -> Result<Connection, ConnectError> {
         let began = BootInstant::now();
-        let stream = socket::connect(address, CONNECT_TIMEOUT).await.map_err(|_| Unreachable)?;
+        let stream = socket::connect_from(self.source_ip, address, CONNECT_TIMEOUT).await?;
         let round_trip = began.elapsed();
         let mut builder = http1::Builder::new();
         builder.max_buf_size(READ_BUFFER_BYTES);
-        let (sender, driver) = builder.handshake(TokioIo::new(stream)).await.map_err(|_| Unreachable)?;
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let (sender, driver) = handshake.map_err(|_| ConnectError::Other)?;
         spawn_local(driver);
         let idle = Rc::clone(&self.idle);
         Ok(Connection { address, sender, round_trip, idle, purpose, reused: false, request_ended_at: None })
--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -79,7 +79,7 @@
             },
             start_wait_ms: options.callers.start_wait_ms,
             hedges: options.repeats.hedge,
-            connections: Connections::default(),
+            connections: Connections::new(options.fleet.source_ip),
             probes: ProbeTable::default(),
             quotas: SharedQuotas::new(&node.limits, now_us),
             quarantine: RefCell::new(quarantine(options, &node.name, incarnation)),
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -103,11 +103,13 @@
 ) -> Result<Answer, AttemptOutcome> {
     let address = node.dispatcher.pool().get(key).map(|state| state.address());
     let address = address.ok_or(AttemptOutcome::Withheld(Ineligible::Gone))?;
-    // Whatever the cause, the attempt is counted and logged as unreachable.
     let is_repeatable = request.routed.route.kind.is_repeatable();
     let purpose = if is_repeatable { Purpose::Repeatable } else { Purpose::NonRepeatable };
     let connection = node.dispatcher.connections.get(address, purpose).await;
-    let connection = connection.map_err(|_| AttemptOutcome::Unreachable)?;
+    let connection = connection.map_err(|error| {
+        node.report.connect_failed(error);
+        AttemptOutcome::Unreachable
+    })?;
     // The clock is read again right before the first byte is sent, since the process may have been suspended.
     let now_us = node.now_us();
     if request.answer_deadline_us <= now_us {
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         body::buffer_body,
-        connections::{Connection, Connections, Purpose, RelayBody},
+        connections::{ConnectError, Connection, Connections, Purpose, RelayBody},
         node::Node,
         probe_table::ProbeAnswers,
         request::CallerRequest,
@@ -107,6 +107,7 @@
 /// Runs one probe and reports its outcome.
 async fn probe<A: PlatformAdapter>(node: Rc<Node<A>>, service: Name, key: UpstreamKey) {
     let outcome = probe_outcome(&node, &service, key).await;
+    outcome.iter().for_each(|outcome| node.report.probe_ended(*outcome));
     if let Some(outcome) = outcome
         && let Some(state) = node.dispatcher.pool_mut().get_mut(key)
     {
@@ -134,7 +135,10 @@
             connections.discard(address);
             ProbeOutcome::ReusedConnectionSilent
         }
-        Err(NoAnswer::Other) => {
+        Err(no_answer) => {
+            if let NoAnswer::Unreachable(error) = no_answer {
+                node.report.connect_failed(error);
+            }
             let waited_us = node.now_us().saturating_sub(sent_at_us);
             ProbeOutcome::NoAnswer { waited_us, timeout_us: PROBE_TIMEOUT_US }
         }
@@ -171,7 +175,9 @@
 enum NoAnswer {
     /// No response within the timeout on a reused connection.
     ReusedConnectionSilent,
-    /// Timeout on a new connection, or a broken connection; ejection counts both the same.
+    /// No connection could be opened.
+    Unreachable(ConnectError),
+    /// Timeout on a new connection, or a broken connection.
     Other,
 }
 
@@ -184,7 +190,8 @@
 ) -> Result<Response<()>, NoAnswer> {
     let deadline = Instant::now() + Duration::from_micros(PROBE_TIMEOUT_US);
     let kept = timeout_at(deadline, connections.get(address, Purpose::Probe)).await;
-    let Ok(Ok(connection)) = kept else { return Err(NoAnswer::Other) };
+    let connection = kept.map_err(|_| NoAnswer::Unreachable(ConnectError::TimedOut))?;
+    let connection = connection.map_err(NoAnswer::Unreachable)?;
     let reused = connection.is_reused();
     match timeout_at(deadline, request_health_over(connection, address, path)).await {
         Ok(Some(answer)) => return Ok(answer),
@@ -193,10 +200,10 @@
         Ok(None) | Err(_) => return Err(NoAnswer::Other),
     }
     let retry = async {
-        let connection = connections.open(address, Purpose::Probe).await.ok()?;
-        request_health_over(connection, address, path).await
+        let connection = connections.open(address, Purpose::Probe).await.map_err(NoAnswer::Unreachable)?;
+        request_health_over(connection, address, path).await.ok_or(NoAnswer::Other)
     };
-    timeout_at(deadline, retry).await.ok().flatten().ok_or(NoAnswer::Other)
+    timeout_at(deadline, retry).await.map_err(|_| NoAnswer::Other)?
 }
 
 async fn request_health_over(
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -4,7 +4,7 @@
 //! successful requests are sampled. A separate line reports the number of suppressed lines.
 
 use {
-    crate::replica::platform_client::CallKind,
+    crate::{connections::ConnectError, replica::platform_client::CallKind},
     eyre::Result,
     opentelemetry::{
         KeyValue,
@@ -12,7 +12,7 @@
     },
     pointvane_config::LogOptions,
     pointvane_core::{ErrorKind, ItemFault, Name},
-    pointvane_dispatch::{CallReason, QuarantineChange},
+    pointvane_dispatch::{CallReason, ProbeOutcome, QuarantineChange},
     pointvane_telemetry::{
         EventKind, EventLog, LineDecision, LineFlush, LineLayout, LogRateLimiter, LogRateLimits, Metrics,
         Program, stdout_logger,
@@ -49,6 +49,8 @@
     attempts: Counter<u64>,
     repeats: Counter<u64>,
     probes: Counter<u64>,
+    probe_outcomes: Counter<u64>,
+    connect_failures: Counter<u64>,
     early_forwards: Counter<u64>,
     back_offs: Counter<u64>,
     leavings: Counter<u64>,
@@ -91,6 +93,8 @@
             attempts: counter("pointvane_node_attempts"),
             repeats: counter("pointvane_node_repeats"),
             probes: counter("pointvane_node_probes"),
+            probe_outcomes: counter("pointvane_node_probe_outcomes"),
+            connect_failures: counter("pointvane_node_connect_failures"),
             early_forwards: counter("pointvane_node_early_forwards"),
             back_offs: counter("pointvane_node_back_offs"),
             leavings: counter("pointvane_node_leavings"),
@@ -189,6 +193,16 @@
         self.probes.add(1, &[]);
     }
 
+    /// Counts how a probe ended.
+    pub fn probe_ended(&self, outcome: ProbeOutcome) {
+        self.probe_outcomes.add(1, &[KeyValue::new("outcome", outcome.as_str())]);
+    }
+
+    /// Counts a connection to an upstream that could not be opened.
+    pub fn connect_failed(&self, error: ConnectError) {
+        self.connect_failures.add(1, &[KeyValue::new("cause", error.as_str())]);
+    }
+
     /// Counts a pipelined request that was forwarded before the preceding requests on its connection were
     /// answered.
     pub fn forwarded_early(&self) {
--- a/crates/pointvane-node/src/socket.rs
+++ b/crates/pointvane-node/src/socket.rs
@@ -2,8 +2,15 @@
 
 use {
     socket2::{SockRef, TcpKeepalive},
-    std::{io, net::SocketAddr, time::Duration},
-    tokio::{net::TcpStream, time::timeout},
+    std::{
+        io,
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpSocket, TcpStream},
+        time::timeout,
+    },
 };
 
 /// Idle time before the first TCP keepalive probe: the minimum that the kernel accepts.
@@ -20,7 +27,23 @@
 /// # Errors
 /// Fails if the connection cannot be opened within `connect_timeout`.
 pub async fn connect(address: SocketAddr, connect_timeout: Duration) -> io::Result<TcpStream> {
-    let stream = timeout(connect_timeout, TcpStream::connect(address)).await??;
+    connect_from(None, address, connect_timeout).await
+}
+
+/// Opens a connection as [`connect`] does, from a local address if one is given.
+///
+/// # Errors
+/// Fails if the connection cannot be opened within `connect_timeout`, or not from `source_ip`.
+pub async fn connect_from(
+    source_ip: Option<IpAddr>,
+    address: SocketAddr,
+    connect_timeout: Duration,
+) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    if let Some(source_ip) = source_ip {
+        socket.bind(SocketAddr::new(source_ip, 0))?;
+    }
+    let stream = timeout(connect_timeout, socket.connect(address)).await??;
     enable_dead_peer_detection(&stream)?;
     Ok(stream)
 }
--- a/standins/tests/users_platform/node.rs
+++ b/standins/tests/users_platform/node.rs
@@ -87,13 +87,15 @@
     )
 }
 
-fn options_text(options: &Options) -> String {
+/// The options file. Upstreams see the advertised address, so that their proxies can tell nodes apart.
+fn options_text(ip: Ipv4Addr, options: &Options) -> String {
     let mut text = String::new();
     if options.all_lines {
         text += ALL_LINES;
     }
+    text += &format!("[fleet]\nsource_ip = \"{ip}\"\n");
     if let Some(bound) = options.bound {
-        text += &format!("[fleet]\nbind_ip = \"{bound}\"\n");
+        text += &format!("bind_ip = \"{bound}\"\n");
     }
     let requests = options.pipeline_requests.map(|requests| format!("pipeline_requests = {requests}\n"));
     let start_wait = options.start_wait_ms.map(|wait_ms| format!("start_wait_ms = {wait_ms}\n"));
@@ -150,7 +152,7 @@
         let mut command = Command::new(program_path());
         command.env("POINTVANE_BOOT", &settings).stderr(Stdio::inherit());
         let all_lines = options.all_lines || log == Log::NeverRead;
-        let options = options_text(&Options { all_lines, ..options });
+        let options = options_text(ip, &Options { all_lines, ..options });
         if !options.is_empty() {
             let file = directory_path.join("options.toml");
             fs::write(&file, options).unwrap();
