Failing tests: callers of nodes that are cut from all upstreams

Three or four node processes, all upstreams behind proxies that drop, reset or reject the connections of some nodes. From 3 s after the beginning of the cut first tries at these nodes must be served two thirds as often as at the others, unless at most 10 and 1 in 50 fail: the users' rule. Work that may not be repeated must run at most once, and not at all after a 503.

--- a/standins/tests/soak/proxy.rs
+++ b/standins/tests/soak/proxy.rs
@@ -1,8 +1,11 @@
-//! A TCP proxy that forwards, delays, silences or resets the connections through it.
+//! A TCP proxy that forwards, delays, silences or resets the connections through it, or only those of some
+//! clients.
 
+use socket2::SockRef;
 use std::{
+    collections::HashMap,
     io::{self, Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
@@ -30,6 +33,19 @@
     Broken,
 }
 
+/// How the proxy treats the connections of a client that is partitioned from the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Partition {
+    /// Drops all bytes, on open and on new connections.
+    Silent,
+    /// Drops bytes to the client only.
+    SilentToClient,
+    /// Resets open and new connections.
+    Reset,
+    /// Forwards open connections and resets new ones.
+    RejectNew,
+}
+
 const DELAY: Duration = Duration::from_millis(120);
 /// Rate of a thin link, in bytes per second: 10 Mbit/s.
 const THIN_BYTES_PER_S: f64 = 1_250_000.0;
@@ -42,8 +58,12 @@
     link: Arc<Mutex<Link>>,
     /// Number of calls of [`Proxy::silence_open_connections`].
     silences: Arc<AtomicU64>,
+    /// Partitions by the address of the client.
+    partitions: Partitions,
 }
 
+type Partitions = Arc<Mutex<HashMap<IpAddr, Partition>>>;
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Direction {
     ToServer,
@@ -57,11 +77,13 @@
             address: listener.local_addr().unwrap(),
             link: Arc::new(Mutex::new(Link::Healthy)),
             silences: Arc::default(),
+            partitions: Arc::default(),
         };
         let accepting = proxy.clone();
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
-                let connection = ConnectionLink::new(&accepting);
+                let connection =
+                    ConnectionLink::new(&accepting, client.peer_addr().ok().map(|client| client.ip()));
                 thread::spawn(move || _ = bridge(client, server, &connection));
             }
         });
@@ -77,6 +99,16 @@
     pub fn set(&self, link: Link) {
         *self.link.lock().unwrap() = link;
     }
+
+    /// Partitions the clients at an address from the server.
+    pub fn partition(&self, client: IpAddr, partition: Partition) {
+        self.partitions.lock().unwrap().insert(client, partition);
+    }
+
+    /// Ends the partition of the clients at an address. Connections that have lost bytes stay silent.
+    pub fn heal(&self, client: IpAddr) {
+        self.partitions.lock().unwrap().remove(&client);
+    }
 }
 
 /// The link state of one connection.
@@ -86,12 +118,24 @@
     silences: Arc<AtomicU64>,
     /// Value of `silences` when the connection was opened.
     silences_before: u64,
+    partitions: Partitions,
+    client: Option<IpAddr>,
 }
 
 impl ConnectionLink {
-    fn new(proxy: &Proxy) -> Self {
-        let silences_before = proxy.silences.load(Ordering::SeqCst);
-        Self { link: Arc::clone(&proxy.link), silences: Arc::clone(&proxy.silences), silences_before }
+    fn new(proxy: &Proxy, client: Option<IpAddr>) -> Self {
+        Self {
+            link: Arc::clone(&proxy.link),
+            silences: Arc::clone(&proxy.silences),
+            silences_before: proxy.silences.load(Ordering::SeqCst),
+            partitions: Arc::clone(&proxy.partitions),
+            client,
+        }
+    }
+
+    /// The partition of the client that opened the connection, if there is one.
+    fn partition(&self) -> Option<Partition> {
+        self.partitions.lock().unwrap().get(&self.client?).copied()
     }
 
     fn is_silent(&self) -> bool {
@@ -100,6 +144,9 @@
 }
 
 fn bridge(client: TcpStream, server: SocketAddr, connection: &ConnectionLink) -> io::Result<()> {
+    if matches!(connection.partition(), Some(Partition::Reset | Partition::RejectNew)) {
+        return SockRef::from(&client).set_linger(Some(Duration::ZERO));
+    }
     let server = TcpStream::connect(server)?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
@@ -118,9 +165,15 @@
     let mut lost = false;
     loop {
         let link = *connection.link.lock().unwrap();
+        let partition = connection.partition();
         if link == Link::Broken {
             break;
         }
+        if partition == Some(Partition::Reset) {
+            _ = SockRef::from(from).set_linger(Some(Duration::ZERO));
+            _ = SockRef::from(to).set_linger(Some(Duration::ZERO));
+            return;
+        }
         let length = match from.read(&mut buffer) {
             Ok(0) => break,
             Ok(length) => length,
@@ -130,7 +183,8 @@
             Err(_) => break,
         };
         // Once bytes are dropped, nothing after them may pass: TCP data has no gaps.
-        lost |= connection.is_silent();
+        lost |= connection.is_silent() || connection.partition() == Some(Partition::Silent);
+        lost |= direction == Direction::ToClient && connection.partition() == Some(Partition::SilentToClient);
         lost |= matches!(
             (link, direction),
             (Link::LostToServer, Direction::ToServer) | (Link::LostToClient, Direction::ToClient)
--- /dev/null
+++ b/standins/tests/unreachable_upstreams.rs
@@ -0,0 +1,211 @@
+//! Some nodes of a fleet lose the path to all upstreams, while callers, the store and the other nodes still
+//! reach them.
+
+#[path = "soak/proxy.rs"]
+#[allow(dead_code)]
+mod proxy;
+mod users_platform;
+
+use {
+    googletest::prelude::*,
+    proxy::{Partition, Proxy},
+    std::{
+        collections::HashSet,
+        net::Ipv4Addr,
+        sync::{
+            Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+    users_platform::{Log, NodeProcess, Store, Upstream, UpstreamBehaviour, eventually, unique_address},
+};
+
+const ROUTES: [(&str, &str, u64, &str); 2] =
+    [("/safe/", "safe", 2_000, "app"), ("/unsafe/", "unsafe", 2_000, "app")];
+/// Time after the beginning of a partition from which callers must be served as elsewhere.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Time for which a partition goes on after that.
+const JUDGED: Duration = Duration::from_secs(4);
+/// Share of the other nodes' rate at which a partitioned node must serve first tries.
+const SERVED_SHARE: f64 = 2.0 / 3.0;
+/// First tries that may fail in any case, and the share of all first tries that may.
+const FAILURES_ALLOWED: (f64, f64) = (10.0, 1.0 / 50.0);
+/// Time that an upstream takes for a request, in milliseconds.
+const SERVICE_MS: u64 = 20;
+const DEADLINES_MS: [u64; 2] = [600, 1_500];
+const CALLERS_PER_NODE: usize = 8;
+const CALLER_PAUSE: Duration = Duration::from_millis(30);
+
+/// A first try of a caller.
+struct FirstTry {
+    node: usize,
+    id: String,
+    is_safe: bool,
+    sent_at: Instant,
+    took: Duration,
+    /// 0 without a response.
+    status: u16,
+}
+
+struct Fleet {
+    nodes: Vec<NodeProcess>,
+    upstreams: Vec<Upstream>,
+    proxies: Vec<Proxy>,
+    _store: Store,
+}
+
+impl Fleet {
+    fn start(nodes: usize, upstreams: usize) -> Self {
+        let store = Store::start();
+        store.configure(5, &ROUTES);
+        let upstreams: Vec<Upstream> = (0..upstreams)
+            .map(|number| Upstream::start(&format!("i-{number}"), UpstreamBehaviour::Delayed(SERVICE_MS)))
+            .collect();
+        let proxies: Vec<Proxy> = upstreams.iter().map(|upstream| Proxy::start(upstream.address)).collect();
+        for (upstream, proxy) in upstreams.iter().zip(&proxies) {
+            store.list_at(upstream, proxy.address, "ready", 1);
+        }
+        let addresses: Vec<Ipv4Addr> = (0..nodes).map(|_| unique_address()).collect();
+        let start = |ip: &Ipv4Addr| NodeProcess::start_at(*ip, store.address, &addresses[..1], Log::File);
+        let nodes: Vec<NodeProcess> = addresses.iter().map(start).collect();
+        nodes.iter().for_each(NodeProcess::wait_until_ready);
+        // All nodes know each other.
+        for node in &nodes {
+            eventually(|| addresses.iter().all(|ip| node.directory().contains(&format!("\"{ip}:"))));
+        }
+        Self { nodes, upstreams, proxies, _store: store }
+    }
+
+    fn partition(&self, nodes: usize, partition: Partition) {
+        for node in &self.nodes[..nodes] {
+            self.proxies.iter().for_each(|proxy| proxy.partition(node.ip.into(), partition));
+        }
+    }
+
+    fn heal(&self) {
+        for node in &self.nodes {
+            self.proxies.iter().for_each(|proxy| proxy.heal(node.ip.into()));
+        }
+    }
+
+    /// Runs `action` while callers send requests to all nodes; returns their first tries.
+    fn with_callers(&self, action: impl FnOnce()) -> Vec<FirstTry> {
+        let (stop, tries) = (AtomicBool::new(false), Mutex::new(Vec::new()));
+        thread::scope(|scope| {
+            for node in 0..self.nodes.len() {
+                for caller in 0..CALLERS_PER_NODE {
+                    let (stop, tries) = (&stop, &tries);
+                    scope.spawn(move || {
+                        let mut number = 0;
+                        while !stop.load(Ordering::SeqCst) {
+                            let one = self.first_try(node, caller, number);
+                            tries.lock().unwrap().push(one);
+                            number += 1;
+                            thread::sleep(CALLER_PAUSE);
+                        }
+                    });
+                }
+            }
+            action();
+            stop.store(true, Ordering::SeqCst);
+        });
+        tries.into_inner().unwrap()
+    }
+
+    fn first_try(&self, node: usize, caller: usize, number: usize) -> FirstTry {
+        let is_safe = caller.is_multiple_of(2);
+        let (method, path) = if is_safe { ("GET", "/safe/a") } else { ("POST", "/unsafe/a") };
+        let id = format!("{node}-{caller}-{number}");
+        let sent_at = Instant::now();
+        let deadline_ms = DEADLINES_MS[number % DEADLINES_MS.len()];
+        let answer = self.nodes[node].request(method, path, &id, deadline_ms);
+        let took = sent_at.elapsed();
+        // The caller has left at its deadline.
+        let in_time = took <= Duration::from_millis(deadline_ms);
+        let status = answer.ok().filter(|_| in_time).map_or(0, |answer| answer.status());
+        FirstTry { node, id, is_safe, sent_at, took, status }
+    }
+
+    fn runs(&self) -> Vec<String> {
+        self.upstreams.iter().flat_map(|upstream| upstream.executed_ids.lock().unwrap().clone()).collect()
+    }
+}
+
+fn served<'t>(tries: impl Iterator<Item = &'t FirstTry>) -> (f64, f64) {
+    tries.fold((0.0, 0.0), |(served, all), one| (served + f64::from(u8::from(one.status == 200)), all + 1.0))
+}
+
+/// Partitions the first `partitioned` of `nodes` nodes, and checks what callers and upstreams saw.
+fn expect_served_as_elsewhere(nodes: usize, partitioned: usize, partition: Partition) {
+    let fleet = Fleet::start(nodes, 3);
+    let mut judged = (Instant::now(), Instant::now());
+    let tries = fleet.with_callers(|| {
+        thread::sleep(Duration::from_secs(1));
+        fleet.partition(partitioned, partition);
+        thread::sleep(CONTACT);
+        judged.0 = Instant::now();
+        thread::sleep(JUDGED);
+        judged.1 = Instant::now();
+        thread::sleep(Duration::from_secs(1));
+        fleet.heal();
+        thread::sleep(Duration::from_secs(1));
+    });
+    let in_window = |one: &&FirstTry| (judged.0..judged.1).contains(&one.sent_at);
+    let (served_cut, all_cut) = served(tries.iter().filter(in_window).filter(|one| one.node < partitioned));
+    let (served_others, all_others) =
+        served(tries.iter().filter(in_window).filter(|one| one.node >= partitioned));
+    let mut statuses: Vec<(u16, u128)> = tries
+        .iter()
+        .filter(in_window)
+        .filter(|one| one.node < partitioned && one.status != 200)
+        .map(|one| (one.status, one.took.as_millis()))
+        .collect();
+    statuses.truncate(8);
+    let summary = format!(
+        "partitioned nodes served {served_cut} of {all_cut}, others {served_others} of {all_others}; {statuses:?}"
+    );
+    println!("{summary}");
+    expect_that!(all_cut, gt(20.0), "{summary}");
+    let is_served = served_cut / all_cut >= SERVED_SHARE * served_others / all_others
+        || all_cut - served_cut <= FAILURES_ALLOWED.0 + FAILURES_ALLOWED.1 * all_cut;
+    expect_that!(is_served, eq(true), "{summary}");
+    expect_promises_kept(&fleet, &tries);
+}
+
+/// Checks that work that may not be repeated ran at most once, and not at all after a 503.
+fn expect_promises_kept(fleet: &Fleet, tries: &[FirstTry]) {
+    let runs = fleet.runs();
+    let mut seen = HashSet::new();
+    let repeated: HashSet<&String> = runs.iter().filter(|id| !seen.insert(*id)).collect();
+    for one in tries.iter().filter(|one| !one.is_safe) {
+        expect_that!(repeated.contains(&one.id), eq(false), "{} ran twice", one.id);
+        expect_that!(one.status == 503 && seen.contains(&one.id), eq(false), "{} ran after 503", one.id);
+    }
+}
+
+#[gtest]
+fn a_node_whose_connections_to_all_upstreams_hang_serves_its_callers() {
+    expect_served_as_elsewhere(3, 1, Partition::Silent);
+}
+
+#[gtest]
+fn a_node_that_gets_no_bytes_from_any_upstream_serves_its_callers() {
+    expect_served_as_elsewhere(3, 1, Partition::SilentToClient);
+}
+
+#[gtest]
+fn a_node_whose_connections_to_all_upstreams_are_reset_serves_its_callers() {
+    expect_served_as_elsewhere(3, 1, Partition::Reset);
+}
+
+#[gtest]
+fn a_node_that_can_open_no_new_connection_to_any_upstream_serves_its_callers() {
+    expect_served_as_elsewhere(3, 1, Partition::RejectNew);
+}
+
+#[gtest]
+fn callers_are_served_although_most_nodes_cannot_reach_any_upstream() {
+    expect_served_as_elsewhere(4, 3, Partition::Silent);
+}
