--- a/crates/pointvane-config/src/node_options.rs
+++ b/crates/pointvane-config/src/node_options.rs
@@ -130,7 +130,8 @@
     /// Local address on which datagrams and queries from other nodes are accepted; `None` for the advertised
     /// address.
     pub bind_ip: Option<IpAddr>,
-    /// Source address of connections to upstreams; `None` lets the system choose.
+    /// Source address of connections to upstreams and of requests forwarded to other nodes, which accept these
+    /// only from advertised addresses; `None` lets the system choose.
     pub source_ip: Option<IpAddr>,
 }
 
--- /dev/null
+++ b/crates/pointvane-dispatch/src/attempt_path.rs
@@ -0,0 +1,55 @@
+//! Path of an attempt: directly to an upstream, or through another node that reaches the service.
+//!
+//! Decided before each attempt. Inputs: the reachability of the service (`reachability.rs`), the attempts of
+//! this request that reached no upstream, whether another node forwarded the request, and whether a node is
+//! left to forward it to (`peers.rs`). A request is forwarded at most once, so that no request goes in
+//! circles. Where no node is left, the service is down or the whole fleet is cut off; the request is refused at
+//! once, except for a trial now and then. Tests: `tests/attempt_path.rs`.
+
+use crate::reachability::Reach;
+
+/// Attempts that reached no upstream after which a request is forwarded although its service is not lost.
+const UNREACHABLE_MAX: u32 = 2;
+
+/// What the path of an attempt is decided by.
+#[derive(Clone, Copy, Debug)]
+pub struct PathInputs {
+    /// Reachability of the service.
+    pub reach: Reach,
+    /// Attempts of this request that reached no upstream.
+    pub unreachable_attempts: u32,
+    /// Whether the upstreams that this node still reaches have no capacity for the request.
+    pub lacks_reachable_capacity: bool,
+    /// Whether another node forwarded the request.
+    pub is_forwarded: bool,
+    /// A random number from 0 to 1.
+    pub draw: f32,
+}
+
+impl PathInputs {
+    /// Whether the attempt goes through another node if there is one.
+    pub fn prefers_peer(&self) -> bool {
+        let is_diverted = match self.reach {
+            Reach::Reached => false,
+            Reach::Returning { share } => self.draw >= share,
+            Reach::Lost => true,
+        };
+        let is_stuck = self.lacks_reachable_capacity || self.unreachable_attempts >= UNREACHABLE_MAX;
+        !self.is_forwarded && (is_diverted || is_stuck)
+    }
+}
+
+/// What becomes of an attempt for which no other node is left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WithoutPeer {
+    /// It goes to an upstream.
+    Upstream,
+    /// It goes to an upstream if a trial is due, and is refused otherwise.
+    TrialOnly,
+}
+
+/// What becomes of an attempt for which no other node is left; `has_peers` says whether there are other nodes
+/// at all. A node alone has no better way than its own.
+pub fn without_peer(reach: Reach, has_peers: bool) -> WithoutPeer {
+    if reach == Reach::Lost && has_peers { WithoutPeer::TrialOnly } else { WithoutPeer::Upstream }
+}
--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -34,6 +34,10 @@
     Quarantined,
     /// No search was made: no upstream can finish the request before its deadline.
     DeadlineTooNear,
+    /// No upstream of the service responds to this node, and no other node is left to forward the request to.
+    ServiceLost,
+    /// Another node handled the request and refused it with this error.
+    RefusedByPeer(ErrorKind),
     /// An upstream was chosen; holds the outcome.
     Attempted(AttemptOutcome),
 }
@@ -103,6 +107,11 @@
                 return self.record_unsent(ErrorKind::UpstreamTimeout);
             }
             AttemptEnd::DeadlineTooNear => return self.record_unsent(ErrorKind::DeadlinePassed),
+            AttemptEnd::ServiceLost => return self.record_unsent(ErrorKind::UpstreamUnreachable),
+            AttemptEnd::RefusedByPeer(error) => {
+                self.may_have_run |= error.answer().outcome == Outcome::Unknown;
+                return self.give_up_if_last(error);
+            }
             AttemptEnd::Attempted(outcome) => outcome,
         };
         self.may_have_run |= outcome.may_have_run();
--- a/crates/pointvane-dispatch/src/ejection.rs
+++ b/crates/pointvane-dispatch/src/ejection.rs
@@ -79,7 +79,8 @@
             Self::NotRun(NotRunReason::Busy | NotRunReason::Other)
             | Self::Withheld(_)
             | Self::Quarantined
-            | Self::Unauthorized => Effect::Ignore,
+            | Self::Unauthorized
+            | Self::Declined => Effect::Ignore,
             Self::Answered { failed: true }
             | Self::Unsent
             | Self::Broken
@@ -101,15 +102,22 @@
         }
     }
 
+    /// Whether the outcome says something of the upstream. A probe that took far longer than its timeout does
+    /// not: this process was paused.
+    pub const fn is_evidence(self) -> bool {
+        !matches!(
+            self,
+            Self::NoAnswer { waited_us, timeout_us } if waited_us > LOCAL_PAUSE_TIMEOUTS * timeout_us
+        )
+    }
+
     pub(crate) const fn effect(self) -> Effect {
         match self {
             // An answered probe does not offset failed requests.
             Self::Healthy | Self::ReusedConnectionSilent => Effect::Ignore,
             Self::Unhealthy => Effect::Failure,
             Self::OtherUpstream => Effect::Eject,
-            Self::NoAnswer { waited_us, timeout_us } if waited_us > LOCAL_PAUSE_TIMEOUTS * timeout_us => {
-                Effect::Ignore
-            }
+            Self::NoAnswer { .. } if !self.is_evidence() => Effect::Ignore,
             Self::NoAnswer { .. } => Effect::Failure,
         }
     }
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -18,6 +18,8 @@
 //! | which candidates are probed, and which one is selected | `search.rs` |
 //! | how many slots of an upstream are occupied, and how latency grows with occupancy | `load_curve.rs` |
 //! | whether a request is sent to an upstream or refused | `admission.rs` |
+//! | whether this node has lost the path to a service | `reachability.rs` |
+//! | whether an attempt goes through another node, and which | `attempt_path.rs`, `peers.rs`, `forwarded_request.rs` |
 //! | whether a failed attempt is retried, and what the caller is answered | `attempts.rs`, `retry.rs`, with `outcome.rs` |
 //! | when a request is hedged with a second concurrent attempt | `hedge.rs` |
 //! | when a failing upstream is ejected | `ejection.rs` |
@@ -32,6 +34,7 @@
 mod access;
 mod admission;
 mod allowed_regions;
+mod attempt_path;
 mod attempts;
 mod budget;
 mod cost;
@@ -42,6 +45,7 @@
 mod evacuations;
 mod fingerprint;
 mod first_state;
+mod forwarded_request;
 mod hedge;
 mod ineligible;
 mod latency;
@@ -50,12 +54,14 @@
 mod load_when_sent;
 mod notices;
 mod outcome;
+mod peers;
 mod pipeline;
 mod pool;
 mod quarantine;
 mod quota;
 mod ranking;
 mod ranking_options;
+mod reachability;
 mod records;
 mod replica;
 mod retry;
@@ -72,6 +78,7 @@
     access::{AccountTable, account_of, check_confirmed},
     admission::{AdmissionPolicy, FinishEstimate, RETRY_AFTER_DEFAULT_MS, RefusedBy, retry_after_ms},
     allowed_regions::AllowedRegions,
+    attempt_path::{PathInputs, WithoutPeer, without_peer},
     attempts::{AttemptEnd, NextStep, RequestAttempts},
     budget::{BudgetLimits, NodeBudgets, PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions},
     deadline::answer_deadline_us,
@@ -80,6 +87,7 @@
     evacuations::Evacuations,
     fingerprint::{BodyFingerprint, FINGERPRINT_BODY_BYTES, HeadFingerprint, QueryScope, RequestFingerprint},
     first_state::{first_state_retry_after_ms, first_state_wait_ms},
+    forwarded_request::{ForwardedRequest, MalformedForward, attempts_to_hand_over},
     hedge::hedge_goal,
     ineligible::Ineligible,
     latency::{LatencyQuantile, MinimumLatency},
@@ -88,6 +96,7 @@
     load_when_sent::LoadWhenSent,
     notices::WithheldService,
     outcome::{AttemptOutcome, NotRunReason},
+    peers::{PeerCandidate, PeerOutcome, PeerTable},
     pipeline::{PipelineLimits, may_forward_early},
     pool::Pool,
     quarantine::{
@@ -100,6 +109,7 @@
     },
     ranking::CandidateCriteria,
     ranking_options::{Ranking, RankingOptions},
+    reachability::{ConnectionKind, Reach, ReachChange},
     replica::{
         fan_out::{
             DIRECT_SEND_MAX, FAN_OUT, Forwarder, OrderedNode, ReceivedRounds, Segment, broadcast_position,
--- a/crates/pointvane-dispatch/src/outcome.rs
+++ b/crates/pointvane-dispatch/src/outcome.rs
@@ -36,6 +36,9 @@
     Quarantined,
     /// Nothing was sent: the key of the request was revoked.
     Unauthorized,
+    /// Nothing was sent to an upstream: another node that the request was forwarded to declined it, or could
+    /// not be reached.
+    Declined,
     /// The request may have run, and there is no answer that can be trusted.
     Broken,
     /// The request may have run; its connection broke, and right after that nothing listened at the
@@ -72,7 +75,12 @@
     pub const fn is_unsent(self) -> bool {
         matches!(
             self,
-            Self::Unsent | Self::Unreachable | Self::Withheld(_) | Self::Quarantined | Self::Unauthorized
+            Self::Unsent
+                | Self::Unreachable
+                | Self::Withheld(_)
+                | Self::Quarantined
+                | Self::Unauthorized
+                | Self::Declined
         )
     }
 
@@ -98,6 +106,7 @@
             Self::Withheld(Ineligible::Ejected) => "withheld-ejected",
             Self::Quarantined => "quarantined",
             Self::Unauthorized => "unauthorized",
+            Self::Declined => "declined",
             Self::Broken => "broken",
             Self::Crashed => "crashed",
             Self::TimedOut => "timed-out",
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -45,6 +45,10 @@
     removed: HashMap<Name, RemovedUpstream>,
     /// Upstreams whose advertised limits are tracked (see `limits.rs`).
     pub(crate) limited: BTreeSet<UpstreamKey>,
+    /// Services that this node has lost (see `reachability.rs`).
+    pub(crate) lost: BTreeSet<Name>,
+    /// The lost service that was checked last.
+    pub(crate) last_checked: Option<Name>,
     pub(crate) evacuations: Evacuations,
     /// The region of each data centre for which it is known.
     pub(crate) regions: BTreeMap<Name, Name>,
@@ -65,6 +69,8 @@
             services: HashMap::new(),
             removed: HashMap::new(),
             limited: BTreeSet::new(),
+            lost: BTreeSet::new(),
+            last_checked: None,
             evacuations: Evacuations::default(),
             regions: BTreeMap::new(),
             warm_up: WarmUpShares::new(seed),
--- a/crates/pointvane-dispatch/src/retry.rs
+++ b/crates/pointvane-dispatch/src/retry.rs
@@ -48,7 +48,7 @@
         }
         AttemptOutcome::TimedOut => RetryDecision::GiveUp(ErrorKind::UpstreamTimeout),
         _ if may_have_run => RetryDecision::GiveUp(ErrorKind::UpstreamBroken),
-        AttemptOutcome::Unsent | AttemptOutcome::Unreachable => {
+        AttemptOutcome::Unsent | AttemptOutcome::Unreachable | AttemptOutcome::Declined => {
             RetryDecision::GiveUp(ErrorKind::UpstreamUnreachable)
         }
         AttemptOutcome::Withheld(reason) => RetryDecision::GiveUp(reason.error()),
--- a/crates/pointvane-dispatch/src/routes.rs
+++ b/crates/pointvane-dispatch/src/routes.rs
@@ -6,7 +6,10 @@
 //! Tests: `the_longest_prefix_of_the_host_wins`, `a_split_gives_each_service_its_weight`.
 
 use {
-    crate::access::{AccountTable, account_of},
+    crate::{
+        access::{AccountTable, account_of},
+        forwarded_request::ForwardedRequest,
+    },
     pointvane_core::{
         AccountRule, CallerLimits, ErrorKind, KeyDigest, Name, Quota, RouteRule, RoutingConfiguration,
         ServiceRule,
@@ -55,6 +58,19 @@
     }
 }
 
+impl RoutedRequest {
+    /// Applies what the node that forwarded the request says of it, if one did: the service, if the route still
+    /// has it, and the attempts that are left.
+    pub fn handed_over(self, forwarded: Option<&ForwardedRequest>) -> Self {
+        let Some(forwarded) = forwarded else { return self };
+        let has_service = self.route.backends.iter().any(|backend| backend.service == forwarded.service);
+        let service = if has_service { forwarded.service.clone() } else { self.service };
+        let attempts_max = self.route.attempts_max.min(forwarded.attempts_left.max(1));
+        let route = Arc::new(RouteRule { attempts_max, ..RouteRule::clone(&self.route) });
+        Self { route, service, ..self }
+    }
+}
+
 impl RouteTable {
     /// Builds the table of a configuration.
     pub fn new(configuration: RoutingConfiguration) -> Self {
--- a/crates/pointvane-dispatch/src/service_state.rs
+++ b/crates/pointvane-dispatch/src/service_state.rs
@@ -1,6 +1,6 @@
 //! Load statistics that a node keeps for each service, aggregated over its upstreams.
 
-use crate::{latency::LatencyQuantile, load_curve::LoadCurve};
+use crate::{latency::LatencyQuantile, load_curve::LoadCurve, reachability::ServiceReach};
 
 /// The quantile of probe response times that serves as the baseline.
 const MEDIAN: f64 = 0.5;
@@ -30,6 +30,8 @@
     probe_time: Option<LatencyQuantile>,
     has_reported: bool,
     answers_without_report: u32,
+    /// Whether its upstreams respond to this node.
+    pub(crate) reach: ServiceReach,
 }
 
 impl ServiceState {
@@ -41,6 +43,7 @@
             probe_time: None,
             has_reported: false,
             answers_without_report: 0,
+            reach: ServiceReach::default(),
         }
     }
 
--- a/crates/pointvane-dispatch/src/upstream.rs
+++ b/crates/pointvane-dispatch/src/upstream.rs
@@ -157,6 +157,11 @@
         self.failures.apply(Effect::Failure, now_us);
     }
 
+    /// Drops its failures, also an ejection.
+    pub(crate) fn drop_failures(&mut self) {
+        self.failures = FailureHistory::default();
+    }
+
     /// Whether it is ejected.
     pub fn is_ejected(&self, now_us: u64) -> bool {
         self.failures.is_ejected(now_us)
--- /dev/null
+++ b/crates/pointvane-dispatch/tests/attempt_path.rs
@@ -0,0 +1,57 @@
+//! Whether an attempt goes to an upstream, through another node, or nowhere.
+
+use {
+    googletest::prelude::*,
+    pointvane_dispatch::{PathInputs, Reach, WithoutPeer, without_peer},
+};
+
+const REACHED: PathInputs = PathInputs {
+    reach: Reach::Reached,
+    unreachable_attempts: 0,
+    lacks_reachable_capacity: false,
+    is_forwarded: false,
+    draw: 0.5,
+};
+
+#[gtest]
+fn requests_for_a_lost_service_are_forwarded() {
+    expect_that!(REACHED.prefers_peer(), eq(false));
+    expect_that!(PathInputs { reach: Reach::Lost, ..REACHED }.prefers_peer(), eq(true));
+}
+
+#[gtest]
+fn a_part_of_the_requests_for_a_regained_service_is_forwarded() {
+    for (share, is_forwarded) in [(0.0, true), (0.4, true), (0.6, false)] {
+        let inputs = PathInputs { reach: Reach::Returning { share }, ..REACHED };
+        expect_that!(inputs.prefers_peer(), eq(is_forwarded));
+    }
+}
+
+#[gtest]
+fn a_request_that_reached_no_upstream_twice_is_forwarded() {
+    expect_that!(PathInputs { unreachable_attempts: 1, ..REACHED }.prefers_peer(), eq(false));
+    expect_that!(PathInputs { unreachable_attempts: 2, ..REACHED }.prefers_peer(), eq(true));
+    expect_that!(PathInputs { lacks_reachable_capacity: true, ..REACHED }.prefers_peer(), eq(true));
+}
+
+#[gtest]
+fn no_request_is_forwarded_twice() {
+    for reach in [Reach::Lost, Reach::Returning { share: 0.0 }, Reach::Reached] {
+        let inputs = PathInputs {
+            reach,
+            unreachable_attempts: 8,
+            lacks_reachable_capacity: true,
+            is_forwarded: true,
+            draw: 1.0,
+        };
+        expect_that!(inputs.prefers_peer(), eq(false));
+    }
+}
+
+#[gtest]
+fn a_lost_service_that_no_node_reaches_gets_trials_only() {
+    expect_that!(without_peer(Reach::Lost, true), eq(WithoutPeer::TrialOnly));
+    expect_that!(without_peer(Reach::Lost, false), eq(WithoutPeer::Upstream));
+    expect_that!(without_peer(Reach::Returning { share: 0.1 }, true), eq(WithoutPeer::Upstream));
+    expect_that!(without_peer(Reach::Reached, true), eq(WithoutPeer::Upstream));
+}
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -28,11 +28,13 @@
     pub end: AttemptEnd,
     /// The upstream's response, if there is one.
     pub answer: Option<Response<RelayBody>>,
+    /// Time after which the caller should retry, in milliseconds, if another node refused the request.
+    pub retry_after_ms: Option<u32>,
 }
 
 impl From<AttemptEnd> for AttemptReport {
     fn from(end: AttemptEnd) -> Self {
-        Self { end, answer: None }
+        Self { end, answer: None, retry_after_ms: None }
     }
 }
 
@@ -80,6 +82,9 @@
     let ended_at_us = node.now_us();
     let latency_us = ended_at_us.saturating_sub(sent_at_us);
     let outcome = outcome(&answer, &snapshot).await;
+    if outcome == AttemptOutcome::Unreachable {
+        request.unreachable_attempts.set(request.unreachable_attempts.get() + 1);
+    }
     if outcome.is_unsent() {
         request.unsent_us.set(request.unsent_us.get() + latency_us);
     }
@@ -93,7 +98,7 @@
     let times = AttemptTimes { search_ms, latency_ms: latency_us / US_PER_MS };
     report(&node, &request, role, &snapshot, AttemptEnding { outcome, retry_after }, &times);
     // The error of an exchange is its outcome, which is recorded above.
-    AttemptReport { end: AttemptEnd::Attempted(outcome), answer: answer.ok() }
+    AttemptReport { answer: answer.ok(), ..AttemptEnd::Attempted(outcome).into() }
 }
 
 /// Classifies the result of an exchange, given the upstream's load when the request was sent.
--- a/crates/pointvane-node/src/connections.rs
+++ b/crates/pointvane-node/src/connections.rs
@@ -11,6 +11,7 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
+    pointvane_dispatch::ConnectionKind,
     pointvane_telemetry::BootInstant,
     std::{
         cell::RefCell,
@@ -244,9 +245,9 @@
         self.round_trip
     }
 
-    /// Whether the connection comes from the pool.
-    pub fn is_reused(&self) -> bool {
-        self.reused
+    /// Whether the connection was opened for this purpose or comes from the pool.
+    pub fn kind(&self) -> ConnectionKind {
+        if self.reused { ConnectionKind::Reused } else { ConnectionKind::New }
     }
 
     /// Returns the connection to the pool, at most for the time that the upstream announces in `Keep-Alive`.
--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -10,14 +10,14 @@
         DeltaMismatch, ErrorKind, Incarnation, Name, RouteRule, RoutingConfiguration, RoutingDelta,
     },
     pointvane_dispatch::{
-        AdmissionPolicy, BudgetLimits, NodeBudgets, PipelineLimits, Pool, Quarantine, QuarantineOptions,
-        Ranking, RankingOptions, RefusedBy, RetryBudget, RouteLatencies, RouteTable, RoutedRequest,
-        RoutingLog, SearchOptions, WarmUpBound, retry_after_ms,
+        AdmissionPolicy, BudgetLimits, NodeBudgets, PeerTable, PipelineLimits, Pool, Quarantine,
+        QuarantineOptions, Ranking, RankingOptions, RefusedBy, RetryBudget, RouteLatencies, RouteTable,
+        RoutedRequest, RoutingLog, SearchOptions, WarmUpBound, retry_after_ms,
     },
     pointvane_mesh::rank,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
-        cell::{Ref, RefCell, RefMut},
+        cell::{Cell, Ref, RefCell, RefMut},
         collections::HashMap,
         rc::Rc,
     },
@@ -52,6 +52,9 @@
     pool: RefCell<Pool>,
     budgets: RefCell<NodeBudgets>,
     route_latencies: RefCell<HashMap<Name, RouteLatencies>>,
+    peers: RefCell<PeerTable>,
+    /// The newest configuration by which another node handled a request of this node.
+    peer_version: Cell<u64>,
     rng: RefCell<SmallRng>,
 }
 
@@ -88,6 +91,8 @@
             pool: RefCell::new(pool(policy, node, seeder.random())),
             budgets: RefCell::new(NodeBudgets::new(now_us)),
             route_latencies: RefCell::default(),
+            peers: RefCell::default(),
+            peer_version: Cell::default(),
             rng: RefCell::new(SmallRng::from_rng(seeder)),
         }
     }
@@ -147,6 +152,22 @@
         self.pool.borrow_mut()
     }
 
+    /// Experience with the nodes that requests are forwarded to.
+    pub fn peers_mut(&self) -> RefMut<'_, PeerTable> {
+        self.peers.borrow_mut()
+    }
+
+    /// Records the version of the configuration by which another node handled a request of this node.
+    pub fn record_peer_version(&self, version: u64) {
+        self.peer_version.set(self.peer_version.get().max(version));
+    }
+
+    /// The newest configuration by which another node handled a request of this node; 0 if there is none.
+    /// Later requests must not be handled by an older one, or callers would see a change undone.
+    pub fn peer_version(&self) -> u64 {
+        self.peer_version.get()
+    }
+
     /// Requests that crash upstreams.
     pub fn quarantine(&self) -> RefMut<'_, Quarantine> {
         self.quarantine.borrow_mut()
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -16,7 +16,7 @@
         http::response::Parts,
     },
     pointvane_core::{PlatformAdapter, US_PER_MS},
-    pointvane_dispatch::{AttemptOutcome, Ineligible, NotRunReason, UpstreamKey},
+    pointvane_dispatch::{AttemptOutcome, ConnectionKind, Ineligible, NotRunReason, UpstreamKey},
     std::rc::Rc,
 };
 
@@ -92,7 +92,9 @@
     if not_run || answer.head.status == StatusCode::MISDIRECTED_REQUEST {
         return Err(refusal_outcome(answer, reusable).await);
     }
-    read_body(answer, reusable).await
+    let Answer { head, body, connection, .. } = answer;
+    // Whatever the cause, the attempt is counted and logged as broken.
+    read_body(head, body, connection, reusable).await.map_err(|_| AttemptOutcome::Broken)
 }
 
 /// Sends a request and waits for the head of the response.
@@ -105,11 +107,14 @@
     let address = address.ok_or(AttemptOutcome::Withheld(Ineligible::Gone))?;
     let is_repeatable = request.routed.route.kind.is_repeatable();
     let purpose = if is_repeatable { Purpose::Repeatable } else { Purpose::NonRepeatable };
+    let began_us = node.now_us();
     let connection = node.dispatcher.connections.get(address, purpose).await;
     let connection = connection.map_err(|error| {
         node.report.connect_failed(error);
+        node.record_silence(key, ConnectionKind::New, began_us);
         AttemptOutcome::Unreachable
     })?;
+    let kind = connection.kind();
     // The clock is read again right before the first byte is sent, since the process may have been suspended.
     let now_us = node.now_us();
     if request.answer_deadline_us <= now_us {
@@ -123,6 +128,12 @@
     let id = request.headers.get(&node.headers.request_id).cloned();
     let awaited = AwaitedAnswer { key, id, answer_deadline_us: request.answer_deadline_us };
     let sent = head_wait::send(node, connection, outgoing, awaited).await;
+    match &sent {
+        Some((_, Ok(_))) => node.record_contact(key, kind),
+        // An upstream that closes a reused connection may only have forgotten it.
+        Some((_, Err(_))) if kind == ConnectionKind::New => node.record_silence(key, kind, now_us),
+        _ => {}
+    }
     sent.ok_or(AttemptOutcome::Broken).and_then(|sent| send_result(sent, request, now_us))
 }
 
@@ -195,11 +206,18 @@
     })
 }
 
-/// Reads the body of a response, or its first part if it exceeds the buffer.
-async fn read_body(answer: Answer, reusable: bool) -> Result<Response<RelayBody>, AttemptOutcome> {
-    let Answer { head, body, connection, .. } = answer;
-    // Whatever the cause, the attempt is counted and logged as broken.
-    let buffered = buffer_body(body, ANSWER_BUFFER_BYTES).await.map_err(|_| AttemptOutcome::Broken)?;
+/// Reads the body of a response, or its first part if it exceeds the buffer. A connection that is `reusable`
+/// returns to the pool after the whole body.
+///
+/// # Errors
+/// When the connection breaks before the buffered part is complete.
+pub async fn read_body(
+    head: Parts,
+    body: Incoming,
+    connection: Connection,
+    reusable: bool,
+) -> Result<Response<RelayBody>, hyper::Error> {
+    let buffered = buffer_body(body, ANSWER_BUFFER_BYTES).await?;
     let body = match buffered.rest {
         Some(_) => RelayBody::streamed(buffered, Some(connection)),
         None => {
@@ -222,15 +240,8 @@
     key: UpstreamKey,
     now_us: u64,
 ) -> Option<Request<RelayBody>> {
-    let body = match &request.body {
-        Some(bytes) => RelayBody::whole(bytes.clone()),
-        None => RelayBody::streamed(request.stream.borrow_mut().take()?, None),
-    };
-    let mut outgoing = Request::new(body);
-    *outgoing.method_mut() = request.method.clone();
-    *outgoing.uri_mut() = request.uri.clone();
+    let mut outgoing = request.to_outgoing()?;
     let headers = outgoing.headers_mut();
-    headers.clone_from(&request.headers);
     set_account(node, request, headers)?;
     let left_ms = request.answer_deadline_us.saturating_sub(now_us) / US_PER_MS;
     headers.insert(node.headers.deadline_ms.clone(), HeaderValue::from(left_ms.max(1)));
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -7,15 +7,16 @@
         attempt::{AttemptReport, AttemptRole, attempt},
         connections::RelayBody,
         node::Node,
+        peer_attempt::peer_attempt,
         request::CallerRequest,
     },
     hyper::Response,
     pointvane_core::{ErrorKind, HedgeSchedule, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
-        NextStep, RefusedBy, RequestAttempts, RetryBudget, SearchGoal, WithheldService, hedge_goal,
-        may_relay, search_time_ms,
+        AttemptEnd, AttemptOutcome, NextStep, PathInputs, RefusedBy, RequestAttempts, RetryBudget,
+        SearchGoal, WithheldService, WithoutPeer, hedge_goal, may_relay, search_time_ms, without_peer,
     },
-    std::{cell::RefMut, rc::Rc, time::Duration},
+    std::{cell::RefMut, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         task::JoinSet,
         time::{Instant, sleep_until},
@@ -28,12 +29,24 @@
 /// An upstream's response, ready for the caller, or the error that the node responds with.
 pub type FinalAnswer = Result<Response<RelayBody>, Refused>;
 
+/// Path of an attempt.
+enum AttemptPath {
+    /// Directly to an upstream.
+    Upstream,
+    /// Through another node.
+    Peer(SocketAddr),
+    /// The attempt is not made.
+    Refuse,
+}
+
 /// The running attempts of one request, and the latest response so far.
 struct Forward<A> {
     node: Rc<Node<A>>,
     request: Rc<CallerRequest>,
     running_attempts: JoinSet<AttemptReport>,
     answer: Option<Response<RelayBody>>,
+    /// Retry time of another node that refused the request, in milliseconds.
+    peer_retry_after_ms: Option<u32>,
 }
 
 /// Forwards a request and returns its final response.
@@ -42,8 +55,13 @@
     request: Rc<CallerRequest>,
 ) -> FinalAnswer {
     let started_at_us = node.now_us();
-    let mut forward =
-        Forward { node, request: Rc::clone(&request), running_attempts: JoinSet::new(), answer: None };
+    let mut forward = Forward {
+        node,
+        request: Rc::clone(&request),
+        running_attempts: JoinSet::new(),
+        answer: None,
+        peer_retry_after_ms: None,
+    };
     let answer = forward.run(started_at_us).await;
     if answer.as_ref().is_ok_and(|response| response.status().is_success()) {
         let time_ms = forward.node.now_us().saturating_sub(started_at_us) as f64 / US_PER_MS as f64;
@@ -56,7 +74,10 @@
     async fn run(&mut self, started_at_us: u64) -> FinalAnswer {
         let request = Rc::clone(&self.request);
         let mut attempts = RequestAttempts::started(&request.routed.route, request.body.is_some());
-        self.retry_budget().deposit();
+        // The node that forwarded a request has deposited for it.
+        if !request.is_forwarded() {
+            self.retry_budget().deposit();
+        }
         let deadline = self.deadline(started_at_us);
         let started_at = Instant::now();
         let mut hedges = self.hedge_schedule();
@@ -70,8 +91,10 @@
                     // After a panic in an attempt it is unknown whether its upstream ran the request.
                     let Some(Ok(result)) = ended else { return Err(ErrorKind::UpstreamBroken.into()) };
                     self.answer = result.answer.or(self.answer.take());
+                    self.peer_retry_after_ms = result.retry_after_ms.or(self.peer_retry_after_ms);
                     attempts.set_streamed_body_unsent(request.stream.borrow().is_some());
-                    attempts.attempt_ended(result.end, request.sends.get(), &mut self.retry_budget())
+                    let end = self.divert(result.end);
+                    attempts.attempt_ended(end, request.sends.get(), &mut self.retry_budget())
                 }
                 () = sleep_until(hedge_at.unwrap_or(deadline)), if hedge_at.is_some() => {
                     hedges.iter_mut().for_each(HedgeSchedule::record_attempt);
@@ -108,7 +131,62 @@
 
     fn start(&mut self, goal: SearchGoal, role: AttemptRole) {
         let (node, request) = (Rc::clone(&self.node), Rc::clone(&self.request));
-        self.running_attempts.spawn_local(attempt(node, request, goal, role));
+        match self.path() {
+            AttemptPath::Upstream => {
+                self.running_attempts.spawn_local(attempt(node, request, goal, role));
+            }
+            AttemptPath::Peer(peer) => {
+                self.running_attempts.spawn_local(peer_attempt(node, request, peer, role));
+            }
+            AttemptPath::Refuse => {
+                self.running_attempts.spawn_local(async { AttemptEnd::ServiceLost.into() });
+            }
+        }
+    }
+
+    /// Lets a request be forwarded that would be refused only because this node does not reach most upstreams
+    /// of its service: counts its attempt as one that reached no upstream.
+    fn divert(&self, end: AttemptEnd) -> AttemptEnd {
+        let request = &self.request;
+        let may_divert = end == AttemptEnd::NotAdmitted
+            && request.sends.get() == 0
+            && !request.is_forwarded()
+            && !request.lacks_reachable_capacity.get();
+        let service = &request.routed.service;
+        if may_divert
+            && self.node.dispatcher.pool().is_mostly_ejected(service, self.node.now_us())
+            && self.node.choose_peer(request).is_some()
+        {
+            request.lacks_reachable_capacity.set(true);
+            return AttemptEnd::Attempted(AttemptOutcome::Unreachable);
+        }
+        end
+    }
+
+    /// Decides the path of the next attempt.
+    fn path(&self) -> AttemptPath {
+        let (dispatcher, request) = (&self.node.dispatcher, &self.request);
+        let (service, now_us) = (&request.routed.service, self.node.now_us());
+        let reach = dispatcher.pool().reach(service, now_us);
+        let inputs = PathInputs {
+            reach,
+            unreachable_attempts: request.unreachable_attempts.get(),
+            lacks_reachable_capacity: request.lacks_reachable_capacity.get(),
+            is_forwarded: request.is_forwarded(),
+            draw: dispatcher.draw(),
+        };
+        if !inputs.prefers_peer() {
+            return AttemptPath::Upstream;
+        }
+        if let Some(peer) = self.node.choose_peer(request) {
+            return AttemptPath::Peer(peer);
+        }
+        match without_peer(reach, self.node.fleet.has_live_peers()) {
+            WithoutPeer::TrialOnly if !dispatcher.pool_mut().take_trial(service, now_us) => {
+                AttemptPath::Refuse
+            }
+            WithoutPeer::TrialOnly | WithoutPeer::Upstream => AttemptPath::Upstream,
+        }
     }
 
     /// Starts an attempt at the best upstream, after a bounded search for an uncontended one.
@@ -146,7 +224,9 @@
         let by = if self.request.sends.get() > 0 { RefusedBy::Upstream } else { RefusedBy::Node };
         let withheld = self.withheld(error);
         let back_in_ms = withheld.and_then(|withheld| withheld.back_in_ms);
-        let retry_after_ms = self.node.dispatcher.retry_after_ms(route, error, by, back_in_ms);
+        let retry_after_ms = self
+            .peer_retry_after_ms
+            .or_else(|| self.node.dispatcher.retry_after_ms(route, error, by, back_in_ms));
         Refused { retry_after_ms, withheld, ..error.into() }
     }
 
--- a/crates/pointvane-node/src/in_flight.rs
+++ b/crates/pointvane-node/src/in_flight.rs
@@ -4,7 +4,7 @@
 use {
     crate::{node::Node, request::CallerRequest},
     pointvane_core::{PlatformAdapter, US_PER_MS},
-    pointvane_dispatch::UpstreamKey,
+    pointvane_dispatch::{ConnectionKind, UpstreamKey},
     pointvane_telemetry::EventKind,
     std::rc::Rc,
 };
@@ -61,5 +61,7 @@
             upstream: state.id().clone(),
             after_ms: now_us.saturating_sub(self.started_at_us) / US_PER_MS,
         });
+        drop(pool);
+        self.node.record_silence(self.key, ConnectionKind::Reused, self.started_at_us);
     }
 }
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -39,6 +39,8 @@
     pub quarantine_updates: Notify,
     /// Notified when a client account with a quota is in use, or this node begins to coordinate one.
     pub quotas_used: Notify,
+    /// Notified when a service is lost.
+    pub service_lost: Notify,
     /// Notified when an upstream adds, changes or removes its advertised limit.
     pub limits_changed: Notify,
 }
@@ -62,6 +64,7 @@
             clock,
             quarantine_updates: Notify::new(),
             quotas_used: Notify::new(),
+            service_lost: Notify::new(),
             limits_changed: Notify::new(),
         }
     }
--- a/crates/pointvane-node/src/operator.rs
+++ b/crates/pointvane-node/src/operator.rs
@@ -31,10 +31,18 @@
     members: usize,
     quarantined_requests: usize,
     connections: usize,
+    lost_services: Vec<LostRow>,
     withheld_upstreams: Vec<WithheldRow>,
     limited_upstreams: Vec<LimitedRow>,
 }
 
+/// A service of which no upstream responds to this node.
+#[derive(Debug, Serialize)]
+struct LostRow {
+    service: String,
+    lost_ms: u64,
+}
+
 /// An upstream that currently receives no requests.
 #[derive(Debug, Serialize)]
 struct WithheldRow {
@@ -97,11 +105,20 @@
         members: node.fleet.directory_members().len(),
         quarantined_requests: node.dispatcher.quarantine().quarantined(),
         connections: node.lifecycle.connections_open(),
+        lost_services: lost_services(node),
         withheld_upstreams: withheld_upstreams(node),
         limited_upstreams: limited_upstreams(node),
     }
 }
 
+fn lost_services<A: PlatformAdapter>(node: &Node<A>) -> Vec<LostRow> {
+    let pool = node.dispatcher.pool();
+    let lost = pool.lost_services(node.now_us());
+    let rows =
+        lost.map(|(service, lost_us)| LostRow { service: service.to_string(), lost_ms: lost_us / US_PER_MS });
+    rows.take(STATUS_ROWS_MAX).collect()
+}
+
 fn withheld_upstreams<A: PlatformAdapter>(node: &Node<A>) -> Vec<WithheldRow> {
     let now_us = node.now_us();
     let pool = node.dispatcher.pool();
--- a/crates/pointvane-node/src/pipeline.rs
+++ b/crates/pointvane-node/src/pipeline.rs
@@ -103,7 +103,7 @@
 
     /// Origin of a request that arrived at `at_us`.
     pub fn origin(&self, at_us: u64) -> RequestOrigin {
-        RequestOrigin { caller: self.caller, at_us }
+        RequestOrigin { caller: self.caller, at_us, forwarded: None }
     }
 
     /// Whether another request may be read ahead.
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -16,19 +16,22 @@
     hyper::{Request, Response, StatusCode, body::Incoming, header::HOST},
     pointvane_core::{Name, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
-        AllowedRegions, Found, PROBE_TIMEOUT_US, ProbeOutcome, Search, SearchGoal, SearchRequest, SearchStep,
-        UpstreamKey,
+        AllowedRegions, ConnectionKind, Found, PROBE_TIMEOUT_US, ProbeOutcome, Search, SearchGoal,
+        SearchRequest, SearchStep, UpstreamKey,
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         sync::mpsc::unbounded_channel,
         task::spawn_local,
-        time::{Instant, sleep, timeout_at},
+        time::{Instant, sleep, timeout, timeout_at},
     },
 };
 
 /// Longest response body that is read to keep the connection, in bytes; the connection is closed beyond it.
 const PROBE_BODY_BYTES_MAX: usize = 4_096;
+/// Timeout of the check of a lost service. Longer than that of other probes, since no request waits for it:
+/// upstreams that are merely slow must not stay lost.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Searches for an upstream for a request that is sent now.
 pub async fn search<A: PlatformAdapter + 'static>(
@@ -127,12 +130,14 @@
     let sent_at_us = node.now_us();
     let connections = &node.dispatcher.connections;
     Some(match request_health(connections, address, &path).await {
-        Ok(answer) => {
+        Ok((answer, connection)) => {
             let time_us = node.now_us().saturating_sub(sent_at_us);
+            node.record_contact(key, connection);
             read_answer(node, key, &id, &answer, time_us)
         }
         Err(NoAnswer::ReusedConnectionSilent) => {
             connections.discard(address);
+            node.record_silence(key, ConnectionKind::Reused, sent_at_us);
             ProbeOutcome::ReusedConnectionSilent
         }
         Err(no_answer) => {
@@ -140,11 +145,43 @@
                 node.report.connect_failed(error);
             }
             let waited_us = node.now_us().saturating_sub(sent_at_us);
-            ProbeOutcome::NoAnswer { waited_us, timeout_us: PROBE_TIMEOUT_US }
+            let outcome = ProbeOutcome::NoAnswer { waited_us, timeout_us: PROBE_TIMEOUT_US };
+            if outcome.is_evidence() {
+                node.record_silence(key, ConnectionKind::New, sent_at_us);
+            }
+            outcome
         }
     })
 }
 
+/// Checks whether an upstream of a lost service responds on a new connection.
+///
+/// A service without a health path is regained once a connection can be opened.
+pub async fn check_reachability<A: PlatformAdapter>(node: Rc<Node<A>>, key: UpstreamKey) {
+    let upstream = node.dispatcher.pool().get(key).map(|state| {
+        let record = &state.record;
+        (record.address, record.id.clone(), record.service.clone())
+    });
+    let Some((address, id, service)) = upstream else { return };
+    let path = node.dispatcher.routes().health_path(&service).cloned();
+    let sent_at_us = node.now_us();
+    let check = async {
+        let connection = node.dispatcher.connections.open(address, Purpose::Probe).await;
+        let connection = connection.inspect_err(|error| node.report.connect_failed(*error)).ok()?;
+        match &path {
+            Some(path) => request_health_over(connection, address, path).await.map(Some),
+            None => Some(None),
+        }
+    };
+    let Ok(Some(answer)) = timeout(CHECK_TIMEOUT, check).await else { return };
+    node.record_contact(key, ConnectionKind::New);
+    if let Some(answer) = answer {
+        let time_us = node.now_us().saturating_sub(sent_at_us);
+        let outcome = read_answer(&node, key, &id, &answer, time_us);
+        node.report.probe_ended(outcome);
+    }
+}
+
 fn read_answer<A: PlatformAdapter>(
     node: &Node<A>,
     key: UpstreamKey,
@@ -187,21 +224,23 @@
     connections: &Connections,
     address: SocketAddr,
     path: &Name,
-) -> Result<Response<()>, NoAnswer> {
+) -> Result<(Response<()>, ConnectionKind), NoAnswer> {
     let deadline = Instant::now() + Duration::from_micros(PROBE_TIMEOUT_US);
     let kept = timeout_at(deadline, connections.get(address, Purpose::Probe)).await;
     let connection = kept.map_err(|_| NoAnswer::Unreachable(ConnectError::TimedOut))?;
     let connection = connection.map_err(NoAnswer::Unreachable)?;
-    let reused = connection.is_reused();
+    let kind = connection.kind();
+    let reused = kind == ConnectionKind::Reused;
     match timeout_at(deadline, request_health_over(connection, address, path)).await {
-        Ok(Some(answer)) => return Ok(answer),
+        Ok(Some(answer)) => return Ok((answer, kind)),
         Ok(None) if reused => {}
         Err(_) if reused => return Err(NoAnswer::ReusedConnectionSilent),
         Ok(None) | Err(_) => return Err(NoAnswer::Other),
     }
     let retry = async {
         let connection = connections.open(address, Purpose::Probe).await.map_err(NoAnswer::Unreachable)?;
-        request_health_over(connection, address, path).await.ok_or(NoAnswer::Other)
+        let answer = request_health_over(connection, address, path).await;
+        answer.map(|answer| (answer, ConnectionKind::New)).ok_or(NoAnswer::Other)
     };
     timeout_at(deadline, retry).await.map_err(|_| NoAnswer::Other)?
 }
--- /dev/null
+++ b/crates/pointvane-node/src/reachability.rs
@@ -0,0 +1,81 @@
+//! Records whether upstreams respond, and checks lost services in the background until they respond again.
+//!
+//! [`pointvane_dispatch::Pool`] decides which services are lost and which upstreams are checked.
+
+use {
+    crate::{node::Node, probe},
+    pointvane_core::PlatformAdapter,
+    pointvane_dispatch::{ConnectionKind, ReachChange, UpstreamKey},
+    pointvane_telemetry::EventKind,
+    std::{rc::Rc, time::Duration},
+    tokio::{
+        task::spawn_local,
+        time::{MissedTickBehavior, interval},
+    },
+};
+
+/// Time between two rounds of checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Lost services that are checked in one round; bounds the probes of a node that has lost hundreds.
+const SERVICES_PER_ROUND: usize = 4;
+
+impl<A: PlatformAdapter> Node<A> {
+    /// Records that an upstream sent a response.
+    pub fn record_contact(&self, key: UpstreamKey, connection: ConnectionKind) {
+        let change = self.dispatcher.pool_mut().record_contact(key, connection, self.now_us());
+        self.report_reach_change(change);
+    }
+
+    /// Records that an attempt or a probe that began at `began_us` ended without any response.
+    pub fn record_silence(&self, key: UpstreamKey, connection: ConnectionKind, began_us: u64) {
+        let change = self.dispatcher.pool_mut().record_silence(key, connection, began_us, self.now_us());
+        self.report_reach_change(change);
+    }
+
+    fn report_reach_change(&self, change: Option<ReachChange>) {
+        let Some(change) = change else { return };
+        self.report.reach_changed(&change);
+        match change {
+            ReachChange::Lost { service, tried, silent_ms } => {
+                let tried = tried as u64;
+                self.report.record_rate_limited(
+                    self.now_us(),
+                    EventKind::ServiceLost { service, upstreams_tried: tried, silent_ms },
+                );
+                self.service_lost.notify_one();
+            }
+            ReachChange::Regained { service, lost_ms } => {
+                self.report
+                    .record_rate_limited(self.now_us(), EventKind::ServiceRegained { service, lost_ms });
+            }
+        }
+    }
+
+    fn has_lost_service(&self) -> bool {
+        self.dispatcher.pool().lost_services(self.now_us()).next().is_some()
+    }
+}
+
+/// Checks lost services until the process ends. No timer runs while no service is lost.
+pub async fn check_lost_services<A: PlatformAdapter + 'static>(node: Rc<Node<A>>) {
+    loop {
+        node.service_lost.notified().await;
+        let mut ticks = interval(CHECK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while node.has_lost_service() {
+            ticks.tick().await;
+            start_checks(&node);
+        }
+    }
+}
+
+fn start_checks<A: PlatformAdapter + 'static>(node: &Rc<Node<A>>) {
+    let now_us = node.now_us();
+    let keys = node.dispatcher.pool_mut().reachability_checks(SERVICES_PER_ROUND, now_us);
+    for key in keys {
+        if node.dispatcher.take_probe(now_us) {
+            node.report.probed();
+            spawn_local(probe::check_reachability(Rc::clone(node), key));
+        }
+    }
+}
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -12,7 +12,7 @@
     },
     pointvane_config::LogOptions,
     pointvane_core::{ErrorKind, ItemFault, Name},
-    pointvane_dispatch::{CallReason, ProbeOutcome, QuarantineChange},
+    pointvane_dispatch::{CallReason, ProbeOutcome, QuarantineChange, ReachChange},
     pointvane_telemetry::{
         EventKind, EventLog, LineDecision, LineFlush, LineLayout, LogRateLimiter, LogRateLimits, Metrics,
         Program, stdout_logger,
@@ -51,6 +51,11 @@
     probes: Counter<u64>,
     probe_outcomes: Counter<u64>,
     connect_failures: Counter<u64>,
+    services_lost: Counter<u64>,
+    services_regained: Counter<u64>,
+    forwards: Counter<u64>,
+    forwards_refused: Counter<u64>,
+    peer_connections_refused: Counter<u64>,
     early_forwards: Counter<u64>,
     back_offs: Counter<u64>,
     leavings: Counter<u64>,
@@ -95,6 +100,11 @@
             probes: counter("pointvane_node_probes"),
             probe_outcomes: counter("pointvane_node_probe_outcomes"),
             connect_failures: counter("pointvane_node_connect_failures"),
+            services_lost: counter("pointvane_node_services_lost"),
+            services_regained: counter("pointvane_node_services_regained"),
+            forwards: counter("pointvane_node_forwards"),
+            forwards_refused: counter("pointvane_node_forwards_refused"),
+            peer_connections_refused: counter("pointvane_node_peer_connections_refused"),
             early_forwards: counter("pointvane_node_early_forwards"),
             back_offs: counter("pointvane_node_back_offs"),
             leavings: counter("pointvane_node_leavings"),
@@ -203,6 +213,29 @@
         self.connect_failures.add(1, &[KeyValue::new("cause", error.as_str())]);
     }
 
+    /// Counts a service that was lost or regained.
+    pub fn reach_changed(&self, change: &ReachChange) {
+        match change {
+            ReachChange::Lost { .. } => self.services_lost.add(1, &[]),
+            ReachChange::Regained { .. } => self.services_regained.add(1, &[]),
+        }
+    }
+
+    /// Counts a request that was forwarded to another node, by how that ended.
+    pub fn forwarded_to_peer(&self, outcome: &'static str) {
+        self.forwards.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a request of another node that was refused here.
+    pub fn refused_forwarded(&self, kind: ErrorKind) {
+        self.forwards_refused.add(1, &[KeyValue::new("error", kind.answer().name)]);
+    }
+
+    /// Counts a connection for forwarded requests from an address that belongs to no node.
+    pub fn refused_peer_connection(&self) {
+        self.peer_connections_refused.add(1, &[]);
+    }
+
     /// Counts a pipelined request that was forwarded before the preceding requests on its connection were
     /// answered.
     pub fn forwarded_early(&self) {
--- a/crates/pointvane-node/src/request.rs
+++ b/crates/pointvane-node/src/request.rs
@@ -1,10 +1,10 @@
 //! A caller's request, with the state that its attempts share.
 
 use {
-    crate::{body::BufferedBody, quota::QuotaCharge},
+    crate::{body::BufferedBody, connections::RelayBody, quota::QuotaCharge},
     bytes::Bytes,
     hyper::{
-        HeaderMap, Method, Uri,
+        HeaderMap, Method, Request, Uri,
         header::{
             AUTHORIZATION, CONNECTION, HOST, HeaderName, HeaderValue, PROXY_AUTHENTICATE, TE, TRAILER,
             TRANSFER_ENCODING, UPGRADE,
@@ -12,11 +12,12 @@
     },
     pointvane_core::{KeyDigest, US_PER_MS},
     pointvane_dispatch::{
-        BodyFingerprint, HeadFingerprint, QueryScope, RequestFingerprint, RoutedRequest, UpstreamKey,
+        BodyFingerprint, ForwardedRequest, HeadFingerprint, QueryScope, RequestFingerprint, RoutedRequest,
+        UpstreamKey,
     },
     std::{
         cell::{Cell, OnceCell, RefCell},
-        net::IpAddr,
+        net::{IpAddr, SocketAddr},
     },
 };
 
@@ -83,8 +84,16 @@
     pub answer_deadline_us: u64,
     /// Upstreams that attempts have chosen so far.
     pub tried: RefCell<Vec<UpstreamKey>>,
-    /// Attempts of which at least one byte may have been sent.
+    /// Attempts of which at least one byte may have been sent, and those that were handed over to another node.
     pub sends: Cell<u32>,
+    /// What the node that forwarded it says of it, if one did.
+    pub forwarded: Option<ForwardedRequest>,
+    /// Nodes that it was forwarded to so far.
+    pub tried_peers: RefCell<Vec<SocketAddr>>,
+    /// Attempts that reached no upstream.
+    pub unreachable_attempts: Cell<u32>,
+    /// Whether the upstreams that this node still reaches have no capacity for it.
+    pub lacks_reachable_capacity: Cell<bool>,
     /// Time spent on attempts that were not sent, in microseconds.
     pub unsent_us: Cell<u64>,
 }
@@ -131,6 +140,25 @@
         })
     }
 
+    /// The request as it is sent on, with the headers of its caller; none if its streamed body was already
+    /// taken.
+    pub fn to_outgoing(&self) -> Option<Request<RelayBody>> {
+        let body = match &self.body {
+            Some(bytes) => RelayBody::whole(bytes.clone()),
+            None => RelayBody::streamed(self.stream.borrow_mut().take()?, None),
+        };
+        let mut outgoing = Request::new(body);
+        *outgoing.method_mut() = self.method.clone();
+        *outgoing.uri_mut() = self.uri.clone();
+        outgoing.headers_mut().clone_from(&self.headers);
+        Some(outgoing)
+    }
+
+    /// Whether another node forwarded it.
+    pub fn is_forwarded(&self) -> bool {
+        self.forwarded.is_some()
+    }
+
     /// Length of the buffered part of the body, in bytes.
     pub fn body_bytes(&self) -> usize {
         let streamed = || self.stream.borrow().as_ref().map_or(0, |buffered| buffered.bytes.len());
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -3,10 +3,13 @@
 use {
     crate::{
         caller_connection, directory,
-        fleet::{LIMIT_PORT_OFFSET, QUARANTINE_PORT_OFFSET, QUOTA_PORT_OFFSET, RELAY_PORT_OFFSET, Sockets},
-        gossip_loop, limit_loop,
+        fleet::{
+            FORWARD_PORT_OFFSET, LIMIT_PORT_OFFSET, QUARANTINE_PORT_OFFSET, QUOTA_PORT_OFFSET,
+            RELAY_PORT_OFFSET, Sockets,
+        },
+        forwarded, gossip_loop, limit_loop,
         node::Node,
-        operator, quarantine_loop, quota_loop,
+        operator, quarantine_loop, quota_loop, reachability,
         replica::{platform_reader, relay_loop, state_query},
         report::Report,
         serve::{listen, serve_sequentially},
@@ -73,6 +76,8 @@
     let sockets = open_sockets(gossip).await?;
     node.fleet.set_sockets(sockets.clone());
     listen_to_callers(node, &settings).await?;
+    let forwards = SocketAddr::new(ip, gossip.port() + FORWARD_PORT_OFFSET);
+    listen(Rc::clone(node), forwards, forwarded::serve).await?;
     let queries = TcpListener::bind(gossip).await.wrap_err("cannot bind the state query socket")?;
     spawn_local(gossip_loop::run(Rc::clone(node), sockets.gossip));
     spawn_local(state_query::serve(Rc::clone(node), queries));
@@ -80,6 +85,7 @@
     spawn_local(quarantine_loop::run(Rc::clone(node), sockets.quarantine));
     spawn_local(quota_loop::run(Rc::clone(node), sockets.quotas));
     spawn_local(limit_loop::run(Rc::clone(node), sockets.limits));
+    spawn_local(reachability::check_lost_services(Rc::clone(node)));
     spawn_local(platform_reader::read(Rc::clone(node)));
     Ok(())
 }
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -18,7 +18,7 @@
     },
     pointvane_core::{ErrorKind, KeyDigest, PlatformAdapter, RouteKind, US_PER_MS},
     pointvane_dispatch::{
-        RoutedRequest, answer_deadline_us, first_state_retry_after_ms, first_state_wait_ms,
+        ForwardedRequest, RoutedRequest, answer_deadline_us, first_state_retry_after_ms, first_state_wait_ms,
     },
     pointvane_telemetry::EventKind,
     std::{
@@ -36,12 +36,14 @@
 const BODY_BUFFER_BYTES: usize = 512 << 10;
 
 /// Where a request came from, and when.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct RequestOrigin {
-    /// IP address of the caller's connection.
+    /// IP address of the connection: the caller's, or that of the node that forwarded the request.
     pub caller: IpAddr,
     /// When it arrived, in microseconds of the monotonic clock.
     pub at_us: u64,
+    /// What the node that forwarded it says of it, if one did.
+    pub forwarded: Option<ForwardedRequest>,
 }
 
 /// Handles one request of a caller and builds its response.
@@ -52,7 +54,21 @@
     origin: RequestOrigin,
 ) -> Response<RelayBody> {
     let id = head.headers.get(&node.headers.request_id).cloned();
-    let answer = match read_request(&node, head, body, origin).await {
+    let answer = answer_or_refusal(Rc::clone(&node), head, body, origin).await;
+    answer.unwrap_or_else(|refused| refusal_response(&node, refused, id))
+}
+
+/// Handles one request of a caller or of another node; returns the upstream's response, or the error that the
+/// node responds with.
+pub async fn answer_or_refusal<A: PlatformAdapter + 'static>(
+    node: Rc<Node<A>>,
+    head: Parts,
+    body: Option<Incoming>,
+    origin: RequestOrigin,
+) -> FinalAnswer {
+    let id = head.headers.get(&node.headers.request_id).cloned();
+    let at_us = origin.at_us;
+    match read_request(&node, head, body, origin).await {
         Ok(request) => {
             let request = Rc::new(request);
             let answer = forward(Rc::clone(&node), Rc::clone(&request)).await;
@@ -60,11 +76,10 @@
             answer
         }
         Err(refused) => {
-            report_refused_before_forward(&node, id.as_ref(), refused, origin.at_us);
+            report_refused_before_forward(&node, id.as_ref(), refused, at_us);
             Err(refused)
         }
-    };
-    answer.unwrap_or_else(|refused| refusal_response(&node, refused, id))
+    }
 }
 
 /// Kind of the route that a request head matches, such as repeatable; none if it matches no route.
@@ -89,8 +104,10 @@
         node.platform.wait_for_first_state(Duration::from_millis(wait_ms)).await;
     }
     let key = node.presented_key(&head.headers);
-    let routed = node.authorize(find_route(node, &head)?, key.as_ref())?;
-    let charge = node.charge(&routed)?;
+    let routed = find_route(node, &head)?.handed_over(origin.forwarded.as_ref());
+    let routed = node.authorize(routed, key.as_ref())?;
+    // The node that forwarded a request has charged it.
+    let charge = if origin.forwarded.is_some() { None } else { node.charge(&routed)? };
     let answer_deadline_us = answer_deadline_us(&routed.route, caller_timeout_ms, origin.at_us);
     let buffered = read_body(node, body).await?;
     if node.now_us() >= answer_deadline_us {
@@ -243,6 +260,10 @@
         answer_deadline_us,
         tried: RefCell::default(),
         sends: Cell::new(0),
+        forwarded: origin.forwarded,
+        tried_peers: RefCell::default(),
+        unreachable_attempts: Cell::new(0),
+        lacks_reachable_capacity: Cell::new(false),
         unsent_us: Cell::new(0),
     }
 }
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -85,6 +85,13 @@
     UpstreamEjected { service: Name, upstream: Name },
     /// An upstream is back in selection after an ejection, or ran a request again after backing off.
     UpstreamReturned { service: Name, upstream: Name },
+    /// No upstream of a service responds to this process any more; `upstreams_tried` were tried since the last
+    /// response, `silent_ms` ago (`None` if there was none).
+    ServiceLost { service: Name, upstreams_tried: u64, silent_ms: Option<u64> },
+    /// An upstream of a lost service responds again.
+    ServiceRegained { service: Name, lost_ms: u64 },
+    /// A connection for forwarded requests was refused because its address belongs to no process of the fleet.
+    PeerConnectionRefused { from: IpAddr },
     /// A service started to reject requests because of overload.
     OverloadBegan { service: Name },
     /// A service stopped rejecting requests.
@@ -157,6 +164,15 @@
     },
     /// An attempt was abandoned after `after_ms` without a response, which counts against the upstream.
     AttemptGivenUp { request: String, upstream: Name, after_ms: u64 },
+    /// A request was forwarded to another process, since no upstream of its service responds to this one.
+    RequestForwarded {
+        request: String,
+        service: Name,
+        peer: SocketAddr,
+        outcome: Name,
+        hedge: bool,
+        took_ms: u64,
+    },
     /// A request was answered by an upstream.
     RequestAnswered { request: String, route: Name, version: u64, status: u16, attempts: u32, spent_ms: u64 },
     /// A request was answered with an error by this process; `version` is that of the configuration it was
@@ -203,6 +219,7 @@
             Self::AttemptEnded { .. }
                 | Self::RequestWouldBeLate { .. }
                 | Self::AttemptGivenUp { .. }
+                | Self::RequestForwarded { .. }
                 | Self::RequestAnswered { .. }
                 | Self::RequestRefused { .. }
                 | Self::LinesLeftOut { .. }
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -57,9 +57,25 @@
         request_refused_all_backing_off(),
         limit_changed(Some(2_500)),
         limit_changed(None),
+        EventKind::ServiceLost { service: "board".into(), upstreams_tried: 3, silent_ms: Some(152) },
+        EventKind::ServiceLost { service: "board".into(), upstreams_tried: 1, silent_ms: None },
+        EventKind::ServiceRegained { service: "board".into(), lost_ms: 11_900 },
+        EventKind::PeerConnectionRefused { from: "10.0.0.9".parse().unwrap() },
+        request_forwarded(),
     ]
 }
 
+fn request_forwarded() -> EventKind {
+    EventKind::RequestForwarded {
+        request: "r-1".into(),
+        service: "board".into(),
+        peer: "10.0.0.2:7665".parse().unwrap(),
+        outcome: "answered".into(),
+        hedge: false,
+        took_ms: 42,
+    }
+}
+
 fn limit_changed(per_1000_s: Option<u32>) -> EventKind {
     EventKind::UpstreamLimitChanged { service: "board".into(), upstream: "i-7".into(), per_1000_s }
 }
