--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -32,6 +32,8 @@
 mod node;
 #[path = "soak/notices.rs"]
 mod notices;
+#[path = "soak/partitions.rs"]
+mod partitions;
 #[path = "soak/peer_proxy.rs"]
 mod peer_proxy;
 #[path = "soak/plan.rs"]
@@ -72,8 +74,8 @@
 
 /// Seeds that CI runs. The fourth has a large configuration. In the following ones, in order: upstreams crash
 /// while they run a certain request; upstreams request pauses; upstreams also restart under their identities;
-/// and upstreams also announce limits.
-const CI_SEEDS: [u64; 8] = [1, 2, 3, 102, 6_001, 7_001, 8_001, 10_001];
+/// upstreams also announce limits; and nodes are cut off from all upstreams.
+const CI_SEEDS: [u64; 9] = [1, 2, 3, 102, 6_001, 7_001, 8_001, 10_001, 11_001];
 /// Seeds that have violated a guarantee before, which CI runs too; each states the cause. Such seeds with 40
 /// or more nodes are left to manual runs: the store stand-in took up to 8.0 s to answer there, so that no
 /// node received updates.
@@ -139,6 +141,9 @@
         if plan.limits {
             scope.spawn(move || limits::run(fleet, &mut rng(plan.fault_threads + 5)));
         }
+        if plan.partitions {
+            scope.spawn(move || partitions::run(fleet, &mut rng(plan.fault_threads + 6)));
+        }
         if plan.crashes {
             scope.spawn(move || crashing_request::run(fleet, &mut rng(plan.fault_threads + 2)));
         }
--- a/standins/tests/soak/peer_proxy.rs
+++ b/standins/tests/soak/peer_proxy.rs
@@ -18,7 +18,7 @@
     time::{Duration, Instant},
 };
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// Port for membership datagrams and, over TCP, queries.
 pub const GOSSIP_PORT: u16 = 7_660;
@@ -26,6 +26,8 @@
 pub const RELAY_PORT: u16 = 7_661;
 /// Port for reports of quarantined requests.
 pub const QUARANTINE_PORT: u16 = 7_662;
+/// Port for forwarded requests, over TCP.
+pub const FORWARD_PORT: u16 = 7_665;
 /// Read timeout, after which an idle reader checks the link state and whether the proxy has stopped.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of a connection attempt to a listener on loopback.
@@ -112,9 +114,11 @@
             let shared = Arc::clone(&shared);
             thread::spawn(move || forward_datagrams(&outer, (bind_ip, port).into(), &shared));
         }
-        let listener = TcpListener::bind((advertised, GOSSIP_PORT)).unwrap();
-        let accepting = Arc::clone(&shared);
-        thread::spawn(move || accept(&listener, (bind_ip, GOSSIP_PORT).into(), &accepting));
+        for port in [GOSSIP_PORT, FORWARD_PORT] {
+            let listener = TcpListener::bind((advertised, port)).unwrap();
+            let accepting = Arc::clone(&shared);
+            thread::spawn(move || accept(&listener, (bind_ip, port).into(), &accepting));
+        }
         Self { advertised, shared }
     }
 
@@ -132,8 +136,10 @@
 impl Drop for PeerProxy {
     fn drop(&mut self) {
         self.shared.stopped.store(true, Ordering::SeqCst);
-        // The accepting thread checks `stopped` after each connection.
-        _ = TcpStream::connect_timeout(&(self.advertised, GOSSIP_PORT).into(), CONNECT_TIMEOUT);
+        // The accepting threads check `stopped` after each connection.
+        for port in [GOSSIP_PORT, FORWARD_PORT] {
+            _ = TcpStream::connect_timeout(&(self.advertised, port).into(), CONNECT_TIMEOUT);
+        }
     }
 }
 
@@ -239,7 +245,7 @@
     if shared.link() == PeerLink::Reset {
         return reset_at_close(&client);
     }
-    let Ok(server) = TcpStream::connect_timeout(&node, CONNECT_TIMEOUT) else {
+    let Ok(server) = connect_as(client.peer_addr()?, node) else {
         return reset_at_close(&client);
     };
     for stream in [&client, &server] {
@@ -254,6 +260,14 @@
     Ok(())
 }
 
+/// Connects to the node from the address of the client, by which the node recognizes it.
+fn connect_as(client: SocketAddr, node: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.bind(&SocketAddr::new(client.ip(), 0).into())?;
+    socket.connect_timeout(&node.into(), CONNECT_TIMEOUT)?;
+    Ok(socket.into())
+}
+
 /// Makes closing the stream send a reset.
 fn reset_at_close(stream: &TcpStream) -> io::Result<()> {
     SockRef::from(stream).set_linger(Some(Duration::ZERO))
--- a/standins/tests/soak/plan.rs
+++ b/standins/tests/soak/plan.rs
@@ -32,6 +32,9 @@
 const RESTARTS_SEED: u64 = 8_000;
 /// First seed in whose runs upstreams announce limits.
 const LIMITS_SEED: u64 = 10_000;
+/// Seeds in whose runs nodes are cut off from all upstreams. These are all reached through proxies, and none
+/// restarts.
+const PARTITIONS_SEEDS: Range<u64> = 11_000..12_000;
 /// Proxied upstreams in a run with restarts; a proxy would hide that an upstream crashes.
 const PROXIED_BESIDE_RESTARTS: usize = 2;
 /// Additional routes of a large configuration.
@@ -67,6 +70,8 @@
     pub restarts: bool,
     /// Whether upstreams announce limits.
     pub limits: bool,
+    /// Whether nodes are cut off from all upstreams.
+    pub partitions: bool,
     /// Additional routes in each configuration, besides those that the checks need.
     pub extra_routes: usize,
 }
@@ -78,7 +83,8 @@
         let mut plan = if large { Self::large() } else { Self::small(&mut rng) };
         plan.crashes = CRASHING_SEEDS.contains(&seed);
         plan.notices = seed >= NOTICES_SEED;
-        plan.restarts = seed >= RESTARTS_SEED;
+        plan.partitions = PARTITIONS_SEEDS.contains(&seed);
+        plan.restarts = seed >= RESTARTS_SEED && !plan.partitions;
         plan.limits = seed >= LIMITS_SEED;
         if plan.restarts {
             plan.proxied_upstreams = plan.proxied_upstreams.min(PROXIED_BESIDE_RESTARTS);
@@ -86,6 +92,9 @@
         if plan.crashes {
             plan.proxied_upstreams = 0;
         }
+        if plan.partitions {
+            plan.proxied_upstreams = usize::MAX;
+        }
         plan.evacuations = EVACUATING_SEEDS.iter().any(|seeds| seeds.contains(&seed));
         if rng.random_bool(0.25) {
             plan.extra_routes = rng.random_range(LARGE_ROUTES);
@@ -109,6 +118,7 @@
             notices: false,
             restarts: false,
             limits: false,
+            partitions: false,
             extra_routes: 0,
         }
     }
@@ -135,6 +145,7 @@
             notices: false,
             restarts: false,
             limits: false,
+            partitions: false,
             extra_routes: 0,
         }
     }
