Node: a request that was never sent is not answered as if it had timed out at an upstream

Cause: at its deadline each request ended as upstream-timeout, outcome unknown, whether or not a byte of it had left; and an attempt whose deadline passed while its connection was opened counted as one that may have run. The error deadline-passed says the truth, but its status 504 promises nothing.

Now the deadline asks for the attempts that were sent; an attempt that expires before its first byte is unsent, speaks against no upstream, and ends as deadline-passed; a node answers no error whose outcome is not-run by 502 or 504. The error table and the three programs, whose callers see the outcome in a header, are unchanged.

--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -146,9 +146,11 @@
         self.has_hedge_token = false;
     }
 
-    /// Returns the final step at the deadline of the request.
-    pub fn deadline_passed(&self) -> NextStep {
-        self.give_up(ErrorKind::UpstreamTimeout)
+    /// Returns the final step at the deadline of the request; `sends` is the number of its attempts that were
+    /// sent so far.
+    pub fn deadline_passed(&self, sends: u32) -> NextStep {
+        let is_unsent = sends == 0 && !self.may_have_run;
+        self.give_up(if is_unsent { ErrorKind::DeadlinePassed } else { ErrorKind::UpstreamTimeout })
     }
 
     fn decision(&self, outcome: AttemptOutcome, has_attempts_left: bool) -> RetryDecision {
--- a/crates/pointvane-dispatch/src/ejection.rs
+++ b/crates/pointvane-dispatch/src/ejection.rs
@@ -80,12 +80,9 @@
             | Self::Withheld(_)
             | Self::Quarantined
             | Self::Unauthorized
+            | Self::Expired
             | Self::Declined => Effect::Ignore,
-            Self::Answered { failed: true }
-            | Self::Unsent
-            | Self::Broken
-            | Self::Crashed
-            | Self::TimedOut => Effect::Failure,
+            Self::Answered { failed: true } | Self::Unsent | Self::Broken | Self::Crashed => Effect::Failure,
         }
     }
 }
--- a/crates/pointvane-dispatch/src/outcome.rs
+++ b/crates/pointvane-dispatch/src/outcome.rs
@@ -44,14 +44,14 @@
     /// The request may have run; its connection broke, and right after that nothing listened at the
     /// upstream's address any more.
     Crashed,
-    /// The request may have run, and its deadline has passed.
-    TimedOut,
+    /// Nothing was sent: the deadline of the request had passed.
+    Expired,
 }
 
 impl AttemptOutcome {
     /// Whether the request may have run at the upstream.
     pub const fn may_have_run(self) -> bool {
-        matches!(self, Self::Answered { .. } | Self::Broken | Self::Crashed | Self::TimedOut)
+        matches!(self, Self::Answered { .. } | Self::Broken | Self::Crashed)
     }
 
     /// Refines the outcome by the load of the upstream that was known when the request was sent: a busy
@@ -65,8 +65,7 @@
         }
     }
 
-    /// Whether sending to the upstream had begun; a request whose deadline had passed by then counts as not
-    /// begun.
+    /// Whether sending to the upstream had begun.
     pub const fn send_started(self) -> bool {
         matches!(self, Self::Answered { .. } | Self::NotRun(_) | Self::Unsent | Self::Broken | Self::Crashed)
     }
@@ -80,6 +79,7 @@
                 | Self::Withheld(_)
                 | Self::Quarantined
                 | Self::Unauthorized
+                | Self::Expired
                 | Self::Declined
         )
     }
@@ -109,7 +109,7 @@
             Self::Declined => "declined",
             Self::Broken => "broken",
             Self::Crashed => "crashed",
-            Self::TimedOut => "timed-out",
+            Self::Expired => "expired",
         }
     }
 }
--- a/crates/pointvane-dispatch/src/retry.rs
+++ b/crates/pointvane-dispatch/src/retry.rs
@@ -42,11 +42,12 @@
         AttemptOutcome::Answered { .. } => RetryDecision::Deliver,
         AttemptOutcome::Quarantined => RetryDecision::GiveUp(ErrorKind::RequestQuarantined),
         AttemptOutcome::Unauthorized => RetryDecision::GiveUp(ErrorKind::Unauthorized),
+        AttemptOutcome::Expired if may_have_run => RetryDecision::GiveUp(ErrorKind::UpstreamTimeout),
+        AttemptOutcome::Expired => RetryDecision::GiveUp(ErrorKind::DeadlinePassed),
         _ if outcome.is_unsent() && may_retry => RetryDecision::Retry { takes_token: false },
         AttemptOutcome::NotRun(_) | AttemptOutcome::Broken | AttemptOutcome::Crashed if may_retry => {
             RetryDecision::Retry { takes_token: true }
         }
-        AttemptOutcome::TimedOut => RetryDecision::GiveUp(ErrorKind::UpstreamTimeout),
         _ if may_have_run => RetryDecision::GiveUp(ErrorKind::UpstreamBroken),
         AttemptOutcome::Unsent | AttemptOutcome::Unreachable | AttemptOutcome::Declined => {
             RetryDecision::GiveUp(ErrorKind::UpstreamUnreachable)
--- a/crates/pointvane-node/src/answer.rs
+++ b/crates/pointvane-node/src/answer.rs
@@ -7,7 +7,7 @@
         Response, StatusCode,
         header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     },
-    pointvane_core::{ErrorKind, PlatformAdapter},
+    pointvane_core::{AnswerRow, ErrorKind, Outcome, PlatformAdapter},
     pointvane_dispatch::{RETRY_AFTER_DEFAULT_MS, WithheldService},
 };
 
@@ -42,9 +42,7 @@
     let row = refused.kind.answer();
     let text = format!("{}\n", row.name);
     let mut response = Response::new(RelayBody::whole(Bytes::from(text)));
-    // The table holds only valid statuses, so the fallback is never taken.
-    let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    *response.status_mut() = refused.status.unwrap_or(status);
+    *response.status_mut() = refused.status.unwrap_or_else(|| status_of(row));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     if let Some(id) = id {
         response.headers_mut().insert(node.headers.request_id.clone(), id);
@@ -59,6 +57,19 @@
     response
 }
 
+/// The status of a row. A request that has not run is never answered by 502 or 504: callers of a node see no
+/// other sign of the outcome, and would not retry work that may run only once.
+fn status_of(row: &AnswerRow) -> StatusCode {
+    let is_ambiguous = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT]
+        .iter()
+        .any(|status| row.status == status.as_u16());
+    if row.outcome == Outcome::NotRun && is_ambiguous {
+        return StatusCode::SERVICE_UNAVAILABLE;
+    }
+    // The table holds only valid statuses, so the fallback is never taken.
+    StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
 /// Builds a response with a text body, for readiness, the directory and the operator port.
 pub fn text_response(status: StatusCode, content_type: &'static str, text: String) -> Response<RelayBody> {
     let mut response = Response::new(RelayBody::whole(Bytes::from(text)));
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -118,7 +118,7 @@
     // The clock is read again right before the first byte is sent, since the process may have been suspended.
     let now_us = node.now_us();
     if request.answer_deadline_us <= now_us {
-        return Err(AttemptOutcome::TimedOut);
+        return Err(AttemptOutcome::Expired);
     }
     // Checked before a streamed body is taken, after which the request cannot go to another upstream.
     begin_send(node, request, key, now_us)?;
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -100,7 +100,7 @@
                     hedges.iter_mut().for_each(HedgeSchedule::record_attempt);
                     attempts.try_hedge(request.sends.get(), &mut self.retry_budget())
                 }
-                () = sleep_until(deadline) => attempts.deadline_passed(),
+                () = sleep_until(deadline) => attempts.deadline_passed(request.sends.get()),
             };
             if let Some(answer) = self.execute(step) {
                 return answer;
