Node: a lone node that reaches no upstream of a service refuses its requests at once

What callers saw: at a node without live peers whose connections to all upstreams hang, 0 of 29 requests were answered before their deadlines.

Cause: a service that no node reaches got only trials, but a node alone went on to send everything, since it had no other way. Having none is no reason to hold requests. Both cases follow one rule now: once a service has been lost for 300 ms, in which several rounds of probes found no upstream, one request a second tries it and the others are refused at once; before that all do.

--- a/crates/pointvane-dispatch/src/attempt_path.rs
+++ b/crates/pointvane-dispatch/src/attempt_path.rs
@@ -11,6 +11,10 @@
 /// Attempts that reached no upstream after which a request is forwarded although its service is not lost.
 const UNREACHABLE_MAX: u32 = 2;
 
+/// Time for which a service must be lost before requests for it are refused, in microseconds: several rounds of
+/// checks have found no upstream by then.
+const CONFIRMED_US: u64 = 300_000;
+
 /// What the path of an attempt is decided by.
 #[derive(Clone, Copy, Debug)]
 pub struct PathInputs {
@@ -32,7 +36,7 @@
         let is_diverted = match self.reach {
             Reach::Reached => false,
             Reach::Returning { share } => self.draw >= share,
-            Reach::Lost => true,
+            Reach::Lost { .. } => true,
         };
         let is_stuck = self.lacks_reachable_capacity || self.unreachable_attempts >= UNREACHABLE_MAX;
         !self.is_forwarded && (is_diverted || is_stuck)
@@ -48,8 +52,10 @@
     TrialOnly,
 }
 
-/// What becomes of an attempt for which no other node is left; `has_peers` says whether there are other nodes
-/// at all. A node alone has no better way than its own.
-pub fn without_peer(reach: Reach, has_peers: bool) -> WithoutPeer {
-    if reach == Reach::Lost && has_peers { WithoutPeer::TrialOnly } else { WithoutPeer::Upstream }
+/// What becomes of an attempt for which no other node is left.
+pub fn without_peer(reach: Reach) -> WithoutPeer {
+    match reach {
+        Reach::Lost { for_us: CONFIRMED_US.. } => WithoutPeer::TrialOnly,
+        Reach::Reached | Reach::Returning { .. } | Reach::Lost { .. } => WithoutPeer::Upstream,
+    }
 }
--- a/crates/pointvane-dispatch/src/reachability.rs
+++ b/crates/pointvane-dispatch/src/reachability.rs
@@ -51,7 +51,10 @@
         share: f32,
     },
     /// None of its upstreams responds.
-    Lost,
+    Lost {
+        /// Time for which that is known, in microseconds.
+        for_us: u64,
+    },
 }
 
 /// A change of the reachability of a service.
@@ -155,7 +158,7 @@
     fn reach(&self, now_us: u64) -> Reach {
         match self.state {
             State::Reached => Reach::Reached,
-            State::Lost { .. } => Reach::Lost,
+            State::Lost { since_us } => Reach::Lost { for_us: now_us.saturating_sub(since_us) },
             State::Returning { since_us } => match now_us.saturating_sub(since_us) {
                 RETURN_US.. => Reach::Reached,
                 returning_us => Reach::Returning { share: returning_us as f32 / RETURN_US as f32 },
@@ -209,7 +212,7 @@
     pub fn reach(&self, service: &Name, now_us: u64) -> Reach {
         let reach = self.services.get(service).map_or(Reach::Reached, |state| state.reach.reach(now_us));
         match reach {
-            Reach::Lost if !self.usable(service, now_us).any(|_| true) => Reach::Reached,
+            Reach::Lost { .. } if !self.usable(service, now_us).any(|_| true) => Reach::Reached,
             reach => reach,
         }
     }
--- a/crates/pointvane-dispatch/tests/attempt_path.rs
+++ b/crates/pointvane-dispatch/tests/attempt_path.rs
@@ -13,10 +13,12 @@
     draw: 0.5,
 };
 
+const LOST: Reach = Reach::Lost { for_us: 5_000_000 };
+
 #[gtest]
 fn requests_for_a_lost_service_are_forwarded() {
     expect_that!(REACHED.prefers_peer(), eq(false));
-    expect_that!(PathInputs { reach: Reach::Lost, ..REACHED }.prefers_peer(), eq(true));
+    expect_that!(PathInputs { reach: LOST, ..REACHED }.prefers_peer(), eq(true));
 }
 
 #[gtest]
@@ -36,7 +38,7 @@
 
 #[gtest]
 fn no_request_is_forwarded_twice() {
-    for reach in [Reach::Lost, Reach::Returning { share: 0.0 }, Reach::Reached] {
+    for reach in [LOST, Reach::Returning { share: 0.0 }, Reach::Reached] {
         let inputs = PathInputs {
             reach,
             unreachable_attempts: 8,
@@ -50,8 +52,12 @@
 
 #[gtest]
 fn a_lost_service_that_no_node_reaches_gets_trials_only() {
-    expect_that!(without_peer(Reach::Lost, true), eq(WithoutPeer::TrialOnly));
-    expect_that!(without_peer(Reach::Lost, false), eq(WithoutPeer::Upstream));
-    expect_that!(without_peer(Reach::Returning { share: 0.1 }, true), eq(WithoutPeer::Upstream));
-    expect_that!(without_peer(Reach::Reached, true), eq(WithoutPeer::Upstream));
+    expect_that!(without_peer(LOST), eq(WithoutPeer::TrialOnly));
+    expect_that!(without_peer(Reach::Returning { share: 0.1 }), eq(WithoutPeer::Upstream));
+    expect_that!(without_peer(Reach::Reached), eq(WithoutPeer::Upstream));
+}
+
+#[gtest]
+fn a_service_that_was_lost_a_moment_ago_is_still_tried() {
+    expect_that!(without_peer(Reach::Lost { for_us: 100_000 }), eq(WithoutPeer::Upstream));
 }
--- a/crates/pointvane-dispatch/tests/reachability.rs
+++ b/crates/pointvane-dispatch/tests/reachability.rs
@@ -46,7 +46,7 @@
 }
 
 fn is_lost(pool: &Pool, service: &Name, now_us: u64) -> bool {
-    pool.reach(service, now_us) == Reach::Lost
+    matches!(pool.reach(service, now_us), Reach::Lost { .. })
 }
 
 #[gtest]
@@ -123,7 +123,7 @@
     let share = |after_ms: u64| match pool.reach(&service, regained_us + after_ms * MS) {
         Reach::Returning { share } => share,
         Reach::Reached => 1.0,
-        Reach::Lost => 0.0,
+        Reach::Lost { .. } => 0.0,
     };
     expect_that!(share(0), near(0.0, 0.01));
     expect_that!(share(500), near(0.5, 0.01));
--- a/crates/pointvane-node/src/fleet/forward_peers.rs
+++ b/crates/pointvane-node/src/fleet/forward_peers.rs
@@ -50,11 +50,6 @@
         experience.choose(request.service, candidates, request.tried, now_us, &mut rng)
     }
 
-    /// Whether any other node is alive.
-    pub fn has_live_peers(&self) -> bool {
-        self.membership.borrow().rows().skip(1).any(accepts_forwards)
-    }
-
     /// Whether an address belongs to another node of the fleet that is not known to be dead.
     pub fn is_member(&self, address: IpAddr) -> bool {
         let membership = self.membership.borrow();
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -181,7 +181,7 @@
         if let Some(peer) = self.node.choose_peer(request) {
             return AttemptPath::Peer(peer);
         }
-        match without_peer(reach, self.node.fleet.has_live_peers()) {
+        match without_peer(reach) {
             WithoutPeer::TrialOnly if !dispatcher.pool_mut().take_trial(service, now_us) => {
                 AttemptPath::Refuse
             }
--- a/crates/pointvane-node/src/forwarded.rs
+++ b/crates/pointvane-node/src/forwarded.rs
@@ -80,7 +80,8 @@
     if !node.has_platform_state() || node.dispatcher.routes().version() < forwarded.version {
         return Err(ErrorKind::NotReady);
     }
-    if node.dispatcher.pool().reach(&forwarded.service, node.now_us()) == Reach::Lost {
+    let reach = node.dispatcher.pool().reach(&forwarded.service, node.now_us());
+    if matches!(reach, Reach::Lost { .. }) {
         return Err(ErrorKind::UpstreamUnreachable);
     }
     Ok(forwarded)
--- a/standins/tests/unreachable_upstreams.rs
+++ b/standins/tests/unreachable_upstreams.rs
@@ -252,3 +252,41 @@
         }
     }
 }
+
+/// Longest time to refuse a request at once, on a busy machine.
+const AT_ONCE: Duration = Duration::from_millis(150);
+/// Share of the requests that may try the upstreams all the same.
+const TRIALS_SHARE: f64 = 0.1;
+
+/// Cuts off all of `nodes` nodes, and checks how long their callers wait for refusals from some time on.
+fn expect_refused_at_once(nodes: usize) {
+    let fleet = Fleet::start(nodes, 3);
+    let mut judged = (Instant::now(), Instant::now());
+    let tries = fleet.with_callers(|| {
+        thread::sleep(Duration::from_secs(1));
+        fleet.partition(nodes, Partition::Silent);
+        thread::sleep(CONTACT);
+        judged.0 = Instant::now();
+        thread::sleep(JUDGED);
+        judged.1 = Instant::now();
+        fleet.heal();
+    });
+    let in_window: Vec<&FirstTry> =
+        tries.iter().filter(|one| (judged.0..judged.1).contains(&one.sent_at)).collect();
+    let is_refused_at_once = |one: &&&FirstTry| one.status == 503 && one.took <= AT_ONCE;
+    let at_once = in_window.iter().filter(is_refused_at_once).count();
+    println!("{at_once} of {} refused at once", in_window.len());
+    expect_that!(in_window.len(), gt(100));
+    expect_that!(at_once as f64, ge(in_window.len() as f64 * (1.0 - TRIALS_SHARE)));
+    expect_promises_kept(&fleet, &tries);
+}
+
+#[gtest]
+fn requests_are_not_held_to_their_deadlines_when_no_node_reaches_their_service() {
+    expect_refused_at_once(3);
+}
+
+#[gtest]
+fn requests_are_not_held_to_their_deadlines_by_a_lone_node_that_reaches_no_upstream() {
+    expect_refused_at_once(1);
+}
