Node: a request is not quarantined because its node loses all upstreams at once

Cause: a request whose connection broke counted as one that crashed its upstream if the upstream's address then refused connections. A path that is cut off by resets and refusals looks the same, and cuts break many requests in a row, on several nodes, which tell each other.

Now another upstream must accept a connection at the same moment; up to three are asked, of the same service first. With no other upstream known nothing changes. If all upstreams of a small service have crashed under one request, it is quarantined only once one of them is back and crashes again.

--- a/crates/pointvane-dispatch/src/reachability.rs
+++ b/crates/pointvane-dispatch/src/reachability.rs
@@ -12,9 +12,10 @@
 //! that upstreams were charged with in the meantime are dropped. Tests: `tests/reachability.rs`.
 
 use {
-    crate::{pool::Pool, upstream_key::UpstreamKey},
+    crate::{pool::Pool, upstream::UpstreamState, upstream_key::UpstreamKey},
     pointvane_core::{Name, US_PER_MS},
     rand::seq::IteratorRandom,
+    std::net::SocketAddr,
 };
 
 /// Number of upstreams without a response, one after another, after which a service is lost; all of a smaller
@@ -31,6 +32,10 @@
 /// Upstreams of a lost service that are checked at once.
 const CHECKS_PER_SERVICE: usize = 3;
 
+/// Other upstreams by which a failure of one is told from one of the path: several, since they may have failed
+/// as well.
+const PATH_REFERENCES: usize = 3;
+
 /// Kind of the connection that an attempt or a probe used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionKind {
@@ -257,6 +262,22 @@
         keys
     }
 
+    /// Addresses of random other upstreams, by which a failure of one can be told from one of the path: of its
+    /// service, or of all services if it is the only one.
+    pub fn path_references(&mut self, key: UpstreamKey) -> Vec<SocketAddr> {
+        let mut rng = self.rng.clone();
+        let service = self.upstreams.get(&key).map(|state| &state.record.service);
+        let same_service = service.and_then(|service| self.by_service.get(service)).into_iter();
+        let same_service = same_service.flat_map(|upstreams| upstreams.keys()).filter(|other| *other != key);
+        let mut keys = same_service.choose_multiple(&mut rng, PATH_REFERENCES);
+        if keys.is_empty() {
+            let others = self.upstreams.keys().copied().filter(|other| *other != key);
+            keys = others.choose_multiple(&mut rng, PATH_REFERENCES);
+        }
+        self.rng = rng;
+        keys.iter().filter_map(|key| self.get(*key)).map(UpstreamState::address).collect()
+    }
+
     /// Whether a request may be sent to a lost service although no other node reaches it.
     pub fn take_trial(&mut self, service: &Name, now_us: u64) -> bool {
         let Some(state) = self.services.get_mut(service) else { return true };
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -81,7 +81,7 @@
     in_flight.ended();
     let ended_at_us = node.now_us();
     let latency_us = ended_at_us.saturating_sub(sent_at_us);
-    let outcome = outcome(&answer, &snapshot).await;
+    let outcome = outcome(&node, key, &answer, &snapshot).await;
     if outcome == AttemptOutcome::Unreachable {
         request.unreachable_attempts.set(request.unreachable_attempts.get() + 1);
     }
@@ -102,13 +102,19 @@
 }
 
 /// Classifies the result of an exchange, given the upstream's load when the request was sent.
-async fn outcome(
+async fn outcome<A: PlatformAdapter>(
+    node: &Node<A>,
+    key: UpstreamKey,
     answer: &Result<Response<RelayBody>, AttemptOutcome>,
     snapshot: &UpstreamSnapshot,
 ) -> AttemptOutcome {
     match answer {
         Ok(response) => AttemptOutcome::Answered { failed: response.status().is_server_error() },
-        Err(AttemptOutcome::Broken) if has_crashed(snapshot.address).await => AttemptOutcome::Crashed,
+        Err(AttemptOutcome::Broken) => {
+            let references = node.dispatcher.pool_mut().path_references(key);
+            let crashed = has_crashed(snapshot.address, references).await;
+            if crashed { AttemptOutcome::Crashed } else { AttemptOutcome::Broken }
+        }
         Err(outcome) => outcome.given_load(&snapshot.load_when_sent),
     }
 }
--- a/crates/pointvane-node/src/crash_check.rs
+++ b/crates/pointvane-node/src/crash_check.rs
@@ -3,6 +3,7 @@
 use {
     crate::socket,
     std::{io::ErrorKind::ConnectionRefused, net::SocketAddr, time::Duration},
+    tokio::task::JoinSet,
 };
 
 /// Timeout of the check. A host refuses a port without a listener within a round trip; an unreachable host
@@ -15,9 +16,29 @@
 /// connections and lose responses. With 0.2 of the upstreams crashed, 0.2 of the responses reset and 0.1
 /// corrupted, all 11 crashed upstreams refused a new connection within 0.7 ms, and none of the other 43
 /// attempts that broke met a refusal. An upstream that accepts a connection and then resets it is alive.
-pub async fn has_crashed(address: SocketAddr) -> bool {
-    match socket::connect(address, CHECK_TIMEOUT).await {
-        Ok(_) => false,
-        Err(error) => error.kind() == ConnectionRefused,
+///
+/// A path that is cut off may refuse connections as well. So another upstream must accept one at the same
+/// moment; `references` are their addresses, empty if there is no other.
+pub async fn has_crashed(address: SocketAddr, references: Vec<SocketAddr>) -> bool {
+    if !is_refused(address).await {
+        return false;
+    }
+    references.is_empty() || accepts_any(references).await
+}
+
+async fn is_refused(address: SocketAddr) -> bool {
+    socket::connect(address, CHECK_TIMEOUT).await.is_err_and(|error| error.kind() == ConnectionRefused)
+}
+
+async fn accepts_any(addresses: Vec<SocketAddr>) -> bool {
+    let mut checks = JoinSet::new();
+    for address in addresses {
+        checks.spawn_local(async move { socket::connect(address, CHECK_TIMEOUT).await.is_ok() });
+    }
+    while let Some(accepted) = checks.join_next().await {
+        if accepted.unwrap_or(false) {
+            return true;
+        }
     }
+    false
 }
--- a/standins/tests/unreachable_upstreams.rs
+++ b/standins/tests/unreachable_upstreams.rs
@@ -290,3 +290,39 @@
 fn requests_are_not_held_to_their_deadlines_by_a_lone_node_that_reaches_no_upstream() {
     expect_refused_at_once(1);
 }
+
+/// Concurrent requests that are under way when all connections are lost.
+const UNDER_WAY: usize = 6;
+/// Time that an upstream takes for a request that is to be under way for a while, in milliseconds.
+const SLOW_SERVICE_MS: u64 = 300;
+
+#[gtest]
+fn a_request_is_not_quarantined_because_its_node_loses_all_upstreams_at_once() {
+    let store = Store::start();
+    store.configure(5, &ROUTES);
+    let start = |number| Upstream::start(&format!("i-{number}"), UpstreamBehaviour::Delayed(SLOW_SERVICE_MS));
+    let upstreams: Vec<Upstream> = (0..3).map(start).collect();
+    upstreams.iter().for_each(|upstream| store.list(upstream, "ready", 1));
+    let node = NodeProcess::start(&store);
+    node.wait_until_ready();
+    for round in 0..4 {
+        thread::scope(|scope| {
+            for number in 0..UNDER_WAY {
+                let node = &node;
+                scope.spawn(move || {
+                    _ = node.request("POST", "/unsafe/a", &format!("{round}-{number}"), 1_000);
+                });
+            }
+            thread::sleep(Duration::from_millis(150));
+            // To a node, a path that refuses connections looks like upstreams that have all ended.
+            upstreams.iter().for_each(Upstream::crash);
+        });
+        thread::sleep(Duration::from_millis(100));
+        upstreams.iter().for_each(Upstream::restart);
+        thread::sleep(Duration::from_millis(700));
+    }
+    let quarantined = node.log_lines().matches("\"request-quarantined\"").count();
+    expect_that!(quarantined, eq(0));
+    let after = node.request("POST", "/unsafe/a", "after", 2_000).unwrap();
+    expect_that!(after.status(), eq(200));
+}
