--- a/standins/tests/unreachable_upstreams.rs
+++ b/standins/tests/unreachable_upstreams.rs
@@ -1,6 +1,7 @@
 //! Some nodes of a fleet lose the path to all upstreams, while callers, the store and the other nodes still
 //! reach them.
 
+mod partitioned_fleet;
 #[path = "soak/proxy.rs"]
 #[allow(dead_code)]
 mod proxy;
@@ -8,23 +9,18 @@
 
 use {
     googletest::prelude::*,
-    proxy::{Partition, Proxy},
+    partitioned_fleet::{FirstTry, Fleet, ROUTES},
+    proxy::Partition,
     socket2::{Domain, Socket, Type},
     std::{
         collections::HashSet,
-        net::{Ipv4Addr, SocketAddr},
-        sync::{
-            Mutex,
-            atomic::{AtomicBool, Ordering},
-        },
+        net::SocketAddr,
         thread,
         time::{Duration, Instant},
     },
-    users_platform::{Log, NodeProcess, Store, Upstream, UpstreamBehaviour, eventually, unique_address},
+    users_platform::{NodeProcess, Store, Upstream, UpstreamBehaviour, unique_address},
 };
 
-const ROUTES: [(&str, &str, u64, &str); 2] =
-    [("/safe/", "safe", 2_000, "app"), ("/unsafe/", "unsafe", 2_000, "app")];
 /// Time after the beginning of a partition from which callers must be served as elsewhere.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time for which a partition goes on after that.
@@ -33,106 +29,6 @@
 const SERVED_SHARE: f64 = 2.0 / 3.0;
 /// First tries that may fail in any case, and the share of all first tries that may.
 const FAILURES_ALLOWED: (f64, f64) = (10.0, 1.0 / 50.0);
-/// Time that an upstream takes for a request, in milliseconds.
-const SERVICE_MS: u64 = 20;
-const DEADLINES_MS: [u64; 2] = [600, 1_500];
-const CALLERS_PER_NODE: usize = 8;
-const CALLER_PAUSE: Duration = Duration::from_millis(30);
-
-/// A first try of a caller.
-struct FirstTry {
-    node: usize,
-    id: String,
-    is_safe: bool,
-    sent_at: Instant,
-    took: Duration,
-    /// 0 without a response.
-    status: u16,
-}
-
-struct Fleet {
-    nodes: Vec<NodeProcess>,
-    upstreams: Vec<Upstream>,
-    proxies: Vec<Proxy>,
-    _store: Store,
-}
-
-impl Fleet {
-    fn start(nodes: usize, upstreams: usize) -> Self {
-        let store = Store::start();
-        store.configure(5, &ROUTES);
-        let upstreams: Vec<Upstream> = (0..upstreams)
-            .map(|number| Upstream::start(&format!("i-{number}"), UpstreamBehaviour::Delayed(SERVICE_MS)))
-            .collect();
-        let proxies: Vec<Proxy> = upstreams.iter().map(|upstream| Proxy::start(upstream.address)).collect();
-        for (upstream, proxy) in upstreams.iter().zip(&proxies) {
-            store.list_at(upstream, proxy.address, "ready", 1);
-        }
-        let addresses: Vec<Ipv4Addr> = (0..nodes).map(|_| unique_address()).collect();
-        let start = |ip: &Ipv4Addr| NodeProcess::start_at(*ip, store.address, &addresses[..1], Log::File);
-        let nodes: Vec<NodeProcess> = addresses.iter().map(start).collect();
-        nodes.iter().for_each(NodeProcess::wait_until_ready);
-        // All nodes know each other.
-        for node in &nodes {
-            eventually(|| addresses.iter().all(|ip| node.directory().contains(&format!("\"{ip}:"))));
-        }
-        Self { nodes, upstreams, proxies, _store: store }
-    }
-
-    fn partition(&self, nodes: usize, partition: Partition) {
-        for node in &self.nodes[..nodes] {
-            self.proxies.iter().for_each(|proxy| proxy.partition(node.ip.into(), partition));
-        }
-    }
-
-    fn heal(&self) {
-        for node in &self.nodes {
-            self.proxies.iter().for_each(|proxy| proxy.heal(node.ip.into()));
-        }
-    }
-
-    /// Runs `action` while callers send requests to all nodes; returns their first tries.
-    fn with_callers(&self, action: impl FnOnce()) -> Vec<FirstTry> {
-        let (stop, tries) = (AtomicBool::new(false), Mutex::new(Vec::new()));
-        thread::scope(|scope| {
-            for node in 0..self.nodes.len() {
-                for caller in 0..CALLERS_PER_NODE {
-                    let (stop, tries) = (&stop, &tries);
-                    scope.spawn(move || {
-                        let mut number = 0;
-                        while !stop.load(Ordering::SeqCst) {
-                            let one = self.first_try(node, caller, number);
-                            tries.lock().unwrap().push(one);
-                            number += 1;
-                            thread::sleep(CALLER_PAUSE);
-                        }
-                    });
-                }
-            }
-            action();
-            stop.store(true, Ordering::SeqCst);
-        });
-        tries.into_inner().unwrap()
-    }
-
-    fn first_try(&self, node: usize, caller: usize, number: usize) -> FirstTry {
-        let is_safe = caller.is_multiple_of(2);
-        let (method, path) = if is_safe { ("GET", "/safe/a") } else { ("POST", "/unsafe/a") };
-        let id = format!("{node}-{caller}-{number}");
-        let sent_at = Instant::now();
-        let deadline_ms = DEADLINES_MS[number % DEADLINES_MS.len()];
-        let answer = self.nodes[node].request(method, path, &id, deadline_ms);
-        let took = sent_at.elapsed();
-        // The caller has left at its deadline.
-        let in_time = took <= Duration::from_millis(deadline_ms);
-        let status = answer.ok().filter(|_| in_time).map_or(0, |answer| answer.status());
-        FirstTry { node, id, is_safe, sent_at, took, status }
-    }
-
-    fn runs(&self) -> Vec<String> {
-        self.upstreams.iter().flat_map(|upstream| upstream.executed_ids.lock().unwrap().clone()).collect()
-    }
-}
 
 fn served<'t>(tries: impl Iterator<Item = &'t FirstTry>) -> (f64, f64) {
     tries.fold((0.0, 0.0), |(served, all), one| (served + f64::from(u8::from(one.status == 200)), all + 1.0))
