Node: keep the two timeouts of dead peers in step

TCP_USER_TIMEOUT, once set, also decides when keepalive gives up, whatever its count (new on the users' pages). socket.rs is the only place that sets either: hyper-util's legacy client could but is not used, tokio, hyper, ureq, rouille and tiny_http set none (read in their sources). With 1 s, 1 s, 2 probes and 2.5 s both rules close an idle silent connection 3 s after the last byte, so nothing changes; a compile-time check holds the order, which a later change of one of the values could break unnoticed.

--- a/crates/pointvane-node/src/socket.rs
+++ b/crates/pointvane-node/src/socket.rs
@@ -1,4 +1,7 @@
 //! TCP sockets that detect dead peers: a machine that has failed sends neither FIN nor RST.
+//!
+//! An idle connection fails 3 s after the last byte that was received, with the third keepalive probe due; one
+//! with unacknowledged data at the first retransmission after 2.5 s.
 
 use {
     socket2::{SockRef, TcpKeepalive},
@@ -20,7 +23,17 @@
 /// Number of unanswered keepalive probes after which the kernel closes the connection.
 const KEEPALIVE_RETRIES: u32 = 2;
 /// Maximum time for which sent data may remain unacknowledged (`TCP_USER_TIMEOUT`).
+///
+/// Linux lets it decide when keepalive gives up as well, in place of [`KEEPALIVE_RETRIES`]. It ends between the
+/// last probe and the time at which the connection is closed, so that both give the same time, with a margin
+/// for late timers on either side.
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(2_500);
+const _: () = {
+    let close_ms = KEEPALIVE_IDLE.as_millis() + KEEPALIVE_INTERVAL.as_millis() * KEEPALIVE_RETRIES as u128;
+    let last_probe_ms = close_ms - KEEPALIVE_INTERVAL.as_millis();
+    let user_timeout_ms = UNACKNOWLEDGED_MAX.as_millis();
+    assert!(last_probe_ms < user_timeout_ms && user_timeout_ms < close_ms);
+};
 
 /// Opens a connection that fails within seconds after its peer has died.
 ///
