Node: callers of a lost service are told to retry later the longer it is lost

Requests for a service that no node reaches were refused with the default retry time of 80 ms whatever the outage, so that callers spent their few retries at once. The time is that for which the service has been lost, from 80 ms up to the target latency of the route, spread over half as much again.

Test: callers_of_a_lost_service_are_told_to_retry_later_the_longer_it_is_lost.

--- a/crates/pointvane-dispatch/src/attempt_path.rs
+++ b/crates/pointvane-dispatch/src/attempt_path.rs
@@ -6,7 +6,10 @@
 //! circles. Where no node is left, the service is down or the whole fleet is cut off; the request is refused at
 //! once, except for a trial now and then. Tests: `tests/attempt_path.rs`.
 
-use crate::reachability::Reach;
+use {
+    crate::{admission::RETRY_AFTER_DEFAULT_MS, reachability::Reach},
+    pointvane_core::RouteRule,
+};
 
 /// Attempts that reached no upstream after which a request is forwarded although its service is not lost.
 const UNREACHABLE_MAX: u32 = 2;
@@ -15,6 +18,9 @@
 /// checks have found no upstream by then.
 const CONFIRMED_US: u64 = 300_000;
 
+/// Width of the range over which retries are spread, as a share of the shortest retry time.
+const RETRY_SPREAD_SHARE: f64 = 0.5;
+
 /// What the path of an attempt is decided by.
 #[derive(Clone, Copy, Debug)]
 pub struct PathInputs {
@@ -43,6 +49,18 @@
     }
 }
 
+/// Time after which a caller should retry whose request was refused since no node reaches its service, in
+/// milliseconds, given the time for which it has been lost.
+///
+/// An outage that has lasted for some time is expected to last as long again, but callers that wait for longer
+/// than their target would miss the return. `jitter` is a random number from 0 to 1: callers that were refused
+/// together would otherwise return together.
+pub fn lost_retry_after_ms(route: &RouteRule, lost_ms: u64, jitter: f64) -> u32 {
+    let min_ms = u64::from(RETRY_AFTER_DEFAULT_MS);
+    let after_ms = lost_ms.clamp(min_ms, route.target_latency_ms.max(min_ms)) as f64;
+    (after_ms * RETRY_SPREAD_SHARE.mul_add(jitter, 1.0)) as u32
+}
+
 /// What becomes of an attempt for which no other node is left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WithoutPeer {
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -78,7 +78,7 @@
     access::{AccountTable, account_of, check_confirmed},
     admission::{AdmissionPolicy, FinishEstimate, RETRY_AFTER_DEFAULT_MS, RefusedBy, retry_after_ms},
     allowed_regions::AllowedRegions,
-    attempt_path::{PathInputs, WithoutPeer, without_peer},
+    attempt_path::{PathInputs, WithoutPeer, lost_retry_after_ms, without_peer},
     attempts::{AttemptEnd, NextStep, RequestAttempts},
     budget::{BudgetLimits, NodeBudgets, PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions},
     deadline::answer_deadline_us,
--- a/crates/pointvane-dispatch/tests/attempt_path.rs
+++ b/crates/pointvane-dispatch/tests/attempt_path.rs
@@ -1,8 +1,12 @@
 //! Whether an attempt goes to an upstream, through another node, or nowhere.
 
+mod common;
+
 use {
+    common::route,
     googletest::prelude::*,
-    pointvane_dispatch::{PathInputs, Reach, WithoutPeer, without_peer},
+    pointvane_core::RouteKind,
+    pointvane_dispatch::{PathInputs, Reach, WithoutPeer, lost_retry_after_ms, without_peer},
 };
 
 const REACHED: PathInputs = PathInputs {
@@ -61,3 +65,13 @@
 fn a_service_that_was_lost_a_moment_ago_is_still_tried() {
     expect_that!(without_peer(Reach::Lost { for_us: 100_000 }), eq(WithoutPeer::Upstream));
 }
+
+#[gtest]
+fn callers_of_a_lost_service_are_told_to_retry_later_the_longer_it_is_lost() {
+    let route = route(RouteKind::Safe);
+    let after_ms = |lost_ms, jitter| lost_retry_after_ms(&route, lost_ms, jitter);
+    expect_that!(after_ms(0, 0.0), eq(80));
+    expect_that!(after_ms(150, 0.0), eq(150));
+    expect_that!(after_ms(3_600_000, 0.0), eq(200), "no longer than the target latency");
+    expect_that!(after_ms(3_600_000, 1.0), eq(300), "spread");
+}
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -14,7 +14,8 @@
     pointvane_core::{ErrorKind, HedgeSchedule, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
         AttemptEnd, AttemptOutcome, NextStep, PathInputs, RefusedBy, RequestAttempts, RetryBudget,
-        SearchGoal, WithheldService, WithoutPeer, hedge_goal, may_relay, search_time_ms, without_peer,
+        RoutedRequest, SearchGoal, WithheldService, WithoutPeer, hedge_goal, lost_retry_after_ms, may_relay,
+        search_time_ms, without_peer,
     },
     std::{cell::RefMut, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -226,10 +227,19 @@
         let back_in_ms = withheld.and_then(|withheld| withheld.back_in_ms);
         let retry_after_ms = self
             .peer_retry_after_ms
+            .or_else(|| self.lost_retry_after_ms(error))
             .or_else(|| self.node.dispatcher.retry_after_ms(route, error, by, back_in_ms));
         Refused { retry_after_ms, withheld, ..error.into() }
     }
 
+    /// The retry time of a request that was refused because its service is lost, in milliseconds.
+    fn lost_retry_after_ms(&self, error: ErrorKind) -> Option<u32> {
+        let RoutedRequest { route, service, .. } = &self.request.routed;
+        let lost_ms = self.node.dispatcher.pool().lost_ms(service, self.node.now_us())?;
+        let is_lost = error == ErrorKind::UpstreamUnreachable;
+        is_lost.then(|| lost_retry_after_ms(route, lost_ms, f64::from(self.node.dispatcher.draw())))
+    }
+
     /// Why the upstreams of the request's service accept no requests, for errors that this may have caused.
     fn withheld(&self, error: ErrorKind) -> Option<WithheldService> {
         let may_be_withheld = matches!(
