Tests: a path that comes and goes, and nodes that reach one upstream only

Whether most upstreams of a service are ejected is told by 64 of them at most: the check stands on the way of refusals, which come by the hundred in an overload.

--- a/crates/pointvane-dispatch/src/reachability.rs
+++ b/crates/pointvane-dispatch/src/reachability.rs
@@ -32,6 +32,8 @@
 /// Upstreams of a lost service that are checked at once.
 const CHECKS_PER_SERVICE: usize = 3;
 
+/// Upstreams of a service that are looked at to tell whether most are ejected; bounds the time of a refusal.
+const EJECTED_COUNTED_MAX: usize = 64;
 /// Other upstreams by which a failure of one is told from one of the path: several, since they may have failed
 /// as well.
 const PATH_REFERENCES: usize = 3;
@@ -223,11 +225,12 @@
     }
 
     /// Whether most upstreams of a service are ejected, so that the others may be overloaded by this node
-    /// alone.
+    /// alone. Of a large service, the upstreams that this node prefers are counted.
     pub fn is_mostly_ejected(&self, service: &Name, now_us: u64) -> bool {
         let Some(upstreams) = self.by_service.get(service) else { return false };
+        let counted = || upstreams.keys().take(EJECTED_COUNTED_MAX);
         let is_ejected = |key: &UpstreamKey| self.get(*key).is_some_and(|state| state.is_ejected(now_us));
-        upstreams.keys().filter(is_ejected).count() * 2 > upstreams.len()
+        counted().filter(is_ejected).count() * 2 > counted().count()
     }
 
     /// The services that are lost, each with the time since then in microseconds.
--- a/crates/pointvane-dispatch/tests/reachability.rs
+++ b/crates/pointvane-dispatch/tests/reachability.rs
@@ -198,3 +198,15 @@
     let trials = (0..500).filter(|step| pool.take_trial(&service, NOW_US + step * 10 * MS)).count();
     expect_that!(trials, eq(5));
 }
+
+#[gtest]
+fn most_upstreams_are_ejected_once_more_than_half_are() {
+    let (mut pool, service, keys) = pool(4);
+    for (number, key) in keys.iter().enumerate() {
+        expect_that!(pool.is_mostly_ejected(&service, NOW_US + MS), eq(number > 2));
+        pool.get_mut(*key).unwrap().record_attempt(AttemptOutcome::Unreachable, NOW_US);
+    }
+    expect_that!(pool.is_mostly_ejected(&service, NOW_US + MS), eq(true));
+    // All of them are ejected for 400 ms at first.
+    expect_that!(pool.is_mostly_ejected(&service, NOW_US + 500 * MS), eq(false));
+}
--- a/standins/tests/partitioned_fleet/mod.rs
+++ b/standins/tests/partitioned_fleet/mod.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Cuts the first node off from all upstreams but the last one.
+    pub fn partition_from_all_but_one(&self, partition: Partition) {
+        let proxies = &self.proxies[..self.proxies.len() - 1];
+        proxies.iter().for_each(|proxy| proxy.partition(self.nodes[0].ip.into(), partition));
+    }
+
     /// Ends all partitions. Connections that have lost bytes stay silent.
     pub fn heal(&self) {
         for node in &self.nodes {
--- a/standins/tests/unreachable_upstreams.rs
+++ b/standins/tests/unreachable_upstreams.rs
@@ -37,10 +37,15 @@
 /// Partitions the first `partitioned` of `nodes` nodes, and checks what callers and upstreams saw.
 fn expect_served_as_elsewhere(nodes: usize, partitioned: usize, partition: Partition) {
     let fleet = Fleet::start(nodes, 3);
+    expect_served(&fleet, partitioned, || fleet.partition(partitioned, partition));
+}
+
+/// Checks what callers and upstreams see of a partition of the first `partitioned` nodes.
+fn expect_served(fleet: &Fleet, partitioned: usize, partition: impl FnOnce()) {
     let mut judged = (Instant::now(), Instant::now());
     let tries = fleet.with_callers(|| {
         thread::sleep(Duration::from_secs(1));
-        fleet.partition(partitioned, partition);
+        partition();
         thread::sleep(CONTACT);
         judged.0 = Instant::now();
         thread::sleep(JUDGED);
@@ -64,11 +69,24 @@
         "partitioned nodes served {served_cut} of {all_cut}, others {served_others} of {all_others}; {statuses:?}"
     );
     println!("{summary}");
+    println!(
+        "{}",
+        [true, false].map(|cut| latencies(tries.iter().filter(in_window), partitioned, cut)).join("; ")
+    );
     expect_that!(all_cut, gt(20.0), "{summary}");
     let is_served = served_cut / all_cut >= SERVED_SHARE * served_others / all_others
         || all_cut - served_cut <= FAILURES_ALLOWED.0 + FAILURES_ALLOWED.1 * all_cut;
     expect_that!(is_served, eq(true), "{summary}");
-    expect_promises_kept(&fleet, &tries);
+    expect_promises_kept(fleet, &tries);
+}
+
+/// Median and 99th percentile of the times of served first tries, at partitioned or at other nodes.
+fn latencies<'t>(tries: impl Iterator<Item = &'t FirstTry>, partitioned: usize, cut: bool) -> String {
+    let served = tries.filter(|one| one.status == 200 && (one.node < partitioned) == cut);
+    let mut times: Vec<Duration> = served.map(|one| one.took).collect();
+    times.sort();
+    let at = |share: f64| times.get((times.len() as f64 * share) as usize).copied().unwrap_or_default();
+    format!("{}: p50 {:?}, p99 {:?}", if cut { "partitioned" } else { "others" }, at(0.5), at(0.99))
 }
 
 /// Checks that work that may not be repeated ran at most once, and not at all after a 503.
@@ -107,6 +125,41 @@
     expect_served_as_elsewhere(4, 3, Partition::Silent);
 }
 
+#[gtest]
+fn a_node_that_reaches_one_upstream_only_serves_its_callers() {
+    let fleet = Fleet::start(3, 6);
+    expect_served(&fleet, 1, || fleet.partition_from_all_but_one(Partition::Silent));
+}
+
+/// Times for which the path is lost and back by turns, in milliseconds.
+const FLAPS_MS: [u64; 8] = [500, 700, 1_200, 300, 3_000, 400, 600, 1_000];
+/// Time after the last change within which all is as before.
+const SETTLED: Duration = Duration::from_secs(2);
+
+#[gtest]
+fn a_node_whose_path_comes_and_goes_keeps_its_promises_and_serves_afterwards() {
+    let fleet = Fleet::start(3, 3);
+    let mut settled_at = Instant::now();
+    let tries = fleet.with_callers(|| {
+        for (flap, time_ms) in FLAPS_MS.iter().enumerate() {
+            let partition = [Partition::Silent, Partition::Reset][flap / 2 % 2];
+            if flap.is_multiple_of(2) {
+                fleet.partition(2, partition)
+            } else {
+                fleet.heal()
+            }
+            thread::sleep(Duration::from_millis(*time_ms));
+        }
+        thread::sleep(SETTLED);
+        settled_at = Instant::now();
+        thread::sleep(Duration::from_secs(1));
+    });
+    let (served_after, all_after) = served(tries.iter().filter(|one| one.sent_at >= settled_at));
+    println!("served {served_after} of {all_after} afterwards, {:?} during flaps", served(tries.iter()));
+    expect_that!(all_after - served_after, le(FAILURES_ALLOWED.1 * all_after));
+    expect_promises_kept(&fleet, &tries);
+}
+
 /// An address at which connections are never established: the queue of its listener is full.
 struct BlackHole {
     address: SocketAddr,
