Node: the path of an attempt and the requests of peers in modules of their own

forward.rs runs attempts; path.rs says which way they go. peer_requests.rs is what forwarded.rs was, beside forward.rs. No change of behaviour.

--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -7,17 +7,17 @@
         attempt::{AttemptReport, AttemptRole, attempt},
         connections::RelayBody,
         node::Node,
+        path::AttemptPath,
         peer_attempt::peer_attempt,
         request::CallerRequest,
     },
     hyper::Response,
     pointvane_core::{ErrorKind, HedgeSchedule, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
-        AttemptEnd, AttemptOutcome, NextStep, PathInputs, RefusedBy, RequestAttempts, RetryBudget,
-        RoutedRequest, SearchGoal, WithheldService, WithoutPeer, hedge_goal, lost_retry_after_ms, may_relay,
-        search_time_ms, without_peer,
+        AttemptEnd, NextStep, RefusedBy, RequestAttempts, RetryBudget, SearchGoal, WithheldService,
+        hedge_goal, may_relay, search_time_ms,
     },
-    std::{cell::RefMut, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::RefMut, rc::Rc, time::Duration},
     tokio::{
         task::JoinSet,
         time::{Instant, sleep_until},
@@ -30,16 +30,6 @@
 /// An upstream's response, ready for the caller, or the error that the node responds with.
 pub type FinalAnswer = Result<Response<RelayBody>, Refused>;
 
-/// Path of an attempt.
-enum AttemptPath {
-    /// Directly to an upstream.
-    Upstream,
-    /// Through another node.
-    Peer(SocketAddr),
-    /// The attempt is not made.
-    Refuse,
-}
-
 /// The running attempts of one request, and the latest response so far.
 struct Forward<A> {
     node: Rc<Node<A>>,
@@ -94,7 +84,7 @@
                     self.answer = result.answer.or(self.answer.take());
                     self.peer_retry_after_ms = result.retry_after_ms.or(self.peer_retry_after_ms);
                     attempts.set_streamed_body_unsent(request.stream.borrow().is_some());
-                    let end = self.divert(result.end);
+                    let end = self.node.divert(&request, result.end);
                     attempts.attempt_ended(end, request.sends.get(), &mut self.retry_budget())
                 }
                 () = sleep_until(hedge_at.unwrap_or(deadline)), if hedge_at.is_some() => {
@@ -132,7 +122,7 @@
 
     fn start(&mut self, goal: SearchGoal, role: AttemptRole) {
         let (node, request) = (Rc::clone(&self.node), Rc::clone(&self.request));
-        match self.path() {
+        match self.node.path(&self.request) {
             AttemptPath::Upstream => {
                 self.running_attempts.spawn_local(attempt(node, request, goal, role));
             }
@@ -145,51 +135,6 @@
         }
     }
 
-    /// Lets a request be forwarded that would be refused only because this node does not reach most upstreams
-    /// of its service: counts its attempt as one that reached no upstream.
-    fn divert(&self, end: AttemptEnd) -> AttemptEnd {
-        let request = &self.request;
-        let may_divert = end == AttemptEnd::NotAdmitted
-            && request.sends.get() == 0
-            && !request.is_forwarded()
-            && !request.lacks_reachable_capacity.get();
-        let service = &request.routed.service;
-        if may_divert
-            && self.node.dispatcher.pool().is_mostly_ejected(service, self.node.now_us())
-            && self.node.choose_peer(request).is_some()
-        {
-            request.lacks_reachable_capacity.set(true);
-            return AttemptEnd::Attempted(AttemptOutcome::Unreachable);
-        }
-        end
-    }
-
-    /// Decides the path of the next attempt.
-    fn path(&self) -> AttemptPath {
-        let (dispatcher, request) = (&self.node.dispatcher, &self.request);
-        let (service, now_us) = (&request.routed.service, self.node.now_us());
-        let reach = dispatcher.pool().reach(service, now_us);
-        let inputs = PathInputs {
-            reach,
-            unreachable_attempts: request.unreachable_attempts.get(),
-            lacks_reachable_capacity: request.lacks_reachable_capacity.get(),
-            is_forwarded: request.is_forwarded(),
-            draw: dispatcher.draw(),
-        };
-        if !inputs.prefers_peer() {
-            return AttemptPath::Upstream;
-        }
-        if let Some(peer) = self.node.choose_peer(request) {
-            return AttemptPath::Peer(peer);
-        }
-        match without_peer(reach) {
-            WithoutPeer::TrialOnly if !dispatcher.pool_mut().take_trial(service, now_us) => {
-                AttemptPath::Refuse
-            }
-            WithoutPeer::TrialOnly | WithoutPeer::Upstream => AttemptPath::Upstream,
-        }
-    }
-
     /// Starts an attempt at the best upstream, after a bounded search for an uncontended one.
     fn start_best(&mut self) {
         let search_ms = search_time_ms(&self.request.routed.route);
@@ -227,19 +172,11 @@
         let back_in_ms = withheld.and_then(|withheld| withheld.back_in_ms);
         let retry_after_ms = self
             .peer_retry_after_ms
-            .or_else(|| self.lost_retry_after_ms(error))
+            .or_else(|| self.node.lost_retry_after_ms(&self.request, error))
             .or_else(|| self.node.dispatcher.retry_after_ms(route, error, by, back_in_ms));
         Refused { retry_after_ms, withheld, ..error.into() }
     }
 
-    /// The retry time of a request that was refused because its service is lost, in milliseconds.
-    fn lost_retry_after_ms(&self, error: ErrorKind) -> Option<u32> {
-        let RoutedRequest { route, service, .. } = &self.request.routed;
-        let lost_ms = self.node.dispatcher.pool().lost_ms(service, self.node.now_us())?;
-        let is_lost = error == ErrorKind::UpstreamUnreachable;
-        is_lost.then(|| lost_retry_after_ms(route, lost_ms, f64::from(self.node.dispatcher.draw())))
-    }
-
     /// Why the upstreams of the request's service accept no requests, for errors that this may have caused.
     fn withheld(&self, error: ErrorKind) -> Option<WithheldService> {
         let may_be_withheld = matches!(
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -7,9 +7,9 @@
             FORWARD_PORT_OFFSET, LIMIT_PORT_OFFSET, QUARANTINE_PORT_OFFSET, QUOTA_PORT_OFFSET,
             RELAY_PORT_OFFSET, Sockets,
         },
-        forwarded, gossip_loop, limit_loop,
+        gossip_loop, limit_loop,
         node::Node,
-        operator, quarantine_loop, quota_loop, reachability,
+        operator, peer_requests, quarantine_loop, quota_loop, reachability,
         replica::{platform_reader, relay_loop, state_query},
         report::Report,
         serve::{listen, serve_sequentially},
@@ -77,7 +77,7 @@
     node.fleet.set_sockets(sockets.clone());
     listen_to_callers(node, &settings).await?;
     let forwards = SocketAddr::new(ip, gossip.port() + FORWARD_PORT_OFFSET);
-    listen(Rc::clone(node), forwards, forwarded::serve).await?;
+    listen(Rc::clone(node), forwards, peer_requests::serve).await?;
     let queries = TcpListener::bind(gossip).await.wrap_err("cannot bind the state query socket")?;
     spawn_local(gossip_loop::run(Rc::clone(node), sockets.gossip));
     spawn_local(state_query::serve(Rc::clone(node), queries));
