--- a/crates/pointvane-dispatch/src/peers.rs
+++ b/crates/pointvane-dispatch/src/peers.rs
@@ -77,7 +77,7 @@
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: HashMap<SocketAddr, PeerRecord>,
-    verdicts: HashMap<(SocketAddr, Name), Verdict>,
+    verdicts: HashMap<Name, HashMap<SocketAddr, Verdict>>,
 }
 
 /// The candidates of one tier: their number, and the best of two drawn at random.
@@ -116,12 +116,13 @@
     ) -> Option<SocketAddr> {
         let mut tiers = [TierDraw::default(); 4];
         let mut declined_near = 0;
+        let verdicts = self.verdicts.get(service);
         for candidate in candidates.filter(|candidate| !tried.contains(&candidate.address)) {
             let record = self.peers.get(&candidate.address).copied().unwrap_or_default();
             if now_us < record.avoided_until_us {
                 continue;
             }
-            let verdict = self.verdicts.get(&(candidate.address, service.clone()));
+            let verdict = verdicts.and_then(|verdicts| verdicts.get(&candidate.address));
             let tier = match (verdict, candidate.is_near) {
                 (Some(Verdict::Declined { until_us }), is_near) if now_us < *until_us => {
                     declined_near += usize::from(is_near);
@@ -159,7 +160,7 @@
 
     /// Records how a forwarded request ended.
     pub fn record(&mut self, peer: SocketAddr, service: &Name, outcome: PeerOutcome, now_us: u64) {
-        if self.verdicts.len() >= VERDICTS_MAX {
+        if self.verdicts.values().map(HashMap::len).sum::<usize>() >= VERDICTS_MAX {
             self.verdicts.clear();
         }
         let record = self.peers.entry(peer).or_default();
@@ -173,7 +174,7 @@
             }
         };
         record.failures = 0;
-        self.verdicts.insert((peer, service.clone()), verdict);
+        self.verdicts.entry(service.clone()).or_default().insert(peer, verdict);
     }
 }
 
--- a/crates/pointvane-dispatch/tests/peers.rs
+++ b/crates/pointvane-dispatch/tests/peers.rs
@@ -25,6 +25,9 @@
     (0..near + far).map(|number| PeerCandidate { address: address(number), is_near: number < near }).collect()
 }
 
+/// Requests of each node that is cut off: those of about a second.
+const REQUESTS_PER_NODE: u64 = 60;
+
 struct Node {
     table: PeerTable,
     rng: SmallRng,
@@ -123,12 +126,16 @@
         let mut node = Node::new(nodes as u64);
         let candidates = candidates(nodes / 3, nodes - nodes / 3);
         let reaches = |peer: SocketAddr| (0..left).any(|number| peer == address(number * (nodes / left)));
-        let mut served = 0;
+        let (mut served, mut hops) = (0, 0);
         // 50 requests a second for 4 s; those of the first second are not counted.
         for step in 0..200 {
-            let (_, peer) = node.forward(&candidates, reaches, NOW_US + step * 20 * MS);
-            served += usize::from(step >= 50 && peer.is_some());
+            let (tries, peer) = node.forward(&candidates, reaches, NOW_US + step * 20 * MS);
+            if step >= 50 {
+                served += usize::from(peer.is_some());
+                hops += tries;
+            }
         }
+        println!("{left} of {nodes} nodes reach the service: {served} of 150 served, {hops} hops");
         expect_that!(served, ge(140), "{left} of {nodes} nodes reach the service");
     }
 }
@@ -175,3 +182,23 @@
     expect_that!(tried.iter().collect::<BTreeSet<_>>().len(), eq(7));
     expect_that!(tried.len(), eq(7));
 }
+
+#[gtest]
+fn requests_of_many_cut_off_nodes_spread_over_those_left() {
+    for (nodes, left) in [(18, 9), (121, 20), (240, 40)] {
+        let mut counts: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+        let reaches = |peer: SocketAddr| (0..left).any(|number| peer == address(number * (nodes / left)));
+        for sender in 0..nodes - left {
+            let mut node = Node::new(sender as u64);
+            let candidates = candidates(nodes, 0);
+            for step in 0..REQUESTS_PER_NODE {
+                let (_, peer) = node.forward(&candidates, reaches, NOW_US + step * 20 * MS);
+                peer.into_iter().for_each(|peer| *counts.entry(peer).or_default() += 1);
+            }
+        }
+        let mean = counts.values().sum::<usize>() as f64 / left as f64;
+        let busiest = *counts.values().max().unwrap() as f64;
+        println!("{left} of {nodes} nodes left: the busiest gets {:.2} times the mean", busiest / mean);
+        expect_that!(busiest, le(2.0 * mean));
+    }
+}
