--- a/crates/pointvane-dispatch/src/peers.rs
+++ b/crates/pointvane-dispatch/src/peers.rs
@@ -114,30 +114,19 @@
         now_us: u64,
         rng: &mut SmallRng,
     ) -> Option<SocketAddr> {
+        let verdicts = self.verdicts.get(service);
         let mut tiers = [TierDraw::default(); 4];
         let mut declined_near = 0;
-        let verdicts = self.verdicts.get(service);
         for candidate in candidates.filter(|candidate| !tried.contains(&candidate.address)) {
             let record = self.peers.get(&candidate.address).copied().unwrap_or_default();
             if now_us < record.avoided_until_us {
                 continue;
             }
             let verdict = verdicts.and_then(|verdicts| verdicts.get(&candidate.address));
-            let tier = match (verdict, candidate.is_near) {
-                (Some(Verdict::Declined { until_us }), is_near) if now_us < *until_us => {
-                    declined_near += usize::from(is_near);
-                    continue;
-                }
-                (Some(Verdict::Accepted { at_us }), true) if now_us < at_us + ACCEPTED_US => {
-                    Tier::AcceptingNear
-                }
-                (Some(Verdict::Accepted { at_us }), false) if now_us < at_us + ACCEPTED_US => {
-                    Tier::AcceptingFar
-                }
-                (_, true) => Tier::UnknownNear,
-                (_, false) => Tier::UnknownFar,
-            };
-            tiers[tier as usize].add(candidate.address, record.in_flight, rng);
+            match tier(candidate, verdict, now_us) {
+                Some(tier) => tiers[tier as usize].add(candidate.address, record.in_flight, rng),
+                None => declined_near += usize::from(candidate.is_near),
+            }
         }
         let order = tier_order(&tiers, declined_near, !tried.is_empty(), rng);
         order.into_iter().find_map(|tier| tiers[tier as usize].best())
@@ -178,6 +167,21 @@
     }
 }
 
+/// The tier of a candidate; none if it declined the service lately.
+fn tier(candidate: PeerCandidate, verdict: Option<&Verdict>, now_us: u64) -> Option<Tier> {
+    let accepts = match verdict {
+        Some(Verdict::Declined { until_us }) if now_us < *until_us => return None,
+        Some(Verdict::Accepted { at_us }) => now_us < at_us + ACCEPTED_US,
+        Some(Verdict::Declined { .. }) | None => false,
+    };
+    Some(match (accepts, candidate.is_near) {
+        (true, true) => Tier::AcceptingNear,
+        (true, false) => Tier::AcceptingFar,
+        (false, true) => Tier::UnknownNear,
+        (false, false) => Tier::UnknownFar,
+    })
+}
+
 /// The order in which tiers are used. `is_retry` says whether another node was tried for this request.
 fn tier_order(tiers: &[TierDraw; 4], declined_near: usize, is_retry: bool, rng: &mut SmallRng) -> [Tier; 4] {
     let accepting_near = tiers[Tier::AcceptingNear as usize].count;
