--- a/crates/pointvane-dispatch/src/reachability.rs
+++ b/crates/pointvane-dispatch/src/reachability.rs
@@ -14,7 +14,7 @@
 use {
     crate::{pool::Pool, upstream::UpstreamState, upstream_key::UpstreamKey},
     pointvane_core::{Name, US_PER_MS},
-    rand::seq::IteratorRandom,
+    rand::{SeedableRng, rngs::SmallRng, seq::IteratorRandom},
     std::net::SocketAddr,
 };
 
@@ -256,19 +256,17 @@
             self.lost.iter().filter(|service| after.as_ref().is_some_and(|after| *service <= after));
         let due: Vec<Name> = later.chain(earlier).take(services).cloned().collect();
         self.last_checked = due.last().cloned();
-        let mut rng = self.rng.clone();
-        let keys = due
-            .iter()
-            .flat_map(|service| self.usable(service, now_us).choose_multiple(&mut rng, CHECKS_PER_SERVICE));
-        let keys = keys.collect();
-        self.rng = rng;
-        keys
+        // A separate generator, since the eligibility checks borrow the pool.
+        let mut rng = SmallRng::from_rng(&mut self.rng);
+        due.iter()
+            .flat_map(|service| self.usable(service, now_us).choose_multiple(&mut rng, CHECKS_PER_SERVICE))
+            .collect()
     }
 
     /// Addresses of random other upstreams, by which a failure of one can be told from one of the path: of its
     /// service, or of all services if it is the only one.
     pub fn path_references(&mut self, key: UpstreamKey) -> Vec<SocketAddr> {
-        let mut rng = self.rng.clone();
+        let mut rng = SmallRng::from_rng(&mut self.rng);
         let service = self.upstreams.get(&key).map(|state| &state.record.service);
         let same_service = service.and_then(|service| self.by_service.get(service)).into_iter();
         let same_service = same_service.flat_map(|upstreams| upstreams.keys()).filter(|other| *other != key);
@@ -277,7 +275,6 @@
             let others = self.upstreams.keys().copied().filter(|other| *other != key);
             keys = others.choose_multiple(&mut rng, PATH_REFERENCES);
         }
-        self.rng = rng;
         keys.iter().filter_map(|key| self.get(*key)).map(UpstreamState::address).collect()
     }
 
--- a/crates/pointvane-node/src/peer_attempt.rs
+++ b/crates/pointvane-node/src/peer_attempt.rs
@@ -42,8 +42,8 @@
 const UNRESPONSIVE_US: u64 = 500_000;
 const MS_PER_S: f64 = 1_000.0;
 
-/// The result of forwarding a request.
-enum Forwarded {
+/// The result of forwarding a request to another node.
+enum PeerResult {
     /// The response of an upstream.
     Answered(Box<Response<RelayBody>>),
     /// The other node did not send the request to an upstream; another node may be tried.
@@ -58,7 +58,7 @@
     Broken,
 }
 
-impl Forwarded {
+impl PeerResult {
     fn peer_outcome(&self) -> Option<PeerOutcome> {
         match self {
             Self::Answered(_) => Some(PeerOutcome::Accepted),
@@ -176,27 +176,31 @@
     forwarded.into_report()
 }
 
-async fn forward<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest, peer: SocketAddr) -> Forwarded {
+async fn forward<A: PlatformAdapter>(
+    node: &Node<A>,
+    request: &CallerRequest,
+    peer: SocketAddr,
+) -> PeerResult {
     let is_repeatable = request.routed.route.kind.is_repeatable();
     let purpose = if is_repeatable { Purpose::Repeatable } else { Purpose::NonRepeatable };
     let Ok(mut connection) = node.dispatcher.connections.get(peer, purpose).await else {
-        return Forwarded::Unreachable;
+        return PeerResult::Unreachable;
     };
     let attempts_left = request.routed.route.attempts_max.saturating_sub(request.sends.get());
     let handed_over = attempts_to_hand_over(attempts_left, is_repeatable);
-    let Some(outgoing) = outgoing(node, request, handed_over) else { return Forwarded::Unsent };
+    let Some(outgoing) = outgoing(node, request, handed_over) else { return PeerResult::Unsent };
     request.charge.iter().for_each(crate::quota::QuotaCharge::commit);
     request.sends.set(request.sends.get() + handed_over);
     let forwarded = match connection.send(outgoing).await {
         Ok(response) => read_response(node, request, connection, response).await,
-        Err(SendError::Unsent) if request.body.is_some() => Forwarded::Unreachable,
+        Err(SendError::Unsent) if request.body.is_some() => PeerResult::Unreachable,
         // Part of a streamed body may already be consumed, so the request counts as sent.
-        Err(SendError::Unsent | SendError::Broken) => Forwarded::Broken,
+        Err(SendError::Unsent | SendError::Broken) => PeerResult::Broken,
     };
     let is_unsent = match &forwarded {
-        Forwarded::Declined | Forwarded::Unreachable | Forwarded::Unsent => true,
-        Forwarded::Refused { error, .. } => error.answer().outcome == Outcome::NotRun,
-        Forwarded::Answered(_) | Forwarded::Broken => false,
+        PeerResult::Declined | PeerResult::Unreachable | PeerResult::Unsent => true,
+        PeerResult::Refused { error, .. } => error.answer().outcome == Outcome::NotRun,
+        PeerResult::Answered(_) | PeerResult::Broken => false,
     };
     if is_unsent {
         request.sends.set(request.sends.get().saturating_sub(handed_over));
@@ -231,7 +235,7 @@
     request: &CallerRequest,
     connection: Connection,
     response: Response<Incoming>,
-) -> Forwarded {
+) -> PeerResult {
     let (mut head, body) = response.into_parts();
     let error = refusal_kind(&mut head);
     if let Some(version) =
@@ -242,16 +246,16 @@
     // A streamed request body may still be in transit when the response arrives, so its connection is not
     // reused.
     let reusable = request.body.is_some();
-    let Ok(response) = read_body(head, body, connection, reusable).await else { return Forwarded::Broken };
+    let Ok(response) = read_body(head, body, connection, reusable).await else { return PeerResult::Broken };
     match error {
-        None => Forwarded::Answered(Box::new(response)),
+        None => PeerResult::Answered(Box::new(response)),
         Some(
             ErrorKind::UpstreamUnreachable
             | ErrorKind::NoUpstream
             | ErrorKind::NotReady
             | ErrorKind::Stopping,
-        ) => Forwarded::Declined,
-        Some(error) => Forwarded::Refused { error, retry_after_ms: retry_after_ms(response.headers()) },
+        ) => PeerResult::Declined,
+        Some(error) => PeerResult::Refused { error, retry_after_ms: retry_after_ms(response.headers()) },
     }
 }
 
