--- a/crates/pointvane-dispatch/src/forwarded_request.rs
+++ b/crates/pointvane-dispatch/src/forwarded_request.rs
@@ -1,4 +1,4 @@
-//! What a node tells another one about a request that it forwards, besides the request itself.
+//! Metadata that a node sends with a request that it forwards to another node.
 //!
 //! The receiver handles the request by its own configuration, which must not be older than the sender's; it
 //! authorizes the request again, but the sender has charged the account's quota and has deposited in the retry
@@ -9,8 +9,7 @@
     std::{fmt, str::FromStr},
 };
 
-/// What a node tells another one about a request that it forwards; written as the three fields separated by
-/// spaces.
+/// Metadata of a forwarded request; written as the three fields separated by spaces.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ForwardedRequest {
     /// Least version of the configuration by which it may be handled: the sender's, or a newer one by which
--- a/crates/pointvane-dispatch/src/reachability.rs
+++ b/crates/pointvane-dispatch/src/reachability.rs
@@ -34,7 +34,7 @@
 
 /// Upstreams of a service that are looked at to tell whether most are ejected; bounds the time of a refusal.
 const EJECTED_COUNTED_MAX: usize = 64;
-/// Other upstreams by which a failure of one is told from one of the path: several, since they may have failed
+/// Other upstreams by which a failure of one is distinguished from one of the path: several, since they may have failed
 /// as well.
 const PATH_REFERENCES: usize = 3;
 
@@ -263,7 +263,7 @@
             .collect()
     }
 
-    /// Addresses of random other upstreams, by which a failure of one can be told from one of the path: of its
+    /// Addresses of random other upstreams, by which a failure of one can be distinguished from one of the path: of its
     /// service, or of all services if it is the only one.
     pub fn path_references(&mut self, key: UpstreamKey) -> Vec<SocketAddr> {
         let mut rng = SmallRng::from_rng(&mut self.rng);
--- a/crates/pointvane-dispatch/src/routes.rs
+++ b/crates/pointvane-dispatch/src/routes.rs
@@ -59,7 +59,7 @@
 }
 
 impl RoutedRequest {
-    /// Applies what the node that forwarded the request says of it, if one did: the service, if the route still
+    /// Applies the metadata of a forwarded request, if it is one: the service, if the route still
     /// has it, and the attempts that are left.
     pub fn handed_over(self, forwarded: Option<&ForwardedRequest>) -> Self {
         let Some(forwarded) = forwarded else { return self };
--- a/crates/pointvane-node/src/request.rs
+++ b/crates/pointvane-node/src/request.rs
@@ -86,7 +86,7 @@
     pub tried: RefCell<Vec<UpstreamKey>>,
     /// Attempts of which at least one byte may have been sent, and those that were handed over to another node.
     pub sends: Cell<u32>,
-    /// What the node that forwarded it says of it, if one did.
+    /// Metadata from the node that forwarded it, if one did.
     pub forwarded: Option<ForwardedRequest>,
     /// Nodes that it was forwarded to so far.
     pub tried_peers: RefCell<Vec<SocketAddr>>,
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -42,7 +42,7 @@
     pub caller: IpAddr,
     /// When it arrived, in microseconds of the monotonic clock.
     pub at_us: u64,
-    /// What the node that forwarded it says of it, if one did.
+    /// Metadata from the node that forwarded it, if one did.
     pub forwarded: Option<ForwardedRequest>,
 }
 
