--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 //! | which upstreams are candidates, and how they are ranked | `ranking.rs`, `subset.rs`, `cost.rs` |
 //! | which pipelined requests are forwarded early | `pipeline.rs` |
 //! | which candidates are probed, and which one is selected | `search.rs` |
+//! | how much room the upstreams of a service have in each data centre | `contention.rs` |
 //! | how many slots of an upstream are occupied, and how latency grows with occupancy | `load_curve.rs` |
 //! | whether a request is sent to an upstream or refused | `admission.rs` |
 //! | whether this node has lost the path to a service | `reachability.rs` |
@@ -37,6 +38,7 @@
 mod attempt_path;
 mod attempts;
 mod budget;
+mod contention;
 mod cost;
 mod deadline;
 mod directory;
@@ -81,6 +83,7 @@
     attempt_path::{PathInputs, WithoutPeer, lost_retry_after_ms, without_peer},
     attempts::{AttemptEnd, NextStep, RequestAttempts},
     budget::{BudgetLimits, NodeBudgets, PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions},
+    contention::Contention,
     deadline::answer_deadline_us,
     directory::{DirectoryMember, directory_addresses},
     ejection::{ProbeOutcome, unresponsive_after_ms},
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        contention::ContentionTable,
         evacuations::Evacuations,
         ranking_options::RankingOptions,
         service_state::ServiceState,
@@ -53,6 +54,7 @@
     /// The region of each data centre for which it is known.
     pub(crate) regions: BTreeMap<Name, Name>,
     pub(crate) warm_up: WarmUpShares,
+    pub(crate) contention: ContentionTable,
     pub(crate) rng: SmallRng,
 }
 
@@ -74,6 +76,7 @@
             evacuations: Evacuations::default(),
             regions: BTreeMap::new(),
             warm_up: WarmUpShares::new(seed),
+            contention: ContentionTable::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
--- a/crates/pointvane-dispatch/src/records.rs
+++ b/crates/pointvane-dispatch/src/records.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        load_when_sent::LoadWhenSent, pool::Pool, service_state::ServiceState, upstream_key::UpstreamKey,
+        contention::ContentionSample, load_when_sent::LoadWhenSent, pool::Pool, service_state::ServiceState,
+        upstream_key::UpstreamKey,
     },
     pointvane_core::{Name, UpstreamLoad},
 };
@@ -17,9 +18,16 @@
             return;
         };
         state.record_load(load, now_us);
-        if let Some(service) = self.services.get_mut(&state.record.service) {
-            service.record_report(load.slowdown_percent as f32 / PERCENT);
-        }
+        let Some(service) = self.services.get_mut(&state.record.service) else {
+            return;
+        };
+        service.record_report(load.slowdown_percent as f32 / PERCENT);
+        let slots = state.record.slots.max(1) as f32;
+        let sample = ContentionSample {
+            is_uncontended: state.cost(service, now_us) <= self.options.uncontended_cost,
+            occupancy: (load.running + load.waiting) as f32 / slots,
+        };
+        self.contention.record(&state.record.service, &state.record.data_centre, sample, now_us);
     }
 
     /// Records the remaining warm-up time that an upstream reports, in milliseconds.
