Reachability: the state of one service in a module without the pool

pool.rs, reachability.rs and service_state.rs imported each other in a circle: the state of a service held a type of the rule that is applied to the pool. That state has a file of its own now.

--- a/crates/pointvane-dispatch/src/attempt_path.rs
+++ b/crates/pointvane-dispatch/src/attempt_path.rs
@@ -7,7 +7,7 @@
 //! once, except for a trial now and then. Tests: `tests/attempt_path.rs`.
 
 use {
-    crate::{admission::RETRY_AFTER_DEFAULT_MS, reachability::Reach},
+    crate::{admission::RETRY_AFTER_DEFAULT_MS, service_reach::Reach},
     pointvane_core::RouteRule,
 };
 
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -19,7 +19,7 @@
 //! | how much room the upstreams of a service have in each data centre | `contention.rs` |
 //! | how many slots of an upstream are occupied, and how latency grows with occupancy | `load_curve.rs` |
 //! | whether a request is sent to an upstream or refused | `admission.rs` |
-//! | whether this node has lost the path to a service | `reachability.rs` |
+//! | whether this node has lost the path to a service | `reachability.rs`, with `service_reach.rs` |
 //! | whether an attempt goes through another node, and which | `attempt_path.rs`, `peers.rs`, `forwarded_request.rs` |
 //! | whether a failed attempt is retried, and what the caller is answered | `attempts.rs`, `retry.rs`, with `outcome.rs` |
 //! | when a request is hedged with a second concurrent attempt | `hedge.rs` |
@@ -70,6 +70,7 @@
 mod route_latencies;
 mod routes;
 mod search;
+mod service_reach;
 mod service_state;
 mod subset;
 mod upstream;
@@ -112,7 +113,7 @@
     },
     ranking::CandidateCriteria,
     ranking_options::{Ranking, RankingOptions},
-    reachability::{ConnectionKind, Reach, ReachChange},
+    reachability::ReachChange,
     replica::{
         fan_out::{
             DIRECT_SEND_MAX, FAN_OUT, Forwarder, OrderedNode, ReceivedRounds, Segment, broadcast_position,
@@ -137,6 +138,7 @@
     search::{
         Found, PROBE_TIMEOUT_US, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep, search_time_ms,
     },
+    service_reach::{ConnectionKind, Reach},
     upstream::{LoadSample, UpstreamState},
     upstream_key::UpstreamKey,
     warm_up::WarmUpBound,
--- a/crates/pointvane-dispatch/src/service_state.rs
+++ b/crates/pointvane-dispatch/src/service_state.rs
@@ -1,6 +1,6 @@
 //! Load statistics that a node keeps for each service, aggregated over its upstreams.
 
-use crate::{latency::LatencyQuantile, load_curve::LoadCurve, reachability::ServiceReach};
+use crate::{latency::LatencyQuantile, load_curve::LoadCurve, service_reach::ServiceReach};
 
 /// The quantile of probe response times that serves as the baseline.
 const MEDIAN: f64 = 0.5;
