--- a/crates/pointvane-balance/src/service/pick.rs
+++ b/crates/pointvane-balance/src/service/pick.rs
@@ -65,11 +65,15 @@
         if let Some(index) = self.chooser.choose(&self.upstreams, &context, has_room) {
             return Ok(index);
         }
-        let states = || self.upstreams.iter().enumerate().filter(|(i, _)| is_eligible(*i));
-        if states().any(|(i, state)| is_healthy(i, state)) {
-            return Err(PickError::Full);
+        let eligible = self.upstreams.iter().enumerate().filter(|(i, _)| is_eligible(*i));
+        let mut is_all_leaving = true;
+        for (index, state) in eligible {
+            if is_healthy(index, state) {
+                return Err(PickError::Full);
+            }
+            is_all_leaving &= state.evidence.is_leaving();
         }
-        if states().all(|(_, state)| state.evidence.is_leaving()) {
+        if is_all_leaving {
             return Err(self.no_upstream_reason(now_us));
         }
         // All upstreams that are known to stay are ejected: a failing upstream is better than none.
--- a/crates/pointvane-config/src/service_file.rs
+++ b/crates/pointvane-config/src/service_file.rs
@@ -11,23 +11,26 @@
 /// Maximum deadline that a file may set, in milliseconds: one hour.
 const DEADLINE_MS_MAX: u64 = 3_600_000;
 
+/// Keys of a service file.
+const SERVICE_KEYS: [&str; 13] = [
+    "admission",
+    "deadline_ms",
+    "ejection",
+    "hedge",
+    "home_vms",
+    "hosts",
+    "load",
+    "name",
+    "path_prefix",
+    "policy",
+    "retry",
+    "slots",
+    "upstream",
+];
+
 /// Reads a service from the root table of its file.
 pub fn read_service(root: &Section<'_, '_>) -> Service {
-    root.reject_unknown_keys(&[
-        "admission",
-        "deadline_ms",
-        "ejection",
-        "hedge",
-        "home_vms",
-        "hosts",
-        "load",
-        "name",
-        "path_prefix",
-        "policy",
-        "retry",
-        "slots",
-        "upstream",
-    ]);
+    root.reject_unknown_keys(&SERVICE_KEYS);
     let slots = root.integer("slots", 1..=10_000, Some(1));
     let upstreams: Vec<_> =
         root.sections("upstream").iter().filter_map(|s| read_upstream(s, slots)).collect();
--- a/crates/pointvane-entry/src/attempt.rs
+++ b/crates/pointvane-entry/src/attempt.rs
@@ -102,13 +102,9 @@
         return UpstreamAttempt::Unsent(body, ErrorKind::UpstreamsBackingOff);
     }
     counters.attempted();
-    let answer_deadline_us = outgoing.request.deadline_us;
-    let response_wait = response_wait::send(
-        connection,
-        outgoing.build(body),
-        NoticeRecorder::from(&attempt),
-        answer_deadline_us,
-    );
+    let recorder = NoticeRecorder::from(&attempt);
+    let deadline_us = outgoing.request.deadline_us;
+    let response_wait = response_wait::send(connection, outgoing.build(body), recorder, deadline_us);
     match timeout_at(give_up_at, response_wait).await {
         Ok((connection, Ok(response))) => {
             counters.upstream_responded(&outgoing.request.service.name, attempt.elapsed_s());
--- a/crates/pointvane-mesh/src/membership/merge.rs
+++ b/crates/pointvane-mesh/src/membership/merge.rs
@@ -8,6 +8,31 @@
     std::cmp::Ordering,
 };
 
+impl Member {
+    /// Replaces its row by a received one of higher precedence; true if its state changes.
+    fn update(&mut self, row: &MemberRow, transmissions: u32, now_us: u64) -> bool {
+        match self.compare(row) {
+            Ordering::Less => false,
+            Ordering::Equal => {
+                // The entry and the stamp may change within a version; newer ones arrive only with the VM's
+                // own row.
+                self.row.entry = row.entry;
+                self.row.stamp = self.row.stamp.max(row.stamp);
+                false
+            }
+            Ordering::Greater => {
+                let is_changed = self.row.state != row.state;
+                self.row = row.clone();
+                self.transmissions_left = transmissions;
+                if is_changed {
+                    self.changed_at_us = now_us;
+                }
+                is_changed
+            }
+        }
+    }
+}
+
 impl Membership {
     /// Merges a received row: adds an unknown member that is not dead, or replaces a row of lower precedence.
     /// A row about this process is refuted if it is wrong.
@@ -27,24 +52,11 @@
                 self.members.insert(row.identity.name.clone(), member);
                 actions.push(state_changed(row));
             }
-            Some(member) => match member.compare(row) {
-                Ordering::Less => {}
-                Ordering::Equal => {
-                    // The entry and the stamp may change within a version; newer ones arrive only with the
-                    // VM's own row.
-                    member.row.entry = row.entry;
-                    member.row.stamp = member.row.stamp.max(row.stamp);
+            Some(member) => {
+                if member.update(row, transmissions, now_us) {
+                    actions.push(state_changed(row));
                 }
-                Ordering::Greater => {
-                    let state_before = member.row.state;
-                    member.row = row.clone();
-                    member.transmissions_left = transmissions;
-                    if state_before != row.state {
-                        member.changed_at_us = now_us;
-                        actions.push(state_changed(row));
-                    }
-                }
-            },
+            }
         }
     }
 
--- a/crates/pointvane-node/src/replica/platform_reader.rs
+++ b/crates/pointvane-node/src/replica/platform_reader.rs
@@ -11,7 +11,7 @@
     },
     bytes::Bytes,
     pointvane_core::{Change, ChangePage, MalformedReply, PlatformAdapter},
-    pointvane_dispatch::{CallReason, PeerQuery, ReaderCall, ReaderQuery, StateReply},
+    pointvane_dispatch::{CallReason, PeerQuery, ReadMark, ReaderCall, ReaderQuery, StateReply},
     pointvane_telemetry::EventKind,
     std::{mem, net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::timeout,
@@ -160,12 +160,7 @@
     };
     let mark = node.platform.mark();
     if mark.revision > 0 {
-        let upstreams = changes.iter().filter(|change| matches!(change, Change::Upstream(_))).count() as u64;
-        node.report.record(EventKind::PlatformRead {
-            revision: mark.revision,
-            version: mark.version,
-            upstreams,
-        });
+        report_read(node, &mark, &changes);
     }
     node.apply(changes);
     if mark.revision > 0 && node.dispatcher.routes().version() == 0 {
@@ -177,6 +172,12 @@
     }
 }
 
+fn report_read<A: PlatformAdapter>(node: &Node<A>, mark: &ReadMark, changes: &[Change]) {
+    let upstreams = changes.iter().filter(|change| matches!(change, Change::Upstream(_))).count() as u64;
+    let (revision, version) = (mark.revision, mark.version);
+    node.report.record(EventKind::PlatformRead { revision, version, upstreams });
+}
+
 /// Waits for changes. The watch is cancelled as stalled when the platform is known to hold a later revision
 /// but no response head arrives.
 async fn watch<A: PlatformAdapter>(
--- a/standins/src/bin/demo.rs
+++ b/standins/src/bin/demo.rs
@@ -132,14 +132,8 @@
     for (report, service) in reports.iter().zip(&deployment.plan.services) {
         call_checks(report, &service.name).into_iter().for_each(|(holds, what)| check(holds, what));
     }
-    for service in &deployment.plan.services {
-        for number in 0..service.instances {
-            let records = deployment
-                .admin
-                .records(deployment.upstream_control_address(), &service.upstream_name(number))?;
-            let twice = records.keys.values().filter(|&&times| times > 1).count();
-            check(twice == 0, format!("{twice} keys run twice at {}", service.upstream_name(number)));
-        }
+    for (upstream, twice) in keys_run_twice(deployment)? {
+        check(twice == 0, format!("{twice} keys run twice at {upstream}"));
     }
     let name = deployment.plan.services[0].upstream_name(0);
     let begun_late = deployment.admin.records(deployment.upstream_control_address(), &name)?.begun_draining
@@ -153,6 +147,19 @@
     Ok(failures)
 }
 
+/// The upstreams, each with the number of its keys that ran more than once.
+fn keys_run_twice(deployment: &Deployment) -> Result<Vec<(String, usize)>> {
+    let mut counts = Vec::new();
+    for service in &deployment.plan.services {
+        for number in 0..service.instances {
+            let name = service.upstream_name(number);
+            let records = deployment.admin.records(deployment.upstream_control_address(), &name)?;
+            counts.push((name, records.keys.values().filter(|&&times| times > 1).count()));
+        }
+    }
+    Ok(counts)
+}
+
 /// Checks on the calls to one service: whether each holds, and the message to print if it does not.
 fn call_checks(report: &LoadReport, service: &str) -> Vec<(bool, String)> {
     let is_zero = |name: &str, value: u64| (value == 0, format!("{service}: {value} {name}"));
