--- a/crates/pointvane-balance/src/service/pick.rs
+++ b/crates/pointvane-balance/src/service/pick.rs
@@ -1,7 +1,7 @@
 //! Selection of the upstream for one attempt, and the reason if there is none.
 
 use {
-    super::ServiceBalancer,
+    super::{ServiceBalancer, upstreams::UpstreamRecord},
     crate::{
         estimate::ServiceMean,
         upstream::{ScoreContext, UpstreamState},
@@ -18,6 +18,12 @@
     }
 }
 
+/// Whether an upstream may get a request of `class`, apart from its health.
+fn is_eligible(record: &UpstreamRecord, state: &UpstreamState, class: Class, now_us: u64) -> bool {
+    let is_withheld = state.upstream.evacuated || state.is_withheld(priority_of(class), now_us);
+    !record.retired && !is_withheld
+}
+
 /// Why no upstream was selected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum PickError {
@@ -47,11 +53,8 @@
         let is_bounded = self.service.policy == Policy::Shared && self.in_flight > 0;
         let queue_share = self.service.admission.queue_share as f32;
         let records = &self.records;
-        let is_eligible = |i: usize| {
-            let state = &self.upstreams[i];
-            let is_withheld = state.upstream.evacuated || state.is_withheld(priority_of(class), now_us);
-            !records[i].retired && !is_withheld && Some(i) != exclude
-        };
+        let is_eligible =
+            |i: usize| Some(i) != exclude && is_eligible(&records[i], &self.upstreams[i], class, now_us);
         let is_confirmed =
             |i: usize, s: &UpstreamState| is_eligible(i) && s.evidence.is_fresh(now_us, age_max_us);
         let is_healthy = |i: usize, s: &UpstreamState| is_confirmed(i, s) && !s.health.is_ejected(now_us);
@@ -59,21 +62,16 @@
             is_healthy(i, s) && (!is_bounded || s.has_room(&context, queue_share))
         };
         let mut indexed = self.upstreams.iter().enumerate();
-        if let Some((index, _)) = indexed.find(|(i, s)| s.limit.is_refresh_due(now_us) && has_room(*i, s)) {
-            return Ok(index);
-        }
-        if let Some(index) = self.chooser.choose(&self.upstreams, &context, has_room) {
+        let refresh = indexed.find(|(i, s)| s.limit.is_refresh_due(now_us) && has_room(*i, s));
+        let refresh = refresh.map(|(index, _)| index);
+        if let Some(index) = refresh.or_else(|| self.chooser.choose(&self.upstreams, &context, has_room)) {
             return Ok(index);
         }
-        let eligible = self.upstreams.iter().enumerate().filter(|(i, _)| is_eligible(*i));
-        let mut is_all_leaving = true;
-        for (index, state) in eligible {
-            if is_healthy(index, state) {
-                return Err(PickError::Full);
-            }
-            is_all_leaving &= state.evidence.is_leaving();
+        let states = || self.upstreams.iter().enumerate().filter(|(i, _)| is_eligible(*i));
+        if states().any(|(i, state)| is_healthy(i, state)) {
+            return Err(PickError::Full);
         }
-        if is_all_leaving {
+        if states().all(|(_, state)| state.evidence.is_leaving()) {
             return Err(self.no_upstream_reason(now_us));
         }
         // All upstreams that are known to stay are ejected: a failing upstream is better than none.
