One bound of memory over all bodies of requests and answers

Bodies were bounded a connection (512 KB of a request, 64 KB of an answer) and not over all of them. memory-mb of the settings now bounds them together; without it nothing is bounded, as before. memory_budget.rs decides who waits and who is refused, memory.rs carries it out. A body that waits is not read; one whose sender stopped is refused with 503 memory-exhausted when others need its memory. A request whose body is not in by its deadline is refused then, not when the body ends.

Golden files: one more error kind, two events, two gauges and a counter.

--- a/crates/pointvane-core/src/error.rs
+++ b/crates/pointvane-core/src/error.rs
@@ -76,6 +76,8 @@
     /// All upstreams that could run the request are at their request limits, or are unusable for other
     /// reasons.
     UpstreamsLimited,
+    /// The node has no memory for the request's body.
+    MemoryExhausted,
 }
 
 /// HTTP response to one [`ErrorKind`].
@@ -103,7 +105,7 @@
     AnswerRow { kind, name, status, outcome, retry_after }
 }
 
-const TABLE: [AnswerRow; 23] = [
+const TABLE: [AnswerRow; 24] = [
     row(ErrorKind::BadRequest, "bad-request", 400, Outcome::NotRun, false),
     row(ErrorKind::NoSuchService, "no-such-service", 404, Outcome::NotRun, false),
     row(ErrorKind::KeyMissing, "key-missing", 428, Outcome::NotRun, false),
@@ -127,6 +129,7 @@
     row(ErrorKind::QuotaExceeded, "quota-exceeded", 429, Outcome::NotRun, true),
     row(ErrorKind::AccountsUnconfirmed, "accounts-unconfirmed", 503, Outcome::NotRun, true),
     row(ErrorKind::UpstreamsLimited, "upstreams-limited", 503, Outcome::NotRun, true),
+    row(ErrorKind::MemoryExhausted, "memory-exhausted", 503, Outcome::NotRun, true),
 ];
 
 impl ErrorKind {
--- a/crates/pointvane-core/tests/core.rs
+++ b/crates/pointvane-core/tests/core.rs
@@ -86,6 +86,7 @@
         "quota-exceeded 429 not-run retry-after",
         "accounts-unconfirmed 503 not-run retry-after",
         "upstreams-limited 503 not-run retry-after",
+        "memory-exhausted 503 not-run retry-after",
     ];
     expect_that!(rows, eq(&expected.map(String::from).to_vec()));
 }
--- a/crates/pointvane-dispatch/src/admission.rs
+++ b/crates/pointvane-dispatch/src/admission.rs
@@ -157,7 +157,10 @@
             return back_in_ms.map(|back_in_ms| (back_in_ms as f64 + target_ms * share) as u32);
         }
         (
-            ErrorKind::Overloaded | ErrorKind::UpstreamsBackingOff | ErrorKind::UpstreamsLimited,
+            ErrorKind::Overloaded
+            | ErrorKind::UpstreamsBackingOff
+            | ErrorKind::UpstreamsLimited
+            | ErrorKind::MemoryExhausted,
             RefusedBy::Node,
         ) => RETRY_AFTER_SHARES,
         (
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! | how long a node that has just started holds a request | `first_state.rs` |
 //! | which client account a request is charged to | `access.rs` |
 //! | whether the quota of that account admits the request | `quota.rs` |
+//! | which bodies get memory, which wait for it and which are refused | `memory_budget.rs` |
 //! | whether an upstream is eligible for new requests | `eligibility.rs`, with `ineligible.rs`, `evacuations.rs`, `notices.rs`, `limits.rs`, `warm_up.rs`, `ejection.rs`, `allowed_regions.rs` |
 //! | which upstreams are candidates, and how they are ranked | `ranking.rs`, `subset.rs`, `cost.rs` |
 //! | which pipelined requests are forwarded early | `pipeline.rs` |
@@ -52,6 +53,7 @@
 mod limits;
 mod load_curve;
 mod load_when_sent;
+mod memory_budget;
 mod notices;
 mod outcome;
 mod peers;
@@ -94,6 +96,10 @@
     limits::{LIMITS_MAX, LimitAnnouncement, LimitMessage},
     load_curve::LoadCurve,
     load_when_sent::LoadWhenSent,
+    memory_budget::{
+        HolderId, MemoryBudget, MemoryLimits, MemoryRefusal, PROGRESS_BYTES_MIN, Reservation, SMALL_BYTES,
+        STALLED_US, WAIT_MAX_US,
+    },
     notices::WithheldService,
     outcome::{AttemptOutcome, NotRunReason},
     peers::{PeerCandidate, PeerOutcome, PeerTable},
--- a/crates/pointvane-node/src/answer.rs
+++ b/crates/pointvane-node/src/answer.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     hyper::{
         Response, StatusCode,
-        header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+        header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     },
     pointvane_core::{AnswerRow, ErrorKind, Outcome, PlatformAdapter},
     pointvane_dispatch::{RETRY_AFTER_DEFAULT_MS, WithheldService},
@@ -25,11 +25,13 @@
     pub retry_after_ms: Option<u32>,
     /// Why the upstreams of the request's service accept no requests, if none of them does.
     pub withheld: Option<WithheldService>,
+    /// Whether a part of the request's body has not been read, so that its connection must be closed.
+    pub is_body_unread: bool,
 }
 
 impl From<ErrorKind> for Refused {
     fn from(kind: ErrorKind) -> Self {
-        Self { kind, status: None, retry_after_ms: None, withheld: None }
+        Self { kind, status: None, retry_after_ms: None, withheld: None, is_body_unread: false }
     }
 }
 
@@ -44,6 +46,9 @@
     let mut response = Response::new(RelayBody::whole(Bytes::from(text)));
     *response.status_mut() = refused.status.unwrap_or_else(|| status_of(row));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if refused.is_body_unread {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     if let Some(id) = id {
         response.headers_mut().insert(node.headers.request_id.clone(), id);
     }
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -2,9 +2,10 @@
 
 use {
     crate::{
-        body::{BufferedBody, buffer_body},
+        body::{buffer_answer_body, skip_body},
         connections::{Connection, Purpose, RelayBody, SendError},
         head_wait::{self, AwaitedAnswer, SendResult},
+        memory::BodyMemory,
         node::Node,
         quota::QuotaCharge,
         request::{CallerRequest, strip_hop_by_hop_headers},
@@ -94,7 +95,8 @@
     }
     let Answer { head, body, connection, .. } = answer;
     // Whatever the cause, the attempt is counted and logged as broken.
-    read_body(head, body, connection, reusable).await.map_err(|_| AttemptOutcome::Broken)
+    let response = read_body(head, body, connection, reusable, &node.body_memory).await;
+    response.map_err(|_| AttemptOutcome::Broken)
 }
 
 /// Sends a request and waits for the head of the response.
@@ -196,7 +198,7 @@
 /// Reads the body of a response that marks the request as not run, so that its connection can be reused.
 async fn refusal_outcome(answer: Answer, reusable: bool) -> AttemptOutcome {
     let Answer { head, body, connection, .. } = answer;
-    if reusable && let Ok(BufferedBody { rest: None, .. }) = buffer_body(body, ANSWER_BUFFER_BYTES).await {
+    if reusable && skip_body(body, ANSWER_BUFFER_BYTES).await.is_ok_and(|is_complete| is_complete) {
         connection.keep(&head.headers);
     }
     AttemptOutcome::NotRun(match head.status {
@@ -216,8 +218,9 @@
     body: Incoming,
     connection: Connection,
     reusable: bool,
+    memory: &BodyMemory,
 ) -> Result<Response<RelayBody>, hyper::Error> {
-    let buffered = buffer_body(body, ANSWER_BUFFER_BYTES).await?;
+    let buffered = buffer_answer_body(body, ANSWER_BUFFER_BYTES, memory).await?;
     let body = match buffered.rest {
         Some(_) => RelayBody::streamed(buffered, Some(connection)),
         None => {
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -24,6 +24,8 @@
 mod in_flight;
 mod lifecycle;
 mod limit_loop;
+mod memory;
+mod memory_loop;
 mod node;
 mod notices;
 mod operator;
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        dispatcher::Dispatcher, fleet::Fleet, headers::Headers, lifecycle::Lifecycle,
+        dispatcher::Dispatcher, fleet::Fleet, headers::Headers, lifecycle::Lifecycle, memory::BodyMemory,
         replica::platform_state::PlatformState, report::Report, settings::NodeSettings,
     },
     pointvane_config::NodeOptions,
@@ -31,6 +31,8 @@
     pub fleet: Fleet,
     /// State read from the platform.
     pub platform: PlatformState,
+    /// Memory that bodies of requests and answers occupy.
+    pub body_memory: BodyMemory,
     /// Stage of a graceful shutdown.
     pub lifecycle: Lifecycle,
     settings: RefCell<NodeSettings>,
@@ -59,6 +61,7 @@
             dispatcher: Dispatcher::new(options, &settings, incarnation, &mut seed_rng, now_us),
             fleet: Fleet::new(&settings, incarnation, &mut seed_rng, now_us),
             platform: PlatformState::new(&settings, seed_rng.random()),
+            body_memory: BodyMemory::new(settings.memory_mb),
             lifecycle: Lifecycle::default(),
             settings: RefCell::new(settings),
             clock,
@@ -86,6 +89,7 @@
 
     /// Replaces the settings and recomputes this node's share of the budgets.
     pub fn replace_settings(&self, settings: NodeSettings) {
+        self.body_memory.set_limit(settings.memory_mb);
         self.settings.replace(settings);
         self.share_budgets();
     }
--- a/crates/pointvane-node/src/operator.rs
+++ b/crates/pointvane-node/src/operator.rs
@@ -74,7 +74,10 @@
 ) -> Result<Response<RelayBody>, Infallible> {
     // A failed serialization is answered with 500; none of these types can fail.
     let (content_type, text) = match request.uri().path() {
-        "/metrics" => (TEXT, Some(node.report.metrics.text())),
+        "/metrics" => {
+            node.report.memory_used(node.body_memory.usage());
+            (TEXT, Some(node.report.metrics.text()))
+        }
         "/events" => {
             (JSON, serde_json::to_string(&node.report.events.page(events_after(request.uri().query()))).ok())
         }
--- a/crates/pointvane-node/src/peer_attempt.rs
+++ b/crates/pointvane-node/src/peer_attempt.rs
@@ -246,14 +246,17 @@
     // A streamed request body may still be in transit when the response arrives, so its connection is not
     // reused.
     let reusable = request.body.is_some();
-    let Ok(response) = read_body(head, body, connection, reusable).await else { return PeerResult::Broken };
+    let Ok(response) = read_body(head, body, connection, reusable, &node.body_memory).await else {
+        return PeerResult::Broken;
+    };
     match error {
         None => PeerResult::Answered(Box::new(response)),
         Some(
             ErrorKind::UpstreamUnreachable
             | ErrorKind::NoUpstream
             | ErrorKind::NotReady
-            | ErrorKind::Stopping,
+            | ErrorKind::Stopping
+            | ErrorKind::MemoryExhausted,
         ) => PeerResult::Declined,
         Some(error) => PeerResult::Refused { error, retry_after_ms: retry_after_ms(response.headers()) },
     }
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        body::buffer_body,
+        body::skip_body,
         connections::{ConnectError, Connection, Connections, Purpose, RelayBody},
         node::Node,
         probe_table::ProbeAnswers,
@@ -253,8 +253,7 @@
     let request = Request::get(path.as_str()).header(HOST, address.to_string());
     let request = request.body(RelayBody::whole(Bytes::new())).ok()?;
     let (head, body): (_, Incoming) = connection.send(request).await.ok()?.into_parts();
-    let buffered = buffer_body(body, PROBE_BODY_BYTES_MAX).await.ok()?;
-    if buffered.rest.is_none() {
+    if skip_body(body, PROBE_BODY_BYTES_MAX).await.ok()? {
         connection.keep(&head.headers);
     }
     Some(Response::from_parts(head, ()))
--- a/crates/pointvane-node/src/read_ahead.rs
+++ b/crates/pointvane-node/src/read_ahead.rs
@@ -1,5 +1,8 @@
 //! Reads a caller's connection ahead of the HTTP server. The server gets the bytes of one request at a time,
 //! and a caller that disconnects is detected while its later requests wait.
+//!
+//! A connection that is closed while its caller still sends a body reads and drops some more of it: closing a
+//! socket with unread bytes resets it, and the caller would lose the response.
 
 use {
     crate::{
@@ -15,16 +18,44 @@
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
+        time::Duration,
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
+        time::{Sleep, sleep},
     },
 };
 
 /// Bytes per read from the socket: about ten request heads.
 const READ_BYTES: usize = 4_096;
 
+/// Longest time for which an unfinished body is read before its connection closes.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Most bytes of an unfinished body that are read before its connection closes.
+const LINGER_BYTES_MAX: usize = 1 << 20;
+
+/// Reads what a caller still sends of an unfinished body, up to limits of time and bytes.
+struct Linger {
+    timer: Pin<Box<Sleep>>,
+    bytes_left: usize,
+}
+
+impl Linger {
+    fn poll(&mut self, stream: &mut TcpStream, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut space = [MaybeUninit::uninit(); READ_BYTES];
+        while self.bytes_left > 0 && self.timer.as_mut().poll(cx).is_pending() {
+            let mut buffer = ReadBuf::uninit(&mut space);
+            ready!(Pin::new(&mut *stream).poll_read(cx, &mut buffer))?;
+            if buffer.filled().is_empty() {
+                break;
+            }
+            self.bytes_left = self.bytes_left.saturating_sub(buffer.filled().len());
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
 /// Consecutive bytes of one request.
 struct Segment {
     /// Index of the request on its connection.
@@ -45,6 +76,8 @@
     request: u64,
     bytes_max: usize,
     ended: bool,
+    /// Set once the stream is shut down while a body is unfinished.
+    linger: Option<Linger>,
 }
 
 impl<A: PlatformAdapter + 'static> ReadAhead<A> {
@@ -64,6 +97,7 @@
             request: 0,
             bytes_max,
             ended: false,
+            linger: None,
         }
     }
 
@@ -197,6 +231,14 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let this = &mut *self;
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            if this.ended || this.scan.expects_head() {
+                return Poll::Ready(Ok(()));
+            }
+            this.linger = Some(Linger { timer: Box::pin(sleep(LINGER_TIME)), bytes_left: LINGER_BYTES_MAX });
+        }
+        this.linger.as_mut().map_or(Poll::Ready(Ok(())), |linger| linger.poll(&mut this.stream, cx))
     }
 }
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -4,20 +4,25 @@
 //! successful requests are sampled. A separate line reports the number of suppressed lines.
 
 use {
-    crate::{connections::ConnectError, replica::platform_client::CallKind},
+    crate::{connections::ConnectError, memory::MemoryUse, replica::platform_client::CallKind},
     eyre::Result,
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram},
+        metrics::{Counter, Gauge, Histogram},
     },
     pointvane_config::LogOptions,
     pointvane_core::{ErrorKind, ItemFault, Name},
-    pointvane_dispatch::{CallReason, ProbeOutcome, QuarantineChange, ReachChange},
+    pointvane_dispatch::{CallReason, MemoryRefusal, ProbeOutcome, QuarantineChange, ReachChange},
     pointvane_telemetry::{
         EventKind, EventLog, LineDecision, LineFlush, LineLayout, LogRateLimiter, LogRateLimits, Metrics,
         Program, stdout_logger,
     },
-    std::{cell::RefCell, collections::HashSet, sync::Arc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashSet,
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Bucket boundaries of the latency histograms, in seconds: three per decade, from a local response to a
@@ -69,6 +74,11 @@
     quota_decisions: Counter<u64>,
     peer_questions: Counter<u64>,
     peer_question_failures: Counter<u64>,
+    memory_refusals: Counter<u64>,
+    memory_held_bytes: Gauge<u64>,
+    memory_waiting: Gauge<u64>,
+    /// Requests refused for memory since this was last taken.
+    refused_for_memory: Cell<u64>,
     request_s: Histogram<f64>,
     upstream_s: Histogram<f64>,
 }
@@ -118,6 +128,10 @@
             quota_decisions: counter("pointvane_node_quota_decisions"),
             peer_questions: counter("pointvane_node_peer_questions"),
             peer_question_failures: counter("pointvane_node_peer_question_failures"),
+            memory_refusals: counter("pointvane_node_memory_refusals"),
+            memory_held_bytes: meter.u64_gauge("pointvane_node_memory_held_bytes").build(),
+            memory_waiting: meter.u64_gauge("pointvane_node_memory_waiting").build(),
+            refused_for_memory: Cell::default(),
             request_s: histogram("pointvane_node_request"),
             upstream_s: histogram("pointvane_node_upstream"),
             metrics,
@@ -286,6 +300,23 @@
         self.missing_configurations.add(1, &[]);
     }
 
+    /// Counts a request whose body was refused for lack of memory.
+    pub fn refused_for_memory(&self, reason: MemoryRefusal) {
+        self.memory_refusals.add(1, &[KeyValue::new("reason", reason.as_str())]);
+        self.refused_for_memory.set(self.refused_for_memory.get() + 1);
+    }
+
+    /// Takes the number of requests that were refused for lack of memory since the last call.
+    pub fn take_refused_for_memory(&self) -> u64 {
+        self.refused_for_memory.take()
+    }
+
+    /// Records what bodies occupy.
+    pub fn memory_used(&self, usage: MemoryUse) {
+        self.memory_held_bytes.record(usage.held_bytes, &[]);
+        self.memory_waiting.record(usage.waiting as u64, &[]);
+    }
+
     /// Counts a quota decision on a request.
     pub fn quota_decided(&self, admitted: bool) {
         self.quota_decisions.add(1, &[KeyValue::new("admitted", admitted)]);
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -7,7 +7,7 @@
             FORWARD_PORT_OFFSET, LIMIT_PORT_OFFSET, QUARANTINE_PORT_OFFSET, QUOTA_PORT_OFFSET,
             RELAY_PORT_OFFSET, Sockets,
         },
-        gossip_loop, limit_loop,
+        gossip_loop, limit_loop, memory_loop,
         node::Node,
         operator, peer_requests, quarantine_loop, quota_loop, reachability,
         replica::{platform_reader, relay_loop, state_query},
@@ -85,6 +85,7 @@
     spawn_local(quarantine_loop::run(Rc::clone(node), sockets.quarantine));
     spawn_local(quota_loop::run(Rc::clone(node), sockets.quotas));
     spawn_local(limit_loop::run(Rc::clone(node), sockets.limits));
+    spawn_local(memory_loop::run(Rc::clone(node)));
     spawn_local(reachability::check_lost_services(Rc::clone(node)));
     spawn_local(platform_reader::read(Rc::clone(node)));
     Ok(())
--- a/crates/pointvane-node/src/settings.rs
+++ b/crates/pointvane-node/src/settings.rs
@@ -35,6 +35,8 @@
     pub regions: BTreeMap<Name, Name>,
     /// Capacity of this VM's network link, in Mbit/s; 0 if unknown.
     pub link_mbps: u32,
+    /// Memory that this process may use, in MB; `None` if it is not limited.
+    pub memory_mb: Option<u32>,
     /// Limits set by the deployment.
     pub limits: NodeLimits,
 }
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         answer::{Refused, refusal_response},
-        body::{BufferedBody, buffer_body},
+        body::{BodyError, BufferedBody, buffer_request_body},
         connections::RelayBody,
         forward::{FinalAnswer, forward},
         node::Node,
@@ -18,7 +18,8 @@
     },
     pointvane_core::{ErrorKind, KeyDigest, PlatformAdapter, RouteKind, US_PER_MS},
     pointvane_dispatch::{
-        ForwardedRequest, RoutedRequest, answer_deadline_us, first_state_retry_after_ms, first_state_wait_ms,
+        ForwardedRequest, RefusedBy, RoutedRequest, answer_deadline_us, first_state_retry_after_ms,
+        first_state_wait_ms,
     },
     pointvane_telemetry::EventKind,
     std::{
@@ -27,6 +28,7 @@
         rc::Rc,
         time::Duration,
     },
+    tokio::time::timeout,
 };
 
 /// Longest request body that is buffered before it is sent, so that it can be retried at another upstream, in
@@ -109,7 +111,11 @@
     // The node that forwarded a request has charged it.
     let charge = if origin.forwarded.is_some() { None } else { node.charge(&routed)? };
     let answer_deadline_us = answer_deadline_us(&routed.route, caller_timeout_ms, origin.at_us);
-    let buffered = read_body(node, body).await?;
+    let buffered = read_body(node, body, answer_deadline_us).await.map_err(|refused| {
+        let retry_after_ms =
+            node.dispatcher.retry_after_ms(&routed.route, refused.kind, RefusedBy::Node, None);
+        Refused { retry_after_ms, ..refused }
+    })?;
     if node.now_us() >= answer_deadline_us {
         return Err(ErrorKind::DeadlinePassed.into());
     }
@@ -128,14 +134,29 @@
 async fn read_body<A: PlatformAdapter>(
     node: &Node<A>,
     body: Option<Incoming>,
+    answer_deadline_us: u64,
 ) -> Result<BufferedBody, Refused> {
     let Some(body) = body else { return Ok(BufferedBody::empty()) };
     let body_bytes_max = node.dispatcher.routes().limits().body_bytes_max;
     if body.size_hint().exact().is_some_and(|length| length > body_bytes_max) {
-        return Err(Refused { status: Some(StatusCode::PAYLOAD_TOO_LARGE), ..ErrorKind::BadRequest.into() });
+        let status = Some(StatusCode::PAYLOAD_TOO_LARGE);
+        return Err(Refused { status, is_body_unread: true, ..ErrorKind::BadRequest.into() });
+    }
+    if body.is_end_stream() {
+        return Ok(BufferedBody::empty());
+    }
+    let left = Duration::from_micros(answer_deadline_us.saturating_sub(node.now_us()));
+    let buffering = buffer_request_body(body, BODY_BUFFER_BYTES, &node.body_memory);
+    match timeout(left, buffering).await {
+        Ok(Ok(buffered)) => Ok(buffered),
+        // A caller whose body breaks off has disconnected, so the error does not reach it.
+        Ok(Err(BodyError::Broken)) => Err(ErrorKind::BadRequest.into()),
+        Ok(Err(BodyError::NoMemory(reason))) => {
+            node.report.refused_for_memory(reason);
+            Err(Refused { is_body_unread: true, ..ErrorKind::MemoryExhausted.into() })
+        }
+        Err(_) => Err(Refused { is_body_unread: true, ..ErrorKind::DeadlinePassed.into() }),
     }
-    // A caller whose body breaks off has disconnected, so the error does not reach it.
-    Ok(buffer_body(body, BODY_BUFFER_BYTES).await.map_err(|_| ErrorKind::BadRequest)?)
 }
 
 fn report_end<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest, answer: &FinalAnswer) {
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -92,6 +92,10 @@
     ServiceRegained { service: Name, lost_ms: u64 },
     /// A connection for forwarded requests was refused because its address belongs to no process of the fleet.
     PeerConnectionRefused { from: IpAddr },
+    /// Bodies of requests began to wait for memory; `held_kb` of `limit_kb` is in use.
+    MemoryPressureBegan { held_kb: u64, limit_kb: u64, waiting: u64 },
+    /// Bodies no longer wait for memory; `refused` requests were refused meanwhile.
+    MemoryPressureEnded { held_kb: u64, refused: u64 },
     /// A service started to reject requests because of overload.
     OverloadBegan { service: Name },
     /// A service stopped rejecting requests.
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -62,6 +62,8 @@
         EventKind::ServiceRegained { service: "board".into(), lost_ms: 11_900 },
         EventKind::PeerConnectionRefused { from: "10.0.0.9".parse().unwrap() },
         request_forwarded(),
+        EventKind::MemoryPressureBegan { held_kb: 44_900, limit_kb: 60_000, waiting: 3 },
+        EventKind::MemoryPressureEnded { held_kb: 30_100, refused: 41 },
     ]
 }
 
