--- a/standins/tests/users_platform/node.rs
+++ b/standins/tests/users_platform/node.rs
@@ -45,6 +45,8 @@
     pub pipeline_requests: Option<usize>,
     /// Maximum time that requests wait for the node to start, in milliseconds.
     pub start_wait_ms: Option<u64>,
+    /// Memory that the process may use, in MB.
+    pub memory_mb: Option<u32>,
 }
 
 /// A node running as a process, which is killed on drop.
@@ -60,14 +62,15 @@
 /// Options that have every request logged.
 const ALL_LINES: &str = "[lines]\nwell_every = 1\nwrong_per_s = 100000\nbeliefs_per_s = 100000\n";
 
-fn settings_text(ip: Ipv4Addr, store: SocketAddr, seeds: &[Ipv4Addr]) -> String {
+fn settings_text(ip: Ipv4Addr, store: SocketAddr, seeds: &[Ipv4Addr], memory_mb: Option<u32>) -> String {
+    let limits = memory_mb.map_or_else(String::new, |mb| format!("[self.limits]\nmemory-mb = {mb}\n"));
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:8146\"")).collect();
     format!(
         r#"[self]
 node-name = "node-{ip}"
 ip = "{ip}"
 zone = "one"
-[network]
+{limits}[network]
 internal-ports = [7660, 7675]
 seeds = [{}]
 [network.listen]
@@ -147,7 +150,7 @@
         let directory_path = std::env::temp_dir().join(format!("pointvane-{ip}"));
         fs::create_dir_all(&directory_path).unwrap();
         let settings = directory_path.join("boot.toml");
-        fs::write(&settings, settings_text(ip, store, seeds)).unwrap();
+        fs::write(&settings, settings_text(ip, store, seeds, options.memory_mb)).unwrap();
         let output = directory_path.join("stdout");
         let mut command = Command::new(program_path());
         command.env("POINTVANE_BOOT", &settings).stderr(Stdio::inherit());
--- a/standins/tests/users_platform/store.rs
+++ b/standins/tests/users_platform/store.rs
@@ -10,6 +10,7 @@
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     std::{
+        collections::BTreeSet,
         io::{self, BufReader},
         net::{SocketAddr, TcpListener, TcpStream},
         sync::{
@@ -213,6 +214,13 @@
                 r#"{{"name":"r{path}","host":"{HOST}","path-prefix":"{path}","type":"{kind}","timeout-ms":{timeout_ms},"target-latency-ms":{target_latency_ms},"priority":1,"service":"{service}","max-attempts":2}}"#
             )
         };
+        let service = |name: &str| {
+            format!(
+                r#"{{"name":"{name}","health-path":"/health","max-connections":100,"protocol":"h1","tls":false,"warmup-per-s":{cold_per_s}}}"#
+            )
+        };
+        let services: BTreeSet<&str> = routes.iter().map(|(.., service)| *service).chain(["app"]).collect();
+        let services: Vec<String> = services.into_iter().map(service).collect();
         let routes: Vec<String> = routes.iter().map(route).collect();
         let accounts = accounts.as_ref().map_or_else(String::new, |accounts| {
             let accounts: Vec<String> = accounts.iter().map(Account::json).collect();
@@ -221,8 +229,9 @@
         self.put(
             "op/config",
             &format!(
-                r#"{{"version":"{version:08x}","routes":[{}],"services":[{{"name":"app","health-path":"/health","max-connections":100,"protocol":"h1","tls":false,"warmup-per-s":{cold_per_s}}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-ms":3000,"idle-timeout-ms":15000}}{accounts}}}"#,
-                routes.join(",")
+                r#"{{"version":"{version:08x}","routes":[{}],"services":[{}],"limits":{{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-ms":3000,"idle-timeout-ms":15000}}{accounts}}}"#,
+                routes.join(","),
+                services.join(",")
             ),
         );
     }
