Test: senders that stop and hold all memory make room for others

The test before it passed either way: its senders waited for each other, so that the order of arrival made room.

--- a/crates/pointvane-dispatch/tests/memory_budget.rs
+++ b/crates/pointvane-dispatch/tests/memory_budget.rs
@@ -180,6 +180,20 @@
     }
 }
 
+#[gtest]
+fn senders_that_stop_and_hold_all_memory_make_room_for_others() {
+    for count in [500, 3_000] {
+        let mut load = Load::new();
+        for _ in 0..count {
+            let id = load.open();
+            (0..15).for_each(|_| _ = load.held.contains_key(&id) && load.grow(id, FRAME_BYTES));
+        }
+        load.pass(STALLED_US.min(1_000_000));
+        expect_that!((0..50).filter(|_| load.upload()).count(), eq(50), "{count}");
+        expect_that!(load.quick_refused, eq(0));
+    }
+}
+
 #[gtest]
 fn unread_answers_stay_within_the_bound_and_the_rest_is_streamed() {
     for count in [500, 3_000] {
