Metrics: connections by reason, bytes between data centres by kind

The choice of an idle connection moves to pointvane-dispatch as it was (connection_reuse.rs); the shell counts what it decides. Behaviour is unchanged.

--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 //! | when a request is hedged with a second concurrent attempt | `hedge.rs` |
 //! | when a failing upstream is ejected | `ejection.rs` |
 //! | how many retries and probes a node may send | `budget.rs` |
+//! | which idle connection a request or probe is sent on | `connection_reuse.rs` |
 //! | how nodes replicate the state that the platform publishes | `replica.rs` and its modules |
 //! | which requests are quarantined because they crash upstreams | `quarantine.rs` |
 //! | which requests are considered identical | `fingerprint.rs` |
@@ -37,6 +38,7 @@
 mod attempt_path;
 mod attempts;
 mod budget;
+mod connection_reuse;
 mod cost;
 mod deadline;
 mod directory;
@@ -81,6 +83,10 @@
     attempt_path::{PathInputs, WithoutPeer, lost_retry_after_ms, without_peer},
     attempts::{AttemptEnd, NextStep, RequestAttempts},
     budget::{BudgetLimits, NodeBudgets, PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions},
+    connection_reuse::{
+        ConnectionPurpose, IdleTimes, NON_REPEATABLE_IDLE_MAX_US, OpenReason, OtherConnections, Removal,
+        SURPLUS_BYTES_WINDOW_US, choose_idle,
+    },
     deadline::answer_deadline_us,
     directory::{DirectoryMember, directory_addresses},
     ejection::{ProbeOutcome, unresponsive_after_ms},
--- a/crates/pointvane-node/src/connections.rs
+++ b/crates/pointvane-node/src/connections.rs
@@ -4,28 +4,28 @@
 //! only while its upstream keeps it open too.
 
 use {
-    crate::{body::StreamedBody, socket},
+    crate::{
+        body::StreamedBody,
+        connection_metrics::ConnectionMetrics,
+        idle_connections::{IdleConnection, IdleConnections, InUse},
+        socket,
+    },
     hyper::{
         HeaderMap, Request, Response,
         body::Incoming,
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
-    pointvane_dispatch::ConnectionKind,
+    pointvane_dispatch::{ConnectionKind, ConnectionPurpose, OpenReason},
     pointvane_telemetry::BootInstant,
     std::{
-        cell::RefCell,
-        collections::{HashMap, VecDeque},
         io,
         net::{IpAddr, SocketAddr},
-        rc::Rc,
         time::Duration,
     },
     tokio::task::spawn_local,
 };
 
-/// Most idle connections kept to one upstream; each costs memory.
-const IDLE_CONNECTIONS_MAX: usize = 2;
 /// Longest time that a connection stays in the pool unused.
 const IDLE_TIME_MAX: Duration = Duration::from_secs(7);
 /// Timeout for opening a connection.
@@ -33,56 +33,14 @@
 /// Largest read buffer of a connection, in bytes.
 const READ_BUFFER_BYTES: usize = 32_768;
 
-/// Time after a response within which surplus bytes of it may still arrive.
-const SURPLUS_BYTES_WINDOW: Duration = Duration::from_millis(300);
-
-/// Longest idle time of a pooled connection on which a request is sent that may run at most once.
-///
-/// An upstream may have dropped an idle connection, or the path may have gone silent; a request that is sent
-/// on it may still have run, and cannot be retried. A probe sent just before uses the connection that the
-/// request then gets, unless its response is late.
-const NON_REPEATABLE_IDLE_MAX: Duration = Duration::from_millis(50);
-
-/// What a connection is used for; decides which pooled connection is taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Purpose {
-    /// A health probe.
-    Probe,
-    /// A caller's request that may be repeated.
-    Repeatable,
-    /// A caller's request that may run at most once.
-    NonRepeatable,
-}
-
 /// Body of a relayed request or response; a long response body holds the connection that it arrives on.
 pub type RelayBody = StreamedBody<Connection>;
 
-#[derive(Debug)]
-struct IdleConnection {
-    sender: SendRequest<RelayBody>,
-    round_trip: Duration,
-    idle_since: BootInstant,
-    idle_time_max: Duration,
-    request_ended_at: Option<BootInstant>,
-}
-
-impl IdleConnection {
-    fn is_usable(&self) -> bool {
-        self.idle_since.elapsed() < self.idle_time_max && self.sender.is_ready()
-    }
-
-    /// Whether surplus bytes of the last response would have arrived by now.
-    fn is_past_surplus_window(&self) -> bool {
-        self.request_ended_at.is_none_or(|ended| ended.elapsed() >= SURPLUS_BYTES_WINDOW)
-    }
-}
-
-type IdleByAddress = RefCell<HashMap<SocketAddr, VecDeque<IdleConnection>>>;
-
 /// Pooled connections by upstream address.
 #[derive(Clone, Debug)]
 pub struct Connections {
-    idle: Rc<IdleByAddress>,
+    idle: IdleConnections,
+    metrics: ConnectionMetrics,
     /// Local address of new connections; none lets the system choose.
     source_ip: Option<IpAddr>,
 }
@@ -93,10 +51,11 @@
     address: SocketAddr,
     sender: SendRequest<RelayBody>,
     round_trip: Duration,
-    idle: Rc<IdleByAddress>,
-    purpose: Purpose,
+    idle: IdleConnections,
+    purpose: ConnectionPurpose,
     reused: bool,
     request_ended_at: Option<BootInstant>,
+    _in_use: InUse,
 }
 
 /// Why a request has no response.
@@ -146,85 +105,78 @@
 
 impl Connections {
     /// Creates an empty pool whose connections are opened from `source_ip`, if given.
-    pub fn new(source_ip: Option<IpAddr>) -> Self {
-        Self { idle: Rc::default(), source_ip }
+    pub fn new(source_ip: Option<IpAddr>, metrics: ConnectionMetrics) -> Self {
+        Self { idle: IdleConnections::default(), metrics, source_ip }
     }
 
-    /// Takes a connection from the pool, or opens a new one.
-    ///
-    /// Probes take the connection that was idle longest. Requests take the most recently used one, since
-    /// upstreams may have closed older ones, but skip those on which surplus bytes of the last response may
-    /// still arrive. Requests that may run at most once take one that was idle for less than 50 ms, or a new
-    /// one.
+    /// Takes a connection from the pool, or opens a new one; [`pointvane_dispatch::choose_idle`] decides.
     ///
     /// # Errors
     /// [`ConnectError`] when a new connection cannot be opened.
-    pub async fn get(&self, address: SocketAddr, purpose: Purpose) -> Result<Connection, ConnectError> {
-        if let Some(IdleConnection { sender, round_trip, request_ended_at, .. }) = self.pop(address, purpose)
-        {
-            let idle = Rc::clone(&self.idle);
-            return Ok(Connection {
-                address,
-                sender,
-                round_trip,
-                idle,
-                purpose,
-                reused: true,
-                request_ended_at,
-            });
-        }
-        self.open(address, purpose).await
+    pub async fn get(
+        &self,
+        address: SocketAddr,
+        purpose: ConnectionPurpose,
+    ) -> Result<Connection, ConnectError> {
+        let IdleConnection { sender, round_trip, request_ended_at, .. } =
+            match self.idle.take(address, purpose) {
+                Ok(idle) => idle,
+                Err(reason) => return self.open(address, purpose, reason).await,
+            };
+        self.metrics.reused(purpose);
+        Ok(Connection {
+            address,
+            sender,
+            round_trip,
+            idle: self.idle.clone(),
+            purpose,
+            reused: true,
+            request_ended_at,
+            _in_use: self.idle.begin_use(address),
+        })
     }
 
     /// Opens a new connection.
     ///
     /// # Errors
     /// [`ConnectError`] when the upstream refuses, does not answer in time, or the HTTP handshake fails.
-    pub async fn open(&self, address: SocketAddr, purpose: Purpose) -> Result<Connection, ConnectError> {
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        purpose: ConnectionPurpose,
+        reason: OpenReason,
+    ) -> Result<Connection, ConnectError> {
+        let in_use = self.idle.begin_use(address);
         let began = BootInstant::now();
         let stream = socket::connect_from(self.source_ip, address, CONNECT_TIMEOUT).await?;
         let round_trip = began.elapsed();
+        self.metrics.opened(purpose, reason);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(READ_BUFFER_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| ConnectError::Other)?;
         spawn_local(driver);
-        let idle = Rc::clone(&self.idle);
-        Ok(Connection { address, sender, round_trip, idle, purpose, reused: false, request_ended_at: None })
-    }
-
-    fn pop(&self, address: SocketAddr, purpose: Purpose) -> Option<IdleConnection> {
-        let mut idle = self.idle.borrow_mut();
-        let queue = idle.get_mut(&address)?;
-        queue.retain(IdleConnection::is_usable);
-        match purpose {
-            Purpose::Probe => queue.pop_front(),
-            Purpose::Repeatable => match queue.iter().rposition(IdleConnection::is_past_surplus_window) {
-                Some(index) => queue.remove(index),
-                None => queue.pop_front(),
-            },
-            Purpose::NonRepeatable => {
-                let usable = |idle: &IdleConnection| {
-                    idle.is_past_surplus_window() && idle.idle_since.elapsed() < NON_REPEATABLE_IDLE_MAX
-                };
-                queue.iter().rposition(usable).and_then(|index| queue.remove(index))
-            }
-        }
+        Ok(Connection {
+            address,
+            sender,
+            round_trip,
+            idle: self.idle.clone(),
+            purpose,
+            reused: false,
+            request_ended_at: None,
+            _in_use: in_use,
+        })
     }
 
     /// Closes the idle connections to an upstream after one of them went silent: the cause may affect all of
     /// them.
     pub fn discard(&self, address: SocketAddr) {
-        self.idle.borrow_mut().remove(&address);
+        self.idle.discard(address);
     }
 
     /// Closes connections that exceeded their idle time.
     pub fn expire(&self) {
-        let mut by_address = self.idle.borrow_mut();
-        for queue in by_address.values_mut() {
-            queue.retain(|idle| idle.idle_since.elapsed() < idle.idle_time_max && !idle.sender.is_closed());
-        }
-        by_address.retain(|_, queue| !queue.is_empty());
+        self.idle.expire();
     }
 }
 
@@ -252,22 +204,15 @@
 
     /// Returns the connection to the pool, at most for the time that the upstream announces in `Keep-Alive`.
     pub fn keep(self, answer: &HeaderMap) {
-        let request_ended_at = match self.purpose {
-            Purpose::Probe => self.request_ended_at,
-            Purpose::Repeatable | Purpose::NonRepeatable => Some(BootInstant::now()),
+        let now = BootInstant::now();
+        let idle = IdleConnection {
+            sender: self.sender,
+            round_trip: self.round_trip,
+            idle_since: now,
+            idle_time_max: idle_time_max(answer),
+            request_ended_at: if self.purpose.is_request() { Some(now) } else { self.request_ended_at },
         };
-        let mut idle = self.idle.borrow_mut();
-        let queue = idle.entry(self.address).or_default();
-        if queue.len() < IDLE_CONNECTIONS_MAX && !self.sender.is_closed() {
-            let idle_time_max = idle_time_max(answer);
-            queue.push_back(IdleConnection {
-                sender: self.sender,
-                round_trip: self.round_trip,
-                idle_since: BootInstant::now(),
-                idle_time_max,
-                request_ended_at,
-            });
-        }
+        self.idle.keep(self.address, idle);
     }
 }
 
--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -4,7 +4,10 @@
 //! Owns this state and passes it to `pointvane-dispatch`, which makes the decisions.
 
 use {
-    crate::{connections::Connections, probe_table::ProbeTable, quota::SharedQuotas, settings::NodeSettings},
+    crate::{
+        connection_metrics::ConnectionMetrics, connections::Connections, probe_table::ProbeTable,
+        quota::SharedQuotas, settings::NodeSettings,
+    },
     pointvane_config::{ChoicePolicy, NodeAdmissionOptions, NodeOptions},
     pointvane_core::{
         DeltaMismatch, ErrorKind, Incarnation, Name, RouteRule, RoutingConfiguration, RoutingDelta,
@@ -63,6 +66,7 @@
     pub fn new(
         options: &NodeOptions,
         node: &NodeSettings,
+        connections: ConnectionMetrics,
         incarnation: Incarnation,
         seeder: &mut SmallRng,
         now_us: u64,
@@ -82,7 +86,7 @@
             },
             start_wait_ms: options.callers.start_wait_ms,
             hedges: options.repeats.hedge,
-            connections: Connections::new(options.fleet.source_ip),
+            connections: Connections::new(options.fleet.source_ip, connections),
             probes: ProbeTable::default(),
             quotas: SharedQuotas::new(&node.limits, now_us),
             quarantine: RefCell::new(quarantine(options, &node.name, incarnation)),
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         body::{BufferedBody, buffer_body},
-        connections::{Connection, Purpose, RelayBody, SendError},
+        connections::{Connection, RelayBody, SendError},
+        cross_traffic::TrafficKind,
         head_wait::{self, AwaitedAnswer, SendResult},
         node::Node,
         quota::QuotaCharge,
@@ -16,7 +17,9 @@
         http::response::Parts,
     },
     pointvane_core::{PlatformAdapter, US_PER_MS},
-    pointvane_dispatch::{AttemptOutcome, ConnectionKind, Ineligible, NotRunReason, UpstreamKey},
+    pointvane_dispatch::{
+        AttemptOutcome, ConnectionKind, ConnectionPurpose, Ineligible, NotRunReason, UpstreamKey,
+    },
     std::rc::Rc,
 };
 
@@ -106,7 +109,7 @@
     let address = node.dispatcher.pool().get(key).map(|state| state.address());
     let address = address.ok_or(AttemptOutcome::Withheld(Ineligible::Gone))?;
     let is_repeatable = request.routed.route.kind.is_repeatable();
-    let purpose = if is_repeatable { Purpose::Repeatable } else { Purpose::NonRepeatable };
+    let purpose = ConnectionPurpose::request(is_repeatable);
     let began_us = node.now_us();
     let connection = node.dispatcher.connections.get(address, purpose).await;
     let connection = connection.map_err(|error| {
@@ -127,7 +130,12 @@
     request.sends.set(request.sends.get() + 1);
     let id = request.headers.get(&node.headers.request_id).cloned();
     let awaited = AwaitedAnswer { key, id, answer_deadline_us: request.answer_deadline_us };
+    let traffic = node.upstream_traffic(key, TrafficKind::Request);
+    traffic.sent(&connection, &outgoing);
     let sent = head_wait::send(node, connection, outgoing, awaited).await;
+    if let Some((_, Ok(response))) = &sent {
+        traffic.received(response);
+    }
     match &sent {
         Some((_, Ok(_))) => node.record_contact(key, kind),
         // An upstream that closes a reused connection may only have forgotten it.
--- a/crates/pointvane-node/src/fleet/sockets.rs
+++ b/crates/pointvane-node/src/fleet/sockets.rs
@@ -3,7 +3,11 @@
 
 use {
     super::Fleet,
-    std::{net::SocketAddr, rc::Rc},
+    crate::cross_traffic::{CrossTraffic, TrafficKind},
+    std::{
+        net::{IpAddr, SocketAddr},
+        rc::Rc,
+    },
     tokio::net::UdpSocket,
 };
 
@@ -20,6 +24,8 @@
     pub quotas: Rc<UdpSocket>,
     /// For limits of upstreams.
     pub limits: Rc<UdpSocket>,
+    /// Counts datagrams to other data centres.
+    pub traffic: CrossTraffic,
 }
 
 impl Fleet {
@@ -31,32 +37,46 @@
 
     /// Sends a gossip datagram to another node.
     pub fn send_gossip(&self, bytes: &[u8], to: SocketAddr) {
-        self.send(bytes, to, |sockets| &sockets.gossip);
+        self.send(bytes, to, TrafficKind::Gossip, |sockets| &sockets.gossip);
     }
 
     /// Sends a relay to another node.
     pub fn send_relay(&self, bytes: &[u8], to: SocketAddr) {
-        self.send(bytes, to, |sockets| &sockets.relays);
+        self.send(bytes, to, TrafficKind::Relay, |sockets| &sockets.relays);
     }
 
     /// Sends a quarantine message to another node.
     pub fn send_quarantine_update(&self, bytes: &[u8], to: SocketAddr) {
-        self.send(bytes, to, |sockets| &sockets.quarantine);
+        self.send(bytes, to, TrafficKind::Quarantine, |sockets| &sockets.quarantine);
     }
 
     /// Sends a quota message to another node.
     pub fn send_quotas(&self, bytes: &[u8], to: SocketAddr) {
-        self.send(bytes, to, |sockets| &sockets.quotas);
+        self.send(bytes, to, TrafficKind::Quota, |sockets| &sockets.quotas);
     }
 
     /// Sends a limit message to another node.
     pub fn send_limits(&self, bytes: &[u8], to: SocketAddr) {
-        self.send(bytes, to, |sockets| &sockets.limits);
+        self.send(bytes, to, TrafficKind::Limit, |sockets| &sockets.limits);
     }
 
-    fn send(&self, bytes: &[u8], to: SocketAddr, socket: impl Fn(&Sockets) -> &Rc<UdpSocket>) {
-        if let Some(sockets) = self.sockets.get() {
-            _ = socket(sockets).try_send_to(bytes, to);
+    fn send(
+        &self,
+        bytes: &[u8],
+        to: SocketAddr,
+        kind: TrafficKind,
+        socket: impl Fn(&Sockets) -> &Rc<UdpSocket>,
+    ) {
+        let Some(sockets) = self.sockets.get() else { return };
+        if socket(sockets).try_send_to(bytes, to).is_ok() && self.is_in_other_data_centre(to.ip()) {
+            sockets.traffic.sent(kind, bytes.len());
         }
     }
+
+    /// Whether a node at this address is known and belongs to another data centre.
+    pub fn is_in_other_data_centre(&self, address: IpAddr) -> bool {
+        let membership = self.membership.borrow();
+        let row = membership.rows().find(|row| row.identity.address == address);
+        row.is_some_and(|row| row.identity.data_centre != membership.local_row().identity.data_centre)
+    }
 }
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -5,8 +5,8 @@
 
 use {
     crate::{
-        dispatcher::Dispatcher, fleet::Fleet, headers::Headers, lifecycle::Lifecycle,
-        replica::platform_state::PlatformState, report::Report, settings::NodeSettings,
+        connection_metrics::ConnectionMetrics, dispatcher::Dispatcher, fleet::Fleet, headers::Headers,
+        lifecycle::Lifecycle, replica::platform_state::PlatformState, report::Report, settings::NodeSettings,
     },
     pointvane_config::NodeOptions,
     pointvane_core::{Clock, Incarnation, PlatformAdapter},
@@ -52,11 +52,13 @@
         let now_us = clock.now_us();
         let mut seed_rng = SmallRng::from_os_rng();
         let incarnation = Incarnation(unix_time_ms());
+        let connections = ConnectionMetrics::new(&report.metrics);
+        let dispatcher = Dispatcher::new(options, &settings, connections, incarnation, &mut seed_rng, now_us);
         Self {
             headers: adapter.headers().into(),
             adapter,
             report,
-            dispatcher: Dispatcher::new(options, &settings, incarnation, &mut seed_rng, now_us),
+            dispatcher,
             fleet: Fleet::new(&settings, incarnation, &mut seed_rng, now_us),
             platform: PlatformState::new(&settings, seed_rng.random()),
             lifecycle: Lifecycle::default(),
--- a/crates/pointvane-node/src/peer_attempt.rs
+++ b/crates/pointvane-node/src/peer_attempt.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         attempt::{AttemptReport, AttemptRole},
-        connections::{Connection, Purpose, RelayBody, SendError},
+        connections::{Connection, RelayBody, SendError},
         exchange::read_body,
         fleet::ForwardChoice,
         node::Node,
@@ -21,7 +21,8 @@
     },
     pointvane_core::{ErrorKind, Outcome, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
-        AllowedRegions, AttemptEnd, AttemptOutcome, ForwardedRequest, PeerOutcome, attempts_to_hand_over,
+        AllowedRegions, AttemptEnd, AttemptOutcome, ConnectionPurpose, ForwardedRequest, PeerOutcome,
+        attempts_to_hand_over,
     },
     pointvane_telemetry::EventKind,
     std::{net::SocketAddr, rc::Rc},
@@ -182,7 +183,7 @@
     peer: SocketAddr,
 ) -> PeerResult {
     let is_repeatable = request.routed.route.kind.is_repeatable();
-    let purpose = if is_repeatable { Purpose::Repeatable } else { Purpose::NonRepeatable };
+    let purpose = ConnectionPurpose::forward(is_repeatable);
     let Ok(mut connection) = node.dispatcher.connections.get(peer, purpose).await else {
         return PeerResult::Unreachable;
     };
@@ -191,7 +192,10 @@
     let Some(outgoing) = outgoing(node, request, handed_over) else { return PeerResult::Unsent };
     request.charge.iter().for_each(crate::quota::QuotaCharge::commit);
     request.sends.set(request.sends.get() + handed_over);
-    let forwarded = match connection.send(outgoing).await {
+    let traffic = node.forward_traffic(peer);
+    traffic.sent(&connection, &outgoing);
+    let response = connection.send(outgoing).await.inspect(|response| traffic.received(response));
+    let forwarded = match response {
         Ok(response) => read_response(node, request, connection, response).await,
         Err(SendError::Unsent) if request.body.is_some() => PeerResult::Unreachable,
         // Part of a streamed body may already be consumed, so the request counts as sent.
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -7,7 +7,8 @@
 use {
     crate::{
         body::buffer_body,
-        connections::{ConnectError, Connection, Connections, Purpose, RelayBody},
+        connections::{ConnectError, Connection, Connections, RelayBody},
+        cross_traffic::{ExchangeTraffic, TrafficKind},
         node::Node,
         probe_table::ProbeAnswers,
         request::CallerRequest,
@@ -16,8 +17,8 @@
     hyper::{Request, Response, StatusCode, body::Incoming, header::HOST},
     pointvane_core::{Name, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
-        AllowedRegions, ConnectionKind, Found, PROBE_TIMEOUT_US, ProbeOutcome, Search, SearchGoal,
-        SearchRequest, SearchStep, UpstreamKey,
+        AllowedRegions, ConnectionKind, ConnectionPurpose, Found, OpenReason, PROBE_TIMEOUT_US, ProbeOutcome,
+        Search, SearchGoal, SearchRequest, SearchStep, UpstreamKey,
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -129,7 +130,8 @@
     let path = node.dispatcher.routes().health_path(service).cloned()?;
     let sent_at_us = node.now_us();
     let connections = &node.dispatcher.connections;
-    Some(match request_health(connections, address, &path).await {
+    let traffic = node.upstream_traffic(key, TrafficKind::Probe);
+    Some(match request_health(connections, address, &path, &traffic).await {
         Ok((answer, connection)) => {
             let time_us = node.now_us().saturating_sub(sent_at_us);
             node.record_contact(key, connection);
@@ -165,11 +167,13 @@
     let Some((address, id, service)) = upstream else { return };
     let path = node.dispatcher.routes().health_path(&service).cloned();
     let sent_at_us = node.now_us();
+    let traffic = node.upstream_traffic(key, TrafficKind::Probe);
     let check = async {
-        let connection = node.dispatcher.connections.open(address, Purpose::Probe).await;
+        let connections = &node.dispatcher.connections;
+        let connection = connections.open(address, ConnectionPurpose::Check, OpenReason::Required).await;
         let connection = connection.inspect_err(|error| node.report.connect_failed(*error)).ok()?;
         match &path {
-            Some(path) => request_health_over(connection, address, path).await.map(Some),
+            Some(path) => request_health_over(connection, address, path, &traffic).await.map(Some),
             None => Some(None),
         }
     };
@@ -224,22 +228,24 @@
     connections: &Connections,
     address: SocketAddr,
     path: &Name,
+    traffic: &ExchangeTraffic,
 ) -> Result<(Response<()>, ConnectionKind), NoAnswer> {
     let deadline = Instant::now() + Duration::from_micros(PROBE_TIMEOUT_US);
-    let kept = timeout_at(deadline, connections.get(address, Purpose::Probe)).await;
+    let kept = timeout_at(deadline, connections.get(address, ConnectionPurpose::Probe)).await;
     let connection = kept.map_err(|_| NoAnswer::Unreachable(ConnectError::TimedOut))?;
     let connection = connection.map_err(NoAnswer::Unreachable)?;
     let kind = connection.kind();
     let reused = kind == ConnectionKind::Reused;
-    match timeout_at(deadline, request_health_over(connection, address, path)).await {
+    match timeout_at(deadline, request_health_over(connection, address, path, traffic)).await {
         Ok(Some(answer)) => return Ok((answer, kind)),
         Ok(None) if reused => {}
         Err(_) if reused => return Err(NoAnswer::ReusedConnectionSilent),
         Ok(None) | Err(_) => return Err(NoAnswer::Other),
     }
     let retry = async {
-        let connection = connections.open(address, Purpose::Probe).await.map_err(NoAnswer::Unreachable)?;
-        let answer = request_health_over(connection, address, path).await;
+        let connection = connections.open(address, ConnectionPurpose::Probe, OpenReason::ReusedBroke).await;
+        let connection = connection.map_err(NoAnswer::Unreachable)?;
+        let answer = request_health_over(connection, address, path, traffic).await;
         answer.map(|answer| (answer, ConnectionKind::New)).ok_or(NoAnswer::Other)
     };
     timeout_at(deadline, retry).await.map_err(|_| NoAnswer::Other)?
@@ -249,10 +255,14 @@
     mut connection: Connection,
     address: SocketAddr,
     path: &Name,
+    traffic: &ExchangeTraffic,
 ) -> Option<Response<()>> {
     let request = Request::get(path.as_str()).header(HOST, address.to_string());
     let request = request.body(RelayBody::whole(Bytes::new())).ok()?;
-    let (head, body): (_, Incoming) = connection.send(request).await.ok()?.into_parts();
+    traffic.sent(&connection, &request);
+    let response = connection.send(request).await.ok()?;
+    traffic.received(&response);
+    let (head, body): (_, Incoming) = response.into_parts();
     let buffered = buffer_body(body, PROBE_BODY_BYTES_MAX).await.ok()?;
     if buffered.rest.is_none() {
         connection.keep(&head.headers);
--- a/crates/pointvane-node/src/replica/state_query.rs
+++ b/crates/pointvane-node/src/replica/state_query.rs
@@ -5,7 +5,12 @@
 //! otherwise cost the memory and CPU time of a further encoding.
 
 use {
-    crate::{node::Node, replica::platform_state::AnswerPermit, socket},
+    crate::{
+        cross_traffic::{CrossTraffic, TrafficKind},
+        node::Node,
+        replica::platform_state::AnswerPermit,
+        socket,
+    },
     pointvane_core::{Change, PlatformAdapter, RoutingConfiguration, RoutingDelta},
     pointvane_dispatch::{
         KnownState, PeerQuery, ReadMark, StateOffer, StateReply, StateRequest, fits_reply_limit,
@@ -98,6 +103,7 @@
     stream.set_nodelay(true)?;
     let request: StateRequest = {
         let bytes = timeout(REQUEST_TIMEOUT, read_frame(&mut stream)).await??;
+        count_traffic(node, &stream, |traffic| traffic.received(TrafficKind::StateQuery, bytes.len()));
         codec::decode(&bytes).map_err(io::Error::other)?
     };
     if request.known == ReadMark::default() && !node.has_platform_state() {
@@ -110,11 +116,21 @@
         None if node.platform.state().is_reading() => (StateOffer::Reading, None, None),
         None => (StateOffer::Nothing, None, None),
     };
+    let answer_bytes = frame.as_ref().map_or(0, |frame| frame.len());
     timeout(SEND_TIMEOUT, send_answer(&mut stream, offer, frame)).await??;
+    count_traffic(node, &stream, |traffic| traffic.sent(TrafficKind::StateQuery, answer_bytes));
     // Closing the socket while the peer's end of stream is unread would reset it and truncate the response.
     stream.shutdown().await
 }
 
+/// Counts a message if the other end of the stream belongs to another data centre.
+fn count_traffic<A: PlatformAdapter>(node: &Node<A>, stream: &TcpStream, count: impl FnOnce(&CrossTraffic)) {
+    let peer = stream.peer_addr();
+    if peer.is_ok_and(|peer| node.fleet.is_in_other_data_centre(peer.ip())) {
+        count(&node.report.cross_traffic);
+    }
+}
+
 /// A response that is ready to be sent.
 struct PreparedAnswer<'s> {
     age_ms: u64,
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -4,7 +4,7 @@
 //! successful requests are sampled. A separate line reports the number of suppressed lines.
 
 use {
-    crate::{connections::ConnectError, replica::platform_client::CallKind},
+    crate::{connections::ConnectError, cross_traffic::CrossTraffic, replica::platform_client::CallKind},
     eyre::Result,
     opentelemetry::{
         KeyValue,
@@ -41,6 +41,8 @@
     pub events: EventLog,
     /// All metrics.
     pub metrics: Metrics,
+    /// Counters of the bytes exchanged with other data centres.
+    pub cross_traffic: CrossTraffic,
     flush: RefCell<Option<LineFlush>>,
     rate_limiter: RefCell<LogRateLimiter>,
     labels: RefCell<HashSet<Name>>,
@@ -120,6 +122,7 @@
             peer_question_failures: counter("pointvane_node_peer_question_failures"),
             request_s: histogram("pointvane_node_request"),
             upstream_s: histogram("pointvane_node_upstream"),
+            cross_traffic: CrossTraffic::new(&metrics),
             metrics,
         })
     }
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        caller_connection, directory,
+        caller_connection,
+        cross_traffic::CrossTraffic,
+        directory,
         fleet::{
             FORWARD_PORT_OFFSET, LIMIT_PORT_OFFSET, QUARANTINE_PORT_OFFSET, QUOTA_PORT_OFFSET,
             RELAY_PORT_OFFSET, Sockets,
@@ -73,7 +75,7 @@
     let settings = node.settings().clone();
     let ip = fleet.bind_ip.unwrap_or(settings.gossip.ip());
     let gossip = SocketAddr::new(ip, settings.gossip.port());
-    let sockets = open_sockets(gossip).await?;
+    let sockets = open_sockets(gossip, node.report.cross_traffic.clone()).await?;
     node.fleet.set_sockets(sockets.clone());
     listen_to_callers(node, &settings).await?;
     let forwards = SocketAddr::new(ip, gossip.port() + FORWARD_PORT_OFFSET);
@@ -91,7 +93,7 @@
 }
 
 /// Binds the UDP sockets to other nodes, at fixed offsets from the gossip port.
-async fn open_sockets(gossip: SocketAddr) -> Result<Sockets> {
+async fn open_sockets(gossip: SocketAddr, traffic: CrossTraffic) -> Result<Sockets> {
     let open = async |port_offset, error_context| {
         let address = SocketAddr::new(gossip.ip(), gossip.port() + port_offset);
         UdpSocket::bind(address).await.map(Rc::new).wrap_err(error_context)
@@ -102,6 +104,7 @@
         quarantine: open(QUARANTINE_PORT_OFFSET, "cannot bind the quarantine socket").await?,
         quotas: open(QUOTA_PORT_OFFSET, "cannot bind the quota socket").await?,
         limits: open(LIMIT_PORT_OFFSET, "cannot bind the limit socket").await?,
+        traffic,
     })
 }
 
