--- a/crates/pointvane-mesh/src/membership/merge.rs
+++ b/crates/pointvane-mesh/src/membership/merge.rs
@@ -23,7 +23,7 @@
             Ordering::Greater => {
                 let is_changed = self.row.state != row.state;
                 self.row = row.clone();
-                self.transmissions_left = transmissions;
+                self.start_transmissions(transmissions, now_us);
                 if is_changed {
                     self.changed_at_us = now_us;
                 }
@@ -47,8 +47,12 @@
         match self.members.get_mut(&row.identity.name) {
             None if row.state == VmState::Dead => {}
             None => {
-                let member =
-                    Member { row: row.clone(), changed_at_us: now_us, transmissions_left: transmissions };
+                let member = Member {
+                    row: row.clone(),
+                    changed_at_us: now_us,
+                    sent_since_us: now_us,
+                    transmissions_left: transmissions,
+                };
                 self.members.insert(row.identity.name.clone(), member);
                 actions.push(state_changed(row));
             }
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -4,7 +4,10 @@
 //! successful requests are sampled. A separate line reports the number of suppressed lines.
 
 use {
-    crate::{connections::ConnectError, memory::MemoryUse, replica::platform_client::CallKind},
+    crate::{
+        connections::ConnectError, cross_traffic::CrossTraffic, memory::MemoryUse,
+        replica::platform_client::CallKind,
+    },
     eyre::Result,
     opentelemetry::{
         KeyValue,
@@ -46,6 +49,8 @@
     pub events: EventLog,
     /// All metrics.
     pub metrics: Metrics,
+    /// Counters of the bytes exchanged with other data centres.
+    pub cross_traffic: CrossTraffic,
     flush: RefCell<Option<LineFlush>>,
     rate_limiter: RefCell<LogRateLimiter>,
     labels: RefCell<HashSet<Name>>,
@@ -134,6 +139,7 @@
             refused_for_memory: Cell::default(),
             request_s: histogram("pointvane_node_request"),
             upstream_s: histogram("pointvane_node_upstream"),
+            cross_traffic: CrossTraffic::new(&metrics),
             metrics,
         })
     }
