Searches probe other data centres as soon as the near one is contended

All six candidates of a search were of the node's own data centre, since the cost of others counted twice; requests were refused while another data centre had room. A pass is now planned by the contention of each data centre and the measured distance: near upstreams first and alone while they have room; others drawn in proportion to the room of their data centres; a round after contended near upstreams always contains others. Rounds of 1, 2 and 3 in calm. Upstreams that a fresh report shows to be contended aren't probed again.

--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 //! | whether an upstream is eligible for new requests | `eligibility.rs`, with `ineligible.rs`, `evacuations.rs`, `notices.rs`, `limits.rs`, `warm_up.rs`, `ejection.rs`, `allowed_regions.rs` |
 //! | which upstreams are candidates, and how they are ranked | `ranking.rs`, `subset.rs`, `cost.rs` |
 //! | which pipelined requests are forwarded early | `pipeline.rs` |
+//! | which data centres are probed, and by how many probes at once | `search_plan.rs`, `locality.rs` |
 //! | which candidates are probed, and which one is selected | `search.rs` |
 //! | how much room the upstreams of a service have in each data centre | `contention.rs` |
 //! | how many slots of an upstream are occupied, and how latency grows with occupancy | `load_curve.rs` |
@@ -54,6 +55,7 @@
 mod limits;
 mod load_curve;
 mod load_when_sent;
+mod locality;
 mod notices;
 mod outcome;
 mod peers;
@@ -70,6 +72,7 @@
 mod route_latencies;
 mod routes;
 mod search;
+mod search_plan;
 mod service_state;
 mod subset;
 mod upstream;
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -8,6 +8,7 @@
     crate::{
         contention::ContentionTable,
         evacuations::Evacuations,
+        locality::Distances,
         ranking_options::RankingOptions,
         service_state::ServiceState,
         subset::ServiceUpstreams,
@@ -55,6 +56,7 @@
     pub(crate) regions: BTreeMap<Name, Name>,
     pub(crate) warm_up: WarmUpShares,
     pub(crate) contention: ContentionTable,
+    pub(crate) distances: Distances,
     pub(crate) rng: SmallRng,
 }
 
@@ -77,6 +79,7 @@
             regions: BTreeMap::new(),
             warm_up: WarmUpShares::new(seed),
             contention: ContentionTable::default(),
+            distances: Distances::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
--- a/crates/pointvane-dispatch/src/ranking.rs
+++ b/crates/pointvane-dispatch/src/ranking.rs
@@ -1,6 +1,6 @@
 //! Ranking: which upstreams of a service a request should go to, the best first.
 //!
-//! Decided for each search (see `search.rs`). Inputs: the cost of each upstream that may get work
+//! Decided for each search without probes, and where upstreams report no load; `search_plan.rs` plans the others. Inputs: the cost of each upstream that may get work
 //! (`eligibility.rs`), whether it is in the node's data centre, the size of the request's body, and the
 //! upstreams the request was sent to before. Ejected upstreams are ranked only if there are no others. Each
 //! cost is multiplied by a random factor, so that nodes with the same information choose different upstreams.
@@ -17,9 +17,6 @@
     rand::{Rng, SeedableRng, rngs::SmallRng},
 };
 
-/// Bytes in the unit of `far_factor_per_100_kb`.
-const BYTES_PER_100_KB: f32 = 100_000.0;
-
 /// Criteria by which candidates for a request are selected.
 #[derive(Clone, Copy, Debug)]
 pub struct CandidateCriteria<'t> {
@@ -42,6 +39,24 @@
         service: &Name,
         criteria: &CandidateCriteria<'_>,
         now_us: u64,
+    ) -> Vec<UpstreamKey> {
+        let keys = self.preferred_upstreams(service, criteria, now_us);
+        let far_factor = self.far_factor(criteria.body_bytes);
+        let mut ranked: Vec<(f32, UpstreamKey)> = Vec::with_capacity(keys.len());
+        for key in keys {
+            let jitter_factor = 1.0 + self.options.jitter * self.rng.random::<f32>();
+            ranked.push((self.rank(key, far_factor, now_us) * jitter_factor, key));
+        }
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+        ranked.into_iter().take(criteria.count).map(|(_, key)| key).collect()
+    }
+
+    /// The eligible upstreams that this node prefers; if none is eligible, the usable ones.
+    pub(crate) fn preferred_upstreams(
+        &mut self,
+        service: &Name,
+        criteria: &CandidateCriteria<'_>,
+        now_us: u64,
     ) -> Vec<UpstreamKey> {
         let Some(upstreams) = self.by_service.get(service) else {
             return Vec::new();
@@ -55,14 +70,7 @@
         if keys.is_empty() {
             keys = upstreams.subset(usable, &mut rng);
         }
-        let far_factor = self.far_factor(criteria.body_bytes);
-        let mut ranked: Vec<(f32, UpstreamKey)> = Vec::with_capacity(keys.len());
-        for key in keys {
-            let jitter_factor = 1.0 + self.options.jitter * self.rng.random::<f32>();
-            ranked.push((self.rank(key, far_factor, now_us) * jitter_factor, key));
-        }
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        ranked.into_iter().take(criteria.count).map(|(_, key)| key).collect()
+        keys
     }
 
     /// Whether an upstream suits this request, apart from its eligibility.
@@ -122,24 +130,25 @@
     }
 
     /// The cost, times `far_factor` for upstreams in other data centres.
-    pub fn cost_with_locality(&self, key: UpstreamKey, far_factor: f32, now_us: u64) -> f32 {
-        let near = self.upstreams.get(&key).is_some_and(|state| state.record.data_centre == self.data_centre);
-        self.cost(key, now_us) * if near { 1.0 } else { far_factor }
-    }
-
-    /// Factor on the cost of upstreams in other data centres, for a request with a body of `body_bytes`.
-    pub fn far_factor(&self, body_bytes: usize) -> f32 {
-        let added = body_bytes as f32 / BYTES_PER_100_KB * self.options.far_factor_per_100_kb;
-        self.options.far_factor + added.min(self.options.far_factor_added_max)
+    fn cost_with_locality(&self, key: UpstreamKey, far_factor: f32, now_us: u64) -> f32 {
+        self.cost(key, now_us) * if self.is_near(key) { 1.0 } else { far_factor }
     }
 
     /// Whether, by a fresh load report, the upstream would run a request without queueing and near its usual
     /// speed.
     pub fn is_uncontended(&self, key: UpstreamKey, now_us: u64) -> bool {
-        let Some(report) = self.upstreams.get(&key).and_then(UpstreamState::report) else {
-            return false;
-        };
-        let age_us = now_us.saturating_sub(report.received_at_us);
-        age_us <= self.options.report_fresh_us && self.cost(key, now_us) <= self.options.uncontended_cost
+        self.has_fresh_report(key, now_us) && self.cost(key, now_us) <= self.options.uncontended_cost
+    }
+
+    /// Whether, by a fresh load report, the upstream would not run a request near its usual speed.
+    pub(crate) fn is_known_contended(&self, key: UpstreamKey, now_us: u64) -> bool {
+        self.has_fresh_report(key, now_us) && self.cost(key, now_us) > self.options.uncontended_cost
+    }
+
+    fn has_fresh_report(&self, key: UpstreamKey, now_us: u64) -> bool {
+        let report = self.upstreams.get(&key).and_then(UpstreamState::report);
+        report.is_some_and(|report| {
+            now_us.saturating_sub(report.received_at_us) <= self.options.report_fresh_us
+        })
     }
 }
--- a/crates/pointvane-dispatch/src/ranking_options.rs
+++ b/crates/pointvane-dispatch/src/ranking_options.rs
@@ -23,14 +23,16 @@
     /// Noise from co-located workloads changes about twice a second, so a report this young is most likely
     /// still valid.
     pub report_fresh_us: u64,
-    /// Factor on the cost of upstreams in other data centres.
+    /// Factor on the cost of upstreams in other data centres where upstreams report no load.
     ///
     /// Trades traffic between data centres against latency: with 2.0, a fifth fewer bytes cross between data
     /// centres than with 1.25.
     pub far_factor: f32,
-    /// Added to `far_factor` for each 100 KB of a request's body.
+    /// Preference for upstreams of the own data centre among equals, as a share of the cost.
+    pub near_preference: f32,
+    /// Added to the factor of other data centres for each 100 KB of a request's body.
     pub far_factor_per_100_kb: f32,
-    /// Maximum that a body adds to `far_factor`.
+    /// Maximum that a body adds to that factor.
     pub far_factor_added_max: f32,
     /// Maximum random share added to a cost, so that nodes with the same information choose different
     /// upstreams.
@@ -44,6 +46,7 @@
             uncontended_cost: 1.3,
             report_fresh_us: 15_000,
             far_factor: 2.0,
+            near_preference: 0.1,
             far_factor_per_100_kb: 1.0,
             far_factor_added_max: 0.75,
             jitter: 0.1,
--- a/crates/pointvane-dispatch/src/search.rs
+++ b/crates/pointvane-dispatch/src/search.rs
@@ -12,11 +12,15 @@
 
 use {
     crate::{
-        allowed_regions::AllowedRegions, ineligible::Ineligible, pool::Pool, ranking::CandidateCriteria,
+        allowed_regions::AllowedRegions,
+        ineligible::Ineligible,
+        locality::DistanceCriteria,
+        pool::Pool,
+        ranking::CandidateCriteria,
+        search_plan::{RoundSizes, SearchPlan},
         upstream_key::UpstreamKey,
     },
     pointvane_core::{Name, RouteRule},
-    std::collections::VecDeque,
 };
 
 /// Share of the target latency that may be spent on the search for an uncontended upstream.
@@ -120,8 +124,14 @@
 pub struct Search {
     options: SearchOptions,
     request: SearchRequest,
+    baseline_ms: Option<f64>,
     in_pass: bool,
-    rounds: VecDeque<Vec<UpstreamKey>>,
+    /// Candidates of this pass that are still to be probed.
+    unprobed: Vec<UpstreamKey>,
+    /// Sizes of the rounds of this pass that are still to be probed.
+    round_sizes: RoundSizes,
+    rounds_probed: usize,
+    /// Candidates of this pass that responded, or that a fresh report shows to be contended.
     answered: Vec<UpstreamKey>,
     /// Candidates of this pass that advertise a limit.
     limited: Vec<UpstreamKey>,
@@ -133,13 +143,22 @@
         Self {
             options,
             request,
+            baseline_ms: None,
             in_pass: false,
-            rounds: VecDeque::new(),
+            unprobed: Vec::new(),
+            round_sizes: RoundSizes::default(),
+            rounds_probed: 0,
             answered: Vec::new(),
             limited: Vec::new(),
         }
     }
 
+    /// Sets the latency of the request's route at an uncontended upstream, in milliseconds. Distances count
+    /// relative to it; without it they do not count.
+    pub fn with_baseline_ms(self, baseline_ms: f64) -> Self {
+        Self { baseline_ms: Some(baseline_ms), ..self }
+    }
+
     /// The next step. Called at the beginning, after a pause, and after a round of probes. `now_us` is the
     /// time of the monotonic clock in microseconds.
     pub fn next(&mut self, pool: &mut Pool, now_us: u64) -> SearchStep {
@@ -149,8 +168,9 @@
                 return SearchStep::Done(found);
             }
         }
-        if let Some(upstreams) = self.rounds.pop_front() {
-            return SearchStep::Probe { upstreams, timeout_us: self.round_timeout_us(now_us) };
+        if let Some(upstreams) = self.next_round() {
+            let timeout_us = self.round_timeout_us(upstreams.len(), now_us);
+            return SearchStep::Probe { upstreams, timeout_us };
         }
         match self.end_pass(pool, now_us) {
             Found::Contended(_) if self.may_continue(now_us) => SearchStep::Pause { pause_us: PASS_PAUSE_US },
@@ -163,7 +183,9 @@
         self.answered.push(key);
         // Without load reports the first response decides: an upstream slow to respond is slow to do work,
         // too.
-        let is_chosen = !pool.reports_load(&self.request.service) || pool.is_uncontended(key, now_us);
+        let is_uncontended =
+            || pool.is_uncontended(key, now_us) && pool.is_within_reach(key, self.distance_criteria());
+        let is_chosen = !pool.reports_load(&self.request.service) || is_uncontended();
         is_chosen && pool.eligibility(key, now_us).is_ok()
     }
 
@@ -172,40 +194,63 @@
         if let Some(key) = self.limit_refresh_target(pool, now_us) {
             return Some(Found::Uncontended(key));
         }
-        let candidates = self.candidates(pool, now_us);
         if !self.options.probes {
-            let best = candidates.first().map(|key| Found::Uncontended(*key));
+            let best = self.candidates(pool, now_us).first().map(|key| Found::Uncontended(*key));
             return best.or_else(|| Some(self.not_found(pool, now_us)));
         }
+        let reports_load = pool.reports_load(&self.request.service);
+        let mut plan =
+            if reports_load { self.plan(pool, now_us) } else { self.plan_without_load_reports(pool, now_us) };
         // Upstreams that advertise a limit are not probed, since a probe is work for them as well.
-        let (limited, candidates): (Vec<_>, Vec<_>) =
-            candidates.into_iter().partition(|key| pool.is_limited(*key));
-        if candidates.is_empty()
-            && let Some(best) = limited.first()
-        {
-            return Some(Found::Contended(*best));
-        }
-        self.limited = limited;
-        if !pool.reports_load(&self.request.service) {
-            let first = candidates.len().min(ROUND_WITHOUT_LOAD_REPORTS);
-            self.rounds = VecDeque::from([candidates[..first].to_vec()]);
-            return candidates.is_empty().then(|| self.not_found(pool, now_us));
+        self.limited = plan.candidates.extract_if(.., |key| pool.is_limited(*key)).collect();
+        self.answered.extend(plan.best_contended);
+        if plan.candidates.is_empty() && self.answered.is_empty() {
+            let best = self.limited.first().map(|key| Found::Contended(*key));
+            return best.or_else(|| Some(self.not_found(pool, now_us)));
         }
-        if let Some(key) = candidates.iter().find(|key| pool.is_uncontended(**key, now_us)) {
+        let is_known =
+            |key: &&UpstreamKey| reports_load && self.is_known_uncontended(**key, &plan, pool, now_us);
+        if let Some(key) = plan.candidates.iter().find(is_known) {
             return Some(Found::Uncontended(*key));
         }
-        let (first, second) = candidates.split_at(self.options.first_round.min(candidates.len()));
-        self.rounds =
-            [first, second].map(<[_]>::to_vec).into_iter().filter(|round| !round.is_empty()).collect();
+        self.round_sizes = plan.round_sizes;
+        self.rounds_probed = 0;
+        self.unprobed = plan.candidates;
         None
     }
 
+    fn plan(&self, pool: &mut Pool, now_us: u64) -> SearchPlan {
+        let criteria = self.criteria();
+        pool.plan_search(&self.request.service, &criteria, self.options, self.distance_criteria(), now_us)
+    }
+
+    fn plan_without_load_reports(&self, pool: &mut Pool, now_us: u64) -> SearchPlan {
+        let candidates = self.candidates(pool, now_us);
+        SearchPlan { candidates, round_sizes: [ROUND_WITHOUT_LOAD_REPORTS, 0, 0], ..SearchPlan::default() }
+    }
+
+    /// Whether an upstream needs no probe. Other data centres are not used by earlier reports while the own
+    /// one has room.
+    fn is_known_uncontended(&self, key: UpstreamKey, plan: &SearchPlan, pool: &Pool, now_us: u64) -> bool {
+        pool.is_uncontended(key, now_us)
+            && (pool.is_near(key)
+                || plan.is_near_contended && pool.is_within_reach(key, self.distance_criteria()))
+    }
+
+    /// The upstreams of the next round; none after the last.
+    fn next_round(&mut self) -> Option<Vec<UpstreamKey>> {
+        let skipped = self.round_sizes.iter().skip(self.rounds_probed).position(|size| *size > 0)?;
+        self.rounds_probed += skipped + 1;
+        let size = self.round_sizes[self.rounds_probed - 1].min(self.unprobed.len());
+        (size > 0).then(|| self.unprobed.drain(..size).collect())
+    }
+
     /// The cheapest of the candidates that responded in this pass or advertise a limit; if there are none,
     /// the best-ranked candidate.
     fn end_pass(&mut self, pool: &mut Pool, now_us: u64) -> Found {
         self.in_pass = false;
-        let far_factor = pool.far_factor(self.request.body_bytes);
-        let cost = |key: &UpstreamKey| pool.cost_with_locality(*key, far_factor, now_us);
+        let distance = self.distance_criteria();
+        let cost = |key: &UpstreamKey| pool.cost_at_distance(*key, distance, now_us);
         let contenders = self.answered.drain(..).chain(self.limited.drain(..));
         let usable = contenders.filter(|key| pool.is_usable(*key, now_us));
         let best = usable.min_by(|a, b| cost(a).total_cmp(&cost(b)));
@@ -227,6 +272,10 @@
         CandidateCriteria { tried, body_bytes: *body_bytes, count, regions, priority: *priority }
     }
 
+    fn distance_criteria(&self) -> DistanceCriteria {
+        DistanceCriteria { baseline_ms: self.baseline_ms, body_bytes: self.request.body_bytes }
+    }
+
     /// An upstream that gets the request to find out whether its limit still applies. None for hedges, which
     /// need a fast upstream.
     fn limit_refresh_target(&self, pool: &Pool, now_us: u64) -> Option<UpstreamKey> {
@@ -240,7 +289,10 @@
         matches!(self.request.goal, SearchGoal::Best { until_us } if now_us < until_us)
     }
 
-    fn round_timeout_us(&self, now_us: u64) -> u64 {
+    fn round_timeout_us(&self, round_size: usize, now_us: u64) -> u64 {
+        if round_size == 1 && !self.unprobed.is_empty() {
+            return ROUND_TIMEOUT_MIN_US;
+        }
         match self.request.goal {
             SearchGoal::UncontendedOnly => ROUND_TIMEOUT_MAX_US,
             SearchGoal::Best { until_us } => {
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -47,7 +47,8 @@
         regions: AllowedRegions::of(&request.routed),
         priority: request.routed.route.priority,
     };
-    let mut search = Search::new(node.dispatcher.search, search_request);
+    let baseline_ms = node.dispatcher.route_latencies(&request.routed.route).baseline_ms();
+    let mut search = Search::new(node.dispatcher.search, search_request).with_baseline_ms(baseline_ms);
     loop {
         let step = search.next(&mut node.dispatcher.pool_mut(), node.now_us());
         match step {
@@ -133,6 +134,9 @@
         Ok((answer, connection)) => {
             let time_us = node.now_us().saturating_sub(sent_at_us);
             node.record_contact(key, connection);
+            if connection == ConnectionKind::Reused {
+                node.dispatcher.pool_mut().record_probe_round_trip(key, time_us);
+            }
             read_answer(node, key, &id, &answer, time_us)
         }
         Err(NoAnswer::ReusedConnectionSilent) => {
