Metrics: probes by purpose and locality, requests sent by locality

Probes were counted without a reason. The counter gets the labels purpose and locality; pointvane_node_sends counts requests by locality. (search.rs names the purposes.)

--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -138,7 +138,8 @@
     route_latencies::RouteLatencies,
     routes::{RouteTable, RoutedRequest},
     search::{
-        Found, PROBE_TIMEOUT_US, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep, search_time_ms,
+        Found, PROBE_TIMEOUT_US, ProbePurpose, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep,
+        search_time_ms,
     },
     upstream::{LoadSample, UpstreamState},
     upstream_key::UpstreamKey,
--- a/crates/pointvane-dispatch/src/search.rs
+++ b/crates/pointvane-dispatch/src/search.rs
@@ -102,6 +102,31 @@
     Done(Found),
 }
 
+/// Why a probe is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbePurpose {
+    /// The first round of a search.
+    FirstRound,
+    /// No upstream of the first round was uncontended.
+    LaterRound,
+    /// No upstream of an earlier pass was uncontended.
+    RepeatedPass,
+    /// To find out whether a lost service responds again.
+    Reachability,
+}
+
+impl ProbePurpose {
+    /// Its name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::FirstRound => "first-round",
+            Self::LaterRound => "later-round",
+            Self::RepeatedPass => "repeated-pass",
+            Self::Reachability => "reachability",
+        }
+    }
+}
+
 /// The parameters of a search.
 #[derive(Clone, Debug)]
 pub struct SearchRequest {
@@ -126,6 +151,7 @@
     request: SearchRequest,
     baseline_ms: Option<f64>,
     in_pass: bool,
+    passes: usize,
     /// Candidates of this pass that are still to be probed.
     unprobed: Vec<UpstreamKey>,
     /// Sizes of the rounds of this pass that are still to be probed.
@@ -145,6 +171,7 @@
             request,
             baseline_ms: None,
             in_pass: false,
+            passes: 0,
             unprobed: Vec::new(),
             round_sizes: RoundSizes::default(),
             rounds_probed: 0,
@@ -164,6 +191,7 @@
     pub fn next(&mut self, pool: &mut Pool, now_us: u64) -> SearchStep {
         if !self.in_pass {
             self.in_pass = true;
+            self.passes += 1;
             if let Some(found) = self.begin_pass(pool, now_us) {
                 return SearchStep::Done(found);
             }
@@ -178,6 +206,15 @@
         }
     }
 
+    /// Why the probes of the current round are sent.
+    pub fn probe_purpose(&self) -> ProbePurpose {
+        match (self.passes, self.rounds_probed) {
+            (..=1, ..=1) => ProbePurpose::FirstRound,
+            (..=1, _) => ProbePurpose::LaterRound,
+            _ => ProbePurpose::RepeatedPass,
+        }
+    }
+
     /// Records a healthy response to a probe; true if its upstream is chosen.
     pub fn record_probe_response(&mut self, key: UpstreamKey, pool: &Pool, now_us: u64) -> bool {
         self.answered.push(key);
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -75,6 +75,7 @@
     let Some(snapshot) = UpstreamSnapshot::of(&node, key) else {
         return AttemptEnd::Attempted(AttemptOutcome::Withheld(Ineligible::Gone)).into();
     };
+    node.report.sent(node.dispatcher.pool().is_near(key));
     let sent_at_us = node.now_us();
     let in_flight = InFlight::start(&node, &request, key, unresponsive_after(&node, &request, &snapshot));
     let ExchangeResult { answer, retry_after } = exchange(&node, &request, key).await;
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -16,8 +16,8 @@
     hyper::{Request, Response, StatusCode, body::Incoming, header::HOST},
     pointvane_core::{Name, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
-        AllowedRegions, ConnectionKind, Found, PROBE_TIMEOUT_US, ProbeOutcome, Search, SearchGoal,
-        SearchRequest, SearchStep, UpstreamKey,
+        AllowedRegions, ConnectionKind, Found, PROBE_TIMEOUT_US, ProbeOutcome, ProbePurpose, Search,
+        SearchGoal, SearchRequest, SearchStep, UpstreamKey,
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -74,7 +74,9 @@
     search: &mut Search,
 ) -> Option<UpstreamKey> {
     let (answers, mut answer) = unbounded_channel();
-    let mut waiting = keys.iter().filter(|key| start_or_join(node, service, **key, answers.clone())).count();
+    let purpose = search.probe_purpose();
+    let starts = |key: &&UpstreamKey| start_or_join(node, service, **key, purpose, answers.clone());
+    let mut waiting = keys.iter().filter(starts).count();
     drop(answers);
     while waiting > 0 {
         let Ok(Some(key)) = timeout_at(deadline, answer.recv()).await else {
@@ -93,6 +95,7 @@
     node: &Rc<Node<A>>,
     service: &Name,
     key: UpstreamKey,
+    purpose: ProbePurpose,
     answers: ProbeAnswers,
 ) -> bool {
     let probes = &node.dispatcher.probes;
@@ -102,7 +105,7 @@
     if !node.dispatcher.take_probe(node.now_us()) {
         return false;
     }
-    node.report.probed();
+    node.report.probed(purpose, node.dispatcher.pool().is_near(key));
     probes.start(key, answers);
     spawn_local(probe(Rc::clone(node), service.clone(), key));
     true
--- a/crates/pointvane-node/src/reachability.rs
+++ b/crates/pointvane-node/src/reachability.rs
@@ -5,7 +5,7 @@
 use {
     crate::{node::Node, probe},
     pointvane_core::PlatformAdapter,
-    pointvane_dispatch::{ConnectionKind, ReachChange, UpstreamKey},
+    pointvane_dispatch::{ConnectionKind, ProbePurpose, ReachChange, UpstreamKey},
     pointvane_telemetry::EventKind,
     std::{rc::Rc, time::Duration},
     tokio::{
@@ -74,7 +74,8 @@
     let keys = node.dispatcher.pool_mut().reachability_checks(SERVICES_PER_ROUND, now_us);
     for key in keys {
         if node.dispatcher.take_probe(now_us) {
-            node.report.probed();
+            let is_near = node.dispatcher.pool().is_near(key);
+            node.report.probed(ProbePurpose::Reachability, is_near);
             spawn_local(probe::check_reachability(Rc::clone(node), key));
         }
     }
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -12,7 +12,7 @@
     },
     pointvane_config::LogOptions,
     pointvane_core::{ErrorKind, ItemFault, Name},
-    pointvane_dispatch::{CallReason, ProbeOutcome, QuarantineChange, ReachChange},
+    pointvane_dispatch::{CallReason, ProbeOutcome, ProbePurpose, QuarantineChange, ReachChange},
     pointvane_telemetry::{
         EventKind, EventLog, LineDecision, LineFlush, LineLayout, LogRateLimiter, LogRateLimits, Metrics,
         Program, stdout_logger,
@@ -48,6 +48,7 @@
     refusals: Counter<u64>,
     attempts: Counter<u64>,
     repeats: Counter<u64>,
+    sends: Counter<u64>,
     probes: Counter<u64>,
     probe_outcomes: Counter<u64>,
     connect_failures: Counter<u64>,
@@ -97,6 +98,7 @@
             refusals: counter("pointvane_node_refusals"),
             attempts: counter("pointvane_node_attempts"),
             repeats: counter("pointvane_node_repeats"),
+            sends: counter("pointvane_node_sends"),
             probes: counter("pointvane_node_probes"),
             probe_outcomes: counter("pointvane_node_probe_outcomes"),
             connect_failures: counter("pointvane_node_connect_failures"),
@@ -198,9 +200,14 @@
         self.repeats.add(1, &[KeyValue::new("hedge", hedge)]);
     }
 
-    /// Counts a probe.
-    pub fn probed(&self) {
-        self.probes.add(1, &[]);
+    /// Counts a probe of an upstream in the node's own data centre or another.
+    pub fn probed(&self, purpose: ProbePurpose, is_near: bool) {
+        self.probes.add(1, &[KeyValue::new("purpose", purpose.as_str()), locality_label(is_near)]);
+    }
+
+    /// Counts a request sent to an upstream in the node's own data centre or another.
+    pub fn sent(&self, is_near: bool) {
+        self.sends.add(1, &[locality_label(is_near)]);
     }
 
     /// Counts how a probe ended.
@@ -313,6 +320,10 @@
     }
 }
 
+fn locality_label(is_near: bool) -> KeyValue {
+    KeyValue::new("locality", if is_near { "near" } else { "far" })
+}
+
 fn log_rate_limiter(lines: LogOptions) -> LogRateLimiter {
     LogRateLimiter::new(LogRateLimits {
         successes_every: lines.well_every,
