Placement: other data centres are probed last while the near one isn't known to be contended

Where near upstreams aren't known to be contended, the last probe of a pass, in a round of its own, goes to another data centre, in place of the first of the second round.

--- a/crates/pointvane-dispatch/benches/candidate_quantiles.rs
+++ b/crates/pointvane-dispatch/benches/candidate_quantiles.rs
@@ -4,7 +4,9 @@
 
 use {
     pointvane_core::UpstreamRecord,
-    pointvane_dispatch::{AllowedRegions, CandidateCriteria, Pool, RankingOptions},
+    pointvane_dispatch::{
+        AllowedRegions, Pool, RankingOptions, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep,
+    },
     std::{hint::black_box, time::Instant},
 };
 
@@ -27,19 +29,25 @@
     }
 }
 
+/// Begins a search, which ranks the candidates.
+fn first_step(pool: &mut Pool) -> SearchStep {
+    let options = SearchOptions { probes: true, first_round: 2, second_round: 4 };
+    let request = SearchRequest {
+        service: "dispatch".into(),
+        tried: Vec::new(),
+        body_bytes: 300,
+        goal: SearchGoal::UncontendedOnly,
+        regions: AllowedRegions::ANY,
+        priority: 0,
+    };
+    Search::new(options, request).next(pool, black_box(NOW_US))
+}
+
 fn main() {
     for size in SIZES {
         let mut pool = Pool::new(RankingOptions::default(), "one".into(), 1);
         (0..size).for_each(|number| _ = pool.upsert(record(number), 0));
-        let criteria = CandidateCriteria {
-            priority: 0,
-            tried: &[],
-            body_bytes: 300,
-            count: 6,
-            regions: &AllowedRegions::ANY,
-        };
-        let service = "dispatch".into();
-        let mut rank = || black_box(pool.candidates(&service, &criteria, black_box(NOW_US)));
+        let mut rank = || black_box(first_step(&mut pool));
         let mut times_ns: Vec<u128> = (0..CALLS)
             .map(|_| {
                 let started = Instant::now();
--- a/crates/pointvane-dispatch/src/search_plan.rs
+++ b/crates/pointvane-dispatch/src/search_plan.rs
@@ -57,14 +57,32 @@
 struct FarShares {
     first_round: f32,
     later_rounds: f32,
+    first_round_size: usize,
+    /// Position of the first probe that goes to another data centre for certain.
+    first_far: usize,
 }
 
 impl FarShares {
-    fn new(near: Option<Contention>, far_room: f32) -> Self {
+    fn new(near: Option<Contention>, far_room: f32, first_round_size: usize, first_far: usize) -> Self {
         let near_room = near.map_or(1.0, |near| near.uncontended_share);
         let by_room = far_room / (far_room + near_room.max(ROOM_SHARE_MIN));
         let contended_share = (1.0 - near_room / NEAR_ROOM_SHARE).max(0.0);
-        Self { first_round: contended_share * by_room, later_rounds: (1.0 - near_room) * by_room }
+        Self {
+            first_round: contended_share * by_room,
+            later_rounds: (1.0 - near_room) * by_room,
+            first_round_size,
+            first_far,
+        }
+    }
+
+    fn at(&self, position: usize) -> f32 {
+        match position {
+            0 => 0.0,
+            _ if position == self.first_far => 1.0,
+            _ if position < self.first_round_size => self.first_round,
+            _ if position < self.first_far => 0.0,
+            _ => self.later_rounds,
+        }
     }
 }
 
@@ -96,12 +114,19 @@
             ranked.push(candidate);
         }
         ranked.sort_by(|a, b| a.is_far.cmp(&b.is_far).then(a.order.total_cmp(&b.order)));
-        let round_sizes = round_sizes(near, options);
-        let shares = FarShares::new(near, far_room);
+        let is_near_contended = near.is_some_and(|near| near.uncontended_share < NEAR_ROOM_SHARE);
+        let has_far = ranked.last().is_some_and(|candidate| candidate.is_far);
+        let round_sizes = match near {
+            Some(near) if near.uncontended_share >= SINGLE_PROBE_SHARE => single_probe_first(options),
+            _ if has_far && !is_near_contended => far_last(options),
+            _ => [options.first_round, options.second_round, 0],
+        };
+        let first_far = if is_near_contended { round_sizes[0] } else { round_sizes[0] + round_sizes[1] };
+        let shares = FarShares::new(near, far_room, round_sizes[0], first_far);
         SearchPlan {
-            candidates: self.interleaved(&ranked, round_sizes[0], criteria.count, shares),
+            candidates: self.interleaved(&ranked, criteria.count, shares),
             round_sizes,
-            is_near_contended: near.is_some_and(|near| near.uncontended_share < NEAR_ROOM_SHARE),
+            is_near_contended,
             best_contended: best_contended.map(|(_, key)| key),
         }
     }
@@ -130,24 +155,12 @@
     }
 
     /// The order of the probes, from candidates sorted by [`Ranked`].
-    fn interleaved(
-        &mut self,
-        ranked: &[Ranked],
-        first_round: usize,
-        count: usize,
-        shares: FarShares,
-    ) -> Vec<UpstreamKey> {
+    fn interleaved(&mut self, ranked: &[Ranked], count: usize, shares: FarShares) -> Vec<UpstreamKey> {
         let (near, far) = ranked.split_at(ranked.partition_point(|candidate| !candidate.is_far));
         let (mut near, mut far) = (near.iter(), far.iter());
         let mut candidates = Vec::with_capacity(count);
         for position in 0..count {
-            let far_share = match position {
-                0 => 0.0,
-                _ if position == first_round => 1.0,
-                _ if position < first_round => shares.first_round,
-                _ => shares.later_rounds,
-            };
-            let is_far = self.rng.random::<f32>() < far_share;
+            let is_far = self.rng.random::<f32>() < shares.at(position);
             let next = if is_far { far.next().or_else(|| near.next()) } else { near.next() };
             let Some(next) = next.or_else(|| far.next()) else { break };
             candidates.push(next.key);
@@ -156,14 +169,16 @@
     }
 }
 
-/// Sizes of the rounds by the contention of the own data centre: fewer probes at once where most upstreams are
-/// uncontended.
-fn round_sizes(near: Option<Contention>, options: SearchOptions) -> RoundSizes {
+/// A single probe, then two, then the others.
+fn single_probe_first(options: SearchOptions) -> RoundSizes {
+    let count = options.first_round + options.second_round;
+    let first = options.first_round.min(1);
+    let second = SECOND_ROUND_IN_CALM.min(options.second_round);
+    [first, second, count - first - second]
+}
+
+/// The last probe in a round of its own, since it goes to another data centre.
+fn far_last(options: SearchOptions) -> RoundSizes {
     let SearchOptions { first_round, second_round, .. } = options;
-    let is_calm = near.is_some_and(|near| near.uncontended_share >= SINGLE_PROBE_SHARE);
-    if is_calm && first_round > 1 {
-        let middle = SECOND_ROUND_IN_CALM.min(second_round);
-        return [1, middle, first_round + second_round - 1 - middle];
-    }
-    [first_round, second_round, 0]
+    [first_round, second_round.saturating_sub(1), second_round.min(1)]
 }
