--- a/crates/pointvane-dispatch/src/ranking.rs
+++ b/crates/pointvane-dispatch/src/ranking.rs
@@ -11,7 +11,7 @@
 use {
     crate::{
         allowed_regions::AllowedRegions, load_when_sent::LoadWhenSent, pool::Pool, ranking_options::Ranking,
-        upstream::UpstreamState, upstream_key::UpstreamKey,
+        service_state::ServiceState, upstream::UpstreamState, upstream_key::UpstreamKey,
     },
     pointvane_core::Name,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -137,22 +137,29 @@
     /// Whether, by a load report that is still valid, the upstream would run a request without queueing and
     /// near its usual speed.
     pub fn is_uncontended(&self, key: UpstreamKey, now_us: u64) -> bool {
-        self.is_uncontended_by_valid_report(key, now_us) == Some(true)
-    }
-
-    /// Whether, by a load report that is still valid, the upstream would not run a request near its usual
-    /// speed.
-    pub(crate) fn is_known_contended(&self, key: UpstreamKey, now_us: u64) -> bool {
-        self.is_uncontended_by_valid_report(key, now_us) == Some(false)
+        let Some(state) = self.upstreams.get(&key) else {
+            return false;
+        };
+        let service = self.services.get(&state.record.service);
+        service.is_some_and(|service| {
+            let cost = state.cost(service, now_us);
+            cost <= self.options.uncontended_cost && self.has_valid_report(state, service, cost, now_us)
+        })
     }
 
-    /// Whether the upstream is uncontended; none without a valid load report (see `report_validity.rs`).
-    fn is_uncontended_by_valid_report(&self, key: UpstreamKey, now_us: u64) -> Option<bool> {
-        let state = self.upstreams.get(&key)?;
-        let age_us = now_us.saturating_sub(state.report()?.received_at_us);
-        let service = self.services.get(&state.record.service)?;
-        let is_uncontended = state.cost(service, now_us) <= self.options.uncontended_cost;
-        let valid_us = service.report_validity.valid_us(is_uncontended, self.options.report_fresh_us);
-        (age_us <= valid_us).then_some(is_uncontended)
+    /// Whether the load report of an upstream is still valid (see `report_validity.rs`), given its present
+    /// cost.
+    pub(crate) fn has_valid_report(
+        &self,
+        state: &UpstreamState,
+        service: &ServiceState,
+        cost: f32,
+        now_us: u64,
+    ) -> bool {
+        let is_uncontended = cost <= self.options.uncontended_cost;
+        state.report().is_some_and(|report| {
+            let valid_us = service.report_validity.valid_us(is_uncontended, self.options.report_fresh_us);
+            now_us.saturating_sub(report.received_at_us) <= valid_us
+        })
     }
 }
--- a/crates/pointvane-dispatch/src/search_plan.rs
+++ b/crates/pointvane-dispatch/src/search_plan.rs
@@ -11,10 +11,10 @@
 use {
     crate::{
         contention::Contention, locality::DistanceCriteria, pool::Pool, ranking::CandidateCriteria,
-        search::SearchOptions, upstream_key::UpstreamKey,
+        search::SearchOptions, upstream::UpstreamState, upstream_key::UpstreamKey,
     },
     pointvane_core::Name,
-    rand::Rng,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
 };
 
 /// Share of uncontended reports of the own data centre from which its upstreams are probed first, and alone.
@@ -52,6 +52,29 @@
     key: UpstreamKey,
 }
 
+/// The candidates of one pass.
+#[derive(Clone, Debug, Default)]
+struct RankedCandidates {
+    candidates: Vec<Ranked>,
+    /// The most room in another data centre.
+    far_room: f32,
+    /// The cheapest upstream that needs no probe, since a valid report shows it to be contended.
+    best_contended: Option<(f32, UpstreamKey)>,
+}
+
+impl RankedCandidates {
+    fn add_contended(&mut self, key: UpstreamKey, cost: f32) {
+        if self.best_contended.is_none_or(|(best, _)| cost < best) {
+            self.best_contended = Some((cost, key));
+        }
+    }
+
+    /// Whether upstreams of other data centres are among the sorted candidates.
+    fn has_far(&self) -> bool {
+        self.candidates.last().is_some_and(|candidate| candidate.is_far)
+    }
+}
+
 /// Shares of the probes that go to other data centres.
 #[derive(Clone, Copy, Debug)]
 struct FarShares {
@@ -98,75 +121,87 @@
     ) -> SearchPlan {
         let near = self.contention(service, &self.data_centre, now_us);
         let keys = self.preferred_upstreams(service, criteria, now_us);
-        let mut ranked: Vec<Ranked> = Vec::with_capacity(keys.len());
-        let mut far_room = 0.0_f32;
-        let mut best_contended: Option<(f32, UpstreamKey)> = None;
+        let mut ranked =
+            RankedCandidates { candidates: Vec::with_capacity(keys.len()), ..Default::default() };
+        // A separate generator, since the candidates borrow the pool.
+        let mut rng = SmallRng::from_rng(&mut self.rng);
         for key in keys {
-            if self.is_known_contended(key, now_us) {
-                let cost = self.cost_at_distance(key, distance, now_us);
-                if best_contended.is_none_or(|(best, _)| cost < best) {
-                    best_contended = Some((cost, key));
-                }
-                continue;
-            }
-            let (candidate, room) = self.ranked(key, service, distance, now_us);
-            far_room = far_room.max(room);
-            ranked.push(candidate);
+            self.rank_candidate(&mut ranked, key, service, distance, &mut rng, now_us);
         }
-        ranked.sort_by(|a, b| a.is_far.cmp(&b.is_far).then(a.order.total_cmp(&b.order)));
+        ranked.candidates.sort_by(|a, b| a.is_far.cmp(&b.is_far).then(a.order.total_cmp(&b.order)));
         let is_near_contended = near.is_some_and(|near| near.uncontended_share < NEAR_ROOM_SHARE);
-        let has_far = ranked.last().is_some_and(|candidate| candidate.is_far);
         let round_sizes = match near {
             Some(near) if near.uncontended_share >= SINGLE_PROBE_SHARE => single_probe_first(options),
-            _ if has_far && !is_near_contended => far_last(options),
+            _ if ranked.has_far() && !is_near_contended => far_last(options),
             _ => [options.first_round, options.second_round, 0],
         };
         let first_far = if is_near_contended { round_sizes[0] } else { round_sizes[0] + round_sizes[1] };
-        let shares = FarShares::new(near, far_room, round_sizes[0], first_far);
+        let shares = FarShares::new(near, ranked.far_room, round_sizes[0], first_far);
         SearchPlan {
-            candidates: self.interleaved(&ranked, criteria.count, shares),
+            candidates: interleaved(&ranked.candidates, criteria.count, shares, &mut rng),
             round_sizes,
             is_near_contended,
-            best_contended: best_contended.map(|(_, key)| key),
+            best_contended: ranked.best_contended.map(|(_, key)| key),
         }
     }
 
-    /// A candidate with its sort key, and the room of its data centre if that is another one than the node's.
-    fn ranked(
-        &mut self,
+    /// Adds an upstream with its sort key, unless a valid report shows it to be contended.
+    fn rank_candidate(
+        &self,
+        ranked: &mut RankedCandidates,
         key: UpstreamKey,
         service: &Name,
         distance: DistanceCriteria,
+        rng: &mut SmallRng,
         now_us: u64,
-    ) -> (Ranked, f32) {
-        let cost = self.cost(key, now_us);
-        let random: f32 = self.rng.random();
-        let far = self.upstreams.get(&key).filter(|state| state.record.data_centre != self.data_centre);
-        let Some(state) = far else {
-            let order = cost * (1.0 + self.options.jitter * random);
-            return (Ranked { is_far: false, order, key }, 0.0);
+    ) {
+        let Some((state, service_state)) = self.upstreams.get(&key).zip(self.services.get(service)) else {
+            return;
         };
+        let cost = state.cost(service_state, now_us);
+        let is_contended = cost > self.options.uncontended_cost;
+        if is_contended && self.has_valid_report(state, service_state, cost, now_us) {
+            ranked.add_contended(key, cost * self.distance_factor(state, distance));
+            return;
+        }
+        let is_far = state.record.data_centre != self.data_centre;
+        let order = if is_far {
+            let room = self.room_at_distance(service, state, distance, now_us);
+            ranked.far_room = ranked.far_room.max(room);
+            // The least of exponential variates is distributed in proportion to their rates.
+            -(1.0 - rng.random::<f32>()).ln() * cost * cost / room
+        } else {
+            cost * (1.0 + self.options.jitter * rng.random::<f32>())
+        };
+        ranked.candidates.push(Ranked { is_far, order, key });
+    }
+
+    /// Share of uncontended reports of an upstream's data centre, the less the further away it is.
+    fn room_at_distance(
+        &self,
+        service: &Name,
+        state: &UpstreamState,
+        distance: DistanceCriteria,
+        now_us: u64,
+    ) -> f32 {
         let contention = self.contention(service, &state.record.data_centre, now_us);
         let room = contention.map_or(UNKNOWN_ROOM_SHARE, |contention| contention.uncontended_share);
-        let room = room.max(ROOM_SHARE_MIN) / self.distance_factor(state, distance);
-        // The least of exponential variates is distributed in proportion to their rates.
-        let order = -(1.0 - random).ln() * cost * cost / room;
-        (Ranked { is_far: true, order, key }, room)
+        room.max(ROOM_SHARE_MIN) / self.distance_factor(state, distance)
     }
+}
 
-    /// The order of the probes, from candidates sorted by [`Ranked`].
-    fn interleaved(&mut self, ranked: &[Ranked], count: usize, shares: FarShares) -> Vec<UpstreamKey> {
-        let (near, far) = ranked.split_at(ranked.partition_point(|candidate| !candidate.is_far));
-        let (mut near, mut far) = (near.iter(), far.iter());
-        let mut candidates = Vec::with_capacity(count);
-        for position in 0..count {
-            let is_far = self.rng.random::<f32>() < shares.at(position);
-            let next = if is_far { far.next().or_else(|| near.next()) } else { near.next() };
-            let Some(next) = next.or_else(|| far.next()) else { break };
-            candidates.push(next.key);
-        }
-        candidates
+/// The order of the probes, from candidates sorted by [`Ranked`].
+fn interleaved(ranked: &[Ranked], count: usize, shares: FarShares, rng: &mut SmallRng) -> Vec<UpstreamKey> {
+    let (near, far) = ranked.split_at(ranked.partition_point(|candidate| !candidate.is_far));
+    let (mut near, mut far) = (near.iter(), far.iter());
+    let mut candidates = Vec::with_capacity(count);
+    for position in 0..count {
+        let is_far = rng.random::<f32>() < shares.at(position);
+        let next = if is_far { far.next().or_else(|| near.next()) } else { near.next() };
+        let Some(next) = next.or_else(|| far.next()) else { break };
+        candidates.push(next.key);
     }
+    candidates
 }
 
 /// A single probe, then two, then the others.
