Placement: a search probes other data centres from its second pass in calm

Where the near data centre isn't known to be contended, its upstreams get a second pass before others are probed. Not yet measured by a trial.

--- a/crates/pointvane-dispatch/src/search.rs
+++ b/crates/pointvane-dispatch/src/search.rs
@@ -258,7 +258,10 @@
 
     fn plan(&self, pool: &mut Pool, now_us: u64) -> SearchPlan {
         let criteria = self.criteria();
-        pool.plan_search(&self.request.service, &criteria, self.options, self.distance_criteria(), now_us)
+        let distance = self.distance_criteria();
+        // Near upstreams that are contended only for a moment get a second pass.
+        let is_near_preferred = self.passes == 1 && matches!(self.request.goal, SearchGoal::Best { .. });
+        pool.plan_search(&self.request.service, &criteria, self.options, distance, is_near_preferred, now_us)
     }
 
     fn plan_without_load_reports(&self, pool: &mut Pool, now_us: u64) -> SearchPlan {
--- a/crates/pointvane-dispatch/src/search_plan.rs
+++ b/crates/pointvane-dispatch/src/search_plan.rs
@@ -110,13 +110,15 @@
 }
 
 impl Pool {
-    /// Plans a pass of a search.
+    /// Plans a pass of a search. If `is_near_preferred`, other data centres are probed only while the own one is
+    /// known to be contended.
     pub(crate) fn plan_search(
         &mut self,
         service: &Name,
         criteria: &CandidateCriteria<'_>,
         options: SearchOptions,
         distance: DistanceCriteria,
+        is_near_preferred: bool,
         now_us: u64,
     ) -> SearchPlan {
         let near = self.contention(service, &self.data_centre, now_us);
@@ -132,10 +134,14 @@
         let is_near_contended = near.is_some_and(|near| near.uncontended_share < NEAR_ROOM_SHARE);
         let round_sizes = match near {
             Some(near) if near.uncontended_share >= SINGLE_PROBE_SHARE => single_probe_first(options),
-            _ if ranked.has_far() && !is_near_contended => far_last(options),
+            _ if ranked.has_far() && !is_near_contended && !is_near_preferred => far_last(options),
             _ => [options.first_round, options.second_round, 0],
         };
-        let first_far = if is_near_contended { round_sizes[0] } else { round_sizes[0] + round_sizes[1] };
+        let first_far = match (is_near_contended, is_near_preferred) {
+            (true, _) => round_sizes[0],
+            (false, true) => criteria.count,
+            (false, false) => round_sizes[0] + round_sizes[1],
+        };
         let shares = FarShares::new(near, ranked.far_room, round_sizes[0], first_far);
         SearchPlan {
             candidates: interleaved(&ranked.candidates, criteria.count, shares, &mut rng),
