--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -16,6 +16,8 @@
 //! | whether an upstream is eligible for new requests | `eligibility.rs`, with `ineligible.rs`, `evacuations.rs`, `notices.rs`, `limits.rs`, `warm_up.rs`, `ejection.rs`, `allowed_regions.rs` |
 //! | which upstreams are candidates, and how they are ranked | `ranking.rs`, `subset.rs`, `cost.rs` |
 //! | which pipelined requests are forwarded early | `pipeline.rs` |
+//! | which data centres are probed, and by how many probes at once | `search_plan.rs`, `locality.rs` |
+//! | how long a load report stays valid | `report_validity.rs` |
 //! | which candidates are probed, and which one is selected | `search.rs` |
 //! | how much room the upstreams of a service have in each data centre | `contention.rs` |
 //! | how many slots of an upstream are occupied, and how latency grows with occupancy | `load_curve.rs` |
@@ -57,6 +59,7 @@
 mod limits;
 mod load_curve;
 mod load_when_sent;
+mod locality;
 mod memory_budget;
 mod notices;
 mod outcome;
@@ -70,10 +73,12 @@
 mod reachability;
 mod records;
 mod replica;
+mod report_validity;
 mod retry;
 mod route_latencies;
 mod routes;
 mod search;
+mod search_plan;
 mod service_reach;
 mod service_state;
 mod subset;
@@ -148,7 +153,8 @@
     route_latencies::RouteLatencies,
     routes::{RouteTable, RoutedRequest},
     search::{
-        Found, PROBE_TIMEOUT_US, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep, search_time_ms,
+        Found, PROBE_TIMEOUT_US, ProbePurpose, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep,
+        search_time_ms,
     },
     service_reach::{ConnectionKind, Reach},
     upstream::{LoadSample, UpstreamState},
--- /dev/null
+++ b/crates/pointvane-dispatch/src/search_plan.rs
@@ -0,0 +1,225 @@
+//! The plan of one pass of a search: which data centres its probes go to, and how many are sent at once.
+//!
+//! Upstreams of the node's own data centre are probed first, and alone while they have room. Inputs: the
+//! contention of each data centre (`contention.rs`), the distance to it (`locality.rs`) and the cost of its
+//! upstreams (`cost.rs`). The more contended the own data centre is, the more of the first probes go to
+//! others; a later round, which is sent only after near upstreams were contended, always contains others. The
+//! others are drawn at random, in proportion to the room of their data centres, so that nodes with the same
+//! information spread. One probe in each first round stays near, which shows when there is room again. Tests:
+//! `tests/placement.rs`.
+
+use {
+    crate::{
+        contention::Contention, locality::DistanceCriteria, pool::Pool, ranking::CandidateCriteria,
+        search::SearchOptions, upstream::UpstreamState, upstream_key::UpstreamKey,
+    },
+    pointvane_core::Name,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+};
+
+/// Share of uncontended reports of the own data centre from which its upstreams are probed first, and alone.
+const NEAR_ROOM_SHARE: f32 = 0.5;
+/// Share of uncontended reports from which a single upstream is probed first.
+const SINGLE_PROBE_SHARE: f32 = 0.85;
+/// Number of upstreams probed in the round after a single one.
+const SECOND_ROUND_IN_CALM: usize = 2;
+/// Share of uncontended reports assumed for a data centre without recent ones.
+const UNKNOWN_ROOM_SHARE: f32 = 0.5;
+/// Minimum share of uncontended reports that is assumed, so that room is found when it returns.
+const ROOM_SHARE_MIN: f32 = 0.02;
+
+/// Numbers of upstreams probed in the rounds of a pass.
+pub(crate) type RoundSizes = [usize; 3];
+
+/// The plan of one pass.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SearchPlan {
+    /// The candidates in the order of their probes.
+    pub(crate) candidates: Vec<UpstreamKey>,
+    /// Sizes of the rounds.
+    pub(crate) round_sizes: RoundSizes,
+    /// Whether the own data centre is contended.
+    pub(crate) is_near_contended: bool,
+    /// The cheapest upstream that a fresh report shows to be contended; it needs no probe.
+    pub(crate) best_contended: Option<UpstreamKey>,
+}
+
+/// A candidate with its sort key: near ones first, then by `order`.
+#[derive(Clone, Copy, Debug)]
+struct Ranked {
+    is_far: bool,
+    order: f32,
+    key: UpstreamKey,
+}
+
+/// The candidates of one pass.
+#[derive(Clone, Debug, Default)]
+struct RankedCandidates {
+    candidates: Vec<Ranked>,
+    /// The most room in another data centre.
+    far_room: f32,
+    /// The cheapest upstream that needs no probe, since a valid report shows it to be contended.
+    best_contended: Option<(f32, UpstreamKey)>,
+}
+
+impl RankedCandidates {
+    fn add_contended(&mut self, key: UpstreamKey, cost: f32) {
+        if self.best_contended.is_none_or(|(best, _)| cost < best) {
+            self.best_contended = Some((cost, key));
+        }
+    }
+
+    /// Whether upstreams of other data centres are among the sorted candidates.
+    fn has_far(&self) -> bool {
+        self.candidates.last().is_some_and(|candidate| candidate.is_far)
+    }
+}
+
+/// Shares of the probes that go to other data centres.
+#[derive(Clone, Copy, Debug)]
+struct FarShares {
+    first_round: f32,
+    later_rounds: f32,
+    first_round_size: usize,
+    /// Position of the first probe that goes to another data centre for certain.
+    first_far: usize,
+}
+
+impl FarShares {
+    fn new(near: Option<Contention>, far_room: f32, first_round_size: usize, first_far: usize) -> Self {
+        let near_room = near.map_or(1.0, |near| near.uncontended_share);
+        let by_room = far_room / (far_room + near_room.max(ROOM_SHARE_MIN));
+        let contended_share = (1.0 - near_room / NEAR_ROOM_SHARE).max(0.0);
+        Self {
+            first_round: contended_share * by_room,
+            later_rounds: (1.0 - near_room) * by_room,
+            first_round_size,
+            first_far,
+        }
+    }
+
+    fn at(&self, position: usize) -> f32 {
+        match position {
+            0 => 0.0,
+            _ if position == self.first_far => 1.0,
+            _ if position < self.first_round_size => self.first_round,
+            _ if position < self.first_far => 0.0,
+            _ => self.later_rounds,
+        }
+    }
+}
+
+impl Pool {
+    /// Plans a pass of a search. If `is_near_preferred`, other data centres are probed only while the own one is
+    /// known to be contended.
+    pub(crate) fn plan_search(
+        &mut self,
+        service: &Name,
+        criteria: &CandidateCriteria<'_>,
+        options: SearchOptions,
+        distance: DistanceCriteria,
+        is_near_preferred: bool,
+        now_us: u64,
+    ) -> SearchPlan {
+        let near = self.contention(service, &self.data_centre, now_us);
+        let keys = self.preferred_upstreams(service, criteria, now_us);
+        let mut ranked =
+            RankedCandidates { candidates: Vec::with_capacity(keys.len()), ..Default::default() };
+        // A separate generator, since the candidates borrow the pool.
+        let mut rng = SmallRng::from_rng(&mut self.rng);
+        for key in keys {
+            self.rank_candidate(&mut ranked, key, service, distance, &mut rng, now_us);
+        }
+        ranked.candidates.sort_by(|a, b| a.is_far.cmp(&b.is_far).then(a.order.total_cmp(&b.order)));
+        let is_near_contended = near.is_some_and(|near| near.uncontended_share < NEAR_ROOM_SHARE);
+        let round_sizes = match near {
+            Some(near) if near.uncontended_share >= SINGLE_PROBE_SHARE => single_probe_first(options),
+            _ if ranked.has_far() && !is_near_contended && !is_near_preferred => far_last(options),
+            _ => [options.first_round, options.second_round, 0],
+        };
+        let first_far = match (is_near_contended, is_near_preferred) {
+            (true, _) => round_sizes[0],
+            (false, true) => criteria.count,
+            (false, false) => round_sizes[0] + round_sizes[1],
+        };
+        let shares = FarShares::new(near, ranked.far_room, round_sizes[0], first_far);
+        SearchPlan {
+            candidates: interleaved(&ranked.candidates, criteria.count, shares, &mut rng),
+            round_sizes,
+            is_near_contended,
+            best_contended: ranked.best_contended.map(|(_, key)| key),
+        }
+    }
+
+    /// Adds an upstream with its sort key, unless a valid report shows it to be contended.
+    fn rank_candidate(
+        &self,
+        ranked: &mut RankedCandidates,
+        key: UpstreamKey,
+        service: &Name,
+        distance: DistanceCriteria,
+        rng: &mut SmallRng,
+        now_us: u64,
+    ) {
+        let Some((state, service_state)) = self.upstreams.get(&key).zip(self.services.get(service)) else {
+            return;
+        };
+        let cost = state.cost(service_state, now_us);
+        let is_contended = cost > self.options.uncontended_cost;
+        if is_contended && self.has_valid_report(state, service_state, cost, now_us) {
+            ranked.add_contended(key, cost * self.distance_factor(state, distance));
+            return;
+        }
+        let is_far = state.record.data_centre != self.data_centre;
+        let order = if is_far {
+            let room = self.room_at_distance(service, state, distance, now_us);
+            ranked.far_room = ranked.far_room.max(room);
+            // The least of exponential variates is distributed in proportion to their rates.
+            -(1.0 - rng.random::<f32>()).ln() * cost * cost / room
+        } else {
+            cost * (1.0 + self.options.jitter * rng.random::<f32>())
+        };
+        ranked.candidates.push(Ranked { is_far, order, key });
+    }
+
+    /// Share of uncontended reports of an upstream's data centre, the less the further away it is.
+    fn room_at_distance(
+        &self,
+        service: &Name,
+        state: &UpstreamState,
+        distance: DistanceCriteria,
+        now_us: u64,
+    ) -> f32 {
+        let contention = self.contention(service, &state.record.data_centre, now_us);
+        let room = contention.map_or(UNKNOWN_ROOM_SHARE, |contention| contention.uncontended_share);
+        room.max(ROOM_SHARE_MIN) / self.distance_factor(state, distance)
+    }
+}
+
+/// The order of the probes, from candidates sorted by [`Ranked`].
+fn interleaved(ranked: &[Ranked], count: usize, shares: FarShares, rng: &mut SmallRng) -> Vec<UpstreamKey> {
+    let (near, far) = ranked.split_at(ranked.partition_point(|candidate| !candidate.is_far));
+    let (mut near, mut far) = (near.iter(), far.iter());
+    let mut candidates = Vec::with_capacity(count);
+    for position in 0..count {
+        let is_far = rng.random::<f32>() < shares.at(position);
+        let next = if is_far { far.next().or_else(|| near.next()) } else { near.next() };
+        let Some(next) = next.or_else(|| far.next()) else { break };
+        candidates.push(next.key);
+    }
+    candidates
+}
+
+/// A single probe, then two, then the others.
+fn single_probe_first(options: SearchOptions) -> RoundSizes {
+    let count = options.first_round + options.second_round;
+    let first = options.first_round.min(1);
+    let second = SECOND_ROUND_IN_CALM.min(options.second_round);
+    [first, second, count - first - second]
+}
+
+/// The last probe in a round of its own, since it goes to another data centre.
+fn far_last(options: SearchOptions) -> RoundSizes {
+    let SearchOptions { first_round, second_round, .. } = options;
+    [first_round, second_round.saturating_sub(1), second_round.min(1)]
+}
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -18,7 +18,7 @@
     pointvane_core::{Name, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
         AllowedRegions, ConnectionKind, ConnectionPurpose, Found, OpenReason, PROBE_TIMEOUT_US, ProbeOutcome,
-        Search, SearchGoal, SearchRequest, SearchStep, UpstreamKey,
+        ProbePurpose, Search, SearchGoal, SearchRequest, SearchStep, UpstreamKey,
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -48,7 +48,8 @@
         regions: AllowedRegions::of(&request.routed),
         priority: request.routed.route.priority,
     };
-    let mut search = Search::new(node.dispatcher.search, search_request);
+    let baseline_ms = node.dispatcher.route_latencies(&request.routed.route).baseline_ms();
+    let mut search = Search::new(node.dispatcher.search, search_request).with_baseline_ms(baseline_ms);
     loop {
         let step = search.next(&mut node.dispatcher.pool_mut(), node.now_us());
         match step {
@@ -74,7 +75,9 @@
     search: &mut Search,
 ) -> Option<UpstreamKey> {
     let (answers, mut answer) = unbounded_channel();
-    let mut waiting = keys.iter().filter(|key| start_or_join(node, service, **key, answers.clone())).count();
+    let purpose = search.probe_purpose();
+    let starts = |key: &&UpstreamKey| start_or_join(node, service, **key, purpose, answers.clone());
+    let mut waiting = keys.iter().filter(starts).count();
     drop(answers);
     while waiting > 0 {
         let Ok(Some(key)) = timeout_at(deadline, answer.recv()).await else {
@@ -93,6 +96,7 @@
     node: &Rc<Node<A>>,
     service: &Name,
     key: UpstreamKey,
+    purpose: ProbePurpose,
     answers: ProbeAnswers,
 ) -> bool {
     let probes = &node.dispatcher.probes;
@@ -102,7 +106,7 @@
     if !node.dispatcher.take_probe(node.now_us()) {
         return false;
     }
-    node.report.probed();
+    node.report.probed(purpose, node.dispatcher.pool().is_near(key));
     probes.start(key, answers);
     spawn_local(probe(Rc::clone(node), service.clone(), key));
     true
@@ -135,6 +139,9 @@
         Ok((answer, connection)) => {
             let time_us = node.now_us().saturating_sub(sent_at_us);
             node.record_contact(key, connection);
+            if connection == ConnectionKind::Reused {
+                node.dispatcher.pool_mut().record_probe_round_trip(key, time_us);
+            }
             read_answer(node, key, &id, &answer, time_us)
         }
         Err(NoAnswer::ReusedConnectionSilent) => {
