--- a/crates/pointvane-dispatch/src/admission.rs
+++ b/crates/pointvane-dispatch/src/admission.rs
@@ -60,7 +60,7 @@
 ///
 /// Upstreams do not publish their queue limits, and one whose queue is full rejects requests or never answers
 /// them. The bound takes effect where the target latency is long compared with the service time.
-const QUEUED_OCCUPANCY_MAX: f64 = 2.0;
+pub(crate) const QUEUED_OCCUPANCY_MAX: f64 = 2.0;
 
 /// How late a request may be expected to finish and still be sent.
 #[derive(Clone, Copy, Debug)]
@@ -118,9 +118,13 @@
 
     /// Whether a request would finish so late that it is refused instead of sent.
     pub fn is_too_late(&self, route: &RouteRule, estimate: &FinishEstimate) -> bool {
-        let share = self.target_share - self.rank_step * f64::from(route.priority);
         let finish_ms = estimate.elapsed_ms + estimate.expected_latency_ms;
-        finish_ms > route.target_latency_ms as f64 * share
+        finish_ms > route.target_latency_ms as f64 * self.target_share_of(route)
+    }
+
+    /// Multiple of the target latency that a request of `route` may be expected to take.
+    pub(crate) fn target_share_of(&self, route: &RouteRule) -> f64 {
+        self.target_share - self.rank_step * f64::from(route.priority)
     }
 }
 
--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::{
-        budget::RetryBudget,
+        budget::{RetryBudget, TokenUse},
         ineligible::Ineligible,
         outcome::AttemptOutcome,
         retry::{RetryDecision, decide_retry},
@@ -71,6 +71,8 @@
     has_upstream_answer: bool,
     /// Whether a budget token was taken for a hedge.
     has_hedge_token: bool,
+    /// Whether the caller can come back after a refusal and still be answered in time.
+    can_return: bool,
 }
 
 impl<'r> RequestAttempts<'r> {
@@ -85,9 +87,16 @@
             may_have_run: false,
             has_upstream_answer: false,
             has_hedge_token: false,
+            can_return: false,
         }
     }
 
+    /// Records whether the caller can come back after a refusal and still be answered in time. To be called
+    /// before the end of an attempt is reported.
+    pub fn set_can_return(&mut self, can_return: bool) {
+        self.can_return = can_return;
+    }
+
     /// Records whether a streamed body is still unsent. To be called before the end of an attempt is reported
     /// that may not have started to send it.
     pub fn set_streamed_body_unsent(&mut self, is_unsent: bool) {
@@ -167,7 +176,8 @@
     }
 
     fn retry(&mut self, outcome: AttemptOutcome, takes_token: bool, budget: &mut RetryBudget) -> NextStep {
-        if takes_token && !budget.take() {
+        let token = if self.can_return { TokenUse::Deferrable } else { TokenUse::LastTry };
+        if takes_token && !budget.take_for(token) {
             return self.give_up_without_token(outcome);
         }
         self.in_flight += 1;
--- a/crates/pointvane-dispatch/src/contention.rs
+++ b/crates/pointvane-dispatch/src/contention.rs
@@ -108,4 +108,23 @@
     pub fn contention(&self, service: &Name, data_centre: &Name, now_us: u64) -> Option<Contention> {
         self.contention.get(service, data_centre, now_us)
     }
+
+    /// Contention of a service's upstreams over all data centres that may get work; none without recent
+    /// reports.
+    pub fn service_contention(&self, service: &Name, now_us: u64) -> Option<Contention> {
+        let by_data_centre = self.contention.by_service.get(service)?;
+        let active = by_data_centre.keys().filter(|name| !self.evacuations.is_evacuated(name));
+        let estimates = active.filter_map(|name| self.contention(service, name, now_us));
+        let sums = estimates.map(|contention| {
+            let Contention { uncontended_share, occupancy, reports } = contention;
+            (uncontended_share * reports, occupancy * reports, reports)
+        });
+        let sum = sums.fold((0.0, 0.0, 0.0), |sum, part| (sum.0 + part.0, sum.1 + part.1, sum.2 + part.2));
+        let (uncontended, occupancy, reports) = sum;
+        (reports > 0.0).then(|| Contention {
+            uncontended_share: uncontended / reports,
+            occupancy: occupancy / reports,
+            reports,
+        })
+    }
 }
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -18,7 +18,9 @@
 //! | which candidates are probed, and which one is selected | `search.rs` |
 //! | how much room the upstreams of a service have in each data centre | `contention.rs` |
 //! | how many slots of an upstream are occupied, and how latency grows with occupancy | `load_curve.rs` |
-//! | whether a request is sent to an upstream or refused | `admission.rs` |
+//! | whether a request is sent to an upstream or refused | `admission.rs`; while its service is contended `contended_admission.rs`, with `finish_spread.rs` |
+//! | how much of its time a caller has spent before | `caller_progress.rs` |
+//! | when the caller of a refused request comes back | `admission.rs`; while its service is contended `return_time.rs` |
 //! | whether this node has lost the path to a service | `reachability.rs` |
 //! | whether an attempt goes through another node, and which | `attempt_path.rs`, `peers.rs`, `forwarded_request.rs` |
 //! | whether a failed attempt is retried, and what the caller is answered | `attempts.rs`, `retry.rs`, with `outcome.rs` |
@@ -38,6 +40,8 @@
 mod attempt_path;
 mod attempts;
 mod budget;
+mod caller_progress;
+mod contended_admission;
 mod contention;
 mod cost;
 mod deadline;
@@ -46,6 +50,7 @@
 mod eligibility;
 mod evacuations;
 mod fingerprint;
+mod finish_spread;
 mod first_state;
 mod forwarded_request;
 mod hedge;
@@ -67,6 +72,7 @@
 mod records;
 mod replica;
 mod retry;
+mod return_time;
 mod route_latencies;
 mod routes;
 mod search;
@@ -82,13 +88,18 @@
     allowed_regions::AllowedRegions,
     attempt_path::{PathInputs, WithoutPeer, lost_retry_after_ms, without_peer},
     attempts::{AttemptEnd, NextStep, RequestAttempts},
-    budget::{BudgetLimits, NodeBudgets, PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions},
+    budget::{
+        BudgetLimits, NodeBudgets, PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions, TokenUse,
+    },
+    caller_progress::CallerProgress,
+    contended_admission::{ContendedRequest, RefusalReason, admission_pressure},
     contention::Contention,
     deadline::answer_deadline_us,
     directory::{DirectoryMember, directory_addresses},
     ejection::{ProbeOutcome, unresponsive_after_ms},
     evacuations::Evacuations,
     fingerprint::{BodyFingerprint, FINGERPRINT_BODY_BYTES, HeadFingerprint, QueryScope, RequestFingerprint},
+    finish_spread::FinishSpread,
     first_state::{first_state_retry_after_ms, first_state_wait_ms},
     forwarded_request::{ForwardedRequest, MalformedForward, attempts_to_hand_over},
     hedge::hedge_goal,
@@ -132,6 +143,7 @@
         },
     },
     retry::{RetryDecision, decide_retry, may_relay},
+    return_time::ReturnInputs,
     route_latencies::RouteLatencies,
     routes::{RouteTable, RoutedRequest},
     search::{
--- a/crates/pointvane-dispatch/src/route_latencies.rs
+++ b/crates/pointvane-dispatch/src/route_latencies.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        finish_spread::FinishSpread,
         hedge::{HEDGE_QUANTILE, hedge_after_ms},
         latency::{LatencyQuantile, MinimumLatency},
     },
@@ -26,6 +27,7 @@
     answer_quantile: LatencyQuantile,
     baseline: LatencyQuantile,
     minimum: MinimumLatency,
+    finish_spread: FinishSpread,
 }
 
 impl RouteLatencies {
@@ -36,6 +38,7 @@
             answer_quantile: LatencyQuantile::new(HEDGE_QUANTILE, target_ms * INITIAL_ANSWER_SHARE),
             baseline: LatencyQuantile::new(BASELINE_QUANTILE, target_ms * INITIAL_BASELINE_SHARE),
             minimum: MinimumLatency::default(),
+            finish_spread: FinishSpread::default(),
         }
     }
 
@@ -56,6 +59,17 @@
         hedge_after_ms(route, self.answer_quantile.get_ms())
     }
 
+    /// Factor on the expected latency at an upstream without a free slot that few requests exceed.
+    pub fn finish_spread(&self) -> f64 {
+        self.finish_spread.factor()
+    }
+
+    /// Records the latency of a successful attempt at an upstream that had no free slot, and the latency that
+    /// was expected, both in milliseconds.
+    pub fn record_queued(&mut self, latency_ms: f64, expected_latency_ms: f64) {
+        self.finish_spread.record(latency_ms, expected_latency_ms);
+    }
+
     /// Records the time from a request's arrival to its answer, in milliseconds.
     pub fn record_answer(&mut self, time_ms: f64) {
         self.answer_quantile.record(time_ms);
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        admission::is_refused_by_admission,
         connections::RelayBody,
         crash_check::has_crashed,
         exchange::{ExchangeResult, exchange},
@@ -14,8 +15,7 @@
     hyper::Response,
     pointvane_core::{PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
-        AttemptEnd, AttemptOutcome, FinishEstimate, Found, Ineligible, SearchGoal, UpstreamKey,
-        unresponsive_after_ms,
+        AttemptEnd, AttemptOutcome, Found, Ineligible, SearchGoal, UpstreamKey, unresponsive_after_ms,
     },
     pointvane_telemetry::EventKind,
     std::rc::Rc,
@@ -171,7 +171,12 @@
     let now_us = node.now_us();
     let slowdown = (outcome == AttemptOutcome::Answered { failed: false }).then(|| {
         let mut times = node.dispatcher.route_latencies(&request.routed.route);
-        times.record_attempt(latency_ms, f64::from(snapshot.load_when_sent.expected_latency))
+        let load = &snapshot.load_when_sent;
+        if load.occupancy > 1.0 {
+            let expected_latency_ms = f64::from(load.expected_latency) * times.baseline_ms();
+            times.record_queued(latency_ms, expected_latency_ms);
+        }
+        times.record_attempt(latency_ms, f64::from(load.expected_latency))
     });
     let mut pool = node.dispatcher.pool_mut();
     let Some(state) = pool.get_mut(key) else { return };
@@ -216,41 +221,3 @@
         node.report.failure(node.now_us(), line);
     }
 }
-
-/// Whether admission control refuses a request that was not sent yet: its best upstream has no free capacity,
-/// or would answer too late.
-fn is_refused_by_admission<A: PlatformAdapter>(
-    node: &Node<A>,
-    request: &CallerRequest,
-    key: UpstreamKey,
-) -> bool {
-    let snapshot = UpstreamSnapshot::of(node, key).filter(|_| request.sends.get() == 0);
-    let Some(snapshot) = snapshot else {
-        return false;
-    };
-    let route = &request.routed.route;
-    let estimate = FinishEstimate {
-        elapsed_ms: request.elapsed_without_unsent_ms(snapshot.taken_at_us),
-        expected_latency_ms: f64::from(snapshot.load_when_sent.expected_latency)
-            * node.dispatcher.route_latencies(route).baseline_ms(),
-        occupancy: f64::from(snapshot.load_when_sent.occupancy),
-        full_slowdown: node.dispatcher.pool().full_slowdown(&request.routed.service).into(),
-    };
-    let has_capacity = node.dispatcher.pool_mut().has_capacity(key, snapshot.taken_at_us);
-    let refused = !node.dispatcher.admission.admits(route, &estimate, has_capacity);
-    if refused {
-        let load = snapshot.load();
-        node.report.failure(snapshot.taken_at_us, || EventKind::RequestWouldBeLate {
-            request: request.id.clone(),
-            upstream: snapshot.upstream.clone(),
-            cost_percent: snapshot.cost_percent(),
-            running: load.running,
-            waiting: load.waiting,
-            pace_percent: load.slowdown_percent,
-            load_age_ms: snapshot.load_age_ms(),
-            expected_ms: estimate.expected_latency_ms as u64,
-            spent_ms: estimate.elapsed_ms as u64,
-        });
-    }
-    refused
-}
--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -10,9 +10,9 @@
         DeltaMismatch, ErrorKind, Incarnation, Name, RouteRule, RoutingConfiguration, RoutingDelta,
     },
     pointvane_dispatch::{
-        AdmissionPolicy, BudgetLimits, NodeBudgets, PeerTable, PipelineLimits, Pool, Quarantine,
-        QuarantineOptions, Ranking, RankingOptions, RefusedBy, RetryBudget, RouteLatencies, RouteTable,
-        RoutedRequest, RoutingLog, SearchOptions, WarmUpBound, retry_after_ms,
+        AdmissionPolicy, BudgetLimits, CallerProgress, NodeBudgets, PeerTable, PipelineLimits, Pool,
+        Quarantine, QuarantineOptions, Ranking, RankingOptions, RefusedBy, RetryBudget, RouteLatencies,
+        RouteTable, RoutedRequest, RoutingLog, SearchOptions, WarmUpBound, retry_after_ms,
     },
     pointvane_mesh::rank,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -52,6 +52,7 @@
     pool: RefCell<Pool>,
     budgets: RefCell<NodeBudgets>,
     route_latencies: RefCell<HashMap<Name, RouteLatencies>>,
+    caller_progress: RefCell<HashMap<Name, CallerProgress>>,
     peers: RefCell<PeerTable>,
     /// The newest configuration by which another node handled a request of this node.
     peer_version: Cell<u64>,
@@ -91,6 +92,7 @@
             pool: RefCell::new(pool(policy, node, seeder.random())),
             budgets: RefCell::new(NodeBudgets::new(now_us)),
             route_latencies: RefCell::default(),
+            caller_progress: RefCell::default(),
             peers: RefCell::default(),
             peer_version: Cell::default(),
             rng: RefCell::new(SmallRng::from_rng(seeder)),
@@ -180,6 +182,11 @@
         })
     }
 
+    /// The times that callers of a route state.
+    pub fn caller_progress(&self, route: &Name) -> RefMut<'_, CallerProgress> {
+        RefMut::map(self.caller_progress.borrow_mut(), |progress| progress.entry(route.clone()).or_default())
+    }
+
     /// This node's share of a service's retry budget.
     pub fn retry_budget(&self, service: &Name, limits: &BudgetLimits) -> RefMut<'_, RetryBudget> {
         RefMut::map(self.budgets.borrow_mut(), |budgets| budgets.retry_budget(service, limits))
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        admission::{can_return, contended_retry_after_ms},
         answer::Refused,
         attempt::{AttemptReport, AttemptRole, attempt},
         connections::RelayBody,
@@ -84,6 +85,7 @@
                     self.answer = result.answer.or(self.answer.take());
                     self.peer_retry_after_ms = result.retry_after_ms.or(self.peer_retry_after_ms);
                     attempts.set_streamed_body_unsent(request.stream.borrow().is_some());
+                    attempts.set_can_return(can_return(&self.node, &request, self.node.now_us()));
                     let end = self.node.divert(&request, result.end);
                     attempts.attempt_ended(end, request.sends.get(), &mut self.retry_budget())
                 }
@@ -173,6 +175,9 @@
         let retry_after_ms = self
             .peer_retry_after_ms
             .or_else(|| self.node.lost_retry_after_ms(&self.request, error))
+            .or_else(|| {
+                back_in_ms.is_none().then(|| contended_retry_after_ms(&self.node, &self.request, error))?
+            })
             .or_else(|| self.node.dispatcher.retry_after_ms(route, error, by, back_in_ms));
         Refused { retry_after_ms, withheld, ..error.into() }
     }
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod access;
+mod admission;
 mod answer;
 mod attempt;
 mod body;
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -12,7 +12,7 @@
     },
     pointvane_config::LogOptions,
     pointvane_core::{ErrorKind, ItemFault, Name},
-    pointvane_dispatch::{CallReason, ProbeOutcome, QuarantineChange, ReachChange},
+    pointvane_dispatch::{CallReason, ProbeOutcome, QuarantineChange, ReachChange, RefusalReason},
     pointvane_telemetry::{
         EventKind, EventLog, LineDecision, LineFlush, LineLayout, LogRateLimiter, LogRateLimits, Metrics,
         Program, stdout_logger,
@@ -46,6 +46,8 @@
     labels: RefCell<HashSet<Name>>,
     requests: Counter<u64>,
     refusals: Counter<u64>,
+    not_admitted: Counter<u64>,
+    callers_returned: Counter<u64>,
     attempts: Counter<u64>,
     repeats: Counter<u64>,
     probes: Counter<u64>,
@@ -95,6 +97,8 @@
             labels: RefCell::default(),
             requests: counter("pointvane_node_requests"),
             refusals: counter("pointvane_node_refusals"),
+            not_admitted: counter("pointvane_node_not_admitted"),
+            callers_returned: counter("pointvane_node_callers_returned"),
             attempts: counter("pointvane_node_attempts"),
             repeats: counter("pointvane_node_repeats"),
             probes: counter("pointvane_node_probes"),
@@ -186,6 +190,16 @@
         );
     }
 
+    /// Counts a request that admission control did not send to the best upstream that was found.
+    pub fn not_admitted(&self, reason: RefusalReason) {
+        self.not_admitted.add(1, &[KeyValue::new("reason", reason.as_str())]);
+    }
+
+    /// Counts a request whose caller has come back after an earlier try.
+    pub fn caller_returned(&self) {
+        self.callers_returned.add(1, &[]);
+    }
+
     /// Counts an attempt and records its duration.
     pub fn attempted(&self, upstream: &Name, outcome: &'static str, took_ms: u64) {
         let upstream = self.label("upstream", upstream);
--- a/crates/pointvane-node/src/request.rs
+++ b/crates/pointvane-node/src/request.rs
@@ -82,6 +82,10 @@
     pub arrived_at_us: u64,
     /// Deadline of the response, in microseconds of the same clock.
     pub answer_deadline_us: u64,
+    /// Time that its caller had spent on earlier tries when it arrived, in milliseconds; 0 if it is not known.
+    pub spent_before_ms: f64,
+    /// Expected latency at the upstream that admission last checked, in milliseconds.
+    pub expected_latency_ms: Cell<Option<f64>>,
     /// Upstreams that attempts have chosen so far.
     pub tried: RefCell<Vec<UpstreamKey>>,
     /// Attempts of which at least one byte may have been sent, and those that were handed over to another node.
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -18,7 +18,8 @@
     },
     pointvane_core::{ErrorKind, KeyDigest, PlatformAdapter, RouteKind, US_PER_MS},
     pointvane_dispatch::{
-        ForwardedRequest, RoutedRequest, answer_deadline_us, first_state_retry_after_ms, first_state_wait_ms,
+        ForwardedRequest, RoutedRequest, admission_pressure, answer_deadline_us, first_state_retry_after_ms,
+        first_state_wait_ms,
     },
     pointvane_telemetry::EventKind,
     std::{
@@ -114,9 +115,11 @@
         return Err(ErrorKind::DeadlinePassed.into());
     }
     let id = node.headers.request_id_text(&head.headers);
+    let spent_before_ms = spent_before_ms(node, &routed, &origin, caller_timeout_ms);
     node.headers.strip_account(&mut head.headers);
-    let request =
-        caller_request(id, head, buffered, Access { routed, key, charge }, origin, answer_deadline_us);
+    let access = Access { routed, key, charge };
+    let timing = Timing { answer_deadline_us, spent_before_ms };
+    let request = caller_request(id, head, buffered, access, origin, timing);
     if request.body.is_none() {
         // Computed and cached now, since the first attempt takes the body, which the fingerprints depend on.
         request.fingerprints();
@@ -228,13 +231,40 @@
     charge: Option<QuotaCharge>,
 }
 
+/// Deadline of a request, and the time that its caller had spent before.
+struct Timing {
+    answer_deadline_us: u64,
+    spent_before_ms: f64,
+}
+
+/// Time that the caller of a request has spent on earlier tries, in milliseconds. Nodes that forward requests
+/// state what is left of them, which says nothing of their callers.
+fn spent_before_ms<A: PlatformAdapter>(
+    node: &Node<A>,
+    routed: &RoutedRequest,
+    origin: &RequestOrigin,
+    caller_timeout_ms: Option<u64>,
+) -> f64 {
+    if origin.forwarded.is_some() {
+        return 0.0;
+    }
+    let contention = node.dispatcher.pool().service_contention(&routed.service, node.now_us());
+    let is_contended = admission_pressure(contention) > 0.0;
+    let spent_ms =
+        node.dispatcher.caller_progress(&routed.route.name).record(caller_timeout_ms, is_contended);
+    if spent_ms > 0.0 {
+        node.report.caller_returned();
+    }
+    spent_ms
+}
+
 fn caller_request(
     id: String,
     head: Parts,
     buffered: BufferedBody,
     access: Access,
     origin: RequestOrigin,
-    answer_deadline_us: u64,
+    timing: Timing,
 ) -> CallerRequest {
     let mut headers = head.headers;
     strip_hop_by_hop_headers(&mut headers);
@@ -257,7 +287,9 @@
         head_fingerprint_cache: OnceCell::new(),
         fingerprints_cache: OnceCell::new(),
         arrived_at_us: origin.at_us,
-        answer_deadline_us,
+        answer_deadline_us: timing.answer_deadline_us,
+        spent_before_ms: timing.spent_before_ms,
+        expected_latency_ms: Cell::default(),
         tried: RefCell::default(),
         sends: Cell::new(0),
         forwarded: origin.forwarded,
