--- /dev/null
+++ b/crates/pointvane-dispatch/tests/contended_service.rs
@@ -0,0 +1,57 @@
+//! Bursts of more requests than a service bears: what of the work is in time, and what callers get who come
+//! back.
+
+mod common;
+mod contended_simulation;
+
+use {
+    contended_simulation::{Design, Outcome, Play, play_seeds},
+    googletest::prelude::*,
+};
+
+const FIXED_BOUNDS: [f64; 3] = [1.0, 1.3, 1.8];
+const SEEDS: u64 = 3;
+
+fn plays() -> impl Iterator<Item = Play> {
+    let sizes = [(18, 20), (120, 40)];
+    sizes
+        .into_iter()
+        .flat_map(|(nodes, upstreams)| [1.1, 1.5, 2.5].map(|burst| Play { nodes, upstreams, burst, seed: 1 }))
+}
+
+fn describe(outcome: &Outcome) -> String {
+    format!(
+        "in time {} of {}, late {}, refused {} and again {} ({:.2}), work in time {:.3}, recovered {:.3}",
+        outcome.in_time,
+        outcome.first_tries,
+        outcome.late,
+        outcome.refused_once,
+        outcome.refused_again,
+        outcome.refused_again_share(),
+        outcome.work_share(),
+        outcome.recovered_share()
+    )
+}
+
+#[gtest]
+fn most_work_of_a_burst_is_in_time() {
+    for play in plays() {
+        let outcome = play_seeds(play, Design::Contended, SEEDS);
+        println!("{play:?}: {}", describe(&outcome));
+        expect_that!(outcome.work_share(), ge(0.85), "{play:?}");
+        expect_that!(outcome.recovered_share(), ge(0.95), "{play:?}");
+    }
+}
+
+#[gtest]
+fn as_many_requests_are_in_time_as_with_the_best_fixed_bound() {
+    for play in plays() {
+        let outcome = play_seeds(play, Design::Contended, SEEDS);
+        println!("{play:?}: {}", describe(&outcome));
+        for bound in FIXED_BOUNDS {
+            let fixed = play_seeds(play, Design::FixedBound(bound), SEEDS);
+            println!("  bound {bound}: {}", describe(&fixed));
+            expect_that!(outcome.in_time, ge(fixed.in_time), "{play:?}, bound {bound}");
+        }
+    }
+}
