--- a/crates/pointvane-dispatch/src/contended_admission.rs
+++ b/crates/pointvane-dispatch/src/contended_admission.rs
@@ -31,6 +31,8 @@
     Late,
     /// The upstream has no free slot, and the request is not likely to be in time in its queue.
     Full,
+    /// The slots that are left are kept for more urgent requests.
+    KeptForUrgent,
 }
 
 impl RefusalReason {
@@ -39,6 +41,7 @@
         match self {
             Self::Late => "late",
             Self::Full => "full",
+            Self::KeptForUrgent => "kept-for-urgent",
         }
     }
 }
@@ -64,6 +67,9 @@
     pub can_return: bool,
     /// Factor on an expected latency that few requests exceed (see [`crate::FinishSpread`]).
     pub finish_spread: f64,
+    /// Share of an upstream's slots that it may use, counting itself, since the others are kept for more urgent
+    /// requests (see [`crate::RequestsByPriority`]).
+    pub occupancy_max: f64,
 }
 
 impl AdmissionPolicy {
@@ -79,6 +85,9 @@
         has_capacity: bool,
         request: &ContendedRequest,
     ) -> Result<(), RefusalReason> {
+        if request.pressure > 0.0 && estimate.occupancy > request.occupancy_max {
+            return Err(RefusalReason::KeptForUrgent);
+        }
         let in_calm = self.admits(route, estimate, has_capacity);
         let is_admitted = match request {
             request if request.pressure <= 0.0 => in_calm,
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 //! | how much room the upstreams of a service have in each data centre | `contention.rs` |
 //! | how many slots of an upstream are occupied, and how latency grows with occupancy | `load_curve.rs` |
 //! | whether a request is sent to an upstream or refused | `admission.rs`; while its service is contended `contended_admission.rs`, with `finish_spread.rs` |
+//! | which requests leave the last free slots to more urgent ones | `urgent_first.rs` |
 //! | how much of its time a caller has spent before | `caller_progress.rs` |
 //! | when the caller of a refused request comes back | `admission.rs`; while its service is contended `return_time.rs` |
 //! | whether this node has lost the path to a service | `reachability.rs` |
@@ -80,6 +81,7 @@
 mod subset;
 mod upstream;
 mod upstream_key;
+mod urgent_first;
 mod warm_up;
 
 pub use {
@@ -151,5 +153,6 @@
     },
     upstream::{LoadSample, UpstreamState},
     upstream_key::UpstreamKey,
+    urgent_first::RequestsByPriority,
     warm_up::WarmUpBound,
 };
--- a/crates/pointvane-dispatch/tests/contended_service.rs
+++ b/crates/pointvane-dispatch/tests/contended_service.rs
@@ -14,9 +14,9 @@
 
 fn plays() -> impl Iterator<Item = Play> {
     let sizes = [(18, 20), (120, 40)];
-    sizes
-        .into_iter()
-        .flat_map(|(nodes, upstreams)| [1.1, 1.5, 2.5].map(|burst| Play { nodes, upstreams, burst, seed: 1 }))
+    sizes.into_iter().flat_map(|(nodes, upstreams)| {
+        [1.1, 1.5, 2.5].map(|burst| Play { nodes, upstreams, burst, kinds: &[], seed: 1 })
+    })
 }
 
 fn describe(outcome: &Outcome) -> String {
@@ -55,3 +55,30 @@
         }
     }
 }
+
+/// Kinds of requests by demand, as multiples of what the service bears.
+const MIXES: [&[f64]; 4] = [&[0.3, 0.6], &[0.4, 1.1], &[0.3, 0.6, 0.6], &[0.5, 1.0, 1.5]];
+
+#[gtest]
+fn urgent_requests_are_in_time_beside_bursts_of_less_urgent_ones() {
+    for kinds in MIXES {
+        for (nodes, upstreams) in [(18, 20), (120, 40)] {
+            let play = Play { nodes, upstreams, burst: kinds.iter().sum(), kinds, seed: 1 };
+            let outcome = play_seeds(play, Design::Contended, SEEDS);
+            let shares: Vec<f64> = (0..kinds.len()).map(|kind| outcome.kind_share(kind)).collect();
+            println!("{play:?}: {shares:.3?}; {}", describe(&outcome));
+            for bound in FIXED_BOUNDS {
+                let fixed = play_seeds(play, Design::FixedBound(bound), SEEDS);
+                let shares: Vec<f64> = (0..kinds.len()).map(|kind| fixed.kind_share(kind)).collect();
+                println!("  bound {bound}: {shares:.3?}; {}", describe(&fixed));
+            }
+            expect_that!(shares[0], ge(0.95), "{play:?}");
+            expect_that!(
+                shares.is_sorted_by(|more, less| more + 0.02 >= *less),
+                eq(true),
+                "{play:?}: {shares:?}"
+            );
+            expect_that!(shares, each(ge(&0.1)), "{play:?}: no kind starves");
+        }
+    }
+}
--- a/crates/pointvane-dispatch/tests/contended_simulation/mod.rs
+++ b/crates/pointvane-dispatch/tests/contended_simulation/mod.rs
@@ -7,8 +7,8 @@
     pointvane_core::{ErrorKind, RouteKind, RouteRule, UpstreamLoad, UpstreamRecord},
     pointvane_dispatch::{
         AdmissionPolicy, AllowedRegions, CallerProgress, CandidateCriteria, ContendedRequest, FinishEstimate,
-        LoadWhenSent, Pool, RankingOptions, RefusedBy, ReturnInputs, RouteLatencies, UpstreamKey,
-        admission_pressure, retry_after_ms,
+        LoadWhenSent, Pool, RankingOptions, RefusedBy, RequestsByPriority, ReturnInputs, RouteLatencies,
+        UpstreamKey, admission_pressure, retry_after_ms,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::collections::VecDeque,
@@ -35,6 +35,7 @@
 pub const BURST_AT_MS: u64 = 4_000;
 pub const BURST_MS: u64 = 4_000;
 const END_MS: u64 = 14_000;
+pub const KINDS_MAX: usize = 4;
 const MS: u64 = 1_000;
 
 /// How requests are admitted and when callers come back.
@@ -53,6 +54,9 @@
     pub upstreams: usize,
     /// Demand in the burst, as a multiple of what the upstreams bear; 0.5 before and after.
     pub burst: f64,
+    /// Demand of each kind of request as a multiple of what the upstreams bear, most urgent first, in the
+    /// burst. Empty for a single kind with all of the demand.
+    pub kinds: &'static [f64],
     pub seed: u64,
 }
 
@@ -71,6 +75,8 @@
     /// Requests first sent from 1 s after the burst on, and how many of them are in time.
     pub after: usize,
     pub after_in_time: usize,
+    /// First tries and requests in time of each kind.
+    pub kinds: [(usize, usize); KINDS_MAX],
 }
 
 impl Outcome {
@@ -86,6 +92,12 @@
         self.after_in_time as f64 / self.after.max(1) as f64
     }
 
+    /// Share of a kind that is in time.
+    pub fn kind_share(&self, kind: usize) -> f64 {
+        let (first_tries, in_time) = self.kinds[kind];
+        in_time as f64 / first_tries.max(1) as f64
+    }
+
     /// Adds the outcome of another play.
     pub fn add(&mut self, other: &Self) {
         self.first_tries += other.first_tries;
@@ -97,6 +109,9 @@
         self.work_in_time_ms += other.work_in_time_ms;
         self.after += other.after;
         self.after_in_time += other.after_in_time;
+        for (kind, other) in self.kinds.iter_mut().zip(other.kinds) {
+            *kind = (kind.0 + other.0, kind.1 + other.1);
+        }
     }
 }
 
@@ -105,6 +120,7 @@
     first_sent_ms: u64,
     arrives_ms: u64,
     has_returned: bool,
+    kind: usize,
 }
 
 /// A request at an upstream.
@@ -155,8 +171,9 @@
 
 struct Node {
     pool: Pool,
-    latencies: RouteLatencies,
-    progress: CallerProgress,
+    latencies: Vec<RouteLatencies>,
+    progress: Vec<CallerProgress>,
+    priorities: RequestsByPriority,
 }
 
 impl Node {
@@ -165,7 +182,12 @@
         for index in 0..upstreams {
             pool.upsert(UpstreamRecord { slots: SLOTS as u32, ..record(&index.to_string(), 1) }, 0);
         }
-        Self { pool, latencies: RouteLatencies::new(route), progress: CallerProgress::default() }
+        Self {
+            pool,
+            latencies: vec![RouteLatencies::new(route); KINDS_MAX],
+            progress: vec![CallerProgress::default(); KINDS_MAX],
+            priorities: RequestsByPriority::default(),
+        }
     }
 
     /// Probes candidates and returns the best of them.
@@ -195,14 +217,15 @@
         self.pool.get_mut(work.key).unwrap().request_finished();
         let latency_ms = (now_ms - work.sent_at_ms) as f64;
         let expected_multiple = f64::from(work.sent.expected_latency);
+        let latencies = &mut self.latencies[work.request.kind];
         if work.sent.occupancy > 1.0 {
-            self.latencies.record_queued(latency_ms, expected_multiple * self.latencies.baseline_ms());
+            latencies.record_queued(latency_ms, expected_multiple * latencies.baseline_ms());
         }
-        let slowdown = self.latencies.record_attempt(latency_ms, expected_multiple);
+        let slowdown = latencies.record_attempt(latency_ms, expected_multiple);
         self.pool.record_latency(work.key, slowdown, &work.sent, now_ms * MS);
     }
 
-    /// Decides on a request; `Err` is the time after which its caller comes back.
+    /// Decides on a request, and records the decision; `Err` is the time after which its caller comes back.
     fn decide(
         &mut self,
         design: Design,
@@ -216,14 +239,16 @@
         let remaining_ms = (request.first_sent_ms + DEADLINE_MS).saturating_sub(now_ms);
         let contention = self.pool.service_contention(&"dispatch".into(), now_us);
         let pressure = admission_pressure(contention);
-        let spent_ms = self.progress.record(Some(remaining_ms), pressure > 0.0);
+        let spent_ms = self.progress[request.kind].record(Some(remaining_ms), pressure > 0.0);
         if self.pool.is_uncontended(key, now_us) {
+            self.priorities.record(route.priority, true, now_us);
             return Ok(());
         }
         let sent = self.pool.load_when_sent(key, now_us).unwrap();
         let estimate = FinishEstimate {
             elapsed_ms: PROBE_MS as f64,
-            expected_latency_ms: f64::from(sent.expected_latency) * self.latencies.baseline_ms(),
+            expected_latency_ms: f64::from(sent.expected_latency)
+                * self.latencies[request.kind].baseline_ms(),
             occupancy: f64::from(sent.occupancy),
             full_slowdown: self.pool.full_slowdown(&"dispatch".into()).into(),
         };
@@ -239,16 +264,20 @@
         }
         let inputs = ReturnInputs {
             spent_ms: spent_ms + PROBE_MS as f64,
-            expected_latency_ms: estimate.expected_latency_ms.min(2.0 * self.latencies.baseline_ms()),
+            expected_latency_ms: estimate
+                .expected_latency_ms
+                .min(2.0 * self.latencies[request.kind].baseline_ms()),
             remaining_ms: remaining_ms as f64,
         };
         let contended = ContendedRequest {
             pressure,
             spent_ms,
             can_return: spent_ms == 0.0 && inputs.latest_ms(route).is_some(),
-            finish_spread: self.latencies.finish_spread(),
+            occupancy_max: self.priorities.occupancy_max(route.priority, contention, now_us),
+            finish_spread: self.latencies[request.kind].finish_spread(),
         };
         let decision = AdmissionPolicy::default().check(route, &estimate, has_capacity, &contended);
+        self.priorities.record(route.priority, decision.is_ok(), now_us);
         decision.map_err(|_| match pressure > 0.0 {
             true => u64::from(inputs.return_after_ms(route, jitter)),
             false => random_return(),
@@ -260,13 +289,24 @@
     RouteRule { target_latency_ms: TARGET_MS, timeout_ms: 10_000, ..route(RouteKind::Safe) }
 }
 
+/// The kind of a request, by the demands of the kinds.
+fn draw_kind(demands: &[f64], rng: &mut SmallRng) -> usize {
+    let mut draw = rng.random_range(0.0..1.0) * demands.iter().sum::<f64>();
+    let reaches = |demand: &f64| {
+        draw -= demand;
+        draw < 0.0
+    };
+    demands.iter().position(reaches).unwrap_or(0)
+}
+
 /// Plays a burst and returns what became of its requests.
 pub fn play(play: Play, design: Design) -> Outcome {
-    let route = burst_route();
+    let routes: Vec<RouteRule> =
+        (0..KINDS_MAX).map(|kind| RouteRule { priority: kind as u32, ..burst_route() }).collect();
     let mut rng = SmallRng::seed_from_u64(play.seed);
     let mut upstreams = vec![Upstream::default(); play.upstreams];
     let mut nodes: Vec<Node> =
-        (0..play.nodes).map(|node| Node::new(play.upstreams, &route, play.seed + node as u64)).collect();
+        (0..play.nodes).map(|node| Node::new(play.upstreams, &routes[0], play.seed + node as u64)).collect();
     let bears_per_step = UPSTREAM_RATE_PER_S * play.upstreams as f64 * STEP_MS as f64 / 1e3;
     let mut pending: Vec<Request> = Vec::new();
     let mut outcome = Outcome::default();
@@ -278,8 +318,10 @@
             bears_per_step * if in_burst(now_ms) { play.burst } else { 0.5 } * rng.random_range(0.0..2.0);
         while arrivals >= 1.0 {
             arrivals -= 1.0;
-            pending.push(Request { first_sent_ms: now_ms, arrives_ms: now_ms, has_returned: false });
+            let kind = draw_kind(play.kinds, &mut rng);
+            pending.push(Request { first_sent_ms: now_ms, arrives_ms: now_ms, has_returned: false, kind });
             outcome.first_tries += usize::from(in_burst(now_ms));
+            outcome.kinds[kind].0 += usize::from(in_burst(now_ms));
             outcome.after += usize::from(after_burst(now_ms));
         }
         let (due, not_due): (Vec<_>, Vec<_>) =
@@ -287,9 +329,10 @@
         pending = not_due;
         for request in due {
             let node = rng.random_range(0..nodes.len());
+            let route = &routes[request.kind];
             let (index, key) = nodes[node].probe(&upstreams, now_ms * MS);
             let counted = in_burst(request.first_sent_ms);
-            match nodes[node].decide(design, &route, &request, key, now_ms, rng.random()) {
+            match nodes[node].decide(design, route, &request, key, now_ms, rng.random()) {
                 Ok(()) => {
                     let sent = nodes[node].pool.load_when_sent(key, now_ms * MS).unwrap();
                     nodes[node].pool.get_mut(key).unwrap().request_started();
@@ -320,6 +363,7 @@
                     outcome.work_ms += work.service_ms;
                     outcome.work_in_time_ms += if in_time { work.service_ms } else { 0.0 };
                     outcome.in_time += usize::from(in_time);
+                    outcome.kinds[work.request.kind].1 += usize::from(in_time);
                     outcome.late += usize::from(!in_time);
                 }
                 outcome.after_in_time += usize::from(in_time && after_burst(work.request.first_sent_ms));
--- a/crates/pointvane-node/src/admission.rs
+++ b/crates/pointvane-node/src/admission.rs
@@ -37,21 +37,37 @@
     request.expected_latency_ms.set(Some(estimate.expected_latency_ms));
     let contended = contended_request(node, request, snapshot.taken_at_us);
     let decision = node.dispatcher.admission.check(route, &estimate, has_capacity, &contended);
+    let mut priorities = node.dispatcher.priorities(&request.routed.service);
+    priorities.record(route.priority, decision.is_ok(), snapshot.taken_at_us);
     if let Err(reason) = decision {
         report_refusal(node, request, &snapshot, &estimate, reason);
     }
     decision.is_err()
 }
 
+/// Records a request that was sent to an uncontended upstream.
+pub fn record_admitted<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest) {
+    if request.sends.get() == 0 {
+        let mut priorities = node.dispatcher.priorities(&request.routed.service);
+        priorities.record(request.routed.route.priority, true, node.now_us());
+    }
+}
+
 fn contended_request<A: PlatformAdapter>(
     node: &Node<A>,
     request: &CallerRequest,
     now_us: u64,
 ) -> ContendedRequest {
+    let priority = request.routed.route.priority;
+    let contention = node.dispatcher.pool().service_contention(&request.routed.service, now_us);
     ContendedRequest {
-        pressure: pressure(node, request, now_us),
+        pressure: admission_pressure(contention),
         spent_ms: request.spent_before_ms,
         can_return: can_return(node, request, now_us),
+        occupancy_max: node
+            .dispatcher
+            .priorities(&request.routed.service)
+            .occupancy_max(priority, contention, now_us),
         finish_spread: node.dispatcher.route_latencies(&request.routed.route).finish_spread(),
     }
 }
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        admission::is_refused_by_admission,
+        admission::{is_refused_by_admission, record_admitted},
         connections::RelayBody,
         crash_check::has_crashed,
         exchange::{ExchangeResult, exchange},
@@ -135,7 +135,10 @@
         return Err(AttemptEnd::Quarantined);
     }
     match search(node, request, goal).await {
-        Found::Uncontended(key) => Ok(key),
+        Found::Uncontended(key) => {
+            record_admitted(node, request);
+            Ok(key)
+        }
         Found::Contended(_) if goal == SearchGoal::UncontendedOnly => Err(AttemptEnd::NotAdmitted),
         Found::Contended(key) if is_refused_by_admission(node, request, key) => Err(AttemptEnd::NotAdmitted),
         Found::Contended(key) => Ok(key),
--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -11,8 +11,8 @@
     },
     pointvane_dispatch::{
         AdmissionPolicy, BudgetLimits, CallerProgress, NodeBudgets, PeerTable, PipelineLimits, Pool,
-        Quarantine, QuarantineOptions, Ranking, RankingOptions, RefusedBy, RetryBudget, RouteLatencies,
-        RouteTable, RoutedRequest, RoutingLog, SearchOptions, WarmUpBound, retry_after_ms,
+        Quarantine, QuarantineOptions, Ranking, RankingOptions, RefusedBy, RequestsByPriority, RetryBudget,
+        RouteLatencies, RouteTable, RoutedRequest, RoutingLog, SearchOptions, WarmUpBound, retry_after_ms,
     },
     pointvane_mesh::rank,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -53,6 +53,7 @@
     budgets: RefCell<NodeBudgets>,
     route_latencies: RefCell<HashMap<Name, RouteLatencies>>,
     caller_progress: RefCell<HashMap<Name, CallerProgress>>,
+    priorities: RefCell<HashMap<Name, RequestsByPriority>>,
     peers: RefCell<PeerTable>,
     /// The newest configuration by which another node handled a request of this node.
     peer_version: Cell<u64>,
@@ -93,6 +94,7 @@
             budgets: RefCell::new(NodeBudgets::new(now_us)),
             route_latencies: RefCell::default(),
             caller_progress: RefCell::default(),
+            priorities: RefCell::default(),
             peers: RefCell::default(),
             peer_version: Cell::default(),
             rng: RefCell::new(SmallRng::from_rng(seeder)),
@@ -187,6 +189,11 @@
         RefMut::map(self.caller_progress.borrow_mut(), |progress| progress.entry(route.clone()).or_default())
     }
 
+    /// The recent requests of a service, by priority.
+    pub fn priorities(&self, service: &Name) -> RefMut<'_, RequestsByPriority> {
+        RefMut::map(self.priorities.borrow_mut(), |priorities| priorities.entry(service.clone()).or_default())
+    }
+
     /// This node's share of a service's retry budget.
     pub fn retry_budget(&self, service: &Name, limits: &BudgetLimits) -> RefMut<'_, RetryBudget> {
         RefMut::map(self.budgets.borrow_mut(), |budgets| budgets.retry_budget(service, limits))
