--- a/crates/pointvane-dispatch/tests/contended_service.rs
+++ b/crates/pointvane-dispatch/tests/contended_service.rs
@@ -15,7 +15,7 @@
 fn plays() -> impl Iterator<Item = Play> {
     let sizes = [(18, 20), (120, 40)];
     sizes.into_iter().flat_map(|(nodes, upstreams)| {
-        [1.1, 1.5, 2.5].map(|burst| Play { nodes, upstreams, burst, kinds: &[], seed: 1 })
+        [1.1, 1.5, 2.5].map(|burst| Play { nodes, upstreams, burst, kinds: &[], restarts: false, seed: 1 })
     })
 }
 
@@ -63,7 +63,7 @@
 fn urgent_requests_are_in_time_beside_bursts_of_less_urgent_ones() {
     for kinds in MIXES {
         for (nodes, upstreams) in [(18, 20), (120, 40)] {
-            let play = Play { nodes, upstreams, burst: kinds.iter().sum(), kinds, seed: 1 };
+            let play = Play { nodes, upstreams, burst: kinds.iter().sum(), kinds, restarts: false, seed: 1 };
             let outcome = play_seeds(play, Design::Contended, SEEDS);
             let shares: Vec<f64> = (0..kinds.len()).map(|kind| outcome.kind_share(kind)).collect();
             println!("{play:?}: {shares:.3?}; {}", describe(&outcome));
@@ -82,3 +82,25 @@
         }
     }
 }
+
+/// Second tries refused, of all requests refused, compared with the bound and return times without contention.
+#[gtest]
+fn fewer_of_those_who_come_back_are_refused_again() {
+    for play in plays() {
+        let outcome = play_seeds(play, Design::Contended, SEEDS);
+        let fixed = play_seeds(play, Design::FixedBound(1.8), SEEDS);
+        println!("{play:?}: {}", describe(&outcome));
+        println!("  bound 1.8: {}", describe(&fixed));
+        expect_that!(outcome.refused_again_share(), lt(fixed.refused_again_share()), "{play:?}");
+    }
+}
+
+/// Nodes that start in the middle of the burst know neither the load nor what callers state.
+#[gtest]
+fn nodes_that_restart_in_a_burst_do_no_harm() {
+    let play = Play { nodes: 18, upstreams: 20, burst: 1.5, kinds: &[], restarts: false, seed: 1 };
+    let outcome = play_seeds(Play { restarts: true, ..play }, Design::Contended, SEEDS);
+    println!("{}", describe(&outcome));
+    expect_that!(outcome.work_share(), ge(0.85));
+    expect_that!(outcome.recovered_share(), ge(0.95));
+}
--- a/crates/pointvane-dispatch/tests/contended_simulation/mod.rs
+++ b/crates/pointvane-dispatch/tests/contended_simulation/mod.rs
@@ -34,6 +34,8 @@
 const CANDIDATES: usize = 6;
 pub const BURST_AT_MS: u64 = 4_000;
 pub const BURST_MS: u64 = 4_000;
+/// Time between two restarts of nodes, in milliseconds.
+const RESTART_EVERY_MS: u64 = 200;
 const END_MS: u64 = 14_000;
 pub const KINDS_MAX: usize = 4;
 const MS: u64 = 1_000;
@@ -57,6 +59,8 @@
     /// Demand of each kind of request as a multiple of what the upstreams bear, most urgent first, in the
     /// burst. Empty for a single kind with all of the demand.
     pub kinds: &'static [f64],
+    /// Whether half of the nodes restart in the burst, one after the other.
+    pub restarts: bool,
     pub seed: u64,
 }
 
@@ -214,7 +218,8 @@
     }
 
     fn record(&mut self, work: &Work, now_ms: u64) {
-        self.pool.get_mut(work.key).unwrap().request_finished();
+        let Some(state) = self.pool.get_mut(work.key) else { return };
+        state.request_finished();
         let latency_ms = (now_ms - work.sent_at_ms) as f64;
         let expected_multiple = f64::from(work.sent.expected_latency);
         let latencies = &mut self.latencies[work.request.kind];
@@ -324,6 +329,10 @@
             outcome.kinds[kind].0 += usize::from(in_burst(now_ms));
             outcome.after += usize::from(after_burst(now_ms));
         }
+        if play.restarts && in_burst(now_ms) && now_ms % RESTART_EVERY_MS == 0 {
+            let node = rng.random_range(0..nodes.len());
+            nodes[node] = Node::new(play.upstreams, &routes[0], play.seed + now_ms);
+        }
         let (due, not_due): (Vec<_>, Vec<_>) =
             pending.into_iter().partition(|request| request.arrives_ms <= now_ms);
         pending = not_due;
