--- a/crates/pointvane-dispatch/src/urgent_first.rs
+++ b/crates/pointvane-dispatch/src/urgent_first.rs
@@ -23,6 +23,9 @@
 const KEPT_OCCUPANCY_PER_KIND: f64 = 0.15;
 /// Further share that is kept for each share of the more urgent requests that was refused nevertheless.
 const KEPT_OCCUPANCY_PER_REFUSED: f64 = 2.0;
+/// Share of the upstreams at which slots are kept, as a multiple of the share of the requests that is more
+/// urgent: rare urgent requests find enough upstreams with a slot.
+const KEPT_PER_URGENT_SHARE: f64 = 4.0;
 /// Largest share of the slots that is kept.
 const KEPT_OCCUPANCY_MAX: f64 = 0.6;
 /// Mean occupancy from which on slots are kept before a more urgent request is refused.
@@ -75,8 +78,14 @@
     }
 
     /// Share of the slots of an upstream that a request of `priority` may use, counting itself; infinite if
-    /// nothing is kept from it.
-    pub fn occupancy_max(&self, priority: u32, contention: Option<Contention>, now_us: u64) -> f64 {
+    /// nothing is kept from it. `draw` is a random number between 0 and 1.
+    pub fn occupancy_max(
+        &self,
+        priority: u32,
+        contention: Option<Contention>,
+        draw: f64,
+        now_us: u64,
+    ) -> f64 {
         let priority = priority.min(PRIORITY_MAX);
         let more_urgent = self.by_priority.range(..priority);
         let more_urgent = more_urgent.map(|(_, recent)| recent.decayed(now_us));
@@ -88,7 +97,9 @@
         let has_its_share = own.admitted_share() >= ADMITTED_SHARE_MIN.min(more_urgent.admitted_share());
         let is_full = contention.is_some_and(|contention| contention.occupancy >= FULL_OCCUPANCY);
         let is_short = is_full || more_urgent.admitted_share() < URGENT_ADMITTED_SHARE;
-        if kinds == 0 || !is_short || !has_its_share {
+        let urgent_share = more_urgent.requests / (more_urgent.requests + own.requests);
+        let is_kept = draw < urgent_share * KEPT_PER_URGENT_SHARE;
+        if kinds == 0 || !is_short || !has_its_share || !is_kept {
             return f64::INFINITY;
         }
         let refused_share = 1.0 - more_urgent.admitted_share();
--- a/crates/pointvane-dispatch/tests/contended_simulation/mod.rs
+++ b/crates/pointvane-dispatch/tests/contended_simulation/mod.rs
@@ -239,6 +239,7 @@
         key: UpstreamKey,
         now_ms: u64,
         jitter: f64,
+        draw: f64,
     ) -> Result<(), u64> {
         let now_us = now_ms * MS;
         let remaining_ms = (request.first_sent_ms + DEADLINE_MS).saturating_sub(now_ms);
@@ -278,7 +279,7 @@
             pressure,
             spent_ms,
             can_return: spent_ms == 0.0 && inputs.latest_ms(route).is_some(),
-            occupancy_max: self.priorities.occupancy_max(route.priority, contention, now_us),
+            occupancy_max: self.priorities.occupancy_max(route.priority, contention, draw, now_us),
             finish_spread: self.latencies[request.kind].finish_spread(),
         };
         let decision = AdmissionPolicy::default().check(route, &estimate, has_capacity, &contended);
@@ -341,7 +342,7 @@
             let route = &routes[request.kind];
             let (index, key) = nodes[node].probe(&upstreams, now_ms * MS);
             let counted = in_burst(request.first_sent_ms);
-            match nodes[node].decide(design, route, &request, key, now_ms, rng.random()) {
+            match nodes[node].decide(design, route, &request, key, now_ms, rng.random(), rng.random()) {
                 Ok(()) => {
                     let sent = nodes[node].pool.load_when_sent(key, now_ms * MS).unwrap();
                     nodes[node].pool.get_mut(key).unwrap().request_started();
--- a/crates/pointvane-node/src/admission.rs
+++ b/crates/pointvane-node/src/admission.rs
@@ -60,6 +60,7 @@
 ) -> ContendedRequest {
     let priority = request.routed.route.priority;
     let contention = node.dispatcher.pool().service_contention(&request.routed.service, now_us);
+    let draw = f64::from(node.dispatcher.draw());
     ContendedRequest {
         pressure: admission_pressure(contention),
         spent_ms: request.spent_before_ms,
@@ -67,7 +68,7 @@
         occupancy_max: node
             .dispatcher
             .priorities(&request.routed.service)
-            .occupancy_max(priority, contention, now_us),
+            .occupancy_max(priority, contention, draw, now_us),
         finish_spread: node.dispatcher.route_latencies(&request.routed.route).finish_spread(),
     }
 }
