--- a/crates/pointvane-dispatch/tests/contended_simulation/mod.rs
+++ b/crates/pointvane-dispatch/tests/contended_simulation/mod.rs
@@ -230,7 +230,7 @@
         self.pool.record_latency(work.key, slowdown, &work.sent, now_ms * MS);
     }
 
-    /// Decides on a request, and records the decision; `Err` is the time after which its caller comes back.
+    /// Decides on a request by two random numbers between 0 and 1, and records the decision; `Err` is the time after which its caller comes back.
     fn decide(
         &mut self,
         design: Design,
@@ -238,8 +238,7 @@
         request: &Request,
         key: UpstreamKey,
         now_ms: u64,
-        jitter: f64,
-        draw: f64,
+        [jitter, draw]: [f64; 2],
     ) -> Result<(), u64> {
         let now_us = now_ms * MS;
         let remaining_ms = (request.first_sent_ms + DEADLINE_MS).saturating_sub(now_ms);
@@ -342,7 +341,7 @@
             let route = &routes[request.kind];
             let (index, key) = nodes[node].probe(&upstreams, now_ms * MS);
             let counted = in_burst(request.first_sent_ms);
-            match nodes[node].decide(design, route, &request, key, now_ms, rng.random(), rng.random()) {
+            match nodes[node].decide(design, route, &request, key, now_ms, rng.random()) {
                 Ok(()) => {
                     let sent = nodes[node].pool.load_when_sent(key, now_ms * MS).unwrap();
                     nodes[node].pool.get_mut(key).unwrap().request_started();
