Admission: a line's reason, time spent before, returned requests and return times as metrics

request-would-be-late gets two optional fields; the golden file of events is unchanged (they are left out where unknown), its test names them as None.

--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -73,6 +73,8 @@
     has_hedge_token: bool,
     /// Whether the caller can come back after a refusal and still be answered in time.
     can_return: bool,
+    /// Whether the last retry was not made for want of a token.
+    lacked_token: bool,
 }
 
 impl<'r> RequestAttempts<'r> {
@@ -88,9 +90,15 @@
             has_upstream_answer: false,
             has_hedge_token: false,
             can_return: false,
+            lacked_token: false,
         }
     }
 
+    /// Whether the last retry was not made only because the retry budget had no token for it.
+    pub fn lacked_token(&self) -> bool {
+        self.lacked_token
+    }
+
     /// Records whether the caller can come back after a refusal and still be answered in time. To be called
     /// before the end of an attempt is reported.
     pub fn set_can_return(&mut self, can_return: bool) {
@@ -178,6 +186,7 @@
     fn retry(&mut self, outcome: AttemptOutcome, takes_token: bool, budget: &mut RetryBudget) -> NextStep {
         let token = if self.can_return { TokenUse::Deferrable } else { TokenUse::LastTry };
         if takes_token && !budget.take_for(token) {
+            self.lacked_token = true;
             return self.give_up_without_token(outcome);
         }
         self.in_flight += 1;
--- a/crates/pointvane-dispatch/src/contended_admission.rs
+++ b/crates/pointvane-dispatch/src/contended_admission.rs
@@ -24,7 +24,7 @@
 /// Multiple of the target that a first try may be expected to take at the highest pressure.
 const STRICT_TARGET_SHARE: f64 = 1.0;
 
-/// Why a request is not sent to the best upstream that was found.
+/// Why a request is not sent to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalReason {
     /// It would finish too late.
@@ -33,6 +33,8 @@
     Full,
     /// The slots that are left are kept for more urgent requests.
     KeptForUrgent,
+    /// An upstream rejected it, and the retry budget has no token to send it to another one.
+    NoRetryToken,
 }
 
 impl RefusalReason {
@@ -42,6 +44,7 @@
             Self::Late => "late",
             Self::Full => "full",
             Self::KeptForUrgent => "kept-for-urgent",
+            Self::NoRetryToken => "no-retry-token",
         }
     }
 }
--- a/crates/pointvane-dispatch/src/urgent_first.rs
+++ b/crates/pointvane-dispatch/src/urgent_first.rs
@@ -1,9 +1,11 @@
 //! Urgent work first: while a service is contended, the last free slots of its upstreams are kept for its more
 //! urgent requests.
 //!
-//! Inputs: the priority of each request of the service that this node admits or refuses. Slots are kept only
-//! if a more urgent request was seen recently, and a less urgent kind is not refused for it while less than
-//! [`ADMITTED_SHARE_MIN`] of its recent requests, and less than of the more urgent ones, were admitted. Tests: `tests/urgent_first.rs`.
+//! Inputs: the priority of each request of the service that this node admits or refuses, the contention of the
+//! service, and a random number. Slots are kept only if more urgent requests were seen recently, and at the
+//! more upstreams the larger their share is. A less urgent kind is not refused for them while less than
+//! [`ADMITTED_SHARE_MIN`] of its recent requests were admitted, nor while that is a smaller share than of the
+//! more urgent ones. Tests: `tests/urgent_first.rs`, `tests/contended_service.rs`.
 
 use {crate::contention::Contention, std::collections::BTreeMap};
 
--- a/crates/pointvane-node/src/admission.rs
+++ b/crates/pointvane-node/src/admission.rs
@@ -80,8 +80,7 @@
 /// Whether the caller of a refused request can come back and still be answered in time. A caller that has come
 /// back already is not expected to do so again.
 pub fn can_return<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest, now_us: u64) -> bool {
-    let is_new = request.spent_before_ms == 0.0;
-    is_new && return_inputs(node, request, now_us).latest_ms(&request.routed.route).is_some()
+    !request.has_returned() && return_inputs(node, request, now_us).latest_ms(&request.routed.route).is_some()
 }
 
 /// Retry time of a request that this node refused while its service is contended, in milliseconds; `None`
@@ -128,6 +127,8 @@
         pace_percent: load.slowdown_percent,
         load_age_ms: snapshot.load_age_ms(),
         expected_ms: estimate.expected_latency_ms as u64,
-        spent_ms: (estimate.elapsed_ms + request.spent_before_ms) as u64,
+        spent_ms: estimate.elapsed_ms as u64,
+        reason: Some(reason.as_str().into()),
+        spent_before_ms: request.has_returned().then_some(request.spent_before_ms as u64),
     });
 }
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -15,8 +15,8 @@
     hyper::Response,
     pointvane_core::{ErrorKind, HedgeSchedule, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
-        AttemptEnd, NextStep, RefusedBy, RequestAttempts, RetryBudget, SearchGoal, WithheldService,
-        hedge_goal, may_relay, search_time_ms,
+        AttemptEnd, NextStep, RefusalReason, RefusedBy, RequestAttempts, RetryBudget, SearchGoal,
+        WithheldService, hedge_goal, may_relay, search_time_ms,
     },
     std::{cell::RefMut, rc::Rc, time::Duration},
     tokio::{
@@ -95,6 +95,9 @@
                 }
                 () = sleep_until(deadline) => attempts.deadline_passed(request.sends.get()),
             };
+            if attempts.lacked_token() && matches!(step, NextStep::GiveUp(_)) {
+                self.node.report.not_admitted(RefusalReason::NoRetryToken);
+            }
             if let Some(answer) = self.execute(step) {
                 return answer;
             }
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -47,7 +47,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     not_admitted: Counter<u64>,
-    callers_returned: Counter<u64>,
+    returned_requests: Counter<u64>,
     attempts: Counter<u64>,
     repeats: Counter<u64>,
     probes: Counter<u64>,
@@ -73,6 +73,7 @@
     peer_question_failures: Counter<u64>,
     request_s: Histogram<f64>,
     upstream_s: Histogram<f64>,
+    return_s: Histogram<f64>,
 }
 
 impl Report {
@@ -98,7 +99,7 @@
             requests: counter("pointvane_node_requests"),
             refusals: counter("pointvane_node_refusals"),
             not_admitted: counter("pointvane_node_not_admitted"),
-            callers_returned: counter("pointvane_node_callers_returned"),
+            returned_requests: counter("pointvane_node_returned_requests"),
             attempts: counter("pointvane_node_attempts"),
             repeats: counter("pointvane_node_repeats"),
             probes: counter("pointvane_node_probes"),
@@ -124,6 +125,7 @@
             peer_question_failures: counter("pointvane_node_peer_question_failures"),
             request_s: histogram("pointvane_node_request"),
             upstream_s: histogram("pointvane_node_upstream"),
+            return_s: histogram("pointvane_node_return"),
             metrics,
         })
     }
@@ -195,9 +197,14 @@
         self.not_admitted.add(1, &[KeyValue::new("reason", reason.as_str())]);
     }
 
-    /// Counts a request whose caller has come back after an earlier try.
-    pub fn caller_returned(&self) {
-        self.callers_returned.add(1, &[]);
+    /// Counts a request whose caller had come back after an earlier try, by whether an upstream answered it.
+    pub fn returned_request_ended(&self, is_answered: bool) {
+        self.returned_requests.add(1, &[KeyValue::new("answered", is_answered)]);
+    }
+
+    /// Records the time after which a refused caller is asked to come back, in milliseconds.
+    pub fn told_return_time(&self, after_ms: u32) {
+        self.return_s.record(f64::from(after_ms) / MS_PER_S, &[]);
     }
 
     /// Counts an attempt and records its duration.
--- a/crates/pointvane-node/src/request.rs
+++ b/crates/pointvane-node/src/request.rs
@@ -158,6 +158,11 @@
         Some(outgoing)
     }
 
+    /// Whether its caller has come back after an earlier try.
+    pub fn has_returned(&self) -> bool {
+        self.spent_before_ms > 0.0
+    }
+
     /// Whether another node forwarded it.
     pub fn is_forwarded(&self) -> bool {
         self.forwarded.is_some()
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -145,6 +145,9 @@
     let now_us = node.now_us();
     let spent_ms = now_us.saturating_sub(request.arrived_at_us) / US_PER_MS;
     let attempts = request.sends.get();
+    if request.has_returned() {
+        node.report.returned_request_ended(answer.is_ok());
+    }
     let id = request.id.clone();
     let (route, version) = (request.routed.route.name.clone(), request.routed.version);
     match answer {
@@ -170,6 +173,7 @@
     now_us: u64,
 ) {
     node.report.refused(refused.kind);
+    refused.retry_after_ms.iter().for_each(|after_ms| node.report.told_return_time(*after_ms));
     let row = refused.kind.answer();
     let is_quarantined = refused.kind == ErrorKind::RequestQuarantined;
     node.report.failure(now_us, || EventKind::RequestRefused {
@@ -250,12 +254,7 @@
     }
     let contention = node.dispatcher.pool().service_contention(&routed.service, node.now_us());
     let is_contended = admission_pressure(contention) > 0.0;
-    let spent_ms =
-        node.dispatcher.caller_progress(&routed.route.name).record(caller_timeout_ms, is_contended);
-    if spent_ms > 0.0 {
-        node.report.caller_returned();
-    }
-    spent_ms
+    node.dispatcher.caller_progress(&routed.route.name).record(caller_timeout_ms, is_contended)
 }
 
 fn caller_request(
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -161,6 +161,12 @@
         load_age_ms: u64,
         expected_ms: u64,
         spent_ms: u64,
+        /// Why it is not sent there.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        reason: Option<Name>,
+        /// Time that the caller had spent on earlier tries; `None` if it is new.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        spent_before_ms: Option<u64>,
     },
     /// An attempt was abandoned after `after_ms` without a response, which counts against the upstream.
     AttemptGivenUp { request: String, upstream: Name, after_ms: u64 },
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -148,6 +148,8 @@
             load_age_ms: 14,
             expected_ms: 900,
             spent_ms: 5,
+            reason: None,
+            spent_before_ms: None,
         },
         EventKind::AttemptGivenUp { request: "r-1".into(), upstream, after_ms: 700 },
         EventKind::RequestAnswered {
