--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -21,7 +21,10 @@
 //! | which candidates are probed, and which one is selected | `search.rs` |
 //! | how much room the upstreams of a service have in each data centre | `contention.rs` |
 //! | how many slots of an upstream are occupied, and how latency grows with occupancy | `load_curve.rs` |
-//! | whether a request is sent to an upstream or refused | `admission.rs` |
+//! | whether a request is sent to an upstream or refused | `admission.rs`; while its service is contended `contended_admission.rs`, with `finish_spread.rs` |
+//! | which requests leave the last free slots to more urgent ones | `urgent_first.rs` |
+//! | how much of its time a caller has spent before | `caller_progress.rs` |
+//! | when the caller of a refused request comes back | `admission.rs`; while its service is contended `return_time.rs` |
 //! | whether this node has lost the path to a service | `reachability.rs`, with `service_reach.rs` |
 //! | whether an attempt goes through another node, and which | `attempt_path.rs`, `peers.rs`, `forwarded_request.rs` |
 //! | whether a failed attempt is retried, and what the caller is answered | `attempts.rs`, `retry.rs`, with `outcome.rs` |
@@ -42,7 +45,9 @@
 mod attempt_path;
 mod attempts;
 mod budget;
+mod caller_progress;
 mod connection_reuse;
+mod contended_admission;
 mod contention;
 mod cost;
 mod deadline;
@@ -51,6 +56,7 @@
 mod eligibility;
 mod evacuations;
 mod fingerprint;
+mod finish_spread;
 mod first_state;
 mod forwarded_request;
 mod hedge;
@@ -75,6 +81,7 @@
 mod replica;
 mod report_validity;
 mod retry;
+mod return_time;
 mod route_latencies;
 mod routes;
 mod search;
@@ -84,6 +91,7 @@
 mod subset;
 mod upstream;
 mod upstream_key;
+mod urgent_first;
 mod warm_up;
 
 pub use {
@@ -92,17 +100,22 @@
     allowed_regions::AllowedRegions,
     attempt_path::{PathInputs, WithoutPeer, lost_retry_after_ms, without_peer},
     attempts::{AttemptEnd, NextStep, RequestAttempts},
-    budget::{BudgetLimits, NodeBudgets, PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions},
+    budget::{
+        BudgetLimits, NodeBudgets, PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions, TokenUse,
+    },
+    caller_progress::CallerProgress,
     connection_reuse::{
         ConnectionPurpose, IdleTimes, NON_REPEATABLE_IDLE_MAX_US, OpenReason, OtherConnections, Removal,
         SURPLUS_BYTES_WINDOW_US, choose_idle,
     },
+    contended_admission::{ContendedRequest, RefusalReason, admission_pressure},
     contention::Contention,
     deadline::answer_deadline_us,
     directory::{DirectoryMember, directory_addresses},
     ejection::{ProbeOutcome, unresponsive_after_ms},
     evacuations::Evacuations,
     fingerprint::{BodyFingerprint, FINGERPRINT_BODY_BYTES, HeadFingerprint, QueryScope, RequestFingerprint},
+    finish_spread::FinishSpread,
     first_state::{first_state_retry_after_ms, first_state_wait_ms},
     forwarded_request::{ForwardedRequest, MalformedForward, attempts_to_hand_over},
     hedge::hedge_goal,
@@ -150,6 +163,7 @@
         },
     },
     retry::{RetryDecision, decide_retry, may_relay},
+    return_time::ReturnInputs,
     route_latencies::RouteLatencies,
     routes::{RouteTable, RoutedRequest},
     search::{
@@ -159,5 +173,6 @@
     service_reach::{ConnectionKind, Reach},
     upstream::{LoadSample, UpstreamState},
     upstream_key::UpstreamKey,
+    urgent_first::RequestsByPriority,
     warm_up::WarmUpBound,
 };
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -16,7 +16,7 @@
     pointvane_config::LogOptions,
     pointvane_core::{ErrorKind, ItemFault, Name},
     pointvane_dispatch::{
-        CallReason, MemoryRefusal, ProbeOutcome, ProbePurpose, QuarantineChange, ReachChange,
+        CallReason, MemoryRefusal, ProbeOutcome, ProbePurpose, QuarantineChange, ReachChange, RefusalReason,
     },
     pointvane_telemetry::{
         EventKind, EventLog, LineDecision, LineFlush, LineLayout, LogRateLimiter, LogRateLimits, Metrics,
@@ -58,6 +58,8 @@
     labels: RefCell<HashSet<Name>>,
     requests: Counter<u64>,
     refusals: Counter<u64>,
+    not_admitted: Counter<u64>,
+    returned_requests: Counter<u64>,
     attempts: Counter<u64>,
     repeats: Counter<u64>,
     sends: Counter<u64>,
@@ -89,6 +91,7 @@
     refused_for_memory: Cell<u64>,
     request_s: Histogram<f64>,
     upstream_s: Histogram<f64>,
+    return_s: Histogram<f64>,
 }
 
 impl Report {
@@ -113,6 +116,8 @@
             labels: RefCell::default(),
             requests: counter("pointvane_node_requests"),
             refusals: counter("pointvane_node_refusals"),
+            not_admitted: counter("pointvane_node_not_admitted"),
+            returned_requests: counter("pointvane_node_returned_requests"),
             attempts: counter("pointvane_node_attempts"),
             repeats: counter("pointvane_node_repeats"),
             sends: counter("pointvane_node_sends"),
@@ -144,6 +149,7 @@
             request_s: histogram("pointvane_node_request"),
             upstream_s: histogram("pointvane_node_upstream"),
             cross_traffic: CrossTraffic::new(&metrics),
+            return_s: histogram("pointvane_node_return"),
             metrics,
         })
     }
@@ -210,6 +216,21 @@
         );
     }
 
+    /// Counts a request that admission control did not send to the best upstream that was found.
+    pub fn not_admitted(&self, reason: RefusalReason) {
+        self.not_admitted.add(1, &[KeyValue::new("reason", reason.as_str())]);
+    }
+
+    /// Counts a request whose caller had come back after an earlier try, by whether an upstream answered it.
+    pub fn returned_request_ended(&self, is_answered: bool) {
+        self.returned_requests.add(1, &[KeyValue::new("answered", is_answered)]);
+    }
+
+    /// Records the time after which a refused caller is asked to come back, in milliseconds.
+    pub fn told_return_time(&self, after_ms: u32) {
+        self.return_s.record(f64::from(after_ms) / MS_PER_S, &[]);
+    }
+
     /// Counts an attempt and records its duration.
     pub fn attempted(&self, upstream: &Name, outcome: &'static str, took_ms: u64) {
         let upstream = self.label("upstream", upstream);
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -18,8 +18,8 @@
     },
     pointvane_core::{ErrorKind, KeyDigest, PlatformAdapter, RouteKind, US_PER_MS},
     pointvane_dispatch::{
-        ForwardedRequest, RefusedBy, RoutedRequest, answer_deadline_us, first_state_retry_after_ms,
-        first_state_wait_ms,
+        ForwardedRequest, RefusedBy, RoutedRequest, admission_pressure, answer_deadline_us,
+        first_state_retry_after_ms, first_state_wait_ms,
     },
     pointvane_telemetry::EventKind,
     std::{
@@ -120,9 +120,11 @@
         return Err(ErrorKind::DeadlinePassed.into());
     }
     let id = node.headers.request_id_text(&head.headers);
+    let spent_before_ms = spent_before_ms(node, &routed, &origin, caller_timeout_ms);
     node.headers.strip_account(&mut head.headers);
-    let request =
-        caller_request(id, head, buffered, Access { routed, key, charge }, origin, answer_deadline_us);
+    let access = Access { routed, key, charge };
+    let timing = Timing { answer_deadline_us, spent_before_ms };
+    let request = caller_request(id, head, buffered, access, origin, timing);
     if request.body.is_none() {
         // Computed and cached now, since the first attempt takes the body, which the fingerprints depend on.
         request.fingerprints();
@@ -163,6 +165,9 @@
     let now_us = node.now_us();
     let spent_ms = now_us.saturating_sub(request.arrived_at_us) / US_PER_MS;
     let attempts = request.sends.get();
+    if request.has_returned() {
+        node.report.returned_request_ended(answer.is_ok());
+    }
     let id = request.id.clone();
     let (route, version) = (request.routed.route.name.clone(), request.routed.version);
     match answer {
@@ -188,6 +193,7 @@
     now_us: u64,
 ) {
     node.report.refused(refused.kind);
+    refused.retry_after_ms.iter().for_each(|after_ms| node.report.told_return_time(*after_ms));
     let row = refused.kind.answer();
     let is_quarantined = refused.kind == ErrorKind::RequestQuarantined;
     node.report.failure(now_us, || EventKind::RequestRefused {
@@ -249,13 +255,35 @@
     charge: Option<QuotaCharge>,
 }
 
+/// Deadline of a request, and the time that its caller had spent before.
+struct Timing {
+    answer_deadline_us: u64,
+    spent_before_ms: f64,
+}
+
+/// Time that the caller of a request has spent on earlier tries, in milliseconds. Nodes that forward requests
+/// state what is left of them, which says nothing of their callers.
+fn spent_before_ms<A: PlatformAdapter>(
+    node: &Node<A>,
+    routed: &RoutedRequest,
+    origin: &RequestOrigin,
+    caller_timeout_ms: Option<u64>,
+) -> f64 {
+    if origin.forwarded.is_some() {
+        return 0.0;
+    }
+    let contention = node.dispatcher.pool().service_contention(&routed.service, node.now_us());
+    let is_contended = admission_pressure(contention) > 0.0;
+    node.dispatcher.caller_progress(&routed.route.name).record(caller_timeout_ms, is_contended)
+}
+
 fn caller_request(
     id: String,
     head: Parts,
     buffered: BufferedBody,
     access: Access,
     origin: RequestOrigin,
-    answer_deadline_us: u64,
+    timing: Timing,
 ) -> CallerRequest {
     let mut headers = head.headers;
     strip_hop_by_hop_headers(&mut headers);
@@ -278,7 +306,9 @@
         head_fingerprint_cache: OnceCell::new(),
         fingerprints_cache: OnceCell::new(),
         arrived_at_us: origin.at_us,
-        answer_deadline_us,
+        answer_deadline_us: timing.answer_deadline_us,
+        spent_before_ms: timing.spent_before_ms,
+        expected_latency_ms: Cell::default(),
         tried: RefCell::default(),
         sends: Cell::new(0),
         forwarded: origin.forwarded,
