Connections: kept for as long as their upstream announces

Cause: connections were closed after 7 s though upstreams announced 10 s in Keep-Alive; they are now kept until a second before, at most 30 s, and 7 s where nothing is announced. A request that may run at most once is still sent only on a connection that was idle for less than 50 ms, so the longer time reaches probes and repeatable requests alone.

--- a/crates/pointvane-dispatch/src/connection_reuse.rs
+++ b/crates/pointvane-dispatch/src/connection_reuse.rs
@@ -6,6 +6,7 @@
 //! may still arrive. Requests that may run at most once take one that was idle for less than
 //! [`NON_REPEATABLE_IDLE_MAX_US`] only. Tests: `tests/connection_reuse.rs`.
 
+const MS_PER_S: u64 = 1_000;
 /// Time after a response within which surplus bytes of it may still arrive, in microseconds.
 pub const SURPLUS_BYTES_WINDOW_US: u64 = 300_000;
 
@@ -16,6 +17,21 @@
 /// request then gets, unless its response is late.
 pub const NON_REPEATABLE_IDLE_MAX_US: u64 = 50_000;
 
+/// Longest time that a connection is kept idle if its upstream announces none, in milliseconds.
+const IDLE_DEFAULT_MS: u64 = 7_000;
+/// Longest time that a connection is kept idle, whatever its upstream announces, in milliseconds; bounds memory.
+const IDLE_MAX_MS: u64 = 30_000;
+/// Time by which a connection is closed before its upstream would close it, in milliseconds.
+const IDLE_MARGIN_MS: u64 = 1_000;
+
+/// Longest time that a connection is kept idle, in milliseconds, from the `timeout` that its upstream announces
+/// in `Keep-Alive`, in seconds.
+pub fn idle_max_ms(announced_s: Option<u64>) -> u64 {
+    let announced_ms =
+        announced_s.map(|seconds| seconds.saturating_mul(MS_PER_S).saturating_sub(IDLE_MARGIN_MS));
+    announced_ms.unwrap_or(IDLE_DEFAULT_MS).min(IDLE_MAX_MS)
+}
+
 /// What a connection is used for; decides which idle connection is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ConnectionPurpose {
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -85,7 +85,7 @@
     budget::{BudgetLimits, NodeBudgets, PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions},
     connection_reuse::{
         ConnectionPurpose, IdleTimes, NON_REPEATABLE_IDLE_MAX_US, OpenReason, OtherConnections, Removal,
-        SURPLUS_BYTES_WINDOW_US, choose_idle,
+        SURPLUS_BYTES_WINDOW_US, choose_idle, idle_max_ms,
     },
     deadline::answer_deadline_us,
     directory::{DirectoryMember, directory_addresses},
--- a/crates/pointvane-node/src/connections.rs
+++ b/crates/pointvane-node/src/connections.rs
@@ -16,7 +16,7 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
-    pointvane_dispatch::{ConnectionKind, ConnectionPurpose, OpenReason},
+    pointvane_dispatch::{ConnectionKind, ConnectionPurpose, OpenReason, idle_max_ms},
     pointvane_telemetry::BootInstant,
     std::{
         io,
@@ -26,8 +26,6 @@
     tokio::task::spawn_local,
 };
 
-/// Longest time that a connection stays in the pool unused.
-const IDLE_TIME_MAX: Duration = Duration::from_secs(7);
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest read buffer of a connection, in bytes.
@@ -216,14 +214,13 @@
     }
 }
 
-/// Longest idle time of a connection: a second less than the `timeout` that its upstream announces, if any.
+/// Longest idle time of a connection, from the `Keep-Alive` of its upstream.
 fn idle_time_max(answer: &HeaderMap) -> Duration {
-    // A malformed header is ignored, since `IDLE_TIME_MAX` is short anyway.
+    // A malformed header counts as absent.
     let header = answer.get("keep-alive").and_then(|value| value.to_str().ok());
     let seconds = header.and_then(|text| {
         let times = text.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
         times.filter_map(|seconds| seconds.parse().ok()).next()
     });
-    let kept = seconds.map_or(IDLE_TIME_MAX, |seconds: u64| Duration::from_secs(seconds.saturating_sub(1)));
-    kept.min(IDLE_TIME_MAX)
+    Duration::from_millis(idle_max_ms(seconds))
 }
