Connections: a retry goes on a connection that was just used, or a new one

A retry now follows the rule of requests that may run once.

standins/tests/silent_connections.rs: a proxy closes the open connections when the next bytes arrive.

--- a/crates/pointvane-dispatch/src/connection_reuse.rs
+++ b/crates/pointvane-dispatch/src/connection_reuse.rs
@@ -41,7 +41,7 @@
     Check,
     /// A caller's request that may be repeated.
     Repeatable,
-    /// A caller's request that may run at most once.
+    /// A caller's request that may run at most once, or a retry of one that may be repeated.
     NonRepeatable,
     /// A request that is forwarded to another node and may be repeated.
     RepeatableForward,
@@ -50,9 +50,12 @@
 }
 
 impl ConnectionPurpose {
-    /// The purpose of a caller's request to an upstream.
-    pub const fn request(is_repeatable: bool) -> Self {
-        if is_repeatable { Self::Repeatable } else { Self::NonRepeatable }
+    /// The purpose of a caller's request to an upstream, after it was sent `sends` times.
+    ///
+    /// What closed the connection of the first attempt may have closed other idle ones too. So a retry is sent
+    /// like a request that may run at most once: two attempts must not fail for the same cause.
+    pub const fn request(is_repeatable: bool, sends: u32) -> Self {
+        if is_repeatable && sends == 0 { Self::Repeatable } else { Self::NonRepeatable }
     }
 
     /// The purpose of a request that is forwarded to another node.
--- a/crates/pointvane-dispatch/tests/connection_reuse.rs
+++ b/crates/pointvane-dispatch/tests/connection_reuse.rs
@@ -69,3 +69,10 @@
     expect_that!(idle_max_ms(None), eq(7_000), "no announcement");
     expect_that!(idle_max_ms(Some(u64::MAX)), eq(30_000));
 }
+
+#[gtest]
+fn a_retry_is_sent_like_a_request_that_may_run_once() {
+    expect_that!(ConnectionPurpose::request(true, 0), eq(ConnectionPurpose::Repeatable));
+    expect_that!(ConnectionPurpose::request(true, 1), eq(ConnectionPurpose::NonRepeatable));
+    expect_that!(ConnectionPurpose::request(false, 0), eq(ConnectionPurpose::NonRepeatable));
+}
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -109,7 +109,7 @@
     let address = node.dispatcher.pool().get(key).map(|state| state.address());
     let address = address.ok_or(AttemptOutcome::Withheld(Ineligible::Gone))?;
     let is_repeatable = request.routed.route.kind.is_repeatable();
-    let purpose = ConnectionPurpose::request(is_repeatable);
+    let purpose = ConnectionPurpose::request(is_repeatable, request.sends.get());
     let began_us = node.now_us();
     let connection = node.dispatcher.connections.get(address, purpose).await;
     let connection = connection.map_err(|error| {
--- a/standins/tests/silent_connections.rs
+++ b/standins/tests/silent_connections.rs
@@ -1,4 +1,5 @@
-//! Open connections that stop delivering data without a reset, while new connections work.
+//! Open connections that stop delivering data without a reset, or close at the next request, while new
+//! connections work.
 
 #[path = "soak/proxy.rs"]
 #[allow(dead_code)]
@@ -75,6 +76,24 @@
     }
 }
 
+/// An upstream may close an idle connection just when a request arrives on it.
+#[gtest]
+fn requests_that_may_run_once_are_served_although_idle_connections_close_under_them() {
+    let fixture = Fixture::start();
+    for round in 0..4 {
+        let warm_up = fixture.send(&format!("warm-{round}"), "GET", "/safe/a", 12);
+        expect_that!(warm_up, each(eq(&200)));
+        // The connections become idle for longer than one is for a request that may run once.
+        thread::sleep(Duration::from_millis(60));
+        fixture.upstream_proxies.iter().for_each(Proxy::forget_open_connections);
+        let runs_before: usize = fixture.upstreams.iter().map(Upstream::run_count).sum();
+        let unsafe_requests = fixture.send(&format!("closed-{round}"), "POST", "/unsafe/a", 10);
+        expect_that!(unsafe_requests, each(eq(&200)), "round {round}");
+        let ran = fixture.upstreams.iter().map(Upstream::run_count).sum::<usize>() - runs_before;
+        expect_that!(ran, eq(10), "round {round}");
+    }
+}
+
 #[gtest]
 fn a_configuration_is_applied_although_the_connection_to_the_store_is_silent() {
     let fixture = Fixture::start();
--- a/standins/tests/soak/proxy.rs
+++ b/standins/tests/soak/proxy.rs
@@ -58,6 +58,8 @@
     link: Arc<Mutex<Link>>,
     /// Number of calls of [`Proxy::silence_open_connections`].
     silences: Arc<AtomicU64>,
+    /// Number of calls of [`Proxy::forget_open_connections`].
+    forgets: Arc<AtomicU64>,
     /// Partitions by the address of the client.
     partitions: Partitions,
 }
@@ -77,6 +79,7 @@
             address: listener.local_addr().unwrap(),
             link: Arc::new(Mutex::new(Link::Healthy)),
             silences: Arc::default(),
+            forgets: Arc::default(),
             partitions: Arc::default(),
         };
         let accepting = proxy.clone();
@@ -96,6 +99,12 @@
         self.silences.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Makes open connections close when the next bytes arrive from their client, which are dropped.
+    #[allow(dead_code)]
+    pub fn forget_open_connections(&self) {
+        self.forgets.fetch_add(1, Ordering::SeqCst);
+    }
+
     pub fn set(&self, link: Link) {
         *self.link.lock().unwrap() = link;
     }
@@ -118,6 +127,9 @@
     silences: Arc<AtomicU64>,
     /// Value of `silences` when the connection was opened.
     silences_before: u64,
+    forgets: Arc<AtomicU64>,
+    /// Value of `forgets` when the connection was opened.
+    forgets_before: u64,
     partitions: Partitions,
     client: Option<IpAddr>,
 }
@@ -128,6 +140,8 @@
             link: Arc::clone(&proxy.link),
             silences: Arc::clone(&proxy.silences),
             silences_before: proxy.silences.load(Ordering::SeqCst),
+            forgets: Arc::clone(&proxy.forgets),
+            forgets_before: proxy.forgets.load(Ordering::SeqCst),
             partitions: Arc::clone(&proxy.partitions),
             client,
         }
@@ -138,6 +152,10 @@
         self.partitions.lock().unwrap().get(&self.client?).copied()
     }
 
+    fn is_forgotten(&self) -> bool {
+        self.forgets.load(Ordering::SeqCst) > self.forgets_before
+    }
+
     fn is_silent(&self) -> bool {
         self.silences.load(Ordering::SeqCst) > self.silences_before
     }
@@ -182,6 +200,9 @@
             }
             Err(_) => break,
         };
+        if direction == Direction::ToServer && connection.is_forgotten() {
+            break;
+        }
         // Once bytes are dropped, nothing after them may pass: TCP data has no gaps.
         lost |= connection.is_silent() || connection.partition() == Some(Partition::Silent);
         lost |= direction == Direction::ToClient && connection.partition() == Some(Partition::SilentToClient);
