--- a/crates/pointvane-mesh/tests/simulation/mod.rs
+++ b/crates/pointvane-mesh/tests/simulation/mod.rs
@@ -52,9 +52,8 @@
             now_us: TICK_US,
             bytes: 0,
         };
-        for number in 0..count {
-            let node =
-                Membership::new(options(), rows[number].clone(), seed + number as u64, simulation.now_us);
+        for (number, row) in rows.into_iter().enumerate() {
+            let node = Membership::new(options(), row, seed + number as u64, simulation.now_us);
             simulation.nodes.push(node);
         }
         simulation
--- a/crates/pointvane-node/src/idle_connections.rs
+++ b/crates/pointvane-node/src/idle_connections.rs
@@ -65,8 +65,8 @@
 
 impl AddressConnections {
     fn remove_unusable(&mut self) {
-        let removals = self.idle.iter().filter_map(IdleConnection::removal);
-        if let Some(removal) = removals.last() {
+        let mut removals = self.idle.iter().filter_map(IdleConnection::removal);
+        if let Some(removal) = removals.next_back() {
             self.removal = Some((removal, BootInstant::now()));
             self.idle.retain(|idle| idle.removal().is_none());
         }
