--- a/crates/pointvane-dispatch/src/connection_reuse.rs
+++ b/crates/pointvane-dispatch/src/connection_reuse.rs
@@ -6,6 +6,7 @@
 //! may still arrive. Requests that may run at most once take one that was idle for less than
 //! [`NON_REPEATABLE_IDLE_MAX_US`] only. Tests: `tests/connection_reuse.rs`.
 
+const MS_PER_S: u64 = 1_000;
 /// Time after a response within which surplus bytes of it may still arrive, in microseconds.
 pub const SURPLUS_BYTES_WINDOW_US: u64 = 300_000;
 
@@ -16,6 +17,21 @@
 /// request then gets, unless its response is late.
 pub const NON_REPEATABLE_IDLE_MAX_US: u64 = 50_000;
 
+/// Longest time that a connection is kept idle if its upstream announces none, in milliseconds.
+const IDLE_DEFAULT_MS: u64 = 7_000;
+/// Longest time that a connection is kept idle, whatever its upstream announces, in milliseconds; bounds memory.
+const IDLE_MAX_MS: u64 = 30_000;
+/// Time by which a connection is closed before its upstream would close it, in milliseconds.
+const IDLE_MARGIN_MS: u64 = 1_000;
+
+/// Longest time that a connection is kept idle, in milliseconds, from the `timeout` that its upstream announces
+/// in `Keep-Alive`, in seconds.
+pub fn idle_max_ms(announced_s: Option<u64>) -> u64 {
+    let announced_ms =
+        announced_s.map(|seconds| seconds.saturating_mul(MS_PER_S).saturating_sub(IDLE_MARGIN_MS));
+    announced_ms.unwrap_or(IDLE_DEFAULT_MS).min(IDLE_MAX_MS)
+}
+
 /// What a connection is used for; decides which idle connection is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ConnectionPurpose {
@@ -25,7 +41,7 @@
     Check,
     /// A caller's request that may be repeated.
     Repeatable,
-    /// A caller's request that may run at most once.
+    /// A caller's request that may run at most once, or a retry of one that may be repeated.
     NonRepeatable,
     /// A request that is forwarded to another node and may be repeated.
     RepeatableForward,
@@ -34,9 +50,12 @@
 }
 
 impl ConnectionPurpose {
-    /// The purpose of a caller's request to an upstream.
-    pub const fn request(is_repeatable: bool) -> Self {
-        if is_repeatable { Self::Repeatable } else { Self::NonRepeatable }
+    /// The purpose of a caller's request to an upstream, after it was sent `sends` times.
+    ///
+    /// What closed the connection of the first attempt may have closed other idle ones too. So a retry is sent
+    /// like a request that may run at most once: two attempts must not fail for the same cause.
+    pub const fn request(is_repeatable: bool, sends: u32) -> Self {
+        if is_repeatable && sends == 0 { Self::Repeatable } else { Self::NonRepeatable }
     }
 
     /// The purpose of a request that is forwarded to another node.
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -106,7 +106,7 @@
     caller_progress::CallerProgress,
     connection_reuse::{
         ConnectionPurpose, IdleTimes, NON_REPEATABLE_IDLE_MAX_US, OpenReason, OtherConnections, Removal,
-        SURPLUS_BYTES_WINDOW_US, choose_idle,
+        SURPLUS_BYTES_WINDOW_US, choose_idle, idle_max_ms,
     },
     contended_admission::{ContendedRequest, RefusalReason, admission_pressure},
     contention::Contention,
--- a/crates/pointvane-mesh/tests/simulation/mod.rs
+++ b/crates/pointvane-mesh/tests/simulation/mod.rs
@@ -52,8 +52,8 @@
             now_us: TICK_US,
             bytes: 0,
         };
-        for (number, row) in rows.iter().enumerate() {
-            let node = Membership::new(options(), row.clone(), seed + number as u64, simulation.now_us);
+        for (number, row) in rows.into_iter().enumerate() {
+            let node = Membership::new(options(), row, seed + number as u64, simulation.now_us);
             simulation.nodes.push(node);
         }
         simulation
--- a/crates/pointvane-node/src/idle_connections.rs
+++ b/crates/pointvane-node/src/idle_connections.rs
@@ -65,8 +65,8 @@
 
 impl AddressConnections {
     fn remove_unusable(&mut self) {
-        let mut removals = self.idle.iter().rev().filter_map(IdleConnection::removal);
-        if let Some(removal) = removals.next() {
+        let mut removals = self.idle.iter().filter_map(IdleConnection::removal);
+        if let Some(removal) = removals.next_back() {
             self.removal = Some((removal, BootInstant::now()));
             self.idle.retain(|idle| idle.removal().is_none());
         }
