--- a/crates/pointvane-dispatch/src/memory_budget.rs
+++ b/crates/pointvane-dispatch/src/memory_budget.rs
@@ -6,8 +6,10 @@
 //! - Holders of more than [`SMALL_BYTES`], or of an unknown length, wait in order of arrival, and their senders
 //!   are read no further. A part of the memory is kept for small ones, so that large ones do not delay them.
 //! - Holders whose sender has stopped are refused to make room, those of the largest size class first.
-//! - A holder that still gets nothing is refused after [`WAIT_MAX_US`]; at once if all others wait as well, or
-//!   if too many wait already, since the sockets of those who wait fill with unread bytes.
+//! - After a wait of [`WAIT_MAX_US`], or at once if all others wait as well, holders wait for each other: those
+//!   that came last are refused to make room, or the one that waited if none of them holds memory.
+//! - A holder that would wait is refused at once if too many wait already, since the sockets of those who wait
+//!   fill with unread bytes.
 //!
 //! A complete body is never refused. It is released at the latest when its request ends, so holders never wait
 //! for each other without end.
@@ -54,11 +56,11 @@
 pub enum MemoryRefusal {
     /// Its sender stopped, and others need the memory.
     Stalled,
-    /// It waited for [`WAIT_MAX_US`].
+    /// It waited for [`WAIT_MAX_US`], and none that came later holds memory.
     WaitedTooLong,
     /// As many holders wait as may wait.
     TooManyWaiting,
-    /// All holders wait for each other, and it came last.
+    /// Holders wait for each other, and it came last.
     AllWaiting,
 }
 
@@ -275,10 +277,6 @@
     /// Refuses holders that have waited too long, and those that stopped while others wait. Must be called
     /// regularly while [`Self::is_under_pressure`].
     pub fn tick(&mut self, now_us: u64) {
-        while let Some(id) = self.longest_waiting(now_us) {
-            self.refuse(id, MemoryRefusal::WaitedTooLong);
-            self.decided.push_back(id);
-        }
         self.settle(now_us);
     }
 
@@ -361,21 +359,25 @@
         mem::take(&mut holder.is_listed)
     }
 
-    /// The holder that has waited longest, small ones first, if that is longer than [`WAIT_MAX_US`].
-    fn longest_waiting(&self, now_us: u64) -> Option<HolderId> {
+    /// The holder that has waited longest, small ones first, with the bytes that it waits for, if that is longer
+    /// than [`WAIT_MAX_US`].
+    fn longest_waiting(&self, now_us: u64) -> Option<(HolderId, u64)> {
         let first_large = WaitPosition { is_large: true, sequence: 0 };
         let firsts = [self.waiting.first_key_value(), self.waiting.range(first_large..).next()];
-        let is_over = |id: &HolderId| {
-            matches!(self.holders[id.index()].state, State::Waiting { since_us, .. }
-                if now_us.saturating_sub(since_us) >= WAIT_MAX_US)
+        let overdue = |id: HolderId| match self.holders[id.index()].state {
+            State::Waiting { more_bytes, since_us, .. } => {
+                (now_us.saturating_sub(since_us) >= WAIT_MAX_US).then_some((id, more_bytes))
+            }
+            _ => None,
         };
-        firsts.into_iter().flatten().map(|(_, id)| *id).find(is_over)
+        firsts.into_iter().flatten().find_map(|(_, id)| overdue(*id))
     }
 
     /// Grants what fits to those who wait, and refuses stopped holders as far as the first of those needs.
     fn settle(&mut self, now_us: u64) {
         self.grant_waiting(now_us);
         self.refuse_stalled(now_us);
+        self.refuse_overdue(now_us);
         while self.moving == 0 && self.refused_bytes == 0 {
             let Some((_, id)) = self.waiting.last_key_value() else { break };
             let id = *id;
@@ -404,6 +406,28 @@
         }
     }
 
+    /// Ends waits that are too long. Those that came last make room for the others; without any that hold
+    /// memory, those that waited too long are refused themselves.
+    fn refuse_overdue(&mut self, now_us: u64) {
+        while let Some((id, more_bytes)) = self.longest_waiting(now_us) {
+            let last = self.last_waiting_with_memory();
+            if last.is_some() && self.refused_bytes >= more_bytes {
+                return;
+            }
+            let reason = match last {
+                Some(last) if last != id => MemoryRefusal::AllWaiting,
+                _ => MemoryRefusal::WaitedTooLong,
+            };
+            let refused = last.unwrap_or(id);
+            self.refuse(refused, reason);
+            self.decided.push_back(refused);
+        }
+    }
+
+    fn last_waiting_with_memory(&self) -> Option<HolderId> {
+        self.waiting.values().rev().copied().find(|id| self.holders[id.index()].bytes > 0)
+    }
+
     fn refuse_stalled(&mut self, now_us: u64) {
         let Some((_, first)) = self.waiting.first_key_value() else { return };
         let State::Waiting { more_bytes, .. } = self.holders[first.index()].state else { return };
