--- a/standins/tests/memory_pressure.rs
+++ b/standins/tests/memory_pressure.rs
@@ -236,12 +236,16 @@
 /// Whether a response has arrived that refuses the request for lack of memory.
 fn is_refused_for_memory(stream: &TcpStream) -> bool {
     stream.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
-    let Ok(response) = read_message(&mut BufReader::new(stream)) else { return false };
+    let mut reader = BufReader::new(stream);
+    let Ok(response) = read_message(&mut reader) else { return false };
     let is_refused = response.body == b"memory-exhausted\n";
     if is_refused {
         assert_eq!(response.status(), 503);
         assert!(response.header("retry-after").is_some());
         assert_eq!(response.header("connection"), Some("close"));
+        // A reset could have removed the response.
+        assert_eq!(io::Read::read(&mut reader, &mut [0; 1]).map_err(|error| error.kind()), Ok(0));
+        assert!(stream.take_error().unwrap().is_none());
     }
     is_refused
 }
