Memory: modules split by what they decide and carry out

Holders, pressure and size classes of the budget, the buffers of bodies and the reading of connections that close have files of their own; nothing else changes.

--- a/crates/pointvane-dispatch/src/memory_budget.rs
+++ b/crates/pointvane-dispatch/src/memory_budget.rs
@@ -14,13 +14,21 @@
 //! A complete body is never refused. It is released at the latest when its request ends, so holders never wait
 //! for each other without end.
 
+mod holder;
 mod limits;
+mod pressure;
 mod size_classes;
 
-pub use limits::MemoryLimits;
+pub use {
+    holder::{HolderId, MemoryRefusal, Reservation},
+    limits::MemoryLimits,
+};
 
 use {
-    self::size_classes::SizeClasses,
+    self::{
+        holder::{Holder, State, WaitPosition},
+        size_classes::SizeClasses,
+    },
     std::{
         collections::{BTreeMap, VecDeque},
         mem,
@@ -40,80 +48,6 @@
 /// Share of the memory below which pressure ends.
 const RELIEVED_SHARE: f64 = 0.75;
 
-/// A holder of memory; valid until it is released.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct HolderId(u32);
-
-impl HolderId {
-    /// Index of the holder; indices are reused and stay below the largest number of concurrent holders.
-    pub fn index(self) -> usize {
-        self.0 as usize
-    }
-}
-
-/// Why a holder is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MemoryRefusal {
-    /// Its sender stopped, and others need the memory.
-    Stalled,
-    /// It waited for [`WAIT_MAX_US`], and none that came later holds memory.
-    WaitedTooLong,
-    /// As many holders wait as may wait.
-    TooManyWaiting,
-    /// Holders wait for each other, and it came last.
-    AllWaiting,
-}
-
-impl MemoryRefusal {
-    /// The value of the label `reason` in metrics.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Stalled => "stalled",
-            Self::WaitedTooLong => "waited-too-long",
-            Self::TooManyWaiting => "too-many-waiting",
-            Self::AllWaiting => "all-waiting",
-        }
-    }
-}
-
-/// Result of a reservation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reservation {
-    /// The memory is reserved.
-    Granted,
-    /// The holder waits; it is named by [`MemoryBudget::take_decided`] once its reservation is decided.
-    Waiting,
-    /// The holder must be released.
-    Refused(MemoryRefusal),
-}
-
-/// Position of a waiting holder: small ones first, then in order of arrival.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct WaitPosition {
-    is_large: bool,
-    sequence: u64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Free,
-    Granted,
-    Waiting { more_bytes: u64, since_us: u64, position: WaitPosition },
-    Refused(MemoryRefusal),
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Holder {
-    state: State,
-    bytes: u64,
-    is_announced_small: bool,
-    progress_us: u64,
-    /// Bytes received since `progress_us`.
-    received_bytes: u64,
-    /// Whether it is in the size classes, from which stopped holders are chosen.
-    is_listed: bool,
-}
-
 /// Memory that is reserved by the bodies of one process.
 #[derive(Debug)]
 pub struct MemoryBudget {
@@ -358,88 +292,4 @@
         }
         mem::take(&mut holder.is_listed)
     }
-
-    /// The holder that has waited longest, small ones first, with the bytes that it waits for, if that is longer
-    /// than [`WAIT_MAX_US`].
-    fn longest_waiting(&self, now_us: u64) -> Option<(HolderId, u64)> {
-        let first_large = WaitPosition { is_large: true, sequence: 0 };
-        let firsts = [self.waiting.first_key_value(), self.waiting.range(first_large..).next()];
-        let overdue = |id: HolderId| match self.holders[id.index()].state {
-            State::Waiting { more_bytes, since_us, .. } => {
-                (now_us.saturating_sub(since_us) >= WAIT_MAX_US).then_some((id, more_bytes))
-            }
-            _ => None,
-        };
-        firsts.into_iter().flatten().find_map(|(_, id)| overdue(*id))
-    }
-
-    /// Grants what fits to those who wait, and refuses stopped holders as far as the first of those needs.
-    fn settle(&mut self, now_us: u64) {
-        self.grant_waiting(now_us);
-        self.refuse_stalled(now_us);
-        self.refuse_overdue(now_us);
-        while self.moving == 0 && self.refused_bytes == 0 {
-            let Some((_, id)) = self.waiting.last_key_value() else { break };
-            let id = *id;
-            self.refuse(id, MemoryRefusal::AllWaiting);
-            self.decided.push_back(id);
-        }
-        let relieved_bytes = (self.limits.large_bytes as f64 * RELIEVED_SHARE) as u64;
-        if self.waiting.is_empty() && self.held_bytes <= relieved_bytes {
-            self.is_under_pressure = false;
-        }
-    }
-
-    fn grant_waiting(&mut self, now_us: u64) {
-        while let Some((position, id)) = self.waiting.first_key_value() {
-            let (position, id) = (*position, *id);
-            let State::Waiting { more_bytes, .. } = self.holders[id.index()].state else { return };
-            if !self.fits(id, more_bytes) {
-                return;
-            }
-            self.waiting.remove(&position);
-            let holder = &mut self.holders[id.index()];
-            (holder.state, holder.progress_us) = (State::Granted, now_us);
-            self.moving += usize::from(holder.bytes > 0);
-            self.grant(id, more_bytes);
-            self.decided.push_back(id);
-        }
-    }
-
-    /// Ends waits that are too long. Those that came last make room for the others; without any that hold
-    /// memory, those that waited too long are refused themselves.
-    fn refuse_overdue(&mut self, now_us: u64) {
-        while let Some((id, more_bytes)) = self.longest_waiting(now_us) {
-            let last = self.last_waiting_with_memory();
-            if last.is_some() && self.refused_bytes >= more_bytes {
-                return;
-            }
-            let reason = match last {
-                Some(last) if last != id => MemoryRefusal::AllWaiting,
-                _ => MemoryRefusal::WaitedTooLong,
-            };
-            let refused = last.unwrap_or(id);
-            self.refuse(refused, reason);
-            self.decided.push_back(refused);
-        }
-    }
-
-    fn last_waiting_with_memory(&self) -> Option<HolderId> {
-        self.waiting.values().rev().copied().find(|id| self.holders[id.index()].bytes > 0)
-    }
-
-    fn refuse_stalled(&mut self, now_us: u64) {
-        let Some((_, first)) = self.waiting.first_key_value() else { return };
-        let State::Waiting { more_bytes, .. } = self.holders[first.index()].state else { return };
-        let Some(stalled_until_us) = now_us.checked_sub(STALLED_US) else { return };
-        while self.refused_bytes < more_bytes {
-            let holders = &self.holders;
-            let progress_us = |id: HolderId| holders[id.index()].progress_us;
-            let Some(id) = self.incomplete.largest_without_progress(stalled_until_us, progress_us) else {
-                return;
-            };
-            self.refuse(id, MemoryRefusal::Stalled);
-            self.decided.push_back(id);
-        }
-    }
 }
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        body::{buffer_answer_body, skip_body},
+        body_buffer::{buffer_answer_body, skip_body},
         connections::{Connection, Purpose, RelayBody, SendError},
         head_wait::{self, AwaitedAnswer, SendResult},
         memory::BodyMemory,
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        body::skip_body,
+        body_buffer::skip_body,
         connections::{ConnectError, Connection, Connections, Purpose, RelayBody},
         node::Node,
         probe_table::ProbeAnswers,
--- a/crates/pointvane-node/src/read_ahead.rs
+++ b/crates/pointvane-node/src/read_ahead.rs
@@ -1,11 +1,9 @@
 //! Reads a caller's connection ahead of the HTTP server. The server gets the bytes of one request at a time,
 //! and a caller that disconnects is detected while its later requests wait.
-//!
-//! A connection that is closed while its caller still sends a body reads and drops some more of it: closing a
-//! socket with unread bytes resets it, and the caller would lose the response.
 
 use {
     crate::{
+        linger::Linger,
         pipeline::Pipeline,
         request_scan::{RequestScan, Scanned},
     },
@@ -18,44 +16,16 @@
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
-        time::Duration,
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
-        time::{Sleep, sleep},
     },
 };
 
 /// Bytes per read from the socket: about ten request heads.
 const READ_BYTES: usize = 4_096;
 
-/// Longest time for which an unfinished body is read before its connection closes.
-const LINGER_TIME: Duration = Duration::from_secs(1);
-/// Most bytes of an unfinished body that are read before its connection closes.
-const LINGER_BYTES_MAX: usize = 1 << 20;
-
-/// Reads what a caller still sends of an unfinished body, up to limits of time and bytes.
-struct Linger {
-    timer: Pin<Box<Sleep>>,
-    bytes_left: usize,
-}
-
-impl Linger {
-    fn poll(&mut self, stream: &mut TcpStream, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let mut space = [MaybeUninit::uninit(); READ_BYTES];
-        while self.bytes_left > 0 && self.timer.as_mut().poll(cx).is_pending() {
-            let mut buffer = ReadBuf::uninit(&mut space);
-            ready!(Pin::new(&mut *stream).poll_read(cx, &mut buffer))?;
-            if buffer.filled().is_empty() {
-                break;
-            }
-            self.bytes_left = self.bytes_left.saturating_sub(buffer.filled().len());
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
 /// Consecutive bytes of one request.
 struct Segment {
     /// Index of the request on its connection.
@@ -237,7 +207,7 @@
             if this.ended || this.scan.expects_head() {
                 return Poll::Ready(Ok(()));
             }
-            this.linger = Some(Linger { timer: Box::pin(sleep(LINGER_TIME)), bytes_left: LINGER_BYTES_MAX });
+            this.linger = Some(Linger::start());
         }
         this.linger.as_mut().map_or(Poll::Ready(Ok(())), |linger| linger.poll(&mut this.stream, cx))
     }
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         answer::{Refused, refusal_response},
-        body::{BodyError, BufferedBody, buffer_request_body},
+        body::BufferedBody,
+        body_buffer::{BodyError, buffer_request_body},
         connections::RelayBody,
         forward::{FinalAnswer, forward},
         node::Node,
