--- a/crates/pointvane-dispatch/src/memory_budget.rs
+++ b/crates/pointvane-dispatch/src/memory_budget.rs
@@ -6,19 +6,29 @@
 //! - Holders of more than [`SMALL_BYTES`], or of an unknown length, wait in order of arrival, and their senders
 //!   are read no further. A part of the memory is kept for small ones, so that large ones do not delay them.
 //! - Holders whose sender has stopped are refused to make room, those of the largest size class first.
-//! - A holder that still gets nothing is refused after [`WAIT_MAX_US`]; at once if all others wait as well, or
-//!   if too many wait already, since the sockets of those who wait fill with unread bytes.
+//! - After a wait of [`WAIT_MAX_US`], or at once if all others wait as well, holders wait for each other: those
+//!   that came last are refused to make room, or the one that waited if none of them holds memory.
+//! - A holder that would wait is refused at once if too many wait already, since the sockets of those who wait
+//!   fill with unread bytes.
 //!
 //! A complete body is never refused. It is released at the latest when its request ends, so holders never wait
 //! for each other without end.
 
+mod holder;
 mod limits;
+mod pressure;
 mod size_classes;
 
-pub use limits::MemoryLimits;
+pub use {
+    holder::{HolderId, MemoryRefusal, Reservation},
+    limits::MemoryLimits,
+};
 
 use {
-    self::size_classes::SizeClasses,
+    self::{
+        holder::{Holder, State, WaitPosition},
+        size_classes::SizeClasses,
+    },
     std::{
         collections::{BTreeMap, VecDeque},
         mem,
@@ -38,80 +48,6 @@
 /// Share of the memory below which pressure ends.
 const RELIEVED_SHARE: f64 = 0.75;
 
-/// A holder of memory; valid until it is released.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct HolderId(u32);
-
-impl HolderId {
-    /// Index of the holder; indices are reused and stay below the largest number of concurrent holders.
-    pub fn index(self) -> usize {
-        self.0 as usize
-    }
-}
-
-/// Why a holder is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MemoryRefusal {
-    /// Its sender stopped, and others need the memory.
-    Stalled,
-    /// It waited for [`WAIT_MAX_US`].
-    WaitedTooLong,
-    /// As many holders wait as may wait.
-    TooManyWaiting,
-    /// All holders wait for each other, and it came last.
-    AllWaiting,
-}
-
-impl MemoryRefusal {
-    /// The value of the label `reason` in metrics.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Stalled => "stalled",
-            Self::WaitedTooLong => "waited-too-long",
-            Self::TooManyWaiting => "too-many-waiting",
-            Self::AllWaiting => "all-waiting",
-        }
-    }
-}
-
-/// Result of a reservation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reservation {
-    /// The memory is reserved.
-    Granted,
-    /// The holder waits; it is named by [`MemoryBudget::take_decided`] once its reservation is decided.
-    Waiting,
-    /// The holder must be released.
-    Refused(MemoryRefusal),
-}
-
-/// Position of a waiting holder: small ones first, then in order of arrival.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct WaitPosition {
-    is_large: bool,
-    sequence: u64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Free,
-    Granted,
-    Waiting { more_bytes: u64, since_us: u64, position: WaitPosition },
-    Refused(MemoryRefusal),
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Holder {
-    state: State,
-    bytes: u64,
-    is_announced_small: bool,
-    progress_us: u64,
-    /// Bytes received since `progress_us`.
-    received_bytes: u64,
-    /// Whether it is in the size classes, from which stopped holders are chosen.
-    is_listed: bool,
-}
-
 /// Memory that is reserved by the bodies of one process.
 #[derive(Debug)]
 pub struct MemoryBudget {
@@ -275,10 +211,6 @@
     /// Refuses holders that have waited too long, and those that stopped while others wait. Must be called
     /// regularly while [`Self::is_under_pressure`].
     pub fn tick(&mut self, now_us: u64) {
-        while let Some(id) = self.longest_waiting(now_us) {
-            self.refuse(id, MemoryRefusal::WaitedTooLong);
-            self.decided.push_back(id);
-        }
         self.settle(now_us);
     }
 
@@ -360,62 +292,4 @@
         }
         mem::take(&mut holder.is_listed)
     }
-
-    /// The holder that has waited longest, small ones first, if that is longer than [`WAIT_MAX_US`].
-    fn longest_waiting(&self, now_us: u64) -> Option<HolderId> {
-        let first_large = WaitPosition { is_large: true, sequence: 0 };
-        let firsts = [self.waiting.first_key_value(), self.waiting.range(first_large..).next()];
-        let is_over = |id: &HolderId| {
-            matches!(self.holders[id.index()].state, State::Waiting { since_us, .. }
-                if now_us.saturating_sub(since_us) >= WAIT_MAX_US)
-        };
-        firsts.into_iter().flatten().map(|(_, id)| *id).find(is_over)
-    }
-
-    /// Grants what fits to those who wait, and refuses stopped holders as far as the first of those needs.
-    fn settle(&mut self, now_us: u64) {
-        self.grant_waiting(now_us);
-        self.refuse_stalled(now_us);
-        while self.moving == 0 && self.refused_bytes == 0 {
-            let Some((_, id)) = self.waiting.last_key_value() else { break };
-            let id = *id;
-            self.refuse(id, MemoryRefusal::AllWaiting);
-            self.decided.push_back(id);
-        }
-        let relieved_bytes = (self.limits.large_bytes as f64 * RELIEVED_SHARE) as u64;
-        if self.waiting.is_empty() && self.held_bytes <= relieved_bytes {
-            self.is_under_pressure = false;
-        }
-    }
-
-    fn grant_waiting(&mut self, now_us: u64) {
-        while let Some((position, id)) = self.waiting.first_key_value() {
-            let (position, id) = (*position, *id);
-            let State::Waiting { more_bytes, .. } = self.holders[id.index()].state else { return };
-            if !self.fits(id, more_bytes) {
-                return;
-            }
-            self.waiting.remove(&position);
-            let holder = &mut self.holders[id.index()];
-            (holder.state, holder.progress_us) = (State::Granted, now_us);
-            self.moving += usize::from(holder.bytes > 0);
-            self.grant(id, more_bytes);
-            self.decided.push_back(id);
-        }
-    }
-
-    fn refuse_stalled(&mut self, now_us: u64) {
-        let Some((_, first)) = self.waiting.first_key_value() else { return };
-        let State::Waiting { more_bytes, .. } = self.holders[first.index()].state else { return };
-        let Some(stalled_until_us) = now_us.checked_sub(STALLED_US) else { return };
-        while self.refused_bytes < more_bytes {
-            let holders = &self.holders;
-            let progress_us = |id: HolderId| holders[id.index()].progress_us;
-            let Some(id) = self.incomplete.largest_without_progress(stalled_until_us, progress_us) else {
-                return;
-            };
-            self.refuse(id, MemoryRefusal::Stalled);
-            self.decided.push_back(id);
-        }
-    }
 }
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        body::skip_body,
+        body_buffer::skip_body,
         connections::{ConnectError, Connection, Connections, RelayBody},
         cross_traffic::{ExchangeTraffic, TrafficKind},
         node::Node,
