Placement: a few reports of one node don't make a data centre contended

Contention was taken at its face value, also from a single report, by which a node with few requests took the near data centre for contended at once. Few reports are now drawn towards an assumed share.

--- a/crates/pointvane-dispatch/src/search_plan.rs
+++ b/crates/pointvane-dispatch/src/search_plan.rs
@@ -23,8 +23,12 @@
 const SINGLE_PROBE_SHARE: f32 = 0.85;
 /// Number of upstreams probed in the round after a single one.
 const SECOND_ROUND_IN_CALM: usize = 2;
-/// Share of uncontended reports assumed for a data centre without recent ones.
-const UNKNOWN_ROOM_SHARE: f32 = 0.5;
+/// Share of uncontended reports assumed of the own data centre without recent ones.
+const ASSUMED_NEAR_SHARE: f32 = 0.75;
+/// Share of uncontended reports assumed of another data centre without recent ones.
+const ASSUMED_FAR_SHARE: f32 = 0.5;
+/// Number of reports that the assumed share counts as, since a few reports of a node alone say little.
+const ASSUMED_REPORTS: f32 = 4.0;
 /// Minimum share of uncontended reports that is assumed, so that room is found when it returns.
 const ROOM_SHARE_MIN: f32 = 0.02;
 
@@ -86,8 +90,7 @@
 }
 
 impl FarShares {
-    fn new(near: Option<Contention>, far_room: f32, first_round_size: usize, first_far: usize) -> Self {
-        let near_room = near.map_or(1.0, |near| near.uncontended_share);
+    fn new(near_room: f32, far_room: f32, first_round_size: usize, first_far: usize) -> Self {
         let by_room = far_room / (far_room + near_room.max(ROOM_SHARE_MIN));
         let contended_share = (1.0 - near_room / NEAR_ROOM_SHARE).max(0.0);
         Self {
@@ -121,7 +124,7 @@
         is_near_preferred: bool,
         now_us: u64,
     ) -> SearchPlan {
-        let near = self.contention(service, &self.data_centre, now_us);
+        let near_room = room_share(self.contention(service, &self.data_centre, now_us), ASSUMED_NEAR_SHARE);
         let keys = self.preferred_upstreams(service, criteria, now_us);
         let mut ranked =
             RankedCandidates { candidates: Vec::with_capacity(keys.len()), ..Default::default() };
@@ -131,18 +134,20 @@
             self.rank_candidate(&mut ranked, key, service, distance, &mut rng, now_us);
         }
         ranked.candidates.sort_by(|a, b| a.is_far.cmp(&b.is_far).then(a.order.total_cmp(&b.order)));
-        let is_near_contended = near.is_some_and(|near| near.uncontended_share < NEAR_ROOM_SHARE);
-        let round_sizes = match near {
-            Some(near) if near.uncontended_share >= SINGLE_PROBE_SHARE => single_probe_first(options),
-            _ if ranked.has_far() && !is_near_contended && !is_near_preferred => far_last(options),
-            _ => [options.first_round, options.second_round, 0],
+        let is_near_contended = near_room < NEAR_ROOM_SHARE;
+        let round_sizes = if near_room >= SINGLE_PROBE_SHARE {
+            single_probe_first(options)
+        } else if ranked.has_far() && !is_near_contended && !is_near_preferred {
+            far_last(options)
+        } else {
+            [options.first_round, options.second_round, 0]
         };
         let first_far = match (is_near_contended, is_near_preferred) {
             (true, _) => round_sizes[0],
             (false, true) => criteria.count,
             (false, false) => round_sizes[0] + round_sizes[1],
         };
-        let shares = FarShares::new(near, ranked.far_room, round_sizes[0], first_far);
+        let shares = FarShares::new(near_room, ranked.far_room, round_sizes[0], first_far);
         SearchPlan {
             candidates: interleaved(&ranked.candidates, criteria.count, shares, &mut rng),
             round_sizes,
@@ -191,11 +196,17 @@
         now_us: u64,
     ) -> f32 {
         let contention = self.contention(service, &state.record.data_centre, now_us);
-        let room = contention.map_or(UNKNOWN_ROOM_SHARE, |contention| contention.uncontended_share);
-        room.max(ROOM_SHARE_MIN) / self.distance_factor(state, distance)
+        room_share(contention, ASSUMED_FAR_SHARE).max(ROOM_SHARE_MIN) / self.distance_factor(state, distance)
     }
 }
 
+/// Share of uncontended reports, drawn towards the assumed one where there are few.
+fn room_share(contention: Option<Contention>, assumed_share: f32) -> f32 {
+    let (reports, uncontended_share) =
+        contention.map_or((0.0, 0.0), |contention| (contention.reports, contention.uncontended_share));
+    (reports * uncontended_share + ASSUMED_REPORTS * assumed_share) / (reports + ASSUMED_REPORTS)
+}
+
 /// The order of the probes, from candidates sorted by [`Ranked`].
 fn interleaved(ranked: &[Ranked], count: usize, shares: FarShares, rng: &mut SmallRng) -> Vec<UpstreamKey> {
     let (near, far) = ranked.split_at(ranked.partition_point(|candidate| !candidate.is_far));
