Placement: rounds of probes and purposes of probes in modules of their own

search_plan.rs selects upstreams, probe_rounds.rs decides sizes and shares; behaviour is unchanged. Docs follow: ages of reports, which upstreams are probed.

--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -15,7 +15,7 @@
 //! | whether an upstream is eligible for new requests | `eligibility.rs`, with `ineligible.rs`, `evacuations.rs`, `notices.rs`, `limits.rs`, `warm_up.rs`, `ejection.rs`, `allowed_regions.rs` |
 //! | which upstreams are candidates, and how they are ranked | `ranking.rs`, `subset.rs`, `cost.rs` |
 //! | which pipelined requests are forwarded early | `pipeline.rs` |
-//! | which data centres are probed, and by how many probes at once | `search_plan.rs`, `locality.rs` |
+//! | which data centres are probed, and by how many probes at once | `search_plan.rs`, `probe_rounds.rs`, `locality.rs` |
 //! | how long a load report stays valid | `report_validity.rs` |
 //! | which candidates are probed, and which one is selected | `search.rs` |
 //! | how much room the upstreams of a service have in each data centre | `contention.rs` |
@@ -62,6 +62,8 @@
 mod peers;
 mod pipeline;
 mod pool;
+mod probe_purpose;
+mod probe_rounds;
 mod quarantine;
 mod quota;
 mod ranking;
@@ -107,6 +109,7 @@
     peers::{PeerCandidate, PeerOutcome, PeerTable},
     pipeline::{PipelineLimits, may_forward_early},
     pool::Pool,
+    probe_purpose::ProbePurpose,
     quarantine::{
         BroadcastBudget, CrashId, Quarantine, QuarantineChange, QuarantineMessage, QuarantineOptions,
         SUSPECTS_PER_DATAGRAM_MAX, SuspectReport, TrialPosition,
@@ -140,8 +143,7 @@
     route_latencies::RouteLatencies,
     routes::{RouteTable, RoutedRequest},
     search::{
-        Found, PROBE_TIMEOUT_US, ProbePurpose, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep,
-        search_time_ms,
+        Found, PROBE_TIMEOUT_US, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep, search_time_ms,
     },
     upstream::{LoadSample, UpstreamState},
     upstream_key::UpstreamKey,
--- a/crates/pointvane-dispatch/src/search.rs
+++ b/crates/pointvane-dispatch/src/search.rs
@@ -1,24 +1,20 @@
 //! The search for an upstream, as a state machine: which upstreams are probed, for how long, and which one is
 //! chosen.
 //!
-//! A search makes passes until it finds an uncontended upstream or its time is over. A pass ranks the
-//! candidates. If none of them has a fresh report that shows it uncontended, the pass probes the best-ranked
-//! ones in two rounds and takes the first one whose response shows it to be uncontended. The state machine
-//! returns the next step; its caller sends probes, waits, and reports the responses. Probes are sent
-//! immediately before the request, since a report is outdated after some milliseconds. Where upstreams report
-//! no load, a few are probed and the first to respond is taken, since an upstream slowed by co-located
+//! A search makes passes until it finds an uncontended upstream or its time is over. A pass plans its probes
+//! (see `search_plan.rs`). If none of the candidates has a valid report that shows it uncontended, the pass
+//! probes them in up to three rounds and takes the first one whose response shows it to be uncontended. The
+//! state machine returns the next step; its caller sends probes, waits, and reports the responses. Probes are
+//! sent immediately before the request, since a report is outdated after some milliseconds. Where upstreams
+//! report no load, a few are probed and the first to respond is taken, since an upstream slowed by co-located
 //! workloads responds late. Where probing is disabled, the best-ranked candidate is taken at once. Tests:
 //! `tests/search.rs`.
 
 use {
     crate::{
-        allowed_regions::AllowedRegions,
-        ineligible::Ineligible,
-        locality::DistanceCriteria,
-        pool::Pool,
-        ranking::CandidateCriteria,
-        search_plan::{RoundSizes, SearchPlan},
-        upstream_key::UpstreamKey,
+        allowed_regions::AllowedRegions, ineligible::Ineligible, locality::DistanceCriteria, pool::Pool,
+        probe_purpose::ProbePurpose, probe_rounds::RoundSizes, ranking::CandidateCriteria,
+        search_plan::SearchPlan, upstream_key::UpstreamKey,
     },
     pointvane_core::{Name, RouteRule},
 };
@@ -53,9 +49,9 @@
 pub struct SearchOptions {
     /// Whether candidates are probed.
     pub probes: bool,
-    /// Number of candidates probed in the first round of a pass.
+    /// Maximum number of candidates probed in the first round of a pass.
     pub first_round: usize,
-    /// Number of candidates probed in the second round, if none of the first is uncontended.
+    /// Maximum number of candidates probed in later rounds, if none of the first is uncontended.
     pub second_round: usize,
 }
 
@@ -102,31 +98,6 @@
     Done(Found),
 }
 
-/// Why a probe is sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProbePurpose {
-    /// The first round of a search.
-    FirstRound,
-    /// No upstream of the first round was uncontended.
-    LaterRound,
-    /// No upstream of an earlier pass was uncontended.
-    RepeatedPass,
-    /// To find out whether a lost service responds again.
-    Reachability,
-}
-
-impl ProbePurpose {
-    /// Its name in metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::FirstRound => "first-round",
-            Self::LaterRound => "later-round",
-            Self::RepeatedPass => "repeated-pass",
-            Self::Reachability => "reachability",
-        }
-    }
-}
-
 /// The parameters of a search.
 #[derive(Clone, Debug)]
 pub struct SearchRequest {
@@ -226,7 +197,7 @@
         is_chosen && pool.eligibility(key, now_us).is_ok()
     }
 
-    /// Ranks the candidates and plans the rounds of probes; returns a result if no probe is needed.
+    /// Plans the rounds of probes; returns a result if no probe is needed.
     fn begin_pass(&mut self, pool: &mut Pool, now_us: u64) -> Option<Found> {
         if let Some(key) = self.limit_refresh_target(pool, now_us) {
             return Some(Found::Uncontended(key));
--- a/crates/pointvane-dispatch/src/search_plan.rs
+++ b/crates/pointvane-dispatch/src/search_plan.rs
@@ -10,30 +10,25 @@
 
 use {
     crate::{
-        contention::Contention, locality::DistanceCriteria, pool::Pool, ranking::CandidateCriteria,
-        search::SearchOptions, upstream::UpstreamState, upstream_key::UpstreamKey,
+        contention::Contention,
+        locality::DistanceCriteria,
+        pool::Pool,
+        probe_rounds::{ProbeRounds, ROOM_SHARE_MIN, RoundSizes},
+        ranking::CandidateCriteria,
+        search::SearchOptions,
+        upstream::UpstreamState,
+        upstream_key::UpstreamKey,
     },
     pointvane_core::Name,
     rand::{Rng, SeedableRng, rngs::SmallRng},
 };
 
-/// Share of uncontended reports of the own data centre from which its upstreams are probed first, and alone.
-const NEAR_ROOM_SHARE: f32 = 0.5;
-/// Share of uncontended reports from which a single upstream is probed first.
-const SINGLE_PROBE_SHARE: f32 = 0.85;
-/// Number of upstreams probed in the round after a single one.
-const SECOND_ROUND_IN_CALM: usize = 2;
 /// Share of uncontended reports assumed of the own data centre without recent ones.
 const ASSUMED_NEAR_SHARE: f32 = 0.75;
 /// Share of uncontended reports assumed of another data centre without recent ones.
 const ASSUMED_FAR_SHARE: f32 = 0.5;
 /// Number of reports that the assumed share counts as, since a few reports of a node alone say little.
 const ASSUMED_REPORTS: f32 = 4.0;
-/// Minimum share of uncontended reports that is assumed, so that room is found when it returns.
-const ROOM_SHARE_MIN: f32 = 0.02;
-
-/// Numbers of upstreams probed in the rounds of a pass.
-pub(crate) type RoundSizes = [usize; 3];
 
 /// The plan of one pass.
 #[derive(Clone, Debug, Default)]
@@ -79,39 +74,6 @@
     }
 }
 
-/// Shares of the probes that go to other data centres.
-#[derive(Clone, Copy, Debug)]
-struct FarShares {
-    first_round: f32,
-    later_rounds: f32,
-    first_round_size: usize,
-    /// Position of the first probe that goes to another data centre for certain.
-    first_far: usize,
-}
-
-impl FarShares {
-    fn new(near_room: f32, far_room: f32, first_round_size: usize, first_far: usize) -> Self {
-        let by_room = far_room / (far_room + near_room.max(ROOM_SHARE_MIN));
-        let contended_share = (1.0 - near_room / NEAR_ROOM_SHARE).max(0.0);
-        Self {
-            first_round: contended_share * by_room,
-            later_rounds: (1.0 - near_room) * by_room,
-            first_round_size,
-            first_far,
-        }
-    }
-
-    fn at(&self, position: usize) -> f32 {
-        match position {
-            0 => 0.0,
-            _ if position == self.first_far => 1.0,
-            _ if position < self.first_round_size => self.first_round,
-            _ if position < self.first_far => 0.0,
-            _ => self.later_rounds,
-        }
-    }
-}
-
 impl Pool {
     /// Plans a pass of a search. If `is_near_preferred`, other data centres are probed only while the own one is
     /// known to be contended.
@@ -134,24 +96,12 @@
             self.rank_candidate(&mut ranked, key, service, distance, &mut rng, now_us);
         }
         ranked.candidates.sort_by(|a, b| a.is_far.cmp(&b.is_far).then(a.order.total_cmp(&b.order)));
-        let is_near_contended = near_room < NEAR_ROOM_SHARE;
-        let round_sizes = if near_room >= SINGLE_PROBE_SHARE {
-            single_probe_first(options)
-        } else if ranked.has_far() && !is_near_contended && !is_near_preferred {
-            far_last(options)
-        } else {
-            [options.first_round, options.second_round, 0]
-        };
-        let first_far = match (is_near_contended, is_near_preferred) {
-            (true, _) => round_sizes[0],
-            (false, true) => criteria.count,
-            (false, false) => round_sizes[0] + round_sizes[1],
-        };
-        let shares = FarShares::new(near_room, ranked.far_room, round_sizes[0], first_far);
+        let is_near_only = is_near_preferred || !ranked.has_far();
+        let rounds = ProbeRounds::new(options, near_room, ranked.far_room, is_near_only);
         SearchPlan {
-            candidates: interleaved(&ranked.candidates, criteria.count, shares, &mut rng),
-            round_sizes,
-            is_near_contended,
+            candidates: interleaved(&ranked.candidates, criteria.count, rounds, &mut rng),
+            round_sizes: rounds.sizes,
+            is_near_contended: rounds.is_near_contended,
             best_contended: ranked.best_contended.map(|(_, key)| key),
         }
     }
@@ -208,29 +158,15 @@
 }
 
 /// The order of the probes, from candidates sorted by [`Ranked`].
-fn interleaved(ranked: &[Ranked], count: usize, shares: FarShares, rng: &mut SmallRng) -> Vec<UpstreamKey> {
+fn interleaved(ranked: &[Ranked], count: usize, rounds: ProbeRounds, rng: &mut SmallRng) -> Vec<UpstreamKey> {
     let (near, far) = ranked.split_at(ranked.partition_point(|candidate| !candidate.is_far));
     let (mut near, mut far) = (near.iter(), far.iter());
     let mut candidates = Vec::with_capacity(count);
     for position in 0..count {
-        let is_far = rng.random::<f32>() < shares.at(position);
+        let is_far = rng.random::<f32>() < rounds.far_share(position);
         let next = if is_far { far.next().or_else(|| near.next()) } else { near.next() };
         let Some(next) = next.or_else(|| far.next()) else { break };
         candidates.push(next.key);
     }
     candidates
 }
-
-/// A single probe, then two, then the others.
-fn single_probe_first(options: SearchOptions) -> RoundSizes {
-    let count = options.first_round + options.second_round;
-    let first = options.first_round.min(1);
-    let second = SECOND_ROUND_IN_CALM.min(options.second_round);
-    [first, second, count - first - second]
-}
-
-/// The last probe in a round of its own, since it goes to another data centre.
-fn far_last(options: SearchOptions) -> RoundSizes {
-    let SearchOptions { first_round, second_round, .. } = options;
-    [first_round, second_round.saturating_sub(1), second_round.min(1)]
-}
