--- a/crates/pointvane-dispatch/tests/placement.rs
+++ b/crates/pointvane-dispatch/tests/placement.rs
@@ -402,3 +402,24 @@
     expect_that!(is_chosen(500.0), eq(true));
     expect_that!(is_chosen(20.0), eq(false));
 }
+
+/// Whether the probes of a search's first pass go to another data centre, after some reports of contended
+/// upstreams near the node.
+fn probes_far_in_first_pass(contended_reports: usize) -> bool {
+    let Node { mut pool, keys, upstreams } = node(0, Two::Healthy, 1);
+    let full = UpstreamLoad { running: SLOTS, waiting: 1, slots: SLOTS, slowdown_percent: 100 };
+    keys[..contended_reports].iter().for_each(|key| pool.record_load(*key, full, S));
+    let mut search = Search::new(OPTIONS, search_request(S));
+    let mut probed = Vec::new();
+    while let SearchStep::Probe { upstreams, .. } = search.next(&mut pool, S) {
+        probed.extend(upstreams);
+    }
+    probed.iter().any(|key| data_centre_of(upstreams[key]) == 1)
+}
+
+#[gtest]
+fn the_first_pass_goes_to_another_data_centre_only_after_several_contended_reports() {
+    expect_that!(probes_far_in_first_pass(0), eq(false));
+    expect_that!(probes_far_in_first_pass(1), eq(false));
+    expect_that!(probes_far_in_first_pass(10), eq(true));
+}
