--- a/crates/pointvane-dispatch/tests/placement.rs
+++ b/crates/pointvane-dispatch/tests/placement.rs
@@ -403,23 +403,31 @@
     expect_that!(is_chosen(20.0), eq(false));
 }
 
-/// Whether the probes of a search's first pass go to another data centre, after some reports of contended
-/// upstreams near the node.
-fn probes_far_in_first_pass(contended_reports: usize) -> bool {
+/// Share of the probes of a search's first pass that go to another data centre, after some reports of
+/// contended upstreams near the node.
+fn far_share_of_first_pass(contended_reports: usize, body_bytes: usize) -> f64 {
     let Node { mut pool, keys, upstreams } = node(0, Two::Healthy, 1);
     let full = UpstreamLoad { running: SLOTS, waiting: 1, slots: SLOTS, slowdown_percent: 100 };
     keys[..contended_reports].iter().for_each(|key| pool.record_load(*key, full, S));
-    let mut search = Search::new(OPTIONS, search_request(S));
     let mut probed = Vec::new();
-    while let SearchStep::Probe { upstreams, .. } = search.next(&mut pool, S) {
-        probed.extend(upstreams);
+    for _ in 0..500 {
+        let mut search = Search::new(OPTIONS, SearchRequest { body_bytes, ..search_request(S) });
+        while let SearchStep::Probe { upstreams, .. } = search.next(&mut pool, S) {
+            probed.extend(upstreams);
+        }
     }
-    probed.iter().any(|key| data_centre_of(upstreams[key]) == 1)
+    let far = probed.iter().filter(|key| data_centre_of(upstreams[key]) == 1).count();
+    far as f64 / probed.len() as f64
 }
 
 #[gtest]
 fn the_first_pass_goes_to_another_data_centre_only_after_several_contended_reports() {
-    expect_that!(probes_far_in_first_pass(0), eq(false));
-    expect_that!(probes_far_in_first_pass(1), eq(false));
-    expect_that!(probes_far_in_first_pass(10), eq(true));
+    expect_that!(far_share_of_first_pass(0, 0), eq(0.0));
+    expect_that!(far_share_of_first_pass(1, 0), eq(0.0));
+    expect_that!(far_share_of_first_pass(10, 0), ge(0.3));
+}
+
+#[gtest]
+fn fewer_requests_with_large_bodies_go_to_another_data_centre() {
+    expect_that!(far_share_of_first_pass(10, 60_000), le(far_share_of_first_pass(10, 0) - 0.02));
 }
