Retry tokens: not kept for last tries

Keeping a token from hedges alone was not taken either: a hedge with one token left is what tests/request_attempts.rs asks for. What is left: a refusal for want of a token is counted.

--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::{
-        budget::{RetryBudget, TokenUse},
+        budget::RetryBudget,
         ineligible::Ineligible,
         outcome::AttemptOutcome,
         retry::{RetryDecision, decide_retry},
@@ -71,8 +71,6 @@
     has_upstream_answer: bool,
     /// Whether a budget token was taken for a hedge.
     has_hedge_token: bool,
-    /// Whether the caller can come back after a refusal and still be answered in time.
-    can_return: bool,
     /// Whether the last retry was not made for want of a token.
     lacked_token: bool,
 }
@@ -89,7 +87,6 @@
             may_have_run: false,
             has_upstream_answer: false,
             has_hedge_token: false,
-            can_return: false,
             lacked_token: false,
         }
     }
@@ -99,12 +96,6 @@
         self.lacked_token
     }
 
-    /// Records whether the caller can come back after a refusal and still be answered in time. To be called
-    /// before the end of an attempt is reported.
-    pub fn set_can_return(&mut self, can_return: bool) {
-        self.can_return = can_return;
-    }
-
     /// Records whether a streamed body is still unsent. To be called before the end of an attempt is reported
     /// that may not have started to send it.
     pub fn set_streamed_body_unsent(&mut self, is_unsent: bool) {
@@ -184,8 +175,7 @@
     }
 
     fn retry(&mut self, outcome: AttemptOutcome, takes_token: bool, budget: &mut RetryBudget) -> NextStep {
-        let token = if self.can_return { TokenUse::Deferrable } else { TokenUse::LastTry };
-        if takes_token && !budget.take_for(token) {
+        if takes_token && !budget.take() {
             self.lacked_token = true;
             return self.give_up_without_token(outcome);
         }
--- a/crates/pointvane-dispatch/src/budget.rs
+++ b/crates/pointvane-dispatch/src/budget.rs
@@ -93,18 +93,6 @@
     }
 }
 
-/// Share of the tokens beyond the first that only last tries may take.
-const LAST_TRY_SHARE: f64 = 0.5;
-
-/// What a retry token is taken for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TokenUse {
-    /// A request whose caller can come back and still be answered in time: it loses little without a token.
-    Deferrable,
-    /// A request whose caller cannot.
-    LastTry,
-}
-
 /// A node's share of the retry budget of one service.
 ///
 /// Within a window all nodes together spend at most what they earn in it and what they had saved before.
@@ -146,15 +134,6 @@
         has_token
     }
 
-    /// Takes a token for one retry; returns whether there was one. Part of the savings is kept for last tries.
-    pub fn take_for(&mut self, token: TokenUse) -> bool {
-        let kept = match token {
-            TokenUse::Deferrable => (self.tokens_max - 1.0).max(0.0) * LAST_TRY_SHARE,
-            TokenUse::LastTry => 0.0,
-        };
-        self.tokens >= 1.0 + kept && self.take()
-    }
-
     /// Refunds the token of a retry or hedge that was not sent.
     pub fn refund(&mut self) {
         self.tokens = (self.tokens + 1.0).min(self.tokens_max.max(1.0));
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -90,9 +90,7 @@
     allowed_regions::AllowedRegions,
     attempt_path::{PathInputs, WithoutPeer, lost_retry_after_ms, without_peer},
     attempts::{AttemptEnd, NextStep, RequestAttempts},
-    budget::{
-        BudgetLimits, NodeBudgets, PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions, TokenUse,
-    },
+    budget::{BudgetLimits, NodeBudgets, PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions},
     caller_progress::CallerProgress,
     contended_admission::{ContendedRequest, RefusalReason, admission_pressure},
     contention::Contention,
--- a/crates/pointvane-dispatch/tests/request_attempts.rs
+++ b/crates/pointvane-dispatch/tests/request_attempts.rs
@@ -55,6 +55,17 @@
     expect_that!(step(&safe, UNSENT), eq(NextStep::Retry), "nothing was sent, so it takes no token");
 }
 
+#[gtest]
+fn a_retry_that_lacks_only_a_token_is_known_as_such() {
+    let route = route(RouteKind::Unsafe);
+    let mut attempts = RequestAttempts::started(&route, true);
+    attempts.attempt_ended(BUSY, 1, &mut budget(0));
+    expect_that!(attempts.lacked_token(), eq(true));
+    let mut attempts = RequestAttempts::started(&route, true);
+    attempts.attempt_ended(BUSY, 2, &mut budget(0));
+    expect_that!(attempts.lacked_token(), eq(false), "no attempts left");
+}
+
 #[gtest]
 fn sent_attempts_are_limited_by_the_route() {
     let route = route(RouteKind::Safe);
--- a/crates/pointvane-node/src/admission.rs
+++ b/crates/pointvane-node/src/admission.rs
@@ -80,7 +80,7 @@
 
 /// Whether the caller of a refused request can come back and still be answered in time. A caller that has come
 /// back already is not expected to do so again.
-pub fn can_return<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest, now_us: u64) -> bool {
+fn can_return<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest, now_us: u64) -> bool {
     !request.has_returned() && return_inputs(node, request, now_us).latest_ms(&request.routed.route).is_some()
 }
 
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        admission::{can_return, contended_retry_after_ms},
+        admission::contended_retry_after_ms,
         answer::Refused,
         attempt::{AttemptReport, AttemptRole, attempt},
         connections::RelayBody,
@@ -85,7 +85,6 @@
                     self.answer = result.answer.or(self.answer.take());
                     self.peer_retry_after_ms = result.retry_after_ms.or(self.peer_retry_after_ms);
                     attempts.set_streamed_body_unsent(request.stream.borrow().is_some());
-                    attempts.set_can_return(can_return(&self.node, &request, self.node.now_us()));
                     let end = self.node.divert(&request, result.end);
                     attempts.attempt_ended(end, request.sends.get(), &mut self.retry_budget())
                 }
