--- a/crates/pointvane-dispatch/src/contended_admission.rs
+++ b/crates/pointvane-dispatch/src/contended_admission.rs
@@ -22,9 +22,9 @@
 /// Mean occupancy below which there is no pressure, however slow upstreams are: slots are free.
 const CALM_OCCUPANCY: f64 = 0.5;
 /// Mean occupancy up to which a last try is queued although it will be late, as far as with a free slot.
-const ROOM_OCCUPANCY: f64 = 0.9;
+const ROOM_OCCUPANCY: f64 = 0.8;
 /// Mean occupancy from which on a last try is queued only if it is likely to be in time.
-const FULL_OCCUPANCY: f64 = 1.3;
+const FULL_OCCUPANCY: f64 = 1.0;
 /// Multiple of the target that a first try may be expected to take at the highest pressure.
 const STRICT_TARGET_SHARE: f64 = 1.0;
 
