Contention known to the fleet: push-sum exchange of load reports, status, metrics, soak

Reports are moved, not copied, so that none is counted in circles. New golden entries for the wire form, an event and status fields; no earlier one changes.

--- a/crates/pointvane-dispatch/src/contention.rs
+++ b/crates/pointvane-dispatch/src/contention.rs
@@ -1,20 +1,27 @@
 //! Contention: how much room the upstreams of a service have in each data centre.
 //!
 //! Inputs: every load report that this node receives, with the share of slots in use and whether the upstream
-//! was uncontended by it (see [`Pool::is_uncontended`]). Reports lose half of their weight every
-//! [`REPORT_HALF_LIFE_US`], since load shifts within a second. Without reports there is no estimate, and
-//! callers of [`Pool::contention`] decide as if the service were not contended. Tests: `tests/contention.rs`.
+//! was uncontended by it, and the reports that other nodes hand over. Reports lose half of their weight every
+//! 300 ms, since load shifts within a second. Without reports there is no estimate, and callers of
+//! [`Pool::contention`] decide as if the service were not contended.
+//!
+//! Nodes exchange reports by push-sum gossip while a service is contended: in each round a node hands over a
+//! part of the reports that it holds to random other nodes. Reports are moved, not copied, so that none is
+//! counted twice however often it is passed on, and all nodes converge to the mean over the fleet's reports.
+//! A lost datagram loses reports, but does not bias the mean. An estimate adds these to the node's own
+//! reports, with a bounded weight. Tests: `tests/contention.rs`, `tests/contention_fleet.rs`.
+
+mod messages;
+mod pair;
+mod sums;
+mod table;
 
-use {
-    crate::pool::Pool,
-    pointvane_core::Name,
-    std::collections::{BTreeMap, HashMap},
+pub use {
+    messages::{CONTENTION_ENTRIES_MAX, ContentionEntry, ContentionMessage, PairId},
+    table::{CONTENTION_PEERS, ContentionTable},
 };
 
-/// Time in which the weight of a load report is halved, in microseconds.
-const REPORT_HALF_LIFE_US: f64 = 300_000.0;
-/// Weight, in reports, below which an estimate is no longer used.
-const WEIGHT_MIN: f64 = 0.25;
+use {crate::pool::Pool, pair::Pair, pointvane_core::Name};
 
 /// Contention of the upstreams of one service in one data centre.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -29,83 +36,56 @@
 
 /// What one load report says about contention.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct ContentionSample {
-    pub(crate) is_uncontended: bool,
+pub struct ContentionSample {
+    /// Whether the upstream was uncontended.
+    pub is_uncontended: bool,
     /// Share of the upstream's slots in use.
-    pub(crate) occupancy: f32,
+    pub occupancy: f32,
 }
 
-/// Exponentially decaying sums over the samples of one service and data centre.
-#[derive(Clone, Copy, Debug, Default)]
-struct DecayingSums {
-    weight: f64,
-    uncontended: f64,
-    occupancy: f64,
-    updated_at_us: u64,
+/// A service and data centre that became contended, or no longer is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ContentionChange {
+    /// The service.
+    pub service: Name,
+    /// The data centre of its upstreams.
+    pub data_centre: Name,
+    /// Whether it is contended now.
+    pub is_contended: bool,
+    /// The estimate, `None` without recent reports.
+    pub contention: Option<Contention>,
 }
 
-impl DecayingSums {
-    fn record(&mut self, sample: ContentionSample, now_us: u64) {
-        *self = self.decayed(now_us);
-        self.weight += 1.0;
-        self.uncontended += f64::from(u8::from(sample.is_uncontended));
-        self.occupancy += f64::from(sample.occupancy);
-    }
-
-    fn decayed(&self, now_us: u64) -> Self {
-        let age_us = now_us.saturating_sub(self.updated_at_us);
-        let factor = (-(age_us as f64) / REPORT_HALF_LIFE_US).exp2();
+impl ContentionChange {
+    fn new(pair: &Pair, nodes: usize, now_us: u64) -> Self {
         Self {
-            weight: self.weight * factor,
-            uncontended: self.uncontended * factor,
-            occupancy: self.occupancy * factor,
-            updated_at_us: self.updated_at_us.max(now_us),
+            service: pair.service.clone(),
+            data_centre: pair.data_centre.clone(),
+            is_contended: pair.is_contended(),
+            contention: pair.contention(nodes, now_us),
         }
     }
-
-    fn contention(&self, now_us: u64) -> Option<Contention> {
-        let sums = self.decayed(now_us);
-        (sums.weight >= WEIGHT_MIN).then(|| Contention {
-            uncontended_share: (sums.uncontended / sums.weight) as f32,
-            occupancy: (sums.occupancy / sums.weight) as f32,
-            reports: sums.weight as f32,
-        })
-    }
 }
 
-/// Contention by service and data centre.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ContentionTable {
-    by_service: HashMap<Name, BTreeMap<Name, DecayingSums>>,
-}
+impl Pool {
+    /// Contention of a service's upstreams in a data centre; none without recent reports.
+    pub fn contention(&self, service: &Name, data_centre: &Name, now_us: u64) -> Option<Contention> {
+        self.contention.get(service, data_centre, now_us)
+    }
 
-impl ContentionTable {
-    /// Records what a load report of an upstream says.
-    pub(crate) fn record(
-        &mut self,
-        service: &Name,
-        data_centre: &Name,
-        sample: ContentionSample,
-        now_us: u64,
-    ) {
-        let by_data_centre = match self.by_service.get_mut(service) {
-            Some(by_data_centre) => by_data_centre,
-            None => self.by_service.entry(service.clone()).or_default(),
-        };
-        match by_data_centre.get_mut(data_centre) {
-            Some(sums) => sums.record(sample, now_us),
-            None => by_data_centre.entry(data_centre.clone()).or_default().record(sample, now_us),
-        }
+    /// Contention of a service's upstreams in all data centres that may get work; none without recent reports.
+    pub fn service_contention(&self, service: &Name, now_us: u64) -> Option<Contention> {
+        let may_get_work = |data_centre: &Name| !self.evacuations.is_evacuated(data_centre);
+        self.contention.of_service(service, may_get_work, now_us)
     }
 
-    fn get(&self, service: &Name, data_centre: &Name, now_us: u64) -> Option<Contention> {
-        self.by_service.get(service)?.get(data_centre)?.contention(now_us)
+    /// The contention of all services, to exchange load reports with other nodes.
+    pub fn contention_table(&self) -> &ContentionTable {
+        &self.contention
     }
-}
 
-impl Pool {
-    /// Contention of a service's upstreams in a data centre; none without recent reports.
-    pub fn contention(&self, service: &Name, data_centre: &Name, now_us: u64) -> Option<Contention> {
-        self.contention.get(service, data_centre, now_us)
+    /// Mutable access to the contention of all services.
+    pub fn contention_table_mut(&mut self) -> &mut ContentionTable {
+        &mut self.contention
     }
 }
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -16,7 +16,7 @@
 //! | which upstreams are candidates, and how they are ranked | `ranking.rs`, `subset.rs`, `cost.rs` |
 //! | which pipelined requests are forwarded early | `pipeline.rs` |
 //! | which candidates are probed, and which one is selected | `search.rs` |
-//! | how much room the upstreams of a service have in each data centre | `contention.rs` |
+//! | how much room the upstreams of a service have in each data centre | `contention.rs` and its modules |
 //! | how many slots of an upstream are occupied, and how latency grows with occupancy | `load_curve.rs` |
 //! | whether a request is sent to an upstream or refused | `admission.rs` |
 //! | whether this node has lost the path to a service | `reachability.rs` |
@@ -83,7 +83,10 @@
     attempt_path::{PathInputs, WithoutPeer, lost_retry_after_ms, without_peer},
     attempts::{AttemptEnd, NextStep, RequestAttempts},
     budget::{BudgetLimits, NodeBudgets, PROBE_WINDOW_S, ProbeBudget, RetryBudget, RetryBudgetOptions},
-    contention::Contention,
+    contention::{
+        CONTENTION_ENTRIES_MAX, CONTENTION_PEERS, Contention, ContentionChange, ContentionEntry,
+        ContentionMessage, ContentionSample, ContentionTable, PairId,
+    },
     deadline::answer_deadline_us,
     directory::{DirectoryMember, directory_addresses},
     ejection::{ProbeOutcome, unresponsive_after_ms},
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -118,6 +118,7 @@
         let draw = self.rng.random();
         self.by_service.entry(record.service.clone()).or_default().add(key, near, draw);
         self.services.entry(record.service.clone()).or_insert_with(|| ServiceState::new(record.slots));
+        self.contention.add(&record.service, &record.data_centre);
         let notices = self.initial_notices(&record, now_us);
         if notices.limit.per_1000_s().is_some() {
             self.limited.insert(key);
--- a/crates/pointvane-dispatch/tests/wire_format.rs
+++ b/crates/pointvane-dispatch/tests/wire_format.rs
@@ -7,8 +7,9 @@
         RoutingConfiguration, RoutingDelta, ServiceRule, UpstreamRecord, WeightedService,
     },
     pointvane_dispatch::{
-        AccountShare, AccountUsage, ConfigurationUpdate, FleetUsage, QuotaMessage, ReadMark, Relay,
-        RelayDatagram, Segment, StateOffer, StateReply, StateRequest, WireRelay,
+        AccountShare, AccountUsage, ConfigurationUpdate, ContentionEntry, ContentionMessage, FleetUsage,
+        PairId, QuotaMessage, ReadMark, Relay, RelayDatagram, Segment, StateOffer, StateReply, StateRequest,
+        WireRelay,
     },
     pointvane_mesh::codec,
     serde::{Serialize, de::DeserializeOwned},
@@ -140,5 +141,12 @@
     };
     let origin = "10.0.0.1:7660".parse().unwrap();
     lines.add("quota-shares", &QuotaMessage::Shares { origin, segment: Segment::ALL, accounts: vec![share] });
+    let entry = ContentionEntry {
+        pair: PairId::of(&"board".into(), &"ub-1".into()),
+        weight_millionths: 250_000,
+        uncontended: 13,
+        occupancy: 64,
+    };
+    lines.add("contention", &ContentionMessage { entries: vec![entry] });
     expect_that!(lines.0, eq(GOLDEN));
 }
--- a/crates/pointvane-node/src/fleet.rs
+++ b/crates/pointvane-node/src/fleet.rs
@@ -4,6 +4,7 @@
 //! computes the reader roles in the same way, by link speed and rendezvous hashing over the members it knows.
 //! `gossip_loop.rs` and `relay_loop.rs` send and receive the messages.
 
+mod contention_peers;
 mod forward_peers;
 mod limit_peers;
 mod quarantine_peers;
@@ -12,6 +13,7 @@
 mod sockets;
 
 pub use {
+    contention_peers::CONTENTION_PORT_OFFSET,
     forward_peers::{FORWARD_PORT_OFFSET, ForwardChoice},
     limit_peers::LIMIT_PORT_OFFSET,
     quarantine_peers::QUARANTINE_PORT_OFFSET,
--- a/crates/pointvane-node/src/fleet/sockets.rs
+++ b/crates/pointvane-node/src/fleet/sockets.rs
@@ -20,6 +20,8 @@
     pub quotas: Rc<UdpSocket>,
     /// For limits of upstreams.
     pub limits: Rc<UdpSocket>,
+    /// For load reports on contended services.
+    pub contention: Rc<UdpSocket>,
 }
 
 impl Fleet {
@@ -54,6 +56,11 @@
         self.send(bytes, to, |sockets| &sockets.limits);
     }
 
+    /// Sends a contention message to another node.
+    pub fn send_contention(&self, bytes: &[u8], to: SocketAddr) {
+        self.send(bytes, to, |sockets| &sockets.contention);
+    }
+
     fn send(&self, bytes: &[u8], to: SocketAddr, socket: impl Fn(&Sockets) -> &Rc<UdpSocket>) {
         if let Some(sockets) = self.sockets.get() {
             _ = socket(sockets).try_send_to(bytes, to);
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -12,6 +12,7 @@
 mod body;
 mod caller_connection;
 mod connections;
+mod contention_loop;
 mod crash_check;
 mod directory;
 mod dispatcher;
--- a/crates/pointvane-node/src/operator.rs
+++ b/crates/pointvane-node/src/operator.rs
@@ -4,6 +4,7 @@
     crate::{answer::text_response, connections::RelayBody, node::Node},
     hyper::{Request, Response, StatusCode, body::Incoming},
     pointvane_core::{PER_1000_S, PlatformAdapter, US_PER_MS},
+    pointvane_dispatch::ContentionChange,
     serde::Serialize,
     std::{convert::Infallible, rc::Rc},
 };
@@ -34,6 +35,7 @@
     lost_services: Vec<LostRow>,
     withheld_upstreams: Vec<WithheldRow>,
     limited_upstreams: Vec<LimitedRow>,
+    contended_services: Vec<ContendedRow>,
 }
 
 /// A service of which no upstream responds to this node.
@@ -67,6 +69,19 @@
     back_in_ms: Option<u64>,
 }
 
+/// A service whose upstreams in a data centre have too little room.
+#[derive(Debug, Serialize)]
+struct ContendedRow {
+    service: String,
+    data_centre: String,
+    /// Share of the recent load reports by which an upstream was uncontended.
+    uncontended_share: f32,
+    /// Mean share of the slots in use.
+    occupancy: f32,
+    /// Number of reports behind these, older ones weighted less.
+    reports: f32,
+}
+
 /// Serves `/metrics`, `/events` and `/status`.
 pub async fn operator<A: PlatformAdapter>(
     node: Rc<Node<A>>,
@@ -108,6 +123,7 @@
         lost_services: lost_services(node),
         withheld_upstreams: withheld_upstreams(node),
         limited_upstreams: limited_upstreams(node),
+        contended_services: contended_services(node),
     }
 }
 
@@ -149,3 +165,18 @@
     };
     pool.limited().into_iter().filter_map(row).take(STATUS_ROWS_MAX).collect()
 }
+
+fn contended_services<A: PlatformAdapter>(node: &Node<A>) -> Vec<ContendedRow> {
+    let pool = node.dispatcher.pool();
+    let row = |change: ContentionChange| {
+        let contention = change.contention?;
+        Some(ContendedRow {
+            service: change.service.to_string(),
+            data_centre: change.data_centre.to_string(),
+            uncontended_share: contention.uncontended_share,
+            occupancy: contention.occupancy,
+            reports: contention.reports,
+        })
+    };
+    pool.contention_table().contended(node.now_us()).filter_map(row).take(STATUS_ROWS_MAX).collect()
+}
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -8,7 +8,7 @@
     eyre::Result,
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram},
+        metrics::{Counter, Gauge, Histogram},
     },
     pointvane_config::LogOptions,
     pointvane_core::{ErrorKind, ItemFault, Name},
@@ -60,6 +60,10 @@
     back_offs: Counter<u64>,
     leavings: Counter<u64>,
     limit_changes: Counter<u64>,
+    contention_changes: Counter<u64>,
+    contended: Gauge<u64>,
+    contention_datagrams: Counter<u64>,
+    contention_bytes: Counter<u64>,
     quarantines: Counter<u64>,
     quarantines_lifted: Counter<u64>,
     platform_calls: Counter<u64>,
@@ -109,6 +113,10 @@
             back_offs: counter("pointvane_node_back_offs"),
             leavings: counter("pointvane_node_leavings"),
             limit_changes: counter("pointvane_node_limit_changes"),
+            contention_changes: counter("pointvane_node_contention_changes"),
+            contended: meter.u64_gauge("pointvane_node_contended_services").build(),
+            contention_datagrams: counter("pointvane_node_contention_datagrams"),
+            contention_bytes: counter("pointvane_node_contention_bytes"),
             quarantines: counter("pointvane_node_quarantines"),
             quarantines_lifted: counter("pointvane_node_quarantines_lifted"),
             platform_calls: counter("pointvane_node_platform_calls"),
@@ -257,6 +265,28 @@
         self.limit_changes.add(1, &[]);
     }
 
+    /// Counts services that became contended in a data centre, or no longer are; `contended` are so now.
+    pub fn contention_changed(&self, changes: usize, contended: usize) {
+        self.contention_changes.add(changes as u64, &[]);
+        self.contended.record(contended as u64, &[]);
+    }
+
+    /// Counts a contention message that was sent.
+    pub fn sent_contention(&self, bytes: usize) {
+        self.count_contention("sent", bytes);
+    }
+
+    /// Counts a contention message that was received.
+    pub fn received_contention(&self, bytes: usize) {
+        self.count_contention("received", bytes);
+    }
+
+    fn count_contention(&self, direction: &'static str, bytes: usize) {
+        let label = [KeyValue::new("direction", direction)];
+        self.contention_datagrams.add(1, &label);
+        self.contention_bytes.add(bytes as u64, &label);
+    }
+
     /// Counts a request that entered or left quarantine.
     pub fn quarantine_changed(&self, change: &QuarantineChange) {
         match change {
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        caller_connection, directory,
+        caller_connection, contention_loop, directory,
         fleet::{
-            FORWARD_PORT_OFFSET, LIMIT_PORT_OFFSET, QUARANTINE_PORT_OFFSET, QUOTA_PORT_OFFSET,
-            RELAY_PORT_OFFSET, Sockets,
+            CONTENTION_PORT_OFFSET, FORWARD_PORT_OFFSET, LIMIT_PORT_OFFSET, QUARANTINE_PORT_OFFSET,
+            QUOTA_PORT_OFFSET, RELAY_PORT_OFFSET, Sockets,
         },
         gossip_loop, limit_loop,
         node::Node,
@@ -85,6 +85,7 @@
     spawn_local(quarantine_loop::run(Rc::clone(node), sockets.quarantine));
     spawn_local(quota_loop::run(Rc::clone(node), sockets.quotas));
     spawn_local(limit_loop::run(Rc::clone(node), sockets.limits));
+    spawn_local(contention_loop::run(Rc::clone(node), sockets.contention));
     spawn_local(reachability::check_lost_services(Rc::clone(node)));
     spawn_local(platform_reader::read(Rc::clone(node)));
     Ok(())
@@ -102,6 +103,7 @@
         quarantine: open(QUARANTINE_PORT_OFFSET, "cannot bind the quarantine socket").await?,
         quotas: open(QUOTA_PORT_OFFSET, "cannot bind the quota socket").await?,
         limits: open(LIMIT_PORT_OFFSET, "cannot bind the limit socket").await?,
+        contention: open(CONTENTION_PORT_OFFSET, "cannot bind the contention socket").await?,
     })
 }
 
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -79,6 +79,16 @@
     /// An upstream advertised a new request limit, shared by all processes, in requests per 1000 s; `None` if
     /// it no longer advertises one.
     UpstreamLimitChanged { service: Name, upstream: Name, per_1000_s: Option<u32> },
+    /// The upstreams of a service in a data centre became contended, or no longer are: the share of recent
+    /// load reports by which they were uncontended, and their mean occupancy, in thousandths (`None` without
+    /// recent reports).
+    ContentionChanged {
+        service: Name,
+        data_centre: Name,
+        contended: bool,
+        uncontended_per_mille: Option<u32>,
+        occupancy_per_mille: Option<u32>,
+    },
     /// An upstream that was leaving no longer is.
     UpstreamStaying { service: Name, upstream: Name },
     /// A failing upstream was ejected from selection.
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -62,6 +62,7 @@
         EventKind::ServiceRegained { service: "board".into(), lost_ms: 11_900 },
         EventKind::PeerConnectionRefused { from: "10.0.0.9".parse().unwrap() },
         request_forwarded(),
+        contention_changed(),
     ]
 }
 
@@ -80,6 +81,16 @@
     EventKind::UpstreamLimitChanged { service: "board".into(), upstream: "i-7".into(), per_1000_s }
 }
 
+fn contention_changed() -> EventKind {
+    EventKind::ContentionChanged {
+        service: "board".into(),
+        data_centre: "ub-1".into(),
+        contended: true,
+        uncontended_per_mille: Some(50),
+        occupancy_per_mille: None,
+    }
+}
+
 fn attempt_rejected_busy() -> EventKind {
     EventKind::AttemptEnded {
         request: "r-1".into(),
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -12,6 +12,8 @@
 mod caller;
 #[path = "soak/connection.rs"]
 mod connection;
+#[path = "soak/contention.rs"]
+mod contention;
 #[path = "soak/crashing_request.rs"]
 mod crashing_request;
 #[path = "soak/departures.rs"]
@@ -74,8 +76,9 @@
 
 /// Seeds that CI runs. The fourth has a large configuration. In the following ones, in order: upstreams crash
 /// while they run a certain request; upstreams request pauses; upstreams also restart under their identities;
-/// upstreams also announce limits; and nodes are cut off from all upstreams.
-const CI_SEEDS: [u64; 9] = [1, 2, 3, 102, 6_001, 7_001, 8_001, 10_001, 11_001];
+/// upstreams also announce limits; nodes are cut off from all upstreams; and all upstreams report that they are
+/// full.
+const CI_SEEDS: [u64; 10] = [1, 2, 3, 102, 6_001, 7_001, 8_001, 10_001, 11_001, 12_001];
 /// Seeds that have violated a guarantee before, which CI runs too; each states the cause. Such seeds with 40
 /// or more nodes are left to manual runs: the store stand-in took up to 8.0 s to answer there, so that no
 /// node received updates.
@@ -144,6 +147,9 @@
         if plan.partitions {
             scope.spawn(move || partitions::run(fleet, &mut rng(plan.fault_threads + 6)));
         }
+        if plan.contention {
+            scope.spawn(move || contention::run(fleet, &mut rng(plan.fault_threads + 7)));
+        }
         if plan.crashes {
             scope.spawn(move || crashing_request::run(fleet, &mut rng(plan.fault_threads + 2)));
         }
@@ -169,11 +175,13 @@
     let notices = notices::check(&fleet, &record);
     let restarted = restarts::check(&fleet, &record);
     let limit_windows = limits::check(&fleet, &record);
+    let calm_nodes = if plan.contention { contention::check(&fleet, &record) } else { 0 };
     let upstreams: Vec<_> = fleet.upstreams().into_iter().map(|one| one.upstream).collect();
     let violations = record.violations(&upstreams);
     let report = summary(&fleet, &plan, &record, departed, crashed)
         + &format!(
-            ", {notices:?} notices checked, {restarted} restarted, {limit_windows} limit windows checked"
+            ", {notices:?} notices checked, {restarted} restarted, {limit_windows} limit windows checked, \
+             {calm_nodes} nodes calm again"
         );
     println!("seed {seed}: {report}, {} s, {} violations", started_at.elapsed().as_secs(), violations.len());
     if !violations.is_empty() {
--- a/standins/tests/soak/peer_proxy.rs
+++ b/standins/tests/soak/peer_proxy.rs
@@ -28,6 +28,8 @@
 pub const QUARANTINE_PORT: u16 = 7_662;
 /// Port for forwarded requests, over TCP.
 pub const FORWARD_PORT: u16 = 7_665;
+/// Port of contention messages.
+pub const CONTENTION_PORT: u16 = 7_666;
 /// Read timeout, after which an idle reader checks the link state and whether the proxy has stopped.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of a connection attempt to a listener on loopback.
@@ -109,7 +111,7 @@
             stopped: AtomicBool::default(),
             dropped: AtomicU64::default(),
         });
-        for port in [GOSSIP_PORT, RELAY_PORT, QUARANTINE_PORT] {
+        for port in [GOSSIP_PORT, RELAY_PORT, QUARANTINE_PORT, CONTENTION_PORT] {
             let outer = Arc::new(datagram_socket((advertised, port).into()).unwrap());
             let shared = Arc::clone(&shared);
             thread::spawn(move || forward_datagrams(&outer, (bind_ip, port).into(), &shared));
--- a/standins/tests/soak/plan.rs
+++ b/standins/tests/soak/plan.rs
@@ -32,6 +32,8 @@
 const RESTARTS_SEED: u64 = 8_000;
 /// First seed in whose runs upstreams announce limits.
 const LIMITS_SEED: u64 = 10_000;
+/// First seed in whose runs upstreams report that they are full.
+const CONTENTION_SEED: u64 = 12_000;
 /// Seeds in whose runs nodes are cut off from all upstreams. These are all reached through proxies, and none
 /// restarts.
 const PARTITIONS_SEEDS: Range<u64> = 11_000..12_000;
@@ -72,6 +74,8 @@
     pub limits: bool,
     /// Whether nodes are cut off from all upstreams.
     pub partitions: bool,
+    /// Whether upstreams report that they are full.
+    pub contention: bool,
     /// Additional routes in each configuration, besides those that the checks need.
     pub extra_routes: usize,
 }
@@ -86,6 +90,7 @@
         plan.partitions = PARTITIONS_SEEDS.contains(&seed);
         plan.restarts = seed >= RESTARTS_SEED && !plan.partitions;
         plan.limits = seed >= LIMITS_SEED;
+        plan.contention = seed >= CONTENTION_SEED;
         if plan.restarts {
             plan.proxied_upstreams = plan.proxied_upstreams.min(PROXIED_BESIDE_RESTARTS);
         }
@@ -119,6 +124,7 @@
             restarts: false,
             limits: false,
             partitions: false,
+            contention: false,
             extra_routes: 0,
         }
     }
@@ -146,6 +152,7 @@
             restarts: false,
             limits: false,
             partitions: false,
+            contention: false,
             extra_routes: 0,
         }
     }
--- a/standins/tests/users_platform/behaviour.rs
+++ b/standins/tests/users_platform/behaviour.rs
@@ -25,6 +25,8 @@
     DuplicateResponse,
     /// Runs the request and never responds.
     Silent,
+    /// A complete response; reports that all slots are in use and requests are queued.
+    ReportFull,
     /// A complete response without a load report.
     NoLoadReport,
     /// A complete response; health probes are answered only after this many milliseconds.
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -8,8 +8,8 @@
         process::SimulatedProcess,
         unique_address,
         upstream_responses::{
-            is_closed, is_closed_within, write_health, write_ok, write_ok_leaving, write_ok_with_limit,
-            write_pause_request, write_rejection,
+            is_closed, is_closed_within, write_health, write_ok, write_ok_full, write_ok_leaving,
+            write_ok_with_limit, write_pause_request, write_rejection,
         },
     },
     std::{
@@ -245,6 +245,7 @@
             | UpstreamBehaviour::Cold
             | UpstreamBehaviour::SlowProbes(_)
             | UpstreamBehaviour::ResetIdle => write_ok(stream, id)?,
+            UpstreamBehaviour::ReportFull => write_ok_full(stream, id)?,
             UpstreamBehaviour::AnnounceLimit { per_1000_s } => write_ok_with_limit(stream, id, per_1000_s)?,
             UpstreamBehaviour::Delayed(ms) => {
                 if is_closed_within(stream, Duration::from_millis(ms)) {
--- a/standins/tests/users_platform/upstream_responses.rs
+++ b/standins/tests/users_platform/upstream_responses.rs
@@ -17,6 +17,17 @@
     )
 }
 
+/// Load report of an upstream without a free slot.
+const FULL: &str = "pointvane-instance-load: 3,6,3,300\r\n";
+
+/// Writes a complete response that reports that all slots are in use.
+pub fn write_ok_full(mut stream: &TcpStream, id: &str) -> io::Result<()> {
+    write!(
+        stream,
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\npointvane-request-id: {id}\r\n{RESPONSE_STAMP_HEADER}: s\r\n{FULL}\r\nhello"
+    )
+}
+
 /// Writes a response with an empty body and additional header lines.
 pub fn write_rejection(mut stream: &TcpStream, status: &str, id: &str, extra: &str) -> io::Result<()> {
     write!(stream, "HTTP/1.1 {status}\r\ncontent-length: 0\r\npointvane-request-id: {id}\r\n{extra}\r\n")
@@ -52,6 +63,7 @@
 pub fn write_health(mut stream: &TcpStream, upstream: &str, behaviour: UpstreamBehaviour) -> io::Result<()> {
     let extra = match behaviour {
         UpstreamBehaviour::NoLoadReport | UpstreamBehaviour::ResetIdleWithoutLoadReport => "",
+        UpstreamBehaviour::ReportFull => FULL,
         UpstreamBehaviour::AnnounceLeaving => "pointvane-instance-load: 0,0,3,100\r\nserver-leaving: 1\r\n",
         UpstreamBehaviour::Cold => {
             "pointvane-instance-load: 0,0,3,100\r\npointvane-warmup-remaining: 60000\r\n"
