Contention: old reports do not outlast others by their number

Entries now carry the age of their newest report, and maximum weights decay with it. A service counts as contended only where slots are in use, too: idle upstreams of three slots were taken for uncontended by 0.54 to 0.62 of the reports (occupancy 0.17 to 0.20).

--- a/crates/pointvane-dispatch/src/contention/messages.rs
+++ b/crates/pointvane-dispatch/src/contention/messages.rs
@@ -1,12 +1,12 @@
 //! Contention messages between nodes.
 
 use {
-    pointvane_core::Name,
+    pointvane_core::{Name, US_PER_MS},
     serde::{Deserialize, Serialize},
 };
 
 /// Maximum number of entries in one datagram.
-pub const CONTENTION_ENTRIES_MAX: usize = 20;
+pub const CONTENTION_ENTRIES_MAX: usize = 19;
 /// Maximum weight of an entry, in load reports. Bounds the effect of one datagram.
 pub(super) const ENTRY_WEIGHT_MAX: f64 = 0.25;
 /// Units of [`ContentionEntry::weight_millionths`] in a load report.
@@ -15,6 +15,8 @@
 const SHARE_UNITS: f64 = 255.0;
 /// Units of [`ContentionEntry::occupancy`] in an occupancy of 1.
 const OCCUPANCY_UNITS: f64 = 64.0;
+/// Unit of [`ContentionEntry::age`], in microseconds.
+const AGE_UNIT_US: u64 = 10 * US_PER_MS;
 
 /// A datagram with load reports that the sender hands over to the receiver.
 ///
@@ -36,6 +38,17 @@
     pub uncontended: u8,
     /// Mean share of occupied slots, in 64ths; at most 255, which stands for anything above.
     pub occupancy: u8,
+    /// Time since an upstream sent the newest of the reports, in units of 10 ms.
+    pub age: u8,
+}
+
+/// Contents of an entry in the units of the estimate.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EntryValues {
+    pub(super) weight: f64,
+    pub(super) uncontended_share: f64,
+    pub(super) occupancy: f64,
+    pub(super) age_us: u64,
 }
 
 /// Hash of the names of a service and a data centre.
@@ -55,28 +68,27 @@
 }
 
 impl ContentionEntry {
-    /// Encodes reports of a total `weight`; `None` if the weight rounds to zero.
-    pub(super) fn new(pair: PairId, weight: f64, uncontended_share: f64, occupancy: f64) -> Option<Self> {
-        let weight_millionths = (weight * MILLIONTHS) as u32;
+    /// Encodes reports; `None` if their weight rounds to zero or they are too old.
+    pub(super) fn new(pair: PairId, values: &EntryValues) -> Option<Self> {
+        let weight_millionths = (values.weight * MILLIONTHS) as u32;
+        let age = u8::try_from(values.age_us.div_ceil(AGE_UNIT_US)).ok()?;
         // A conversion to an integer saturates.
         (weight_millionths > 0).then_some(Self {
             pair,
             weight_millionths,
-            uncontended: (uncontended_share * SHARE_UNITS).round() as u8,
-            occupancy: (occupancy * OCCUPANCY_UNITS).round() as u8,
+            uncontended: (values.uncontended_share * SHARE_UNITS).round() as u8,
+            occupancy: (values.occupancy * OCCUPANCY_UNITS).round() as u8,
+            age,
         })
     }
 
-    /// Weight in load reports, limited to [`ENTRY_WEIGHT_MAX`].
-    pub(super) fn weight(&self) -> f64 {
-        (f64::from(self.weight_millionths) / MILLIONTHS).min(ENTRY_WEIGHT_MAX)
-    }
-
-    pub(super) fn uncontended_share(&self) -> f64 {
-        f64::from(self.uncontended) / SHARE_UNITS
-    }
-
-    pub(super) fn occupancy(&self) -> f64 {
-        f64::from(self.occupancy) / OCCUPANCY_UNITS
+    /// The contents, with the weight limited to [`ENTRY_WEIGHT_MAX`].
+    pub(super) fn values(&self) -> EntryValues {
+        EntryValues {
+            weight: (f64::from(self.weight_millionths) / MILLIONTHS).min(ENTRY_WEIGHT_MAX),
+            uncontended_share: f64::from(self.uncontended) / SHARE_UNITS,
+            occupancy: f64::from(self.occupancy) / OCCUPANCY_UNITS,
+            age_us: u64::from(self.age) * AGE_UNIT_US,
+        }
     }
 }
--- a/crates/pointvane-dispatch/src/contention/pair.rs
+++ b/crates/pointvane-dispatch/src/contention/pair.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Contention, ContentionSample,
-        messages::{ContentionEntry, ENTRY_WEIGHT_MAX, PairId},
+        messages::{ContentionEntry, ENTRY_WEIGHT_MAX, EntryValues, PairId},
         sums::DecayingSums,
     },
     pointvane_core::Name,
@@ -14,6 +14,8 @@
 /// Maximum weight of the fleet's reports in an estimate, in reports. A node with more reports of its own goes
 /// mainly by these.
 const FLEET_WEIGHT_MAX: f64 = 8.0;
+/// Maximum weight of the node's own reports in an estimate, in reports.
+const OWN_WEIGHT_MAX: f64 = 64.0;
 /// Number of contended reports above the number of uncontended ones from which a node starts an exchange. A
 /// single contended report is usual in calm.
 const START_EXCESS: f64 = 1.0;
@@ -22,12 +24,15 @@
 /// Time for which nodes continue to exchange reports after the share was last below [`EXCHANGE_SHARE`], in
 /// microseconds. The reports that end a contention spread within it.
 const EXCHANGE_US: u64 = 1_500_000;
+/// Time for which a node joins an exchange if the reports that it holds show no contention, in microseconds:
+/// long enough to add these.
+const JOIN_US: u64 = 300_000;
 /// Part of its reports that a node hands over with each message.
 const SENT_PART: f64 = 1.0 / 3.0;
-/// Uncontended share below which a service is reported as contended.
-const CONTENDED_BELOW: f32 = 0.5;
-/// Uncontended share above which a service is no longer reported as contended.
-const CONTENDED_UNTIL: f32 = 0.7;
+/// Uncontended share below which, and occupancy above which, a service counts as contended.
+const CONTENDED: (f32, f32) = (0.5, 0.7);
+/// Uncontended share below which, and occupancy above which, a service still counts as contended.
+const STILL_CONTENDED: (f32, f32) = (0.7, 0.5);
 
 /// Load reports on the upstreams of one service in one data centre.
 #[derive(Clone, Debug)]
@@ -41,6 +46,8 @@
     held: DecayingSums,
     /// Reports that other nodes handed over.
     received: DecayingSums,
+    /// When an upstream sent the newest of the held reports.
+    newest_at_us: u64,
     exchange_until_us: u64,
     is_contended: bool,
 }
@@ -54,6 +61,7 @@
             own: DecayingSums::default(),
             held: DecayingSums::default(),
             received: DecayingSums::default(),
+            newest_at_us: 0,
             exchange_until_us: 0,
             is_contended: false,
         }
@@ -63,17 +71,20 @@
     pub(super) fn record(&mut self, sample: ContentionSample, now_us: u64) {
         self.own.record(sample, now_us);
         self.held.record(sample, now_us);
+        self.newest_at_us = now_us;
         let uncontended = self.held.uncontended;
         self.exchange_if(self.held.weight - uncontended > uncontended + START_EXCESS, now_us);
     }
 
     /// Takes over reports from another node.
     pub(super) fn receive(&mut self, entry: &ContentionEntry, now_us: u64) {
-        let (weight, share, occupancy) = (entry.weight(), entry.uncontended_share(), entry.occupancy());
+        let EntryValues { weight, uncontended_share: share, occupancy, age_us } = entry.values();
         self.held.add(weight, share, occupancy, now_us);
         self.received.add(weight, share, occupancy, now_us);
-        // Also if this node holds other reports: these are then added to the exchange.
-        self.exchange_if(share < EXCHANGE_SHARE, now_us);
+        self.newest_at_us = self.newest_at_us.max(now_us.saturating_sub(age_us));
+        if share < EXCHANGE_SHARE {
+            self.exchange_until_us = self.exchange_until_us.max(now_us + JOIN_US);
+        }
     }
 
     fn exchange_if(&mut self, condition: bool, now_us: u64) {
@@ -97,9 +108,13 @@
         self.held = self.held.decayed(now_us);
         self.exchange_if(self.held.uncontended < self.held.weight * EXCHANGE_SHARE, now_us);
         let weight = (self.held.weight * SENT_PART).min(ENTRY_WEIGHT_MAX);
-        let (share, occupancy) =
-            (self.held.uncontended / self.held.weight, self.held.occupancy / self.held.weight);
-        let entry = ContentionEntry::new(self.id, weight, share, occupancy)?;
+        let values = EntryValues {
+            weight,
+            uncontended_share: self.held.uncontended / self.held.weight,
+            occupancy: self.held.occupancy / self.held.weight,
+            age_us: now_us.saturating_sub(self.newest_at_us),
+        };
+        let entry = ContentionEntry::new(self.id, &values)?;
         self.held.remove(weight);
         Some(entry)
     }
@@ -107,9 +122,13 @@
     /// Sums over this node's own reports and those of the fleet, in which own reports dominate if there are
     /// many. `nodes` is the number of nodes among which the fleet's reports are distributed.
     pub(super) fn sums(&self, nodes: usize, now_us: u64) -> DecayingSums {
+        // The maximum weights decay too, so that old reports do not outlast others by their number.
+        let retained = |newest_at_us: u64| DecayingSums::retained(now_us.saturating_sub(newest_at_us));
         let own = self.own.decayed(now_us);
+        let own_weight = own.weight.min(OWN_WEIGHT_MAX * retained(self.own.updated_at_us()));
         let received = self.received.decayed(now_us).weight * nodes as f64;
-        own.plus(&self.held.decayed(now_us).with_weight(received.min(FLEET_WEIGHT_MAX)))
+        let fleet_weight = received.min(FLEET_WEIGHT_MAX * retained(self.newest_at_us));
+        own.with_weight(own_weight).plus(&self.held.decayed(now_us).with_weight(fleet_weight))
     }
 
     /// The contention, or `None` without recent reports.
@@ -119,9 +138,10 @@
 
     /// Updates whether the pair counts as contended; returns true if that changed.
     pub(super) fn update_state(&mut self, nodes: usize, now_us: u64) -> bool {
-        let below = if self.is_contended { CONTENDED_UNTIL } else { CONTENDED_BELOW };
-        let contention = self.contention(nodes, now_us);
-        let is_contended = contention.is_some_and(|contention| contention.uncontended_share < below);
+        let (share_below, occupancy_above) = if self.is_contended { STILL_CONTENDED } else { CONTENDED };
+        let is_contended = self.contention(nodes, now_us).is_some_and(|contention| {
+            contention.uncontended_share < share_below && contention.occupancy > occupancy_above
+        });
         is_contended != std::mem::replace(&mut self.is_contended, is_contended)
     }
 
--- a/crates/pointvane-dispatch/src/contention/sums.rs
+++ b/crates/pointvane-dispatch/src/contention/sums.rs
@@ -34,9 +34,19 @@
         *self = self.scaled((1.0 - weight / self.weight).max(0.0));
     }
 
+    /// Time of the last addition.
+    pub(super) fn updated_at_us(&self) -> u64 {
+        self.updated_at_us
+    }
+
+    /// The part of its weight that a report retains at an age.
+    pub(super) fn retained(age_us: u64) -> f64 {
+        (-(age_us as f64) / REPORT_HALF_LIFE_US).exp2()
+    }
+
     pub(super) fn decayed(&self, now_us: u64) -> Self {
         let age_us = now_us.saturating_sub(self.updated_at_us);
-        let decayed = self.scaled((-(age_us as f64) / REPORT_HALF_LIFE_US).exp2());
+        let decayed = self.scaled(Self::retained(age_us));
         Self { updated_at_us: self.updated_at_us.max(now_us), ..decayed }
     }
 
--- a/crates/pointvane-dispatch/tests/wire_format.rs
+++ b/crates/pointvane-dispatch/tests/wire_format.rs
@@ -146,6 +146,7 @@
         weight_millionths: 250_000,
         uncontended: 13,
         occupancy: 64,
+        age: 12,
     };
     lines.add("contention", &ContentionMessage { entries: vec![entry] });
     expect_that!(lines.0, eq(GOLDEN));
