--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -19,7 +19,7 @@
 //! | which data centres are probed, and by how many probes at once | `search_plan.rs`, `probe_rounds.rs`, `locality.rs` |
 //! | how long a load report stays valid | `report_validity.rs` |
 //! | which candidates are probed, and which one is selected | `search.rs` |
-//! | how much room the upstreams of a service have in each data centre | `contention.rs` |
+//! | how much room the upstreams of a service have in each data centre | `contention.rs` and its modules |
 //! | how many slots of an upstream are occupied, and how latency grows with occupancy | `load_curve.rs` |
 //! | whether a request is sent to an upstream or refused | `admission.rs`; while its service is contended `contended_admission.rs`, with `finish_spread.rs` |
 //! | which requests leave the last free slots to more urgent ones | `urgent_first.rs` |
@@ -109,7 +109,10 @@
         SURPLUS_BYTES_WINDOW_US, choose_idle, idle_max_ms,
     },
     contended_admission::{ContendedRequest, RefusalReason, admission_pressure},
-    contention::Contention,
+    contention::{
+        CONTENTION_ENTRIES_MAX, CONTENTION_PEERS, Contention, ContentionChange, ContentionEntry,
+        ContentionMessage, ContentionSample, ContentionTable, PairId,
+    },
     deadline::answer_deadline_us,
     directory::{DirectoryMember, directory_addresses},
     ejection::{ProbeOutcome, unresponsive_after_ms},
--- a/crates/pointvane-node/src/cross_traffic.rs
+++ b/crates/pointvane-node/src/cross_traffic.rs
@@ -50,6 +50,8 @@
     Quota,
     /// Limits of upstreams.
     Limit,
+    /// Load reports on contended services.
+    Contention,
     /// Queries of platform state.
     StateQuery,
 }
@@ -67,6 +69,7 @@
             Self::Quarantine => "quarantine",
             Self::Quota => "quota",
             Self::Limit => "limit",
+            Self::Contention => "contention",
             Self::StateQuery => "state-query",
         }
     }
--- a/crates/pointvane-node/src/fleet/sockets.rs
+++ b/crates/pointvane-node/src/fleet/sockets.rs
@@ -24,6 +24,8 @@
     pub quotas: Rc<UdpSocket>,
     /// For limits of upstreams.
     pub limits: Rc<UdpSocket>,
+    /// For load reports on contended services.
+    pub contention: Rc<UdpSocket>,
     /// Counts datagrams to other data centres.
     pub traffic: CrossTraffic,
 }
@@ -60,6 +62,11 @@
         self.send(bytes, to, TrafficKind::Limit, |sockets| &sockets.limits);
     }
 
+    /// Sends a contention message to another node.
+    pub fn send_contention(&self, bytes: &[u8], to: SocketAddr) {
+        self.send(bytes, to, TrafficKind::Contention, |sockets| &sockets.contention);
+    }
+
     fn send(
         &self,
         bytes: &[u8],
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod caller_connection;
 mod connection_metrics;
 mod connections;
+mod contention_loop;
 mod crash_check;
 mod cross_traffic;
 mod directory;
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::{
-        caller_connection,
+        caller_connection, contention_loop,
         cross_traffic::CrossTraffic,
         directory,
         fleet::{
-            FORWARD_PORT_OFFSET, LIMIT_PORT_OFFSET, QUARANTINE_PORT_OFFSET, QUOTA_PORT_OFFSET,
-            RELAY_PORT_OFFSET, Sockets,
+            CONTENTION_PORT_OFFSET, FORWARD_PORT_OFFSET, LIMIT_PORT_OFFSET, QUARANTINE_PORT_OFFSET,
+            QUOTA_PORT_OFFSET, RELAY_PORT_OFFSET, Sockets,
         },
         gossip_loop, limit_loop, memory_loop,
         node::Node,
@@ -88,6 +88,7 @@
     spawn_local(quota_loop::run(Rc::clone(node), sockets.quotas));
     spawn_local(limit_loop::run(Rc::clone(node), sockets.limits));
     spawn_local(memory_loop::run(Rc::clone(node)));
+    spawn_local(contention_loop::run(Rc::clone(node), sockets.contention));
     spawn_local(reachability::check_lost_services(Rc::clone(node)));
     spawn_local(platform_reader::read(Rc::clone(node)));
     Ok(())
@@ -105,6 +106,7 @@
         quarantine: open(QUARANTINE_PORT_OFFSET, "cannot bind the quarantine socket").await?,
         quotas: open(QUOTA_PORT_OFFSET, "cannot bind the quota socket").await?,
         limits: open(LIMIT_PORT_OFFSET, "cannot bind the limit socket").await?,
+        contention: open(CONTENTION_PORT_OFFSET, "cannot bind the contention socket").await?,
         traffic,
     })
 }
