Contention: nodes with enough reports of their own start no exchange

Nodes with some ten reports a second on a service know it by themselves. Conclusion: kept for fleets whose nodes see little of each service; elsewhere it is silent.

--- a/crates/pointvane-dispatch/src/contention/table.rs
+++ b/crates/pointvane-dispatch/src/contention/table.rs
@@ -14,6 +14,10 @@
 /// Number of nodes that a node sends to in each round of the exchange.
 pub const CONTENTION_PEERS: usize = 2;
 
+/// Weight of a node's own reports on a service below which it starts an exchange. With more, it knows the
+/// service without the reports of others.
+const OWN_SUFFICIENT: f64 = 4.0;
+
 /// Contention by service and data centre.
 #[derive(Clone, Debug)]
 pub struct ContentionTable {
@@ -59,10 +63,18 @@
     /// Records what a load report of an upstream says.
     pub fn record(&mut self, service: &Name, data_centre: &Name, sample: ContentionSample, now_us: u64) {
         let index = self.add(service, data_centre);
-        self.pairs[index].record(sample, now_us);
+        let needs_reports = self.needs_reports(service, now_us);
+        self.pairs[index].record(sample, needs_reports, now_us);
         self.activate(index, now_us);
     }
 
+    /// Whether this node has few reports of its own on a service.
+    fn needs_reports(&self, service: &Name, now_us: u64) -> bool {
+        let indexes = self.by_service.get(service).into_iter().flat_map(BTreeMap::values);
+        let own_weight: f64 = indexes.map(|index| self.pairs[*index].own_weight(now_us)).sum();
+        own_weight < OWN_SUFFICIENT
+    }
+
     fn activate(&mut self, index: usize, now_us: u64) {
         if self.pairs[index].is_exchanged(now_us) {
             self.active.insert(index);
@@ -97,8 +109,11 @@
             indexes.sort_by(|one, other| weight(other).total_cmp(&weight(one)));
             indexes.truncate(CONTENTION_ENTRIES_MAX);
         }
-        let entries = indexes.into_iter().filter_map(|index| self.pairs[index].take_entry(now_us));
-        ContentionMessage { entries: entries.collect() }
+        let take_entry = |index: usize| {
+            let needs_reports = self.needs_reports(&self.pairs[index].service, now_us);
+            self.pairs[index].take_entry(needs_reports, now_us)
+        };
+        ContentionMessage { entries: indexes.into_iter().filter_map(take_entry).collect() }
     }
 
     /// Returns the pairs that became contended, or no longer are, since the last call.
