--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -71,6 +71,8 @@
     has_upstream_answer: bool,
     /// Whether a budget token was taken for a hedge.
     has_hedge_token: bool,
+    /// Whether the last retry was not made for want of a token.
+    lacked_token: bool,
 }
 
 impl<'r> RequestAttempts<'r> {
@@ -85,9 +87,15 @@
             may_have_run: false,
             has_upstream_answer: false,
             has_hedge_token: false,
+            lacked_token: false,
         }
     }
 
+    /// Whether the last retry was not made only because the retry budget had no token for it.
+    pub fn lacked_token(&self) -> bool {
+        self.lacked_token
+    }
+
     /// Records whether a streamed body is still unsent. To be called before the end of an attempt is reported
     /// that may not have started to send it.
     pub fn set_streamed_body_unsent(&mut self, is_unsent: bool) {
@@ -168,6 +176,7 @@
 
     fn retry(&mut self, outcome: AttemptOutcome, takes_token: bool, budget: &mut RetryBudget) -> NextStep {
         if takes_token && !budget.take() {
+            self.lacked_token = true;
             return self.give_up_without_token(outcome);
         }
         self.in_flight += 1;
--- a/crates/pointvane-dispatch/src/pool.rs
+++ b/crates/pointvane-dispatch/src/pool.rs
@@ -6,7 +6,9 @@
 
 use {
     crate::{
+        contention::ContentionTable,
         evacuations::Evacuations,
+        locality::Distances,
         ranking_options::RankingOptions,
         service_state::ServiceState,
         subset::ServiceUpstreams,
@@ -53,6 +55,8 @@
     /// The region of each data centre for which it is known.
     pub(crate) regions: BTreeMap<Name, Name>,
     pub(crate) warm_up: WarmUpShares,
+    pub(crate) contention: ContentionTable,
+    pub(crate) distances: Distances,
     pub(crate) rng: SmallRng,
 }
 
@@ -74,6 +78,8 @@
             evacuations: Evacuations::default(),
             regions: BTreeMap::new(),
             warm_up: WarmUpShares::new(seed),
+            contention: ContentionTable::default(),
+            distances: Distances::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -115,6 +121,7 @@
         let draw = self.rng.random();
         self.by_service.entry(record.service.clone()).or_default().add(key, near, draw);
         self.services.entry(record.service.clone()).or_insert_with(|| ServiceState::new(record.slots));
+        self.contention.add(&record.service, &record.data_centre);
         let notices = self.initial_notices(&record, now_us);
         if notices.limit.per_1000_s().is_some() {
             self.limited.insert(key);
--- a/crates/pointvane-node/src/body.rs
+++ b/crates/pointvane-node/src/body.rs
@@ -2,7 +2,6 @@
 
 use {
     bytes::Bytes,
-    http_body_util::BodyExt,
     hyper::body::{Body, Frame, Incoming, SizeHint},
     std::{
         pin::Pin,
@@ -86,31 +85,3 @@
         Self { bytes: Bytes::new(), rest: None, length: Some(0) }
     }
 }
-
-/// Buffers a body up to about `bytes_max` bytes: the frame that exceeds the limit is buffered too.
-///
-/// # Errors
-/// When the connection breaks before the body is complete.
-pub async fn buffer_body(mut body: Incoming, bytes_max: usize) -> Result<BufferedBody, hyper::Error> {
-    let length = body.size_hint().exact();
-    let mut parts: Vec<Bytes> = Vec::new();
-    let mut size = 0;
-    while size <= bytes_max {
-        let Some(frame) = body.frame().await else {
-            return Ok(BufferedBody { bytes: concat_parts(parts), rest: None, length });
-        };
-        if let Ok(data) = frame?.into_data() {
-            size += data.len();
-            parts.push(data);
-        }
-    }
-    Ok(BufferedBody { bytes: concat_parts(parts), rest: Some(body), length })
-}
-
-fn concat_parts(mut parts: Vec<Bytes>) -> Bytes {
-    match parts.len() {
-        0 => Bytes::new(),
-        1 => parts.swap_remove(0),
-        _ => parts.concat().into(),
-    }
-}
--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -4,15 +4,18 @@
 //! Owns this state and passes it to `pointvane-dispatch`, which makes the decisions.
 
 use {
-    crate::{connections::Connections, probe_table::ProbeTable, quota::SharedQuotas, settings::NodeSettings},
+    crate::{
+        connection_metrics::ConnectionMetrics, connections::Connections, probe_table::ProbeTable,
+        quota::SharedQuotas, settings::NodeSettings,
+    },
     pointvane_config::{ChoicePolicy, NodeAdmissionOptions, NodeOptions},
     pointvane_core::{
         DeltaMismatch, ErrorKind, Incarnation, Name, RouteRule, RoutingConfiguration, RoutingDelta,
     },
     pointvane_dispatch::{
-        AdmissionPolicy, BudgetLimits, NodeBudgets, PeerTable, PipelineLimits, Pool, Quarantine,
-        QuarantineOptions, Ranking, RankingOptions, RefusedBy, RetryBudget, RouteLatencies, RouteTable,
-        RoutedRequest, RoutingLog, SearchOptions, WarmUpBound, retry_after_ms,
+        AdmissionPolicy, BudgetLimits, CallerProgress, NodeBudgets, PeerTable, PipelineLimits, Pool,
+        Quarantine, QuarantineOptions, Ranking, RankingOptions, RefusedBy, RequestsByPriority, RetryBudget,
+        RouteLatencies, RouteTable, RoutedRequest, RoutingLog, SearchOptions, WarmUpBound, retry_after_ms,
     },
     pointvane_mesh::rank,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -52,6 +55,8 @@
     pool: RefCell<Pool>,
     budgets: RefCell<NodeBudgets>,
     route_latencies: RefCell<HashMap<Name, RouteLatencies>>,
+    caller_progress: RefCell<HashMap<Name, CallerProgress>>,
+    priorities: RefCell<HashMap<Name, RequestsByPriority>>,
     peers: RefCell<PeerTable>,
     /// The newest configuration by which another node handled a request of this node.
     peer_version: Cell<u64>,
@@ -63,6 +68,7 @@
     pub fn new(
         options: &NodeOptions,
         node: &NodeSettings,
+        connections: ConnectionMetrics,
         incarnation: Incarnation,
         seeder: &mut SmallRng,
         now_us: u64,
@@ -82,7 +88,7 @@
             },
             start_wait_ms: options.callers.start_wait_ms,
             hedges: options.repeats.hedge,
-            connections: Connections::new(options.fleet.source_ip),
+            connections: Connections::new(options.fleet.source_ip, connections),
             probes: ProbeTable::default(),
             quotas: SharedQuotas::new(&node.limits, now_us),
             quarantine: RefCell::new(quarantine(options, &node.name, incarnation)),
@@ -91,6 +97,8 @@
             pool: RefCell::new(pool(policy, node, seeder.random())),
             budgets: RefCell::new(NodeBudgets::new(now_us)),
             route_latencies: RefCell::default(),
+            caller_progress: RefCell::default(),
+            priorities: RefCell::default(),
             peers: RefCell::default(),
             peer_version: Cell::default(),
             rng: RefCell::new(SmallRng::from_rng(seeder)),
@@ -180,6 +188,16 @@
         })
     }
 
+    /// The times that callers of a route state.
+    pub fn caller_progress(&self, route: &Name) -> RefMut<'_, CallerProgress> {
+        RefMut::map(self.caller_progress.borrow_mut(), |progress| progress.entry(route.clone()).or_default())
+    }
+
+    /// The recent requests of a service, by priority.
+    pub fn priorities(&self, service: &Name) -> RefMut<'_, RequestsByPriority> {
+        RefMut::map(self.priorities.borrow_mut(), |priorities| priorities.entry(service.clone()).or_default())
+    }
+
     /// This node's share of a service's retry budget.
     pub fn retry_budget(&self, service: &Name, limits: &BudgetLimits) -> RefMut<'_, RetryBudget> {
         RefMut::map(self.budgets.borrow_mut(), |budgets| budgets.retry_budget(service, limits))
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::{
-        body::{BufferedBody, buffer_body},
-        connections::{Connection, Purpose, RelayBody, SendError},
+        body_buffer::{buffer_answer_body, skip_body},
+        connections::{Connection, RelayBody, SendError},
+        cross_traffic::TrafficKind,
         head_wait::{self, AwaitedAnswer, SendResult},
+        memory::BodyMemory,
         node::Node,
         quota::QuotaCharge,
         request::{CallerRequest, strip_hop_by_hop_headers},
@@ -16,7 +18,9 @@
         http::response::Parts,
     },
     pointvane_core::{PlatformAdapter, US_PER_MS},
-    pointvane_dispatch::{AttemptOutcome, ConnectionKind, Ineligible, NotRunReason, UpstreamKey},
+    pointvane_dispatch::{
+        AttemptOutcome, ConnectionKind, ConnectionPurpose, Ineligible, NotRunReason, UpstreamKey,
+    },
     std::rc::Rc,
 };
 
@@ -94,7 +98,8 @@
     }
     let Answer { head, body, connection, .. } = answer;
     // Whatever the cause, the attempt is counted and logged as broken.
-    read_body(head, body, connection, reusable).await.map_err(|_| AttemptOutcome::Broken)
+    let response = read_body(head, body, connection, reusable, &node.body_memory).await;
+    response.map_err(|_| AttemptOutcome::Broken)
 }
 
 /// Sends a request and waits for the head of the response.
@@ -106,7 +111,7 @@
     let address = node.dispatcher.pool().get(key).map(|state| state.address());
     let address = address.ok_or(AttemptOutcome::Withheld(Ineligible::Gone))?;
     let is_repeatable = request.routed.route.kind.is_repeatable();
-    let purpose = if is_repeatable { Purpose::Repeatable } else { Purpose::NonRepeatable };
+    let purpose = ConnectionPurpose::request(is_repeatable, request.sends.get());
     let began_us = node.now_us();
     let connection = node.dispatcher.connections.get(address, purpose).await;
     let connection = connection.map_err(|error| {
@@ -127,7 +132,12 @@
     request.sends.set(request.sends.get() + 1);
     let id = request.headers.get(&node.headers.request_id).cloned();
     let awaited = AwaitedAnswer { key, id, answer_deadline_us: request.answer_deadline_us };
+    let traffic = node.upstream_traffic(key, TrafficKind::Request);
+    traffic.sent(&connection, &outgoing);
     let sent = head_wait::send(node, connection, outgoing, awaited).await;
+    if let Some((_, Ok(response))) = &sent {
+        traffic.received(response);
+    }
     match &sent {
         Some((_, Ok(_))) => node.record_contact(key, kind),
         // An upstream that closes a reused connection may only have forgotten it.
@@ -196,7 +206,7 @@
 /// Reads the body of a response that marks the request as not run, so that its connection can be reused.
 async fn refusal_outcome(answer: Answer, reusable: bool) -> AttemptOutcome {
     let Answer { head, body, connection, .. } = answer;
-    if reusable && let Ok(BufferedBody { rest: None, .. }) = buffer_body(body, ANSWER_BUFFER_BYTES).await {
+    if reusable && skip_body(body, ANSWER_BUFFER_BYTES).await.is_ok_and(|is_complete| is_complete) {
         connection.keep(&head.headers);
     }
     AttemptOutcome::NotRun(match head.status {
@@ -216,8 +226,9 @@
     body: Incoming,
     connection: Connection,
     reusable: bool,
+    memory: &BodyMemory,
 ) -> Result<Response<RelayBody>, hyper::Error> {
-    let buffered = buffer_body(body, ANSWER_BUFFER_BYTES).await?;
+    let buffered = buffer_answer_body(body, ANSWER_BUFFER_BYTES, memory).await?;
     let body = match buffered.rest {
         Some(_) => RelayBody::streamed(buffered, Some(connection)),
         None => {
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        admission::contended_retry_after_ms,
         answer::Refused,
         attempt::{AttemptReport, AttemptRole, attempt},
         connections::RelayBody,
@@ -14,8 +15,8 @@
     hyper::Response,
     pointvane_core::{ErrorKind, HedgeSchedule, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
-        AttemptEnd, NextStep, RefusedBy, RequestAttempts, RetryBudget, SearchGoal, WithheldService,
-        hedge_goal, may_relay, search_time_ms,
+        AttemptEnd, NextStep, RefusalReason, RefusedBy, RequestAttempts, RetryBudget, SearchGoal,
+        WithheldService, hedge_goal, may_relay, search_time_ms,
     },
     std::{cell::RefMut, rc::Rc, time::Duration},
     tokio::{
@@ -93,6 +94,9 @@
                 }
                 () = sleep_until(deadline) => attempts.deadline_passed(request.sends.get()),
             };
+            if attempts.lacked_token() && matches!(step, NextStep::GiveUp(_)) {
+                self.node.report.not_admitted(RefusalReason::NoRetryToken);
+            }
             if let Some(answer) = self.execute(step) {
                 return answer;
             }
@@ -173,6 +177,9 @@
         let retry_after_ms = self
             .peer_retry_after_ms
             .or_else(|| self.node.lost_retry_after_ms(&self.request, error))
+            .or_else(|| {
+                back_in_ms.is_none().then(|| contended_retry_after_ms(&self.node, &self.request, error))?
+            })
             .or_else(|| self.node.dispatcher.retry_after_ms(route, error, by, back_in_ms));
         Refused { retry_after_ms, withheld, ..error.into() }
     }
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -7,12 +7,17 @@
 #![warn(missing_docs)]
 
 mod access;
+mod admission;
 mod answer;
 mod attempt;
 mod body;
+mod body_buffer;
 mod caller_connection;
+mod connection_metrics;
 mod connections;
+mod contention_loop;
 mod crash_check;
+mod cross_traffic;
 mod directory;
 mod dispatcher;
 mod exchange;
@@ -21,9 +26,13 @@
 mod gossip_loop;
 mod head_wait;
 mod headers;
+mod idle_connections;
 mod in_flight;
 mod lifecycle;
 mod limit_loop;
+mod linger;
+mod memory;
+mod memory_loop;
 mod node;
 mod notices;
 mod operator;
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -5,8 +5,9 @@
 
 use {
     crate::{
-        dispatcher::Dispatcher, fleet::Fleet, headers::Headers, lifecycle::Lifecycle,
-        replica::platform_state::PlatformState, report::Report, settings::NodeSettings,
+        connection_metrics::ConnectionMetrics, dispatcher::Dispatcher, fleet::Fleet, headers::Headers,
+        lifecycle::Lifecycle, memory::BodyMemory, replica::platform_state::PlatformState, report::Report,
+        settings::NodeSettings,
     },
     pointvane_config::NodeOptions,
     pointvane_core::{Clock, Incarnation, PlatformAdapter},
@@ -31,6 +32,8 @@
     pub fleet: Fleet,
     /// State read from the platform.
     pub platform: PlatformState,
+    /// Memory that bodies of requests and answers occupy.
+    pub body_memory: BodyMemory,
     /// Stage of a graceful shutdown.
     pub lifecycle: Lifecycle,
     settings: RefCell<NodeSettings>,
@@ -52,13 +55,16 @@
         let now_us = clock.now_us();
         let mut seed_rng = SmallRng::from_os_rng();
         let incarnation = Incarnation(unix_time_ms());
+        let connections = ConnectionMetrics::new(&report.metrics);
+        let dispatcher = Dispatcher::new(options, &settings, connections, incarnation, &mut seed_rng, now_us);
         Self {
             headers: adapter.headers().into(),
             adapter,
             report,
-            dispatcher: Dispatcher::new(options, &settings, incarnation, &mut seed_rng, now_us),
+            dispatcher,
             fleet: Fleet::new(&settings, incarnation, &mut seed_rng, now_us),
             platform: PlatformState::new(&settings, seed_rng.random()),
+            body_memory: BodyMemory::new(settings.memory_mb),
             lifecycle: Lifecycle::default(),
             settings: RefCell::new(settings),
             clock,
@@ -86,6 +92,7 @@
 
     /// Replaces the settings and recomputes this node's share of the budgets.
     pub fn replace_settings(&self, settings: NodeSettings) {
+        self.body_memory.set_limit(settings.memory_mb);
         self.settings.replace(settings);
         self.share_budgets();
     }
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -6,8 +6,9 @@
 
 use {
     crate::{
-        body::buffer_body,
-        connections::{ConnectError, Connection, Connections, Purpose, RelayBody},
+        body_buffer::skip_body,
+        connections::{ConnectError, Connection, Connections, RelayBody},
+        cross_traffic::{ExchangeTraffic, TrafficKind},
         node::Node,
         probe_table::ProbeAnswers,
         request::CallerRequest,
@@ -16,8 +17,8 @@
     hyper::{Request, Response, StatusCode, body::Incoming, header::HOST},
     pointvane_core::{Name, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::{
-        AllowedRegions, ConnectionKind, Found, PROBE_TIMEOUT_US, ProbeOutcome, Search, SearchGoal,
-        SearchRequest, SearchStep, UpstreamKey,
+        AllowedRegions, ConnectionKind, ConnectionPurpose, Found, OpenReason, PROBE_TIMEOUT_US, ProbeOutcome,
+        ProbePurpose, Search, SearchGoal, SearchRequest, SearchStep, UpstreamKey,
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -47,7 +48,8 @@
         regions: AllowedRegions::of(&request.routed),
         priority: request.routed.route.priority,
     };
-    let mut search = Search::new(node.dispatcher.search, search_request);
+    let baseline_ms = node.dispatcher.route_latencies(&request.routed.route).baseline_ms();
+    let mut search = Search::new(node.dispatcher.search, search_request).with_baseline_ms(baseline_ms);
     loop {
         let step = search.next(&mut node.dispatcher.pool_mut(), node.now_us());
         match step {
@@ -73,7 +75,9 @@
     search: &mut Search,
 ) -> Option<UpstreamKey> {
     let (answers, mut answer) = unbounded_channel();
-    let mut waiting = keys.iter().filter(|key| start_or_join(node, service, **key, answers.clone())).count();
+    let purpose = search.probe_purpose();
+    let starts = |key: &&UpstreamKey| start_or_join(node, service, **key, purpose, answers.clone());
+    let mut waiting = keys.iter().filter(starts).count();
     drop(answers);
     while waiting > 0 {
         let Ok(Some(key)) = timeout_at(deadline, answer.recv()).await else {
@@ -92,6 +96,7 @@
     node: &Rc<Node<A>>,
     service: &Name,
     key: UpstreamKey,
+    purpose: ProbePurpose,
     answers: ProbeAnswers,
 ) -> bool {
     let probes = &node.dispatcher.probes;
@@ -101,7 +106,7 @@
     if !node.dispatcher.take_probe(node.now_us()) {
         return false;
     }
-    node.report.probed();
+    node.report.probed(purpose, node.dispatcher.pool().is_near(key));
     probes.start(key, answers);
     spawn_local(probe(Rc::clone(node), service.clone(), key));
     true
@@ -129,10 +134,14 @@
     let path = node.dispatcher.routes().health_path(service).cloned()?;
     let sent_at_us = node.now_us();
     let connections = &node.dispatcher.connections;
-    Some(match request_health(connections, address, &path).await {
+    let traffic = node.upstream_traffic(key, TrafficKind::Probe);
+    Some(match request_health(connections, address, &path, &traffic).await {
         Ok((answer, connection)) => {
             let time_us = node.now_us().saturating_sub(sent_at_us);
             node.record_contact(key, connection);
+            if connection == ConnectionKind::Reused {
+                node.dispatcher.pool_mut().record_probe_round_trip(key, time_us);
+            }
             read_answer(node, key, &id, &answer, time_us)
         }
         Err(NoAnswer::ReusedConnectionSilent) => {
@@ -165,11 +174,13 @@
     let Some((address, id, service)) = upstream else { return };
     let path = node.dispatcher.routes().health_path(&service).cloned();
     let sent_at_us = node.now_us();
+    let traffic = node.upstream_traffic(key, TrafficKind::Probe);
     let check = async {
-        let connection = node.dispatcher.connections.open(address, Purpose::Probe).await;
+        let connections = &node.dispatcher.connections;
+        let connection = connections.open(address, ConnectionPurpose::Check, OpenReason::Required).await;
         let connection = connection.inspect_err(|error| node.report.connect_failed(*error)).ok()?;
         match &path {
-            Some(path) => request_health_over(connection, address, path).await.map(Some),
+            Some(path) => request_health_over(connection, address, path, &traffic).await.map(Some),
             None => Some(None),
         }
     };
@@ -224,22 +235,24 @@
     connections: &Connections,
     address: SocketAddr,
     path: &Name,
+    traffic: &ExchangeTraffic,
 ) -> Result<(Response<()>, ConnectionKind), NoAnswer> {
     let deadline = Instant::now() + Duration::from_micros(PROBE_TIMEOUT_US);
-    let kept = timeout_at(deadline, connections.get(address, Purpose::Probe)).await;
+    let kept = timeout_at(deadline, connections.get(address, ConnectionPurpose::Probe)).await;
     let connection = kept.map_err(|_| NoAnswer::Unreachable(ConnectError::TimedOut))?;
     let connection = connection.map_err(NoAnswer::Unreachable)?;
     let kind = connection.kind();
     let reused = kind == ConnectionKind::Reused;
-    match timeout_at(deadline, request_health_over(connection, address, path)).await {
+    match timeout_at(deadline, request_health_over(connection, address, path, traffic)).await {
         Ok(Some(answer)) => return Ok((answer, kind)),
         Ok(None) if reused => {}
         Err(_) if reused => return Err(NoAnswer::ReusedConnectionSilent),
         Ok(None) | Err(_) => return Err(NoAnswer::Other),
     }
     let retry = async {
-        let connection = connections.open(address, Purpose::Probe).await.map_err(NoAnswer::Unreachable)?;
-        let answer = request_health_over(connection, address, path).await;
+        let connection = connections.open(address, ConnectionPurpose::Probe, OpenReason::ReusedBroke).await;
+        let connection = connection.map_err(NoAnswer::Unreachable)?;
+        let answer = request_health_over(connection, address, path, traffic).await;
         answer.map(|answer| (answer, ConnectionKind::New)).ok_or(NoAnswer::Other)
     };
     timeout_at(deadline, retry).await.map_err(|_| NoAnswer::Other)?
@@ -249,12 +262,15 @@
     mut connection: Connection,
     address: SocketAddr,
     path: &Name,
+    traffic: &ExchangeTraffic,
 ) -> Option<Response<()>> {
     let request = Request::get(path.as_str()).header(HOST, address.to_string());
     let request = request.body(RelayBody::whole(Bytes::new())).ok()?;
-    let (head, body): (_, Incoming) = connection.send(request).await.ok()?.into_parts();
-    let buffered = buffer_body(body, PROBE_BODY_BYTES_MAX).await.ok()?;
-    if buffered.rest.is_none() {
+    traffic.sent(&connection, &request);
+    let response = connection.send(request).await.ok()?;
+    traffic.received(&response);
+    let (head, body): (_, Incoming) = response.into_parts();
+    if skip_body(body, PROBE_BODY_BYTES_MAX).await.ok()? {
         connection.keep(&head.headers);
     }
     Some(Response::from_parts(head, ()))
--- a/crates/pointvane-node/src/read_ahead.rs
+++ b/crates/pointvane-node/src/read_ahead.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        linger::Linger,
         pipeline::Pipeline,
         request_scan::{RequestScan, Scanned},
     },
@@ -45,6 +46,8 @@
     request: u64,
     bytes_max: usize,
     ended: bool,
+    /// Set once the stream is shut down while a body is unfinished.
+    linger: Option<Linger>,
 }
 
 impl<A: PlatformAdapter + 'static> ReadAhead<A> {
@@ -64,6 +67,7 @@
             request: 0,
             bytes_max,
             ended: false,
+            linger: None,
         }
     }
 
@@ -197,6 +201,14 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let this = &mut *self;
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            if this.ended || this.scan.expects_head() {
+                return Poll::Ready(Ok(()));
+            }
+            this.linger = Some(Linger::start());
+        }
+        this.linger.as_mut().map_or(Poll::Ready(Ok(())), |linger| linger.poll(&mut this.stream, cx))
     }
 }
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -4,20 +4,30 @@
 //! successful requests are sampled. A separate line reports the number of suppressed lines.
 
 use {
-    crate::{connections::ConnectError, replica::platform_client::CallKind},
+    crate::{
+        connections::ConnectError, cross_traffic::CrossTraffic, memory::MemoryUse,
+        replica::platform_client::CallKind,
+    },
     eyre::Result,
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram},
+        metrics::{Counter, Gauge, Histogram},
     },
     pointvane_config::LogOptions,
     pointvane_core::{ErrorKind, ItemFault, Name},
-    pointvane_dispatch::{CallReason, ProbeOutcome, QuarantineChange, ReachChange},
+    pointvane_dispatch::{
+        CallReason, MemoryRefusal, ProbeOutcome, ProbePurpose, QuarantineChange, ReachChange, RefusalReason,
+    },
     pointvane_telemetry::{
         EventKind, EventLog, LineDecision, LineFlush, LineLayout, LogRateLimiter, LogRateLimits, Metrics,
         Program, stdout_logger,
     },
-    std::{cell::RefCell, collections::HashSet, sync::Arc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashSet,
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Bucket boundaries of the latency histograms, in seconds: three per decade, from a local response to a
@@ -41,13 +51,18 @@
     pub events: EventLog,
     /// All metrics.
     pub metrics: Metrics,
+    /// Counters of the bytes exchanged with other data centres.
+    pub cross_traffic: CrossTraffic,
     flush: RefCell<Option<LineFlush>>,
     rate_limiter: RefCell<LogRateLimiter>,
     labels: RefCell<HashSet<Name>>,
     requests: Counter<u64>,
     refusals: Counter<u64>,
+    not_admitted: Counter<u64>,
+    returned_requests: Counter<u64>,
     attempts: Counter<u64>,
     repeats: Counter<u64>,
+    sends: Counter<u64>,
     probes: Counter<u64>,
     probe_outcomes: Counter<u64>,
     connect_failures: Counter<u64>,
@@ -60,6 +75,10 @@
     back_offs: Counter<u64>,
     leavings: Counter<u64>,
     limit_changes: Counter<u64>,
+    contention_changes: Counter<u64>,
+    contended: Gauge<u64>,
+    contention_datagrams: Counter<u64>,
+    contention_bytes: Counter<u64>,
     quarantines: Counter<u64>,
     quarantines_lifted: Counter<u64>,
     platform_calls: Counter<u64>,
@@ -69,8 +88,14 @@
     quota_decisions: Counter<u64>,
     peer_questions: Counter<u64>,
     peer_question_failures: Counter<u64>,
+    memory_refusals: Counter<u64>,
+    memory_held_bytes: Gauge<u64>,
+    memory_waiting: Gauge<u64>,
+    /// Requests refused for memory since this was last taken.
+    refused_for_memory: Cell<u64>,
     request_s: Histogram<f64>,
     upstream_s: Histogram<f64>,
+    return_s: Histogram<f64>,
 }
 
 impl Report {
@@ -95,8 +120,11 @@
             labels: RefCell::default(),
             requests: counter("pointvane_node_requests"),
             refusals: counter("pointvane_node_refusals"),
+            not_admitted: counter("pointvane_node_not_admitted"),
+            returned_requests: counter("pointvane_node_returned_requests"),
             attempts: counter("pointvane_node_attempts"),
             repeats: counter("pointvane_node_repeats"),
+            sends: counter("pointvane_node_sends"),
             probes: counter("pointvane_node_probes"),
             probe_outcomes: counter("pointvane_node_probe_outcomes"),
             connect_failures: counter("pointvane_node_connect_failures"),
@@ -109,6 +137,10 @@
             back_offs: counter("pointvane_node_back_offs"),
             leavings: counter("pointvane_node_leavings"),
             limit_changes: counter("pointvane_node_limit_changes"),
+            contention_changes: counter("pointvane_node_contention_changes"),
+            contended: meter.u64_gauge("pointvane_node_contended_services").build(),
+            contention_datagrams: counter("pointvane_node_contention_datagrams"),
+            contention_bytes: counter("pointvane_node_contention_bytes"),
             quarantines: counter("pointvane_node_quarantines"),
             quarantines_lifted: counter("pointvane_node_quarantines_lifted"),
             platform_calls: counter("pointvane_node_platform_calls"),
@@ -118,8 +150,14 @@
             quota_decisions: counter("pointvane_node_quota_decisions"),
             peer_questions: counter("pointvane_node_peer_questions"),
             peer_question_failures: counter("pointvane_node_peer_question_failures"),
+            memory_refusals: counter("pointvane_node_memory_refusals"),
+            memory_held_bytes: meter.u64_gauge("pointvane_node_memory_held_bytes").build(),
+            memory_waiting: meter.u64_gauge("pointvane_node_memory_waiting").build(),
+            refused_for_memory: Cell::default(),
             request_s: histogram("pointvane_node_request"),
             upstream_s: histogram("pointvane_node_upstream"),
+            cross_traffic: CrossTraffic::new(&metrics),
+            return_s: histogram("pointvane_node_return"),
             metrics,
         })
     }
@@ -186,6 +224,21 @@
         );
     }
 
+    /// Counts a request that admission control did not send to the best upstream that was found.
+    pub fn not_admitted(&self, reason: RefusalReason) {
+        self.not_admitted.add(1, &[KeyValue::new("reason", reason.as_str())]);
+    }
+
+    /// Counts a request whose caller had come back after an earlier try, by whether an upstream answered it.
+    pub fn returned_request_ended(&self, is_answered: bool) {
+        self.returned_requests.add(1, &[KeyValue::new("answered", is_answered)]);
+    }
+
+    /// Records the time after which a refused caller is asked to come back, in milliseconds.
+    pub fn told_return_time(&self, after_ms: u32) {
+        self.return_s.record(f64::from(after_ms) / MS_PER_S, &[]);
+    }
+
     /// Counts an attempt and records its duration.
     pub fn attempted(&self, upstream: &Name, outcome: &'static str, took_ms: u64) {
         let upstream = self.label("upstream", upstream);
@@ -198,9 +251,14 @@
         self.repeats.add(1, &[KeyValue::new("hedge", hedge)]);
     }
 
-    /// Counts a probe.
-    pub fn probed(&self) {
-        self.probes.add(1, &[]);
+    /// Counts a probe of an upstream in the node's own data centre or another.
+    pub fn probed(&self, purpose: ProbePurpose, is_near: bool) {
+        self.probes.add(1, &[KeyValue::new("purpose", purpose.as_str()), locality_label(is_near)]);
+    }
+
+    /// Counts a request sent to an upstream in the node's own data centre or another.
+    pub fn sent(&self, is_near: bool) {
+        self.sends.add(1, &[locality_label(is_near)]);
     }
 
     /// Counts how a probe ended.
@@ -257,6 +315,28 @@
         self.limit_changes.add(1, &[]);
     }
 
+    /// Counts services that became contended in a data centre, or no longer are; `contended` are so now.
+    pub fn contention_changed(&self, changes: usize, contended: usize) {
+        self.contention_changes.add(changes as u64, &[]);
+        self.contended.record(contended as u64, &[]);
+    }
+
+    /// Counts a contention message that was sent.
+    pub fn sent_contention(&self, bytes: usize) {
+        self.count_contention("sent", bytes);
+    }
+
+    /// Counts a contention message that was received.
+    pub fn received_contention(&self, bytes: usize) {
+        self.count_contention("received", bytes);
+    }
+
+    fn count_contention(&self, direction: &'static str, bytes: usize) {
+        let label = [KeyValue::new("direction", direction)];
+        self.contention_datagrams.add(1, &label);
+        self.contention_bytes.add(bytes as u64, &label);
+    }
+
     /// Counts a request that entered or left quarantine.
     pub fn quarantine_changed(&self, change: &QuarantineChange) {
         match change {
@@ -286,6 +366,23 @@
         self.missing_configurations.add(1, &[]);
     }
 
+    /// Counts a request whose body was refused for lack of memory.
+    pub fn refused_for_memory(&self, reason: MemoryRefusal) {
+        self.memory_refusals.add(1, &[KeyValue::new("reason", reason.as_str())]);
+        self.refused_for_memory.set(self.refused_for_memory.get() + 1);
+    }
+
+    /// Takes the number of requests that were refused for lack of memory since the last call.
+    pub fn take_refused_for_memory(&self) -> u64 {
+        self.refused_for_memory.take()
+    }
+
+    /// Records what bodies occupy.
+    pub fn memory_used(&self, usage: MemoryUse) {
+        self.memory_held_bytes.record(usage.held_bytes, &[]);
+        self.memory_waiting.record(usage.waiting as u64, &[]);
+    }
+
     /// Counts a quota decision on a request.
     pub fn quota_decided(&self, admitted: bool) {
         self.quota_decisions.add(1, &[KeyValue::new("admitted", admitted)]);
@@ -313,6 +410,10 @@
     }
 }
 
+fn locality_label(is_near: bool) -> KeyValue {
+    KeyValue::new("locality", if is_near { "near" } else { "far" })
+}
+
 fn log_rate_limiter(lines: LogOptions) -> LogRateLimiter {
     LogRateLimiter::new(LogRateLimits {
         successes_every: lines.well_every,
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         answer::{Refused, refusal_response},
-        body::{BufferedBody, buffer_body},
+        body::BufferedBody,
+        body_buffer::{BodyError, buffer_request_body},
         connections::RelayBody,
         forward::{FinalAnswer, forward},
         node::Node,
@@ -18,7 +19,8 @@
     },
     pointvane_core::{ErrorKind, KeyDigest, PlatformAdapter, RouteKind, US_PER_MS},
     pointvane_dispatch::{
-        ForwardedRequest, RoutedRequest, answer_deadline_us, first_state_retry_after_ms, first_state_wait_ms,
+        ForwardedRequest, RefusedBy, RoutedRequest, admission_pressure, answer_deadline_us,
+        first_state_retry_after_ms, first_state_wait_ms,
     },
     pointvane_telemetry::EventKind,
     std::{
@@ -27,6 +29,7 @@
         rc::Rc,
         time::Duration,
     },
+    tokio::time::timeout,
 };
 
 /// Longest request body that is buffered before it is sent, so that it can be retried at another upstream, in
@@ -109,14 +112,20 @@
     // The node that forwarded a request has charged it.
     let charge = if origin.forwarded.is_some() { None } else { node.charge(&routed)? };
     let answer_deadline_us = answer_deadline_us(&routed.route, caller_timeout_ms, origin.at_us);
-    let buffered = read_body(node, body).await?;
+    let buffered = read_body(node, body, answer_deadline_us).await.map_err(|refused| {
+        let retry_after_ms =
+            node.dispatcher.retry_after_ms(&routed.route, refused.kind, RefusedBy::Node, None);
+        Refused { retry_after_ms, ..refused }
+    })?;
     if node.now_us() >= answer_deadline_us {
         return Err(ErrorKind::DeadlinePassed.into());
     }
     let id = node.headers.request_id_text(&head.headers);
+    let spent_before_ms = spent_before_ms(node, &routed, &origin, caller_timeout_ms);
     node.headers.strip_account(&mut head.headers);
-    let request =
-        caller_request(id, head, buffered, Access { routed, key, charge }, origin, answer_deadline_us);
+    let access = Access { routed, key, charge };
+    let timing = Timing { answer_deadline_us, spent_before_ms };
+    let request = caller_request(id, head, buffered, access, origin, timing);
     if request.body.is_none() {
         // Computed and cached now, since the first attempt takes the body, which the fingerprints depend on.
         request.fingerprints();
@@ -128,20 +137,38 @@
 async fn read_body<A: PlatformAdapter>(
     node: &Node<A>,
     body: Option<Incoming>,
+    answer_deadline_us: u64,
 ) -> Result<BufferedBody, Refused> {
     let Some(body) = body else { return Ok(BufferedBody::empty()) };
     let body_bytes_max = node.dispatcher.routes().limits().body_bytes_max;
     if body.size_hint().exact().is_some_and(|length| length > body_bytes_max) {
-        return Err(Refused { status: Some(StatusCode::PAYLOAD_TOO_LARGE), ..ErrorKind::BadRequest.into() });
+        let status = Some(StatusCode::PAYLOAD_TOO_LARGE);
+        return Err(Refused { status, is_body_unread: true, ..ErrorKind::BadRequest.into() });
+    }
+    if body.is_end_stream() {
+        return Ok(BufferedBody::empty());
+    }
+    let left = Duration::from_micros(answer_deadline_us.saturating_sub(node.now_us()));
+    let buffering = buffer_request_body(body, BODY_BUFFER_BYTES, &node.body_memory);
+    match timeout(left, buffering).await {
+        Ok(Ok(buffered)) => Ok(buffered),
+        // A caller whose body breaks off has disconnected, so the error does not reach it.
+        Ok(Err(BodyError::Broken)) => Err(ErrorKind::BadRequest.into()),
+        Ok(Err(BodyError::NoMemory(reason))) => {
+            node.report.refused_for_memory(reason);
+            Err(Refused { is_body_unread: true, ..ErrorKind::MemoryExhausted.into() })
+        }
+        Err(_) => Err(Refused { is_body_unread: true, ..ErrorKind::DeadlinePassed.into() }),
     }
-    // A caller whose body breaks off has disconnected, so the error does not reach it.
-    Ok(buffer_body(body, BODY_BUFFER_BYTES).await.map_err(|_| ErrorKind::BadRequest)?)
 }
 
 fn report_end<A: PlatformAdapter>(node: &Node<A>, request: &CallerRequest, answer: &FinalAnswer) {
     let now_us = node.now_us();
     let spent_ms = now_us.saturating_sub(request.arrived_at_us) / US_PER_MS;
     let attempts = request.sends.get();
+    if request.has_returned() {
+        node.report.returned_request_ended(answer.is_ok());
+    }
     let id = request.id.clone();
     let (route, version) = (request.routed.route.name.clone(), request.routed.version);
     match answer {
@@ -167,6 +194,7 @@
     now_us: u64,
 ) {
     node.report.refused(refused.kind);
+    refused.retry_after_ms.iter().for_each(|after_ms| node.report.told_return_time(*after_ms));
     let row = refused.kind.answer();
     let is_quarantined = refused.kind == ErrorKind::RequestQuarantined;
     node.report.failure(now_us, || EventKind::RequestRefused {
@@ -228,13 +256,35 @@
     charge: Option<QuotaCharge>,
 }
 
+/// Deadline of a request, and the time that its caller had spent before.
+struct Timing {
+    answer_deadline_us: u64,
+    spent_before_ms: f64,
+}
+
+/// Time that the caller of a request has spent on earlier tries, in milliseconds. Nodes that forward requests
+/// state what is left of them, which says nothing of their callers.
+fn spent_before_ms<A: PlatformAdapter>(
+    node: &Node<A>,
+    routed: &RoutedRequest,
+    origin: &RequestOrigin,
+    caller_timeout_ms: Option<u64>,
+) -> f64 {
+    if origin.forwarded.is_some() {
+        return 0.0;
+    }
+    let contention = node.dispatcher.pool().service_contention(&routed.service, node.now_us());
+    let is_contended = admission_pressure(contention) > 0.0;
+    node.dispatcher.caller_progress(&routed.route.name).record(caller_timeout_ms, is_contended)
+}
+
 fn caller_request(
     id: String,
     head: Parts,
     buffered: BufferedBody,
     access: Access,
     origin: RequestOrigin,
-    answer_deadline_us: u64,
+    timing: Timing,
 ) -> CallerRequest {
     let mut headers = head.headers;
     strip_hop_by_hop_headers(&mut headers);
@@ -257,7 +307,9 @@
         head_fingerprint_cache: OnceCell::new(),
         fingerprints_cache: OnceCell::new(),
         arrived_at_us: origin.at_us,
-        answer_deadline_us,
+        answer_deadline_us: timing.answer_deadline_us,
+        spent_before_ms: timing.spent_before_ms,
+        expected_latency_ms: Cell::default(),
         tried: RefCell::default(),
         sends: Cell::new(0),
         forwarded: origin.forwarded,
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -79,6 +79,16 @@
     /// An upstream advertised a new request limit, shared by all processes, in requests per 1000 s; `None` if
     /// it no longer advertises one.
     UpstreamLimitChanged { service: Name, upstream: Name, per_1000_s: Option<u32> },
+    /// The upstreams of a service in a data centre became contended, or no longer are: the share of recent
+    /// load reports by which they were uncontended, and their mean occupancy, in thousandths (`None` without
+    /// recent reports).
+    ContentionChanged {
+        service: Name,
+        data_centre: Name,
+        contended: bool,
+        uncontended_per_mille: Option<u32>,
+        occupancy_per_mille: Option<u32>,
+    },
     /// An upstream that was leaving no longer is.
     UpstreamStaying { service: Name, upstream: Name },
     /// A failing upstream was ejected from selection.
@@ -92,6 +102,10 @@
     ServiceRegained { service: Name, lost_ms: u64 },
     /// A connection for forwarded requests was refused because its address belongs to no process of the fleet.
     PeerConnectionRefused { from: IpAddr },
+    /// Bodies of requests began to wait for memory; `held_kb` of `limit_kb` is in use.
+    MemoryPressureBegan { held_kb: u64, limit_kb: u64, waiting: u64 },
+    /// Bodies no longer wait for memory; `refused` requests were refused meanwhile.
+    MemoryPressureEnded { held_kb: u64, refused: u64 },
     /// A service started to reject requests because of overload.
     OverloadBegan { service: Name },
     /// A service stopped rejecting requests.
@@ -161,6 +175,12 @@
         load_age_ms: u64,
         expected_ms: u64,
         spent_ms: u64,
+        /// Why it is not sent there.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        reason: Option<Name>,
+        /// Time that the caller had spent on earlier tries; `None` if it is new.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        spent_before_ms: Option<u64>,
     },
     /// An attempt was abandoned after `after_ms` without a response, which counts against the upstream.
     AttemptGivenUp { request: String, upstream: Name, after_ms: u64 },
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -62,6 +62,9 @@
         EventKind::ServiceRegained { service: "board".into(), lost_ms: 11_900 },
         EventKind::PeerConnectionRefused { from: "10.0.0.9".parse().unwrap() },
         request_forwarded(),
+        EventKind::MemoryPressureBegan { held_kb: 44_900, limit_kb: 60_000, waiting: 3 },
+        EventKind::MemoryPressureEnded { held_kb: 30_100, refused: 41 },
+        contention_changed(),
     ]
 }
 
@@ -80,6 +83,16 @@
     EventKind::UpstreamLimitChanged { service: "board".into(), upstream: "i-7".into(), per_1000_s }
 }
 
+fn contention_changed() -> EventKind {
+    EventKind::ContentionChanged {
+        service: "board".into(),
+        data_centre: "ub-1".into(),
+        contended: true,
+        uncontended_per_mille: Some(50),
+        occupancy_per_mille: None,
+    }
+}
+
 fn attempt_rejected_busy() -> EventKind {
     EventKind::AttemptEnded {
         request: "r-1".into(),
@@ -148,6 +161,8 @@
             load_age_ms: 14,
             expected_ms: 900,
             spent_ms: 5,
+            reason: None,
+            spent_before_ms: None,
         },
         EventKind::AttemptGivenUp { request: "r-1".into(), upstream, after_ms: 700 },
         EventKind::RequestAnswered {
