--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -83,12 +83,7 @@
     let ended_at_us = node.now_us();
     let latency_us = ended_at_us.saturating_sub(sent_at_us);
     let outcome = outcome(&node, key, &answer, &snapshot).await;
-    if outcome == AttemptOutcome::Unreachable {
-        request.unreachable_attempts.set(request.unreachable_attempts.get() + 1);
-    }
-    if outcome.is_unsent() {
-        request.unsent_us.set(request.unsent_us.get() + latency_us);
-    }
+    request.record_unsent(outcome, latency_us);
     record_outcome(&node, &request, key, &snapshot, outcome, latency_us as f64 / US_PER_MS as f64);
     // An attempt that was withheld gives no evidence about the trial request at this upstream.
     if outcome.send_started() {
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -130,6 +130,23 @@
     let outgoing = outgoing(node, request, key, now_us).ok_or(AttemptOutcome::Unsent)?;
     request.charge.iter().for_each(QuotaCharge::commit);
     request.sends.set(request.sends.get() + 1);
+    let sent = send_over(node, request, key, connection, outgoing).await;
+    if matches!(&sent, Some((_, Err(_)))) && kind == ConnectionKind::New {
+        // An upstream that closes a reused connection may only have forgotten it.
+        node.record_silence(key, kind, now_us);
+    }
+    sent.ok_or(AttemptOutcome::Broken).and_then(|sent| send_result(sent, request, now_us))
+}
+
+/// Sends a request over a connection and waits for the head of the response; none if the wait was abandoned.
+async fn send_over<A: PlatformAdapter + 'static>(
+    node: &Rc<Node<A>>,
+    request: &CallerRequest,
+    key: UpstreamKey,
+    connection: Connection,
+    outgoing: Request<RelayBody>,
+) -> Option<SendResult> {
+    let kind = connection.kind();
     let id = request.headers.get(&node.headers.request_id).cloned();
     let awaited = AwaitedAnswer { key, id, answer_deadline_us: request.answer_deadline_us };
     let traffic = node.upstream_traffic(key, TrafficKind::Request);
@@ -137,14 +154,9 @@
     let sent = head_wait::send(node, connection, outgoing, awaited).await;
     if let Some((_, Ok(response))) = &sent {
         traffic.received(response);
+        node.record_contact(key, kind);
     }
-    match &sent {
-        Some((_, Ok(_))) => node.record_contact(key, kind),
-        // An upstream that closes a reused connection may only have forgotten it.
-        Some((_, Err(_))) if kind == ConnectionKind::New => node.record_silence(key, kind, now_us),
-        _ => {}
-    }
-    sent.ok_or(AttemptOutcome::Broken).and_then(|sent| send_result(sent, request, now_us))
+    sent
 }
 
 /// Converts the result of a send to the head of the response, or the outcome if there is none.
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -149,20 +149,28 @@
             node.record_silence(key, ConnectionKind::Reused, sent_at_us);
             ProbeOutcome::ReusedConnectionSilent
         }
-        Err(no_answer) => {
-            if let NoAnswer::Unreachable(error) = no_answer {
-                node.report.connect_failed(error);
-            }
-            let waited_us = node.now_us().saturating_sub(sent_at_us);
-            let outcome = ProbeOutcome::NoAnswer { waited_us, timeout_us: PROBE_TIMEOUT_US };
-            if outcome.is_evidence() {
-                node.record_silence(key, ConnectionKind::New, sent_at_us);
-            }
-            outcome
-        }
+        Err(no_answer) => record_no_answer(node, key, &no_answer, sent_at_us),
     })
 }
 
+/// Records that an upstream sent no answer to a probe, and classifies that.
+fn record_no_answer<A: PlatformAdapter>(
+    node: &Node<A>,
+    key: UpstreamKey,
+    no_answer: &NoAnswer,
+    sent_at_us: u64,
+) -> ProbeOutcome {
+    if let NoAnswer::Unreachable(error) = no_answer {
+        node.report.connect_failed(*error);
+    }
+    let waited_us = node.now_us().saturating_sub(sent_at_us);
+    let outcome = ProbeOutcome::NoAnswer { waited_us, timeout_us: PROBE_TIMEOUT_US };
+    if outcome.is_evidence() {
+        node.record_silence(key, ConnectionKind::New, sent_at_us);
+    }
+    outcome
+}
+
 /// Checks whether an upstream of a lost service responds on a new connection.
 ///
 /// A service without a health path is regained once a connection can be opened.
--- a/crates/pointvane-node/src/request.rs
+++ b/crates/pointvane-node/src/request.rs
@@ -12,8 +12,8 @@
     },
     pointvane_core::{KeyDigest, US_PER_MS},
     pointvane_dispatch::{
-        BodyFingerprint, ForwardedRequest, HeadFingerprint, QueryScope, RequestFingerprint, RoutedRequest,
-        UpstreamKey,
+        AttemptOutcome, BodyFingerprint, ForwardedRequest, HeadFingerprint, QueryScope, RequestFingerprint,
+        RoutedRequest, UpstreamKey,
     },
     std::{
         cell::{Cell, OnceCell, RefCell},
@@ -114,6 +114,16 @@
         self.elapsed_ms(now_us.saturating_sub(self.unsent_us.get()))
     }
 
+    /// Records the end of an attempt that took `latency_us`, if it was not sent.
+    pub fn record_unsent(&self, outcome: AttemptOutcome, latency_us: u64) {
+        if outcome == AttemptOutcome::Unreachable {
+            self.unreachable_attempts.set(self.unreachable_attempts.get() + 1);
+        }
+        if outcome.is_unsent() {
+            self.unsent_us.set(self.unsent_us.get() + latency_us);
+        }
+    }
+
     /// Fingerprints of the request with its exact query, or none, and with any query or none.
     ///
     /// Must be computed before a streamed request is sent, since the first attempt takes the body; the result
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -102,10 +102,7 @@
     origin: RequestOrigin,
 ) -> Result<CallerRequest, Refused> {
     let caller_timeout_ms = node.headers.caller_timeout_ms(&head.headers);
-    if !node.has_platform_state() {
-        let wait_ms = first_state_wait_ms(node.dispatcher.start_wait_ms, node.uptime_ms(), caller_timeout_ms);
-        node.platform.wait_for_first_state(Duration::from_millis(wait_ms)).await;
-    }
+    wait_for_first_state(node, caller_timeout_ms).await;
     let key = node.presented_key(&head.headers);
     let routed = find_route(node, &head)?.handed_over(origin.forwarded.as_ref());
     let routed = node.authorize(routed, key.as_ref())?;
@@ -133,6 +130,14 @@
     Ok(request)
 }
 
+/// Waits for the state needed to route requests, if this node has just started.
+async fn wait_for_first_state<A: PlatformAdapter>(node: &Node<A>, caller_timeout_ms: Option<u64>) {
+    if !node.has_platform_state() {
+        let wait_ms = first_state_wait_ms(node.dispatcher.start_wait_ms, node.uptime_ms(), caller_timeout_ms);
+        node.platform.wait_for_first_state(Duration::from_millis(wait_ms)).await;
+    }
+}
+
 /// Reads a request's body, or its first part if it exceeds the buffer.
 async fn read_body<A: PlatformAdapter>(
     node: &Node<A>,
@@ -194,7 +199,7 @@
     now_us: u64,
 ) {
     node.report.refused(refused.kind);
-    refused.retry_after_ms.iter().for_each(|after_ms| node.report.told_return_time(*after_ms));
+    refused.retry_after_ms.iter().for_each(|after_ms| node.report.return_time_set(*after_ms));
     let row = refused.kind.answer();
     let is_quarantined = refused.kind == ErrorKind::RequestQuarantined;
     node.report.failure(now_us, || EventKind::RequestRefused {
