--- a/crates/pointvane-node/src/dispatcher.rs
+++ b/crates/pointvane-node/src/dispatcher.rs
@@ -77,15 +77,8 @@
         let policy = options.choice.policy;
         Self {
             admission: AdmissionPolicy { target_share, rank_step },
-            search: SearchOptions {
-                probes: policy == ChoicePolicy::ProbeLoad,
-                first_round: options.choice.ask_first,
-                second_round: options.choice.ask_more,
-            },
-            pipeline: PipelineLimits {
-                requests_max: options.callers.pipeline_requests,
-                bytes_max: options.callers.pipeline_bytes,
-            },
+            search: search_options(options),
+            pipeline: pipeline_limits(options),
             start_wait_ms: options.callers.start_wait_ms,
             hedges: options.repeats.hedge,
             connections: Connections::new(options.fleet.source_ip, connections),
@@ -235,6 +228,21 @@
     }
 }
 
+fn search_options(options: &NodeOptions) -> SearchOptions {
+    SearchOptions {
+        probes: options.choice.policy == ChoicePolicy::ProbeLoad,
+        first_round: options.choice.ask_first,
+        second_round: options.choice.ask_more,
+    }
+}
+
+fn pipeline_limits(options: &NodeOptions) -> PipelineLimits {
+    PipelineLimits {
+        requests_max: options.callers.pipeline_requests,
+        bytes_max: options.callers.pipeline_bytes,
+    }
+}
+
 fn pool(policy: ChoicePolicy, node: &NodeSettings, seed: u64) -> Pool {
     let mut pool = Pool::new(ranking_options(policy), node.data_centre.clone(), seed);
     pool.set_regions(node.regions.clone());
--- a/crates/pointvane-node/src/forward.rs
+++ b/crates/pointvane-node/src/forward.rs
@@ -82,11 +82,7 @@
                 ended = self.running_attempts.join_next() => {
                     // After a panic in an attempt it is unknown whether its upstream ran the request.
                     let Some(Ok(result)) = ended else { return Err(ErrorKind::UpstreamBroken.into()) };
-                    self.answer = result.answer.or(self.answer.take());
-                    self.peer_retry_after_ms = result.retry_after_ms.or(self.peer_retry_after_ms);
-                    attempts.set_streamed_body_unsent(request.stream.borrow().is_some());
-                    let end = self.node.divert(&request, result.end);
-                    attempts.attempt_ended(end, request.sends.get(), &mut self.retry_budget())
+                    self.attempt_ended(result, &mut attempts)
                 }
                 () = sleep_until(hedge_at.unwrap_or(deadline)), if hedge_at.is_some() => {
                     hedges.iter_mut().for_each(HedgeSchedule::record_attempt);
@@ -103,6 +99,16 @@
         }
     }
 
+    /// Keeps what an attempt has brought, and decides the next step.
+    fn attempt_ended(&mut self, result: AttemptReport, attempts: &mut RequestAttempts<'_>) -> NextStep {
+        let AttemptReport { end, answer, retry_after_ms } = result;
+        self.answer = answer.or(self.answer.take());
+        self.peer_retry_after_ms = retry_after_ms.or(self.peer_retry_after_ms);
+        attempts.set_streamed_body_unsent(self.request.stream.borrow().is_some());
+        let end = self.node.divert(&self.request, end);
+        attempts.attempt_ended(end, self.request.sends.get(), &mut self.retry_budget())
+    }
+
     /// Executes the next step; returns the final response if the step ends the request.
     fn execute(&mut self, step: NextStep) -> Option<FinalAnswer> {
         match step {
