--- a/crates/pointvane-dispatch/src/attempts.rs
+++ b/crates/pointvane-dispatch/src/attempts.rs
@@ -106,6 +106,7 @@
     /// request that were sent so far.
     pub fn attempt_ended(&mut self, end: AttemptEnd, sends: u32, budget: &mut RetryBudget) -> NextStep {
         self.in_flight -= 1;
+        self.lacked_token = false;
         self.refund_unsent_hedge(end, budget);
         let outcome = match end {
             AttemptEnd::NoUpstream(reason) => return self.record_unsent(reason.error()),
--- a/crates/pointvane-dispatch/src/connection_reuse.rs
+++ b/crates/pointvane-dispatch/src/connection_reuse.rs
@@ -58,9 +58,9 @@
         if is_repeatable && sends == 0 { Self::Repeatable } else { Self::NonRepeatable }
     }
 
-    /// The purpose of a request that is forwarded to another node.
-    pub const fn forward(is_repeatable: bool) -> Self {
-        if is_repeatable { Self::RepeatableForward } else { Self::NonRepeatableForward }
+    /// The purpose of a request that is forwarded to another node, after it was sent `sends` times.
+    pub const fn forward(is_repeatable: bool, sends: u32) -> Self {
+        if is_repeatable && sends == 0 { Self::RepeatableForward } else { Self::NonRepeatableForward }
     }
 
     /// Whether the connection carries a request of a caller.
--- a/crates/pointvane-dispatch/src/contended_admission.rs
+++ b/crates/pointvane-dispatch/src/contended_admission.rs
@@ -3,8 +3,8 @@
 //! Inputs, besides those of `admission.rs`: the pressure on the service, the time that the caller has spent
 //! before this attempt, whether it can come back in time, and the spread of finish times. Without pressure the
 //! decision is that of [`AdmissionPolicy::admits`]. Under pressure a request whose caller can come back in time
-//! is refused the earlier the higher the pressure is, since it loses little. A request that has come back, or
-//! could only come back too late, is queued if it is likely to be in time, and sent late where there is room.
+//! is refused the earlier the higher the pressure is, since it loses little. A request that has come back is
+//! queued if it is likely to be in time, and sent late where there is room.
 //! Tests: `tests/contended_service.rs`.
 
 use {
@@ -100,8 +100,9 @@
         let in_calm = self.admits(route, estimate, has_capacity);
         let is_admitted = match request {
             request if request.pressure <= 0.0 => in_calm,
+            request if request.spent_ms > 0.0 => self.admits_last_try(route, estimate, has_capacity, request),
             request if request.can_return => in_calm && self.meets_stricter_bound(route, estimate, request),
-            _ => self.admits_last_try(route, estimate, has_capacity, request),
+            _ => in_calm,
         };
         match is_admitted {
             true => Ok(()),
--- a/crates/pointvane-dispatch/src/contention/pair.rs
+++ b/crates/pointvane-dispatch/src/contention/pair.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Whether the reports that this node holds show contention.
+    pub(super) fn holds_contended(&self) -> bool {
+        self.held.uncontended < self.held.weight * EXCHANGE_SHARE
+    }
+
     /// Whether this node exchanges reports on the pair.
     pub(super) fn is_exchanged(&self, now_us: u64) -> bool {
         now_us < self.exchange_until_us
--- a/crates/pointvane-dispatch/src/contention/table.rs
+++ b/crates/pointvane-dispatch/src/contention/table.rs
@@ -76,14 +76,19 @@
     }
 
     fn activate(&mut self, index: usize, now_us: u64) {
-        if self.pairs[index].is_exchanged(now_us) {
+        if self.pairs[index].is_exchanged(now_us) || self.pairs[index].holds_contended() {
             self.active.insert(index);
         }
     }
 
     /// Takes over reports that another node sent.
     pub fn receive(&mut self, message: &ContentionMessage, now_us: u64) {
-        for entry in message.entries.iter().take(CONTENTION_ENTRIES_MAX) {
+        let entries = &message.entries[..message.entries.len().min(CONTENTION_ENTRIES_MAX)];
+        for (position, entry) in entries.iter().enumerate() {
+            // A message has one entry a pair, each of bounded weight.
+            if entries[..position].iter().any(|earlier| earlier.pair == entry.pair) {
+                continue;
+            }
             if let Some(index) = self.by_id.get(&entry.pair).copied() {
                 self.pairs[index].receive(entry, now_us);
                 self.activate(index, now_us);
--- a/crates/pointvane-dispatch/src/memory_budget.rs
+++ b/crates/pointvane-dispatch/src/memory_budget.rs
@@ -119,6 +119,9 @@
         if let Some(decided) = self.undecided(id) {
             return decided;
         }
+        if more_bytes == 0 {
+            return Reservation::Granted;
+        }
         let is_large = self.is_large(id, more_bytes);
         let is_first = self
             .waiting
@@ -141,7 +144,7 @@
 
     /// Reserves `more_bytes` if there is room now; the holder never waits and is not refused.
     pub fn try_reserve(&mut self, id: HolderId, more_bytes: u64) -> bool {
-        let granted = self.undecided(id).is_none() && self.fits(id, more_bytes);
+        let granted = self.undecided(id).is_none() && (more_bytes == 0 || self.fits(id, more_bytes));
         if granted {
             self.grant(id, more_bytes);
         }
--- a/crates/pointvane-dispatch/src/memory_budget/pressure.rs
+++ b/crates/pointvane-dispatch/src/memory_budget/pressure.rs
@@ -6,9 +6,9 @@
 };
 
 impl MemoryBudget {
-    /// The holder that has waited longest, small ones first, with the bytes that it waits for, if that is longer
-    /// than [`WAIT_MAX_US`].
-    fn longest_waiting(&self, now_us: u64) -> Option<(HolderId, u64)> {
+    /// The first holder that has waited for longer than [`WAIT_MAX_US`], small ones first, with the bytes that it
+    /// waits for.
+    fn first_overdue(&self, now_us: u64) -> Option<(HolderId, u64)> {
         let first_large = WaitPosition { is_large: true, sequence: 0 };
         let firsts = [self.waiting.first_key_value(), self.waiting.range(first_large..).next()];
         let overdue = |id: HolderId| match self.holders[id.index()].state {
@@ -26,8 +26,8 @@
         self.refuse_stalled(now_us);
         self.refuse_overdue(now_us);
         while self.moving == 0 && self.refused_bytes == 0 {
-            let Some((_, id)) = self.waiting.last_key_value() else { break };
-            let id = *id;
+            let last = || self.waiting.last_key_value().map(|(_, id)| *id);
+            let Some(id) = self.last_waiting_with_memory().or_else(last) else { break };
             self.refuse(id, MemoryRefusal::AllWaiting);
             self.decided.push_back(id);
         }
@@ -56,9 +56,9 @@
     /// Ends waits that are too long. Those that came last make room for the others; without any that hold
     /// memory, those that waited too long are refused themselves.
     fn refuse_overdue(&mut self, now_us: u64) {
-        while let Some((id, more_bytes)) = self.longest_waiting(now_us) {
+        while let Some((id, more_bytes)) = self.first_overdue(now_us) {
             let last = self.last_waiting_with_memory();
-            if last.is_some() && self.refused_bytes >= more_bytes {
+            if self.refused_bytes >= more_bytes {
                 return;
             }
             let reason = match last {
--- a/crates/pointvane-dispatch/src/records.rs
+++ b/crates/pointvane-dispatch/src/records.rs
@@ -10,6 +10,8 @@
 
 /// Divisor that converts reported slowdowns from percent to factors.
 const PERCENT: f32 = 100.0;
+/// Largest occupancy that one report counts with in the contention of its service.
+const OCCUPANCY_MAX: f32 = 4.0;
 
 impl Pool {
     /// Records an upstream's load report.
@@ -31,8 +33,8 @@
             service.report_validity.record(was_uncontended, is_uncontended, age_us);
         }
         let slots = state.record.slots.max(1) as f32;
-        let sample =
-            ContentionSample { is_uncontended, occupancy: (load.running + load.waiting) as f32 / slots };
+        let outstanding = load.running.saturating_add(load.waiting) as f32;
+        let sample = ContentionSample { is_uncontended, occupancy: (outstanding / slots).min(OCCUPANCY_MAX) };
         self.contention.record(&state.record.service, &state.record.data_centre, sample, now_us);
     }
 
--- a/crates/pointvane-dispatch/src/return_time.rs
+++ b/crates/pointvane-dispatch/src/return_time.rs
@@ -1,7 +1,7 @@
 //! Return time: when the caller of a refused request should come back while its service is contended.
 //!
 //! Inputs: what is left of the target of the request, the latency that is expected of an upstream, the time
-//! that the caller will still wait, and a random number, since callers refused together must not meet again.
+//! that the caller will still wait, and a random number, since callers that were refused together would otherwise come back together.
 //! While the request can be in time, its caller comes back within that time, in which slots come free as other
 //! requests finish. Afterwards it comes back spread over a longer time, when contention is more likely over.
 //! Tests: `tests/return_time.rs` and `tests/contended_service.rs`.
@@ -36,6 +36,7 @@
     pub fn latest_ms(&self, route: &RouteRule) -> Option<f64> {
         let target_ms = route.target_latency_ms as f64;
         let latest_ms = target_ms - self.spent_ms - self.expected_latency_ms - RETURN_TRIP_MS;
+        let latest_ms = latest_ms.min(self.remaining_ms * REMAINING_TIME_SHARE);
         (latest_ms >= target_ms * RETURN_SHARE_MIN).then(|| latest_ms.min(target_ms * RETURN_SHARE_MAX))
     }
 
@@ -45,11 +46,16 @@
         let jitter = if jitter.is_finite() { jitter.clamp(0.0, 1.0) } else { 0.0 };
         let shortest_ms = target_ms * RETURN_SHARE_MIN;
         if let Some(latest_ms) = self.latest_ms(route) {
-            return (shortest_ms + (latest_ms - shortest_ms) * jitter) as u32;
+            return to_ms(shortest_ms + (latest_ms - shortest_ms) * jitter);
         }
         let (min_share, max_share) = LATE_RETURN_SHARES;
-        let last_ms = (self.remaining_ms * REMAINING_TIME_SHARE).clamp(shortest_ms, target_ms * max_share);
+        let last_ms = (self.remaining_ms * REMAINING_TIME_SHARE).min(target_ms * max_share);
         let first_ms = (target_ms * min_share).min(last_ms * min_share);
-        (first_ms + (last_ms - first_ms) * jitter) as u32
+        to_ms(first_ms + (last_ms - first_ms) * jitter)
     }
 }
+
+/// Rounds a return time down to whole milliseconds, at least one.
+fn to_ms(time_ms: f64) -> u32 {
+    (time_ms as u32).max(1)
+}
--- a/crates/pointvane-dispatch/src/search.rs
+++ b/crates/pointvane-dispatch/src/search.rs
@@ -132,6 +132,8 @@
     answered: Vec<UpstreamKey>,
     /// Candidates of this pass that advertise a limit.
     limited: Vec<UpstreamKey>,
+    /// Whether no upstream of the own data centre may get the request, so that distance does not count.
+    is_far_only: bool,
 }
 
 impl Search {
@@ -148,6 +150,7 @@
             rounds_probed: 0,
             answered: Vec::new(),
             limited: Vec::new(),
+            is_far_only: false,
         }
     }
 
@@ -191,8 +194,8 @@
         self.answered.push(key);
         // Without load reports the first response decides: an upstream slow to respond is slow to do work,
         // too.
-        let is_uncontended =
-            || pool.is_uncontended(key, now_us) && pool.is_within_reach(key, self.distance_criteria());
+        let is_within_reach = || self.is_far_only || pool.is_within_reach(key, self.distance_criteria());
+        let is_uncontended = || pool.is_uncontended(key, now_us) && is_within_reach();
         let is_chosen = !pool.reports_load(&self.request.service) || is_uncontended();
         is_chosen && pool.eligibility(key, now_us).is_ok()
     }
@@ -221,6 +224,7 @@
         if let Some(key) = plan.candidates.iter().find(is_known) {
             return Some(Found::Uncontended(*key));
         }
+        self.is_far_only = plan.is_far_only;
         self.round_sizes = plan.round_sizes;
         self.rounds_probed = 0;
         self.unprobed = plan.candidates;
@@ -245,6 +249,7 @@
     fn is_known_uncontended(&self, key: UpstreamKey, plan: &SearchPlan, pool: &Pool, now_us: u64) -> bool {
         pool.is_uncontended(key, now_us)
             && (pool.is_near(key)
+                || plan.is_far_only
                 || plan.is_near_contended && pool.is_within_reach(key, self.distance_criteria()))
     }
 
--- a/crates/pointvane-dispatch/src/search_plan.rs
+++ b/crates/pointvane-dispatch/src/search_plan.rs
@@ -39,6 +39,8 @@
     pub(crate) round_sizes: RoundSizes,
     /// Whether the own data centre is contended.
     pub(crate) is_near_contended: bool,
+    /// Whether the own data centre has no upstream that may get the request.
+    pub(crate) is_far_only: bool,
     /// The cheapest upstream that a fresh report shows to be contended; it needs no probe.
     pub(crate) best_contended: Option<UpstreamKey>,
 }
@@ -55,6 +57,8 @@
 #[derive(Clone, Debug, Default)]
 struct RankedCandidates {
     candidates: Vec<Ranked>,
+    /// Whether an upstream of the own data centre may get the request.
+    has_near: bool,
     /// The most room in another data centre.
     far_room: f32,
     /// The cheapest upstream that needs no probe, since a valid report shows it to be contended.
@@ -102,6 +106,7 @@
             candidates: interleaved(&ranked.candidates, criteria.count, rounds, &mut rng),
             round_sizes: rounds.sizes,
             is_near_contended: rounds.is_near_contended,
+            is_far_only: !ranked.has_near,
             best_contended: ranked.best_contended.map(|(_, key)| key),
         }
     }
@@ -119,13 +124,14 @@
         let Some((state, service_state)) = self.upstreams.get(&key).zip(self.services.get(service)) else {
             return;
         };
+        let is_far = state.record.data_centre != self.data_centre;
+        ranked.has_near |= !is_far;
         let cost = state.cost(service_state, now_us);
         let is_contended = cost > self.options.uncontended_cost;
         if is_contended && self.has_valid_report(state, service_state, cost, now_us) {
             ranked.add_contended(key, cost * self.distance_factor(state, distance));
             return;
         }
-        let is_far = state.record.data_centre != self.data_centre;
         let order = if is_far {
             let room = self.room_at_distance(service, state, distance, now_us);
             ranked.far_room = ranked.far_room.max(room);
--- a/crates/pointvane-dispatch/src/urgent_first.rs
+++ b/crates/pointvane-dispatch/src/urgent_first.rs
@@ -96,7 +96,7 @@
         let kinds = more_urgent.len();
         let more_urgent = more_urgent.into_iter().fold(RecentRequests::default(), RecentRequests::plus);
         let own = self.by_priority.get(&priority).map(|recent| recent.decayed(now_us)).unwrap_or_default();
-        let has_its_share = own.admitted_share() >= ADMITTED_SHARE_MIN.min(more_urgent.admitted_share());
+        let has_its_share = own.admitted_share() >= ADMITTED_SHARE_MIN;
         let is_full = contention.is_some_and(|contention| contention.occupancy >= FULL_OCCUPANCY);
         let is_short = is_full || more_urgent.admitted_share() < URGENT_ADMITTED_SHARE;
         let urgent_share = more_urgent.requests / (more_urgent.requests + own.requests);
--- a/crates/pointvane-node/src/idle_connections.rs
+++ b/crates/pointvane-node/src/idle_connections.rs
@@ -128,13 +128,19 @@
         InUse { connections: self.clone(), address }
     }
 
-    /// Keeps a connection, unless there are enough to its address.
+    /// Keeps a connection, in place of the oldest one if there are enough to its address.
     pub fn keep(&self, address: SocketAddr, connection: IdleConnection) {
         let mut by_address = self.by_address.borrow_mut();
-        let idle = &mut by_address.entry(address).or_default().idle;
-        if idle.len() < IDLE_CONNECTIONS_MAX && !connection.sender.is_closed() {
-            idle.push_back(connection);
+        let connections = by_address.entry(address).or_default();
+        connections.remove_unusable();
+        if connection.sender.is_closed() {
+            return;
+        }
+        // The one that has been idle for longest is the least useful.
+        if connections.idle.len() >= IDLE_CONNECTIONS_MAX {
+            connections.idle.pop_front();
         }
+        connections.idle.push_back(connection);
     }
 
     /// Closes the idle connections to an address.
--- a/crates/pointvane-node/src/memory.rs
+++ b/crates/pointvane-node/src/memory.rs
@@ -123,6 +123,15 @@
         result
     }
 
+    /// Drops the waker of a holder, which keeps its task in memory.
+    fn remove_waker(&self, id: HolderId) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let waker = state.wakers.get_mut(id.index()).and_then(Option::take);
+        // Dropped outside the lock, since that may drop a task.
+        drop(state);
+        drop(waker);
+    }
+
     fn poll_reservation(&self, id: HolderId, cx: &Context<'_>) -> Reservation {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let reservation = state.budget.reservation(id);
@@ -202,6 +211,7 @@
 
 impl Drop for MemoryHolder {
     fn drop(&mut self) {
+        self.shared.remove_waker(self.id);
         self.shared.update(|budget, now_us| budget.release(self.id, now_us));
     }
 }
--- a/crates/pointvane-node/src/peer_attempt.rs
+++ b/crates/pointvane-node/src/peer_attempt.rs
@@ -183,7 +183,7 @@
     peer: SocketAddr,
 ) -> PeerResult {
     let is_repeatable = request.routed.route.kind.is_repeatable();
-    let purpose = ConnectionPurpose::forward(is_repeatable);
+    let purpose = ConnectionPurpose::forward(is_repeatable, request.sends.get());
     let Ok(mut connection) = node.dispatcher.connections.get(peer, purpose).await else {
         return PeerResult::Unreachable;
     };
