--- a/crates/pointvane-dispatch/src/contention/pair.rs
+++ b/crates/pointvane-dispatch/src/contention/pair.rs
@@ -67,15 +67,13 @@
         }
     }
 
-    /// Records a load report of an upstream; `needs_reports` tells whether the node has few of its own on the
-    /// service, so that it starts an exchange if the service is contended.
-    pub(super) fn record(&mut self, sample: ContentionSample, needs_reports: bool, now_us: u64) {
+    /// Records a load report of an upstream.
+    pub(super) fn record(&mut self, sample: ContentionSample, now_us: u64) {
         self.own.record(sample, now_us);
         self.held.record(sample, now_us);
         self.newest_at_us = now_us;
         let uncontended = self.held.uncontended;
-        let is_contended = self.held.weight - uncontended > uncontended + START_EXCESS;
-        self.exchange_if(is_contended && needs_reports, now_us);
+        self.exchange_if(self.held.weight - uncontended > uncontended + START_EXCESS, now_us);
     }
 
     /// Weight of the reports that this node received from upstreams.
@@ -116,10 +114,9 @@
     }
 
     /// Removes a part of the reports that this node holds, to be sent to another node.
-    pub(super) fn take_entry(&mut self, needs_reports: bool, now_us: u64) -> Option<ContentionEntry> {
+    pub(super) fn take_entry(&mut self, now_us: u64) -> Option<ContentionEntry> {
         self.held = self.held.decayed(now_us);
-        let is_contended = self.held.uncontended < self.held.weight * EXCHANGE_SHARE;
-        self.exchange_if(is_contended && needs_reports, now_us);
+        self.exchange_if(self.held.uncontended < self.held.weight * EXCHANGE_SHARE, now_us);
         let weight = (self.held.weight * SENT_PART).min(ENTRY_WEIGHT_MAX);
         let values = EntryValues {
             weight,
--- a/crates/pointvane-dispatch/src/contention/table.rs
+++ b/crates/pointvane-dispatch/src/contention/table.rs
@@ -14,9 +14,10 @@
 /// Number of nodes that a node sends to in each round of the exchange.
 pub const CONTENTION_PEERS: usize = 2;
 
-/// Weight of a node's own reports on a service below which it starts an exchange. With more, it knows the
-/// service without the reports of others.
+/// Weight of a node's own reports on a service from which it knows the service without those of others.
 const OWN_SUFFICIENT: f64 = 4.0;
+/// A node with that many reports takes part in one of this many rounds, for the nodes that have fewer.
+const ROUNDS_IF_SUFFICIENT: u64 = 8;
 
 /// Contention by service and data centre.
 #[derive(Clone, Debug)]
@@ -28,6 +29,8 @@
     active: BTreeSet<usize>,
     /// Number of nodes that exchange reports, this one included.
     nodes: usize,
+    /// Number of rounds of the exchange so far.
+    rounds: u64,
 }
 
 impl Default for ContentionTable {
@@ -38,6 +41,7 @@
             by_id: HashMap::new(),
             active: BTreeSet::new(),
             nodes: 1,
+            rounds: 0,
         }
     }
 }
@@ -63,8 +67,7 @@
     /// Records what a load report of an upstream says.
     pub fn record(&mut self, service: &Name, data_centre: &Name, sample: ContentionSample, now_us: u64) {
         let index = self.add(service, data_centre);
-        let needs_reports = self.needs_reports(service, now_us);
-        self.pairs[index].record(sample, needs_reports, now_us);
+        self.pairs[index].record(sample, now_us);
         self.activate(index, now_us);
     }
 
@@ -100,6 +103,7 @@
     /// [`CONTENTION_PEERS`] other nodes.
     pub fn take_messages(&mut self, nodes: usize, now_us: u64) -> Vec<ContentionMessage> {
         self.nodes = nodes;
+        self.rounds = self.rounds.wrapping_add(1);
         let peers = CONTENTION_PEERS.min(nodes.saturating_sub(1));
         let messages = (0..peers).map(|_| self.take_message(now_us));
         messages.filter(|message| !message.entries.is_empty()).collect()
@@ -107,18 +111,19 @@
 
     /// Takes reports on the pairs of which this node holds most: others know less of these.
     fn take_message(&mut self, now_us: u64) -> ContentionMessage {
-        let exchanged = self.active.iter().copied().filter(|index| self.pairs[*index].is_exchanged(now_us));
+        let is_for_all = self.rounds.is_multiple_of(ROUNDS_IF_SUFFICIENT);
+        let exchanged = self.active.iter().copied().filter(|index| {
+            let pair = &self.pairs[*index];
+            pair.is_exchanged(now_us) && (is_for_all || self.needs_reports(&pair.service, now_us))
+        });
         let mut indexes: Vec<usize> = exchanged.collect();
         if indexes.len() > CONTENTION_ENTRIES_MAX {
             let weight = |index: &usize| self.pairs[*index].held_weight(now_us);
             indexes.sort_by(|one, other| weight(other).total_cmp(&weight(one)));
             indexes.truncate(CONTENTION_ENTRIES_MAX);
         }
-        let take_entry = |index: usize| {
-            let needs_reports = self.needs_reports(&self.pairs[index].service, now_us);
-            self.pairs[index].take_entry(needs_reports, now_us)
-        };
-        ContentionMessage { entries: indexes.into_iter().filter_map(take_entry).collect() }
+        let entries = indexes.into_iter().filter_map(|index| self.pairs[index].take_entry(now_us));
+        ContentionMessage { entries: entries.collect() }
     }
 
     /// Returns the pairs that became contended, or no longer are, since the last call.
