--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -17,7 +17,6 @@
 //! | which upstreams are candidates, and how they are ranked | `ranking.rs`, `subset.rs`, `cost.rs` |
 //! | which pipelined requests are forwarded early | `pipeline.rs` |
 //! | which data centres are probed, and by how many probes at once | `search_plan.rs`, `probe_rounds.rs`, `locality.rs` |
-//! | how long a load report stays valid | `report_validity.rs` |
 //! | which candidates are probed, and which one is selected | `search.rs` |
 //! | how much room the upstreams of a service have in each data centre | `contention.rs` and its modules |
 //! | how many slots of an upstream are occupied, and how latency grows with occupancy | `load_curve.rs` |
@@ -81,7 +80,6 @@
 mod reachability;
 mod records;
 mod replica;
-mod report_validity;
 mod retry;
 mod return_time;
 mod route_latencies;
--- a/crates/pointvane-dispatch/src/ranking.rs
+++ b/crates/pointvane-dispatch/src/ranking.rs
@@ -1,8 +1,8 @@
 //! Ranking: which upstreams of a service a request should go to, the best first.
 //!
-//! Decided for each search without probes, and where upstreams report no load; `search_plan.rs` plans the others. Inputs: the cost of each upstream that may get work
-//! (`eligibility.rs`), whether it is in the node's data centre, the size of the request's body, and the
-//! upstreams the request was sent to before. Ejected upstreams are ranked only if there are no others. Each
+//! Decided for each search without probes, and where upstreams report no load; `search_plan.rs` plans the
+//! others. Inputs: the cost of each upstream that may get work (`eligibility.rs`), whether it is in the node's
+//! data centre, the size of the request's body, and the upstreams the request was sent to before. Ejected upstreams are ranked only if there are no others. Each
 //! cost is multiplied by a random factor, so that nodes with the same information choose different upstreams.
 //! Tests: `slow_and_full_upstreams_come_after_idle_ones`,
 //! `near_upstreams_come_first_and_the_more_so_the_larger_the_body`,
@@ -10,8 +10,12 @@
 
 use {
     crate::{
-        allowed_regions::AllowedRegions, load_when_sent::LoadWhenSent, pool::Pool, ranking_options::Ranking,
-        service_state::ServiceState, upstream::UpstreamState, upstream_key::UpstreamKey,
+        allowed_regions::AllowedRegions,
+        load_when_sent::LoadWhenSent,
+        pool::Pool,
+        ranking_options::Ranking,
+        upstream::{LoadSample, UpstreamState},
+        upstream_key::UpstreamKey,
     },
     pointvane_core::Name,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -134,32 +138,18 @@
         self.cost(key, now_us) * if self.is_near(key) { 1.0 } else { far_factor }
     }
 
-    /// Whether, by a load report that is still valid, the upstream would run a request without queueing and
-    /// near its usual speed.
+    /// Whether, by a fresh load report, the upstream would run a request without queueing and near its usual
+    /// speed.
     pub fn is_uncontended(&self, key: UpstreamKey, now_us: u64) -> bool {
-        let Some(state) = self.upstreams.get(&key) else {
-            return false;
-        };
-        let service = self.services.get(&state.record.service);
-        service.is_some_and(|service| {
-            let cost = state.cost(service, now_us);
-            cost <= self.options.uncontended_cost && self.has_valid_report(state, service, cost, now_us)
-        })
+        let state = self.upstreams.get(&key);
+        state.is_some_and(|state| self.has_fresh_report(state, now_us))
+            && self.cost(key, now_us) <= self.options.uncontended_cost
     }
 
-    /// Whether the load report of an upstream is still valid (see `report_validity.rs`), given its present
-    /// cost.
-    pub(crate) fn has_valid_report(
-        &self,
-        state: &UpstreamState,
-        service: &ServiceState,
-        cost: f32,
-        now_us: u64,
-    ) -> bool {
-        let is_uncontended = cost <= self.options.uncontended_cost;
-        state.report().is_some_and(|report| {
-            let valid_us = service.report_validity.valid_us(is_uncontended, self.options.report_fresh_us);
-            now_us.saturating_sub(report.received_at_us) <= valid_us
-        })
+    /// Whether the load report of an upstream is fresh.
+    pub(crate) fn has_fresh_report(&self, state: &UpstreamState, now_us: u64) -> bool {
+        let is_fresh =
+            |report: LoadSample| now_us.saturating_sub(report.received_at_us) <= self.options.report_fresh_us;
+        state.report().is_some_and(is_fresh)
     }
 }
--- a/crates/pointvane-dispatch/src/records.rs
+++ b/crates/pointvane-dispatch/src/records.rs
@@ -23,15 +23,9 @@
             return;
         };
         let uncontended_cost = self.options.uncontended_cost;
-        let earlier = state.report();
-        let was_uncontended = state.cost(service, now_us) <= uncontended_cost;
         state.record_load(load, now_us);
         service.record_report(load.slowdown_percent as f32 / PERCENT);
         let is_uncontended = state.cost(service, now_us) <= uncontended_cost;
-        if let Some(earlier) = earlier {
-            let age_us = now_us.saturating_sub(earlier.received_at_us);
-            service.report_validity.record(was_uncontended, is_uncontended, age_us);
-        }
         let slots = state.record.slots.max(1) as f32;
         let outstanding = load.running.saturating_add(load.waiting) as f32;
         let sample = ContentionSample { is_uncontended, occupancy: (outstanding / slots).min(OCCUPANCY_MAX) };
--- a/crates/pointvane-dispatch/src/replica/relay.rs
+++ b/crates/pointvane-dispatch/src/replica/relay.rs
@@ -218,8 +218,8 @@
         Some(self.batches.iter().skip(first).flat_map(|batch| batch.changes.iter().cloned()).collect())
     }
 
-    /// Builds a relay with as many changes of the last [`RELAYED_FOR_US`] as it may contain. Receivers may be at any revision
-    /// from `since` on, so differences between two states are left out. `age_ms` is the age of the platform's
+    /// Builds a relay with as many changes of the last [`RELAYED_FOR_US`] as it may contain. Receivers may be
+    /// at any revision from `since` on, so differences between two states are left out. `age_ms` is the age of the platform's
     /// last answer, in milliseconds.
     pub fn relay(&self, mark: ReadMark, age_ms: u64, now_us: u64) -> Relay {
         let mut remaining = RELAY_CHANGES_MAX;
--- a/crates/pointvane-dispatch/src/search_plan.rs
+++ b/crates/pointvane-dispatch/src/search_plan.rs
@@ -128,7 +128,7 @@
         ranked.has_near |= !is_far;
         let cost = state.cost(service_state, now_us);
         let is_contended = cost > self.options.uncontended_cost;
-        if is_contended && self.has_valid_report(state, service_state, cost, now_us) {
+        if is_contended && self.has_fresh_report(state, now_us) {
             ranked.add_contended(key, cost * self.distance_factor(state, distance));
             return;
         }
--- a/crates/pointvane-dispatch/src/service_state.rs
+++ b/crates/pointvane-dispatch/src/service_state.rs
@@ -1,9 +1,6 @@
 //! Load statistics that a node keeps for each service, aggregated over its upstreams.
 
-use crate::{
-    latency::LatencyQuantile, load_curve::LoadCurve, report_validity::ReportValidity,
-    service_reach::ServiceReach,
-};
+use crate::{latency::LatencyQuantile, load_curve::LoadCurve, service_reach::ServiceReach};
 
 /// The quantile of probe response times that serves as the baseline.
 const MEDIAN: f64 = 0.5;
@@ -30,7 +27,6 @@
     /// Latency as a function of the share of occupied slots.
     pub(crate) curve: LoadCurve,
     /// How long its load reports stay valid.
-    pub(crate) report_validity: ReportValidity,
     /// Running median of probe response times in milliseconds, for upstreams that report no load.
     probe_time: Option<LatencyQuantile>,
     has_reported: bool,
@@ -45,7 +41,6 @@
         Self {
             mean_slowdown: SLOWDOWN_INITIAL,
             curve: LoadCurve::new(slots.max(SLOTS_MIN)),
-            report_validity: ReportValidity::default(),
             probe_time: None,
             has_reported: false,
             answers_without_report: 0,
