--- a/crates/pointvane-dispatch/src/contention/table.rs
+++ b/crates/pointvane-dispatch/src/contention/table.rs
@@ -140,6 +140,11 @@
         changes
     }
 
+    /// Whether no pair is exchanged or counts as contended.
+    pub fn is_calm(&self) -> bool {
+        self.active.is_empty()
+    }
+
     /// The pairs that count as contended.
     pub fn contended(&self, now_us: u64) -> impl Iterator<Item = ContentionChange> {
         let pairs = self.active.iter().map(|index| &self.pairs[*index]);
--- a/crates/pointvane-node/src/contention_loop.rs
+++ b/crates/pointvane-node/src/contention_loop.rs
@@ -10,15 +10,14 @@
     pointvane_mesh::codec,
     pointvane_telemetry::EventKind,
     std::{cell::Cell, rc::Rc, time::Duration},
-    tokio::{
-        net::UdpSocket,
-        time::{MissedTickBehavior, interval},
-    },
+    tokio::{net::UdpSocket, time::sleep},
 };
 
 /// Time between two rounds of the exchange. Together with the number of peers and of entries in a datagram
 /// this limits what a node sends to 8.5 KB/s.
 const ROUND_INTERVAL: Duration = Duration::from_millis(50);
+/// The same while no service is contended, so that an idle node wakes up rarely.
+const CALM_INTERVAL: Duration = Duration::from_millis(250);
 /// Time since the last round above which this process was paused, in microseconds. Datagrams that arrived
 /// meanwhile are outdated.
 const PAUSE_THRESHOLD_US: u64 = 500 * US_PER_MS;
@@ -32,10 +31,9 @@
 }
 
 async fn send_rounds<A: PlatformAdapter>(node: &Node<A>, last_round_us: &Cell<u64>) {
-    let mut ticks = interval(ROUND_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        let is_calm = node.dispatcher.pool().contention_table().is_calm();
+        sleep(if is_calm { CALM_INTERVAL } else { ROUND_INTERVAL }).await;
         last_round_us.set(node.now_us());
         send_round(node);
         report_changes(node);
