--- a/crates/pointvane-node/src/gossip_loop.rs
+++ b/crates/pointvane-node/src/gossip_loop.rs
@@ -11,6 +11,8 @@
 
 /// Time between two ticks of the membership protocol: a quarter of the ping interval.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Lateness from which a timer is reported: as long as the timeouts of probes, which it may spoil.
+const LATE_MIN: Duration = Duration::from_millis(150);
 
 impl<A: PlatformAdapter> Node<A> {
     /// Carries out the actions that the membership returned.
@@ -56,8 +58,15 @@
 
 async fn tick<A: PlatformAdapter>(node: &Node<A>) {
     let mut ticks = interval(TICK_INTERVAL);
+    let mut was_late = false;
     loop {
-        ticks.tick().await;
+        let due_at = ticks.tick().await;
+        let late = due_at.elapsed();
+        if late >= LATE_MIN && !was_late {
+            let kind = EventKind::TimersLate { late_ms: late.as_millis() as u64 };
+            node.report.record_rate_limited(node.now_us(), kind);
+        }
+        was_late = late >= LATE_MIN;
         let actions = node.fleet.tick(node.platform.mark().revision, node.now_us());
         node.perform(actions);
         node.compare_with_peers();
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -171,15 +171,15 @@
     outcome
 }
 
-/// Checks whether an upstream of a lost service responds on a new connection.
+/// Checks whether an upstream of a lost service responds on a new connection; false without a response.
 ///
 /// A service without a health path is regained once a connection can be opened.
-pub async fn check_reachability<A: PlatformAdapter>(node: Rc<Node<A>>, key: UpstreamKey) {
+pub async fn check_reachability<A: PlatformAdapter>(node: Rc<Node<A>>, key: UpstreamKey) -> bool {
     let upstream = node.dispatcher.pool().get(key).map(|state| {
         let record = &state.record;
         (record.address, record.id.clone(), record.service.clone())
     });
-    let Some((address, id, service)) = upstream else { return };
+    let Some((address, id, service)) = upstream else { return false };
     let path = node.dispatcher.routes().health_path(&service).cloned();
     let sent_at_us = node.now_us();
     let traffic = node.upstream_traffic(key, TrafficKind::Probe);
@@ -192,13 +192,19 @@
             None => Some(None),
         }
     };
-    let Ok(Some(answer)) = timeout(CHECK_TIMEOUT, check).await else { return };
+    let Ok(Some(answer)) = timeout(CHECK_TIMEOUT, check).await else {
+        let waited_us = node.now_us().saturating_sub(sent_at_us);
+        let timeout_us = CHECK_TIMEOUT.as_micros() as u64;
+        node.report.probe_ended(ProbeOutcome::NoAnswer { waited_us, timeout_us });
+        return false;
+    };
     node.record_contact(key, ConnectionKind::New);
     if let Some(answer) = answer {
         let time_us = node.now_us().saturating_sub(sent_at_us);
         let outcome = read_answer(&node, key, &id, &answer, time_us);
         node.report.probe_ended(outcome);
     }
+    true
 }
 
 fn read_answer<A: PlatformAdapter>(
--- a/crates/pointvane-node/src/reachability.rs
+++ b/crates/pointvane-node/src/reachability.rs
@@ -7,10 +7,10 @@
     pointvane_core::PlatformAdapter,
     pointvane_dispatch::{ConnectionKind, ProbePurpose, ReachChange, UpstreamKey},
     pointvane_telemetry::EventKind,
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
     tokio::{
         task::spawn_local,
-        time::{MissedTickBehavior, interval},
+        time::{Instant, MissedTickBehavior, interval},
     },
 };
 
@@ -18,6 +18,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Lost services that are checked in one round; bounds the probes of a node that has lost hundreds.
 const SERVICES_PER_ROUND: usize = 4;
+/// Time between two log lines on the checks while services stay lost.
+const LINE_INTERVAL: Duration = Duration::from_secs(5);
 
 impl<A: PlatformAdapter> Node<A> {
     /// Records that an upstream sent a response.
@@ -62,21 +64,48 @@
         node.service_lost.notified().await;
         let mut ticks = interval(CHECK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let tally = Rc::new(CheckTally::default());
+        let mut line_at = Instant::now() + LINE_INTERVAL;
         while node.has_lost_service() {
             ticks.tick().await;
-            start_checks(&node);
+            start_checks(&node, &tally);
+            if Instant::now() >= line_at {
+                line_at += LINE_INTERVAL;
+                tally.report(&node);
+            }
         }
     }
 }
 
-fn start_checks<A: PlatformAdapter + 'static>(node: &Rc<Node<A>>) {
+/// Checks that ended since the last log line.
+#[derive(Debug, Default)]
+struct CheckTally {
+    ended: Cell<u64>,
+    unanswered: Cell<u64>,
+}
+
+impl CheckTally {
+    fn record(&self, is_answered: bool) {
+        self.ended.set(self.ended.get() + 1);
+        self.unanswered.set(self.unanswered.get() + u64::from(!is_answered));
+    }
+
+    fn report<A: PlatformAdapter>(&self, node: &Node<A>) {
+        let services = node.dispatcher.pool().lost_services(node.now_us()).count() as u64;
+        let (checks, unanswered) = (self.ended.take(), self.unanswered.take());
+        node.report.record(EventKind::LostServicesChecked { services, checks, unanswered });
+    }
+}
+
+fn start_checks<A: PlatformAdapter + 'static>(node: &Rc<Node<A>>, tally: &Rc<CheckTally>) {
     let now_us = node.now_us();
     let keys = node.dispatcher.pool_mut().reachability_checks(SERVICES_PER_ROUND, now_us);
     for key in keys {
         if node.dispatcher.take_probe(now_us) {
             let is_near = node.dispatcher.pool().is_near(key);
             node.report.probed(ProbePurpose::Reachability, is_near);
-            spawn_local(probe::check_reachability(Rc::clone(node), key));
+            let (node, tally) = (Rc::clone(node), Rc::clone(tally));
+            spawn_local(async move { tally.record(probe::check_reachability(node, key).await) });
         }
     }
 }
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -100,6 +100,11 @@
     ServiceLost { service: Name, upstreams_tried: u64, silent_ms: Option<u64> },
     /// An upstream of a lost service responds again.
     ServiceRegained { service: Name, lost_ms: u64 },
+    /// Services are still lost: `checks` of their upstreams ended since the last such line, `unanswered` of them
+    /// without a response.
+    LostServicesChecked { services: u64, checks: u64, unanswered: u64 },
+    /// The timers of this process began to fire late: it has too little processor time, or was suspended.
+    TimersLate { late_ms: u64 },
     /// A connection for forwarded requests was refused because its address belongs to no process of the fleet.
     PeerConnectionRefused { from: IpAddr },
     /// Bodies of requests began to wait for memory; `held_kb` of `limit_kb` is in use.
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -65,6 +65,8 @@
         EventKind::MemoryPressureBegan { held_kb: 44_900, limit_kb: 60_000, waiting: 3 },
         EventKind::MemoryPressureEnded { held_kb: 30_100, refused: 41 },
         contention_changed(),
+        EventKind::LostServicesChecked { services: 2, checks: 75, unanswered: 74 },
+        EventKind::TimersLate { late_ms: 180 },
     ]
 }
 
