Reachability: checks of a lost service are made less often while they time out

What callers saw: five seconds after the last fault of a soak of 80 nodes, nodes served 0 of 30 requests, and went on so for two minutes; 503 upstream-unreachable, 504.

Cause: a node that has lost a service opened three new connections every 100 ms, each awaited for 1 s, however many were under way. 80 nodes are 2,400 a second. Upstreams that accept connections slowly cannot answer any of them within a second, so that the service stays lost as long as the checks go on: the state outlives its trigger.

Ruled out: nodes that are late themselves (two timers of 80 nodes late, by 166 and 169 ms).

The time between two rounds of three checks now doubles from 0.1 s to 0.8 s while a service stays lost. A unit test came with the fix: at most 50 checks of a service that is lost for 10 s; by the code it was 300. Ruled out on the way (a trial): one check at a time, less often after timeouts. With four of six upstreams that accept no connections a service then stayed lost too long (a_request_is_served_although_some_upstreams_accept_no_connections failed).

--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -24,7 +24,7 @@
 //! | which requests leave the last free slots to more urgent ones | `urgent_first.rs` |
 //! | how much of its time a caller has spent before | `caller_progress.rs` |
 //! | when the caller of a refused request comes back | `admission.rs`; while its service is contended `return_time.rs` |
-//! | whether this node has lost the path to a service | `reachability.rs`, with `service_reach.rs` |
+//! | whether this node has lost the path to a service | `reachability.rs`, with `service_reach.rs` and `check_schedule.rs` |
 //! | whether an attempt goes through another node, and which | `attempt_path.rs`, `peers.rs`, `forwarded_request.rs` |
 //! | whether a failed attempt is retried, and what the caller is answered | `attempts.rs`, `retry.rs`, with `outcome.rs` |
 //! | when a request is hedged with a second concurrent attempt | `hedge.rs` |
@@ -45,6 +45,7 @@
 mod attempts;
 mod budget;
 mod caller_progress;
+mod check_schedule;
 mod connection_reuse;
 mod contended_admission;
 mod contention;
--- a/crates/pointvane-dispatch/src/reachability.rs
+++ b/crates/pointvane-dispatch/src/reachability.rs
@@ -7,7 +7,7 @@
 //! Decided whenever a probe or an attempt ends. Inputs: whether any byte of a response came, whether the
 //! connection was new or reused, when the attempt began, the monotonic clock. Open connections may outlive
 //! the path that new ones need, and the reverse, so both are judged. A lost service is checked in the
-//! background, by probes on new connections, and is regained with the first response. Requests return to it
+//! background, by probes on new connections (`check_schedule.rs`), and is regained with the first response. Requests return to it
 //! gradually, since many nodes may regain it at the same moment and reports of load are old by then. Failures
 //! that upstreams were charged with in the meantime are dropped. Tests: `tests/reachability.rs`.
 
@@ -122,15 +122,23 @@
         Some(now_us.saturating_sub(since_us) / US_PER_MS)
     }
 
-    /// Random upstreams of up to `services` lost services, to be probed on new connections. Every service has
-    /// its turn.
+    /// Random upstreams of up to `services` lost services that are due, to be probed on new connections. Every
+    /// service has its turn.
     pub fn reachability_checks(&mut self, services: usize, now_us: u64) -> Vec<UpstreamKey> {
         let after = self.last_checked.take();
-        let later = self.lost.iter().filter(|service| after.as_ref().is_none_or(|after| *service > after));
-        let earlier =
-            self.lost.iter().filter(|service| after.as_ref().is_some_and(|after| *service <= after));
+        let is_due = |service: &&Name| {
+            self.services.get(*service).is_some_and(|state| state.reach.checks.is_due(now_us))
+        };
+        let lost = || self.lost.iter().filter(is_due);
+        let later = lost().filter(|service| after.as_ref().is_none_or(|after| *service > after));
+        let earlier = lost().filter(|service| after.as_ref().is_some_and(|after| *service <= after));
         let due: Vec<Name> = later.chain(earlier).take(services).cloned().collect();
-        self.last_checked = due.last().cloned();
+        self.last_checked = due.last().cloned().or(after);
+        for service in &due {
+            if let Some(state) = self.services.get_mut(service) {
+                state.reach.checks.record_round(now_us);
+            }
+        }
         // A separate generator, since the eligibility checks borrow the pool.
         let mut rng = SmallRng::from_rng(&mut self.rng);
         due.iter()
--- a/crates/pointvane-dispatch/src/service_reach.rs
+++ b/crates/pointvane-dispatch/src/service_reach.rs
@@ -2,7 +2,7 @@
 //!
 //! `reachability.rs` applies it to the upstreams of a pool, and documents the rule as a whole.
 
-use crate::upstream_key::UpstreamKey;
+use crate::{check_schedule::CheckSchedule, upstream_key::UpstreamKey};
 
 /// Number of upstreams without a response, one after another, after which a service is lost; all of a smaller
 /// service. Fewer would take upstreams that failed together for a lost path.
@@ -71,6 +71,8 @@
     answered_us: Option<u64>,
     answered_on_new_us: Option<u64>,
     trial_us: Option<u64>,
+    /// Its checks since it was lost.
+    pub(crate) checks: CheckSchedule,
 }
 
 impl ServiceReach {
@@ -104,6 +106,7 @@
             || self.silences.iter().filter(since_answer).count() >= needed;
         if is_lost {
             self.state = State::Lost { since_us: now_us };
+            self.checks = CheckSchedule::default();
         }
         is_lost
     }
--- a/crates/pointvane-dispatch/tests/reachability.rs
+++ b/crates/pointvane-dispatch/tests/reachability.rs
@@ -210,3 +210,17 @@
     // All of them are ejected for 400 ms at first.
     expect_that!(pool.is_mostly_ejected(&service, NOW_US + 500 * MS), eq(false));
 }
+
+/// Guards against checks that keep a service lost, because its upstreams get more connections than they accept.
+#[gtest]
+fn a_service_that_stays_lost_is_checked_less_often() {
+    let (mut pool, service, keys) = pool(3);
+    silence(&mut pool, &keys, NOW_US);
+    let checks: Vec<usize> =
+        (2..102).map(|step| pool.reachability_checks(4, NOW_US + step * 100 * MS).len()).collect();
+    expect_that!(is_lost(&pool, &service, NOW_US + 10_000 * MS), eq(true));
+    expect_that!(checks[..2], elements_are![eq(&3), eq(&3)], "soon at first");
+    expect_that!(checks.iter().sum::<usize>(), le(50));
+    let is_checked = |checks: &[usize]| checks.contains(&3);
+    expect_that!(checks.windows(8).all(is_checked), eq(true), "never later than 0.8 s");
+}
--- a/crates/pointvane-node/src/reachability.rs
+++ b/crates/pointvane-node/src/reachability.rs
@@ -14,7 +14,8 @@
     },
 };
 
-/// Time between two rounds of checks.
+/// Time between two rounds of checks; [`pointvane_dispatch::Pool::reachability_checks`] decides which services are
+/// due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Lost services that are checked in one round; bounds the probes of a node that has lost hundreds.
 const SERVICES_PER_ROUND: usize = 4;
