Reachability: a probe that waits on a connection that opened does not show a lost path

A service was lost with `silent_ms` of 2 to 98: its upstreams answered on open connections some milliseconds before.

Cause: three probes without an answer after 150 ms on new connections lose a service, whatever comes on open ones, since a path that lets no new connection through must be noticed although open ones live on. Probes whose connection opened, and whose upstream was merely slow, counted as connections that fail.

Now such a probe counts like the silence of an open connection: only while no response comes on any connection. Connections that cannot be opened, or that break, count as before (a_service_is_lost_though_open_connections_live_on_while_new_ones_fail).

--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -166,7 +166,7 @@
     let waited_us = node.now_us().saturating_sub(sent_at_us);
     let outcome = ProbeOutcome::NoAnswer { waited_us, timeout_us: PROBE_TIMEOUT_US };
     if outcome.is_evidence() {
-        node.record_silence(key, ConnectionKind::New, sent_at_us);
+        node.record_silence(key, no_answer.speaks_against(), sent_at_us);
     }
     outcome
 }
@@ -239,8 +239,21 @@
     ReusedConnectionSilent,
     /// No connection could be opened.
     Unreachable(ConnectError),
-    /// Timeout on a new connection, or a broken connection.
-    Other,
+    /// No response within the timeout on a new connection.
+    NewConnectionSilent,
+    /// A new connection broke.
+    Broken,
+}
+
+impl NoAnswer {
+    /// The kind of connection that the missing response speaks against. A new one that opened shows that the
+    /// path is there and the upstream may merely be slow, so its silence counts like that of a reused one.
+    fn speaks_against(&self) -> ConnectionKind {
+        match self {
+            Self::ReusedConnectionSilent | Self::NewConnectionSilent => ConnectionKind::Reused,
+            Self::Unreachable(_) | Self::Broken => ConnectionKind::New,
+        }
+    }
 }
 
 /// Requests the health path over a pooled connection, then over a new one if the pooled one broke, within
@@ -261,15 +274,16 @@
         Ok(Some(answer)) => return Ok((answer, kind)),
         Ok(None) if reused => {}
         Err(_) if reused => return Err(NoAnswer::ReusedConnectionSilent),
-        Ok(None) | Err(_) => return Err(NoAnswer::Other),
+        Ok(None) => return Err(NoAnswer::Broken),
+        Err(_) => return Err(NoAnswer::NewConnectionSilent),
     }
     let retry = async {
         let connection = connections.open(address, ConnectionPurpose::Probe, OpenReason::ReusedBroke).await;
         let connection = connection.map_err(NoAnswer::Unreachable)?;
         let answer = request_health_over(connection, address, path, traffic).await;
-        answer.map(|answer| (answer, ConnectionKind::New)).ok_or(NoAnswer::Other)
+        answer.map(|answer| (answer, ConnectionKind::New)).ok_or(NoAnswer::Broken)
     };
-    timeout_at(deadline, retry).await.map_err(|_| NoAnswer::Other)?
+    timeout_at(deadline, retry).await.map_err(|_| NoAnswer::NewConnectionSilent)?
 }
 
 async fn request_health_over(
