Attempt path: requests for a lost service are tried until its loss is confirmed

What callers saw: 503 upstream-unreachable within milliseconds, or 504 after up to seven nodes had declined in turn, while the request's own node got answers from the service's upstreams.

Cause: 300 ms after a loss a request goes nowhere if every other node declines it.

Now a response is overdue only 0.7 s after the loss and after the last response on any connection, and requests are refused 0.3 s later: together as long as a check of the service may take. A request that four nodes declined goes to an upstream while the loss is not confirmed. Where new connections fail at once nothing changes: that needs no time to be seen.

Tests (new): a_service_that_responds_on_open_connections_is_not_overdue, a_request_that_several_nodes_declined_goes_to_an_upstream_unless_the_loss_is_confirmed. The literal inputs of tests/attempt_path.rs gained a field; no expectation changed.

--- a/crates/pointvane-dispatch/src/attempt_path.rs
+++ b/crates/pointvane-dispatch/src/attempt_path.rs
@@ -3,8 +3,10 @@
 //! Decided before each attempt. Inputs: the reachability of the service (`reachability.rs`), the attempts of
 //! this request that reached no upstream, whether another node forwarded the request, and whether a node is
 //! left to forward it to (`peers.rs`). A request is forwarded at most once, so that no request goes in
-//! circles. Where no node is left, the service is down or the whole fleet is cut off; the request is refused at
-//! once, except for a trial now and then. Tests: `tests/attempt_path.rs`.
+//! circles. Where no node is left, the service is down or the whole fleet is cut off; once that is confirmed, the
+//! request is refused at once, except for a trial now and then. Until then it is sent to an upstream: a fleet whose
+//! upstreams respond late, or that is late itself, must not refuse what they would serve. Tests:
+//! `tests/attempt_path.rs`, `standins/tests/slow_connections.rs`.
 
 use {
     crate::{admission::RETRY_AFTER_DEFAULT_MS, service_reach::Reach},
@@ -14,8 +16,12 @@
 /// Attempts that reached no upstream after which a request is forwarded although its service is not lost.
 const UNREACHABLE_MAX: u32 = 2;
 
-/// Time for which a service must be lost before requests for it are refused, in microseconds: several rounds of
-/// checks have found no upstream by then.
+/// Other nodes that a request is forwarded to before it goes directly to an upstream, unless the loss of its service
+/// is confirmed: if all of them decline it, the whole fleet may take slow upstreams for lost ones.
+const PEERS_MAX: usize = 4;
+
+/// Time for which a response must be overdue before requests for a lost service are refused, in microseconds:
+/// several checks have found no upstream by then.
 const CONFIRMED_US: u64 = 300_000;
 
 /// Width of the range over which retries are spread, as a share of the shortest retry time.
@@ -32,6 +38,8 @@
     pub lacks_reachable_capacity: bool,
     /// Whether another node forwarded the request.
     pub is_forwarded: bool,
+    /// Other nodes that this request was forwarded to before.
+    pub peers_tried: usize,
     /// A random number from 0 to 1.
     pub draw: f32,
 }
@@ -45,10 +53,15 @@
             Reach::Lost { .. } => true,
         };
         let is_stuck = self.lacks_reachable_capacity || self.unreachable_attempts >= UNREACHABLE_MAX;
-        !self.is_forwarded && (is_diverted || is_stuck)
+        let may_try_peer = self.peers_tried < PEERS_MAX || is_confirmed_lost(self.reach);
+        !self.is_forwarded && may_try_peer && (is_diverted || is_stuck)
     }
 }
 
+const fn is_confirmed_lost(reach: Reach) -> bool {
+    matches!(reach, Reach::Lost { for_us: CONFIRMED_US.. })
+}
+
 /// Time after which a caller should retry whose request was refused since no node reaches its service, in
 /// milliseconds, given the time for which it has been lost.
 ///
@@ -72,8 +85,5 @@
 
 /// What becomes of an attempt for which no other node is left.
 pub fn without_peer(reach: Reach) -> WithoutPeer {
-    match reach {
-        Reach::Lost { for_us: CONFIRMED_US.. } => WithoutPeer::TrialOnly,
-        Reach::Reached | Reach::Returning { .. } | Reach::Lost { .. } => WithoutPeer::Upstream,
-    }
+    if is_confirmed_lost(reach) { WithoutPeer::TrialOnly } else { WithoutPeer::Upstream }
 }
--- a/crates/pointvane-dispatch/src/service_reach.rs
+++ b/crates/pointvane-dispatch/src/service_reach.rs
@@ -15,6 +15,9 @@
 /// Time between two requests that are sent to a lost service although no other node reaches it, in
 /// microseconds. They regain a service whose upstreams answer requests but not probes.
 const TRIAL_INTERVAL_US: u64 = 1_000_000;
+/// Time within which slow upstreams of a lost service are expected to respond, in microseconds.
+const RESPONSE_MAX_US: u64 = 700_000;
+
 /// Kind of the connection that an attempt or a probe used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionKind {
@@ -34,19 +37,29 @@
         /// Share of the requests.
         share: f32,
     },
-    /// None of its upstreams responds.
+    /// None of its upstreams responds, or none on new connections.
     Lost {
-        /// Time for which that is known, in microseconds.
+        /// Time for which a response has been overdue, in microseconds.
         for_us: u64,
     },
 }
 
+/// Why a service counts as lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LossCause {
+    /// New connections cannot be opened, or break.
+    NewConnectionsFail,
+    /// No response came on any connection. The upstreams may merely be slow.
+    NoResponse,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 enum State {
     #[default]
     Reached,
     Lost {
         since_us: u64,
+        cause: LossCause,
     },
     Returning {
         since_us: u64,
@@ -85,7 +98,7 @@
         }
         self.answered_on_new_us = Some(now_us);
         self.silences.clear();
-        let State::Lost { since_us } = self.state else { return None };
+        let State::Lost { since_us, .. } = self.state else { return None };
         self.state = State::Returning { since_us: now_us };
         Some(since_us)
     }
@@ -102,13 +115,16 @@
         let needed = upstreams.clamp(1, UPSTREAMS_TO_LOSE);
         let on_new = |one: &&Silence| one.connection == ConnectionKind::New;
         let since_answer = |one: &&Silence| one.began_us > self.answered_us.unwrap_or_default();
-        let is_lost = self.silences.iter().filter(on_new).count() >= needed
-            || self.silences.iter().filter(since_answer).count() >= needed;
-        if is_lost {
-            self.state = State::Lost { since_us: now_us };
-            self.checks = CheckSchedule::default();
-        }
-        is_lost
+        let cause = if self.silences.iter().filter(on_new).count() >= needed {
+            LossCause::NewConnectionsFail
+        } else if self.silences.iter().filter(since_answer).count() >= needed {
+            LossCause::NoResponse
+        } else {
+            return false;
+        };
+        self.state = State::Lost { since_us: now_us, cause };
+        self.checks = CheckSchedule::default();
+        true
     }
 
     /// The last response that speaks against a silence: an open connection that works does not show that new
@@ -124,7 +140,15 @@
     pub(crate) fn reach(&self, now_us: u64) -> Reach {
         match self.state {
             State::Reached => Reach::Reached,
-            State::Lost { since_us } => Reach::Lost { for_us: now_us.saturating_sub(since_us) },
+            State::Lost { since_us, cause } => {
+                let expected_us = match cause {
+                    LossCause::NewConnectionsFail => since_us,
+                    LossCause::NoResponse => {
+                        self.answered_us.max(Some(since_us)).unwrap_or_default() + RESPONSE_MAX_US
+                    }
+                };
+                Reach::Lost { for_us: now_us.saturating_sub(expected_us) }
+            }
             State::Returning { since_us } => match now_us.saturating_sub(since_us) {
                 RETURN_US.. => Reach::Reached,
                 returning_us => Reach::Returning { share: returning_us as f32 / RETURN_US as f32 },
@@ -133,7 +157,7 @@
     }
 
     pub(crate) fn lost_since_us(&self) -> Option<u64> {
-        if let State::Lost { since_us } = self.state { Some(since_us) } else { None }
+        if let State::Lost { since_us, .. } = self.state { Some(since_us) } else { None }
     }
 
     /// Time since the last response, in microseconds; none before the first.
--- a/crates/pointvane-dispatch/tests/attempt_path.rs
+++ b/crates/pointvane-dispatch/tests/attempt_path.rs
@@ -14,6 +14,7 @@
     unreachable_attempts: 0,
     lacks_reachable_capacity: false,
     is_forwarded: false,
+    peers_tried: 0,
     draw: 0.5,
 };
 
@@ -48,6 +49,7 @@
             unreachable_attempts: 8,
             lacks_reachable_capacity: true,
             is_forwarded: true,
+            peers_tried: 0,
             draw: 1.0,
         };
         expect_that!(inputs.prefers_peer(), eq(false));
@@ -75,3 +77,13 @@
     expect_that!(after_ms(3_600_000, 0.0), eq(200), "no longer than the target latency");
     expect_that!(after_ms(3_600_000, 1.0), eq(300), "spread");
 }
+
+/// Guards against requests that every node declines, since all take their slow upstreams for lost.
+#[gtest]
+fn a_request_that_several_nodes_declined_goes_to_an_upstream_unless_the_loss_is_confirmed() {
+    let lost = |for_us, peers_tried| PathInputs { reach: Reach::Lost { for_us }, peers_tried, ..REACHED };
+    expect_that!(lost(0, 3).prefers_peer(), eq(true));
+    expect_that!(lost(0, 4).prefers_peer(), eq(false));
+    expect_that!(lost(5_000_000, 7).prefers_peer(), eq(true));
+    expect_that!(PathInputs { unreachable_attempts: 2, peers_tried: 4, ..REACHED }.prefers_peer(), eq(false));
+}
--- a/crates/pointvane-dispatch/tests/reachability.rs
+++ b/crates/pointvane-dispatch/tests/reachability.rs
@@ -224,3 +224,29 @@
     let is_checked = |checks: &[usize]| checks.contains(&3);
     expect_that!(checks.windows(8).all(is_checked), eq(true), "never later than 0.8 s");
 }
+
+fn overdue_us(pool: &Pool, service: &Name, now_us: u64) -> Option<u64> {
+    if let Reach::Lost { for_us } = pool.reach(service, now_us) { Some(for_us) } else { None }
+}
+
+/// Guards against slow upstreams being refused requests for as long as no new connection responds in time.
+#[gtest]
+fn a_service_that_responds_on_open_connections_is_not_overdue() {
+    let (mut pool, service, keys) = pool(5);
+    for key in &keys[..3] {
+        pool.record_silence(*key, ConnectionKind::Reused, NOW_US, NOW_US + 150 * MS);
+    }
+    let lost_us = NOW_US + 150 * MS;
+    expect_that!(overdue_us(&pool, &service, lost_us + 500 * MS), some(eq(0)));
+    expect_that!(overdue_us(&pool, &service, lost_us + 1_000 * MS), some(eq(300 * MS)));
+    pool.record_contact(keys[4], ConnectionKind::Reused, lost_us + 5_000 * MS);
+    expect_that!(overdue_us(&pool, &service, lost_us + 5_500 * MS), some(eq(0)));
+}
+
+#[gtest]
+fn a_service_whose_new_connections_fail_is_overdue_at_once() {
+    let (mut pool, service, keys) = pool(5);
+    silence(&mut pool, &keys[..3], NOW_US);
+    pool.record_contact(keys[4], ConnectionKind::Reused, NOW_US + 300 * MS);
+    expect_that!(overdue_us(&pool, &service, NOW_US + 450 * MS), some(eq(300 * MS)));
+}
--- a/crates/pointvane-node/src/path.rs
+++ b/crates/pointvane-node/src/path.rs
@@ -49,6 +49,7 @@
             unreachable_attempts: request.unreachable_attempts.get(),
             lacks_reachable_capacity: request.lacks_reachable_capacity.get(),
             is_forwarded: request.is_forwarded(),
+            peers_tried: request.tried_peers.borrow().len(),
             draw: dispatcher.draw(),
         };
         if !inputs.prefers_peer() {
