--- a/standins/tests/partitioned_fleet/mod.rs
+++ b/standins/tests/partitioned_fleet/mod.rs
@@ -81,6 +81,11 @@
         proxies.iter().for_each(|proxy| proxy.partition(self.nodes[0].ip.into(), partition));
     }
 
+    /// Sets the time that each upstream takes to accept a connection, one after another.
+    pub fn set_accept_time(&self, time: Duration) {
+        self.proxies.iter().for_each(|proxy| proxy.set_accept_time(time));
+    }
+
     /// Ends all partitions. Connections that have lost bytes stay silent.
     pub fn heal(&self) {
         for node in &self.nodes {
--- a/standins/tests/soak/proxy.rs
+++ b/standins/tests/soak/proxy.rs
@@ -44,9 +44,14 @@
     Reset,
     /// Forwards open connections and resets new ones.
     RejectNew,
+    /// Forwards open connections, and new ones after [`NEW_CONNECTION_DELAY`].
+    DelayNew,
 }
 
 const DELAY: Duration = Duration::from_millis(120);
+/// Delay of new connections of clients in [`Partition::DelayNew`]: longer than a node waits for a probe, shorter
+/// than the deadlines of requests.
+const NEW_CONNECTION_DELAY: Duration = Duration::from_millis(400);
 /// Rate of a thin link, in bytes per second: 10 Mbit/s.
 const THIN_BYTES_PER_S: f64 = 1_250_000.0;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -62,6 +67,8 @@
     forgets: Arc<AtomicU64>,
     /// Partitions by the address of the client.
     partitions: Partitions,
+    /// Time that accepting a connection takes, in microseconds.
+    accept_time_us: Arc<AtomicU64>,
 }
 
 type Partitions = Arc<Mutex<HashMap<IpAddr, Partition>>>;
@@ -81,10 +88,12 @@
             silences: Arc::default(),
             forgets: Arc::default(),
             partitions: Arc::default(),
+            accept_time_us: Arc::default(),
         };
         let accepting = proxy.clone();
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
+                thread::sleep(Duration::from_micros(accepting.accept_time_us.load(Ordering::SeqCst)));
                 let connection =
                     ConnectionLink::new(&accepting, client.peer_addr().ok().map(|client| client.ip()));
                 thread::spawn(move || _ = bridge(client, server, &connection));
@@ -105,6 +114,12 @@
         self.forgets.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Sets the time that accepting a connection takes; connections are accepted one after another.
+    #[allow(dead_code)]
+    pub fn set_accept_time(&self, time: Duration) {
+        self.accept_time_us.store(time.as_micros() as u64, Ordering::SeqCst);
+    }
+
     pub fn set(&self, link: Link) {
         *self.link.lock().unwrap() = link;
     }
@@ -165,6 +180,9 @@
     if matches!(connection.partition(), Some(Partition::Reset | Partition::RejectNew)) {
         return SockRef::from(&client).set_linger(Some(Duration::ZERO));
     }
+    if connection.partition() == Some(Partition::DelayNew) {
+        thread::sleep(NEW_CONNECTION_DELAY);
+    }
     let server = TcpStream::connect(server)?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
