Probes: the response over a new connection is awaited beyond the probe's timeout

Cause: a probe on a new connection was abandoned after 150 ms and its connection closed, and the next search opened another. Each abandoned one still had to be accepted, so that the accept queue held connections that nobody waited for.

Now the probe counts as failed after 150 ms and after each further 150 ms, as before, but its response is awaited for 0.9 s; searches join it, so that a node has one new connection to an upstream open for probes at a time, and keeps it once it is answered. The response counts as contact.

Evidence: `slow_connections`, four nodes before eleven upstreams that accept a connection in 100 ms, all connections silent for 2 s, then healed; 5 s later 30 requests a node.

The second test of the file (new connections open 0.4 s late) holds before and after; it guards the path of requests at that moment.

--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         body_buffer::skip_body,
-        connections::{ConnectError, Connection, Connections, RelayBody},
+        connections::{ConnectError, Connection, RelayBody},
         cross_traffic::{ExchangeTraffic, TrafficKind},
         node::Node,
         probe_table::ProbeAnswers,
@@ -20,16 +20,18 @@
         AllowedRegions, ConnectionKind, ConnectionPurpose, Found, OpenReason, PROBE_TIMEOUT_US, ProbeOutcome,
         ProbePurpose, Search, SearchGoal, SearchRequest, SearchStep, UpstreamKey,
     },
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration},
     tokio::{
         sync::mpsc::unbounded_channel,
         task::spawn_local,
-        time::{Instant, sleep, timeout, timeout_at},
+        time::{Instant, error::Elapsed, sleep, timeout, timeout_at},
     },
 };
 
 /// Longest response body that is read to keep the connection, in bytes; the connection is closed beyond it.
 const PROBE_BODY_BYTES_MAX: usize = 4_096;
+/// Probe timeouts for which the response over a new connection is awaited: 0.9 s, about as long as that of a check.
+const LATE_ANSWER_TIMEOUTS: usize = 6;
 /// Timeout of the check of a lost service. Longer than that of other probes, since no request waits for it:
 /// upstreams that are merely slow must not stay lost.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
@@ -115,13 +117,15 @@
 /// Runs one probe and reports its outcome.
 async fn probe<A: PlatformAdapter>(node: Rc<Node<A>>, service: Name, key: UpstreamKey) {
     let outcome = probe_outcome(&node, &service, key).await;
-    outcome.iter().for_each(|outcome| node.report.probe_ended(*outcome));
-    if let Some(outcome) = outcome
-        && let Some(state) = node.dispatcher.pool_mut().get_mut(key)
-    {
+    outcome.into_iter().for_each(|outcome| record_outcome(&node, key, outcome));
+    node.dispatcher.probes.end(key, outcome == Some(ProbeOutcome::Healthy));
+}
+
+fn record_outcome<A: PlatformAdapter>(node: &Node<A>, key: UpstreamKey, outcome: ProbeOutcome) {
+    node.report.probe_ended(outcome);
+    if let Some(state) = node.dispatcher.pool_mut().get_mut(key) {
         state.record_probe(outcome, node.now_us());
     }
-    node.dispatcher.probes.end(key, outcome == Some(ProbeOutcome::Healthy));
 }
 
 /// Sends a probe and classifies its outcome; none if the upstream or its service was removed.
@@ -133,9 +137,8 @@
     let (address, id) = node.dispatcher.pool().get(key).map(|state| (state.address(), state.id().clone()))?;
     let path = node.dispatcher.routes().health_path(service).cloned()?;
     let sent_at_us = node.now_us();
-    let connections = &node.dispatcher.connections;
-    let traffic = node.upstream_traffic(key, TrafficKind::Probe);
-    Some(match request_health(connections, address, &path, &traffic).await {
+    let target = ProbeTarget { key, address, path, traffic: node.upstream_traffic(key, TrafficKind::Probe) };
+    Some(match request_health(node, &target).await {
         Ok((answer, connection)) => {
             let time_us = node.now_us().saturating_sub(sent_at_us);
             node.record_contact(key, connection);
@@ -145,7 +148,7 @@
             read_answer(node, key, &id, &answer, time_us)
         }
         Err(NoAnswer::ReusedConnectionSilent) => {
-            connections.discard(address);
+            node.dispatcher.connections.discard(address);
             node.record_silence(key, ConnectionKind::Reused, sent_at_us);
             ProbeOutcome::ReusedConnectionSilent
         }
@@ -246,8 +249,8 @@
 }
 
 impl NoAnswer {
-    /// The kind of connection that the missing response speaks against. A new one that opened shows that the
-    /// path is there and the upstream may merely be slow, so its silence counts like that of a reused one.
+    /// The kind of connection that the missing response speaks against. A new one that opened shows that the path is
+    /// there and the upstream may merely be slow, so its silence counts like that of a reused one.
     fn speaks_against(&self) -> ConnectionKind {
         match self {
             Self::ReusedConnectionSilent | Self::NewConnectionSilent => ConnectionKind::Reused,
@@ -256,34 +259,68 @@
     }
 }
 
-/// Requests the health path over a pooled connection, then over a new one if the pooled one broke, within
-/// [`PROBE_TIMEOUT_US`].
-async fn request_health(
-    connections: &Connections,
+/// An upstream that is probed.
+struct ProbeTarget {
+    key: UpstreamKey,
     address: SocketAddr,
-    path: &Name,
-    traffic: &ExchangeTraffic,
+    path: Name,
+    traffic: ExchangeTraffic,
+}
+
+/// Requests the health path over a pooled connection, then over a new one if the pooled one broke. A connection
+/// is opened, and a pooled one used, within [`PROBE_TIMEOUT_US`].
+async fn request_health<A: PlatformAdapter>(
+    node: &Node<A>,
+    target: &ProbeTarget,
 ) -> Result<(Response<()>, ConnectionKind), NoAnswer> {
     let deadline = Instant::now() + Duration::from_micros(PROBE_TIMEOUT_US);
-    let kept = timeout_at(deadline, connections.get(address, ConnectionPurpose::Probe)).await;
-    let connection = kept.map_err(|_| NoAnswer::Unreachable(ConnectError::TimedOut))?;
-    let connection = connection.map_err(NoAnswer::Unreachable)?;
-    let kind = connection.kind();
-    let reused = kind == ConnectionKind::Reused;
-    match timeout_at(deadline, request_health_over(connection, address, path, traffic)).await {
-        Ok(Some(answer)) => return Ok((answer, kind)),
-        Ok(None) if reused => {}
-        Err(_) if reused => return Err(NoAnswer::ReusedConnectionSilent),
-        Ok(None) => return Err(NoAnswer::Broken),
-        Err(_) => return Err(NoAnswer::NewConnectionSilent),
+    let ProbeTarget { address, path, traffic, .. } = target;
+    let connections = &node.dispatcher.connections;
+    let connection = connections.get(*address, ConnectionPurpose::Probe);
+    let mut connection = connected(timeout_at(deadline, connection).await)?;
+    if connection.kind() == ConnectionKind::Reused {
+        match timeout_at(deadline, request_health_over(connection, *address, path, traffic)).await {
+            Ok(Some(answer)) => return Ok((answer, ConnectionKind::Reused)),
+            Ok(None) => {}
+            Err(_) => return Err(NoAnswer::ReusedConnectionSilent),
+        }
+        let opened = connections.open(*address, ConnectionPurpose::Probe, OpenReason::ReusedBroke);
+        connection = connected(timeout_at(deadline, opened).await)?;
     }
-    let retry = async {
-        let connection = connections.open(address, ConnectionPurpose::Probe, OpenReason::ReusedBroke).await;
-        let connection = connection.map_err(NoAnswer::Unreachable)?;
-        let answer = request_health_over(connection, address, path, traffic).await;
-        answer.map(|answer| (answer, ConnectionKind::New)).ok_or(NoAnswer::Broken)
-    };
-    timeout_at(deadline, retry).await.map_err(|_| NoAnswer::NewConnectionSilent)?
+    let answer = await_late_answer(node, target, connection, deadline).await?;
+    Ok((answer, ConnectionKind::New))
+}
+
+fn connected(result: Result<Result<Connection, ConnectError>, Elapsed>) -> Result<Connection, NoAnswer> {
+    result.unwrap_or(Err(ConnectError::TimedOut)).map_err(NoAnswer::Unreachable)
+}
+
+/// Requests the health path over a new connection. After `deadline` the probe counts as failed, again after each
+/// further timeout, but the response is awaited up to [`LATE_ANSWER_TIMEOUTS`]: an upstream that is slow to accept
+/// connections would have to accept another one for each probe that was abandoned.
+async fn await_late_answer<A: PlatformAdapter>(
+    node: &Node<A>,
+    target: &ProbeTarget,
+    connection: Connection,
+    deadline: Instant,
+) -> Result<Response<()>, NoAnswer> {
+    let ProbeTarget { key, address, path, traffic } = target;
+    let mut answer = pin!(request_health_over(connection, *address, path, traffic));
+    let mut deadline = deadline;
+    let mut sent_at_us = node.now_us();
+    for _ in 1..LATE_ANSWER_TIMEOUTS {
+        match timeout_at(deadline, &mut answer).await {
+            Ok(answer) => return answer.ok_or(NoAnswer::Broken),
+            Err(_) => {
+                let outcome = record_no_answer(node, *key, &NoAnswer::NewConnectionSilent, sent_at_us);
+                record_outcome(node, *key, outcome);
+            }
+        }
+        sent_at_us = node.now_us();
+        deadline = Instant::now() + Duration::from_micros(PROBE_TIMEOUT_US);
+    }
+    let answer = timeout_at(deadline, answer).await;
+    answer.map_err(|_| NoAnswer::NewConnectionSilent)?.ok_or(NoAnswer::Broken)
 }
 
 async fn request_health_over(
