Admission: the learned limit on slots in use binds only while these are known

Cause: no probe was answered in time, so the search fell back on the best upstream by an old report, and the load curve, which had learned on the busy machine that a second slot is not worth using, took it for full. A report older than 30 ms does not say how many slots are in use; the curve does not learn from such reports either. Class: refused on evidence that is too old.

Now the curve's limit binds only by a current report; with an older one an upstream has room if it had a free slot. Requests that would be too late are refused as before.

--- a/crates/pointvane-dispatch/src/cost.rs
+++ b/crates/pointvane-dispatch/src/cost.rs
@@ -20,7 +20,7 @@
 const QUEUE_AGE_MAX_US: u64 = 1_000_000;
 /// Factor on the cost while an upstream is warming up.
 const COLD_FACTOR: f32 = 2.0;
-/// Maximum age of a load report, in microseconds, for the response to be recorded in the load curve.
+/// Maximum age of a load report, in microseconds, for the load curve to apply to it and to learn by it.
 ///
 /// With an older report the occupancy is not known, since other nodes have sent requests in the meantime.
 const CURRENT_REPORT_AGE_MAX_US: u64 = 30_000;
@@ -56,16 +56,21 @@
 
     /// Snapshot of the known load, taken when a request is sent.
     pub(crate) fn load_when_sent(&self, service: &ServiceState, now_us: u64) -> LoadWhenSent {
-        let is_current =
-            |report: LoadSample| now_us.saturating_sub(report.received_at_us) <= CURRENT_REPORT_AGE_MAX_US;
         LoadWhenSent {
             occupancy: self.occupancy(now_us),
             expected_latency: self.expected_latency(service, now_us),
             slowdown: self.slowdown(service.mean_slowdown, now_us),
-            is_current: self.report.is_some_and(is_current),
+            is_current: self.has_current_report(now_us),
         }
     }
 
+    /// Whether the occupancy is known by a current load report.
+    pub(crate) fn has_current_report(&self, now_us: u64) -> bool {
+        let is_current =
+            |report: LoadSample| now_us.saturating_sub(report.received_at_us) <= CURRENT_REPORT_AGE_MAX_US;
+        self.report.is_some_and(is_current)
+    }
+
     /// Requests running or queued at the upstream, by its last report and this node's own count.
     fn outstanding_requests(&self, now_us: u64) -> f32 {
         let own = self.in_flight as f32;
--- a/crates/pointvane-dispatch/src/ranking.rs
+++ b/crates/pointvane-dispatch/src/ranking.rs
@@ -113,11 +113,17 @@
     }
 
     /// Whether an upstream has capacity for another request sent now; false once it has been removed.
+    ///
+    /// The learned limit on its slots in use binds only while these are known: if no probe was answered in
+    /// time, an upstream that had a free slot by its last report is not taken for full.
     pub fn has_capacity(&mut self, key: UpstreamKey, now_us: u64) -> bool {
         let Some(state) = self.upstreams.get(&key) else {
             return false;
         };
         let occupancy = state.occupancy(now_us);
+        if !state.has_current_report(now_us) {
+            return occupancy <= 1.0;
+        }
         self.services.get_mut(&state.record.service).is_some_and(|service| service.curve.admits(occupancy))
     }
 
