Admission: the time by which a search overran is not charged to the request

The request was refused with 503 `overloaded`, `reason=late`: 284 ms after its arrival, with 50 ms more expected, of a target of 200 ms.

Cause: the search of that route has 10 ms, and its last rounds 30 ms more; the rest is time for which the node itself did not run (`timers-late` at the same second). Class: time that the node spends is charged to the request, as with unreachable upstreams before. Refused, the caller comes back 0.2 s later and is later still.

Now admission leaves out what a search took beyond its time and its last rounds. The deadline is asked for as before.

Test: the_time_by_which_a_late_process_overran_a_search_is_known (new with the function). That a late node now sends such a request is by reading; a process that is late just then was not brought about.

--- a/crates/pointvane-dispatch/src/admission.rs
+++ b/crates/pointvane-dispatch/src/admission.rs
@@ -3,7 +3,7 @@
 //!
 //! Decided once for each request, right before its first send; a request that may have reached an upstream is
 //! never refused here. Inputs: the time since the request arrived (monotonic clock, without the time spent on
-//! unreachable upstreams), the expected latency at the best upstream, whether that upstream has a free slot,
+//! unreachable upstreams, and that by which the search overran because this process was late), the expected latency at the best upstream, whether that upstream has a free slot,
 //! how much full upstreams of the service slow down, and the route's target latency and priority. Every
 //! estimate has an initial value (see [`crate::RouteLatencies`], [`crate::Pool::load_when_sent`],
 //! [`crate::Pool::has_capacity`] and [`crate::Pool::full_slowdown`]), so no input can be missing.
@@ -80,7 +80,7 @@
 /// Inputs from which the finish time of a request is estimated, if it were sent now.
 #[derive(Clone, Copy, Debug)]
 pub struct FinishEstimate {
-    /// Time since the request arrived, without the time spent on unreachable upstreams, in milliseconds.
+    /// Time since the request arrived that it is charged for (see the module's inputs), in milliseconds.
     pub elapsed_ms: f64,
     /// Expected latency at the best upstream, in milliseconds.
     pub expected_latency_ms: f64,
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -170,7 +170,8 @@
     route_latencies::RouteLatencies,
     routes::{RouteTable, RoutedRequest},
     search::{
-        Found, PROBE_TIMEOUT_US, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep, search_time_ms,
+        Found, PROBE_TIMEOUT_US, Search, SearchGoal, SearchOptions, SearchRequest, SearchStep,
+        search_overrun_us, search_time_ms,
     },
     service_reach::{ConnectionKind, Reach},
     upstream::{LoadSample, UpstreamState},
--- a/crates/pointvane-dispatch/src/search.rs
+++ b/crates/pointvane-dispatch/src/search.rs
@@ -44,6 +44,16 @@
     (route.target_latency_ms as f64 * SEARCH_SHARE).max(SEARCH_MIN_MS)
 }
 
+/// Time by which a search for an admitted request took longer than its probes may take, in microseconds: this
+/// process itself was late.
+pub fn search_overrun_us(goal: SearchGoal, ended_us: u64) -> u64 {
+    match goal {
+        // After the end of the search, short rounds of the last pass may follow.
+        SearchGoal::Best { until_us } => ended_us.saturating_sub(until_us + ROUND_TIMEOUT_MAX_US),
+        SearchGoal::UncontendedOnly => 0,
+    }
+}
+
 /// How candidates are probed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SearchOptions {
--- a/crates/pointvane-dispatch/tests/search.rs
+++ b/crates/pointvane-dispatch/tests/search.rs
@@ -9,7 +9,7 @@
     pointvane_core::{UpstreamLoad, UpstreamRecord},
     pointvane_dispatch::{
         AllowedRegions, CandidateCriteria, Found, Ineligible, Pool, RankingOptions, Search, SearchGoal,
-        SearchOptions, SearchRequest, SearchStep, UpstreamKey,
+        SearchOptions, SearchRequest, SearchStep, UpstreamKey, search_overrun_us,
     },
 };
 
@@ -233,3 +233,13 @@
         expect_that!(step, eq(&SearchStep::Done(Found::NoUpstream(Ineligible::Gone))));
     }
 }
+
+/// Guards against requests being refused as late since their own node was.
+#[gtest]
+fn the_time_by_which_a_late_process_overran_a_search_is_known() {
+    let goal = best_within(10 * MS);
+    expect_that!(search_overrun_us(goal, NOW + 10 * MS), eq(0));
+    expect_that!(search_overrun_us(goal, NOW + 40 * MS), eq(0), "its last round");
+    expect_that!(search_overrun_us(goal, NOW + 284 * MS), eq(244 * MS));
+    expect_that!(search_overrun_us(SearchGoal::UncontendedOnly, NOW + 284 * MS), eq(0));
+}
--- a/crates/pointvane-node/src/admission.rs
+++ b/crates/pointvane-node/src/admission.rs
@@ -27,7 +27,7 @@
     };
     let route = &request.routed.route;
     let estimate = FinishEstimate {
-        elapsed_ms: request.elapsed_without_unsent_ms(snapshot.taken_at_us),
+        elapsed_ms: request.charged_ms(snapshot.taken_at_us),
         expected_latency_ms: f64::from(snapshot.load_when_sent.expected_latency)
             * node.dispatcher.route_latencies(route).baseline_ms(),
         occupancy: f64::from(snapshot.load_when_sent.occupancy),
--- a/crates/pointvane-node/src/attempt.rs
+++ b/crates/pointvane-node/src/attempt.rs
@@ -130,7 +130,9 @@
     if node.is_quarantined(request) {
         return Err(AttemptEnd::Quarantined);
     }
-    match search(node, request, goal).await {
+    let found = search(node, request, goal).await;
+    request.record_search_end(goal, node.now_us());
+    match found {
         Found::Uncontended(key) => {
             record_admitted(node, request);
             Ok(key)
--- a/crates/pointvane-node/src/request.rs
+++ b/crates/pointvane-node/src/request.rs
@@ -13,7 +13,7 @@
     pointvane_core::{KeyDigest, US_PER_MS},
     pointvane_dispatch::{
         AttemptOutcome, BodyFingerprint, ForwardedRequest, HeadFingerprint, QueryScope, RequestFingerprint,
-        RoutedRequest, UpstreamKey,
+        RoutedRequest, SearchGoal, UpstreamKey, search_overrun_us,
     },
     std::{
         cell::{Cell, OnceCell, RefCell},
@@ -98,8 +98,9 @@
     pub unreachable_attempts: Cell<u32>,
     /// Whether the upstreams that this node still reaches have no capacity for it.
     pub lacks_reachable_capacity: Cell<bool>,
-    /// Time spent on attempts that were not sent, in microseconds.
-    pub unsent_us: Cell<u64>,
+    /// Time that admission leaves out, in microseconds: spent on attempts that were not sent, and lost because
+    /// this process was late.
+    pub uncharged_us: Cell<u64>,
 }
 
 impl CallerRequest {
@@ -108,10 +109,14 @@
         now_us.saturating_sub(self.arrived_at_us) as f64 / US_PER_MS as f64
     }
 
-    /// Time since it arrived without the time spent on attempts that were not sent, in milliseconds: the
-    /// request had already been admitted by then.
-    pub fn elapsed_without_unsent_ms(&self, now_us: u64) -> f64 {
-        self.elapsed_ms(now_us.saturating_sub(self.unsent_us.get()))
+    /// Time since it arrived that admission charges it for, in milliseconds: without [`Self::uncharged_us`].
+    pub fn charged_ms(&self, now_us: u64) -> f64 {
+        self.elapsed_ms(now_us.saturating_sub(self.uncharged_us.get()))
+    }
+
+    /// Records the end of the search for its upstream.
+    pub fn record_search_end(&self, goal: SearchGoal, now_us: u64) {
+        self.uncharged_us.set(self.uncharged_us.get() + search_overrun_us(goal, now_us));
     }
 
     /// Records the end of an attempt that took `latency_us`, if it was not sent.
@@ -120,7 +125,7 @@
             self.unreachable_attempts.set(self.unreachable_attempts.get() + 1);
         }
         if outcome.is_unsent() {
-            self.unsent_us.set(self.unsent_us.get() + latency_us);
+            self.uncharged_us.set(self.uncharged_us.get() + latency_us);
         }
     }
 
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -321,7 +321,7 @@
         tried_peers: RefCell::default(),
         unreachable_attempts: Cell::new(0),
         lacks_reachable_capacity: Cell::new(false),
-        unsent_us: Cell::new(0),
+        uncharged_us: Cell::new(0),
     }
 }
 
