Search: other data centres are probed however little time a search has

In the 20 s from then on 345 requests were refused as `full` by upstreams of the nodes' own data centre, and none of 469 logged attempts went to the other, with 40 idle upstreams.

Cause: the first pass of a search probes the own data centre alone, and the second one others too. A route with a target of 200 ms has 10 ms for its search; if near upstreams do not answer at once, there is no second pass. So its requests never went elsewhere.

Now the first pass has probes of other data centres as well, in its last round, if the time is shorter than two short rounds (12 ms, a target of 240 ms). Longer searches are as before; those below some 36 ms may still end before their second pass if no near upstream answers: open.

Test: a_search_probes_another_data_centre_with_little_time_or_much, red before for 5 and 10 ms.

--- a/crates/pointvane-dispatch/src/search.rs
+++ b/crates/pointvane-dispatch/src/search.rs
@@ -34,6 +34,8 @@
 /// Minimum wait for the responses to one round of probes, in microseconds, even if the time of the search is
 /// over.
 const ROUND_TIMEOUT_MIN_US: u64 = 6_000;
+/// Time of a search from which it is expected to make a second pass, in microseconds: two short rounds.
+const FIRST_PASS_MIN_US: u64 = 2 * ROUND_TIMEOUT_MIN_US;
 /// Time after which a probe without a response has failed, in microseconds.
 ///
 /// Longer than the wait for a round: a response that is late for one search is still of use to the next.
@@ -244,8 +246,9 @@
     fn plan(&self, pool: &mut Pool, now_us: u64) -> SearchPlan {
         let criteria = self.criteria();
         let distance = self.distance_criteria();
-        // Near upstreams that are contended only for a moment get a second pass.
-        let is_near_preferred = self.passes == 1 && matches!(self.request.goal, SearchGoal::Best { .. });
+        // Near upstreams that are contended only for a moment get a second pass, if there is time for one.
+        let is_near_preferred = self.passes == 1
+            && matches!(self.request.goal, SearchGoal::Best { until_us } if until_us >= now_us + FIRST_PASS_MIN_US);
         pool.plan_search(&self.request.service, &criteria, self.options, distance, is_near_preferred, now_us)
     }
 
--- a/crates/pointvane-dispatch/tests/search.rs
+++ b/crates/pointvane-dispatch/tests/search.rs
@@ -234,6 +234,38 @@
     }
 }
 
+/// Whether a search with this time probes an upstream of another data centre, if no near one responds.
+fn probes_far(for_us: u64) -> bool {
+    let mut pool = pool(8);
+    for number in 0..8 {
+        let far = UpstreamRecord { data_centre: "two".into(), ..record(&format!("far-{number}"), 1) };
+        pool.upsert(far, NOW);
+    }
+    let mut search = search(OPTIONS, best_within(for_us));
+    let mut now_us = NOW;
+    loop {
+        match search.next(&mut pool, now_us) {
+            SearchStep::Probe { upstreams, timeout_us } => {
+                if upstreams.iter().any(|key| !pool.is_near(*key)) {
+                    return true;
+                }
+                now_us += timeout_us;
+            }
+            SearchStep::Pause { pause_us } => now_us += pause_us,
+            SearchStep::Done(_) => return false,
+        }
+    }
+}
+
+/// Guards against requests with little time being refused while another data centre is idle: their search ended
+/// before the pass that would have probed it.
+#[gtest]
+fn a_search_probes_another_data_centre_with_little_time_or_much() {
+    for for_us in [5 * MS, 10 * MS, 100 * MS] {
+        expect_that!(probes_far(for_us), eq(true), "{for_us}");
+    }
+}
+
 /// Guards against requests being refused as late since their own node was.
 #[gtest]
 fn the_time_by_which_a_late_process_overran_a_search_is_known() {
