--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -223,17 +223,6 @@
         Ok(keep_open)
     }
 
-    /// Requests a pause. Its recorded end counts from before the response is written: this thread may be late to
-    /// record it.
-    fn request_pause(&self, stream: &TcpStream, id: &str, pause_ms: u64) -> io::Result<()> {
-        let began_at = Instant::now();
-        write_pause_request(stream, id, pause_ms)?;
-        let requested_at = Instant::now();
-        let left = Duration::from_millis(pause_ms).saturating_sub(requested_at - began_at);
-        self.pauses.lock().unwrap().push((id.into(), requested_at, left));
-        Ok(())
-    }
-
     fn record_limit(&self, behaviour: UpstreamBehaviour, id: &str) {
         let mut limits = self.limits.lock().unwrap();
         let announced = match behaviour {
@@ -275,15 +264,17 @@
                 write_rejection(stream, "503 Service Unavailable", id, "pointvane-not-executed: 1\r\n")?
             }
             UpstreamBehaviour::RequestPause(pause_ms) => {
-                self.request_pause(stream, id, pause_ms)?;
+                write_pause_request(stream, id, pause_ms)?;
+                let pause = (id.into(), Instant::now(), Duration::from_millis(pause_ms));
+                self.pauses.lock().unwrap().push(pause);
             }
             UpstreamBehaviour::RequestPauseLate { pause_ms, after_ms } => {
                 thread::sleep(Duration::from_millis(after_ms));
                 let is_open = !is_closed(stream)?;
+                write_pause_request(stream, id, pause_ms)?;
                 if is_open {
-                    self.request_pause(stream, id, pause_ms)?;
-                } else {
-                    write_pause_request(stream, id, pause_ms)?;
+                    let pause = (id.into(), Instant::now(), Duration::from_millis(pause_ms));
+                    self.pauses.lock().unwrap().push(pause);
                 }
             }
             UpstreamBehaviour::AnnounceLeaving => {
