--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -25,7 +25,7 @@
 /// The loopback addresses of one run: `127.x.y.1` and up, on which all ports of a node are free.
 pub fn free_net() -> String {
     let nanos = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| u64::from(time.subsec_nanos()));
-    let mut draw = nanos / 1_000 ^ u64::from(std::process::id()) * 7_919;
+    let mut draw = (nanos / 1_000) ^ (u64::from(std::process::id()) * 7_919);
     loop {
         let net = format!("127.{}.{}", 16 + draw % 200, 1 + draw / 200 % 250);
         let ports = [FRONT, READY, CONTROL, DIRECTORY, INTERNAL, OPERATOR];
