--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -4,7 +4,7 @@
     io::{self, Read, Write},
     net::TcpStream,
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// The head of a request or of an answer.
@@ -52,8 +52,6 @@
 pub struct Connection {
     /// The socket.
     pub stream: TcpStream,
-    /// When it was opened.
-    pub opened: Instant,
     /// Pause after each read of up to 16 KB: the rate of the reader's link.
     pub pause: Duration,
     buffer: Vec<u8>,
@@ -63,7 +61,7 @@
     /// Wraps a socket.
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, opened: Instant::now(), pause: Duration::ZERO, buffer: Vec::new() }
+        Self { stream, pause: Duration::ZERO, buffer: Vec::new() }
     }
 
     fn fill(&mut self) -> io::Result<()> {
--- a/review/standins/src/instance.rs
+++ b/review/standins/src/instance.rs
@@ -19,9 +19,6 @@
     },
 };
 
-/// Parts in which an answer's body is sent that takes a time.
-const PARTS: usize = 40;
-
 /// What an instance does with one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Act {
@@ -31,14 +28,14 @@
     pub status: u16,
     /// Length of its answer's body.
     pub length: usize,
-    /// Time over which it sends its answer's body.
-    pub sends_for: Duration,
+    /// Bytes of the body after which it hangs: it sends nothing more and keeps the connection open; none if it does not.
+    pub hangs_after: Option<usize>,
 }
 
 impl Act {
     /// A success after some work.
     pub fn success(work: Duration, length: usize) -> Self {
-        Self { work, status: 200, length, sends_for: Duration::ZERO }
+        Self { work, status: 200, length, hangs_after: None }
     }
 }
 
@@ -85,7 +82,6 @@
     record: Arc<Record>,
     runs: Arc<Mutex<Vec<Run>>>,
     health: Duration,
-    silent_before: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Instance {
@@ -107,7 +103,6 @@
             record: Arc::clone(record),
             runs: Arc::default(),
             health,
-            silent_before: Arc::default(),
         };
         instance.write_entry(store, "ready");
         let serving = instance.clone();
@@ -144,10 +139,6 @@
 
     fn serve(&self, mut connection: Connection) -> io::Result<()> {
         while let Some(head) = connection.head()? {
-            if self.is_silent(&connection) {
-                self.stays_silent(&mut connection, &format!("before {}", head.line))?;
-                return Ok(());
-            }
             if head.target() == "/health" {
                 thread::sleep(self.health);
                 let answer = format!(
@@ -196,7 +187,6 @@
             head.get("pointvane-deadline-ms").unwrap_or("-")
         ));
         let dropped = self.works_until_closed(connection, act.work);
-        self.running.fetch_sub(1, Ordering::SeqCst);
         let at = self.keep_run(Run {
             request: id.into(),
             instance: self.entry.id.clone(),
@@ -206,10 +196,14 @@
             answered: false,
         });
         if dropped {
+            self.running.fetch_sub(1, Ordering::SeqCst);
             self.record.line(&format!("{} drops {id}: its connection has closed", self.entry.id));
             return Ok(false);
         }
-        let stays_open = self.answer(connection, id, act)?;
+        // A request that hangs holds its slot.
+        let answered = self.answer(connection, id, act);
+        self.running.fetch_sub(1, Ordering::SeqCst);
+        let stays_open = answered?;
         self.runs.lock().unwrap()[at].answered = stays_open;
         Ok(stays_open)
     }
@@ -237,47 +231,29 @@
 
     /// Sends the answer; false if the connection is over.
     fn answer(&self, connection: &mut Connection, id: &str, act: Act) -> io::Result<bool> {
-        let Act { status, length, sends_for, .. } = act;
+        let Act { status, length, hangs_after, .. } = act;
         let head = format!(
             "HTTP/1.1 {status} -\r\nPointvane-Request-Id: {id}\r\nPointvane-Response-Stamp: {}.{id}.{status}.{length}\
              \r\nPointvane-Instance-Load: {}\r\nContent-Length: {length}\r\n\r\n",
             self.entry.id,
             self.load()
         );
-        connection.send(head.as_bytes())?;
-        let body = vec![b'x'; length];
-        let part = if sends_for.is_zero() { length.max(1) } else { length.div_ceil(PARTS).max(1) };
-        let mut sent = 0;
-        for part in body.chunks(part) {
-            if self.is_silent(connection) {
-                return self.stays_silent(
-                    connection,
-                    &format!("after {sent} of {length} bytes of the answer of {id}"),
-                );
-            }
-            connection.send(part)?;
-            sent += part.len();
-            thread::sleep(sends_for / PARTS as u32);
+        let sent = hangs_after.unwrap_or(length).min(length);
+        if hangs_after != Some(0) {
+            let mut answer = head.into_bytes();
+            answer.resize(answer.len() + sent, b'x');
+            connection.send(&answer)?;
+        }
+        if hangs_after.is_some() {
+            self.record.line(&format!(
+                "{} hangs after {sent} of {length} bytes of the answer of {id}",
+                self.entry.id
+            ));
+            while connection.bytes(1).is_ok() {}
+            self.record.line(&format!("{}: the node closes the connection of {id}", self.entry.id));
+            return Ok(false);
         }
         self.record.line(&format!("{} answers {id}: {status}, {length} bytes", self.entry.id));
         Ok(true)
     }
-
-    /// Whether the connection is one of those that have gone silent.
-    fn is_silent(&self, connection: &Connection) -> bool {
-        self.silent_before.lock().unwrap().is_some_and(|at| connection.opened < at)
-    }
-
-    /// Takes what still comes over a silent connection, and sends nothing, until the other end closes it.
-    fn stays_silent(&self, connection: &mut Connection, when: &str) -> io::Result<bool> {
-        self.record.line(&format!("{}: a connection is silent {when}", self.entry.id));
-        while connection.bytes(1).is_ok() {}
-        self.record.line(&format!("{}: the node closes the connection that is silent {when}", self.entry.id));
-        Ok(false)
-    }
-
-    /// Lets all connections that are open now go silent for good, without a reset; new ones work.
-    pub fn silence(&self) {
-        *self.silent_before.lock().unwrap() = Some(Instant::now());
-    }
 }
