Connections of callers close without a reset while a caller still sends or reads

What callers saw: a node that was stopped as planned reset connections on which requests waited behind the one in service.

Cause: reading stops while 16 KB wait behind the request in service. The response that ends a connection was followed at once by the close of its socket, and the kernel resets a connection that is closed with unread bytes, which discards what the caller has not received. linger.rs read on only within a body, for 1 s and 1 MiB.

Bytes that arrive after the close are a second way to the same reset.

Fix: one rule for all connections that the node, the entry and locate accept, however their HTTP server ends: the stream is lent to the server and comes back; only the sending side closes, and what the caller still sends is dropped until the caller closes its side, after which nothing can reset the connection. Bounds: idle-timeout-ms without a byte, max-body-bytes, 60 s, 512 connections, the end of the process, which drops what is unread first. A connection that is given up leaves a line with the last request's id, all ends are counted.

--- a/crates/pointvane-entry/src/counters.rs
+++ b/crates/pointvane-entry/src/counters.rs
@@ -6,6 +6,7 @@
         metrics::{Counter, Histogram, Meter},
     },
     pointvane_core::{Class, ErrorKind, Name},
+    pointvane_serve::CloseResult,
 };
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -24,6 +25,7 @@
     load_bytes: Counter<u64>,
     load_datagrams: Counter<u64>,
     load_dropped: Counter<u64>,
+    connections_closed: Counter<u64>,
     request_s: Histogram<f64>,
     upstream_s: Histogram<f64>,
 }
@@ -45,6 +47,7 @@
             load_bytes: counter("pointvane_load_sent_bytes"),
             load_datagrams: counter("pointvane_load_sent_datagrams"),
             load_dropped: counter("pointvane_load_dropped_datagrams"),
+            connections_closed: counter("pointvane_connections_closed"),
             request_s: histogram("pointvane_request"),
             upstream_s: histogram("pointvane_upstream"),
         }
@@ -95,6 +98,11 @@
         self.load_bytes.add(bytes as u64, &[]);
     }
 
+    /// Counts a connection of a caller that has ended.
+    pub fn connection_closed(&self, result: CloseResult) {
+        self.connections_closed.add(1, &[KeyValue::new("result", result.as_str())]);
+    }
+
     /// Counts a load datagram received and dropped.
     pub fn load_dropped(&self, reason: &'static str) {
         self.load_dropped.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/pointvane-entry/src/handle.rs
+++ b/crates/pointvane-entry/src/handle.rs
@@ -14,7 +14,7 @@
     },
     hyper::{Request, Response, body::Incoming, http::request::Parts},
     pointvane_core::{Clock, ErrorKind, US_PER_S},
-    pointvane_serve::Handler,
+    pointvane_serve::{Closed, Handler},
     std::sync::Arc,
 };
 
@@ -27,6 +27,10 @@
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         handle_request(self, request).await
     }
+
+    fn connection_closed(&self, closed: Closed) {
+        self.counters.connection_closed(closed.result);
+    }
 }
 
 /// Serves one request. This is the only place that turns an error kind into a response.
--- a/crates/pointvane-entry/src/stop.rs
+++ b/crates/pointvane-entry/src/stop.rs
@@ -5,7 +5,7 @@
     eyre::{Result, WrapErr},
     pointvane_config::{EntrySettings, Settings},
     pointvane_feed::spawn_feed,
-    pointvane_serve::{ServerOptions, ShutdownPhase, serve as accept},
+    pointvane_serve::{ClosingConnections, ServerOptions, ShutdownPhase, serve as accept},
     pointvane_telemetry::{EventKind, EventLog, Metrics, Program, serve_operator},
     std::{
         net::SocketAddr,
@@ -58,8 +58,10 @@
     let (phase, phase_receiver) = watch::channel(ShutdownPhase::Running);
     tokio::spawn(exchange_load(Arc::clone(&entry), socket));
     tokio::spawn(maintain(Arc::clone(&entry)));
+    let closing = Arc::<ClosingConnections>::default();
+    let options = server_options(&entry.settings);
     let accept_task =
-        tokio::spawn(accept(Arc::clone(&entry), listener, server_options(&entry.settings), phase_receiver));
+        tokio::spawn(accept(Arc::clone(&entry), listener, options, Arc::clone(&closing), phase_receiver));
     events.record(EventKind::Started);
 
     let mut terminate = signal(SignalKind::terminate())?;
@@ -68,7 +70,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    stop(&entry, &phase).await;
+    stop(&entry, &phase, &closing).await;
     accept_task.abort();
     Ok(())
 }
@@ -80,7 +82,7 @@
 
 /// Stops gracefully: serves on until callers have been directed to other VMs, then refuses new connections,
 /// closes each open one after its current request and waits for them to end, all within `entry.stop_wait_ms`.
-async fn stop(entry: &Entry, phase: &watch::Sender<ShutdownPhase>) {
+async fn stop(entry: &Entry, phase: &watch::Sender<ShutdownPhase>, closing: &ClosingConnections) {
     entry.stopping.store(true, Ordering::Relaxed);
     entry.events.record(EventKind::Stopping { in_flight: u64::from(entry.requests()) });
     let stop_deadline = Instant::now() + Duration::from_millis(entry.settings.entry.stop_wait_ms);
@@ -92,6 +94,7 @@
         sleep(POLL_INTERVAL).await;
     }
     entry.events.record(EventKind::Stopped { cut: in_flight(entry, phase) });
+    closing.end_all();
     sleep(FLUSH_TIME).await;
 }
 
--- a/crates/pointvane-locate/src/run.rs
+++ b/crates/pointvane-locate/src/run.rs
@@ -5,7 +5,7 @@
     eyre::{Result, WrapErr},
     pointvane_config::Settings,
     pointvane_feed::spawn_feed,
-    pointvane_serve::{ServerOptions, ShutdownPhase, serve},
+    pointvane_serve::{ClosingConnections, ServerOptions, ShutdownPhase, serve},
     pointvane_telemetry::{EventKind, EventLog, Metrics, Program, serve_operator},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -46,7 +46,9 @@
     events.record(EventKind::Started);
 
     let (phase, phases) = watch::channel(ShutdownPhase::Running);
-    let server = tokio::spawn(serve(locate, listener, ServerOptions::default(), phases));
+    let closing = Arc::<ClosingConnections>::default();
+    let server =
+        tokio::spawn(serve(locate, listener, ServerOptions::default(), Arc::clone(&closing), phases));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
@@ -63,6 +65,8 @@
     // Connections that are still open after the wait belong to callers that do not read their answers.
     let _ = timeout(DRAIN_TIMEOUT, drained).await;
     events.record(EventKind::Stopped { cut: phase.receiver_count() as u64 });
+    closing.end_all();
+    sleep(DRAIN_POLL_INTERVAL).await;
     server.abort();
     Ok(())
 }
--- a/crates/pointvane-node/src/caller_connection.rs
+++ b/crates/pointvane-node/src/caller_connection.rs
@@ -16,28 +16,54 @@
         service::service_fn,
     },
     pointvane_core::PlatformAdapter,
-    std::{convert::Infallible, rc::Rc},
+    pointvane_serve::Closed,
+    pointvane_telemetry::EventKind,
+    std::{cell::RefCell, convert::Infallible, net::IpAddr, rc::Rc},
     tokio::net::TcpStream,
 };
 
+/// Id of the last request that was answered on a connection; empty if none was.
+type LastRequest = Rc<RefCell<String>>;
+
 /// Serves a caller's connection until it is closed.
 pub async fn serve<A: PlatformAdapter + 'static>(node: Rc<Node<A>>, stream: TcpStream) {
     // `peer_addr` fails if the peer has already closed the connection.
     let Ok(peer) = stream.peer_addr() else { return };
-    let pipeline = Rc::new(Pipeline::new(Rc::clone(&node), peer.ip()));
+    let last_request = LastRequest::default();
+    let closed = serve_pipelined(&node, stream, peer.ip(), Rc::clone(&last_request)).await;
+    if closed.result.is_given_up() && !last_request.borrow().is_empty() {
+        node.report.failure(node.now_us(), || EventKind::ConnectionGivenUp {
+            caller: peer.ip(),
+            last_request: last_request.take(),
+            reason: closed.result.as_str().into(),
+            dropped_bytes: closed.dropped_bytes,
+        });
+    }
+}
+
+/// Serves a connection; its pipeline has ended once it is closing, so that no request of it runs any more.
+async fn serve_pipelined<A: PlatformAdapter + 'static>(
+    node: &Rc<Node<A>>,
+    stream: TcpStream,
+    caller: IpAddr,
+    last_request: LastRequest,
+) -> Closed {
+    let pipeline = Rc::new(Pipeline::new(Rc::clone(node), caller));
     let bytes_max = node.dispatcher.pipeline.bytes_max;
-    let stream = ReadAhead::new(stream, Rc::clone(&pipeline), head_bytes_max(&node), bytes_max);
-    let service_node = Rc::clone(&node);
+    let read_pipeline = Rc::clone(&pipeline);
+    let read_ahead = |stream| ReadAhead::new(stream, read_pipeline, head_bytes_max(node), bytes_max);
+    let service_node = Rc::clone(node);
     let service_pipeline = Rc::clone(&pipeline);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
+        last_request.replace(service_node.headers.request_id_text(request.headers()));
         serve_request(Rc::clone(&service_node), Rc::clone(&service_pipeline), request)
     });
     // Requests that were forwarded early are answered before the connection closes.
-    let closing = async {
+    let closing = async move {
         node.lifecycle.closing().await;
         pipeline.early_answers_finished().await;
     };
-    serve_http(&node, stream, service, closing).await;
+    serve_http(node, stream, read_ahead, service, closing).await
 }
 
 /// Answers the oldest unanswered request of the connection.
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -30,7 +30,6 @@
 mod in_flight;
 mod lifecycle;
 mod limit_loop;
-mod linger;
 mod memory;
 mod memory_loop;
 mod node;
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -11,6 +11,7 @@
     },
     pointvane_config::NodeOptions,
     pointvane_core::{Clock, Incarnation, PlatformAdapter},
+    pointvane_serve::ClosingConnections,
     pointvane_telemetry::{MonotonicClock, unix_time_ms},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::cell::{Ref, RefCell},
@@ -36,6 +37,8 @@
     pub body_memory: BodyMemory,
     /// Stage of a graceful shutdown.
     pub lifecycle: Lifecycle,
+    /// Connections of callers that are closing.
+    pub closing_connections: ClosingConnections,
     settings: RefCell<NodeSettings>,
     clock: MonotonicClock,
     /// Notified when a crash or a survival must be sent to other nodes at once.
@@ -66,6 +69,7 @@
             platform: PlatformState::new(&settings, seed_rng.random()),
             body_memory: BodyMemory::new(settings.memory_mb),
             lifecycle: Lifecycle::default(),
+            closing_connections: ClosingConnections::default(),
             settings: RefCell::new(settings),
             clock,
             quarantine_updates: Notify::new(),
--- a/crates/pointvane-node/src/read_ahead.rs
+++ b/crates/pointvane-node/src/read_ahead.rs
@@ -3,12 +3,12 @@
 
 use {
     crate::{
-        linger::Linger,
         pipeline::Pipeline,
         request_scan::{RequestScan, Scanned},
     },
     bytes::{Buf, Bytes, BytesMut},
     pointvane_core::PlatformAdapter,
+    pointvane_serve::LentStream,
     std::{
         collections::VecDeque,
         io,
@@ -17,10 +17,7 @@
         rc::Rc,
         task::{Context, Poll, ready},
     },
-    tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
-        net::TcpStream,
-    },
+    tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
 };
 
 /// Bytes per read from the socket: about ten request heads.
@@ -35,7 +32,7 @@
 
 /// A stream over a caller's connection that is read ahead.
 pub struct ReadAhead<A: PlatformAdapter> {
-    stream: TcpStream,
+    stream: LentStream,
     pipeline: Rc<Pipeline<A>>,
     scan: RequestScan,
     /// Bytes that were read and not yet assigned to a request.
@@ -46,14 +43,12 @@
     request: u64,
     bytes_max: usize,
     ended: bool,
-    /// Set once the stream is shut down while a body is unfinished.
-    linger: Option<Linger>,
 }
 
 impl<A: PlatformAdapter + 'static> ReadAhead<A> {
     /// Wraps a new connection; `bytes_max` bounds the bytes that wait for the server.
     pub fn new(
-        stream: TcpStream,
+        stream: LentStream,
         pipeline: Rc<Pipeline<A>>,
         head_bytes_max: usize,
         bytes_max: usize,
@@ -67,7 +62,6 @@
             request: 0,
             bytes_max,
             ended: false,
-            linger: None,
         }
     }
 
@@ -201,14 +195,6 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let this = &mut *self;
-        if this.linger.is_none() {
-            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
-            if this.ended || this.scan.expects_head() {
-                return Poll::Ready(Ok(()));
-            }
-            this.linger = Some(Linger::start());
-        }
-        this.linger.as_mut().map_or(Poll::Ready(Ok(())), |linger| linger.poll(&mut this.stream, cx))
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -3,6 +3,7 @@
 //! Log volume is bounded: state changes of upstreams and other nodes, and failed requests, are rate-limited;
 //! successful requests are sampled. A separate line reports the number of suppressed lines.
 
+mod callers;
 mod fleet;
 mod memory;
 mod requests;
@@ -10,7 +11,8 @@
 
 use {
     self::{
-        fleet::FleetMetrics, memory::MemoryMetrics, requests::RequestMetrics, upstreams::UpstreamMetrics,
+        callers::CallerMetrics, fleet::FleetMetrics, memory::MemoryMetrics, requests::RequestMetrics,
+        upstreams::UpstreamMetrics,
     },
     crate::cross_traffic::CrossTraffic,
     eyre::Result,
@@ -50,6 +52,7 @@
     upstreams: UpstreamMetrics,
     fleet: FleetMetrics,
     memory: MemoryMetrics,
+    callers: CallerMetrics,
 }
 
 impl Report {
@@ -71,6 +74,7 @@
             upstreams: UpstreamMetrics::new(&metrics),
             fleet: FleetMetrics::new(&metrics),
             memory: MemoryMetrics::new(&metrics),
+            callers: CallerMetrics::new(&metrics),
             cross_traffic: CrossTraffic::new(&metrics),
             metrics,
         })
--- a/crates/pointvane-node/src/serve.rs
+++ b/crates/pointvane-node/src/serve.rs
@@ -11,7 +11,8 @@
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     pointvane_core::PlatformAdapter,
-    std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration},
+    pointvane_serve::{CloseLimits, CloseResult, Closed, LentStream, lend},
+    std::{convert::Infallible, error::Error, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncRead, AsyncWrite},
         net::{TcpListener, TcpStream},
@@ -58,7 +59,7 @@
 {
     let service_node = Rc::clone(&node);
     let service = service_fn(move |request| handle(Rc::clone(&service_node), request));
-    serve_http(&node, stream, service, node.lifecycle.closing()).await;
+    serve_http(&node, stream, |stream| stream, service, node.lifecycle.closing()).await;
 }
 
 /// Longest request head that is read, in bytes.
@@ -66,29 +67,78 @@
     node.dispatcher.routes().limits().header_bytes_max.max(READ_BUFFER_BYTES_MIN)
 }
 
-/// Serves a connection until its caller closes it; after `closing` completes, until it is idle.
-pub async fn serve_http<A, S>(
+/// Serves a connection until its caller closes it; after `closing` completes, until it is idle. Then closes it,
+/// and returns how it ended.
+///
+/// `wrap` is applied to the stream that the HTTP server reads from and writes to.
+pub async fn serve_http<A, I, S>(
     node: &Node<A>,
-    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    stream: TcpStream,
+    wrap: impl FnOnce(LentStream) -> I,
     service: S,
     closing: impl Future<Output = ()>,
-) where
+) -> Closed
+where
     A: PlatformAdapter,
+    I: AsyncRead + AsyncWrite + Unpin + 'static,
     S: HttpService<Incoming, ResBody = RelayBody, Error = Infallible>,
 {
-    let limits = node.dispatcher.routes().limits();
     let _open = node.lifecycle.connection_opened();
+    let (stream, lender) = lend(stream);
+    let served = serve_until_end(node, wrap(stream), service, closing).await;
+    let limits = node.dispatcher.routes().limits();
+    let limits = CloseLimits { idle_time: idle_time(node), bytes_max: limits.body_bytes_max };
+    let closed = match (served.err().as_ref().and_then(io_error), lender.take()) {
+        (None, Some(stream)) => node.closing_connections.close(stream, limits).await,
+        (Some(error), _) => Closed { result: CloseResult::of_error(error), dropped_bytes: 0 },
+        // The server has dropped its stream, so this is never reached.
+        (None, None) => Closed { result: CloseResult::Reset, dropped_bytes: 0 },
+    };
+    node.report.connection_closed(closed.result);
+    closed
+}
+
+/// Maximum time between two requests of a connection.
+fn idle_time<A: PlatformAdapter>(node: &Node<A>) -> Duration {
+    let limits = node.dispatcher.routes().limits();
+    Duration::from_millis(limits.idle_timeout_ms.max(limits.header_timeout_ms))
+}
+
+/// Runs the HTTP server on a connection, and drops it with the stream.
+async fn serve_until_end<A, I, S>(
+    node: &Node<A>,
+    stream: I,
+    service: S,
+    closing: impl Future<Output = ()>,
+) -> hyper::Result<()>
+where
+    A: PlatformAdapter,
+    I: AsyncRead + AsyncWrite + Unpin + 'static,
+    S: HttpService<Incoming, ResBody = RelayBody, Error = Infallible>,
+{
     let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .max_buf_size(head_bytes_max(node))
-        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms.max(limits.header_timeout_ms)));
+    builder.timer(TokioTimer::new()).max_buf_size(head_bytes_max(node)).header_read_timeout(idle_time(node));
     let mut served = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
-        _ = served.as_mut() => return,
+        served = served.as_mut() => return served,
         () = closing => {}
     }
     served.as_mut().graceful_shutdown();
-    // An error concerns this connection only; its caller sees it fail.
-    _ = served.await;
+    served.await
+}
+
+/// The I/O error of a connection that caused an error of its server, if one did.
+fn io_error(error: &hyper::Error) -> Option<&io::Error> {
+    // The body of a response broke off, which says nothing of the connection that it is sent on.
+    if error.is_user() {
+        return None;
+    }
+    let mut source = error.source();
+    while let Some(error) = source {
+        if let Some(error) = error.downcast_ref::<io::Error>() {
+            return Some(error);
+        }
+        source = error.source();
+    }
+    None
 }
--- a/crates/pointvane-node/src/stop.rs
+++ b/crates/pointvane-node/src/stop.rs
@@ -32,5 +32,9 @@
     while node.lifecycle.connections_open() > 0 && started_at.elapsed() + EXIT_MARGIN < grace {
         sleep(POLL_INTERVAL).await;
     }
-    node.report.record(EventKind::Stopped { cut: node.lifecycle.connections_open() as u64 });
+    let cut = node.lifecycle.connections_open() as u64;
+    node.closing_connections.end_all();
+    // The tasks of these connections report how they ended.
+    sleep(POLL_INTERVAL).await;
+    node.report.record(EventKind::Stopped { cut });
 }
--- /dev/null
+++ b/crates/pointvane-serve/src/lent_stream.rs
@@ -0,0 +1,93 @@
+//! A connection that is lent to an HTTP server.
+//!
+//! The server drops its stream when it ends, whether a response closed the connection, a request could not be
+//! parsed or a timeout passed. The stream then returns to its lender, which closes it in the one way that
+//! [`crate::ClosingConnections`] implements.
+
+use {
+    std::{
+        io,
+        pin::Pin,
+        sync::{Arc, Mutex, PoisonError},
+        task::{Context, Poll},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+    },
+};
+
+type Returned = Arc<Mutex<Option<TcpStream>>>;
+
+/// Gets a lent stream back.
+#[derive(Debug)]
+pub struct Lender(Returned);
+
+/// A stream that returns to its lender on drop. Shutting it down only flushes it: its lender closes it.
+#[derive(Debug)]
+pub struct LentStream {
+    /// `None` only while it is dropped.
+    stream: Option<TcpStream>,
+    returned: Returned,
+}
+
+/// Lends a stream.
+pub fn lend(stream: TcpStream) -> (LentStream, Lender) {
+    let returned = Returned::default();
+    (LentStream { stream: Some(stream), returned: Arc::clone(&returned) }, Lender(returned))
+}
+
+impl Lender {
+    /// The stream; `None` while it is lent.
+    pub fn take(&self) -> Option<TcpStream> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+}
+
+impl LentStream {
+    fn get(&mut self) -> io::Result<Pin<&mut TcpStream>> {
+        self.stream.as_mut().map(Pin::new).ok_or_else(|| io::ErrorKind::NotConnected.into())
+    }
+}
+
+impl Drop for LentStream {
+    fn drop(&mut self) {
+        *self.returned.lock().unwrap_or_else(PoisonError::into_inner) = self.stream.take();
+    }
+}
+
+impl AsyncRead for LentStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.get()?.poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for LentStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.get()?.poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.get()?.poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.as_ref().is_some_and(AsyncWrite::is_write_vectored)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.get()?.poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.poll_flush(cx)
+    }
+}
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -1,8 +1,18 @@
 //! HTTP/1.1 server based on `hyper`, with limits on connections, request heads and slow senders, and a
 //! graceful shutdown that completes requests in flight.
+//!
+//! [`ClosingConnections`] is how every connection of a caller is closed, also those of the node.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod closing;
+mod lent_stream;
+
+pub use {
+    closing::{CloseLimits, CloseResult, Closed, ClosingConnections},
+    lent_stream::{Lender, LentStream, lend},
+};
+
 use {
     hyper::{
         Request, Response,
@@ -11,7 +21,7 @@
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, io, pin::pin, sync::Arc, time::Duration},
+    std::{convert::Infallible, pin::pin, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{Semaphore, watch},
@@ -21,6 +31,10 @@
 /// Pause after a failed accept, such as one that failed for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Maximum number of bytes that a caller sends after its last response, such as the rest of an upload that was
+/// refused.
+const DROPPED_BYTES_MAX: u64 = 64 << 20;
+
 /// Limits on callers.
 #[derive(Clone, Debug)]
 pub struct ServerOptions {
@@ -49,6 +63,11 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<Self::Body>> + Send;
+
+    /// Records that the connection of a caller has ended.
+    fn connection_closed(&self, closed: Closed) {
+        _ = closed;
+    }
 }
 
 /// Phase of a graceful shutdown.
@@ -63,11 +82,12 @@
 /// Accepts connections until `phase` is [`ShutdownPhase::Closing`], then returns at once.
 ///
 /// Each connection holds a receiver of `phase` until it ends, so the sender's receiver count shows when all
-/// have ended.
+/// have ended. `closing` has those that are closing; the process ends them before it exits.
 pub async fn serve<H: Handler>(
     handler: Arc<H>,
     listener: TcpListener,
     options: ServerOptions,
+    closing: Arc<ClosingConnections>,
     mut phase: watch::Receiver<ShutdownPhase>,
 ) {
     let connection_permits = Arc::new(Semaphore::new(options.connections_max));
@@ -81,10 +101,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let serving = serve_connection(Arc::clone(&handler), stream, options.clone(), phase.clone());
+                // Without it, responses are only slower.
+                _ = stream.set_nodelay(true);
+                let (handler, options) = (Arc::clone(&handler), options.clone());
+                let (closing, phase) = (Arc::clone(&closing), phase.clone());
                 tokio::spawn(async move {
-                    // An error affects only the caller of this connection.
-                    let _ = serving.await;
+                    serve_and_close(handler, stream, options, phase, &closing).await;
                     drop(permit);
                 });
             }
@@ -93,13 +115,32 @@
     }
 }
 
-async fn serve_connection<H: Handler>(
+/// Serves a connection until it has ended; `phase` is held until then.
+async fn serve_and_close<H: Handler>(
     handler: Arc<H>,
     stream: TcpStream,
     options: ServerOptions,
     mut phase: watch::Receiver<ShutdownPhase>,
-) -> io::Result<()> {
-    stream.set_nodelay(true)?;
+    closing: &ClosingConnections,
+) {
+    let limits = CloseLimits {
+        idle_time: Duration::from_millis(options.head_timeout_ms),
+        bytes_max: DROPPED_BYTES_MAX,
+    };
+    let (stream, lender) = lend(stream);
+    // An error affects only the caller of this connection.
+    _ = serve_connection(Arc::clone(&handler), stream, options, &mut phase).await;
+    if let Some(stream) = lender.take() {
+        handler.connection_closed(closing.close(stream, limits).await);
+    }
+}
+
+async fn serve_connection<H: Handler>(
+    handler: Arc<H>,
+    stream: LentStream,
+    options: ServerOptions,
+    phase: &mut watch::Receiver<ShutdownPhase>,
+) -> hyper::Result<()> {
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -112,8 +153,8 @@
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let closing = phase.wait_for(|phase| *phase == ShutdownPhase::Closing);
     tokio::select! {
-        result = connection.as_mut() => return result.map_err(io::Error::other),
+        result = connection.as_mut() => return result,
         _ = closing => connection.as_mut().graceful_shutdown(),
     }
-    connection.await.map_err(io::Error::other)
+    connection.await
 }
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -232,6 +232,9 @@
     RequestQuarantined { fingerprint: String, crashes: u64, hold_ms: u64 },
     /// A quarantined request ran successfully.
     QuarantineLifted { fingerprint: String },
+    /// A caller's connection was given up before the caller closed its side, so that it may have lost a part of
+    /// a response; `last_request` is the last one that was answered on it.
+    ConnectionGivenUp { caller: IpAddr, last_request: String, reason: Name, dropped_bytes: u64 },
     /// Log lines were suppressed by the rate limit.
     LinesLeftOut { count: u64 },
 }
@@ -247,6 +250,7 @@
                 | Self::RequestForwarded { .. }
                 | Self::RequestAnswered { .. }
                 | Self::RequestRefused { .. }
+                | Self::ConnectionGivenUp { .. }
                 | Self::LinesLeftOut { .. }
         )
     }
--- a/standins/tests/data_path.rs
+++ b/standins/tests/data_path.rs
@@ -7,10 +7,12 @@
         deployment::{Deployment, Program, wait_until},
         upstream::{Behaviour, Records},
     },
+    socket2::SockRef,
     std::{
         fs,
-        io::Write,
+        io::{Read, Write},
         net::{SocketAddr, TcpStream},
+        thread,
         time::{Duration, Instant},
     },
 };
@@ -76,6 +78,37 @@
     expect_that!(memory_peak_kb(process) - before_kb, le(MAX_GROWTH_KB));
 }
 
+/// Guards against a planned stop of an entry that resets a connection on which requests wait unread, so that its
+/// caller loses the response that it is reading.
+#[gtest]
+fn a_planned_stop_of_an_entry_delivers_a_response_with_requests_behind_it() {
+    const RESPONSE_BYTES: usize = 1_000_000;
+    let deployment = deploy(1, 1, "");
+    let mut stream = TcpStream::connect(deployment.vms[0].entry()).unwrap();
+    SockRef::from(&stream).set_recv_buffer_size(32 << 10).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let target = format!("/dispatch/call?work_ms=500&size={RESPONSE_BYTES}");
+    stream.write_all(request("GET", &target, &[("x-request-id", "first")], "").as_bytes()).unwrap();
+    let cookie = "c".repeat(6_000);
+    for _ in 0..20 {
+        let behind = request("GET", "/dispatch/call?work_ms=0", &[("cookie", &cookie)], "");
+        stream.write_all(behind.as_bytes()).unwrap();
+    }
+    deployment.vms[0].terminate_entry();
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 16_384];
+    let end = loop {
+        match stream.read(&mut buffer) {
+            Ok(0) => break Ok(()),
+            Ok(length) => bytes.extend_from_slice(&buffer[..length]),
+            Err(error) => break Err(error.kind()),
+        }
+        thread::sleep(Duration::from_millis(40));
+    };
+    expect_that!(end, ok(eq(())));
+    expect_that!(bytes.len(), ge(RESPONSE_BYTES));
+}
+
 #[gtest]
 fn a_request_is_cancelled_at_the_upstream_when_its_caller_disconnects() {
     let deployment = deploy(1, 1, "");
--- a/standins/tests/users_platform/behaviour.rs
+++ b/standins/tests/users_platform/behaviour.rs
@@ -50,6 +50,26 @@
     ResetIdle,
     /// As [`Self::ResetIdle`], without a load report.
     ResetIdleWithoutLoadReport,
+    /// A response with a body of this length after some milliseconds.
+    Long { after_ms: u64, length: BodyLength, end: BodyEnd },
+}
+
+/// Length of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyLength {
+    /// Announced in the head, in bytes.
+    Known(usize),
+    /// Sent in chunks, in bytes.
+    Chunked(usize),
+}
+
+/// How a body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// It is complete.
+    Complete,
+    /// The connection closes before its last bytes.
+    BreaksOff,
 }
 
 /// Time after the deadline at which a request held until then is rejected, in milliseconds: the sender has
--- a/standins/tests/users_platform/node.rs
+++ b/standins/tests/users_platform/node.rs
@@ -18,6 +18,8 @@
 const TRAFFIC_PORT: u16 = 8_144;
 const READY_PORT: u16 = 8_140;
 const DIRECTORY_PORT: u16 = 8_143;
+/// Time from the request to stop to the kill unless an option sets it, in seconds.
+const STOP_GRACE_S: u32 = 3;
 
 /// Path of the program as last built by `cargo test --workspace` or `cargo build --workspace`.
 fn program_path() -> PathBuf {
@@ -47,6 +49,8 @@
     pub start_wait_ms: Option<u64>,
     /// Memory that the process may use, in MB.
     pub memory_mb: Option<u32>,
+    /// Time from the request to stop to the kill, in seconds.
+    pub stop_grace_s: Option<u32>,
 }
 
 /// A node running as a process, which is killed on drop.
@@ -62,8 +66,10 @@
 /// Options that have every request logged.
 const ALL_LINES: &str = "[lines]\nwell_every = 1\nwrong_per_s = 100000\nbeliefs_per_s = 100000\n";
 
-fn settings_text(ip: Ipv4Addr, store: SocketAddr, seeds: &[Ipv4Addr], memory_mb: Option<u32>) -> String {
-    let limits = memory_mb.map_or_else(String::new, |mb| format!("[self.limits]\nmemory-mb = {mb}\n"));
+fn settings_text(ip: Ipv4Addr, store: SocketAddr, seeds: &[Ipv4Addr], options: &Options) -> String {
+    let limits =
+        options.memory_mb.map_or_else(String::new, |mb| format!("[self.limits]\nmemory-mb = {mb}\n"));
+    let stop_grace_s = options.stop_grace_s.unwrap_or(STOP_GRACE_S);
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:8146\"")).collect();
     format!(
         r#"[self]
@@ -80,7 +86,7 @@
 [platform.platform]
 address = "{store}"
 [terms.bounds]
-grace-s = 3
+grace-s = {stop_grace_s}
 budget-ratio = 0.2
 budget-slack = 200
 probes-per-s = 1000
@@ -150,7 +156,7 @@
         let directory_path = std::env::temp_dir().join(format!("pointvane-{ip}"));
         fs::create_dir_all(&directory_path).unwrap();
         let settings = directory_path.join("boot.toml");
-        fs::write(&settings, settings_text(ip, store, seeds, options.memory_mb)).unwrap();
+        fs::write(&settings, settings_text(ip, store, seeds, &options)).unwrap();
         let output = directory_path.join("stdout");
         let mut command = Command::new(program_path());
         command.env("POINTVANE_BOOT", &settings).stderr(Stdio::inherit());
--- a/standins/tests/users_platform/store.rs
+++ b/standins/tests/users_platform/store.rs
@@ -32,6 +32,9 @@
     events: Vec<(u64, Arc<str>)>,
 }
 
+/// Maximum time for a request head, in milliseconds.
+const HEADER_TIMEOUT_MS: u64 = 3_000;
+
 /// Properties of a configuration besides its routes.
 pub struct ConfigurationOptions {
     /// Target latency of each route, in milliseconds.
@@ -40,6 +43,10 @@
     pub cold_per_s: f64,
     /// Client accounts; none if callers need no key.
     pub accounts: Option<Vec<Account>>,
+    /// Maximum idle time of a caller's connection, in milliseconds.
+    pub idle_timeout_ms: u64,
+    /// Maximum size of a request body, in bytes.
+    pub body_bytes_max: u64,
 }
 
 /// A client account.
@@ -73,7 +80,13 @@
 
 impl Default for ConfigurationOptions {
     fn default() -> Self {
-        Self { target_latency_ms: 200, cold_per_s: 0.0, accounts: None }
+        Self {
+            target_latency_ms: 200,
+            cold_per_s: 0.0,
+            accounts: None,
+            idle_timeout_ms: 15_000,
+            body_bytes_max: 64 << 20,
+        }
     }
 }
 
@@ -208,7 +221,9 @@
         routes: &[(&str, &str, u64, &str)],
         options: &ConfigurationOptions,
     ) {
-        let ConfigurationOptions { target_latency_ms, cold_per_s, accounts } = options;
+        let ConfigurationOptions { target_latency_ms, cold_per_s, accounts, idle_timeout_ms, body_bytes_max } =
+            options;
+        let header_timeout_ms = HEADER_TIMEOUT_MS.min(*idle_timeout_ms);
         let route = |(path, kind, timeout_ms, service): &(&str, &str, u64, &str)| {
             format!(
                 r#"{{"name":"r{path}","host":"{HOST}","path-prefix":"{path}","type":"{kind}","timeout-ms":{timeout_ms},"target-latency-ms":{target_latency_ms},"priority":1,"service":"{service}","max-attempts":2}}"#
@@ -229,7 +244,7 @@
         self.put(
             "op/config",
             &format!(
-                r#"{{"version":"{version:08x}","routes":[{}],"services":[{}],"limits":{{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-ms":3000,"idle-timeout-ms":15000}}{accounts}}}"#,
+                r#"{{"version":"{version:08x}","routes":[{}],"services":[{}],"limits":{{"max-header-bytes":16384,"max-body-bytes":{body_bytes_max},"header-timeout-ms":{header_timeout_ms},"idle-timeout-ms":{idle_timeout_ms}}}{accounts}}}"#,
                 routes.join(","),
                 services.join(",")
             ),
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -3,12 +3,12 @@
 use {
     super::{
         RESPONSE_STAMP_HEADER, WAIT_TIMEOUT,
-        behaviour::UpstreamBehaviour,
+        behaviour::{BodyEnd, UpstreamBehaviour},
         message::{Message, read_message},
         process::SimulatedProcess,
         unique_address,
         upstream_responses::{
-            is_closed, is_closed_within, write_health, write_ok, write_ok_full, write_ok_leaving,
+            is_closed, is_closed_within, write_health, write_long, write_ok, write_ok_full, write_ok_leaving,
             write_ok_with_limit, write_pause_request, write_rejection,
         },
     },
@@ -254,6 +254,11 @@
                 }
                 write_ok(stream, id)?;
             }
+            UpstreamBehaviour::Long { after_ms, length, end } => {
+                thread::sleep(Duration::from_millis(after_ms));
+                write_long(stream, id, length, end)?;
+                return Ok(end == BodyEnd::Complete);
+            }
             UpstreamBehaviour::LoseResponse => return Ok(false),
             UpstreamBehaviour::NoLoadReport | UpstreamBehaviour::ResetIdleWithoutLoadReport => write!(
                 stream,
--- a/standins/tests/users_platform/upstream_responses.rs
+++ b/standins/tests/users_platform/upstream_responses.rs
@@ -1,7 +1,10 @@
 //! Responses of a stand-in upstream.
 
 use {
-    super::{RESPONSE_STAMP_HEADER, behaviour::UpstreamBehaviour},
+    super::{
+        RESPONSE_STAMP_HEADER,
+        behaviour::{BodyEnd, BodyLength, UpstreamBehaviour},
+    },
     std::{
         io::{self, Read, Write},
         net::TcpStream,
@@ -17,6 +20,37 @@
     )
 }
 
+/// Bytes of a chunk, and those that are missing of a body that breaks off.
+const CHUNK_BYTES: usize = 10_000;
+
+/// Writes a response with a body of zeros.
+pub fn write_long(mut stream: &TcpStream, id: &str, length: BodyLength, end: BodyEnd) -> io::Result<()> {
+    let (framing, bytes) = match length {
+        BodyLength::Known(bytes) => (format!("content-length: {bytes}"), bytes),
+        BodyLength::Chunked(bytes) => ("transfer-encoding: chunked".into(), bytes),
+    };
+    write!(
+        stream,
+        "HTTP/1.1 200 OK\r\n{framing}\r\npointvane-request-id: {id}\r\n{RESPONSE_STAMP_HEADER}: s\r\npointvane-instance-load: 1,0,3,100\r\n\r\n"
+    )?;
+    let sent_bytes = if end == BodyEnd::BreaksOff { bytes - CHUNK_BYTES } else { bytes };
+    for offset in (0..sent_bytes).step_by(CHUNK_BYTES) {
+        let chunk = vec![b'0'; CHUNK_BYTES.min(sent_bytes - offset)];
+        match length {
+            BodyLength::Known(_) => stream.write_all(&chunk)?,
+            BodyLength::Chunked(_) => {
+                write!(stream, "{:x}\r\n", chunk.len())?;
+                stream.write_all(&chunk)?;
+                stream.write_all(b"\r\n")?;
+            }
+        }
+    }
+    if length == BodyLength::Chunked(bytes) && end == BodyEnd::Complete {
+        stream.write_all(b"0\r\n\r\n")?;
+    }
+    Ok(())
+}
+
 /// Load report of an upstream without a free slot.
 const FULL: &str = "pointvane-instance-load: 3,6,3,300\r\n";
 
