A response that broke off resets connections of HTTP/1.0

What callers saw: a caller of HTTP/1.0 got a part of a response in an orderly way and took it for the whole.

Cause: without chunks the end of the connection delimits a response of unknown length, and the HTTP server ends the connection in the same way after an error of the body.

Fix: the connection is reset if the body of a response broke off and the last request was HTTP/1.0. A reset of HTTP/1.1 connections would discard responses that came before, and is not needed.

--- a/crates/pointvane-node/src/caller_connection.rs
+++ b/crates/pointvane-node/src/caller_connection.rs
@@ -6,48 +6,63 @@
         node::Node,
         pipeline::Pipeline,
         read_ahead::ReadAhead,
-        serve::{head_bytes_max, serve_http},
+        serve::{Served, head_bytes_max, serve_http},
         traffic,
     },
     hyper::{
-        Request, Response,
+        Request, Response, Version,
         body::Incoming,
         header::{CONNECTION, HeaderValue},
         service::service_fn,
     },
     pointvane_core::PlatformAdapter,
-    pointvane_serve::Closed,
     pointvane_telemetry::EventKind,
-    std::{cell::RefCell, convert::Infallible, net::IpAddr, rc::Rc},
+    std::{
+        cell::{Cell, RefCell},
+        convert::Infallible,
+        net::IpAddr,
+        rc::Rc,
+    },
     tokio::net::TcpStream,
 };
 
-/// Id of the last request that was answered on a connection; empty if none was.
-type LastRequest = Rc<RefCell<String>>;
+/// The last request that was served on a connection.
+#[derive(Debug, Default)]
+struct LastRequest {
+    /// Its id; empty if there was none.
+    id: RefCell<String>,
+    /// Whether only the end of the connection may delimit its response.
+    is_http_1_0: Cell<bool>,
+}
 
 /// Serves a caller's connection until it is closed.
 pub async fn serve<A: PlatformAdapter + 'static>(node: Rc<Node<A>>, stream: TcpStream) {
     // `peer_addr` fails if the peer has already closed the connection.
     let Ok(peer) = stream.peer_addr() else { return };
-    let last_request = LastRequest::default();
-    let closed = serve_pipelined(&node, stream, peer.ip(), Rc::clone(&last_request)).await;
-    if closed.result.is_given_up() && !last_request.borrow().is_empty() {
+    let last_request = Rc::<LastRequest>::default();
+    let served = serve_pipelined(&node, stream, peer.ip(), Rc::clone(&last_request)).await;
+    let closed = match served.response_broke_off() && last_request.is_http_1_0.get() {
+        true => served.reset(),
+        false => Some(served.close().await),
+    };
+    let given_up = closed.filter(|closed| closed.result.is_given_up());
+    if let Some(closed) = given_up.filter(|_| !last_request.id.borrow().is_empty()) {
         node.report.failure(node.now_us(), || EventKind::ConnectionGivenUp {
             caller: peer.ip(),
-            last_request: last_request.take(),
+            last_request: last_request.id.take(),
             reason: closed.result.as_str().into(),
             dropped_bytes: closed.dropped_bytes,
         });
     }
 }
 
-/// Serves a connection; its pipeline has ended once it is closing, so that no request of it runs any more.
+/// Serves a connection; its pipeline has ended when it is closed, so that no request of it runs any more.
 async fn serve_pipelined<A: PlatformAdapter + 'static>(
     node: &Rc<Node<A>>,
     stream: TcpStream,
     caller: IpAddr,
-    last_request: LastRequest,
-) -> Closed {
+    last_request: Rc<LastRequest>,
+) -> Served<'_, A> {
     let pipeline = Rc::new(Pipeline::new(Rc::clone(node), caller));
     let bytes_max = node.dispatcher.pipeline.bytes_max;
     let read_pipeline = Rc::clone(&pipeline);
@@ -55,7 +70,8 @@
     let service_node = Rc::clone(node);
     let service_pipeline = Rc::clone(&pipeline);
     let service = service_fn(move |request: Request<Incoming>| {
-        last_request.replace(service_node.headers.request_id_text(request.headers()));
+        last_request.id.replace(service_node.headers.request_id_text(request.headers()));
+        last_request.is_http_1_0.set(request.version() == Version::HTTP_10);
         serve_request(Rc::clone(&service_node), Rc::clone(&service_pipeline), request)
     });
     // Requests that were forwarded early are answered before the connection closes.
--- a/crates/pointvane-node/src/peer_requests.rs
+++ b/crates/pointvane-node/src/peer_requests.rs
@@ -32,7 +32,7 @@
     }
     let service_node = Rc::clone(&node);
     let service = service_fn(move |request| answer(Rc::clone(&service_node), request, peer.ip()));
-    serve_http(&node, stream, |stream| stream, service, node.lifecycle.closing()).await;
+    serve_http(&node, stream, |stream| stream, service, node.lifecycle.closing()).await.close().await;
 }
 
 async fn answer<A: PlatformAdapter + 'static>(
--- a/crates/pointvane-node/src/serve.rs
+++ b/crates/pointvane-node/src/serve.rs
@@ -1,7 +1,7 @@
 //! Listeners, and the HTTP connections that they accept.
 
 use {
-    crate::{connections::RelayBody, node::Node, socket},
+    crate::{connections::RelayBody, lifecycle::OpenConnection, node::Node, socket},
     eyre::{Result, WrapErr},
     hyper::{
         Request, Response,
@@ -11,7 +11,7 @@
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     pointvane_core::PlatformAdapter,
-    pointvane_serve::{CloseLimits, CloseResult, Closed, LentStream, lend},
+    pointvane_serve::{CloseLimits, CloseResult, Closed, LentStream, lend, reset},
     std::{convert::Infallible, error::Error, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncRead, AsyncWrite},
@@ -59,7 +59,7 @@
 {
     let service_node = Rc::clone(&node);
     let service = service_fn(move |request| handle(Rc::clone(&service_node), request));
-    serve_http(&node, stream, |stream| stream, service, node.lifecycle.closing()).await;
+    serve_http(&node, stream, |stream| stream, service, node.lifecycle.closing()).await.close().await;
 }
 
 /// Longest request head that is read, in bytes.
@@ -67,8 +67,46 @@
     node.dispatcher.routes().limits().header_bytes_max.max(READ_BUFFER_BYTES_MIN)
 }
 
-/// Serves a connection until its caller closes it; after `closing` completes, until it is idle. Then closes it,
-/// and returns how it ended.
+/// A connection whose server has ended, and which must be closed.
+pub struct Served<'n, A: PlatformAdapter> {
+    node: &'n Node<A>,
+    stream: Option<TcpStream>,
+    error: Option<hyper::Error>,
+    _open: OpenConnection,
+}
+
+impl<A: PlatformAdapter> Served<'_, A> {
+    /// Whether the server ended since the body of a response broke off.
+    pub fn response_broke_off(&self) -> bool {
+        self.error.as_ref().is_some_and(hyper::Error::is_user)
+    }
+
+    /// Closes the connection, and returns how it ended.
+    pub async fn close(mut self) -> Closed {
+        let limits = CloseLimits {
+            idle_time: idle_time(self.node),
+            bytes_max: self.node.dispatcher.routes().limits().body_bytes_max,
+        };
+        let closed = match (self.error.as_ref().and_then(io_error), self.stream.take()) {
+            (None, Some(stream)) => self.node.closing_connections.close(stream, limits).await,
+            (error, _) => {
+                let result = error.map_or(CloseResult::Reset, CloseResult::of_error);
+                Closed { result, dropped_bytes: 0 }
+            }
+        };
+        self.node.report.connection_closed(closed.result);
+        closed
+    }
+
+    /// Resets the connection.
+    pub fn reset(mut self) -> Option<Closed> {
+        let closed = self.stream.take().map(reset);
+        closed.iter().for_each(|closed| self.node.report.connection_closed(closed.result));
+        closed
+    }
+}
+
+/// Serves a connection until its caller closes it; after `closing` completes, until it is idle.
 ///
 /// `wrap` is applied to the stream that the HTTP server reads from and writes to.
 pub async fn serve_http<A, I, S>(
@@ -77,25 +115,16 @@
     wrap: impl FnOnce(LentStream) -> I,
     service: S,
     closing: impl Future<Output = ()>,
-) -> Closed
+) -> Served<'_, A>
 where
     A: PlatformAdapter,
     I: AsyncRead + AsyncWrite + Unpin + 'static,
     S: HttpService<Incoming, ResBody = RelayBody, Error = Infallible>,
 {
-    let _open = node.lifecycle.connection_opened();
+    let open = node.lifecycle.connection_opened();
     let (stream, lender) = lend(stream);
     let served = serve_until_end(node, wrap(stream), service, closing).await;
-    let limits = node.dispatcher.routes().limits();
-    let limits = CloseLimits { idle_time: idle_time(node), bytes_max: limits.body_bytes_max };
-    let closed = match (served.err().as_ref().and_then(io_error), lender.take()) {
-        (None, Some(stream)) => node.closing_connections.close(stream, limits).await,
-        (Some(error), _) => Closed { result: CloseResult::of_error(error), dropped_bytes: 0 },
-        // The server has dropped its stream, so this is never reached.
-        (None, None) => Closed { result: CloseResult::Reset, dropped_bytes: 0 },
-    };
-    node.report.connection_closed(closed.result);
-    closed
+    Served { node, stream: lender.take(), error: served.err(), _open: open }
 }
 
 /// Maximum time between two requests of a connection.
--- a/crates/pointvane-serve/src/closing.rs
+++ b/crates/pointvane-serve/src/closing.rs
@@ -66,6 +66,8 @@
     Displaced,
     /// The process ends.
     ProcessEnds,
+    /// A response broke off that only the end of the connection delimits; see [`reset`].
+    ResponseBrokeOff,
 }
 
 impl CloseResult {
@@ -80,6 +82,7 @@
             Self::TooManyBytes => "too-many-bytes",
             Self::Displaced => "displaced",
             Self::ProcessEnds => "process-ends",
+            Self::ResponseBrokeOff => "response-broke-off",
         }
     }
 
@@ -166,6 +169,14 @@
     _ = sender.send(result);
 }
 
+/// Resets a connection after a response to HTTP/1.0 broke off: an orderly end would say that it is complete.
+pub fn reset(stream: TcpStream) -> Closed {
+    // It fails on a connection that has already ended.
+    _ = stream.set_zero_linger();
+    drop(stream);
+    Closed { result: CloseResult::ResponseBrokeOff, dropped_bytes: 0 }
+}
+
 async fn close(
     mut stream: TcpStream,
     limits: CloseLimits,
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -9,19 +9,24 @@
 mod lent_stream;
 
 pub use {
-    closing::{CloseLimits, CloseResult, Closed, ClosingConnections},
+    closing::{CloseLimits, CloseResult, Closed, ClosingConnections, reset},
     lent_stream::{Lender, LentStream, lend},
 };
 
 use {
     hyper::{
-        Request, Response,
+        Request, Response, Version,
         body::{Body, Incoming},
         server::conn::http1,
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, pin::pin, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        pin::pin,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{Semaphore, watch},
@@ -128,10 +133,18 @@
         bytes_max: DROPPED_BYTES_MAX,
     };
     let (stream, lender) = lend(stream);
-    // An error affects only the caller of this connection.
-    _ = serve_connection(Arc::clone(&handler), stream, options, &mut phase).await;
+    let last_version = Mutex::new(Version::HTTP_11);
+    let served = serve_connection(Arc::clone(&handler), stream, options, &mut phase, &last_version).await;
+    // Any other error affects only the caller of this connection.
+    let broke_off = served.is_err_and(|error| error.is_user());
+    let is_delimited_by_end =
+        *last_version.lock().unwrap_or_else(PoisonError::into_inner) == Version::HTTP_10;
     if let Some(stream) = lender.take() {
-        handler.connection_closed(closing.close(stream, limits).await);
+        let closed = match broke_off && is_delimited_by_end {
+            true => reset(stream),
+            false => closing.close(stream, limits).await,
+        };
+        handler.connection_closed(closed);
     }
 }
 
@@ -140,13 +153,15 @@
     stream: LentStream,
     options: ServerOptions,
     phase: &mut watch::Receiver<ShutdownPhase>,
+    last_version: &Mutex<Version>,
 ) -> hyper::Result<()> {
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(options.head_timeout_ms))
         .max_buf_size(options.head_limit_bytes);
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
+        *last_version.lock().unwrap_or_else(PoisonError::into_inner) = request.version();
         let response = Arc::clone(&handler).handle(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
--- a/standins/tests/closing_connections.rs
+++ b/standins/tests/closing_connections.rs
@@ -389,6 +389,27 @@
     expect_that!(sending.join().unwrap(), ok(anything()));
 }
 
+/// Guards against a response that broke off at its upstream and looks complete to a caller that takes the end of
+/// the connection for its end.
+#[gtest]
+fn a_response_that_broke_off_never_looks_complete() {
+    for length in [BodyLength::Known(LONG_BYTES), BodyLength::Chunked(LONG_BYTES)] {
+        let behaviour = UpstreamBehaviour::Long { after_ms: 0, length, end: BodyEnd::BreaksOff };
+        let scene = Scene::start(behaviour);
+        for version in ["HTTP/1.1", "HTTP/1.0"] {
+            let mut caller = scene.caller(usize::MAX);
+            let head = request_head("GET", "/safe/a", "first", DEADLINE_MS);
+            caller.send(head.replacen("HTTP/1.1", version, 1));
+            let mut bytes = Vec::new();
+            let end = caller.reader.read_to_end(&mut bytes);
+            let text = String::from_utf8_lossy(&bytes).to_ascii_lowercase();
+            let is_delimited = text.contains("content-length: ") || text.contains("transfer-encoding: ");
+            expect_that!(is_delimited || end.is_err(), eq(true), "{version}, {length:?}");
+            expect_that!(text.ends_with("0\r\n\r\n"), eq(false), "{version}, {length:?}");
+        }
+    }
+}
+
 /// Guards against a caller that sends without end and never reads, which would hold its connection for ever.
 #[gtest]
 fn a_caller_that_sends_without_end_is_cut_off_at_the_largest_body() {
--- a/standins/tests/data_path.rs
+++ b/standins/tests/data_path.rs
@@ -109,6 +109,25 @@
     expect_that!(bytes.len(), ge(RESPONSE_BYTES));
 }
 
+/// Guards against a response that broke off at its upstream and looks complete to a caller that takes the end of
+/// the connection for its end.
+#[gtest]
+fn a_truncated_response_to_http_1_0_never_looks_complete() {
+    let deployment = deploy(1, 1, "");
+    set_behaviour(&deployment, &Behaviour { truncating: true, ..Behaviour::default() });
+    for size in [200, 200_000] {
+        let mut stream = TcpStream::connect(deployment.vms[0].entry()).unwrap();
+        let head = request("GET", &format!("/dispatch/call?work_ms=0&size={size}"), &[], "");
+        stream.write_all(head.replacen("HTTP/1.1", "HTTP/1.0", 1).as_bytes()).unwrap();
+        let mut bytes = Vec::new();
+        let end = stream.read_to_end(&mut bytes);
+        let text = String::from_utf8_lossy(&bytes).to_ascii_lowercase();
+        let is_refused = text.starts_with("http/1.0 5");
+        let is_delimited = text.contains("content-length: ");
+        expect_that!(is_refused || is_delimited || end.is_err(), eq(true), "{size}: {end:?}");
+    }
+}
+
 #[gtest]
 fn a_request_is_cancelled_at_the_upstream_when_its_caller_disconnects() {
     let deployment = deploy(1, 1, "");
