A caller that leaves is noticed while its requests are not read

Cause: while 16 KB wait behind the request in service the node does not read, and it learned of a caller's end by reading alone.

Ruled out: the size of the heads by itself (small ones are cancelled).

Fix: while reading is paused, the kernel is asked every 100 ms for the end of the connection, which it tells although bytes before it are unread. Reading stays paused. An end behind a full receive buffer stays open.

--- a/crates/pointvane-node/src/read_ahead.rs
+++ b/crates/pointvane-node/src/read_ahead.rs
@@ -16,13 +16,21 @@
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        time::{Sleep, sleep},
     },
-    tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
 };
 
 /// Bytes per read from the socket: about ten request heads.
 const READ_BYTES: usize = 4_096;
 
+/// Interval between two checks whether a caller has disconnected while its requests are not read: within the
+/// half second after which nothing may run for it any more.
+const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Consecutive bytes of one request.
 struct Segment {
     /// Index of the request on its connection.
@@ -43,6 +51,8 @@
     request: u64,
     bytes_max: usize,
     ended: bool,
+    /// The next check for a disconnect; set while requests are not read.
+    disconnect_check: Option<Pin<Box<Sleep>>>,
 }
 
 impl<A: PlatformAdapter + 'static> ReadAhead<A> {
@@ -62,6 +72,7 @@
             request: 0,
             bytes_max,
             ended: false,
+            disconnect_check: None,
         }
     }
 
@@ -117,6 +128,15 @@
         Poll::Ready(Ok(!buffer.filled().is_empty()))
     }
 
+    /// Waits until the next check for a disconnect. The server polls at other times as well, such as once the
+    /// request in service is answered.
+    fn poll_disconnect_check(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let check = self.disconnect_check.get_or_insert_with(|| Box::pin(sleep(DISCONNECT_CHECK_INTERVAL)));
+        ready!(check.as_mut().poll(cx));
+        self.disconnect_check = None;
+        Poll::Ready(())
+    }
+
     /// Remaining length of the current request's body if it can be read into the server's buffer directly, as
     /// nothing before it is buffered.
     fn direct_body_left(&self) -> Option<usize> {
@@ -164,11 +184,13 @@
             if let Some(left) = self.direct_body_left() {
                 return self.poll_body(cx, buffer, left);
             }
-            if !self.may_read() {
-                // No waker is needed: the server polls again once the request in service is answered.
-                return Poll::Pending;
+            if self.may_read() {
+                self.disconnect_check = None;
+                self.ended = !ready!(self.poll_fill(cx))?;
+            } else {
+                ready!(self.poll_disconnect_check(cx));
+                self.ended = self.stream.is_read_closed();
             }
-            self.ended = !ready!(self.poll_fill(cx))?;
         }
     }
 }
--- a/crates/pointvane-serve/src/lent_stream.rs
+++ b/crates/pointvane-serve/src/lent_stream.rs
@@ -7,12 +7,12 @@
 use {
     std::{
         io,
-        pin::Pin,
+        pin::{Pin, pin},
         sync::{Arc, Mutex, PoisonError},
-        task::{Context, Poll},
+        task::{Context, Poll, Waker},
     },
     tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
+        io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
         net::TcpStream,
     },
 };
@@ -45,6 +45,14 @@
 }
 
 impl LentStream {
+    /// Whether the other end has closed its side or reset the connection, also if bytes before that are unread.
+    pub fn is_read_closed(&self) -> bool {
+        let Some(stream) = &self.stream else { return true };
+        // Ready at once if there are unread bytes, and if the other end has closed its side.
+        let ready = pin!(stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
+        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
     fn get(&mut self) -> io::Result<Pin<&mut TcpStream>> {
         self.stream.as_mut().map(Pin::new).ok_or_else(|| io::ErrorKind::NotConnected.into())
     }
--- a/standins/tests/pipelining.rs
+++ b/standins/tests/pipelining.rs
@@ -25,6 +25,8 @@
 /// Target latency high enough that no request is late on a slow machine, in milliseconds. When a probe takes
 /// longer than the search for an upstream may, admission decides and refuses requests that would be late.
 const TARGET_MS: u64 = 20_000;
+/// Time after which nothing may run for a caller that has left.
+const GONE_TIME: Duration = Duration::from_millis(500);
 /// Default maximum number of concurrent requests of one connection.
 const MAX_CONCURRENT: usize = 8;
 
@@ -198,6 +200,25 @@
     eventually(|| disconnects() == 3);
 }
 
+/// Guards against requests that run on for a caller that has left, since the end of its connection is behind
+/// requests that are not read while others wait.
+#[gtest]
+fn a_disconnect_behind_unread_requests_cancels_all_at_their_upstreams() {
+    let (node, _store, upstreams) = start_with_upstreams(UpstreamBehaviour::Delayed(15_000), 4);
+    let cookie = "c".repeat(6_000);
+    let large = |number| get(number).replacen("\r\n\r\n", &format!("\r\ncookie: {cookie}\r\n\r\n"), 1);
+    let requests: Vec<String> = (0..8).map(large).collect();
+    let (stream, reader) = send_pipelined(&node, &requests);
+    eventually(|| run_count(&upstreams) >= 2);
+    thread::sleep(Duration::from_millis(300));
+    drop((stream, reader));
+    thread::sleep(GONE_TIME);
+    let disconnects =
+        || upstreams.iter().map(|upstream| upstream.disconnects.load(Ordering::SeqCst)).sum::<usize>();
+    let (ran, cancelled) = (run_count(&upstreams), disconnects());
+    expect_that!(cancelled, eq(ran));
+}
+
 #[gtest]
 fn a_request_not_yet_read_when_its_caller_disconnects_is_never_sent() {
     let (node, _store, upstreams) = start_with_upstreams(UpstreamBehaviour::Delayed(WORK_MS), 1);
