A caller that pauses while it reads is not taken for dead

Cause: TCP_USER_TIMEOUT of 2.5 s on callers' connections. The kernel counts the time of a closed receive window, too, although the peer acknowledges its probes.

Fix: the option stays towards upstreams, the platform and other nodes. Callers' connections keep the keepalive probes, by which an idle one of a dead machine ends after 3 s; a write to a caller that takes no byte for idle-timeout-ms fails. A machine that dies while it is sent to is found after that time, not 2.5 s: no safe interface tells it from a paused reader.

--- a/crates/pointvane-node/src/serve.rs
+++ b/crates/pointvane-node/src/serve.rs
@@ -1,7 +1,7 @@
 //! Listeners, and the HTTP connections that they accept.
 
 use {
-    crate::{connections::RelayBody, lifecycle::OpenConnection, node::Node, socket},
+    crate::{connections::RelayBody, lifecycle::OpenConnection, node::Node},
     eyre::{Result, WrapErr},
     hyper::{
         Request, Response,
@@ -23,11 +23,17 @@
 /// Smallest read buffer that `hyper` accepts, in bytes.
 const READ_BUFFER_BYTES_MIN: usize = 8_192;
 
-/// Accepts connections until the node closes, and serves each with `serve_connection`.
+/// Accepts connections until the node closes, and serves each with `serve_connection` once `configure` has set
+/// its socket options.
 ///
 /// # Errors
 /// When binding the address fails.
-pub async fn listen<A, C, F>(node: Rc<Node<A>>, address: SocketAddr, serve_connection: C) -> Result<()>
+pub async fn listen<A, C, F>(
+    node: Rc<Node<A>>,
+    address: SocketAddr,
+    configure: fn(&TcpStream) -> io::Result<()>,
+    serve_connection: C,
+) -> Result<()>
 where
     A: PlatformAdapter + 'static,
     C: Fn(Rc<Node<A>>, TcpStream) -> F + 'static,
@@ -39,7 +45,7 @@
             tokio::select! {
                 accepted = listener.accept() => {
                     // An accept error concerns a single connection; its caller sees it fail.
-                    if let Ok((stream, _)) = accepted && socket::enable_dead_peer_detection(&stream).is_ok() {
+                    if let Ok((stream, _)) = accepted && configure(&stream).is_ok() {
                         spawn_local(serve_connection(Rc::clone(&node), stream));
                     }
                 }
@@ -122,7 +128,7 @@
     S: HttpService<Incoming, ResBody = RelayBody, Error = Infallible>,
 {
     let open = node.lifecycle.connection_opened();
-    let (stream, lender) = lend(stream);
+    let (stream, lender) = lend(stream, Some(idle_time(node)));
     let served = serve_until_end(node, wrap(stream), service, closing).await;
     Served { node, stream: lender.take(), error: served.err(), _open: open }
 }
--- a/crates/pointvane-node/src/socket.rs
+++ b/crates/pointvane-node/src/socket.rs
@@ -1,7 +1,9 @@
 //! TCP sockets that detect dead peers: a machine that has failed sends neither FIN nor RST.
 //!
-//! An idle connection fails 3 s after the last byte that was received, with the third keepalive probe due; one
-//! with unacknowledged data at the first retransmission after 2.5 s.
+//! An idle connection fails 3 s after the last byte that was received, with the third keepalive probe due. A
+//! connection to an upstream, the platform or another node with unacknowledged data fails at the first
+//! retransmission after 2.5 s. The kernel applies that limit to peers that acknowledge and only stop reading,
+//! too, so callers, which may read slowly, are exempt from it: `pointvane_serve::lend` limits their writes.
 
 use {
     socket2::{SockRef, TcpKeepalive},
@@ -66,12 +68,21 @@
 /// # Errors
 /// Fails if a socket option cannot be set.
 pub fn enable_dead_peer_detection(stream: &TcpStream) -> io::Result<()> {
+    enable_dead_caller_detection(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))
+}
+
+/// Configures a connection to fail within seconds after its peer has died while it is idle, and disables Nagle's
+/// algorithm.
+///
+/// # Errors
+/// Fails if a socket option cannot be set.
+pub fn enable_dead_caller_detection(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_RETRIES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))
+    socket.set_tcp_keepalive(&keepalive)
 }
--- a/crates/pointvane-serve/src/lent_stream.rs
+++ b/crates/pointvane-serve/src/lent_stream.rs
@@ -10,10 +10,12 @@
         pin::{Pin, pin},
         sync::{Arc, Mutex, PoisonError},
         task::{Context, Poll, Waker},
+        time::Duration,
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
         net::TcpStream,
+        time::{Sleep, sleep},
     },
 };
 
@@ -29,12 +31,16 @@
     /// `None` only while it is dropped.
     stream: Option<TcpStream>,
     returned: Returned,
+    write_timeout: Option<Duration>,
+    /// When the write that waits fails.
+    stalled_write: Option<Pin<Box<Sleep>>>,
 }
 
-/// Lends a stream.
-pub fn lend(stream: TcpStream) -> (LentStream, Lender) {
+/// Lends a stream. A write fails if its peer takes no bytes for `write_timeout`, if there is one.
+pub fn lend(stream: TcpStream, write_timeout: Option<Duration>) -> (LentStream, Lender) {
     let returned = Returned::default();
-    (LentStream { stream: Some(stream), returned: Arc::clone(&returned) }, Lender(returned))
+    let lender = Lender(Arc::clone(&returned));
+    (LentStream { stream: Some(stream), returned, write_timeout, stalled_write: None }, lender)
 }
 
 impl Lender {
@@ -53,6 +59,21 @@
         matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
+    /// Fails a write that waits for too long.
+    fn poll_write_timeout(
+        &mut self,
+        written: Poll<io::Result<usize>>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.stalled_write = None;
+            return written;
+        }
+        let Some(write_timeout) = self.write_timeout else { return Poll::Pending };
+        let timeout = self.stalled_write.get_or_insert_with(|| Box::pin(sleep(write_timeout)));
+        timeout.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
+    }
+
     fn get(&mut self) -> io::Result<Pin<&mut TcpStream>> {
         self.stream.as_mut().map(Pin::new).ok_or_else(|| io::ErrorKind::NotConnected.into())
     }
@@ -76,7 +97,8 @@
 
 impl AsyncWrite for LentStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.get()?.poll_write(cx, bytes)
+        let written = self.get()?.poll_write(cx, bytes);
+        self.poll_write_timeout(written, cx)
     }
 
     fn poll_write_vectored(
@@ -84,7 +106,8 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.get()?.poll_write_vectored(cx, slices)
+        let written = self.get()?.poll_write_vectored(cx, slices);
+        self.poll_write_timeout(written, cx)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -132,7 +132,7 @@
         idle_time: Duration::from_millis(options.head_timeout_ms),
         bytes_max: DROPPED_BYTES_MAX,
     };
-    let (stream, lender) = lend(stream);
+    let (stream, lender) = lend(stream, None);
     let last_version = Mutex::new(Version::HTTP_11);
     let served = serve_connection(Arc::clone(&handler), stream, options, &mut phase, &last_version).await;
     // Any other error affects only the caller of this connection.
