A response that is not complete at the deadline of its request ends

Cause: the deadline covered the time up to the head and the first 64 KB, which are buffered; the rest was relayed without a timer.

Ruled out: a hang before that point, which a hedge or 504 answers.

Fix: a streamed response has the deadline of its request, whether its upstream or its caller is slow: its connection ends, which cancels the upstream and shows the caller that it is incomplete (HTTP/1.0: a reset). One that waited behind another beyond its deadline is replaced by 504. Lines response-incomplete and connection-given-up name the request, so that `pointvane explain` shows them.

--- a/crates/pointvane-node/src/body.rs
+++ b/crates/pointvane-node/src/body.rs
@@ -1,12 +1,15 @@
 //! Request and response bodies: buffered up to a size, streamed beyond it.
 
 use {
+    crate::response_deadline::{IncompleteResponse, ResponseDeadline},
     bytes::Bytes,
     hyper::body::{Body, Frame, Incoming, SizeHint},
     std::{
         pin::Pin,
+        rc::Rc,
         task::{Context, Poll},
     },
+    tokio::time::Instant,
 };
 
 /// A body whose first part is buffered; the rest, if any, is streamed over a connection of type `C`.
@@ -16,6 +19,10 @@
     rest: Option<Incoming>,
     /// Length of the whole body in bytes, if known.
     length: Option<u64>,
+    /// When the whole body must have been sent, if it is the streamed body of a response.
+    deadline: Option<Instant>,
+    /// Applies the deadline to the connection that the body is sent on.
+    incomplete: Option<IncompleteResponse>,
     /// The connection that the rest arrives on; held until the body is dropped, then closed.
     _connection: Option<C>,
 }
@@ -24,7 +31,14 @@
     /// Creates a body that is buffered completely.
     pub fn whole(bytes: Bytes) -> Self {
         let length = Some(bytes.len() as u64);
-        Self { first: Some(bytes).filter(|bytes| !bytes.is_empty()), rest: None, length, _connection: None }
+        Self {
+            first: Some(bytes).filter(|bytes| !bytes.is_empty()),
+            rest: None,
+            length,
+            deadline: None,
+            incomplete: None,
+            _connection: None,
+        }
     }
 
     /// Creates a body whose rest is read from `connection` as it is polled.
@@ -33,9 +47,26 @@
             first: Some(buffered.bytes).filter(|bytes| !bytes.is_empty()),
             rest: buffered.rest,
             length: buffered.length,
+            deadline: None,
+            incomplete: None,
             _connection: connection,
         }
     }
+
+    /// Sets when the whole body must have been sent.
+    pub fn with_deadline(self, deadline: Instant) -> Self {
+        Self { deadline: Some(deadline), ..self }
+    }
+
+    /// Whether the whole body must have been sent by now.
+    pub fn is_overdue(&self) -> bool {
+        self.deadline.is_some_and(|deadline| deadline <= Instant::now())
+    }
+
+    /// Applies the deadline to the connection that the body is sent on.
+    pub fn apply_deadline(&mut self, to: &Rc<ResponseDeadline>) {
+        self.incomplete = self.deadline.map(|deadline| to.start(deadline));
+    }
 }
 
 impl<C: Unpin> Body for StreamedBody<C> {
--- a/crates/pointvane-node/src/caller_connection.rs
+++ b/crates/pointvane-node/src/caller_connection.rs
@@ -2,11 +2,13 @@
 
 use {
     crate::{
+        answer::refusal_response,
         connections::RelayBody,
         node::Node,
         pipeline::Pipeline,
         read_ahead::ReadAhead,
-        serve::{Served, head_bytes_max, serve_http},
+        response_deadline::ResponseDeadline,
+        serve::{IncompleteReason, Served, head_bytes_max, serve_http},
         traffic,
     },
     hyper::{
@@ -15,7 +17,7 @@
         header::{CONNECTION, HeaderValue},
         service::service_fn,
     },
-    pointvane_core::PlatformAdapter,
+    pointvane_core::{ErrorKind, PlatformAdapter},
     pointvane_telemetry::EventKind,
     std::{
         cell::{Cell, RefCell},
@@ -41,7 +43,9 @@
     let Ok(peer) = stream.peer_addr() else { return };
     let last_request = Rc::<LastRequest>::default();
     let served = serve_pipelined(&node, stream, peer.ip(), Rc::clone(&last_request)).await;
-    let closed = match served.response_broke_off() && last_request.is_http_1_0.get() {
+    let incomplete = served.incomplete_response();
+    incomplete.iter().for_each(|reason| report_incomplete(&node, &last_request, *reason));
+    let closed = match incomplete.is_some() && last_request.is_http_1_0.get() {
         true => served.reset(),
         false => Some(served.close().await),
     };
@@ -49,13 +53,25 @@
     if let Some(closed) = given_up.filter(|_| !last_request.id.borrow().is_empty()) {
         node.report.failure(node.now_us(), || EventKind::ConnectionGivenUp {
             caller: peer.ip(),
-            last_request: last_request.id.take(),
+            request: last_request.id.take(),
             reason: closed.result.as_str().into(),
             dropped_bytes: closed.dropped_bytes,
         });
     }
 }
 
+fn report_incomplete<A: PlatformAdapter>(
+    node: &Node<A>,
+    last_request: &LastRequest,
+    reason: IncompleteReason,
+) {
+    node.report.response_incomplete(reason);
+    node.report.failure(node.now_us(), || EventKind::ResponseIncomplete {
+        request: last_request.id.borrow().clone(),
+        reason: reason.as_str().into(),
+    });
+}
+
 /// Serves a connection; its pipeline has ended when it is closed, so that no request of it runs any more.
 async fn serve_pipelined<A: PlatformAdapter + 'static>(
     node: &Rc<Node<A>>,
@@ -69,17 +85,25 @@
     let read_ahead = |stream| ReadAhead::new(stream, read_pipeline, head_bytes_max(node), bytes_max);
     let service_node = Rc::clone(node);
     let service_pipeline = Rc::clone(&pipeline);
+    let deadline = Rc::<ResponseDeadline>::default();
+    let service_deadline = Rc::clone(&deadline);
     let service = service_fn(move |request: Request<Incoming>| {
         last_request.id.replace(service_node.headers.request_id_text(request.headers()));
         last_request.is_http_1_0.set(request.version() == Version::HTTP_10);
-        serve_request(Rc::clone(&service_node), Rc::clone(&service_pipeline), request)
+        let answer = serve_request(Rc::clone(&service_node), Rc::clone(&service_pipeline), request);
+        let deadline = Rc::clone(&service_deadline);
+        async move {
+            let mut response = answer.await;
+            response.iter_mut().for_each(|response| response.body_mut().apply_deadline(&deadline));
+            response
+        }
     });
     // Requests that were forwarded early are answered before the connection closes.
     let closing = async move {
         node.lifecycle.closing().await;
         pipeline.early_answers_finished().await;
     };
-    serve_http(node, stream, read_ahead, service, closing).await
+    serve_http(node, stream, read_ahead, service, closing, &deadline).await
 }
 
 /// Answers the oldest unanswered request of the connection.
@@ -89,6 +113,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<RelayBody>, Infallible> {
     let (head, body) = request.into_parts();
+    let id = head.headers.get(&node.headers.request_id).cloned();
     let next = pipeline.take_next();
     let arrived_at_us = next.as_ref().map_or_else(|| node.now_us(), |next| next.arrived_at_us);
     let early = match next.and_then(|next| next.early) {
@@ -99,6 +124,10 @@
         Some(response) => response,
         None => traffic::answer(Rc::clone(&node), head, Some(body), pipeline.origin(arrived_at_us)).await,
     };
+    if response.body().is_overdue() {
+        // It waited for those before it; nothing of it was sent, so an error can still replace it.
+        response = refusal_response(&node, ErrorKind::UpstreamTimeout.into(), id);
+    }
     // After a response with `Connection: close`, callers treat later pipelined requests as not processed, so
     // it is sent only once none of them was forwarded.
     if !node.lifecycle.is_running() && !pipeline.has_early_answers() {
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -22,6 +22,7 @@
         AttemptOutcome, ConnectionKind, ConnectionPurpose, Ineligible, NotRunReason, UpstreamKey,
     },
     std::rc::Rc,
+    tokio::time::Instant,
 };
 
 /// Bytes of a response that are buffered before any is relayed, so that a request whose response breaks off
@@ -98,7 +99,8 @@
     }
     let Answer { head, body, connection, .. } = answer;
     // Whatever the cause, the attempt is counted and logged as broken.
-    let response = read_body(head, body, connection, reusable, &node.body_memory).await;
+    let deadline = node.instant_of(request.answer_deadline_us);
+    let response = read_body(head, body, connection, reusable, &node.body_memory, deadline).await;
     response.map_err(|_| AttemptOutcome::Broken)
 }
 
@@ -229,7 +231,7 @@
 }
 
 /// Reads the body of a response, or its first part if it exceeds the buffer. A connection that is `reusable`
-/// returns to the pool after the whole body.
+/// returns to the pool after the whole body. The rest must be sent on by the `deadline`.
 ///
 /// # Errors
 /// When the connection breaks before the buffered part is complete.
@@ -239,10 +241,11 @@
     connection: Connection,
     reusable: bool,
     memory: &BodyMemory,
+    deadline: Instant,
 ) -> Result<Response<RelayBody>, hyper::Error> {
     let buffered = buffer_answer_body(body, ANSWER_BUFFER_BYTES, memory).await?;
     let body = match buffered.rest {
-        Some(_) => RelayBody::streamed(buffered, Some(connection)),
+        Some(_) => RelayBody::streamed(buffered, Some(connection)).with_deadline(deadline),
         None => {
             if reusable {
                 connection.keep(&head.headers);
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -53,6 +53,7 @@
 mod request;
 mod request_head;
 mod request_scan;
+mod response_deadline;
 mod run;
 mod serve;
 mod settings;
--- a/crates/pointvane-node/src/node.rs
+++ b/crates/pointvane-node/src/node.rs
@@ -14,8 +14,11 @@
     pointvane_serve::ClosingConnections,
     pointvane_telemetry::{MonotonicClock, unix_time_ms},
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::cell::{Ref, RefCell},
-    tokio::sync::Notify,
+    std::{
+        cell::{Ref, RefCell},
+        time::Duration,
+    },
+    tokio::{sync::Notify, time::Instant},
 };
 
 /// The state of a node, shared by all of its tasks.
@@ -84,6 +87,11 @@
         self.clock.now_us()
     }
 
+    /// The instant of a monotonic time, given in microseconds; now if it has passed.
+    pub fn instant_of(&self, at_us: u64) -> Instant {
+        Instant::now() + Duration::from_micros(at_us.saturating_sub(self.now_us()))
+    }
+
     /// Time since the start of this process, in milliseconds.
     pub fn uptime_ms(&self) -> u64 {
         self.clock.since_start_ms()
--- a/crates/pointvane-node/src/peer_attempt.rs
+++ b/crates/pointvane-node/src/peer_attempt.rs
@@ -250,7 +250,8 @@
     // A streamed request body may still be in transit when the response arrives, so its connection is not
     // reused.
     let reusable = request.body.is_some();
-    let Ok(response) = read_body(head, body, connection, reusable, &node.body_memory).await else {
+    let deadline = node.instant_of(request.answer_deadline_us);
+    let Ok(response) = read_body(head, body, connection, reusable, &node.body_memory, deadline).await else {
         return PeerResult::Broken;
     };
     match error {
--- a/crates/pointvane-node/src/peer_requests.rs
+++ b/crates/pointvane-node/src/peer_requests.rs
@@ -9,7 +9,7 @@
         connections::RelayBody,
         node::Node,
         peer_attempt::{FORWARDED, REFUSED, VERSION},
-        serve::serve_http,
+        serve::serve_unpipelined,
         traffic::{self, RequestOrigin},
     },
     hyper::{HeaderMap, Request, Response, body::Incoming, header::HeaderValue, service::service_fn},
@@ -32,7 +32,7 @@
     }
     let service_node = Rc::clone(&node);
     let service = service_fn(move |request| answer(Rc::clone(&service_node), request, peer.ip()));
-    serve_http(&node, stream, |stream| stream, service, node.lifecycle.closing()).await.close().await;
+    serve_unpipelined(&node, stream, service).await;
 }
 
 async fn answer<A: PlatformAdapter + 'static>(
--- a/crates/pointvane-node/src/report/callers.rs
+++ b/crates/pointvane-node/src/report/callers.rs
@@ -2,6 +2,7 @@
 
 use {
     super::Report,
+    crate::serve::IncompleteReason,
     opentelemetry::{KeyValue, metrics::Counter},
     pointvane_serve::CloseResult,
     pointvane_telemetry::Metrics,
@@ -11,12 +12,16 @@
 #[derive(Debug)]
 pub(super) struct CallerMetrics {
     connections_closed: Counter<u64>,
+    responses_incomplete: Counter<u64>,
 }
 
 impl CallerMetrics {
     pub(super) fn new(metrics: &Metrics) -> Self {
-        let meter = metrics.meter();
-        Self { connections_closed: meter.u64_counter("pointvane_node_connections_closed").build() }
+        let counter = |name: &'static str| metrics.meter().u64_counter(name).build();
+        Self {
+            connections_closed: counter("pointvane_node_connections_closed"),
+            responses_incomplete: counter("pointvane_node_responses_incomplete"),
+        }
     }
 }
 
@@ -25,4 +30,9 @@
     pub fn connection_closed(&self, result: CloseResult) {
         self.callers.connections_closed.add(1, &[KeyValue::new("result", result.as_str())]);
     }
+
+    /// Counts a response whose first bytes were sent and that is incomplete.
+    pub fn response_incomplete(&self, reason: IncompleteReason) {
+        self.callers.responses_incomplete.add(1, &[KeyValue::new("reason", reason.as_str())]);
+    }
 }
--- a/crates/pointvane-node/src/serve.rs
+++ b/crates/pointvane-node/src/serve.rs
@@ -1,7 +1,9 @@
 //! Listeners, and the HTTP connections that they accept.
 
 use {
-    crate::{connections::RelayBody, lifecycle::OpenConnection, node::Node},
+    crate::{
+        connections::RelayBody, lifecycle::OpenConnection, node::Node, response_deadline::ResponseDeadline,
+    },
     eyre::{Result, WrapErr},
     hyper::{
         Request, Response,
@@ -65,7 +67,19 @@
 {
     let service_node = Rc::clone(&node);
     let service = service_fn(move |request| handle(Rc::clone(&service_node), request));
-    serve_http(&node, stream, |stream| stream, service, node.lifecycle.closing()).await.close().await;
+    serve_unpipelined(&node, stream, service).await;
+}
+
+/// Serves a connection whose stream is not wrapped, and closes it.
+pub async fn serve_unpipelined<A, S>(node: &Node<A>, stream: TcpStream, service: S)
+where
+    A: PlatformAdapter,
+    S: HttpService<Incoming, ResBody = RelayBody, Error = Infallible>,
+{
+    // No deadline is ever set: the node that asked has one, and other responses are short.
+    let deadline = ResponseDeadline::default();
+    let served = serve_http(node, stream, |stream| stream, service, node.lifecycle.closing(), &deadline);
+    served.await.close().await;
 }
 
 /// Longest request head that is read, in bytes.
@@ -73,18 +87,62 @@
     node.dispatcher.routes().limits().header_bytes_max.max(READ_BUFFER_BYTES_MIN)
 }
 
+/// Why the server of a connection ended before its caller closed it.
+#[derive(Debug)]
+enum ServeError {
+    /// The connection, or the body of a response, failed.
+    Http(hyper::Error),
+    /// A response was not complete at the deadline of its request.
+    Overdue,
+}
+
+impl ServeError {
+    /// The I/O error of the connection that caused this, if one did.
+    fn io_error(&self) -> Option<&io::Error> {
+        match self {
+            // The body of a response broke off, which says nothing of the connection that it is sent on.
+            Self::Http(error) if error.is_user() => None,
+            Self::Http(error) => io_source(error),
+            Self::Overdue => None,
+        }
+    }
+}
+
+/// Why a response whose first bytes were sent is incomplete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IncompleteReason {
+    /// The upstream broke it off.
+    BrokeOff,
+    /// It was not complete at the deadline of its request.
+    Overdue,
+}
+
+impl IncompleteReason {
+    /// Name in metrics and log lines.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::BrokeOff => "broke-off",
+            Self::Overdue => "overdue",
+        }
+    }
+}
+
 /// A connection whose server has ended, and which must be closed.
 pub struct Served<'n, A: PlatformAdapter> {
     node: &'n Node<A>,
     stream: Option<TcpStream>,
-    error: Option<hyper::Error>,
+    error: Option<ServeError>,
     _open: OpenConnection,
 }
 
 impl<A: PlatformAdapter> Served<'_, A> {
-    /// Whether the server ended since the body of a response broke off.
-    pub fn response_broke_off(&self) -> bool {
-        self.error.as_ref().is_some_and(hyper::Error::is_user)
+    /// Why a response is incomplete, if the server ended for that.
+    pub fn incomplete_response(&self) -> Option<IncompleteReason> {
+        match &self.error {
+            Some(ServeError::Overdue) => Some(IncompleteReason::Overdue),
+            Some(ServeError::Http(error)) if error.is_user() => Some(IncompleteReason::BrokeOff),
+            _ => None,
+        }
     }
 
     /// Closes the connection, and returns how it ended.
@@ -93,7 +151,7 @@
             idle_time: idle_time(self.node),
             bytes_max: self.node.dispatcher.routes().limits().body_bytes_max,
         };
-        let closed = match (self.error.as_ref().and_then(io_error), self.stream.take()) {
+        let closed = match (self.error.as_ref().and_then(ServeError::io_error), self.stream.take()) {
             (None, Some(stream)) => self.node.closing_connections.close(stream, limits).await,
             (error, _) => {
                 let result = error.map_or(CloseResult::Reset, CloseResult::of_error);
@@ -114,14 +172,16 @@
 
 /// Serves a connection until its caller closes it; after `closing` completes, until it is idle.
 ///
-/// `wrap` is applied to the stream that the HTTP server reads from and writes to.
-pub async fn serve_http<A, I, S>(
-    node: &Node<A>,
+/// `wrap` is applied to the stream that the HTTP server reads from and writes to; `deadline` is that of the
+/// response that it sends.
+pub async fn serve_http<'n, A, I, S>(
+    node: &'n Node<A>,
     stream: TcpStream,
     wrap: impl FnOnce(LentStream) -> I,
     service: S,
     closing: impl Future<Output = ()>,
-) -> Served<'_, A>
+    deadline: &ResponseDeadline,
+) -> Served<'n, A>
 where
     A: PlatformAdapter,
     I: AsyncRead + AsyncWrite + Unpin + 'static,
@@ -129,7 +189,10 @@
 {
     let open = node.lifecycle.connection_opened();
     let (stream, lender) = lend(stream, Some(idle_time(node)));
-    let served = serve_until_end(node, wrap(stream), service, closing).await;
+    let served = tokio::select! {
+        served = serve_until_end(node, wrap(stream), service, closing) => served.map_err(ServeError::Http),
+        () = deadline.passed() => Err(ServeError::Overdue),
+    };
     Served { node, stream: lender.take(), error: served.err(), _open: open }
 }
 
@@ -162,12 +225,8 @@
     served.await
 }
 
-/// The I/O error of a connection that caused an error of its server, if one did.
-fn io_error(error: &hyper::Error) -> Option<&io::Error> {
-    // The body of a response broke off, which says nothing of the connection that it is sent on.
-    if error.is_user() {
-        return None;
-    }
+/// The first I/O error among the causes of an error.
+fn io_source(error: &hyper::Error) -> Option<&io::Error> {
     let mut source = error.source();
     while let Some(error) = source {
         if let Some(error) = error.downcast_ref::<io::Error>() {
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -232,9 +232,11 @@
     RequestQuarantined { fingerprint: String, crashes: u64, hold_ms: u64 },
     /// A quarantined request ran successfully.
     QuarantineLifted { fingerprint: String },
+    /// A response whose first bytes were sent is incomplete, so its connection was closed.
+    ResponseIncomplete { request: String, reason: Name },
     /// A caller's connection was given up before the caller closed its side, so that it may have lost a part of
-    /// a response; `last_request` is the last one that was answered on it.
-    ConnectionGivenUp { caller: IpAddr, last_request: String, reason: Name, dropped_bytes: u64 },
+    /// a response; `request` is the last one that was served on it.
+    ConnectionGivenUp { caller: IpAddr, request: String, reason: Name, dropped_bytes: u64 },
     /// Log lines were suppressed by the rate limit.
     LinesLeftOut { count: u64 },
 }
@@ -250,6 +252,7 @@
                 | Self::RequestForwarded { .. }
                 | Self::RequestAnswered { .. }
                 | Self::RequestRefused { .. }
+                | Self::ResponseIncomplete { .. }
                 | Self::ConnectionGivenUp { .. }
                 | Self::LinesLeftOut { .. }
         )
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -67,6 +67,13 @@
         contention_changed(),
         EventKind::LostServicesChecked { services: 2, checks: 75, unanswered: 74 },
         EventKind::TimersLate { late_ms: 180 },
+        EventKind::ResponseIncomplete { request: "r-1".into(), reason: "overdue".into() },
+        EventKind::ConnectionGivenUp {
+            caller: [10, 0, 0, 9].into(),
+            request: "r-1".into(),
+            reason: "idle-too-long".into(),
+            dropped_bytes: 18_204,
+        },
     ]
 }
 
--- a/standins/tests/users_platform/behaviour.rs
+++ b/standins/tests/users_platform/behaviour.rs
@@ -70,6 +70,8 @@
     Complete,
     /// The connection closes before its last bytes.
     BreaksOff,
+    /// The last bytes never come, and the connection stays open.
+    Hangs,
 }
 
 /// Time after the deadline at which a request held until then is rejected, in milliseconds: the sender has
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -257,6 +257,9 @@
             UpstreamBehaviour::Long { after_ms, length, end } => {
                 thread::sleep(Duration::from_millis(after_ms));
                 write_long(stream, id, length, end)?;
+                if end == BodyEnd::Hangs && is_closed_within(stream, WAIT_TIMEOUT) {
+                    self.disconnects.fetch_add(1, Ordering::SeqCst);
+                }
                 return Ok(end == BodyEnd::Complete);
             }
             UpstreamBehaviour::LoseResponse => return Ok(false),
--- a/standins/tests/users_platform/upstream_responses.rs
+++ b/standins/tests/users_platform/upstream_responses.rs
@@ -33,7 +33,7 @@
         stream,
         "HTTP/1.1 200 OK\r\n{framing}\r\npointvane-request-id: {id}\r\n{RESPONSE_STAMP_HEADER}: s\r\npointvane-instance-load: 1,0,3,100\r\n\r\n"
     )?;
-    let sent_bytes = if end == BodyEnd::BreaksOff { bytes - CHUNK_BYTES } else { bytes };
+    let sent_bytes = if end == BodyEnd::Complete { bytes } else { bytes - CHUNK_BYTES };
     for offset in (0..sent_bytes).step_by(CHUNK_BYTES) {
         let chunk = vec![b'0'; CHUNK_BYTES.min(sent_bytes - offset)];
         match length {
