--- a/standins/tests/users_platform/node.rs
+++ b/standins/tests/users_platform/node.rs
@@ -215,6 +215,16 @@
         assert!(status.unwrap().success());
     }
 
+    /// Sends a signal given by its name without `SIG`, if the process still exists.
+    pub fn signal_if_running(&self, name: &str) {
+        // The exit code says whether the process exists, which is not expected.
+        _ = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .stderr(Stdio::null())
+            .status();
+    }
+
     /// Whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
