--- a/crates/pointvane-node/src/caller_connection.rs
+++ b/crates/pointvane-node/src/caller_connection.rs
@@ -8,7 +8,8 @@
         pipeline::Pipeline,
         read_ahead::ReadAhead,
         response_deadline::ResponseDeadline,
-        serve::{IncompleteReason, Served, head_bytes_max, serve_http},
+        serve::{head_bytes_max, serve_http},
+        served::{IncompleteReason, Served},
         traffic,
     },
     hyper::{
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -56,6 +56,7 @@
 mod response_deadline;
 mod run;
 mod serve;
+mod served;
 mod settings;
 mod snapshot;
 mod socket;
--- a/crates/pointvane-node/src/report/callers.rs
+++ b/crates/pointvane-node/src/report/callers.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Report,
-    crate::serve::IncompleteReason,
+    crate::served::IncompleteReason,
     opentelemetry::{KeyValue, metrics::Counter},
     pointvane_serve::CloseResult,
     pointvane_telemetry::Metrics,
--- a/crates/pointvane-node/src/serve.rs
+++ b/crates/pointvane-node/src/serve.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        connections::RelayBody, lifecycle::OpenConnection, node::Node, response_deadline::ResponseDeadline,
+        connections::RelayBody,
+        node::Node,
+        response_deadline::ResponseDeadline,
+        served::{ServeError, Served},
     },
     eyre::{Result, WrapErr},
     hyper::{
@@ -13,8 +16,8 @@
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     pointvane_core::PlatformAdapter,
-    pointvane_serve::{CloseLimits, CloseResult, Closed, LentStream, lend, reset},
-    std::{convert::Infallible, error::Error, io, net::SocketAddr, rc::Rc, time::Duration},
+    pointvane_serve::{LentStream, lend},
+    std::{convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncRead, AsyncWrite},
         net::{TcpListener, TcpStream},
@@ -87,89 +90,6 @@
     node.dispatcher.routes().limits().header_bytes_max.max(READ_BUFFER_BYTES_MIN)
 }
 
-/// Why the server of a connection ended before its caller closed it.
-#[derive(Debug)]
-enum ServeError {
-    /// The connection, or the body of a response, failed.
-    Http(hyper::Error),
-    /// A response was not complete at the deadline of its request.
-    Overdue,
-}
-
-impl ServeError {
-    /// The I/O error of the connection that caused this, if one did.
-    fn io_error(&self) -> Option<&io::Error> {
-        match self {
-            // The body of a response broke off, which says nothing of the connection that it is sent on.
-            Self::Http(error) if error.is_user() => None,
-            Self::Http(error) => io_source(error),
-            Self::Overdue => None,
-        }
-    }
-}
-
-/// Why a response whose first bytes were sent is incomplete.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum IncompleteReason {
-    /// The upstream broke it off.
-    BrokeOff,
-    /// It was not complete at the deadline of its request.
-    Overdue,
-}
-
-impl IncompleteReason {
-    /// Name in metrics and log lines.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::BrokeOff => "broke-off",
-            Self::Overdue => "overdue",
-        }
-    }
-}
-
-/// A connection whose server has ended, and which must be closed.
-pub struct Served<'n, A: PlatformAdapter> {
-    node: &'n Node<A>,
-    stream: Option<TcpStream>,
-    error: Option<ServeError>,
-    _open: OpenConnection,
-}
-
-impl<A: PlatformAdapter> Served<'_, A> {
-    /// Why a response is incomplete, if the server ended for that.
-    pub fn incomplete_response(&self) -> Option<IncompleteReason> {
-        match &self.error {
-            Some(ServeError::Overdue) => Some(IncompleteReason::Overdue),
-            Some(ServeError::Http(error)) if error.is_user() => Some(IncompleteReason::BrokeOff),
-            _ => None,
-        }
-    }
-
-    /// Closes the connection, and returns how it ended.
-    pub async fn close(mut self) -> Closed {
-        let limits = CloseLimits {
-            idle_time: idle_time(self.node),
-            bytes_max: self.node.dispatcher.routes().limits().body_bytes_max,
-        };
-        let closed = match (self.error.as_ref().and_then(ServeError::io_error), self.stream.take()) {
-            (None, Some(stream)) => self.node.closing_connections.close(stream, limits).await,
-            (error, _) => {
-                let result = error.map_or(CloseResult::Reset, CloseResult::of_error);
-                Closed { result, dropped_bytes: 0 }
-            }
-        };
-        self.node.report.connection_closed(closed.result);
-        closed
-    }
-
-    /// Resets the connection.
-    pub fn reset(mut self) -> Option<Closed> {
-        let closed = self.stream.take().map(reset);
-        closed.iter().for_each(|closed| self.node.report.connection_closed(closed.result));
-        closed
-    }
-}
-
 /// Serves a connection until its caller closes it; after `closing` completes, until it is idle.
 ///
 /// `wrap` is applied to the stream that the HTTP server reads from and writes to; `deadline` is that of the
@@ -193,11 +113,11 @@
         served = serve_until_end(node, wrap(stream), service, closing) => served.map_err(ServeError::Http),
         () = deadline.passed() => Err(ServeError::Overdue),
     };
-    Served { node, stream: lender.take(), error: served.err(), _open: open }
+    Served::new(node, lender.take(), served.err(), open)
 }
 
 /// Maximum time between two requests of a connection.
-fn idle_time<A: PlatformAdapter>(node: &Node<A>) -> Duration {
+pub fn idle_time<A: PlatformAdapter>(node: &Node<A>) -> Duration {
     let limits = node.dispatcher.routes().limits();
     Duration::from_millis(limits.idle_timeout_ms.max(limits.header_timeout_ms))
 }
@@ -224,15 +144,3 @@
     served.as_mut().graceful_shutdown();
     served.await
 }
-
-/// The first I/O error among the causes of an error.
-fn io_source(error: &hyper::Error) -> Option<&io::Error> {
-    let mut source = error.source();
-    while let Some(error) = source {
-        if let Some(error) = error.downcast_ref::<io::Error>() {
-            return Some(error);
-        }
-        source = error.source();
-    }
-    None
-}
