Closing of connections: results apart from the rule, names of the field; up to 2,048 at once

512 was too few: a node that stops closes all of its idle connections at once, and those would have displaced the connections of slow readers. By reading; no test has that many connections.

--- a/crates/pointvane-serve/src/closing.rs
+++ b/crates/pointvane-serve/src/closing.rs
@@ -11,6 +11,7 @@
 //! configured for it.
 
 use {
+    crate::closed::{CloseLimits, CloseResult, Closed},
     std::{
         collections::VecDeque,
         io,
@@ -26,89 +27,19 @@
     },
 };
 
-/// Maximum number of connections of a process that close at the same time.
+/// Maximum number of connections of a process that close at the same time: half of the descriptors that a process
+/// usually has. All idle connections close at once when a process stops.
 ///
-/// One more ends the oldest, so that callers that never close their side cannot use up the file descriptors.
-const CONNECTIONS_MAX: usize = 512;
+/// One more ends the oldest, so that callers that never close their side cannot use up the descriptors.
+const CONNECTIONS_MAX: usize = 2_048;
 /// Maximum time that a connection closes: a caller that sends slowly and without end must not hold it for ever.
 const CLOSE_TIME_MAX: Duration = Duration::from_secs(60);
 /// Bytes per read from the socket.
 const READ_BYTES: usize = 16_384;
-/// Maximum number of bytes that are read when a connection is told to end: the caller may send faster than they
+/// Maximum number of bytes that are read when a connection is signalled to end: the caller may send faster than they
 /// are dropped.
 const LAST_BYTES_MAX: u64 = 4 << 20;
 
-/// What a caller may still do on a connection that closes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CloseLimits {
-    /// Maximum time without a byte from the caller.
-    pub idle_time: Duration,
-    /// Maximum number of bytes that the caller sends in all.
-    pub bytes_max: u64,
-}
-
-/// How a connection ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CloseResult {
-    /// The caller closed its side.
-    CallerClosed,
-    /// The caller reset the connection.
-    Reset,
-    /// The caller did not acknowledge what was sent.
-    Unresponsive,
-    /// The caller sent nothing for [`CloseLimits::idle_time`] and did not close its side.
-    IdleTooLong,
-    /// The caller did not close its side within [`CLOSE_TIME_MAX`].
-    TookTooLong,
-    /// The caller sent more than [`CloseLimits::bytes_max`].
-    TooManyBytes,
-    /// More than [`CONNECTIONS_MAX`] connections were closing.
-    Displaced,
-    /// The process ends.
-    ProcessEnds,
-    /// A response broke off that only the end of the connection delimits; see [`reset`].
-    ResponseBrokeOff,
-}
-
-impl CloseResult {
-    /// Name in metrics and log lines.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::CallerClosed => "caller-closed",
-            Self::Reset => "reset",
-            Self::Unresponsive => "unresponsive",
-            Self::IdleTooLong => "idle-too-long",
-            Self::TookTooLong => "took-too-long",
-            Self::TooManyBytes => "too-many-bytes",
-            Self::Displaced => "displaced",
-            Self::ProcessEnds => "process-ends",
-            Self::ResponseBrokeOff => "response-broke-off",
-        }
-    }
-
-    /// Whether this process gave the connection up, so that the caller may have lost a part of a response.
-    pub const fn is_given_up(self) -> bool {
-        !matches!(self, Self::CallerClosed | Self::Reset)
-    }
-
-    /// How a connection ended that failed with an I/O error.
-    pub fn of_error(error: &io::Error) -> Self {
-        match error.kind() {
-            io::ErrorKind::TimedOut => Self::Unresponsive,
-            _ => Self::Reset,
-        }
-    }
-}
-
-/// The end of a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Closed {
-    /// How it ended.
-    pub result: CloseResult,
-    /// Bytes from the caller that were dropped.
-    pub dropped_bytes: u64,
-}
-
 /// The connections of a process that are closing.
 #[derive(Debug, Default)]
 pub struct ClosingConnections {
@@ -117,7 +48,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    /// Tells a connection to end, by its number, oldest first.
+    /// Signals each connection to end; by number, oldest first.
     closing: VecDeque<(u64, oneshot::Sender<CloseResult>)>,
     started: u64,
     has_ended: bool,
@@ -126,12 +57,10 @@
 impl ClosingConnections {
     /// Closes a connection; returns once it has ended.
     pub async fn close(&self, stream: TcpStream, limits: CloseLimits) -> Closed {
-        let (number, told_to_end) = self.start();
-        let told_to_end = async {
-            // The sender is dropped only after the connection has ended.
-            told_to_end.await.unwrap_or(CloseResult::ProcessEnds)
-        };
-        let closed = close(stream, limits, told_to_end).await;
+        let (number, end_signal) = self.start();
+        // The sender is dropped only with this process or after it was used.
+        let end_signal = async { end_signal.await.unwrap_or(CloseResult::ProcessEnds) };
+        let closed = close(stream, limits, end_signal).await;
         self.state().closing.retain(|(other, _)| *other != number);
         closed
     }
@@ -144,7 +73,7 @@
     }
 
     fn start(&self) -> (u64, oneshot::Receiver<CloseResult>) {
-        let (sender, told_to_end) = oneshot::channel();
+        let (sender, end_signal) = oneshot::channel();
         let mut state = self.state();
         state.started += 1;
         let number = state.started;
@@ -156,7 +85,7 @@
         };
         let result = if state.has_ended { CloseResult::ProcessEnds } else { CloseResult::Displaced };
         displaced.into_iter().for_each(|(_, sender)| end(sender, result));
-        (number, told_to_end)
+        (number, end_signal)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -164,7 +93,7 @@
     }
 }
 
-/// Tells a connection to end; it may have ended at the same moment.
+/// Signals a connection to end; it may have ended at the same moment.
 fn end(sender: oneshot::Sender<CloseResult>, result: CloseResult) {
     _ = sender.send(result);
 }
@@ -180,18 +109,18 @@
 async fn close(
     mut stream: TcpStream,
     limits: CloseLimits,
-    told_to_end: impl Future<Output = CloseResult>,
+    end_signal: impl Future<Output = CloseResult>,
 ) -> Closed {
     let mut dropped_bytes = 0;
     if let Err(error) = stream.shutdown().await {
         return Closed { result: CloseResult::of_error(&error), dropped_bytes };
     }
-    let mut told_to_end = pin!(told_to_end);
+    let mut end_signal = pin!(end_signal);
     let mut time_over = pin!(sleep_until(Instant::now() + CLOSE_TIME_MAX));
     let result = loop {
         let read = tokio::select! {
             read = read_and_drop(&stream) => read,
-            result = told_to_end.as_mut() => {
+            result = end_signal.as_mut() => {
                 // Bytes that are left unread would reset the connection.
                 dropped_bytes += drop_unread(&stream);
                 break result;
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -5,11 +5,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod closed;
 mod closing;
 mod lent_stream;
 
 pub use {
-    closing::{CloseLimits, CloseResult, Closed, ClosingConnections, reset},
+    closed::{CloseLimits, CloseResult, Closed},
+    closing::{ClosingConnections, reset},
     lent_stream::{Lender, LentStream, lend},
 };
 
--- a/standins/tests/closing_connections.rs
+++ b/standins/tests/closing_connections.rs
@@ -357,9 +357,9 @@
     caller.expect_end();
 }
 
-/// Guards against a response that is lost because its caller asked for the close and sent more.
+/// Guards against a response that is lost because its request had `Connection: close` and more bytes follow it.
 #[gtest]
-fn a_response_after_which_the_caller_asked_to_close_arrives_whole() {
+fn a_response_to_a_request_with_connection_close_arrives_whole() {
     let head = request_head("GET", "/safe/a", "first", DEADLINE_MS);
     expect_delivery_of_last(&head.replacen("\r\n\r\n", "\r\nconnection: close\r\n\r\n", 1));
 }
