--- a/crates/pointvane-node/src/serve.rs
+++ b/crates/pointvane-node/src/serve.rs
@@ -79,7 +79,7 @@
     A: PlatformAdapter,
     S: HttpService<Incoming, ResBody = RelayBody, Error = Infallible>,
 {
-    // No deadline is ever set: the node that asked has one, and other responses are short.
+    // Never started: the node that sent the request applies the deadline, and other responses are short.
     let deadline = ResponseDeadline::default();
     let served = serve_http(node, stream, |stream| stream, service, node.lifecycle.closing(), &deadline);
     served.await.close().await;
--- a/crates/pointvane-serve/src/closed.rs
+++ b/crates/pointvane-serve/src/closed.rs
@@ -18,7 +18,7 @@
     CallerClosed,
     /// The caller reset the connection.
     Reset,
-    /// The caller did not acknowledge what was sent.
+    /// The caller took no byte of a response in time, or its machine did not answer the kernel's probes.
     Unresponsive,
     /// The caller sent nothing for [`CloseLimits::idle_time`] and did not close its side.
     IdleTooLong,
--- a/crates/pointvane-serve/src/closing.rs
+++ b/crates/pointvane-serve/src/closing.rs
@@ -58,7 +58,7 @@
     /// Closes a connection; returns once it has ended.
     pub async fn close(&self, stream: TcpStream, limits: CloseLimits) -> Closed {
         let (number, end_signal) = self.start();
-        // The sender is dropped only with this process or after it was used.
+        // The sender is dropped unused only when the process ends.
         let end_signal = async { end_signal.await.unwrap_or(CloseResult::ProcessEnds) };
         let closed = close(stream, limits, end_signal).await;
         self.state().closing.retain(|(other, _)| *other != number);
