--- a/review/standins-2/src/bin/early.rs
+++ b/review/standins-2/src/bin/early.rs
@@ -21,14 +21,26 @@
 const UPLOADS: usize = 6;
 /// Sizes of the bodies, in turn: one that the node buffers whole, and one that it streams.
 const BODY_BYTES: [usize; 2] = [400_000, 1_000_000];
+const SLOW_BODY_BYTES: usize = 400_000;
 /// The instance has read this part of the body when it answers.
 const READ_FIRST: usize = 20_000;
+/// The first uploads meet instances that pause, the others instances that read steadily and slowly.
+const PAUSED: usize = 3;
 const PAUSE: Duration = Duration::from_millis(3_200);
+/// Bytes that a slow instance reads at once, and how often: 25 kB a second.
+const STEP_BYTES: usize = 2_500;
+const STEP: Duration = Duration::from_millis(100);
+/// Time from the answers to the check: 400 kB take 16 s at 25 kB a second.
+const READ_TIME: Duration = Duration::from_millis(19_000);
 const DEADLINE_MS: u64 = 5_000;
 
 /// What an instance got of the body of each request, and whether it is the client's.
 type Bodies = Arc<Mutex<HashMap<String, (usize, bool)>>>;
 
+fn length_of(number: usize) -> usize {
+    if number < PAUSED { BODY_BYTES[number % 2] } else { SLOW_BODY_BYTES }
+}
+
 fn byte_at(number: usize, place: usize) -> u8 {
     (place / 7 + 31 * number) as u8
 }
@@ -38,30 +50,39 @@
     let id = exchange.head.get("pointvane-request-id").unwrap_or("").to_owned();
     let name = exchange.instance.id.clone();
     let number = usize::from_str_radix(&id[1..], 16).unwrap_or(0);
-    let length = BODY_BYTES[number % 2];
+    let length = length_of(number);
     let is_chunked = exchange.head.is_chunked();
     if is_chunked {
         cannot_run("a length was sent and chunks came");
     }
     let mut body = exchange.reader.exact(READ_FIRST)?;
-    let text = format!("HTTP/1.1 200 OK\r\n{}Content-Length: 0\r\n\r\n", exchange.instance.answer_headers(&exchange.head));
+    let text =
+        format!("HTTP/1.1 200 OK\r\n{}Content-Length: 0\r\n\r\n", exchange.instance.answer_headers(&exchange.head));
     exchange.writer.write_all(text.as_bytes())?;
-    record.line(&format!("{name} answered {id} with 200 after {READ_FIRST} of {length} bytes, and keeps the connection"));
-    if pauses {
+    record
+        .line(&format!("{name} answered {id} with 200 after {READ_FIRST} of {length} bytes, and keeps the connection"));
+    let is_slow = pauses && number >= PAUSED;
+    if pauses && !is_slow {
         thread::sleep(PAUSE);
     }
     let mut problem = None;
     while body.len() < length {
-        match exchange.reader.exact(1_000.min(length - body.len())) {
+        match exchange.reader.exact(STEP_BYTES.min(length - body.len())) {
             Ok(part) => body.extend(part),
             Err(error) => {
                 problem = Some(error);
                 break;
             }
         }
+        if is_slow {
+            thread::sleep(STEP);
+        }
     }
     let is_same = body.len() == length && body.iter().enumerate().all(|(place, byte)| *byte == byte_at(number, place));
-    record.line(&format!("{name} has {} of {length} bytes of {id}, the client's body: {is_same}, {problem:?}", body.len()));
+    record.line(&format!(
+        "{name} has {} of {length} bytes of {id}, the client's body: {is_same}, {problem:?}",
+        body.len()
+    ));
     bodies.lock().unwrap().insert(id, (body.len(), is_same));
     problem.map_or(Ok(()), Err)
 }
@@ -81,6 +102,7 @@
             address: net.at(100 + number as u8, 8_080),
             service: "paperwork".into(),
             slots: 6,
+            probe_ms: 0,
             running: Arc::default(),
             record: record.clone(),
         };
@@ -102,7 +124,7 @@
             let (accepted, record, front) = (Arc::clone(&accepted), record.clone(), node.front);
             thread::spawn(move || {
                 let id = format!("u{number:015x}");
-                let body: Vec<u8> = (0..BODY_BYTES[number % 2]).map(|place| byte_at(number, place)).collect();
+                let body: Vec<u8> = (0..length_of(number)).map(|place| byte_at(number, place)).collect();
                 let Ok(mut client) = Client::connect(front) else { cannot_run("no connection") };
                 if client.send("POST", "/up/scan", &id, DEADLINE_MS, &body).is_err() {
                     return record.line(&format!("client could not send {id} whole"));
@@ -110,7 +132,11 @@
                 record.line(&format!("client has sent {id} whole, {} bytes", body.len()));
                 match client.answer(Duration::from_millis(DEADLINE_MS)) {
                     Ok(Some((head, _))) => {
-                        record.line(&format!("client of {id} got {} {:?}", head.status(), head.get("pointvane-response-stamp")));
+                        record.line(&format!(
+                            "client of {id} got {} {:?}",
+                            head.status(),
+                            head.get("pointvane-response-stamp")
+                        ));
                         if head.status() == 200 {
                             accepted.lock().unwrap().push(id);
                         }
@@ -118,7 +144,7 @@
                     other => record.line(&format!("client of {id} got no answer: {:?}", other.map(|_| ()))),
                 }
                 // The connection is kept: the client has nothing more to send.
-                thread::sleep(PAUSE + Duration::from_millis(2_000));
+                thread::sleep(if pauses { READ_TIME } else { PAUSE });
             })
         })
         .collect();
--- a/review/standins-2/src/instance.rs
+++ b/review/standins-2/src/instance.rs
@@ -15,6 +15,7 @@
             atomic::{AtomicU32, Ordering},
         },
         thread,
+        time::Duration,
     },
 };
 
@@ -36,6 +37,8 @@
     pub address: SocketAddr,
     pub service: String,
     pub slots: u32,
+    /// Time that an answer of the health path takes, in milliseconds.
+    pub probe_ms: u64,
     pub running: Arc<AtomicU32>,
     pub record: Record,
 }
@@ -81,6 +84,7 @@
         while let Some(head) = reader.head()? {
             if head.second() == "/health" {
                 reader.body(&head, false)?;
+                thread::sleep(Duration::from_millis(self.probe_ms));
                 let text = format!(
                     "HTTP/1.1 200 OK\r\nPointvane-Instance-Id: {}\r\nPointvane-Instance-Load: {}\r\n\
                      Content-Length: 0\r\n\r\n",
