--- a/review/standins-2/src/bin/unframed.rs
+++ b/review/standins-2/src/bin/unframed.rs
@@ -135,6 +135,7 @@
             address: net.at(100 + number as u8, 8_080),
             service: "desk".into(),
             slots: 6,
+            probe_ms: 0,
             running: Arc::default(),
             record: record.clone(),
         };
