--- a/review/standins-2/src/bin/behind.rs
+++ b/review/standins-2/src/bin/behind.rs
@@ -50,6 +50,7 @@
     reader.body(head, false)?;
     let id = head.get("pointvane-request-id").unwrap_or("").to_owned();
     runs.lock().unwrap().insert(id.clone(), Run { instance: instance.number, whole: false });
+    instance.record.line(&format!("{} runs {id}", instance.id));
     thread::sleep(WORK);
     let text = format!("HTTP/1.1 200 OK\r\n{}Content-Length: {ANSWER_BYTES}\r\n\r\n", instance.answer_headers(head));
     let draw = draws.fetch_add(1, Ordering::SeqCst).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33;
@@ -93,6 +94,7 @@
             }
             let mut answered = 0;
             let mut partly = 0;
+            let mut is_open = false;
             for id in &ids {
                 match client.answer(Duration::from_millis(DEADLINE_MS)) {
                     Ok(Some((head, body)))
@@ -106,6 +108,11 @@
                         answered += 1;
                     }
                     Ok(None) => break,
+                    Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                        record.line(&format!("{id}: no answer in {DEADLINE_MS} ms, the connection is open"));
+                        is_open = true;
+                        break;
+                    }
                     Err(_) => {
                         partly = 1;
                         break;
@@ -113,9 +120,13 @@
                 }
             }
             found.lock().unwrap().answered += answered as u64;
+            record.line(&format!("client {number} sent {} to {}, {answered} answered", ids[0], ids[AT_ONCE - 1]));
             if answered == AT_ONCE {
                 continue;
             }
+            if is_open {
+                break;
+            }
             // What an instance is still at work on may yet be answered by it.
             thread::sleep(2 * WORK);
             let runs = runs.lock().unwrap();
--- a/review/standins-2/src/bin/lengths.rs
+++ b/review/standins-2/src/bin/lengths.rs
@@ -39,6 +39,7 @@
     reader.body(head, false)?;
     thread::sleep(WORK);
     let id = head.get("pointvane-request-id").unwrap_or("");
+    instance.record.line(&format!("{} runs {id}", instance.id));
     let draw = draws.fetch_add(1, Ordering::SeqCst).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33;
     if garbles && instance.number < FAULTY && draw % 1_000 < SPOILED_PER_1000 {
         instance
@@ -82,6 +83,7 @@
             Ok(Some((head, body))) if head.get("pointvane-response-stamp").is_some() && head.status() == 200 => {
                 if body.len() == ANSWER_BYTES {
                     found.whole += 1;
+                    record.line(&format!("client {number}: sent {id}, got 200 whole"));
                     kept = Some(client);
                     continue;
                 }
--- a/review/standins-2/src/bin/reading.rs
+++ b/review/standins-2/src/bin/reading.rs
@@ -3,7 +3,7 @@
 use {
     review_standins_2::{
         client::Client,
-        deploy::{Net, Plan, cannot_run, watch_time, without_trouble},
+        deploy::{Net, Plan, cannot_run, get, watch_time, without_trouble},
         instance::{Exchange, Instance},
         record::Record,
         store::Store,
@@ -103,7 +103,8 @@
     let plan = Plan { net, store: store.address, hosts: vec![1], grace_s: 6, bootstrap: true };
     let mut node = plan.start(1);
     node.wait_ready();
-    thread::sleep(Duration::from_millis(1_000));
+    // Longer than contact-ms since the start of the node.
+    thread::sleep(Duration::from_millis(3_500));
 
     let answers: Arc<Mutex<Vec<(String, String, u128)>>> = Arc::default();
     let clients: Vec<_> = (0..UPLOADS)
@@ -142,7 +143,11 @@
     thread::sleep(Duration::from_millis(100));
     let stopped_ms = record.ms();
     record.say(&format!("SIGTERM to the node at {stopped_ms} ms; {UPLOADS} uploads are being worked on"));
-    node.signal("TERM");
+    node.terminate();
+    thread::sleep(Duration::from_millis(500));
+    if get(node.ready, "/ready").is_some_and(|(status, _)| status == 200) {
+        cannot_run("the node still counts as ready after the SIGTERM");
+    }
     clients.into_iter().for_each(|client| _ = client.join());
     let ended = node.wait_end(Duration::from_secs(8));
     record.say(&format!("the node has ended: {ended}"));
--- a/review/standins-2/src/deploy.rs
+++ b/review/standins-2/src/deploy.rs
@@ -3,6 +3,7 @@
 use std::{
     fs,
     net::{SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio, exit},
     sync::{Mutex, PoisonError},
@@ -10,6 +11,15 @@
     time::{Duration, Instant},
 };
 
+const SIGKILL: i32 = 9;
+const SIGTERM: i32 = 15;
+const PR_SET_PDEATHSIG: i32 = 1;
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: usize) -> i32;
+}
+
 /// Nodes that were started and not yet waited for, by process id.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 /// Longest time of a run.
@@ -19,7 +29,7 @@
 pub fn cannot_run(why: &str) -> ! {
     println!("could not run: {why}");
     for pid in STARTED.lock().unwrap_or_else(PoisonError::into_inner).iter() {
-        _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+        _ = unsafe { kill(*pid as i32, SIGKILL) };
     }
     exit(2)
 }
@@ -171,7 +181,15 @@
         }
         let log = fs::File::create(folder.join("log")).unwrap_or_else(|error| cannot_run(&error.to_string()));
         let errors = log.try_clone().unwrap_or_else(|error| cannot_run(&error.to_string()));
-        let child = Command::new("target/release/pointvane-platform-node")
+        let mut command = Command::new("target/release/pointvane-platform-node");
+        // The node ends when the script is killed.
+        unsafe {
+            command.pre_exec(|| {
+                _ = prctl(PR_SET_PDEATHSIG, SIGKILL as usize);
+                Ok(())
+            })
+        };
+        let child = command
             .args(["--options", "deploy/node.toml"])
             .env("POINTVANE_BOOT", &boot)
             .stdin(Stdio::null())
@@ -196,8 +214,11 @@
         cannot_run("a node did not become ready")
     }
 
-    pub fn signal(&self, name: &str) {
-        _ = Command::new("kill").args([format!("-{name}"), self.child.id().to_string()]).status();
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        if unsafe { kill(self.child.id() as i32, SIGTERM) } != 0 {
+            cannot_run("the node could not be sent SIGTERM");
+        }
     }
 
     /// Waits for its end; the time, or none if it still runs.
