Test of keepalive probes: the connection is found by both of its addresses

Cause: the test looked up the node's side of its connection in /proc/net/tcp by the caller's port alone. A connection of another program that is in TIME_WAIT may have the same remote port; if its line comes first, the test watches that one for its whole 20 s. /proc/net/tcp had 11,964 lines right after that run, all but one in TIME_WAIT.

Evidence: with some 27,800 connections in TIME_WAIT, made by a script, 8 of 12 plays of the unchanged test fail; with this change 0 of 12, with 27,590. With 2,200 such connections 0 of 16 plays of the unchanged test failed.

The check is as strict as before: the same timer of the same connection.

--- a/standins/tests/paused_callers.rs
+++ b/standins/tests/paused_callers.rs
@@ -9,7 +9,7 @@
     std::{
         fs,
         io::{BufReader, Write},
-        net::TcpStream,
+        net::{IpAddr, SocketAddr, TcpStream},
         thread,
         time::Duration,
     },
@@ -120,16 +120,22 @@
     eventually(|| scene.node.log_lines().lines().any(is_given_up));
 }
 
+/// An address as `/proc/net/tcp` shows it.
+fn proc_address(address: SocketAddr) -> String {
+    let IpAddr::V4(ip) = address.ip() else { panic!("{address} is not an IPv4 address") };
+    format!("{:08X}:{:04X}", u32::from_ne_bytes(ip.octets()), address.port())
+}
+
 /// Guards against callers whose machine has failed and which are never found, since nothing is sent to them.
 #[gtest]
 fn an_idle_connection_of_a_caller_is_probed_by_the_kernel() {
     let scene = Scene::start(100, ConfigurationOptions::default());
     let stream = scene.connect();
-    let port = format!(":{:04X}", stream.local_addr().unwrap().port());
+    let addresses = [scene.node.traffic_address(), stream.local_addr().unwrap()].map(proc_address);
     let timer = || {
         let connections = fs::read_to_string("/proc/net/tcp").unwrap();
         let fields = |line: &str| line.split_whitespace().map(str::to_owned).collect::<Vec<_>>();
-        let of_node = connections.lines().map(fields).find(|fields| fields[2].ends_with(&port));
+        let of_node = connections.lines().map(fields).find(|fields| fields[1..=2] == addresses);
         of_node.map(|fields| fields[5].clone())
     };
     eventually(|| timer().is_some_and(|timer| timer.starts_with(KEEPALIVE_TIMER)));
