An upstream that pauses while it reads an upload is not taken for dead

Cause: TCP_USER_TIMEOUT of 2.5 s on connections to upstreams and to other nodes. The kernel counts the time of a closed receive window, too, although the peer acknowledges its probes. It is the cause of paused callers taken for dead, which left the option on connections that the node opens.

Fix: a connection is exempt from the option from the first body on that is longer than the smallest receive buffer (4 KiB). A live peer acknowledges what is shorter without reading it, so requests without a long body still fail 2.5 s after the machine of their upstream has died. An upload to such a machine now ends at the deadline of its request.

The exemption is not taken back when the connection is reused: an upstream may have responded before it read everything.

--- a/crates/pointvane-node/src/connections.rs
+++ b/crates/pointvane-node/src/connections.rs
@@ -9,10 +9,11 @@
         connection_metrics::ConnectionMetrics,
         idle_connections::{IdleConnection, IdleConnections, InUse},
         socket,
+        upstream_stream::{SlowReading, UpstreamStream},
     },
     hyper::{
         HeaderMap, Request, Response,
-        body::Incoming,
+        body::{Body, Incoming},
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
@@ -30,6 +31,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest read buffer of a connection, in bytes.
 const READ_BUFFER_BYTES: usize = 32_768;
+/// Length of a body up to which a live peer acknowledges it without reading: no more than the smallest receive
+/// buffer of a socket (`net.ipv4.tcp_rmem`).
+const ACKNOWLEDGED_BODY_BYTES: u64 = 4_096;
 
 /// Body of a relayed request or response; a long response body holds the connection that it arrives on.
 pub type RelayBody = StreamedBody<Connection>;
@@ -48,6 +52,7 @@
 pub struct Connection {
     address: SocketAddr,
     sender: SendRequest<RelayBody>,
+    slow_reading: SlowReading,
     round_trip: Duration,
     idle: IdleConnections,
     purpose: ConnectionPurpose,
@@ -116,7 +121,7 @@
         address: SocketAddr,
         purpose: ConnectionPurpose,
     ) -> Result<Connection, ConnectError> {
-        let IdleConnection { sender, round_trip, request_ended_at, .. } =
+        let IdleConnection { sender, slow_reading, round_trip, request_ended_at, .. } =
             match self.idle.take(address, purpose) {
                 Ok(idle) => idle,
                 Err(reason) => return self.open(address, purpose, reason).await,
@@ -125,6 +130,7 @@
         Ok(Connection {
             address,
             sender,
+            slow_reading,
             round_trip,
             idle: self.idle.clone(),
             purpose,
@@ -151,12 +157,15 @@
         self.metrics.opened(purpose, reason);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(READ_BUFFER_BYTES);
+        let slow_reading = SlowReading::default();
+        let stream = UpstreamStream::new(stream, slow_reading.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| ConnectError::Other)?;
         spawn_local(driver);
         Ok(Connection {
             address,
             sender,
+            slow_reading,
             round_trip,
             idle: self.idle.clone(),
             purpose,
@@ -184,6 +193,9 @@
     /// # Errors
     /// [`SendError::Unsent`] if no byte of the request was sent, [`SendError::Broken`] if some may have been.
     pub async fn send(&mut self, request: Request<RelayBody>) -> Result<Response<Incoming>, SendError> {
+        if request.body().size_hint().exact().is_none_or(|bytes| bytes > ACKNOWLEDGED_BODY_BYTES) {
+            self.slow_reading.accept();
+        }
         self.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::Unsent,
             None => SendError::Broken,
@@ -205,6 +217,7 @@
         let now = BootInstant::now();
         let idle = IdleConnection {
             sender: self.sender,
+            slow_reading: self.slow_reading,
             round_trip: self.round_trip,
             idle_since: now,
             idle_time_max: idle_time_max(answer),
--- a/crates/pointvane-node/src/idle_connections.rs
+++ b/crates/pointvane-node/src/idle_connections.rs
@@ -3,7 +3,7 @@
 //! [`pointvane_dispatch::choose_idle`] decides which one is taken.
 
 use {
-    crate::connections::RelayBody,
+    crate::{connections::RelayBody, upstream_stream::SlowReading},
     hyper::client::conn::http1::SendRequest,
     pointvane_dispatch::{ConnectionPurpose, IdleTimes, OpenReason, OtherConnections, Removal, choose_idle},
     pointvane_telemetry::BootInstant,
@@ -26,6 +26,8 @@
 pub struct IdleConnection {
     /// Sends requests on it.
     pub sender: SendRequest<RelayBody>,
+    /// Whether its peer may read slowly.
+    pub slow_reading: SlowReading,
     /// Time that its TCP handshake took.
     pub round_trip: Duration,
     /// When it became idle.
--- a/crates/pointvane-node/src/lib.rs
+++ b/crates/pointvane-node/src/lib.rs
@@ -62,6 +62,7 @@
 mod socket;
 mod stop;
 mod traffic;
+mod upstream_stream;
 
 pub use {
     run::run,
--- a/crates/pointvane-node/src/socket.rs
+++ b/crates/pointvane-node/src/socket.rs
@@ -1,9 +1,10 @@
 //! TCP sockets that detect dead peers: a machine that has failed sends neither FIN nor RST.
 //!
 //! An idle connection fails 3 s after the last byte that was received, with the third keepalive probe due. A
-//! connection to an upstream, the platform or another node with unacknowledged data fails at the first
-//! retransmission after 2.5 s. The kernel applies that limit to peers that acknowledge and only stop reading,
-//! too, so callers, which may read slowly, are exempt from it: `pointvane_serve::lend` limits their writes.
+//! connection that was opened here and has unacknowledged data fails at the first retransmission after 2.5 s.
+//! The kernel applies that limit to peers that acknowledge and only stop reading, too. So it holds only while no
+//! more is sent than a receive buffer takes: callers are exempt from it, and an upstream or another node is as soon
+//! as it is sent a long body ([`accept_slow_reading`]). Limits on writes take its place there.
 
 use {
     socket2::{SockRef, TcpKeepalive},
@@ -72,6 +73,14 @@
     SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))
 }
 
+/// Exempts a connection from the limit on unacknowledged data: its peer may read slowly.
+///
+/// # Errors
+/// Fails if the socket option cannot be set.
+pub fn accept_slow_reading(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(None)
+}
+
 /// Configures a connection to fail within seconds after its peer has died while it is idle, and disables Nagle's
 /// algorithm.
 ///
--- a/crates/pointvane-serve/src/lent_stream.rs
+++ b/crates/pointvane-serve/src/lent_stream.rs
@@ -5,6 +5,7 @@
 //! [`crate::ClosingConnections`] implements.
 
 use {
+    crate::write_timeout::WriteTimeout,
     std::{
         io,
         pin::{Pin, pin},
@@ -15,7 +16,6 @@
     tokio::{
         io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
         net::TcpStream,
-        time::{Sleep, sleep},
     },
 };
 
@@ -31,16 +31,14 @@
     /// `None` only while it is dropped.
     stream: Option<TcpStream>,
     returned: Returned,
-    write_timeout: Option<Duration>,
-    /// When the write that waits fails.
-    stalled_write: Option<Pin<Box<Sleep>>>,
+    write_timeout: WriteTimeout,
 }
 
 /// Lends a stream. A write fails if its peer takes no bytes for `write_timeout`, if there is one.
 pub fn lend(stream: TcpStream, write_timeout: Option<Duration>) -> (LentStream, Lender) {
     let returned = Returned::default();
     let lender = Lender(Arc::clone(&returned));
-    (LentStream { stream: Some(stream), returned, write_timeout, stalled_write: None }, lender)
+    (LentStream { stream: Some(stream), returned, write_timeout: WriteTimeout::new(write_timeout) }, lender)
 }
 
 impl Lender {
@@ -59,21 +57,6 @@
         matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
-    /// Fails a write that waits for too long.
-    fn poll_write_timeout(
-        &mut self,
-        written: Poll<io::Result<usize>>,
-        cx: &mut Context<'_>,
-    ) -> Poll<io::Result<usize>> {
-        if written.is_ready() {
-            self.stalled_write = None;
-            return written;
-        }
-        let Some(write_timeout) = self.write_timeout else { return Poll::Pending };
-        let timeout = self.stalled_write.get_or_insert_with(|| Box::pin(sleep(write_timeout)));
-        timeout.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
-    }
-
     fn get(&mut self) -> io::Result<Pin<&mut TcpStream>> {
         self.stream.as_mut().map(Pin::new).ok_or_else(|| io::ErrorKind::NotConnected.into())
     }
@@ -98,7 +81,7 @@
 impl AsyncWrite for LentStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let written = self.get()?.poll_write(cx, bytes);
-        self.poll_write_timeout(written, cx)
+        self.write_timeout.apply(written, cx)
     }
 
     fn poll_write_vectored(
@@ -107,7 +90,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = self.get()?.poll_write_vectored(cx, slices);
-        self.poll_write_timeout(written, cx)
+        self.write_timeout.apply(written, cx)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -8,11 +8,13 @@
 mod closed;
 mod closing;
 mod lent_stream;
+mod write_timeout;
 
 pub use {
     closed::{CloseLimits, CloseResult, Closed},
     closing::{ClosingConnections, reset},
     lent_stream::{Lender, LentStream, lend},
+    write_timeout::WriteTimeout,
 };
 
 use {
--- a/standins/tests/users_platform/behaviour.rs
+++ b/standins/tests/users_platform/behaviour.rs
@@ -52,6 +52,17 @@
     ResetIdleWithoutLoadReport,
     /// A response with a body of this length after some milliseconds.
     Long { after_ms: u64, length: BodyLength, end: BodyEnd },
+    /// A complete response; reads the body of the request only after a pause.
+    PauseReading { pause_ms: u64, respond: RespondTime },
+}
+
+/// When an upstream that pauses while it reads a request responds to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RespondTime {
+    /// Before it reads the body.
+    BeforeBody,
+    /// Once it has read the body.
+    AfterBody,
 }
 
 /// Length of a body.
--- a/standins/tests/users_platform/message.rs
+++ b/standins/tests/users_platform/message.rs
@@ -36,6 +36,13 @@
 /// Reads a message with a body of known length or in chunks. Fails at the end of the connection, on an I/O
 /// error and on an invalid chunk size.
 pub fn read_message(reader: &mut impl BufRead) -> io::Result<Message> {
+    let mut message = read_head(reader)?;
+    read_body(reader, &mut message)?;
+    Ok(message)
+}
+
+/// Reads a message up to its body.
+pub fn read_head(reader: &mut impl BufRead) -> io::Result<Message> {
     let mut message = Message::default();
     let mut line = String::new();
     if reader.read_line(&mut line)? == 0 {
@@ -50,13 +57,18 @@
         let Some((name, value)) = line.trim().split_once(':') else { break };
         message.headers.push((name.to_ascii_lowercase(), value.trim().into()));
     }
+    Ok(message)
+}
+
+/// Reads the body of a message whose head was read.
+pub fn read_body(reader: &mut impl BufRead, message: &mut Message) -> io::Result<()> {
     if let Some(length) = message.header("content-length").and_then(|length| length.parse().ok()) {
         message.body = vec![0; length];
         reader.read_exact(&mut message.body)?;
     } else if message.header("transfer-encoding").is_some() {
         message.body = read_chunks(reader)?;
     }
-    Ok(message)
+    Ok(())
 }
 
 /// Reads a chunked body.
--- a/standins/tests/users_platform/mod.rs
+++ b/standins/tests/users_platform/mod.rs
@@ -13,7 +13,7 @@
 
 pub use {
     addresses::unique_address,
-    behaviour::{BodyEnd, BodyLength, UpstreamBehaviour},
+    behaviour::{BodyEnd, BodyLength, RespondTime, UpstreamBehaviour},
     message::{Message, call, read_message, request_head},
     node::{Log, NodeProcess, Options},
     store::{Account, ConfigurationOptions, Incarnation, Store},
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         RESPONSE_STAMP_HEADER, WAIT_TIMEOUT,
-        behaviour::{BodyEnd, UpstreamBehaviour},
-        message::{Message, read_message},
+        behaviour::{BodyEnd, RespondTime, UpstreamBehaviour},
+        message::{Message, read_body, read_head},
         process::SimulatedProcess,
         unique_address,
         upstream_responses::{
@@ -173,7 +173,7 @@
                     return Ok(());
                 }
             }
-            let request = read_message(&mut reader)?;
+            let mut request = read_head(&mut reader)?;
             if request.target() == "/health" {
                 self.health_probes.fetch_add(1, Ordering::SeqCst);
                 let behaviour = *self.behaviour.lock().unwrap();
@@ -183,6 +183,20 @@
                 write_health(&stream, &self.id, behaviour)?;
                 continue;
             }
+            let behaviour = *self.behaviour.lock().unwrap();
+            if let UpstreamBehaviour::PauseReading { pause_ms, respond } = behaviour {
+                let responds_first = respond == RespondTime::BeforeBody;
+                if responds_first && !self.handle(&stream, &request)? {
+                    return Ok(());
+                }
+                thread::sleep(Duration::from_millis(pause_ms));
+                if responds_first {
+                    read_body(&mut reader, &mut request)?;
+                    *self.last.lock().unwrap() = request;
+                    continue;
+                }
+            }
+            read_body(&mut reader, &mut request)?;
             if !self.handle(&stream, &request)? {
                 return Ok(());
             }
@@ -244,6 +258,7 @@
             UpstreamBehaviour::Normal
             | UpstreamBehaviour::Cold
             | UpstreamBehaviour::SlowProbes(_)
+            | UpstreamBehaviour::PauseReading { .. }
             | UpstreamBehaviour::ResetIdle => write_ok(stream, id)?,
             UpstreamBehaviour::ReportFull => write_ok_full(stream, id)?,
             UpstreamBehaviour::AnnounceLimit { per_1000_s } => write_ok_with_limit(stream, id, per_1000_s)?,
