A node whose caller pauses is not taken for dead by the node that answers it

What callers saw: one that read nothing for 2.5 s lost the rest of a long response that its node had got through another node.

A node reads no more of a response than its caller does, so its receive window closes as well.

Fix: all connections that a node accepts have the keepalive probes alone. What they are sent is limited as for callers: a write that takes no byte for idle-timeout-ms fails. A node that dies while it is sent to is found after that time, not after 2.5 s; the node that it forwarded for is gone as well.

--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -16,7 +16,7 @@
         report::Report,
         serve::{listen, serve_sequentially},
         settings::NodeSettings,
-        socket, stop,
+        stop,
     },
     eyre::{Result, WrapErr},
     pointvane_config::{FleetOptions, NodeOptions},
@@ -79,7 +79,7 @@
     node.fleet.set_sockets(sockets.clone());
     listen_to_callers(node, &settings).await?;
     let forwards = SocketAddr::new(ip, gossip.port() + FORWARD_PORT_OFFSET);
-    listen(Rc::clone(node), forwards, socket::enable_dead_peer_detection, peer_requests::serve).await?;
+    listen(Rc::clone(node), forwards, peer_requests::serve).await?;
     let queries = TcpListener::bind(gossip).await.wrap_err("cannot bind the state query socket")?;
     spawn_local(gossip_loop::run(Rc::clone(node), sockets.gossip));
     spawn_local(state_query::serve(Rc::clone(node), queries));
@@ -116,15 +116,14 @@
     node: &Rc<Node<A>>,
     settings: &NodeSettings,
 ) -> Result<()> {
-    listen(Rc::clone(node), settings.traffic, socket::enable_dead_caller_detection, caller_connection::serve)
-        .await?;
+    listen(Rc::clone(node), settings.traffic, caller_connection::serve).await?;
     let readiness = |node, stream| serve_sequentially(node, stream, directory::readiness);
-    listen(Rc::clone(node), settings.readiness, socket::enable_dead_caller_detection, readiness).await?;
+    listen(Rc::clone(node), settings.readiness, readiness).await?;
     let directory = |node, stream| serve_sequentially(node, stream, directory::directory);
-    listen(Rc::clone(node), settings.directory, socket::enable_dead_caller_detection, directory).await?;
+    listen(Rc::clone(node), settings.directory, directory).await?;
     if let Some(address) = settings.operator {
         let operator = |node, stream| serve_sequentially(node, stream, operator::operator);
-        listen(Rc::clone(node), address, socket::enable_dead_caller_detection, operator).await?;
+        listen(Rc::clone(node), address, operator).await?;
     }
     Ok(())
 }
--- a/crates/pointvane-node/src/serve.rs
+++ b/crates/pointvane-node/src/serve.rs
@@ -6,6 +6,7 @@
         node::Node,
         response_deadline::ResponseDeadline,
         served::{ServeError, Served},
+        socket,
     },
     eyre::{Result, WrapErr},
     hyper::{
@@ -17,7 +18,7 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     pointvane_core::PlatformAdapter,
     pointvane_serve::{LentStream, lend},
-    std::{convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration},
+    std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncRead, AsyncWrite},
         net::{TcpListener, TcpStream},
@@ -28,17 +29,11 @@
 /// Smallest read buffer that `hyper` accepts, in bytes.
 const READ_BUFFER_BYTES_MIN: usize = 8_192;
 
-/// Accepts connections until the node closes, and serves each with `serve_connection` once `configure` has set
-/// its socket options.
+/// Accepts connections until the node closes, and serves each with `serve_connection`.
 ///
 /// # Errors
 /// When binding the address fails.
-pub async fn listen<A, C, F>(
-    node: Rc<Node<A>>,
-    address: SocketAddr,
-    configure: fn(&TcpStream) -> io::Result<()>,
-    serve_connection: C,
-) -> Result<()>
+pub async fn listen<A, C, F>(node: Rc<Node<A>>, address: SocketAddr, serve_connection: C) -> Result<()>
 where
     A: PlatformAdapter + 'static,
     C: Fn(Rc<Node<A>>, TcpStream) -> F + 'static,
@@ -50,7 +45,7 @@
             tokio::select! {
                 accepted = listener.accept() => {
                     // An accept error concerns a single connection; its caller sees it fail.
-                    if let Ok((stream, _)) = accepted && configure(&stream).is_ok() {
+                    if let Ok((stream, _)) = accepted && socket::enable_keepalive(&stream).is_ok() {
                         spawn_local(serve_connection(Rc::clone(&node), stream));
                     }
                 }
--- a/crates/pointvane-node/src/socket.rs
+++ b/crates/pointvane-node/src/socket.rs
@@ -3,8 +3,9 @@
 //! An idle connection fails 3 s after the last byte that was received, with the third keepalive probe due. A
 //! connection that was opened here and has unacknowledged data fails at the first retransmission after 2.5 s.
 //! The kernel applies that limit to peers that acknowledge and only stop reading, too. So it holds only while no
-//! more is sent than a receive buffer takes: callers are exempt from it, and an upstream or another node is as soon
-//! as it is sent a long body ([`accept_slow_reading`]). Limits on writes take its place there.
+//! more is sent than a receive buffer takes: callers, and nodes that forward their requests, are exempt from it,
+//! and an upstream is as soon as it is sent a long body ([`accept_slow_reading`]). Limits on writes take its
+//! place there.
 
 use {
     socket2::{SockRef, TcpKeepalive},
@@ -60,19 +61,11 @@
         socket.bind(SocketAddr::new(source_ip, 0))?;
     }
     let stream = timeout(connect_timeout, socket.connect(address)).await??;
-    enable_dead_peer_detection(&stream)?;
+    enable_keepalive(&stream)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))?;
     Ok(stream)
 }
 
-/// Configures a connection to fail within seconds after its peer has died, and disables Nagle's algorithm.
-///
-/// # Errors
-/// Fails if a socket option cannot be set.
-pub fn enable_dead_peer_detection(stream: &TcpStream) -> io::Result<()> {
-    enable_dead_caller_detection(stream)?;
-    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))
-}
-
 /// Exempts a connection from the limit on unacknowledged data: its peer may read slowly.
 ///
 /// # Errors
@@ -86,7 +79,7 @@
 ///
 /// # Errors
 /// Fails if a socket option cannot be set.
-pub fn enable_dead_caller_detection(stream: &TcpStream) -> io::Result<()> {
+pub fn enable_keepalive(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
--- a/standins/tests/paused_upstreams.rs
+++ b/standins/tests/paused_upstreams.rs
@@ -1,4 +1,5 @@
-//! Upstreams that stop reading an upload for a while: no node takes them for dead.
+//! Upstreams that stop reading an upload for a while, and callers that do so behind a second node: no node takes them
+//! for dead.
 
 mod partitioned_fleet;
 #[path = "soak/proxy.rs"]
@@ -17,8 +18,8 @@
         time::Duration,
     },
     users_platform::{
-        ConfigurationOptions, HOST, Message, NodeProcess, Options, RespondTime, Store, Upstream,
-        UpstreamBehaviour, eventually, read_message,
+        BodyEnd, BodyLength, ConfigurationOptions, HOST, Message, NodeProcess, Options, RespondTime, Store,
+        Upstream, UpstreamBehaviour, eventually, read_message, request_head,
     },
 };
 
@@ -146,6 +147,23 @@
     fleet
 }
 
+/// Guards against a second node that takes the first one for dead while their caller pauses.
+#[gtest]
+fn a_caller_that_pauses_gets_a_whole_response_through_a_second_node() {
+    let behaviour = UpstreamBehaviour::Long {
+        after_ms: 0,
+        length: BodyLength::Known(STREAMED_BYTES),
+        end: BodyEnd::Complete,
+    };
+    let fleet = fleet_with_a_cut_off_node(behaviour);
+    let mut stream = TcpStream::connect(fleet.nodes[0].traffic_address()).unwrap();
+    stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    stream.write_all(request_head("GET", "/safe/a", "paused", DEADLINE_MS).as_bytes()).unwrap();
+    stream.peek(&mut [0; 1]).unwrap();
+    thread::sleep(Duration::from_millis(PAUSE_MS));
+    expect_that!(read_response(&stream).body.len(), eq(STREAMED_BYTES));
+}
+
 /// Guards against a first node that takes the second one for dead while their upstream pauses.
 #[gtest]
 fn an_upload_through_a_second_node_is_answered_although_its_upstream_pauses() {
