Test of refusals for lack of memory: callers read once all are decided

Seen: a_refusal_for_lack_of_memory_reaches_a_caller_that_is_still_sending failed in 1 of 6 plays at a load average of 29 (384 of 388 refusals seen).

Cause: the test compares the refusals that callers have read with those that the node has counted in the end. Beside load the node decides on the last senders after the 2.5 s for which the test waits; a caller reads for 0.2 s, so a refusal that comes after that is counted and not read. None is lost.

In a play with the counts written out 372 refusals were counted before the callers read and 374 after, 372 were read, and all other callers had got nothing: no reset, no end.

The check is the same: each refusal that is counted has reached its caller.

--- a/standins/tests/memory_pressure.rs
+++ b/standins/tests/memory_pressure.rs
@@ -8,6 +8,7 @@
     std::{
         fs,
         io::{self, BufRead, BufReader, Write},
+        mem,
         net::{SocketAddr, TcpListener, TcpStream},
         sync::{
             Arc, Mutex,
@@ -42,6 +43,8 @@
 ];
 /// Time within which slow peers have stopped and the node has decided on them.
 const STOPPED_TIME: Duration = Duration::from_millis(2_500);
+/// Time without a refusal after which the node has decided on all slow peers: longer than one waits or stalls before it.
+const QUIET_TIME: Duration = Duration::from_millis(1_500);
 
 /// An upstream that sends long answers to `/long/` and reads no body of `/upload/`.
 struct ByPath {
@@ -150,6 +153,17 @@
         lines.map(|line| line.rsplit(' ').next().unwrap().parse::<usize>().unwrap()).sum()
     }
 
+    /// Waits until the node has refused no request for lack of memory for a while: one that is refused after its
+    /// caller has stopped reading would count as lost.
+    fn wait_for_last_refusal(&self) {
+        let mut refused = 0;
+        eventually(|| {
+            let refused_before = mem::replace(&mut refused, self.refused_for_memory());
+            thread::sleep(QUIET_TIME);
+            refused == refused_before
+        });
+    }
+
     /// Checks memory, and quick callers beside those of a node without slow peers. `play` starts slow peers,
     /// which stop within [`STOPPED_TIME`]: what they send takes processor time, whatever is done with it.
     ///
@@ -267,6 +281,7 @@
     let scene = Scene::start();
     let slow = SlowPeers::start(&scene.node, "/upload/a", BODY_BYTES, BODY_BYTES / 2);
     thread::sleep(STOPPED_TIME);
+    scene.wait_for_last_refusal();
     let refused = slow.finish();
     let counted = scene.refused_for_memory();
     expect_that!(counted, gt(100));
