--- a/crates/pointvane-node/src/upstream_stream.rs
+++ b/crates/pointvane-node/src/upstream_stream.rs
@@ -21,8 +21,8 @@
 /// upstream that has responded early and never reads the rest.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Whether the peer of a connection may read slowly. It may from the first long body on: the end of that is not
-/// known, since an upstream may respond before it has read everything.
+/// Whether the peer of a connection may read slowly: it may from the first long body on, and for as long as the
+/// connection lasts, since an upstream may respond before it has read all of that body.
 #[derive(Clone, Debug, Default)]
 pub struct SlowReading(Rc<Cell<bool>>);
 
