A response's body is framed by one rule, so that no header of the upstream contradicts it

With a longer length the response was cut off although the upstream had sent it whole. A length given twice in one line ("20000, 20000") was passed on as it was, which clients need not understand. The entry did the same on each of its paths, also for responses stored under a key and their repeats.

Cause: three places decided what the body is. The HTTP library read the chunks (RFC 9112, 6.3), a list of hop-by-hop headers took Transfer-Encoding out and left the length, and the HTTP server framed what it sent by that length.

Evidence: the table of standins/tests/malformed_responses.rs and entry_malformed_responses.rs. Other guesses, that a body is cut in the buffer or that the library stops at the length, don't fit: with a longer length all bytes of the chunks arrive.

Change: pointvane_serve::FramedHead decides the framing once from the head as received, compares it with how the library reads the body, and writes it into the head that is sent on. Both forms send every request (to upstreams, other nodes, entries and the platform) through pointvane_serve::send_request, which applies it. Chunks beside a length are repaired, not refused: their end is certain, and an unsafe request that has run could not be tried elsewhere; the connection is not reused. Lengths that differ, or are no number, are refused. Line response-malformed with request, upstream and reason; counters pointvane_node_responses_malformed and pointvane_responses_malformed.

--- a/crates/pointvane-entry/src/attempt.rs
+++ b/crates/pointvane-entry/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        connection_pool::{Connection, ConnectionPool, SendError},
+        connection_pool::{Connection, ConnectionPool},
         counters::EntryCounters,
         notice_recorder::NoticeRecorder,
         outgoing::OutgoingRequest,
@@ -15,6 +15,7 @@
     hyper::{Response, StatusCode, body::Incoming},
     pointvane_balance::AttemptOutcome,
     pointvane_core::{ErrorKind, HedgeSchedule, US_PER_MS},
+    pointvane_serve::{ResponseFault, SendError},
     std::time::Duration,
     tokio::time::{Instant, sleep_until, timeout_at},
 };
@@ -107,22 +108,42 @@
     let response_wait = response_wait::send(connection, outgoing.build(body), recorder, deadline_us);
     match timeout_at(give_up_at, response_wait).await {
         Ok((connection, Ok(response))) => {
+            if let Some(fault) = connection.repaired() {
+                report_malformed(outgoing, &attempt, counters, fault, false);
+            }
             counters.upstream_responded(&outgoing.request.service.name, attempt.elapsed_s());
             handle_response(response, attempt, connection)
         }
-        Ok((_, Err(error))) => handle_send_error(error, attempt),
+        Ok((_, Err(error))) => {
+            if let SendError::Malformed(fault) = &error {
+                report_malformed(outgoing, &attempt, counters, *fault, true);
+            }
+            handle_send_error(error, attempt)
+        }
         Err(_) => UpstreamAttempt::Broken(ErrorKind::UpstreamTimeout),
     }
 }
 
+/// Counts a malformed response and has a line written on it.
+fn report_malformed(
+    outgoing: &OutgoingRequest<'_>,
+    attempt: &Attempt,
+    counters: &EntryCounters,
+    fault: ResponseFault,
+    is_refused: bool,
+) {
+    counters.response_malformed(fault, is_refused);
+    attempt.record_malformed(outgoing.request_id(), fault, is_refused);
+}
+
 /// Ends an attempt whose connection failed without a response.
-fn handle_send_error(error: SendError, attempt: Attempt) -> UpstreamAttempt {
+fn handle_send_error(error: SendError<RequestBody>, attempt: Attempt) -> UpstreamAttempt {
     attempt.end(AttemptOutcome::Failed);
     match error {
         SendError::Unsent(request) => {
             UpstreamAttempt::Unsent(request.into_body(), ErrorKind::UpstreamUnreachable)
         }
-        SendError::Broken => UpstreamAttempt::Broken(ErrorKind::UpstreamBroken),
+        SendError::Broken | SendError::Malformed(_) => UpstreamAttempt::Broken(ErrorKind::UpstreamBroken),
     }
 }
 
--- a/crates/pointvane-entry/src/connection_pool.rs
+++ b/crates/pointvane-entry/src/connection_pool.rs
@@ -12,6 +12,7 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
+    pointvane_serve::{CheckedResponse, FramedHead, ResponseFault, SendError, send_request},
     pointvane_telemetry::BootInstant,
     std::{
         collections::HashMap,
@@ -61,18 +62,11 @@
 pub struct Connection {
     address: SocketAddr,
     opened: OpenConnection,
+    /// The head of the response that is read; none before it.
+    framed: Option<FramedHead>,
     pools: Arc<AddressPools>,
 }
 
-/// Reason for which there is no response.
-#[derive(Debug)]
-pub enum SendError {
-    /// No byte was sent; holds the request.
-    Unsent(Box<Request<RequestBody>>),
-    /// Part of the request may have been sent.
-    Broken,
-}
-
 /// The connection could not be established.
 #[derive(Clone, Copy, Debug)]
 pub struct Unreachable;
@@ -86,12 +80,16 @@
         while let Some(mut opened) = self.pop_idle(address) {
             if is_ready(&mut opened.sender).await {
                 self.open_spare(address);
-                return Ok(Connection { address, opened, pools: Arc::clone(&self.pools) });
+                return Ok(self.connection(address, opened));
             }
         }
         let opened = open(address).await?;
         self.open_spare(address);
-        Ok(Connection { address, opened, pools: Arc::clone(&self.pools) })
+        Ok(self.connection(address, opened))
+    }
+
+    fn connection(&self, address: SocketAddr, opened: OpenConnection) -> Connection {
+        Connection { address, opened, framed: None, pools: Arc::clone(&self.pools) }
     }
 
     fn pop_idle(&self, address: SocketAddr) -> Option<OpenConnection> {
@@ -144,11 +142,18 @@
     ///
     /// # Errors
     /// [`SendError`], which tells whether any byte may have been sent.
-    pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, SendError> {
-        self.opened.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
-            Some(request) => SendError::Unsent(Box::new(request)),
-            None => SendError::Broken,
-        })
+    pub async fn send(
+        &mut self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, SendError<RequestBody>> {
+        let CheckedResponse { response, framed } = send_request(&mut self.opened.sender, request).await?;
+        self.framed = Some(framed);
+        Ok(response)
+    }
+
+    /// The fault that was repaired in the head of the response, if it had one.
+    pub fn repaired(&self) -> Option<ResponseFault> {
+        self.framed.and_then(|framed| framed.repaired)
     }
 
     /// Duration of the TCP handshake, as an estimate of the network round trip.
@@ -156,8 +161,12 @@
         self.opened.round_trip
     }
 
-    /// Returns the connection to the pool, unless it is closed or the pool is full.
+    /// Returns the connection to the pool, unless it is closed, the pool is full, or the response ended with the
+    /// connection or was malformed.
     pub fn release(self) {
+        if self.framed.is_some_and(|framed| !framed.is_connection_reusable()) {
+            return;
+        }
         let mut guard = lock(&self.pools);
         let idle = &mut guard.entry(self.address).or_default().idle;
         if idle.len() < IDLE_PER_ADDRESS_MAX && !self.opened.sender.is_closed() {
--- a/crates/pointvane-entry/src/counters.rs
+++ b/crates/pointvane-entry/src/counters.rs
@@ -6,7 +6,7 @@
         metrics::{Counter, Histogram, Meter},
     },
     pointvane_core::{Class, ErrorKind, Name},
-    pointvane_serve::CloseResult,
+    pointvane_serve::{CloseResult, ResponseFault},
 };
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -26,6 +26,7 @@
     load_datagrams: Counter<u64>,
     load_dropped: Counter<u64>,
     connections_closed: Counter<u64>,
+    responses_malformed: Counter<u64>,
     request_s: Histogram<f64>,
     upstream_s: Histogram<f64>,
 }
@@ -48,6 +49,7 @@
             load_datagrams: counter("pointvane_load_sent_datagrams"),
             load_dropped: counter("pointvane_load_dropped_datagrams"),
             connections_closed: counter("pointvane_connections_closed"),
+            responses_malformed: counter("pointvane_responses_malformed"),
             request_s: histogram("pointvane_request"),
             upstream_s: histogram("pointvane_upstream"),
         }
@@ -103,6 +105,13 @@
         self.connections_closed.add(1, &[KeyValue::new("result", result.as_str())]);
     }
 
+    /// Counts a malformed response, which was refused or repaired.
+    pub fn response_malformed(&self, fault: ResponseFault, is_refused: bool) {
+        let result = if is_refused { "refused" } else { "repaired" };
+        let labels = [KeyValue::new("reason", fault.as_str()), KeyValue::new("result", result)];
+        self.responses_malformed.add(1, &labels);
+    }
+
     /// Counts a load datagram received and dropped.
     pub fn load_dropped(&self, reason: &'static str) {
         self.load_dropped.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/pointvane-entry/src/entry.rs
+++ b/crates/pointvane-entry/src/entry.rs
@@ -158,13 +158,15 @@
         }
     }
 
-    /// Logs an event for each service and upstream whose state has changed since the last call.
+    /// Logs an event for each service and upstream whose state has changed since the last call, and for malformed
+    /// responses.
     pub fn log_transitions(&self) {
         let mut transitions = self.transitions.lock().unwrap_or_else(PoisonError::into_inner);
         for service in &self.routes().services {
             let upstreams = service.summaries();
             let events = transitions.update(&service.name, service.overload_refusals(), &upstreams);
-            events.into_iter().for_each(|event| self.events.record(event));
+            let malformed = service.malformed.take(&service.name);
+            events.into_iter().chain(malformed).for_each(|event| self.events.record(event));
         }
     }
 }
--- a/crates/pointvane-entry/src/lib.rs
+++ b/crates/pointvane-entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod keyed;
 mod load_exchange;
 mod maintain;
+mod malformed_responses;
 mod members;
 mod notice_recorder;
 mod outgoing;
--- a/crates/pointvane-entry/src/outgoing.rs
+++ b/crates/pointvane-entry/src/outgoing.rs
@@ -11,6 +11,9 @@
 /// Timeout for a streamed request body without an explicit deadline: one day, as an upper bound only.
 const STREAM_TIME_MAX: Duration = Duration::from_secs(86_400);
 
+/// Header by which callers identify their requests; it is passed on unchanged.
+const REQUEST_ID: &str = "x-request-id";
+
 /// A request to be sent, with what is needed to send it more than once.
 #[derive(Debug)]
 pub struct OutgoingRequest<'r> {
@@ -38,6 +41,12 @@
         request
     }
 
+    /// The id that its caller has sent, for log lines; empty if there is none, or it is not visible ASCII.
+    pub fn request_id(&self) -> &str {
+        let id = self.head.headers.get(REQUEST_ID);
+        id.and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+
     /// Time remaining until the deadline, in microseconds.
     pub fn remaining_us(&self) -> u64 {
         self.request.deadline_us.saturating_sub(self.request.service.now_us())
--- a/crates/pointvane-entry/src/response_wait.rs
+++ b/crates/pointvane-entry/src/response_wait.rs
@@ -5,13 +5,12 @@
 
 use {
     crate::{
-        connection_pool::{Connection, SendError},
-        notice_recorder::NoticeRecorder,
-        request_body::RequestBody,
+        connection_pool::Connection, notice_recorder::NoticeRecorder, request_body::RequestBody,
         upstream_notices::UpstreamNotices,
     },
     hyper::{Request, Response, body::Incoming},
     pointvane_core::SentRequest,
+    pointvane_serve::SendError,
     std::{
         future::Future,
         pin::Pin,
@@ -22,7 +21,7 @@
 };
 
 /// Result of a send, with the connection that it was made on.
-type SendResult = (Connection, Result<Response<Incoming>, SendError>);
+type SendResult = (Connection, Result<Response<Incoming>, SendError<RequestBody>>);
 
 /// Sends a request with the deadline `answer_deadline_us`, and returns a future for the head of the response.
 ///
--- a/crates/pointvane-entry/src/service.rs
+++ b/crates/pointvane-entry/src/service.rs
@@ -1,11 +1,13 @@
 //! One service at this entry VM: its balancer behind a lock, and the attempts of its requests.
 
 use {
+    crate::malformed_responses::{MalformedResponse, MalformedResponses},
     pointvane_balance::{
         Arrival, AttemptOutcome, AttemptResult, Decision, Dispatch, ServiceBalancer, UpstreamSummary,
     },
     pointvane_config::{FleetLimits, Service},
     pointvane_core::{Clock, ErrorKind, LimitNotice, LoadReport, Name, US_PER_S},
+    pointvane_serve::ResponseFault,
     pointvane_telemetry::MonotonicClock,
     std::{
         net::SocketAddr,
@@ -28,6 +30,8 @@
     clock: MonotonicClock,
     /// Number of requests refused for overload.
     overload_refusals: AtomicU64,
+    /// Malformed responses that are not in the event log yet.
+    pub malformed: MalformedResponses,
     balancer: Mutex<ServiceBalancer<Waiter>>,
 }
 
@@ -46,8 +50,13 @@
     /// Creates a service with no known state of its upstreams. `seed` seeds its random choices.
     pub fn new(service: &Service, limits: &FleetLimits, seed: u64, clock: MonotonicClock) -> Self {
         let balancer = ServiceBalancer::new(service, limits, seed, clock.now_us());
-        let overload_refusals = AtomicU64::new(0);
-        Self { name: service.name.clone(), clock, overload_refusals, balancer: Mutex::new(balancer) }
+        Self {
+            name: service.name.clone(),
+            clock,
+            overload_refusals: AtomicU64::new(0),
+            malformed: MalformedResponses::default(),
+            balancer: Mutex::new(balancer),
+        }
     }
 
     /// Locks the balancer. Never hold the guard across an await or while an [`Attempt`] is dropped: dropping
@@ -180,6 +189,17 @@
         self.service.lock().record_limit(self.upstream, notice, Some(self.started_us), now_us);
     }
 
+    /// Has a malformed response to the request `request_id` reported.
+    pub fn record_malformed(&self, request_id: &str, fault: ResponseFault, is_refused: bool) {
+        let upstream = self.service.lock().upstream(self.upstream).name.clone();
+        self.service.malformed.add(MalformedResponse {
+            request: request_id.into(),
+            upstream,
+            fault,
+            is_refused,
+        });
+    }
+
     /// Service of the attempt.
     pub fn service(&self) -> &Arc<ServiceHandle> {
         &self.service
--- a/crates/pointvane-node/src/connection_metrics.rs
+++ b/crates/pointvane-node/src/connection_metrics.rs
@@ -1,8 +1,10 @@
-//! Counters of the connections that are opened to upstreams and to other nodes, and of those reused.
+//! Counters of the connections that are opened to upstreams and to other nodes, of those reused, and of the
+//! malformed responses that arrive on them.
 
 use {
     opentelemetry::{KeyValue, metrics::Counter},
     pointvane_dispatch::{ConnectionPurpose, OpenReason},
+    pointvane_serve::ResponseFault,
     pointvane_telemetry::Metrics,
 };
 
@@ -11,6 +13,7 @@
 pub struct ConnectionMetrics {
     opened: Counter<u64>,
     reused: Counter<u64>,
+    malformed: Counter<u64>,
 }
 
 impl ConnectionMetrics {
@@ -20,6 +23,7 @@
         Self {
             opened: counter("pointvane_node_connections_opened"),
             reused: counter("pointvane_node_connections_reused"),
+            malformed: counter("pointvane_node_responses_malformed"),
         }
     }
 
@@ -33,4 +37,15 @@
     pub fn reused(&self, purpose: ConnectionPurpose) {
         self.reused.add(1, &[KeyValue::new("purpose", purpose.as_str())]);
     }
+
+    /// Counts a malformed response, which was refused or repaired.
+    pub fn malformed(&self, purpose: ConnectionPurpose, fault: ResponseFault, is_refused: bool) {
+        let result = if is_refused { "refused" } else { "repaired" };
+        let labels = [
+            KeyValue::new("purpose", purpose.as_str()),
+            KeyValue::new("reason", fault.as_str()),
+            KeyValue::new("result", result),
+        ];
+        self.malformed.add(1, &labels);
+    }
 }
--- a/crates/pointvane-node/src/connections.rs
+++ b/crates/pointvane-node/src/connections.rs
@@ -18,6 +18,7 @@
     },
     hyper_util::rt::TokioIo,
     pointvane_dispatch::{ConnectionKind, ConnectionPurpose, OpenReason, idle_max_ms},
+    pointvane_serve::{CheckedResponse, FramedHead, ResponseFault, SendError, send_request},
     pointvane_telemetry::BootInstant,
     std::{
         io,
@@ -58,18 +59,12 @@
     purpose: ConnectionPurpose,
     reused: bool,
     request_ended_at: Option<BootInstant>,
+    /// The head of the response that is read; none before it.
+    framed: Option<FramedHead>,
+    metrics: ConnectionMetrics,
     _in_use: InUse,
 }
 
-/// Why a request has no response.
-#[derive(Debug)]
-pub enum SendError {
-    /// No byte was sent.
-    Unsent,
-    /// Part of the request may have been sent.
-    Broken,
-}
-
 /// Why no connection could be opened. Whatever the cause, nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectError {
@@ -136,6 +131,8 @@
             purpose,
             reused: true,
             request_ended_at,
+            framed: None,
+            metrics: self.metrics.clone(),
             _in_use: self.idle.begin_use(address),
         })
     }
@@ -171,6 +168,8 @@
             purpose,
             reused: false,
             request_ended_at: None,
+            framed: None,
+            metrics: self.metrics.clone(),
             _in_use: in_use,
         })
     }
@@ -191,15 +190,27 @@
     /// Sends a request and waits for the head of its response.
     ///
     /// # Errors
-    /// [`SendError::Unsent`] if no byte of the request was sent, [`SendError::Broken`] if some may have been.
-    pub async fn send(&mut self, request: Request<RelayBody>) -> Result<Response<Incoming>, SendError> {
+    /// [`SendError`], which tells whether any byte of the request may have been sent.
+    pub async fn send(
+        &mut self,
+        request: Request<RelayBody>,
+    ) -> Result<Response<Incoming>, SendError<RelayBody>> {
         if request.body().size_hint().exact().is_none_or(|bytes| bytes > ACKNOWLEDGED_BODY_BYTES) {
             self.slow_reading.accept();
         }
-        self.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
-            Some(_) => SendError::Unsent,
-            None => SendError::Broken,
-        })
+        let sent = send_request(&mut self.sender, request).await;
+        if let Err(SendError::Malformed(fault)) = &sent {
+            self.metrics.malformed(self.purpose, *fault, true);
+        }
+        let CheckedResponse { response, framed } = sent?;
+        framed.repaired.iter().for_each(|fault| self.metrics.malformed(self.purpose, *fault, false));
+        self.framed = Some(framed);
+        Ok(response)
+    }
+
+    /// The fault that was repaired in the head of the response, if it had one.
+    pub fn repaired(&self) -> Option<ResponseFault> {
+        self.framed.and_then(|framed| framed.repaired)
     }
 
     /// Time that the TCP handshake took, as an estimate of the round trip to the upstream.
@@ -212,8 +223,12 @@
         if self.reused { ConnectionKind::Reused } else { ConnectionKind::New }
     }
 
-    /// Returns the connection to the pool, at most for the time that the upstream announces in `Keep-Alive`.
+    /// Returns the connection to the pool, at most for the time that the upstream announces in `Keep-Alive`, unless
+    /// the response ended with it or was malformed.
     pub fn keep(self, answer: &HeaderMap) {
+        if self.framed.is_some_and(|framed| !framed.is_connection_reusable()) {
+            return;
+        }
         let now = BootInstant::now();
         let idle = IdleConnection {
             sender: self.sender,
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         body_buffer::{buffer_answer_body, skip_body},
-        connections::{Connection, RelayBody, SendError},
+        connections::{Connection, RelayBody},
         cross_traffic::TrafficKind,
         head_wait::{self, AwaitedAnswer, SendResult},
         memory::BodyMemory,
@@ -21,6 +21,8 @@
     pointvane_dispatch::{
         AttemptOutcome, ConnectionKind, ConnectionPurpose, Ineligible, NotRunReason, UpstreamKey,
     },
+    pointvane_serve::{ResponseFault, SendError},
+    pointvane_telemetry::EventKind,
     std::rc::Rc,
     tokio::time::Instant,
 };
@@ -154,13 +156,39 @@
     let traffic = node.upstream_traffic(key, TrafficKind::Request);
     traffic.sent(&connection, &outgoing);
     let sent = head_wait::send(node, connection, outgoing, awaited).await;
-    if let Some((_, Ok(response))) = &sent {
-        traffic.received(response);
-        node.record_contact(key, kind);
+    match &sent {
+        Some((connection, Ok(response))) => {
+            traffic.received(response);
+            node.record_contact(key, kind);
+            connection
+                .repaired()
+                .iter()
+                .for_each(|fault| report_malformed(node, request, key, *fault, false));
+        }
+        Some((_, Err(SendError::Malformed(fault)))) => report_malformed(node, request, key, *fault, true),
+        Some((_, Err(_))) | None => {}
     }
     sent
 }
 
+/// Writes a line on a malformed response to a request.
+fn report_malformed<A: PlatformAdapter>(
+    node: &Node<A>,
+    request: &CallerRequest,
+    key: UpstreamKey,
+    fault: ResponseFault,
+    is_refused: bool,
+) {
+    let Some((service, upstream)) = node.service_and_id(key) else { return };
+    node.report.failure(node.now_us(), || EventKind::ResponseMalformed {
+        request: request.id.clone(),
+        service,
+        upstream,
+        reason: fault.as_str().into(),
+        refused: is_refused,
+    });
+}
+
 /// Converts the result of a send to the head of the response, or the outcome if there is none.
 fn send_result(
     (connection, answer): SendResult,
@@ -172,12 +200,14 @@
             let (head, body) = response.into_parts();
             Ok(Answer { head, body, connection, sent_at_us })
         }
-        Err(SendError::Unsent) if request.body.is_some() => {
+        Err(SendError::Unsent(_)) if request.body.is_some() => {
             request.sends.set(request.sends.get() - 1);
             Err(AttemptOutcome::Unsent)
         }
         // Part of a streamed body may already be consumed, so the request counts as sent.
-        Err(SendError::Unsent | SendError::Broken) => Err(AttemptOutcome::Broken),
+        Err(SendError::Unsent(_) | SendError::Broken | SendError::Malformed(_)) => {
+            Err(AttemptOutcome::Broken)
+        }
     }
 }
 
--- a/crates/pointvane-node/src/head_wait.rs
+++ b/crates/pointvane-node/src/head_wait.rs
@@ -9,12 +9,13 @@
 
 use {
     crate::{
-        connections::{Connection, RelayBody, SendError},
+        connections::{Connection, RelayBody},
         node::Node,
     },
     hyper::{Request, Response, body::Incoming, header::HeaderValue},
     pointvane_core::{PlatformAdapter, SentRequest},
     pointvane_dispatch::UpstreamKey,
+    pointvane_serve::SendError,
     std::{rc::Rc, time::Duration},
     tokio::{sync::oneshot, task::spawn_local, time::timeout},
 };
@@ -31,7 +32,7 @@
 }
 
 /// Result of a send, with its connection.
-pub type SendResult = (Connection, Result<Response<Incoming>, SendError>);
+pub type SendResult = (Connection, Result<Response<Incoming>, SendError<RelayBody>>);
 
 /// Sends a request and waits for the head of its response; none if the waiting task ended first, as at
 /// process exit.
--- a/crates/pointvane-node/src/notices.rs
+++ b/crates/pointvane-node/src/notices.rs
@@ -93,7 +93,7 @@
     }
 
     /// Service and identifier of an upstream; none once it was removed from the pool.
-    fn service_and_id(&self, key: UpstreamKey) -> Option<(Name, Name)> {
+    pub fn service_and_id(&self, key: UpstreamKey) -> Option<(Name, Name)> {
         let pool = self.dispatcher.pool();
         let record = &pool.get(key)?.record;
         Some((record.service.clone(), record.id.clone()))
--- a/crates/pointvane-node/src/peer_attempt.rs
+++ b/crates/pointvane-node/src/peer_attempt.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         attempt::{AttemptReport, AttemptRole},
-        connections::{Connection, RelayBody, SendError},
+        connections::{Connection, RelayBody},
         exchange::read_body,
         fleet::ForwardChoice,
         node::Node,
@@ -24,6 +24,7 @@
         AllowedRegions, AttemptEnd, AttemptOutcome, ConnectionPurpose, ForwardedRequest, PeerOutcome,
         attempts_to_hand_over,
     },
+    pointvane_serve::SendError,
     pointvane_telemetry::EventKind,
     std::{net::SocketAddr, rc::Rc},
 };
@@ -197,9 +198,9 @@
     let response = connection.send(outgoing).await.inspect(|response| traffic.received(response));
     let forwarded = match response {
         Ok(response) => read_response(node, request, connection, response).await,
-        Err(SendError::Unsent) if request.body.is_some() => PeerResult::Unreachable,
+        Err(SendError::Unsent(_)) if request.body.is_some() => PeerResult::Unreachable,
         // Part of a streamed body may already be consumed, so the request counts as sent.
-        Err(SendError::Unsent | SendError::Broken) => PeerResult::Broken,
+        Err(SendError::Unsent(_) | SendError::Broken | SendError::Malformed(_)) => PeerResult::Broken,
     };
     let is_unsent = match &forwarded {
         PeerResult::Declined | PeerResult::Unreachable | PeerResult::Unsent => true,
--- a/crates/pointvane-node/src/replica/platform_client.rs
+++ b/crates/pointvane-node/src/replica/platform_client.rs
@@ -15,6 +15,7 @@
     },
     hyper_util::rt::TokioIo,
     pointvane_dispatch::CallFailure,
+    pointvane_serve::{SendError, send_request},
     std::{net::SocketAddr, time::Duration},
     tokio::{task::spawn_local, time::timeout},
 };
@@ -127,8 +128,12 @@
         let request = Request::get(target).header(HOST, address.to_string());
         // The target comes from the adapter; an invalid URI is treated like a malformed response.
         let request = request.body(RelayBody::whole(Bytes::new())).map_err(|_| CallError::Malformed)?;
-        let answer = timeout(call_timeout, connection.send_request(request)).await;
-        let (head, body) = answer.ok().and_then(Result::ok).ok_or(CallError::NoAnswer)?.into_parts();
+        let answer = timeout(call_timeout, send_request(&mut connection, request)).await;
+        let answer = answer.map_err(|_| CallError::NoAnswer)?.map_err(|error| match error {
+            SendError::Unsent(_) | SendError::Broken => CallError::NoAnswer,
+            SendError::Malformed(_) => CallError::Malformed,
+        })?;
+        let (head, body) = answer.response.into_parts();
         Ok(PlatformAnswer { status: head.status, body, connection })
     }
 
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -1,19 +1,27 @@
 //! HTTP/1.1 server based on `hyper`, with limits on connections, request heads and slow senders, and a
 //! graceful shutdown that completes requests in flight.
 //!
-//! [`ClosingConnections`] is how every connection of a caller is closed, also those of the node.
+//! [`ClosingConnections`] is how every connection of a caller is closed, also those of the node. [`send_request`] is how
+//! both forms send requests, and [`FramedHead`] the one rule for what the body of a response is.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod body_framing;
 mod closed;
 mod closing;
 mod lent_stream;
+mod response_fault;
+mod send_request;
+
 mod write_timeout;
 
 pub use {
+    body_framing::{BodyFraming, FramedHead},
     closed::{CloseLimits, CloseResult, Closed},
     closing::{ClosingConnections, reset},
     lent_stream::{Lender, LentStream, lend},
+    response_fault::ResponseFault,
+    send_request::{CheckedResponse, SendError, send_request},
     write_timeout::WriteTimeout,
 };
 
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -74,6 +74,13 @@
             reason: "idle-too-long".into(),
             dropped_bytes: 18_204,
         },
+        EventKind::ResponseMalformed {
+            request: "r-1".into(),
+            service: "board".into(),
+            upstream: "i-7".into(),
+            reason: "two-lengths".into(),
+            refused: false,
+        },
     ]
 }
 
--- a/standins/src/deployment/files.rs
+++ b/standins/src/deployment/files.rs
@@ -44,6 +44,8 @@
     pub probe_ms: f64,
     /// Delay of an upstream before it serves a new connection, in milliseconds.
     pub connect_ms: f64,
+    /// Addresses of further upstreams, which the test runs itself.
+    pub external: Vec<SocketAddr>,
     /// TOML inserted into the service's file before its upstreams.
     pub rules: String,
 }
@@ -58,6 +60,7 @@
             sigma: 0.8,
             probe_ms: 6.0,
             connect_ms: 1.0,
+            external: Vec::new(),
             rules: String::new(),
         }
     }
@@ -126,8 +129,9 @@
 fn service_file(service: &ServicePlan, plan: &Plan, address: impl Fn(usize) -> SocketAddr) -> String {
     let ServicePlan { name, slots, rules, .. } = service;
     let mut text = format!("name = \"{name}\"\npath_prefix = \"/{name}\"\nslots = {slots}\n{rules}\n");
-    for number in 0..service.instances {
-        let (upstream, address) = (service.upstream_name(number), address(number));
+    let addresses = (0..service.instances).map(address).chain(service.external.iter().copied());
+    for (number, address) in addresses.enumerate() {
+        let upstream = service.upstream_name(number);
         let data_centre = number % plan.data_centres + 1;
         let _ = writeln!(
             text,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod deployment;
 pub mod load;
 pub mod platform;
+pub mod raw_upstream;
 pub mod serve;
 pub mod table;
 pub mod upstream;
--- /dev/null
+++ b/standins/tests/entry_malformed_responses.rs
@@ -0,0 +1,164 @@
+//! Malformed responses of upstreams, at an entry: the same table as for a node.
+
+#[path = "malformed_responses/caller.rs"]
+mod caller;
+mod common;
+#[path = "malformed_responses/table.rs"]
+mod table;
+
+use {
+    caller::{CallerVersion, Request, deliver},
+    common::key_prefix,
+    googletest::prelude::*,
+    pointvane_core::header,
+    pointvane_standins::{
+        deployment::{Deployment, FleetPlan, Plan, ServicePlan},
+        raw_upstream::{RawResponse, RawUpstream},
+    },
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        time::{Duration, Instant},
+    },
+    table::{RESPONSE_STAMP, Row, Seen, early, rows, without_end},
+};
+
+const SHORT_BYTES: usize = 20_000;
+const LONG_BYTES: usize = 200_000;
+/// Response bodies longer than this are not stored for repeats of a key.
+const STORED_BYTES_MAX: usize = 256 << 10;
+const DEADLINE_MS: u64 = 4_000;
+/// Time within which a response without end must be refused: far below the deadline.
+const REFUSED_WITHIN: Duration = Duration::from_millis(1_500);
+
+/// An entry with a service of one upstream for each row.
+struct Scene {
+    deployment: Deployment,
+}
+
+impl Scene {
+    fn start(rows: &[Row]) -> Self {
+        let load = format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n{}: {}\r\n\r\n",
+            header::LOAD,
+            pointvane_core::LoadReport::default()
+        );
+        Self::start_with(rows, &RawResponse::new(&load, ""))
+    }
+
+    /// Starts upstreams that answer load probes with `probed`.
+    fn start_with(rows: &[Row], probed: &RawResponse) -> Self {
+        let service = |row: &Row| ServicePlan {
+            name: row.name.into(),
+            instances: 0,
+            external: vec![start_upstream(row, probed)],
+            ..ServicePlan::default()
+        };
+        // Locate is asked for the key prefix by the name of this service.
+        let named = ServicePlan { instances: 1, ..ServicePlan::default() };
+        let plan = Plan {
+            data_centres: 1,
+            entries: 1,
+            services: rows.iter().map(service).chain([named]).collect(),
+            fleet: FleetPlan::default(),
+            settings: String::new(),
+        };
+        Self { deployment: Deployment::start(plan).unwrap() }
+    }
+
+    fn entry(&self) -> SocketAddr {
+        self.deployment.vms[0].entry()
+    }
+
+    fn request(&self, row: &Row, id: &str) -> Request {
+        let request = Request::new("x", &format!("/{}/a", row.name)).header("x-request-id", id);
+        request.header("pointvane-request-id", id).header(header::DEADLINE_MS, DEADLINE_MS)
+    }
+}
+
+fn start_upstream(row: &Row, probed: &RawResponse) -> SocketAddr {
+    let any_port = (Ipv4Addr::LOCALHOST, 0).into();
+    RawUpstream::start(any_port, "/load", probed.clone(), row.response.clone()).unwrap().address
+}
+
+/// Plays rows of bodies of this length to callers of both versions of HTTP.
+fn expect_rows(bytes: usize) {
+    let rows = rows(bytes);
+    let scene = Scene::start(&rows);
+    for row in &rows {
+        for version in [CallerVersion::Http11, CallerVersion::Http10] {
+            let request = scene.request(row, row.name).version(version);
+            let delivery = deliver(scene.entry(), &request);
+            expect_that!(row.allows(&delivery, bytes), eq(true), "{}, {bytes} bytes: {delivery:?}", row.name);
+        }
+    }
+}
+
+/// Guards against a response that contradicts itself or breaks off and reaches its caller as a complete success
+/// with a part of its body.
+#[gtest]
+fn a_malformed_short_response_never_looks_complete() {
+    expect_rows(SHORT_BYTES);
+}
+
+/// Guards against the same with a long response.
+#[gtest]
+fn a_malformed_long_response_never_looks_complete() {
+    expect_rows(LONG_BYTES);
+}
+
+/// Guards against the same with responses that are stored under a key, and with those to repeats of the key.
+#[gtest]
+fn a_malformed_response_under_a_key_never_looks_complete() {
+    for bytes in [SHORT_BYTES, STORED_BYTES_MAX + LONG_BYTES] {
+        let rows = rows(bytes);
+        let scene = Scene::start(&rows);
+        let prefix = key_prefix_of(&scene);
+        for row in &rows {
+            for repeat in 0..2 {
+                let request = scene.request(row, row.name).header(header::KEY, prefix.clone() + row.name);
+                let delivery = deliver(scene.entry(), &request.body(b"order"));
+                let may_be_not_kept = bytes > STORED_BYTES_MAX || row.seen != Seen::Whole;
+                let is_own_error = delivery.status >= 400 && delivery.header(RESPONSE_STAMP).is_none();
+                let is_not_kept = repeat > 0 && may_be_not_kept && is_own_error;
+                let is_allowed = row.allows(&delivery, bytes) || is_not_kept;
+                expect_that!(is_allowed, eq(true), "{}, {bytes} bytes, {repeat}: {delivery:?}", row.name);
+            }
+        }
+    }
+}
+
+/// Key prefix of the only entry.
+fn key_prefix_of(scene: &Scene) -> String {
+    key_prefix(&scene.deployment, 0)
+}
+
+/// Guards against an upload that is answered early by a response without a length, whose part looks complete
+/// once its connection is reset while the upload is still written.
+#[gtest]
+fn an_upload_answered_early_and_reset_never_looks_complete() {
+    let rows = early(LONG_BYTES);
+    let scene = Scene::start(&rows);
+    let prefix = key_prefix_of(&scene);
+    let upload = vec![b'u'; 8 << 20];
+    for round in 0..3 {
+        for row in &rows {
+            let key = format!("{prefix}{}-{round}", row.name);
+            let delivery =
+                deliver(scene.entry(), &scene.request(row, row.name).header(header::KEY, key).body(&upload));
+            expect_that!(row.allows(&delivery, LONG_BYTES), eq(true), "{}: {delivery:?}", row.name);
+        }
+    }
+}
+
+/// Guards against a response without end that its entry reads until the deadline.
+#[gtest]
+fn a_response_without_end_is_refused_at_once() {
+    let rows = without_end();
+    let scene = Scene::start(&rows);
+    for row in rows.iter().filter(|row| row.name != "endless-unmarked-body") {
+        let began = Instant::now();
+        let delivery = deliver(scene.entry(), &scene.request(row, row.name));
+        expect_that!(began.elapsed(), le(REFUSED_WITHIN), "{}", row.name);
+        expect_that!(row.allows(&delivery, 0), eq(true), "{}: {delivery:?}", row.name);
+    }
+}
