A response in an unknown transfer coding is refused

What callers saw: `Transfer-Encoding: gzip, chunked`, or an unknown coding, reached them as a plain 200 with the coded body; `chunked, identity` as a complete 200 with the chunk lines as part of the body; chunks in chunks with the inner chunk lines.

Cause: transfer codings belong to one connection, so the header is taken out, but nobody had undone the coding. The HTTP library looks only at whether the last coding is `chunked`, and reads anything else until the connection ends.

Change: FramedHead accepts `chunked` alone (RFC 9112, 6.1: a recipient that doesn't understand a coding can't know the body). A node or an entry sends no TE header, so no upstream was told that it accepts another coding. The response is refused: 502, or another upstream for a request that may be repeated; `unknown-coding` in lines and counters.

--- a/crates/pointvane-serve/src/body_framing.rs
+++ b/crates/pointvane-serve/src/body_framing.rs
@@ -40,14 +40,13 @@
     /// # Errors
     /// Why the end of the body is not certain.
     pub fn of(method: &Method, status: StatusCode, headers: &mut HeaderMap) -> Result<Self, ResponseFault> {
-        let is_coded = headers.contains_key(TRANSFER_ENCODING);
         let length = content_length(headers);
         if is_bodiless(method, status) {
             let announced = length.ok().flatten().filter(|_| status != StatusCode::NO_CONTENT);
             set_length(headers, announced);
             return Ok(Self { framing: BodyFraming::Absent, repaired: None });
         }
-        if is_coded {
+        if is_chunked(headers)? {
             // The chunks override a length (RFC 9112, 6.3), and show where the body ends whatever it says.
             let repaired = headers.contains_key(CONTENT_LENGTH).then_some(ResponseFault::TwoLengths);
             set_length(headers, None);
@@ -80,6 +79,27 @@
     *method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
 
+/// Whether the body is sent in chunks.
+///
+/// # Errors
+/// When it is coded in any other way, also before it is chunked: no other coding was accepted in the request, and
+/// the body cannot be decoded.
+fn is_chunked(headers: &HeaderMap) -> Result<bool, ResponseFault> {
+    if !headers.contains_key(TRANSFER_ENCODING) {
+        return Ok(false);
+    }
+    let values = headers.get_all(TRANSFER_ENCODING).iter().map(HeaderValue::as_bytes);
+    // Empty items of a list are ignored (RFC 9110, 5.6.1.2).
+    let mut codings = values
+        .flat_map(|value| value.split(|byte| *byte == b','))
+        .map(<[u8]>::trim_ascii)
+        .filter(|coding| !coding.is_empty());
+    match (codings.next(), codings.next()) {
+        (Some(coding), None) if coding.eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(ResponseFault::UnknownCoding),
+    }
+}
+
 /// The announced length in bytes; none without a header. The same length may stand in it more than once.
 ///
 /// # Errors
--- a/crates/pointvane-serve/src/response_fault.rs
+++ b/crates/pointvane-serve/src/response_fault.rs
@@ -7,6 +7,8 @@
     TwoLengths,
     /// A length that is not a decimal number.
     InvalidLength,
+    /// A transfer coding other than chunks, or chunks that are coded again.
+    UnknownCoding,
     /// The HTTP library reads the body in another way than its head states.
     ReadDifferently,
     /// The head is longer than the limit.
@@ -21,6 +23,7 @@
         match self {
             Self::TwoLengths => "two-lengths",
             Self::InvalidLength => "invalid-length",
+            Self::UnknownCoding => "unknown-coding",
             Self::ReadDifferently => "read-differently",
             Self::HeadTooLong => "head-too-long",
             Self::InvalidHead => "invalid-head",
--- a/crates/pointvane-serve/tests/body_framing.rs
+++ b/crates/pointvane-serve/tests/body_framing.rs
@@ -56,6 +56,7 @@
     expect_framing(&["012"], &[], BodyFraming::Length(12));
     expect_framing(&[], &["chunked"], BodyFraming::Chunked);
     expect_framing(&[], &["Chunked"], BodyFraming::Chunked);
+    expect_framing(&[], &[" , chunked"], BodyFraming::Chunked);
 }
 
 /// Guards against a length that stays in a head although the chunks override it.
@@ -78,6 +79,27 @@
     }
 }
 
+/// Guards against a coded body that is passed on as a plain one.
+#[gtest]
+fn a_coding_that_is_not_chunked_alone_is_refused() {
+    let codings: [&[&str]; 10] = [
+        &["gzip"],
+        &["gzip, chunked"],
+        &["gzip", "chunked"],
+        &["chunked, identity"],
+        &["chunked", "chunked"],
+        &["chunked, chunked"],
+        &["chunked;q=1"],
+        &["identity"],
+        &[""],
+        &[","],
+    ];
+    for codings in codings {
+        expect_fault(&[], codings, ResponseFault::UnknownCoding);
+        expect_fault(&["12"], codings, ResponseFault::UnknownCoding);
+    }
+}
+
 /// Guards against a response without a body whose head announces one.
 #[gtest]
 fn a_response_without_a_body_keeps_only_the_length_of_its_representation() {
--- a/standins/tests/malformed_responses/table.rs
+++ b/standins/tests/malformed_responses/table.rs
@@ -136,12 +136,21 @@
         let response = RawResponse::new(bytes, "").then(ConnectionEnd::Closes);
         Row { name, response, seen: Seen::Refused }
     };
+    let not_last = RawResponse::new(&ok("transfer-encoding: chunked, identity\r\n"), chunked(bytes));
+    let not_last = not_last.then(ConnectionEnd::Closes);
+    let unknown = RawResponse::new(&ok("transfer-encoding: compress\r\n"), plain(bytes));
+    let unknown = unknown.then(ConnectionEnd::Closes);
     let unended = "HTTP/1.1 200 OK\r\npointvane-request-id: {id}\r\npointvane-response-stamp: s\r\n";
     let http_1_0 = RawResponse::new(&head("HTTP/1.0 200 OK", CHUNKED), chunked(bytes));
     vec![
         row("two-different-lengths", &(length(bytes) + &length(SHORTER_BYTES)), plain(bytes)),
         row("length-no-number", "content-length: many\r\n", plain(bytes)),
         row("length-with-sign", &format!("content-length: +{bytes}\r\n"), plain(bytes)),
+        row("coding-before-chunked", "transfer-encoding: gzip, chunked\r\n", chunked(bytes)),
+        row("coding-on-a-line-of-its-own", &format!("transfer-encoding: gzip\r\n{CHUNKED}"), chunked(bytes)),
+        row("chunked-twice", "transfer-encoding: chunked, chunked\r\n", chunked(bytes)),
+        Row { name: "chunked-not-last", response: not_last, seen: Seen::Refused },
+        Row { name: "unknown-coding", response: unknown, seen: Seen::Refused },
         Row { name: "http-1-0-chunks", response: http_1_0, seen: Seen::Refused },
         status("status-000", "HTTP/1.1 000 OK"),
         status("status-099", "HTTP/1.1 099 OK"),
