A response with a status that is no answer is refused

What callers saw: the statuses 600 and 999 with the upstream's stamp, and 101 on a kept connection although no request had asked for an upgrade.

Cause: the library takes every status from 100 to 999, skips interim ones and hands the rest out as final; nobody looked further.

Change: ResponseFault::of_status lets 200 to 599 through (RFC 9110, 15: other values are to be treated like a server error; 15.2.2: a 101 answers an upgrade, which neither form forwards). `invalid-status`, `unrequested-upgrade` in lines and counters, also where the library rejects the status itself.

--- a/crates/pointvane-serve/src/response_fault.rs
+++ b/crates/pointvane-serve/src/response_fault.rs
@@ -1,8 +1,14 @@
 //! What is wrong with a response, as named in logs and metrics.
 
+use hyper::StatusCode;
+
 /// Why a response is malformed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseFault {
+    /// A status that no final response may have: below 200 or above 599.
+    InvalidStatus,
+    /// A switch to another protocol, for which no request has asked.
+    UnrequestedUpgrade,
     /// Two lengths that differ, or a length beside chunks.
     TwoLengths,
     /// A length that is not a decimal number.
@@ -18,9 +24,21 @@
 }
 
 impl ResponseFault {
+    /// What is wrong with a final response of this status, to a request that has asked for no upgrade.
+    pub fn of_status(status: StatusCode) -> Option<Self> {
+        match status.as_u16() {
+            101 => Some(Self::UnrequestedUpgrade),
+            // A recipient treats other values like a server error (RFC 9110, 15).
+            200..=599 => None,
+            _ => Some(Self::InvalidStatus),
+        }
+    }
+
     /// The name in logs and the value of the label `reason` in metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::InvalidStatus => "invalid-status",
+            Self::UnrequestedUpgrade => "unrequested-upgrade",
             Self::TwoLengths => "two-lengths",
             Self::InvalidLength => "invalid-length",
             Self::UnknownCoding => "unknown-coding",
@@ -34,6 +52,7 @@
     pub fn of_error(error: &hyper::Error) -> Option<Self> {
         match () {
             () if error.is_parse_too_large() => Some(Self::HeadTooLong),
+            () if error.is_parse_status() => Some(Self::InvalidStatus),
             () if error.is_parse() => Some(Self::InvalidHead),
             () => None,
         }
--- a/crates/pointvane-serve/src/send_request.rs
+++ b/crates/pointvane-serve/src/send_request.rs
@@ -53,6 +53,9 @@
 /// Checks a response to a request with this method, and makes its head agree with its body.
 fn check(method: &hyper::Method, response: Response<Incoming>) -> Result<CheckedResponse, ResponseFault> {
     let (mut head, body) = response.into_parts();
+    if let Some(fault) = ResponseFault::of_status(head.status) {
+        return Err(fault);
+    }
     let framed = FramedHead::of(method, head.status, &mut head.headers)?;
     if !framed.agrees_with(body.size_hint().exact()) {
         return Err(ResponseFault::ReadDifferently);
