Interim responses without end are refused after 16

What callers saw: an upstream that sends `103` or `100` again and again held its request until the deadline, 504 every time.

Cause: the HTTP library skips interim responses in a loop; its limit on heads holds for each of them, and none counted them.

Evidence: rows endless-interim and endless-continue.

Change: InterimResponses counts them by the library's callback and ends the exchange with more than 16, whatever time is left: `too-many-interim`. A byte limit on the stream was the other way weighed; it would have to guess what the library has read of the body when the head is handed out, and a long response that is read ahead must never hit it.

After: all rows pass on both forms; 16 interim responses before a 200 do too.

--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -9,6 +9,7 @@
 mod body_framing;
 mod closed;
 mod closing;
+mod interim_responses;
 mod lent_stream;
 mod response_fault;
 mod send_request;
--- a/crates/pointvane-serve/src/response_fault.rs
+++ b/crates/pointvane-serve/src/response_fault.rs
@@ -9,6 +9,8 @@
     InvalidStatus,
     /// A switch to another protocol, for which no request has asked.
     UnrequestedUpgrade,
+    /// More interim responses than any upstream has reason to send.
+    TooManyInterim,
     /// Two lengths that differ, or a length beside chunks.
     TwoLengths,
     /// A length that is not a decimal number.
@@ -39,6 +41,7 @@
         match self {
             Self::InvalidStatus => "invalid-status",
             Self::UnrequestedUpgrade => "unrequested-upgrade",
+            Self::TooManyInterim => "too-many-interim",
             Self::TwoLengths => "two-lengths",
             Self::InvalidLength => "invalid-length",
             Self::UnknownCoding => "unknown-coding",
--- a/crates/pointvane-serve/src/send_request.rs
+++ b/crates/pointvane-serve/src/send_request.rs
@@ -2,7 +2,7 @@
 //! through here: to upstreams, to other processes of the fleet and to the platform.
 
 use {
-    crate::{body_framing::FramedHead, response_fault::ResponseFault},
+    crate::{body_framing::FramedHead, interim_responses::InterimResponses, response_fault::ResponseFault},
     hyper::{
         Request, Response,
         body::{Body, Incoming},
@@ -36,13 +36,19 @@
 /// [`SendError`], which tells whether any byte may have been sent.
 pub async fn send_request<B>(
     sender: &mut SendRequest<B>,
-    request: Request<B>,
+    mut request: Request<B>,
 ) -> Result<CheckedResponse, SendError<B>>
 where
     B: Body + 'static,
 {
     let method = request.method().clone();
-    let sent = sender.try_send_request(request).await;
+    let interim = InterimResponses::count(&mut request);
+    let sent = tokio::select! {
+        biased;
+        sent = sender.try_send_request(request) => sent,
+        // The connection closes as soon as nobody waits for its response.
+        () = interim.exceeded() => return Err(SendError::Malformed(ResponseFault::TooManyInterim)),
+    };
     let response = sent.map_err(|mut error| match error.take_message() {
         Some(request) => SendError::Unsent(Box::new(request)),
         None => ResponseFault::of_error(error.error()).map_or(SendError::Broken, SendError::Malformed),
--- a/standins/tests/malformed_responses/table.rs
+++ b/standins/tests/malformed_responses/table.rs
@@ -96,7 +96,7 @@
     };
     let until_close = RawResponse::new(&ok(""), plain(bytes)).then(ConnectionEnd::Closes);
     let http_1_0 = RawResponse::new(&head("HTTP/1.0 200 OK", ""), plain(bytes)).then(ConnectionEnd::Closes);
-    let interim = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n".repeat(3);
+    let interim = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n".repeat(16);
     vec![
         row("length", length(bytes), plain(bytes)),
         row("chunks", CHUNKED.into(), chunked(bytes)),
@@ -213,6 +213,8 @@
         row("endless-status-line", "HTTP/1.1 200 ", "O"),
         row("endless-header", "HTTP/1.1 200 OK\r\nx: ", "y"),
         row("endless-headers", "HTTP/1.1 200 OK\r\n", "x: y\r\n"),
+        row("endless-interim", "", "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"),
+        row("endless-continue", "", "HTTP/1.1 100 Continue\r\n\r\n"),
         row("endless-no-answer", "", "\u{1}no answer"),
         row("endless-chunk-extension", &(ok(CHUNKED) + "5;"), "x=y;"),
         row("endless-trailers", &(ok(CHUNKED) + "5\r\nhello\r\n0\r\n"), "x: y\r\n"),
