The limit on interim responses takes effect while they are read

Cause: the limit was beside the wait for the response. While bytes keep coming, the library's task reads and parses without yielding, up to the runtime's budget of 128 reads (at an entry of up to 400 KB each), and the task that waits for the response does not run. At a node a read is 32 KB at most, so it was soon enough there.

Change: InterimLimited wraps the connection and fails its next read once there are too many; RequestSender, which both forms and the client of the platform use, sets it up.

--- a/crates/pointvane-entry/src/connection_pool.rs
+++ b/crates/pointvane-entry/src/connection_pool.rs
@@ -6,13 +6,8 @@
 
 use {
     crate::request_body::RequestBody,
-    hyper::{
-        Request, Response,
-        body::Incoming,
-        client::conn::http1::{self, SendRequest},
-    },
-    hyper_util::rt::TokioIo,
-    pointvane_serve::{CheckedResponse, FramedHead, ResponseFault, SendError, send_request},
+    hyper::{Request, Response, body::Incoming, client::conn::http1},
+    pointvane_serve::{CheckedResponse, FramedHead, RequestSender, ResponseFault, SendError},
     pointvane_telemetry::BootInstant,
     std::{
         collections::HashMap,
@@ -39,7 +34,7 @@
 /// An open connection and the time that it took to open.
 #[derive(Debug)]
 struct OpenConnection {
-    sender: SendRequest<RequestBody>,
+    sender: RequestSender<RequestBody>,
     /// Duration of the TCP handshake.
     round_trip: Duration,
 }
@@ -124,7 +119,8 @@
     let stream = stream.map_err(|_| Unreachable)?.map_err(|_| Unreachable)?;
     let round_trip = started_at.elapsed();
     stream.set_nodelay(true).map_err(|_| Unreachable)?;
-    let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.map_err(|_| Unreachable)?;
+    let (sender, driver) =
+        RequestSender::start(&http1::Builder::new(), stream).await.map_err(|_| Unreachable)?;
     tokio::spawn(driver);
     Ok(OpenConnection { sender, round_trip })
 }
@@ -133,7 +129,7 @@
     pools.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn is_ready(sender: &mut SendRequest<RequestBody>) -> bool {
+async fn is_ready(sender: &mut RequestSender<RequestBody>) -> bool {
     poll_fn(|cx| Poll::Ready(matches!(sender.poll_ready(cx), Poll::Ready(Ok(()))))).await
 }
 
@@ -146,7 +142,7 @@
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendError<RequestBody>> {
-        let CheckedResponse { response, framed } = send_request(&mut self.opened.sender, request).await?;
+        let CheckedResponse { response, framed } = self.opened.sender.send(request).await?;
         self.framed = Some(framed);
         Ok(response)
     }
--- a/crates/pointvane-node/src/connections.rs
+++ b/crates/pointvane-node/src/connections.rs
@@ -14,11 +14,10 @@
     hyper::{
         HeaderMap, Request, Response,
         body::{Body, Incoming},
-        client::conn::http1::{self, SendRequest},
+        client::conn::http1,
     },
-    hyper_util::rt::TokioIo,
     pointvane_dispatch::{ConnectionKind, ConnectionPurpose, OpenReason, idle_max_ms},
-    pointvane_serve::{CheckedResponse, FramedHead, ResponseFault, SendError, send_request},
+    pointvane_serve::{CheckedResponse, FramedHead, RequestSender, ResponseFault, SendError},
     pointvane_telemetry::BootInstant,
     std::{
         io,
@@ -52,7 +51,7 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
-    sender: SendRequest<RelayBody>,
+    sender: RequestSender<RelayBody>,
     slow_reading: SlowReading,
     round_trip: Duration,
     idle: IdleConnections,
@@ -156,8 +155,8 @@
         builder.max_buf_size(READ_BUFFER_BYTES);
         let slow_reading = SlowReading::default();
         let stream = UpstreamStream::new(stream, slow_reading.clone());
-        let handshake = builder.handshake(TokioIo::new(stream)).await;
-        let (sender, driver) = handshake.map_err(|_| ConnectError::Other)?;
+        let started = RequestSender::start(&builder, stream).await;
+        let (sender, driver) = started.map_err(|_| ConnectError::Other)?;
         spawn_local(driver);
         Ok(Connection {
             address,
@@ -198,7 +197,7 @@
         if request.body().size_hint().exact().is_none_or(|bytes| bytes > ACKNOWLEDGED_BODY_BYTES) {
             self.slow_reading.accept();
         }
-        let sent = send_request(&mut self.sender, request).await;
+        let sent = self.sender.send(request).await;
         if let Err(SendError::Malformed(fault)) = &sent {
             self.metrics.malformed(self.purpose, *fault, true);
         }
--- a/crates/pointvane-node/src/idle_connections.rs
+++ b/crates/pointvane-node/src/idle_connections.rs
@@ -4,8 +4,8 @@
 
 use {
     crate::{connections::RelayBody, upstream_stream::SlowReading},
-    hyper::client::conn::http1::SendRequest,
     pointvane_dispatch::{ConnectionPurpose, IdleTimes, OpenReason, OtherConnections, Removal, choose_idle},
+    pointvane_serve::RequestSender,
     pointvane_telemetry::BootInstant,
     std::{
         cell::RefCell,
@@ -25,7 +25,7 @@
 #[derive(Debug)]
 pub struct IdleConnection {
     /// Sends requests on it.
-    pub sender: SendRequest<RelayBody>,
+    pub sender: RequestSender<RelayBody>,
     /// Whether its peer may read slowly.
     pub slow_reading: SlowReading,
     /// Time that its TCP handshake took.
--- a/crates/pointvane-node/src/replica/platform_client.rs
+++ b/crates/pointvane-node/src/replica/platform_client.rs
@@ -10,12 +10,11 @@
     hyper::{
         Request, StatusCode,
         body::{Body, Incoming},
-        client::conn::http1::{self, SendRequest},
+        client::conn::http1,
         header::HOST,
     },
-    hyper_util::rt::TokioIo,
     pointvane_dispatch::CallFailure,
-    pointvane_serve::{SendError, send_request},
+    pointvane_serve::{RequestSender, SendError},
     std::{net::SocketAddr, time::Duration},
     tokio::{task::spawn_local, time::timeout},
 };
@@ -99,7 +98,7 @@
 /// The client. A connection on which a call failed is not reused.
 #[derive(Debug, Default)]
 pub struct PlatformClient {
-    connection: Option<SendRequest<RelayBody>>,
+    connection: Option<RequestSender<RelayBody>>,
 }
 
 /// A response whose head has been received.
@@ -107,7 +106,7 @@
 pub struct PlatformAnswer {
     status: StatusCode,
     body: Incoming,
-    connection: SendRequest<RelayBody>,
+    connection: RequestSender<RelayBody>,
 }
 
 impl PlatformClient {
@@ -128,7 +127,7 @@
         let request = Request::get(target).header(HOST, address.to_string());
         // The target comes from the adapter; an invalid URI is treated like a malformed response.
         let request = request.body(RelayBody::whole(Bytes::new())).map_err(|_| CallError::Malformed)?;
-        let answer = timeout(call_timeout, send_request(&mut connection, request)).await;
+        let answer = timeout(call_timeout, connection.send(request)).await;
         let answer = answer.map_err(|_| CallError::NoAnswer)?.map_err(|error| match error {
             SendError::Unsent(_) | SendError::Broken => CallError::NoAnswer,
             SendError::Malformed(_) => CallError::Malformed,
@@ -178,9 +177,9 @@
     }
 }
 
-async fn open(address: SocketAddr) -> Result<SendRequest<RelayBody>, CallError> {
+async fn open(address: SocketAddr) -> Result<RequestSender<RelayBody>, CallError> {
     let stream = socket::connect(address, CONNECT_TIMEOUT).await.map_err(|_| CallError::Unreachable)?;
-    let opened = http1::handshake(TokioIo::new(stream)).await;
+    let opened = RequestSender::start(&http1::Builder::new(), stream).await;
     let (sender, driver) = opened.map_err(|_| CallError::Unreachable)?;
     spawn_local(driver);
     Ok(sender)
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 server based on `hyper`, with limits on connections, request heads and slow senders, and a
 //! graceful shutdown that completes requests in flight.
 //!
-//! [`ClosingConnections`] is how every connection of a caller is closed, also those of the node. [`send_request`] is how
+//! [`ClosingConnections`] is how every connection of a caller is closed, also those of the node. [`RequestSender`] is how
 //! both forms send requests, and [`FramedHead`] the one rule for what the body of a response is.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -11,8 +11,8 @@
 mod closing;
 mod interim_responses;
 mod lent_stream;
+mod request_sender;
 mod response_fault;
-mod send_request;
 
 mod write_timeout;
 
@@ -21,8 +21,8 @@
     closed::{CloseLimits, CloseResult, Closed},
     closing::{ClosingConnections, reset},
     lent_stream::{Lender, LentStream, lend},
+    request_sender::{CheckedResponse, ConnectionDriver, RequestSender, SendError},
     response_fault::ResponseFault,
-    send_request::{CheckedResponse, SendError, send_request},
     write_timeout::WriteTimeout,
 };
 
