Responses are relayed as HTTP/1.1, whatever version their upstream speaks

What callers saw: an upstream answers in HTTP/1.0 without a length and its connection is reset within the body. A caller that speaks HTTP/1.1 got `HTTP/1.0 200` with a part of the body and an orderly end: complete by its framing.

Cause: the upstream's version was passed on. For HTTP/1.0 the HTTP server lets the end of the connection delimit the body, and ends it in an orderly way when the body fails; the reset after such an end looked only at the version of the request.

Change: RequestSender sets HTTP/1.1, as a proxy must (RFC 9110, 2.5 and 6.2), so that a body of unknown length goes on in chunks. Callers that speak HTTP/1.0 get a reset as before.

--- a/crates/pointvane-serve/src/request_sender.rs
+++ b/crates/pointvane-serve/src/request_sender.rs
@@ -8,7 +8,7 @@
         response_fault::ResponseFault,
     },
     hyper::{
-        Method, Request, Response,
+        Method, Request, Response, Version,
         body::{Body, Incoming},
         client::conn::http1::{self, SendRequest},
     },
@@ -122,5 +122,7 @@
     if !framed.agrees_with(body.size_hint().exact()) {
         return Err(ResponseFault::ReadDifferently);
     }
+    // A proxy sends its own version, and the version decides how the body is delimited further on (RFC 9110, 2.5).
+    head.version = Version::HTTP_11;
     Ok(CheckedResponse { response: Response::from_parts(head, body), framed })
 }
--- a/standins/tests/malformed_responses/table.rs
+++ b/standins/tests/malformed_responses/table.rs
@@ -185,6 +185,11 @@
         row("chunks-spoiled", CHUNKED, &spoiled, ConnectionEnd::Stays),
         row("chunks-and-length-closed", &(length(SHORTER_BYTES) + CHUNKED), unended, ConnectionEnd::Closes),
         row("until-close-reset", "", &plain(part), ConnectionEnd::Resets),
+        Row {
+            name: "http-1-0-until-close-reset",
+            response: RawResponse::new(&head("HTTP/1.0 200 OK", ""), plain(part)).then(ConnectionEnd::Resets),
+            seen: Seen::RefusedOrCutOff,
+        },
     ]
 }
 
