An entry reads no more of a response to a load probe than it needs

What operators would see: an upstream that answers load probes with a body without end makes the entry gather it in memory, as fast as the upstream sends, for the 500 ms of each probe.

Cause: the entry collected the body, of which it uses nothing; only time limited it. Found by looking for responses without end on related paths. The node reads 4,096 bytes of such a body and closes.

Change: skip_body and its limit move from the node to pointvane-serve, and the entry uses them; a longer body is no response, as an incomplete one was none.

--- a/crates/pointvane-entry/src/maintain.rs
+++ b/crates/pointvane-entry/src/maintain.rs
@@ -5,9 +5,9 @@
         entry::Entry, notice_recorder::NoticeRecorder, request_body::RequestBody, service::ServiceHandle,
         upstream_notices::UpstreamNotices,
     },
-    http_body_util::BodyExt,
     hyper::{Request, header::HOST},
     pointvane_core::Name,
+    pointvane_serve::{HEALTH_BODY_BYTES_MAX, skip_body},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::{interval, timeout},
 };
@@ -58,7 +58,8 @@
     }
 }
 
-/// Requests the probe path of an upstream. Returns `None` unless a complete response was received.
+/// Requests the probe path of an upstream. Returns `None` unless a complete response of at most
+/// [`HEALTH_BODY_BYTES_MAX`] was received.
 async fn probe(entry: &Entry, address: SocketAddr, path: &Name) -> Option<UpstreamNotices> {
     let mut connection = entry.connections.acquire(address).await.ok()?;
     let mut request = Request::new(RequestBody::Empty);
@@ -66,7 +67,9 @@
     request.headers_mut().insert(HOST, address.to_string().parse().ok()?);
     let response = connection.send(request).await.ok()?;
     let notices = UpstreamNotices::from_response(&response);
-    response.into_body().collect().await.ok()?;
+    if !skip_body(response.into_body(), HEALTH_BODY_BYTES_MAX).await.ok()? {
+        return None;
+    }
     connection.release();
     Some(notices)
 }
--- a/crates/pointvane-node/src/body_buffer.rs
+++ b/crates/pointvane-node/src/body_buffer.rs
@@ -81,19 +81,6 @@
     Ok(BufferedBody { bytes: buffer.into_bytes(), rest, length })
 }
 
-/// Reads a body up to about `bytes_max` bytes without keeping it; returns whether it was read to its end.
-///
-/// # Errors
-/// When the connection breaks before.
-pub async fn skip_body(mut body: Incoming, bytes_max: usize) -> Result<bool, hyper::Error> {
-    let mut skipped_bytes = 0;
-    while skipped_bytes <= bytes_max {
-        let Some(frame) = body.frame().await else { return Ok(true) };
-        skipped_bytes += frame?.data_ref().map_or(0, Bytes::len);
-    }
-    Ok(false)
-}
-
 /// The buffer of a body, which reserves its memory before it grows.
 struct BodyBuffer {
     bytes: Vec<u8>,
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        body_buffer::{buffer_answer_body, skip_body},
+        body_buffer::buffer_answer_body,
         connections::{Connection, RelayBody},
         cross_traffic::TrafficKind,
         head_wait::{self, AwaitedAnswer, SendResult},
@@ -21,7 +21,7 @@
     pointvane_dispatch::{
         AttemptOutcome, ConnectionKind, ConnectionPurpose, Ineligible, NotRunReason, UpstreamKey,
     },
-    pointvane_serve::{ResponseFault, SendError},
+    pointvane_serve::{ResponseFault, SendError, skip_body},
     pointvane_telemetry::EventKind,
     std::rc::Rc,
     tokio::time::Instant,
--- a/crates/pointvane-node/src/probe.rs
+++ b/crates/pointvane-node/src/probe.rs
@@ -6,7 +6,6 @@
 
 use {
     crate::{
-        body_buffer::skip_body,
         connections::{ConnectError, Connection, RelayBody},
         cross_traffic::{ExchangeTraffic, TrafficKind},
         node::Node,
@@ -20,6 +19,7 @@
         AllowedRegions, ConnectionKind, ConnectionPurpose, Found, OpenReason, PROBE_TIMEOUT_US, ProbeOutcome,
         ProbePurpose, Search, SearchGoal, SearchRequest, SearchStep, UpstreamKey,
     },
+    pointvane_serve::{HEALTH_BODY_BYTES_MAX, skip_body},
     std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration},
     tokio::{
         sync::mpsc::unbounded_channel,
@@ -28,8 +28,6 @@
     },
 };
 
-/// Longest response body that is read to keep the connection, in bytes; the connection is closed beyond it.
-const PROBE_BODY_BYTES_MAX: usize = 4_096;
 /// Probe timeouts for which the response over a new connection is awaited: 0.9 s, about as long as that of a check.
 const LATE_ANSWER_TIMEOUTS: usize = 6;
 /// Timeout of the check of a lost service. Longer than that of other probes, since no request waits for it:
@@ -335,7 +333,7 @@
     let response = connection.send(request).await.ok()?;
     traffic.received(&response);
     let (head, body): (_, Incoming) = response.into_parts();
-    if skip_body(body, PROBE_BODY_BYTES_MAX).await.ok()? {
+    if skip_body(body, HEALTH_BODY_BYTES_MAX).await.ok()? {
         connection.keep(&head.headers);
     }
     Some(Response::from_parts(head, ()))
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -13,6 +13,7 @@
 mod lent_stream;
 mod request_sender;
 mod response_fault;
+mod skip_body;
 
 mod write_timeout;
 
@@ -23,6 +24,7 @@
     lent_stream::{Lender, LentStream, lend},
     request_sender::{CheckedResponse, ConnectionDriver, RequestSender, SendError},
     response_fault::ResponseFault,
+    skip_body::{HEALTH_BODY_BYTES_MAX, skip_body},
     write_timeout::WriteTimeout,
 };
 
--- a/standins/tests/entry_malformed_responses.rs
+++ b/standins/tests/entry_malformed_responses.rs
@@ -12,10 +12,11 @@
     googletest::prelude::*,
     pointvane_core::header,
     pointvane_standins::{
-        deployment::{Deployment, FleetPlan, Plan, ServicePlan},
+        deployment::{Deployment, FleetPlan, Plan, Program, ServicePlan, wait_until},
         raw_upstream::{RawResponse, RawUpstream},
     },
     std::{
+        fs,
         net::{Ipv4Addr, SocketAddr},
         time::{Duration, Instant},
     },
@@ -29,6 +30,8 @@
 const DEADLINE_MS: u64 = 4_000;
 /// Time within which a response without end must be refused: far below the deadline.
 const REFUSED_WITHIN: Duration = Duration::from_millis(1_500);
+/// Maximum growth of an entry's peak memory while it meets responses without end, in kilobytes.
+const GROWTH_KB_MAX: u64 = 32 << 10;
 
 /// An entry with a service of one upstream for each row.
 struct Scene {
@@ -73,6 +76,14 @@
         let request = Request::new("x", &format!("/{}/a", row.name)).header("x-request-id", id);
         request.header("pointvane-request-id", id).header(header::DEADLINE_MS, DEADLINE_MS)
     }
+
+    /// Peak resident memory of the entry, in kilobytes.
+    fn memory_peak_kb(&self) -> u64 {
+        let process = self.deployment.vms[0].process(Program::Entry).unwrap();
+        let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
 }
 
 fn start_upstream(row: &Row, probed: &RawResponse) -> SocketAddr {
@@ -162,3 +173,19 @@
         expect_that!(row.allows(&delivery, 0), eq(true), "{}: {delivery:?}", row.name);
     }
 }
+
+/// Guards against an entry that gathers in memory what an upstream sends without end as the answer to a probe.
+#[gtest]
+fn probes_answered_without_end_take_no_memory() {
+    let endless = RawResponse::new("HTTP/1.1 200 OK\r\n\r\n", "").then_without_end(vec![b'x'; 64 << 10]);
+    let row = table::whole(SHORT_BYTES).remove(0);
+    let scene = Scene::start_with(std::slice::from_ref(&row), &endless);
+    let probes = || scene.deployment.counter(Program::Entry, "pointvane_probes");
+    let before_kb = scene.memory_peak_kb();
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(3) {
+        _ = deliver(scene.entry(), &scene.request(&row, "r"));
+    }
+    wait_until("probes", || probes() >= 2.0).unwrap();
+    expect_that!(scene.memory_peak_kb() - before_kb, le(GROWTH_KB_MAX));
+}
