A request in an unknown transfer coding is refused with 501

Cause: the same as for responses, in the other direction. The library takes every coding that ends in `chunked` for chunks; the header is hop-by-hop.

--- a/crates/pointvane-core/src/error.rs
+++ b/crates/pointvane-core/src/error.rs
@@ -78,6 +78,8 @@
     UpstreamsLimited,
     /// The node has no memory for the request's body.
     MemoryExhausted,
+    /// The request's body is in a transfer coding other than chunks.
+    UnsupportedCoding,
 }
 
 /// HTTP response to one [`ErrorKind`].
@@ -105,7 +107,7 @@
     AnswerRow { kind, name, status, outcome, retry_after }
 }
 
-const TABLE: [AnswerRow; 24] = [
+const TABLE: [AnswerRow; 25] = [
     row(ErrorKind::BadRequest, "bad-request", 400, Outcome::NotRun, false),
     row(ErrorKind::NoSuchService, "no-such-service", 404, Outcome::NotRun, false),
     row(ErrorKind::KeyMissing, "key-missing", 428, Outcome::NotRun, false),
@@ -130,6 +132,7 @@
     row(ErrorKind::AccountsUnconfirmed, "accounts-unconfirmed", 503, Outcome::NotRun, true),
     row(ErrorKind::UpstreamsLimited, "upstreams-limited", 503, Outcome::NotRun, true),
     row(ErrorKind::MemoryExhausted, "memory-exhausted", 503, Outcome::NotRun, true),
+    row(ErrorKind::UnsupportedCoding, "unsupported-coding", 501, Outcome::NotRun, false),
 ];
 
 impl ErrorKind {
--- a/crates/pointvane-core/tests/core.rs
+++ b/crates/pointvane-core/tests/core.rs
@@ -87,6 +87,7 @@
         "accounts-unconfirmed 503 not-run retry-after",
         "upstreams-limited 503 not-run retry-after",
         "memory-exhausted 503 not-run retry-after",
+        "unsupported-coding 501 not-run",
     ];
     expect_that!(rows, eq(&expected.map(String::from).to_vec()));
 }
--- a/crates/pointvane-entry/src/classify.rs
+++ b/crates/pointvane-entry/src/classify.rs
@@ -4,6 +4,7 @@
     crate::{routes::Routes, service::ServiceHandle},
     hyper::{Method, header::HOST, http::request::Parts},
     pointvane_core::{Class, ErrorKind, IdempotencyKey, US_PER_MS, header},
+    pointvane_serve::has_unknown_coding,
     std::sync::Arc,
 };
 
@@ -43,7 +44,8 @@
 ///
 /// # Errors
 /// [`ErrorKind::NotReady`] without a configuration, [`ErrorKind::NoSuchService`] without a matching route,
-/// [`ErrorKind::BadRequest`] for a malformed header, [`ErrorKind::KeyMissing`] if the method needs a key.
+/// [`ErrorKind::UnsupportedCoding`] for a body that cannot be passed on, [`ErrorKind::BadRequest`] for a malformed
+/// header, [`ErrorKind::KeyMissing`] if the method needs a key.
 pub fn classify(
     head: &Parts,
     key: Option<IdempotencyKey>,
@@ -53,6 +55,10 @@
     if routes.revision == 0 {
         return Err(ErrorKind::NotReady);
     }
+    // The body would be passed on in its coding, but without the header that names it.
+    if has_unknown_coding(&head.headers) {
+        return Err(ErrorKind::UnsupportedCoding);
+    }
     let host = single_header(head, HOST.as_str())?.or_else(|| head.uri.host()).unwrap_or_default();
     let service = routes.find(host, head.uri.path()).ok_or(ErrorKind::NoSuchService)?;
     let class = match single_header(head, header::CLASS)? {
--- a/crates/pointvane-node/src/traffic.rs
+++ b/crates/pointvane-node/src/traffic.rs
@@ -22,6 +22,7 @@
         ForwardedRequest, RefusedBy, RoutedRequest, admission_pressure, answer_deadline_us,
         first_state_retry_after_ms, first_state_wait_ms,
     },
+    pointvane_serve::has_unknown_coding,
     pointvane_telemetry::EventKind,
     std::{
         cell::{Cell, OnceCell, RefCell},
@@ -101,6 +102,10 @@
     body: Option<Incoming>,
     origin: RequestOrigin,
 ) -> Result<CallerRequest, Refused> {
+    // The body would be passed on in its coding, but without the header that names it.
+    if has_unknown_coding(&head.headers) {
+        return Err(Refused { is_body_unread: true, ..ErrorKind::UnsupportedCoding.into() });
+    }
     let caller_timeout_ms = node.headers.caller_timeout_ms(&head.headers);
     wait_for_first_state(node, caller_timeout_ms).await;
     let key = node.presented_key(&head.headers);
--- a/crates/pointvane-serve/src/body_framing.rs
+++ b/crates/pointvane-serve/src/body_framing.rs
@@ -79,6 +79,11 @@
     *method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
 
+/// Whether the body of a request or response is in a coding that neither form can decode.
+pub fn has_unknown_coding(headers: &HeaderMap) -> bool {
+    is_chunked(headers).is_err()
+}
+
 /// Whether the body is sent in chunks.
 ///
 /// # Errors
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -18,7 +18,7 @@
 mod write_timeout;
 
 pub use {
-    body_framing::{BodyFraming, FramedHead},
+    body_framing::{BodyFraming, FramedHead, has_unknown_coding},
     closed::{CloseLimits, CloseResult, Closed},
     closing::{ClosingConnections, reset},
     lent_stream::{Lender, LentStream, lend},
