Lines and counters name every fault for which a response is refused

Two kinds of refused responses had no reason yet, so that a line `attempt-ended outcome=broken` left open which it was: those that name another request, and bodies that are incomplete or spoiled while they are buffered. `other-request`, `incomplete-body`, `invalid-chunk` join the reasons of `response-malformed` and of pointvane_node_responses_malformed.

a_malformed_response_is_reported_with_its_request_and_reason plays eleven kinds and looks for line and counter of each. The search for the I/O error behind an error of the library moves to pointvane-serve, where both users find it.

--- a/crates/pointvane-node/src/connections.rs
+++ b/crates/pointvane-node/src/connections.rs
@@ -212,6 +212,11 @@
         self.framed.and_then(|framed| framed.repaired)
     }
 
+    /// Closes the connection for a fault of its response that was found after its head was accepted.
+    pub fn refuse(self, fault: ResponseFault) {
+        self.metrics.malformed(self.purpose, fault, true);
+    }
+
     /// Time that the TCP handshake took, as an estimate of the round trip to the upstream.
     pub fn round_trip(&self) -> Duration {
         self.round_trip
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -85,6 +85,8 @@
     let id = request.headers.get(&node.headers.request_id);
     if answer.head.headers.get(&node.headers.request_id) != id {
         // The response belongs to another request; so may all that follows on this connection.
+        answer.connection.refuse(ResponseFault::OtherRequest);
+        report_malformed(node, request, key, ResponseFault::OtherRequest, true);
         return Err(AttemptOutcome::Broken);
     }
     // Applied before the body is read, so that no other request is sent to an upstream that asked for a
@@ -100,10 +102,12 @@
         return Err(refusal_outcome(answer, reusable).await);
     }
     let Answer { head, body, connection, .. } = answer;
-    // Whatever the cause, the attempt is counted and logged as broken.
     let deadline = node.instant_of(request.answer_deadline_us);
     let response = read_body(head, body, connection, reusable, &node.body_memory, deadline).await;
-    response.map_err(|_| AttemptOutcome::Broken)
+    response.map_err(|fault| {
+        report_malformed(node, request, key, fault, true);
+        AttemptOutcome::Broken
+    })
 }
 
 /// Sends a request and waits for the head of the response.
@@ -264,7 +268,7 @@
 /// returns to the pool after the whole body. The rest must be sent on by the `deadline`.
 ///
 /// # Errors
-/// When the connection breaks before the buffered part is complete.
+/// When the connection breaks before the buffered part is complete, or a chunk is invalid.
 pub async fn read_body(
     head: Parts,
     body: Incoming,
@@ -272,8 +276,15 @@
     reusable: bool,
     memory: &BodyMemory,
     deadline: Instant,
-) -> Result<Response<RelayBody>, hyper::Error> {
-    let buffered = buffer_answer_body(body, ANSWER_BUFFER_BYTES, memory).await?;
+) -> Result<Response<RelayBody>, ResponseFault> {
+    let buffered = match buffer_answer_body(body, ANSWER_BUFFER_BYTES, memory).await {
+        Ok(buffered) => buffered,
+        Err(error) => {
+            let fault = ResponseFault::of_body_error(&error);
+            connection.refuse(fault);
+            return Err(fault);
+        }
+    };
     let body = match buffered.rest {
         Some(_) => RelayBody::streamed(buffered, Some(connection)).with_deadline(deadline),
         None => {
--- a/crates/pointvane-node/src/served.rs
+++ b/crates/pointvane-node/src/served.rs
@@ -3,8 +3,8 @@
 use {
     crate::{lifecycle::OpenConnection, node::Node, serve::idle_time},
     pointvane_core::PlatformAdapter,
-    pointvane_serve::{CloseLimits, CloseResult, Closed, reset},
-    std::{error::Error, io},
+    pointvane_serve::{CloseLimits, CloseResult, Closed, io_source, reset},
+    std::io,
     tokio::net::TcpStream,
 };
 
@@ -100,15 +100,3 @@
         closed
     }
 }
-
-/// The first I/O error among the causes of an error.
-fn io_source(error: &hyper::Error) -> Option<&io::Error> {
-    let mut source = error.source();
-    while let Some(error) = source {
-        if let Some(error) = error.downcast_ref::<io::Error>() {
-            return Some(error);
-        }
-        source = error.source();
-    }
-    None
-}
--- a/crates/pointvane-serve/src/response_fault.rs
+++ b/crates/pointvane-serve/src/response_fault.rs
@@ -1,6 +1,12 @@
 //! What is wrong with a response, as named in logs and metrics.
 
-use hyper::StatusCode;
+use {
+    hyper::StatusCode,
+    std::{
+        error::Error,
+        io::{self, ErrorKind},
+    },
+};
 
 /// Why a response is malformed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +29,12 @@
     HeadTooLong,
     /// The head is not a valid head of HTTP.
     InvalidHead,
+    /// The response names another request.
+    OtherRequest,
+    /// The connection ended or failed before the body was complete.
+    IncompleteBody,
+    /// A chunk that is not valid.
+    InvalidChunk,
 }
 
 impl ResponseFault {
@@ -48,6 +60,9 @@
             Self::ReadDifferently => "read-differently",
             Self::HeadTooLong => "head-too-long",
             Self::InvalidHead => "invalid-head",
+            Self::OtherRequest => "other-request",
+            Self::IncompleteBody => "incomplete-body",
+            Self::InvalidChunk => "invalid-chunk",
         }
     }
 
@@ -60,4 +75,24 @@
             () => None,
         }
     }
+
+    /// The fault for which the rest of a body cannot be read.
+    pub fn of_body_error(error: &hyper::Error) -> Self {
+        match io_source(error).map(io::Error::kind) {
+            Some(ErrorKind::InvalidInput | ErrorKind::InvalidData) => Self::InvalidChunk,
+            _ => Self::IncompleteBody,
+        }
+    }
+}
+
+/// The first I/O error among the causes of an error.
+pub fn io_source(error: &hyper::Error) -> Option<&io::Error> {
+    let mut source = error.source();
+    while let Some(error) = source {
+        if let Some(error) = error.downcast_ref::<io::Error>() {
+            return Some(error);
+        }
+        source = error.source();
+    }
+    None
 }
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -234,8 +234,8 @@
     QuarantineLifted { fingerprint: String },
     /// A response whose first bytes were sent is incomplete, so its connection was closed.
     ResponseIncomplete { request: String, reason: Name },
-    /// The head of an upstream's response to a request was malformed: the response was `refused` (nothing of it
-    /// reaches the caller), or its head was corrected and the body relayed whole.
+    /// An upstream's response to a request was malformed: it was `refused` (nothing of it reaches the caller), or
+    /// its head was corrected and the body relayed whole.
     ResponseMalformed { request: String, service: Name, upstream: Name, reason: Name, refused: bool },
     /// A caller's connection was given up before the caller closed its side, so that it may have lost a part of
     /// a response; `request` is the last one that was served on it.
--- a/standins/tests/malformed_responses.rs
+++ b/standins/tests/malformed_responses.rs
@@ -13,7 +13,9 @@
     pointvane_standins::raw_upstream::{RawResponse, RawUpstream},
     std::time::{Duration, Instant},
     table::{Row, Seen, early, rows, without_end},
-    users_platform::{ConfigurationOptions, HOST, NodeProcess, Options, Store, unique_address},
+    users_platform::{
+        ConfigurationOptions, HOST, NodeProcess, Options, Store, call, eventually, unique_address,
+    },
 };
 
 /// Shorter than a node buffers before it sends the first byte.
@@ -21,6 +23,7 @@
 /// Longer than that.
 const LONG_BYTES: usize = 200_000;
 const DEADLINE_MS: u64 = 4_000;
+const OPERATOR_PORT: u16 = 9_464;
 /// Time within which a response without end must be refused: far below the deadline.
 const REFUSED_WITHIN: Duration = Duration::from_millis(1_500);
 /// Bytes that may be taken of a response without end, in user space and in the buffers of the kernel.
@@ -174,3 +177,49 @@
         }
     }
 }
+
+/// Guards against a malformed response of which operators learn neither the request nor the reason.
+#[gtest]
+fn a_malformed_response_is_reported_with_its_request_and_reason() {
+    let reasons = [
+        ("shorter-length-then-chunks", "two-lengths", false),
+        ("two-different-lengths", "invalid-head", true),
+        ("unknown-coding", "unknown-coding", true),
+        ("status-000", "invalid-status", true),
+        ("status-999", "invalid-status", true),
+        ("unrequested-upgrade", "unrequested-upgrade", true),
+        ("endless-interim", "too-many-interim", true),
+        ("endless-header", "head-too-long", true),
+        ("endless-unmarked-body", "other-request", true),
+        ("length-closed", "incomplete-body", true),
+        ("chunks-spoiled", "invalid-chunk", true),
+    ];
+    let all_rows = [rows(SHORT_BYTES), without_end()].concat();
+    let row = |name: &str| all_rows.iter().find(|row| row.name == name).unwrap().clone();
+    let rows: Vec<Row> = reasons.iter().map(|(name, ..)| row(name)).collect();
+    let scene = Scene::start(&rows, "safe");
+    for (row, (name, reason, is_refused)) in rows.iter().zip(reasons) {
+        _ = deliver(scene.node.traffic_address(), &scene.request(row, name));
+        let parts = [
+            "\"response-malformed\"".into(),
+            format!("\"request\":\"{name}\""),
+            format!("\"upstream\":\"i-{name}\""),
+            format!("\"reason\":\"{reason}\""),
+            format!("\"refused\":{is_refused}"),
+        ];
+        let is_reported = |line: &str| parts.iter().all(|part: &String| line.contains(part.as_str()));
+        eventually(|| scene.node.log_lines().lines().any(is_reported));
+    }
+    let head = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let metrics = call((scene.node.ip, OPERATOR_PORT).into(), head).unwrap().body;
+    let metrics = String::from_utf8(metrics).unwrap();
+    for (_, reason, is_refused) in reasons {
+        let result = if is_refused { "refused" } else { "repaired" };
+        let labels = [format!("reason=\"{reason}\""), format!("result=\"{result}\"")];
+        let is_counted = |line: &str| {
+            line.starts_with("pointvane_node_responses_malformed")
+                && labels.iter().all(|label| line.contains(label))
+        };
+        expect_that!(metrics.lines().any(is_counted), eq(true), "{reason}");
+    }
+}
