--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -30,6 +30,8 @@
 mod limits;
 #[path = "soak/machine.rs"]
 mod machine;
+#[path = "soak/malformed.rs"]
+mod malformed;
 #[path = "soak/node.rs"]
 mod node;
 #[path = "soak/notices.rs"]
@@ -76,9 +78,9 @@
 
 /// Seeds that CI runs. The fourth has a large configuration. In the following ones, in order: upstreams crash
 /// while they run a certain request; upstreams request pauses; upstreams also restart under their identities;
-/// upstreams also announce limits; nodes are cut off from all upstreams; and all upstreams report that they are
-/// full.
-const CI_SEEDS: [u64; 10] = [1, 2, 3, 102, 6_001, 7_001, 8_001, 10_001, 11_001, 12_001];
+/// upstreams also announce limits; nodes are cut off from all upstreams; all upstreams report that they are full;
+/// and upstreams send malformed responses.
+const CI_SEEDS: [u64; 11] = [1, 2, 3, 102, 6_001, 7_001, 8_001, 10_001, 11_001, 12_001, 13_002];
 /// Seeds that have violated a guarantee before, which CI runs too; each states the cause. Such seeds with 40
 /// or more nodes are left to manual runs: the store stand-in took up to 8.0 s to answer there, so that no
 /// node received updates.
@@ -150,6 +152,9 @@
         if plan.contention {
             scope.spawn(move || contention::run(fleet, &mut rng(plan.fault_threads + 7)));
         }
+        if plan.malformed {
+            scope.spawn(move || malformed::run(fleet, &mut rng(plan.fault_threads + 8)));
+        }
         if plan.crashes {
             scope.spawn(move || crashing_request::run(fleet, &mut rng(plan.fault_threads + 2)));
         }
--- a/standins/tests/soak/plan.rs
+++ b/standins/tests/soak/plan.rs
@@ -34,6 +34,8 @@
 const LIMITS_SEED: u64 = 10_000;
 /// First seed in whose runs upstreams report that they are full.
 const CONTENTION_SEED: u64 = 12_000;
+/// First seed in whose runs upstreams send malformed responses.
+const MALFORMED_SEED: u64 = 13_000;
 /// Seeds in whose runs nodes are cut off from all upstreams. These are all reached through proxies, and none
 /// restarts.
 const PARTITIONS_SEEDS: Range<u64> = 11_000..12_000;
@@ -76,6 +78,8 @@
     pub partitions: bool,
     /// Whether upstreams report that they are full.
     pub contention: bool,
+    /// Whether upstreams send malformed responses.
+    pub malformed: bool,
     /// Additional routes in each configuration, besides those that the checks need.
     pub extra_routes: usize,
 }
@@ -91,6 +95,7 @@
         plan.restarts = seed >= RESTARTS_SEED && !plan.partitions;
         plan.limits = seed >= LIMITS_SEED;
         plan.contention = seed >= CONTENTION_SEED;
+        plan.malformed = seed >= MALFORMED_SEED;
         if plan.restarts {
             plan.proxied_upstreams = plan.proxied_upstreams.min(PROXIED_BESIDE_RESTARTS);
         }
@@ -125,6 +130,7 @@
             limits: false,
             partitions: false,
             contention: false,
+            malformed: false,
             extra_routes: 0,
         }
     }
@@ -153,6 +159,7 @@
             limits: false,
             partitions: false,
             contention: false,
+            malformed: false,
             extra_routes: 0,
         }
     }
--- a/standins/tests/users_platform/behaviour.rs
+++ b/standins/tests/users_platform/behaviour.rs
@@ -1,6 +1,6 @@
 //! Behaviour of a stand-in upstream.
 
-use super::message::Message;
+use super::{malformed::Malformed, message::Message};
 
 /// How an upstream responds to requests. Health probes are answered in every case.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,6 +21,8 @@
     Misdirected,
     /// Announces a length and closes the connection before that many bytes.
     Truncated,
+    /// Runs the request and sends a malformed response.
+    Malformed(Malformed),
     /// A complete response followed by a second one.
     DuplicateResponse,
     /// Runs the request and never responds.
--- a/standins/tests/users_platform/mod.rs
+++ b/standins/tests/users_platform/mod.rs
@@ -3,6 +3,7 @@
 
 mod addresses;
 mod behaviour;
+mod malformed;
 mod message;
 mod node;
 mod process;
@@ -14,6 +15,7 @@
 pub use {
     addresses::unique_address,
     behaviour::{BodyEnd, BodyLength, RespondTime, UpstreamBehaviour},
+    malformed::{MALFORMED, Malformed},
     message::{Message, call, read_message, request_head},
     node::{Log, NodeProcess, Options},
     store::{Account, ConfigurationOptions, Incarnation, Store},
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -313,6 +313,10 @@
                 )?;
                 return Ok(false);
             }
+            UpstreamBehaviour::Malformed(kind) => {
+                kind.write(stream, id)?;
+                return Ok(false);
+            }
             UpstreamBehaviour::DuplicateResponse => {
                 write_ok(stream, id)?;
                 write_ok(stream, id)?;
