--- a/standins/tests/users_platform/malformed.rs
+++ b/standins/tests/users_platform/malformed.rs
@@ -61,6 +61,11 @@
 const RESET_DELAY: Duration = Duration::from_millis(20);
 
 impl Malformed {
+    /// Whether its body has no length and is cut off by a reset.
+    pub fn is_reset_in_body(self) -> bool {
+        matches!(self, Self::ResetInBody | Self::ResetInBodyHttp10)
+    }
+
     /// Writes the response to a request, and waits until the peer closes if the connection cannot be used further.
     pub fn write(self, mut stream: &TcpStream, id: &str) -> io::Result<()> {
         let own = format!("pointvane-request-id: {id}\r\n{RESPONSE_STAMP_HEADER}: s\r\n");
