--- a/crates/pointvane-entry/src/attempt.rs
+++ b/crates/pointvane-entry/src/attempt.rs
@@ -15,7 +15,7 @@
     hyper::{Response, StatusCode, body::Incoming},
     pointvane_balance::AttemptOutcome,
     pointvane_core::{ErrorKind, HedgeSchedule, US_PER_MS},
-    pointvane_serve::{ResponseFault, SendError},
+    pointvane_serve::{FaultHandling, ResponseFault, SendError},
     std::time::Duration,
     tokio::time::{Instant, sleep_until, timeout_at},
 };
@@ -109,14 +109,14 @@
     match timeout_at(give_up_at, response_wait).await {
         Ok((connection, Ok(response))) => {
             if let Some(fault) = connection.repaired() {
-                report_malformed(outgoing, &attempt, counters, fault, false);
+                report_malformed(outgoing, &attempt, counters, fault, FaultHandling::Repaired);
             }
             counters.upstream_responded(&outgoing.request.service.name, attempt.elapsed_s());
             handle_response(response, attempt, connection)
         }
         Ok((_, Err(error))) => {
             if let SendError::Malformed(fault) = &error {
-                report_malformed(outgoing, &attempt, counters, *fault, true);
+                report_malformed(outgoing, &attempt, counters, *fault, FaultHandling::Refused);
             }
             handle_send_error(error, attempt)
         }
@@ -130,10 +130,10 @@
     attempt: &Attempt,
     counters: &EntryCounters,
     fault: ResponseFault,
-    is_refused: bool,
+    handling: FaultHandling,
 ) {
-    counters.response_malformed(fault, is_refused);
-    attempt.record_malformed(outgoing.request_id(), fault, is_refused);
+    counters.response_malformed(fault, handling);
+    attempt.record_malformed(outgoing.request_id(), fault, handling);
 }
 
 /// Ends an attempt whose connection failed without a response.
--- a/crates/pointvane-entry/src/counters.rs
+++ b/crates/pointvane-entry/src/counters.rs
@@ -6,7 +6,7 @@
         metrics::{Counter, Histogram, Meter},
     },
     pointvane_core::{Class, ErrorKind, Name},
-    pointvane_serve::{CloseResult, ResponseFault},
+    pointvane_serve::{CloseResult, FaultHandling, ResponseFault},
 };
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -105,10 +105,9 @@
         self.connections_closed.add(1, &[KeyValue::new("result", result.as_str())]);
     }
 
-    /// Counts a malformed response, which was refused or repaired.
-    pub fn response_malformed(&self, fault: ResponseFault, is_refused: bool) {
-        let result = if is_refused { "refused" } else { "repaired" };
-        let labels = [KeyValue::new("reason", fault.as_str()), KeyValue::new("result", result)];
+    /// Counts a malformed response.
+    pub fn response_malformed(&self, fault: ResponseFault, handling: FaultHandling) {
+        let labels = [KeyValue::new("reason", fault.as_str()), KeyValue::new("result", handling.as_str())];
         self.responses_malformed.add(1, &labels);
     }
 
--- a/crates/pointvane-entry/src/malformed_responses.rs
+++ b/crates/pointvane-entry/src/malformed_responses.rs
@@ -2,7 +2,7 @@
 
 use {
     pointvane_core::Name,
-    pointvane_serve::ResponseFault,
+    pointvane_serve::{FaultHandling, ResponseFault},
     pointvane_telemetry::EventKind,
     std::sync::{Mutex, MutexGuard, PoisonError},
 };
@@ -29,8 +29,8 @@
     pub upstream: Name,
     /// What is wrong with it.
     pub fault: ResponseFault,
-    /// Whether it was refused; otherwise its head was corrected and its body relayed whole.
-    pub is_refused: bool,
+    /// What became of it.
+    pub handling: FaultHandling,
 }
 
 impl MalformedResponses {
@@ -53,7 +53,7 @@
             service: service.clone(),
             upstream: response.upstream,
             reason: response.fault.as_str().into(),
-            refused: response.is_refused,
+            refused: response.handling == FaultHandling::Refused,
         });
         lines.chain((left_out > 0).then_some(EventKind::LinesLeftOut { count: left_out }))
     }
--- a/crates/pointvane-entry/src/service.rs
+++ b/crates/pointvane-entry/src/service.rs
@@ -7,7 +7,7 @@
     },
     pointvane_config::{FleetLimits, Service},
     pointvane_core::{Clock, ErrorKind, LimitNotice, LoadReport, Name, US_PER_S},
-    pointvane_serve::ResponseFault,
+    pointvane_serve::{FaultHandling, ResponseFault},
     pointvane_telemetry::MonotonicClock,
     std::{
         net::SocketAddr,
@@ -190,13 +190,13 @@
     }
 
     /// Has a malformed response to the request `request_id` reported.
-    pub fn record_malformed(&self, request_id: &str, fault: ResponseFault, is_refused: bool) {
+    pub fn record_malformed(&self, request_id: &str, fault: ResponseFault, handling: FaultHandling) {
         let upstream = self.service.lock().upstream(self.upstream).name.clone();
         self.service.malformed.add(MalformedResponse {
             request: request_id.into(),
             upstream,
             fault,
-            is_refused,
+            handling,
         });
     }
 
--- a/crates/pointvane-node/src/connection_metrics.rs
+++ b/crates/pointvane-node/src/connection_metrics.rs
@@ -4,7 +4,7 @@
 use {
     opentelemetry::{KeyValue, metrics::Counter},
     pointvane_dispatch::{ConnectionPurpose, OpenReason},
-    pointvane_serve::ResponseFault,
+    pointvane_serve::{FaultHandling, ResponseFault},
     pointvane_telemetry::Metrics,
 };
 
@@ -38,13 +38,12 @@
         self.reused.add(1, &[KeyValue::new("purpose", purpose.as_str())]);
     }
 
-    /// Counts a malformed response, which was refused or repaired.
-    pub fn malformed(&self, purpose: ConnectionPurpose, fault: ResponseFault, is_refused: bool) {
-        let result = if is_refused { "refused" } else { "repaired" };
+    /// Counts a malformed response.
+    pub fn malformed(&self, purpose: ConnectionPurpose, fault: ResponseFault, handling: FaultHandling) {
         let labels = [
             KeyValue::new("purpose", purpose.as_str()),
             KeyValue::new("reason", fault.as_str()),
-            KeyValue::new("result", result),
+            KeyValue::new("result", handling.as_str()),
         ];
         self.malformed.add(1, &labels);
     }
--- a/crates/pointvane-node/src/connections.rs
+++ b/crates/pointvane-node/src/connections.rs
@@ -17,11 +17,12 @@
         client::conn::http1,
     },
     pointvane_dispatch::{ConnectionKind, ConnectionPurpose, OpenReason, idle_max_ms},
-    pointvane_serve::{CheckedResponse, FramedHead, RequestSender, ResponseFault, SendError},
+    pointvane_serve::{CheckedResponse, FaultHandling, FramedHead, RequestSender, ResponseFault, SendError},
     pointvane_telemetry::BootInstant,
     std::{
         io,
         net::{IpAddr, SocketAddr},
+        rc::Rc,
         time::Duration,
     },
     tokio::task::spawn_local,
@@ -42,7 +43,7 @@
 #[derive(Clone, Debug)]
 pub struct Connections {
     idle: IdleConnections,
-    metrics: ConnectionMetrics,
+    metrics: Rc<ConnectionMetrics>,
     /// Local address of new connections; none lets the system choose.
     source_ip: Option<IpAddr>,
 }
@@ -60,7 +61,7 @@
     request_ended_at: Option<BootInstant>,
     /// The head of the response that is read; none before it.
     framed: Option<FramedHead>,
-    metrics: ConnectionMetrics,
+    metrics: Rc<ConnectionMetrics>,
     _in_use: InUse,
 }
 
@@ -103,7 +104,7 @@
 impl Connections {
     /// Creates an empty pool whose connections are opened from `source_ip`, if given.
     pub fn new(source_ip: Option<IpAddr>, metrics: ConnectionMetrics) -> Self {
-        Self { idle: IdleConnections::default(), metrics, source_ip }
+        Self { idle: IdleConnections::default(), metrics: Rc::new(metrics), source_ip }
     }
 
     /// Takes a connection from the pool, or opens a new one; [`pointvane_dispatch::choose_idle`] decides.
@@ -131,7 +132,7 @@
             reused: true,
             request_ended_at,
             framed: None,
-            metrics: self.metrics.clone(),
+            metrics: Rc::clone(&self.metrics),
             _in_use: self.idle.begin_use(address),
         })
     }
@@ -168,7 +169,7 @@
             reused: false,
             request_ended_at: None,
             framed: None,
-            metrics: self.metrics.clone(),
+            metrics: Rc::clone(&self.metrics),
             _in_use: in_use,
         })
     }
@@ -199,10 +200,12 @@
         }
         let sent = self.sender.send(request).await;
         if let Err(SendError::Malformed(fault)) = &sent {
-            self.metrics.malformed(self.purpose, *fault, true);
+            self.metrics.malformed(self.purpose, *fault, FaultHandling::Refused);
         }
         let CheckedResponse { response, framed } = sent?;
-        framed.repaired.iter().for_each(|fault| self.metrics.malformed(self.purpose, *fault, false));
+        if let Some(fault) = framed.repaired {
+            self.metrics.malformed(self.purpose, fault, FaultHandling::Repaired);
+        }
         self.framed = Some(framed);
         Ok(response)
     }
@@ -214,7 +217,7 @@
 
     /// Closes the connection for a fault of its response that was found after its head was accepted.
     pub fn refuse(self, fault: ResponseFault) {
-        self.metrics.malformed(self.purpose, fault, true);
+        self.metrics.malformed(self.purpose, fault, FaultHandling::Refused);
     }
 
     /// Time that the TCP handshake took, as an estimate of the round trip to the upstream.
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -21,7 +21,7 @@
     pointvane_dispatch::{
         AttemptOutcome, ConnectionKind, ConnectionPurpose, Ineligible, NotRunReason, UpstreamKey,
     },
-    pointvane_serve::{ResponseFault, SendError, skip_body},
+    pointvane_serve::{FaultHandling, ResponseFault, SendError, skip_body},
     pointvane_telemetry::EventKind,
     std::rc::Rc,
     tokio::time::Instant,
@@ -86,7 +86,7 @@
     if answer.head.headers.get(&node.headers.request_id) != id {
         // The response belongs to another request; so may all that follows on this connection.
         answer.connection.refuse(ResponseFault::OtherRequest);
-        report_malformed(node, request, key, ResponseFault::OtherRequest, true);
+        report_malformed(node, request, key, ResponseFault::OtherRequest, FaultHandling::Refused);
         return Err(AttemptOutcome::Broken);
     }
     // Applied before the body is read, so that no other request is sent to an upstream that asked for a
@@ -105,7 +105,7 @@
     let deadline = node.instant_of(request.answer_deadline_us);
     let response = read_body(head, body, connection, reusable, &node.body_memory, deadline).await;
     response.map_err(|fault| {
-        report_malformed(node, request, key, fault, true);
+        report_malformed(node, request, key, fault, FaultHandling::Refused);
         AttemptOutcome::Broken
     })
 }
@@ -164,12 +164,13 @@
         Some((connection, Ok(response))) => {
             traffic.received(response);
             node.record_contact(key, kind);
-            connection
-                .repaired()
-                .iter()
-                .for_each(|fault| report_malformed(node, request, key, *fault, false));
+            if let Some(fault) = connection.repaired() {
+                report_malformed(node, request, key, fault, FaultHandling::Repaired);
+            }
+        }
+        Some((_, Err(SendError::Malformed(fault)))) => {
+            report_malformed(node, request, key, *fault, FaultHandling::Refused)
         }
-        Some((_, Err(SendError::Malformed(fault)))) => report_malformed(node, request, key, *fault, true),
         Some((_, Err(_))) | None => {}
     }
     sent
@@ -181,7 +182,7 @@
     request: &CallerRequest,
     key: UpstreamKey,
     fault: ResponseFault,
-    is_refused: bool,
+    handling: FaultHandling,
 ) {
     let Some((service, upstream)) = node.service_and_id(key) else { return };
     node.report.failure(node.now_us(), || EventKind::ResponseMalformed {
@@ -189,7 +190,7 @@
         service,
         upstream,
         reason: fault.as_str().into(),
-        refused: is_refused,
+        refused: handling == FaultHandling::Refused,
     });
 }
 
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -23,7 +23,7 @@
     closing::{ClosingConnections, reset},
     lent_stream::{Lender, LentStream, lend},
     request_sender::{CheckedResponse, ConnectionDriver, RequestSender, SendError},
-    response_fault::{ResponseFault, io_source},
+    response_fault::{FaultHandling, ResponseFault, io_source},
     skip_body::{HEALTH_BODY_BYTES_MAX, skip_body},
     write_timeout::WriteTimeout,
 };
--- a/crates/pointvane-serve/src/request_sender.rs
+++ b/crates/pointvane-serve/src/request_sender.rs
@@ -50,12 +50,7 @@
     Malformed(ResponseFault),
 }
 
-impl<B> RequestSender<B>
-where
-    B: Body + 'static,
-    B::Data: Send,
-    B::Error: Into<Box<dyn Error + Send + Sync>>,
-{
+impl<B: Body<Data: Send, Error: Error + Send + Sync> + 'static> RequestSender<B> {
     /// Starts HTTP on a new connection with the options of `builder`.
     ///
     /// # Errors
--- a/crates/pointvane-serve/src/response_fault.rs
+++ b/crates/pointvane-serve/src/response_fault.rs
@@ -85,6 +85,25 @@
     }
 }
 
+/// What became of a malformed response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultHandling {
+    /// Nothing of it reaches the caller.
+    Refused,
+    /// Its head was corrected, and its body is relayed whole.
+    Repaired,
+}
+
+impl FaultHandling {
+    /// The value of the label `result` in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Repaired => "repaired",
+        }
+    }
+}
+
 /// The first I/O error among the causes of an error.
 pub fn io_source(error: &hyper::Error) -> Option<&io::Error> {
     let mut source = error.source();
