The client of the platform does not reuse a connection whose response was repaired

Found by reading the change once more: callers' paths drop a connection after a response whose length contradicted its chunks, or that ended with the connection; the client of the platform kept it. No play of a store that answers so. docs/ARCHITECTURE.md names where a response's body is decided.

--- a/crates/pointvane-node/src/replica/platform_client.rs
+++ b/crates/pointvane-node/src/replica/platform_client.rs
@@ -14,7 +14,7 @@
         header::HOST,
     },
     pointvane_dispatch::CallFailure,
-    pointvane_serve::{RequestSender, SendError},
+    pointvane_serve::{FramedHead, RequestSender, SendError},
     std::{net::SocketAddr, time::Duration},
     tokio::{task::spawn_local, time::timeout},
 };
@@ -106,6 +106,7 @@
 pub struct PlatformAnswer {
     status: StatusCode,
     body: Incoming,
+    framed: FramedHead,
     connection: RequestSender<RelayBody>,
 }
 
@@ -133,7 +134,7 @@
             SendError::Malformed(_) => CallError::Malformed,
         })?;
         let (head, body) = answer.response.into_parts();
-        Ok(PlatformAnswer { status: head.status, body, connection })
+        Ok(PlatformAnswer { status: head.status, body, framed: answer.framed, connection })
     }
 
     /// Reads a response body of at most `bytes_max` bytes within [`TRANSFER_TIMEOUT`], while it makes
@@ -144,7 +145,7 @@
     pub async fn read(&mut self, answer: PlatformAnswer, bytes_max: usize) -> Result<Bytes, CallError> {
         let body = timeout(TRANSFER_TIMEOUT, read_body(answer.body, bytes_max)).await;
         let body = body.map_err(|_| CallError::Truncated)??;
-        self.connection = Some(answer.connection);
+        self.connection = Some(answer.connection).filter(|_| answer.framed.is_connection_reusable());
         match answer.status {
             StatusCode::OK => Ok(body),
             StatusCode::GONE => Err(CallError::HistoryGone),
