--- a/crates/pointvane-entry/src/attempt.rs
+++ b/crates/pointvane-entry/src/attempt.rs
@@ -15,7 +15,7 @@
     hyper::{Response, StatusCode, body::Incoming},
     pointvane_balance::AttemptOutcome,
     pointvane_core::{ErrorKind, HedgeSchedule, US_PER_MS},
-    pointvane_serve::{FaultHandling, ResponseFault, SendError},
+    pointvane_serve::{FaultHandling, SendError},
     std::time::Duration,
     tokio::time::{Instant, sleep_until, timeout_at},
 };
@@ -106,32 +106,32 @@
     let recorder = NoticeRecorder::from(&attempt);
     let deadline_us = outgoing.request.deadline_us;
     let response_wait = response_wait::send(connection, outgoing.build(body), recorder, deadline_us);
-    match timeout_at(give_up_at, response_wait).await {
-        Ok((connection, Ok(response))) => {
-            if let Some(fault) = connection.repaired() {
-                report_malformed(outgoing, &attempt, counters, fault, FaultHandling::Repaired);
-            }
+    let Ok((connection, result)) = timeout_at(give_up_at, response_wait).await else {
+        return UpstreamAttempt::Broken(ErrorKind::UpstreamTimeout);
+    };
+    report_malformed(outgoing, &attempt, counters, &connection, &result);
+    match result {
+        Ok(response) => {
             counters.upstream_responded(&outgoing.request.service.name, attempt.elapsed_s());
             handle_response(response, attempt, connection)
         }
-        Ok((_, Err(error))) => {
-            if let SendError::Malformed(fault) = &error {
-                report_malformed(outgoing, &attempt, counters, *fault, FaultHandling::Refused);
-            }
-            handle_send_error(error, attempt)
-        }
-        Err(_) => UpstreamAttempt::Broken(ErrorKind::UpstreamTimeout),
+        Err(error) => handle_send_error(error, attempt),
     }
 }
 
-/// Counts a malformed response and has a line written on it.
+/// Counts a response that is malformed, and has a line written on it.
 fn report_malformed(
     outgoing: &OutgoingRequest<'_>,
     attempt: &Attempt,
     counters: &EntryCounters,
-    fault: ResponseFault,
-    handling: FaultHandling,
+    connection: &Connection,
+    result: &Result<Response<Incoming>, SendError<RequestBody>>,
 ) {
+    let (fault, handling) = match (connection.repaired(), result) {
+        (Some(fault), Ok(_)) => (fault, FaultHandling::Repaired),
+        (_, Err(SendError::Malformed(fault))) => (*fault, FaultHandling::Refused),
+        _ => return,
+    };
     counters.response_malformed(fault, handling);
     attempt.record_malformed(outgoing.request_id(), fault, handling);
 }
--- a/crates/pointvane-entry/src/classify.rs
+++ b/crates/pointvane-entry/src/classify.rs
@@ -55,10 +55,7 @@
     if routes.revision == 0 {
         return Err(ErrorKind::NotReady);
     }
-    // The body would be passed on in its coding, but without the header that names it.
-    if has_unknown_coding(&head.headers) {
-        return Err(ErrorKind::UnsupportedCoding);
-    }
+    check_coding(head)?;
     let host = single_header(head, HOST.as_str())?.or_else(|| head.uri.host()).unwrap_or_default();
     let service = routes.find(host, head.uri.path()).ok_or(ErrorKind::NoSuchService)?;
     let class = match single_header(head, header::CLASS)? {
@@ -84,6 +81,12 @@
     })
 }
 
+/// Refuses a body in a coding other than chunks: it would be passed on in its coding, but without the header that
+/// names it.
+fn check_coding(head: &Parts) -> Result<(), ErrorKind> {
+    if has_unknown_coding(&head.headers) { Err(ErrorKind::UnsupportedCoding) } else { Ok(()) }
+}
+
 /// Returns the value of a header as text, or `None` if it is absent. Repeated headers are an error.
 fn single_header<'h>(head: &'h Parts, name: &str) -> Result<Option<&'h str>, ErrorKind> {
     let mut values = head.headers.get_all(name).iter();
