--- a/standins/tests/entry_malformed_responses.rs
+++ b/standins/tests/entry_malformed_responses.rs
@@ -215,6 +215,37 @@
     }
 }
 
+/// Guards against malformed responses of which operators learn neither the request nor the reason.
+#[gtest]
+fn malformed_responses_are_reported_with_their_requests_and_reasons() {
+    let reasons = [
+        ("shorter-length-then-chunks", "two-lengths"),
+        ("unknown-coding", "unknown-coding"),
+        ("status-999", "invalid-status"),
+        ("stops-in-header", ""),
+        ("length-no-number", "invalid-head"),
+    ];
+    let table = rows(SHORT_BYTES);
+    let row = |name: &str| table.iter().find(|row| row.name == name).unwrap().clone();
+    let rows: Vec<Row> = reasons.iter().map(|(name, _)| row(name)).collect();
+    let scene = Scene::start(&rows);
+    let log = scene.deployment.directory().join(format!("{}-entry.log", scene.deployment.vms[0].name));
+    let is_reported = |name: &str, reason: &str| {
+        let parts = ["response-malformed", name, reason];
+        let is_line = |line: &str| parts.iter().all(|part| line.contains(part));
+        fs::read_to_string(&log).unwrap().lines().any(is_line)
+    };
+    for (row, (name, reason)) in rows.iter().zip(reasons) {
+        _ = deliver(scene.entry(), &scene.request(row, name));
+        // A connection that ends within a head is a broken one, with no response that could be malformed.
+        if !reason.is_empty() {
+            wait_until(reason, || is_reported(name, reason)).unwrap();
+        }
+    }
+    let count = scene.deployment.counter(Program::Entry, "pointvane_responses_malformed");
+    expect_that!(count, ge(4.0));
+}
+
 /// Guards against an entry that gathers in memory what an upstream sends without end as the answer to a probe.
 #[gtest]
 fn probes_answered_without_end_take_no_memory() {
