--- a/standins/tests/soak/malformed.rs
+++ b/standins/tests/soak/malformed.rs
@@ -4,7 +4,8 @@
     crate::{
         faults::misbehave_for,
         fleet::Fleet,
-        users_platform::{MALFORMED, UpstreamBehaviour},
+        upstreams::ListedUpstream,
+        users_platform::{MALFORMED, Malformed, UpstreamBehaviour},
     },
     rand::{
         Rng,
@@ -32,9 +33,20 @@
         fleet.count("malformed");
         thread::scope(|scope| {
             for listed in &upstreams {
-                let behaviour = UpstreamBehaviour::Malformed(*MALFORMED.choose(rng).unwrap());
+                let behaviour = UpstreamBehaviour::Malformed(kind_for(listed, rng));
                 scope.spawn(move || misbehave_for(&listed.upstream, behaviour, time));
             }
         });
     }
 }
+
+/// Draws a kind of response. A proxy ends a connection in an orderly way when its upstream resets it, which makes the
+/// part of a body without a length a whole one, so such responses are left to upstreams that are reached directly.
+fn kind_for(listed: &ListedUpstream, rng: &mut SmallRng) -> Malformed {
+    loop {
+        let kind = *MALFORMED.choose(rng).unwrap();
+        if listed.link.is_none() || !kind.is_reset_in_body() {
+            return kind;
+        }
+    }
+}
--- a/standins/tests/users_platform/malformed.rs
+++ b/standins/tests/users_platform/malformed.rs
@@ -2,9 +2,12 @@
 
 use {
     super::{RESPONSE_STAMP_HEADER, WAIT_TIMEOUT, upstream_responses::is_closed_within},
+    socket2::SockRef,
     std::{
         io::{self, Write},
         net::TcpStream,
+        thread,
+        time::Duration,
     },
 };
 
@@ -23,6 +26,10 @@
     Upgrade,
     /// Stops within its head.
     StopsInHead,
+    /// Without a length, reset within the body.
+    ResetInBody,
+    /// In HTTP/1.0 without a length, reset within the body.
+    ResetInBodyHttp10,
     /// With an invalid chunk.
     SpoiledChunk,
     /// Interim responses without end.
@@ -34,10 +41,7 @@
 }
 
 /// All kinds.
-///
-/// None is a body without a length that is cut off by a reset: stand-ins that crash, and proxies, end connections in
-/// an orderly way, which makes the part of such a body a whole one.
-pub const MALFORMED: [Malformed; 11] = [
+pub const MALFORMED: [Malformed; 13] = [
     Malformed::ShorterLength,
     Malformed::LongerLength,
     Malformed::UnknownCoding,
@@ -45,13 +49,23 @@
     Malformed::Status(999),
     Malformed::Upgrade,
     Malformed::StopsInHead,
+    Malformed::ResetInBody,
+    Malformed::ResetInBodyHttp10,
     Malformed::SpoiledChunk,
     Malformed::EndlessInterim,
     Malformed::EndlessHeader,
     Malformed::EndlessBody,
 ];
 
+/// Time between the last byte and a reset, which would discard bytes that the peer has not read.
+const RESET_DELAY: Duration = Duration::from_millis(20);
+
 impl Malformed {
+    /// Whether its body has no length and is cut off by a reset.
+    pub fn is_reset_in_body(self) -> bool {
+        matches!(self, Self::ResetInBody | Self::ResetInBodyHttp10)
+    }
+
     /// Writes the response to a request, and waits until the peer closes if the connection cannot be used further.
     pub fn write(self, mut stream: &TcpStream, id: &str) -> io::Result<()> {
         let own = format!("pointvane-request-id: {id}\r\n{RESPONSE_STAMP_HEADER}: s\r\n");
@@ -72,6 +86,8 @@
             }
             Self::Upgrade => (format!("HTTP/1.1 101 Switching Protocols\r\n{own}\r\n"), ""),
             Self::StopsInHead => (format!("HTTP/1.1 200 OK\r\n{own}"), ""),
+            Self::ResetInBody => (format!("HTTP/1.1 200 OK\r\n{own}\r\nhel"), ""),
+            Self::ResetInBodyHttp10 => (format!("HTTP/1.0 200 OK\r\n{own}\r\nhel"), ""),
             Self::SpoiledChunk => (format!("HTTP/1.1 200 OK\r\n{own}{chunked}\r\n5\r\nhello\r\nxx\r\n"), ""),
             Self::EndlessInterim => (String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n"),
             Self::EndlessHeader => ("HTTP/1.1 200 OK\r\nx: ".into(), "yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy"),
@@ -81,8 +97,14 @@
         while !repeated.is_empty() {
             stream.write_all(repeated.as_bytes())?;
         }
-        if self != Self::StopsInHead {
-            is_closed_within(stream, WAIT_TIMEOUT);
+        match self {
+            // The connection ends with the head.
+            Self::StopsInHead => {}
+            Self::ResetInBody | Self::ResetInBodyHttp10 => {
+                thread::sleep(RESET_DELAY);
+                SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
+            }
+            _ => _ = is_closed_within(stream, WAIT_TIMEOUT),
         }
         Ok(())
     }
