Every program names the commit and the machine that it was built for

Added: `--version`, the line `started` (fields version, commit, machine) and `build` in `/status`, for the node and the three programs; `--version` of the client. Only the programs depend on the crate that holds it, so a commit rebuilds no library.

Golden files: one event with three more fields (events without them are still read), three fields of each `/status`. Tests: `build_info` (does not build before: nothing names a build), `event_format`.

--- a/crates/pointvane-control/src/main.rs
+++ b/crates/pointvane-control/src/main.rs
@@ -2,12 +2,12 @@
 #![forbid(unsafe_code)]
 
 use {
-    clap::Parser,
+    pointvane_build::{BUILD, VERSION},
     pointvane_telemetry::{Program, ProgramArgs, settings_logger},
 };
 
 fn main() -> eyre::Result<()> {
-    let settings = ProgramArgs::parse().settings();
+    let settings = ProgramArgs::parse("pointvane-control", VERSION).settings();
     let log = settings_logger(Program::Control, &settings);
-    pointvane_control::run(settings, log)
+    pointvane_control::run(settings, log, BUILD)
 }
--- a/crates/pointvane-control/src/run.rs
+++ b/crates/pointvane-control/src/run.rs
@@ -13,7 +13,7 @@
     },
     eyre::{Result, WrapErr},
     pointvane_config::Settings,
-    pointvane_telemetry::{EventKind, EventLog, Metrics, Program, serve_operator},
+    pointvane_telemetry::{BuildInfo, EventKind, EventLog, Metrics, Program, serve_operator},
     signal_hook::{
         consts::{SIGINT, SIGTERM},
         flag,
@@ -37,7 +37,7 @@
 ///
 /// # Errors
 /// If a signal handler or the metrics cannot be set up, or a port cannot be bound.
-pub fn run(settings: Settings, log: slog::Logger) -> Result<()> {
+pub fn run(settings: Settings, log: slog::Logger, build: BuildInfo) -> Result<()> {
     let stop = stop_on_signals()?;
     let address = SocketAddr::new(settings.vm.address, settings.control.port);
     let socket = UdpSocket::bind(address).wrap_err_with(|| format!("control port {address}"))?;
@@ -50,11 +50,11 @@
     let platform_address = settings.platform.address;
     let state = State::new(settings, Arc::clone(&events), counters, socket.try_clone()?, fetch_sender);
     let state = Arc::new(state);
-    let _operator = serve_operator(operator, metrics, Arc::clone(&events), Arc::clone(&state))?;
+    let _operator = serve_operator(build, operator, metrics, Arc::clone(&events), Arc::clone(&state))?;
 
     start_readers(&state, platform_address, fetch_requests);
     start_servers(&state, socket, listener, Arc::clone(&stop));
-    events.record(EventKind::Started);
+    events.record(EventKind::started(&build));
 
     while !stop.load(Ordering::Relaxed) {
         thread::sleep(POLL_INTERVAL);
--- a/crates/pointvane-entry/src/main.rs
+++ b/crates/pointvane-entry/src/main.rs
@@ -2,12 +2,12 @@
 #![forbid(unsafe_code)]
 
 use {
-    clap::Parser,
+    pointvane_build::{BUILD, VERSION},
     pointvane_telemetry::{Program, ProgramArgs, settings_logger},
 };
 
 fn main() -> eyre::Result<()> {
-    let settings = ProgramArgs::parse().settings();
+    let settings = ProgramArgs::parse("pointvane-entry", VERSION).settings();
     let log = settings_logger(Program::Entry, &settings);
-    pointvane_entry::run(settings, log)
+    pointvane_entry::run(settings, log, BUILD)
 }
--- a/crates/pointvane-entry/src/stop.rs
+++ b/crates/pointvane-entry/src/stop.rs
@@ -6,7 +6,7 @@
     pointvane_config::{EntrySettings, Settings},
     pointvane_feed::spawn_feed,
     pointvane_serve::{ClosingConnections, ServerOptions, ShutdownPhase, serve as accept},
-    pointvane_telemetry::{EventKind, EventLog, Metrics, Program, serve_operator},
+    pointvane_telemetry::{BuildInfo, EventKind, EventLog, Metrics, Program, serve_operator},
     std::{
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
@@ -32,15 +32,15 @@
 ///
 /// # Errors
 /// If the process cannot start, such as when a port cannot be bound.
-pub fn run(settings: Settings, log: slog::Logger) -> Result<()> {
+pub fn run(settings: Settings, log: slog::Logger, build: BuildInfo) -> Result<()> {
     let threads = settings.entry.worker_threads;
     let runtime = Builder::new_multi_thread().worker_threads(threads).enable_all().build()?;
-    let result = runtime.block_on(serve(settings, log));
+    let result = runtime.block_on(serve(settings, log, build));
     runtime.shutdown_background();
     result
 }
 
-async fn serve(settings: Settings, log: slog::Logger) -> Result<()> {
+async fn serve(settings: Settings, log: slog::Logger, build: BuildInfo) -> Result<()> {
     let metrics = Arc::new(Metrics::new()?);
     let events = Arc::new(EventLog::new(settings.vm.name.clone(), Program::Entry, log));
     let counters = EntryCounters::new(&metrics.meter());
@@ -52,7 +52,7 @@
     let socket =
         UdpSocket::bind(address).await.wrap_err_with(|| format!("cannot bind load port {address}"))?;
     let operator = SocketAddr::new(vm.address, entry.settings.operator.entry_port);
-    let _operator = serve_operator(operator, metrics, Arc::clone(&events), Arc::clone(&entry))?;
+    let _operator = serve_operator(build, operator, metrics, Arc::clone(&events), Arc::clone(&entry))?;
     spawn_feed(SocketAddr::new(vm.address, entry.settings.control.port), Arc::clone(&entry));
 
     let (phase, phase_receiver) = watch::channel(ShutdownPhase::Running);
@@ -62,7 +62,7 @@
     let options = server_options(&entry.settings);
     let accept_task =
         tokio::spawn(accept(Arc::clone(&entry), listener, options, Arc::clone(&closing), phase_receiver));
-    events.record(EventKind::Started);
+    events.record(EventKind::started(&build));
 
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/pointvane-locate/src/run.rs
+++ b/crates/pointvane-locate/src/run.rs
@@ -6,7 +6,7 @@
     pointvane_config::Settings,
     pointvane_feed::spawn_feed,
     pointvane_serve::{ClosingConnections, ServerOptions, ShutdownPhase, serve},
-    pointvane_telemetry::{EventKind, EventLog, Metrics, Program, serve_operator},
+    pointvane_telemetry::{BuildInfo, EventKind, EventLog, Metrics, Program, serve_operator},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
@@ -26,12 +26,12 @@
 ///
 /// # Errors
 /// If the runtime, the metrics or a signal handler cannot be set up, or a port cannot be bound.
-pub fn run(settings: Settings, log: slog::Logger) -> Result<()> {
+pub fn run(settings: Settings, log: slog::Logger, build: BuildInfo) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(run_locate(settings, log))
+    runtime.block_on(run_locate(settings, log, build))
 }
 
-async fn run_locate(settings: Settings, log: slog::Logger) -> Result<()> {
+async fn run_locate(settings: Settings, log: slog::Logger, build: BuildInfo) -> Result<()> {
     let vm = settings.vm.clone();
     let address = SocketAddr::new(vm.address, settings.locate.port);
     let operator = SocketAddr::new(vm.address, settings.operator.locate_port);
@@ -41,9 +41,9 @@
     let lookups = metrics.meter().u64_counter("pointvane_locate_questions").build();
     let locate = Arc::new(Locate::new(settings, Arc::clone(&events), lookups));
     let listener = TcpListener::bind(address).await.wrap_err_with(|| format!("locate port {address}"))?;
-    let _operator = serve_operator(operator, metrics, Arc::clone(&events), Arc::clone(&locate))?;
+    let _operator = serve_operator(build, operator, metrics, Arc::clone(&events), Arc::clone(&locate))?;
     spawn_feed(control, Arc::clone(&locate));
-    events.record(EventKind::Started);
+    events.record(EventKind::started(&build));
 
     let (phase, phases) = watch::channel(ShutdownPhase::Running);
     let closing = Arc::<ClosingConnections>::default();
--- a/crates/pointvane-node/src/operator.rs
+++ b/crates/pointvane-node/src/operator.rs
@@ -5,6 +5,7 @@
     hyper::{Request, Response, StatusCode, body::Incoming},
     pointvane_core::{PER_1000_S, PlatformAdapter, US_PER_MS},
     pointvane_dispatch::ContentionChange,
+    pointvane_telemetry::BuildInfo,
     serde::Serialize,
     std::{convert::Infallible, rc::Rc},
 };
@@ -23,6 +24,7 @@
 /// The response body of `/status`.
 #[derive(Debug, Serialize)]
 struct Status {
+    build: BuildInfo,
     vm: String,
     ready: bool,
     configuration_version: u64,
@@ -114,6 +116,7 @@
 
 fn status<A: PlatformAdapter>(node: &Node<A>) -> Status {
     Status {
+        build: node.report.build,
         vm: node.settings().name.to_string(),
         ready: node.is_ready(),
         configuration_version: node.dispatcher.routes().version(),
--- a/crates/pointvane-node/src/report.rs
+++ b/crates/pointvane-node/src/report.rs
@@ -20,8 +20,8 @@
     pointvane_config::LogOptions,
     pointvane_core::Name,
     pointvane_telemetry::{
-        EventKind, EventLog, LineDecision, LineFlush, LineLayout, LogRateLimiter, LogRateLimits, Metrics,
-        Program, stdout_logger,
+        BuildInfo, EventKind, EventLog, LineDecision, LineFlush, LineLayout, LogRateLimiter, LogRateLimits,
+        Metrics, Program, stdout_logger,
     },
     std::{cell::RefCell, collections::HashSet, sync::Arc, time::Duration},
 };
@@ -39,6 +39,8 @@
 /// Log lines, event log and metrics of one node.
 #[derive(Debug)]
 pub struct Report {
+    /// What this process was built from.
+    pub build: BuildInfo,
     /// The event log.
     pub events: EventLog,
     /// All metrics.
@@ -60,10 +62,11 @@
     ///
     /// # Errors
     /// Fails if the metrics exporter cannot be set up.
-    pub fn new(vm: &Name, lines: LogOptions) -> Result<Self> {
+    pub fn new(vm: &Name, lines: LogOptions, build: BuildInfo) -> Result<Self> {
         let metrics = Metrics::new()?;
         let (log, flush) = stdout_logger(Program::Node.as_str(), vm);
         Ok(Self {
+            build,
             events: EventLog::new(vm.clone(), Program::Node, log)
                 .with_line_layout(LineLayout::Fields)
                 .with_capacity(EVENTS_KEPT),
--- a/crates/pointvane-node/src/run.rs
+++ b/crates/pointvane-node/src/run.rs
@@ -21,7 +21,7 @@
     eyre::{Result, WrapErr},
     pointvane_config::{FleetOptions, NodeOptions},
     pointvane_core::PlatformAdapter,
-    pointvane_telemetry::EventKind,
+    pointvane_telemetry::{BuildInfo, EventKind},
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, UdpSocket},
@@ -42,13 +42,13 @@
 /// # Errors
 /// Fails if the settings cannot be read at startup, or if the runtime, a signal handler or a socket cannot be
 /// set up.
-pub fn run<A, S>(adapter: A, options: NodeOptions, read_settings: S) -> Result<()>
+pub fn run<A, S>(adapter: A, options: NodeOptions, read_settings: S, build: BuildInfo) -> Result<()>
 where
     A: PlatformAdapter + 'static,
     S: Fn() -> Result<NodeSettings> + 'static,
 {
     let settings = read_settings()?;
-    let report = Report::new(&settings.name, options.lines)?;
+    let report = Report::new(&settings.name, options.lines, build)?;
     let runtime =
         Builder::new_current_thread().enable_all().build().wrap_err("cannot create the Tokio runtime")?;
     let node = Rc::new(Node::new(adapter, settings, &options, report));
@@ -63,7 +63,7 @@
     let terminate = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
     let reload = signal(SignalKind::hangup()).wrap_err("cannot handle SIGHUP")?;
     start(&node, fleet).await?;
-    node.report.record(EventKind::Started);
+    node.report.record(EventKind::started(&node.report.build));
     maintain_until_terminated(&node, terminate, reload, &read_settings).await;
     stop::stop(Rc::clone(&node)).await;
     node.report.flush();
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -1,6 +1,7 @@
 //! Typed events, written to the log and served as a timeline on the operator port.
 
 use {
+    crate::build_info::BuildInfo,
     pointvane_core::{Name, VmState},
     serde::{
         Deserialize, Deserializer, Serialize, Serializer,
@@ -50,8 +51,15 @@
 #[serde(tag = "kind", rename_all = "kebab-case")]
 #[allow(missing_docs)]
 pub enum EventKind {
-    /// The process has started.
-    Started,
+    /// The process has started; the fields are those of [`BuildInfo`], empty in events of older versions.
+    Started {
+        #[serde(default)]
+        version: String,
+        #[serde(default)]
+        commit: String,
+        #[serde(default)]
+        machine: String,
+    },
     /// The process was asked to stop and accepts no new requests.
     Stopping { in_flight: u64 },
     /// All requests finished, or the stop timeout passed and the `cut` remaining ones were aborted.
@@ -245,6 +253,12 @@
 }
 
 impl EventKind {
+    /// The event of a process of this build that has started.
+    pub fn started(build: &BuildInfo) -> Self {
+        let BuildInfo { version, commit, machine } = build;
+        Self::Started { version: (*version).into(), commit: (*commit).into(), machine: (*machine).into() }
+    }
+
     /// Whether the event concerns a single request. Such events are logged but not kept in the timeline.
     pub const fn is_request_event(&self) -> bool {
         matches!(
--- a/crates/pointvane-telemetry/src/lib.rs
+++ b/crates/pointvane-telemetry/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod build_info;
 mod clock;
 mod event;
 mod event_log;
@@ -15,6 +16,7 @@
 mod rate_limiter;
 
 pub use {
+    build_info::BuildInfo,
     clock::{BootInstant, MonotonicClock, unix_time_ms},
     event::{Event, EventKind, Program},
     event_log::{EventLog, EventPage, LineLayout},
--- a/crates/pointvane-telemetry/src/operator.rs
+++ b/crates/pointvane-telemetry/src/operator.rs
@@ -3,7 +3,7 @@
 //! Connections to it are few and short, so `rouille`'s handling of keep-alive connections is acceptable here.
 
 use {
-    crate::{event_log::EventLog, metrics::Metrics},
+    crate::{build_info::BuildInfo, event_log::EventLog, metrics::Metrics},
     eyre::{Result, eyre},
     rouille::{Request, Response, Server, router},
     serde::Serialize,
@@ -30,6 +30,14 @@
     fn status(&self) -> Self::Status;
 }
 
+/// The status of a program with its build.
+#[derive(Debug, Serialize)]
+struct StatusPage<S> {
+    build: BuildInfo,
+    #[serde(flatten)]
+    status: S,
+}
+
 /// A running operator port; dropping it stops the server.
 #[derive(Debug)]
 pub struct OperatorPort {
@@ -47,12 +55,13 @@
 /// # Errors
 /// When the server cannot listen on `address`.
 pub fn serve_operator<S: OperatorState>(
+    build: BuildInfo,
     address: SocketAddr,
     metrics: Arc<Metrics>,
     events: Arc<EventLog>,
     state: Arc<S>,
 ) -> Result<OperatorPort> {
-    let handle = move |request: &Request| respond(request, &metrics, &events, &*state);
+    let handle = move |request: &Request| respond(request, build, &metrics, &events, &*state);
     let server = Server::new(address, handle).map_err(|error| eyre!("operator port {address}: {error}"))?;
     let stop = Arc::new(AtomicBool::new(false));
     let port = OperatorPort { stop: Arc::clone(&stop) };
@@ -64,14 +73,20 @@
     Ok(port)
 }
 
-fn respond<S: OperatorState>(request: &Request, metrics: &Metrics, events: &EventLog, state: &S) -> Response {
+fn respond<S: OperatorState>(
+    request: &Request,
+    build: BuildInfo,
+    metrics: &Metrics,
+    events: &EventLog,
+    state: &S,
+) -> Response {
     router!(request,
         (GET) ["/metrics"] => { Response::text(metrics.text()) },
         (GET) ["/events"] => {
             let after = request.get_param("after").and_then(|after| after.parse().ok()).unwrap_or(0);
             Response::json(&events.page(after))
         },
-        (GET) ["/status"] => { Response::json(&state.status()) },
+        (GET) ["/status"] => { Response::json(&StatusPage { build, status: state.status() }) },
         _ => Response::empty_404()
     )
 }
--- a/crates/pointvane-telemetry/src/program.rs
+++ b/crates/pointvane-telemetry/src/program.rs
@@ -1,7 +1,7 @@
 //! Common start-up of the programs: arguments, settings and logger.
 
 use {
-    clap::Parser,
+    clap::{Args, Command, FromArgMatches},
     pointvane_config::{LogFormat, Settings, read_settings},
     std::{path::PathBuf, process},
 };
@@ -10,8 +10,7 @@
 pub const EXIT_INVALID_INPUT: i32 = 2;
 
 /// Arguments of the programs on an entry VM.
-#[derive(Debug, Parser)]
-#[command(version, about)]
+#[derive(Debug, Args)]
 pub struct ProgramArgs {
     /// The VM's settings file, in TOML.
     #[arg(long, value_name = "FILE")]
@@ -22,6 +21,13 @@
 }
 
 impl ProgramArgs {
+    /// Parses the arguments of this process. Exits it with [`EXIT_INVALID_INPUT`] if they are invalid, and with 0
+    /// after `--help` and `--version`.
+    pub fn parse(program: &'static str, version: &'static str) -> Self {
+        let command = Self::augment_args(Command::new(program).version(version));
+        Self::from_arg_matches(&command.get_matches()).unwrap_or_else(|error| error.exit())
+    }
+
     /// Reads and validates the settings. Exits the process with [`EXIT_INVALID_INPUT`] if they are invalid,
     /// and with 0 after `--check`.
     pub fn settings(&self) -> Settings {
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -3,18 +3,22 @@
 use {
     googletest::prelude::*,
     pointvane_core::{Name, VmState},
-    pointvane_telemetry::{Event, EventKind, EventPage, Program},
+    pointvane_telemetry::{BuildInfo, Event, EventKind, EventPage, Program},
 };
 
 /// Expected JSON, one event per line.
 const GOLDEN: &str = include_str!("golden/events.txt");
+/// The start of a program that does not name its build.
+const OLD_STARTED: &str = r#"{"sequence":0,"at_ms":7,"vm":"vm-1","program":"node","kind":"started"}"#;
 /// Old format of `/events`, in which `entry_sequence` was also named `sequence`.
 const OLD_UPSTREAM_TOLD: &str = r#"{"sequence":1,"at_ms":7,"vm":"vm-1","program":"node","kind":"upstream-told","service":"board","upstream":"i-7","draining":false,"sequence":5}"#;
 
+const BUILD: BuildInfo = BuildInfo { version: "0.1.0", commit: "0123abcd", machine: "x86_64" };
+
 fn state_changes() -> Vec<EventKind> {
     let (service, upstream) = (Name::from("board"), Name::from("i-7"));
     vec![
-        EventKind::Started,
+        EventKind::started(&BUILD),
         EventKind::Stopping { in_flight: 3 },
         EventKind::Stopped { cut: 1 },
         EventKind::ConfigurationAccepted { revision: 4, index: 9 },
@@ -253,6 +257,13 @@
     expect_that!(serde_json::from_str::<Event>(&text), ok(eq(&event)), "{text}");
 }
 
+#[gtest]
+fn a_start_without_a_build_is_read() {
+    let kind = EventKind::Started { version: String::new(), commit: String::new(), machine: String::new() };
+    let event = Event { sequence: 0, at_ms: 7, vm: "vm-1".into(), program: Program::Node, kind };
+    expect_that!(serde_json::from_str::<Event>(OLD_STARTED), ok(eq(&event)));
+}
+
 #[gtest]
 fn an_upstream_told_event_in_the_old_format_is_read() {
     expect_that!(serde_json::from_str::<Event>(OLD_UPSTREAM_TOLD), ok(eq(&upstream_told())));
--- a/crates/pointvane-telemetry/tests/events.rs
+++ b/crates/pointvane-telemetry/tests/events.rs
@@ -4,14 +4,15 @@
     googletest::prelude::*,
     pointvane_core::{Name, VmState},
     pointvane_telemetry::{
-        Event, EventKind, EventLog, LineDecision, LineLayout, LogRateLimiter, LogRateLimits, Program,
+        BuildInfo, Event, EventKind, EventLog, LineDecision, LineLayout, LogRateLimiter, LogRateLimits,
+        Program,
     },
 };
 
 fn every_kind() -> Vec<EventKind> {
     let (service, upstream) = (Name::from("dispatch"), Name::from("dispatch-1"));
     vec![
-        EventKind::Started,
+        EventKind::started(&BuildInfo { version: "0.1.0", commit: "0123abcd", machine: "x86_64" }),
         EventKind::Stopping { in_flight: 3 },
         EventKind::Stopped { cut: 0 },
         EventKind::ConfigurationAccepted { revision: 4, index: 9 },
--- a/crates/pointvane/src/main.rs
+++ b/crates/pointvane/src/main.rs
@@ -7,6 +7,7 @@
 use {
     clap::{CommandFactory, Parser, Subcommand, ValueEnum},
     clap_complete::Shell,
+    pointvane_build::VERSION,
     std::{net::SocketAddr, path::PathBuf, process::ExitCode},
 };
 
@@ -18,7 +19,7 @@
 
 /// Checks, packs and compares configuration file sets, and shows the state of running processes.
 #[derive(Parser)]
-#[command(version, about)]
+#[command(version = VERSION, about)]
 struct Args {
     #[command(subcommand)]
     command: Command,
