The end of a connection is no end of a body while the request is being sent

Cause: a body without a length ends with its connection; the HTTP library judges by the connection alone, and nothing asked whether the request was still being written.

Why this fix works: it is decided where the end is read, on every connection on which either form sends requests; the library's own rule for a response that is still being read stays. Once the request was sent, the end counts as before (`until-close`, and a unit test).

--- a/crates/pointvane-serve/src/interim_responses.rs
+++ b/crates/pointvane-serve/src/interim_responses.rs
@@ -1,17 +1,11 @@
-//! Limits the interim responses (1xx) before a response. The HTTP library skips them, however many there are.
+//! Counts the interim responses (1xx) before a response. The HTTP library skips them, however many there are.
 
 use {
     hyper::{Request, ext::on_informational},
-    std::{
-        io,
-        pin::Pin,
-        sync::{
-            Arc,
-            atomic::{AtomicU32, Ordering},
-        },
-        task::{Context, Poll},
+    std::sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
     },
-    tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
 };
 
 /// Maximum number of interim responses to a request. Upstreams send one or two: `100 Continue`, early hints, or
@@ -35,59 +29,3 @@
         self.0.load(Ordering::Relaxed) > INTERIM_MAX
     }
 }
-
-/// A connection that cannot be read any more once there are too many interim responses.
-///
-/// The check belongs here and not beside the wait for the response: while bytes keep coming, the library goes on
-/// to read them and lets no other task of its thread run.
-#[derive(Debug)]
-pub struct InterimLimited<S> {
-    stream: S,
-    responses: InterimResponses,
-}
-
-impl<S> InterimLimited<S> {
-    /// Wraps a connection on which `responses` are counted.
-    pub fn new(stream: S, responses: InterimResponses) -> Self {
-        Self { stream, responses }
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for InterimLimited<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.responses.is_exceeded() {
-            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
-        }
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for InterimLimited<S> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -7,14 +7,15 @@
 #![warn(missing_docs)]
 
 mod body_framing;
+mod checked_stream;
 mod closed;
 mod closing;
 mod interim_responses;
 mod lent_stream;
 mod request_sender;
 mod response_fault;
+mod send_progress;
 mod skip_body;
-
 mod write_timeout;
 
 pub use {
--- a/crates/pointvane-serve/src/request_sender.rs
+++ b/crates/pointvane-serve/src/request_sender.rs
@@ -4,8 +4,10 @@
 use {
     crate::{
         body_framing::FramedHead,
-        interim_responses::{InterimLimited, InterimResponses},
+        checked_stream::CheckedStream,
+        interim_responses::InterimResponses,
         response_fault::ResponseFault,
+        send_progress::{SendProgress, TrackedBody},
     },
     hyper::{
         Method, Request, Response, Version,
@@ -21,13 +23,14 @@
 };
 
 /// The future that drives a connection; it must be spawned.
-pub type ConnectionDriver<S, B> = http1::Connection<TokioIo<InterimLimited<S>>, B>;
+pub type ConnectionDriver<S, B> = http1::Connection<TokioIo<CheckedStream<S>>, TrackedBody<B>>;
 
 /// Sends requests over one connection, one at a time.
 #[derive(Debug)]
 pub struct RequestSender<B> {
-    sender: SendRequest<B>,
+    sender: SendRequest<TrackedBody<B>>,
     interim: InterimResponses,
+    progress: SendProgress,
 }
 
 /// A response whose head agrees with its body.
@@ -50,7 +53,7 @@
     Malformed(ResponseFault),
 }
 
-impl<B: Body<Data: Send, Error: Error + Send + Sync> + 'static> RequestSender<B> {
+impl<B: Body<Data: Send, Error: Error + Send + Sync> + Unpin + 'static> RequestSender<B> {
     /// Starts HTTP on a new connection with the options of `builder`.
     ///
     /// # Errors
@@ -63,9 +66,10 @@
         S: AsyncRead + AsyncWrite + Unpin,
     {
         let interim = InterimResponses::default();
-        let stream = InterimLimited::new(stream, interim.clone());
+        let progress = SendProgress::default();
+        let stream = CheckedStream::new(stream, interim.clone(), progress.clone());
         let (sender, driver) = builder.handshake(TokioIo::new(stream)).await?;
-        Ok((Self { sender, interim }, driver))
+        Ok((Self { sender, interim, progress }, driver))
     }
 
     /// Sends a request and waits for the head of its response.
@@ -75,9 +79,9 @@
     pub async fn send(&mut self, mut request: Request<B>) -> Result<CheckedResponse, SendError<B>> {
         let method = request.method().clone();
         self.interim.count(&mut request);
-        let sent = self.sender.try_send_request(request).await;
+        let sent = self.sender.try_send_request(request.map(|body| self.progress.begin(body))).await;
         let response = sent.map_err(|mut error| match error.take_message() {
-            Some(request) => SendError::Unsent(Box::new(request)),
+            Some(request) => SendError::Unsent(Box::new(request.map(TrackedBody::into_inner))),
             None => self.fault(error.error()).map_or(SendError::Broken, SendError::Malformed),
         })?;
         check(&method, response).map_err(SendError::Malformed)
--- a/crates/pointvane-serve/src/response_fault.rs
+++ b/crates/pointvane-serve/src/response_fault.rs
@@ -1,6 +1,7 @@
 //! What is wrong with a response, as named in logs and metrics.
 
 use {
+    crate::checked_stream::EndedBeforeRequest,
     hyper::StatusCode,
     std::{
         error::Error,
@@ -33,6 +34,8 @@
     OtherRequest,
     /// The connection ended or failed before the body was complete.
     IncompleteBody,
+    /// The connection ended before the request was sent whole.
+    EndedBeforeRequest,
     /// A chunk that is not valid.
     InvalidChunk,
 }
@@ -62,6 +65,7 @@
             Self::InvalidHead => "invalid-head",
             Self::OtherRequest => "other-request",
             Self::IncompleteBody => "incomplete-body",
+            Self::EndedBeforeRequest => "ended-before-request",
             Self::InvalidChunk => "invalid-chunk",
         }
     }
@@ -78,7 +82,11 @@
 
     /// The fault for which the rest of a body cannot be read.
     pub fn of_body_error(error: &hyper::Error) -> Self {
-        match io_source(error).map(io::Error::kind) {
+        let source = io_source(error);
+        if source.is_some_and(EndedBeforeRequest::caused) {
+            return Self::EndedBeforeRequest;
+        }
+        match source.map(io::Error::kind) {
             Some(ErrorKind::InvalidInput | ErrorKind::InvalidData) => Self::InvalidChunk,
             _ => Self::IncompleteBody,
         }
--- a/standins/tests/entry_malformed_responses.rs
+++ b/standins/tests/entry_malformed_responses.rs
@@ -146,9 +146,9 @@
 }
 
 /// Guards against an upload that is answered early by a response without a length, whose part looks complete
-/// once its connection is reset while the upload is still written.
+/// once its connection ends while the upload is still written.
 #[gtest]
-fn an_upload_answered_early_and_reset_never_looks_complete() {
+fn an_upload_answered_early_on_a_connection_that_ends_never_looks_complete() {
     let rows = early(LONG_BYTES);
     let scene = Scene::start(&rows);
     let prefix = key_prefix_of(&scene);
--- a/standins/tests/malformed_responses.rs
+++ b/standins/tests/malformed_responses.rs
@@ -134,9 +134,9 @@
 }
 
 /// Guards against an upload that is answered early by a response without a length, whose part looks complete
-/// once its connection is reset while the upload is still written.
+/// once its connection ends while the upload is still written.
 #[gtest]
-fn an_upload_answered_early_and_reset_never_looks_complete() {
+fn an_upload_answered_early_on_a_connection_that_ends_never_looks_complete() {
     for _ in 0..3 {
         expect_rows(&early(LONG_BYTES), LONG_BYTES, "upload", &vec![b'u'; 8 << 20]);
     }
--- a/standins/tests/malformed_responses/table.rs
+++ b/standins/tests/malformed_responses/table.rs
@@ -192,18 +192,21 @@
     ]
 }
 
-/// Responses to an upload that come before it was read, and whose connection is reset while it is written.
+/// Responses to an upload that come before it was read, and whose connection ends while it is written.
 pub fn early(bytes: usize) -> Vec<Row> {
-    let row = |name, lines: &str, bytes| {
-        let response = RawResponse::new(&ok(lines), plain(bytes)).then(ConnectionEnd::Resets);
+    let row = |name, lines: &str, bytes, end| {
+        let response = RawResponse::new(&ok(lines), plain(bytes)).then(end);
         Row { name, response: response.after_body_bytes(EARLY_BYTES), seen: Seen::RefusedOrCutOff }
     };
     vec![
-        row("early-short-reset", "", bytes / 10),
-        row("early-long-reset", "", bytes),
-        row("early-empty-reset", "", 0),
-        row("early-length-reset", &length(bytes + MISSING_BYTES), bytes),
-        row("early-chunks-reset", CHUNKED, 0),
+        row("early-short-reset", "", bytes / 10, ConnectionEnd::Resets),
+        row("early-long-reset", "", bytes, ConnectionEnd::Resets),
+        row("early-empty-reset", "", 0, ConnectionEnd::Resets),
+        row("early-length-reset", &length(bytes + MISSING_BYTES), bytes, ConnectionEnd::Resets),
+        row("early-chunks-reset", CHUNKED, 0, ConnectionEnd::Resets),
+        row("early-short-closed", "", bytes / 10, ConnectionEnd::Closes),
+        row("early-long-closed", "", bytes, ConnectionEnd::Closes),
+        row("early-empty-closed", "", 0, ConnectionEnd::Closes),
     ]
 }
 
