An upstream that sends only malformed responses gets no requests but trials

What callers saw: with one upstream, or when all six of a service fail, every request ran at an upstream that answers none, and got 502 after 24 to 41 ms; requests that may not be repeated were lost.

Cause: ejection chooses among upstreams, and one that is ejected is used again when all others are. That is right for one that fails at times; one whose responses are not HTTP is as good as down. Health checks are answered on another path.

Why this works: ten malformed responses in a row are taken for a request to pause (0.4 s, doubled up to 6.4 s), for which both forms have a rule that binds where there is no other upstream, ends with a single trial, and tells callers until when. One rule in pointvane-core. A response that breaks off does not count, nor a 5xx; a well-formed one starts the count again.

--- a/crates/pointvane-balance/src/service/result.rs
+++ b/crates/pointvane-balance/src/service/result.rs
@@ -88,6 +88,22 @@
         self.upstreams[upstream].backoff.record_retry_after(for_us, delay_us, now_us);
     }
 
+    /// Records a malformed response of an upstream, after which it may get no requests for a while.
+    pub fn record_malformed(&mut self, upstream: usize, now_us: u64) {
+        let state = &mut self.upstreams[upstream];
+        // A request that ends during a pause was sent before it.
+        if !state.backoff.is_backing_off(now_us)
+            && let Some(pause_us) = state.malformed.record_malformed()
+        {
+            self.record_back_off(upstream, pause_us, now_us);
+        }
+    }
+
+    /// Records a well-formed response of an upstream.
+    pub fn record_well_formed(&mut self, upstream: usize) {
+        self.upstreams[upstream].malformed.record_well_formed();
+    }
+
     /// Whether an upstream has asked for no requests. To be checked right before a request is sent, because
     /// opening a connection takes time.
     pub fn is_backing_off(&self, upstream: usize, now_us: u64) -> bool {
--- a/crates/pointvane-balance/src/upstream.rs
+++ b/crates/pointvane-balance/src/upstream.rs
@@ -7,7 +7,7 @@
         health::Health,
     },
     pointvane_config::{EjectionOptions, Upstream},
-    pointvane_core::{Backoff, RequestLimit, US_PER_MS},
+    pointvane_core::{Backoff, MalformedStreak, RequestLimit, US_PER_MS},
 };
 
 /// Weight of the newest latency in the moving average.
@@ -42,6 +42,8 @@
     pub health: Health,
     /// Whether the upstream has asked for no requests for a time.
     pub backoff: Backoff,
+    /// Malformed responses in a row.
+    pub malformed: MalformedStreak,
     /// Rate limit that the upstream advertises, and this entry VM's part of it.
     pub limit: RequestLimit,
     mean_latency_us: f32,
@@ -74,6 +76,7 @@
             evidence: Evidence::default(),
             health,
             backoff: Backoff::default(),
+            malformed: MalformedStreak::default(),
             limit: RequestLimit::default(),
             mean_latency_us: 0.0,
             latency_updated_us: 0,
--- a/crates/pointvane-core/src/lib.rs
+++ b/crates/pointvane-core/src/lib.rs
@@ -22,6 +22,7 @@
 mod identity;
 mod key;
 mod late_answer;
+mod malformed_streak;
 mod published;
 mod request;
 mod request_limit;
@@ -41,6 +42,7 @@
     identity::{Incarnation, Name, VmIdentity, VmState},
     key::{IdempotencyKey, KeyError},
     late_answer::SentRequest,
+    malformed_streak::MalformedStreak,
     published::{
         Change, ChangePage, EntryKey, EntryVersion, ItemFault, MalformedReply, RefusedItem, UpstreamLoad,
         UpstreamRecord,
--- a/crates/pointvane-dispatch/src/lib.rs
+++ b/crates/pointvane-dispatch/src/lib.rs
@@ -29,6 +29,7 @@
 //! | whether a failed attempt is retried, and what the caller is answered | `attempts.rs`, `retry.rs`, with `outcome.rs` |
 //! | when a request is hedged with a second concurrent attempt | `hedge.rs` |
 //! | when a failing upstream is ejected | `ejection.rs` |
+//! | when an upstream that sends malformed responses gets nothing for a while | `malformed.rs` |
 //! | how many retries and probes a node may send | `budget.rs` |
 //! | which idle connection a request or probe is sent on | `connection_reuse.rs` |
 //! | how nodes replicate the state that the platform publishes | `replica.rs` and its modules |
@@ -66,6 +67,7 @@
 mod load_curve;
 mod load_when_sent;
 mod locality;
+mod malformed;
 mod memory_budget;
 mod notices;
 mod outcome;
--- a/crates/pointvane-dispatch/src/upstream.rs
+++ b/crates/pointvane-dispatch/src/upstream.rs
@@ -9,7 +9,7 @@
         ejection::{Effect, FailureHistory, ProbeOutcome},
         outcome::AttemptOutcome,
     },
-    pointvane_core::{Backoff, Name, RequestLimit, US_PER_MS, UpstreamLoad, UpstreamRecord},
+    pointvane_core::{Backoff, MalformedStreak, Name, RequestLimit, US_PER_MS, UpstreamLoad, UpstreamRecord},
     std::net::SocketAddr,
 };
 
@@ -79,6 +79,7 @@
     pub(crate) latency_at_us: u64,
     pub(crate) failures: FailureHistory,
     pub(crate) notices: Notices,
+    pub(crate) malformed: MalformedStreak,
 }
 
 impl UpstreamState {
@@ -96,6 +97,7 @@
             latency_at_us: 0,
             failures: FailureHistory::default(),
             notices: Notices::default(),
+            malformed: MalformedStreak::default(),
         }
     }
 
--- a/crates/pointvane-entry/src/attempt.rs
+++ b/crates/pointvane-entry/src/attempt.rs
@@ -167,7 +167,7 @@
     if let Some(for_us) = notices.back_off_us {
         attempt.record_back_off(for_us);
     }
-    attempt.record_limit(notices.limit);
+    attempt.record_head(notices.limit);
     let end = attempt_outcome(response.status());
     let response = response.map(|body| {
         let says_leaving = notices.report.is_some_and(|report| report.draining);
--- a/crates/pointvane-entry/src/service.rs
+++ b/crates/pointvane-entry/src/service.rs
@@ -183,14 +183,19 @@
         self.service.lock().record_back_off(self.upstream, for_us, self.service.now_us());
     }
 
-    /// Records the upstream's request limit from the head of the response.
-    pub fn record_limit(&self, notice: LimitNotice) {
+    /// Records the head of a well-formed response with the upstream's request limit.
+    pub fn record_head(&self, notice: LimitNotice) {
         let now_us = self.service.now_us();
-        self.service.lock().record_limit(self.upstream, notice, Some(self.started_us), now_us);
+        let mut balancer = self.service.lock();
+        balancer.record_well_formed(self.upstream);
+        balancer.record_limit(self.upstream, notice, Some(self.started_us), now_us);
     }
 
-    /// Has a malformed response to the request `request_id` reported.
+    /// Records a malformed response to the request `request_id`, and has it reported.
     pub fn record_malformed(&self, request_id: &str, fault: ResponseFault, handling: FaultHandling) {
+        if handling == FaultHandling::Refused && fault.is_of_upstream() {
+            self.service.lock().record_malformed(self.upstream, self.service.now_us());
+        }
         let upstream = self.service.lock().upstream(self.upstream).name.clone();
         self.service.malformed.add(MalformedResponse {
             request: request_id.into(),
--- a/crates/pointvane-entry/src/transitions.rs
+++ b/crates/pointvane-entry/src/transitions.rs
@@ -109,7 +109,9 @@
     back_in_ms: Option<u64>,
 ) -> Option<EventKind> {
     match (before.backing_off, back_in_ms) {
-        (false, Some(back_off_ms)) => Some(EventKind::UpstreamBackingOff { service, upstream, back_off_ms }),
+        (false, Some(back_off_ms)) => {
+            Some(EventKind::UpstreamBackingOff { service, upstream, back_off_ms, reason: None })
+        }
         (true, None) => Some(EventKind::UpstreamReturned { service, upstream }),
         _ => None,
     }
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -99,16 +99,23 @@
     let reusable = request.body.is_some();
     let not_run = answer.head.headers.contains_key(&node.headers.not_run);
     if not_run || answer.head.status == StatusCode::MISDIRECTED_REQUEST {
+        node.dispatcher.pool_mut().record_well_formed(key);
         return Err(refusal_outcome(answer, reusable).await);
     }
     let Answer { head, body, connection, .. } = answer;
     let body = with_end_check(node, key, &connection, body);
     let deadline = node.instant_of(request.answer_deadline_us);
     let response = read_body(head, body, connection, reusable, &node.body_memory, deadline).await;
-    response.map_err(|fault| {
-        report_malformed(node, request, key, fault, FaultHandling::Refused);
-        AttemptOutcome::Broken
-    })
+    match response {
+        Ok(response) => {
+            node.dispatcher.pool_mut().record_well_formed(key);
+            Ok(response)
+        }
+        Err(fault) => {
+            report_malformed(node, request, key, fault, FaultHandling::Refused);
+            Err(AttemptOutcome::Broken)
+        }
+    }
 }
 
 /// Sends a request and waits for the head of the response.
@@ -177,7 +184,7 @@
     sent
 }
 
-/// Writes a line on a malformed response to a request.
+/// Writes a line on a malformed response to a request, and records it if it was refused.
 fn report_malformed<A: PlatformAdapter>(
     node: &Node<A>,
     request: &CallerRequest,
@@ -185,6 +192,9 @@
     fault: ResponseFault,
     handling: FaultHandling,
 ) {
+    if handling == FaultHandling::Refused {
+        node.record_malformed(key, fault);
+    }
     let Some((service, upstream)) = node.service_and_id(key) else { return };
     node.report.failure(node.now_us(), || EventKind::ResponseMalformed {
         request: request.id.clone(),
--- a/crates/pointvane-node/src/notices.rs
+++ b/crates/pointvane-node/src/notices.rs
@@ -9,9 +9,13 @@
     },
     pointvane_core::{LimitChange, LimitNotice, Name, PlatformAdapter, US_PER_MS, retry_after_us},
     pointvane_dispatch::{AttemptOutcome, UpstreamKey},
+    pointvane_serve::ResponseFault,
     pointvane_telemetry::EventKind,
 };
 
+/// Why an upstream gets no requests that has not asked for a pause.
+const MALFORMED_RESPONSES: &str = "malformed-responses";
+
 impl<A: PlatformAdapter> Node<A> {
     /// Whether a response is from the upstream that the request was sent to, and to this request.
     pub fn is_own_answer(&self, status: StatusCode, headers: &HeaderMap, id: Option<&HeaderValue>) -> bool {
@@ -65,11 +69,24 @@
     fn apply_back_off(&self, key: UpstreamKey, duration_us: u64) {
         let now_us = self.now_us();
         let back_off_us = self.dispatcher.pool_mut().record_back_off(key, duration_us, now_us);
+        self.report_back_off(key, back_off_us, None);
+    }
+
+    /// Records a malformed response, after which its upstream may get no requests for a while.
+    pub fn record_malformed(&self, key: UpstreamKey, fault: ResponseFault) {
+        if fault.is_of_upstream() {
+            let back_off_us = self.dispatcher.pool_mut().record_malformed(key, self.now_us());
+            self.report_back_off(key, back_off_us, Some(MALFORMED_RESPONSES.into()));
+        }
+    }
+
+    /// Reports a back-off of an upstream, in microseconds, if one has begun or was prolonged.
+    fn report_back_off(&self, key: UpstreamKey, back_off_us: Option<u64>, reason: Option<Name>) {
         if let (Some(back_off_us), Some((service, upstream))) = (back_off_us, self.service_and_id(key)) {
             self.report.upstream_backed_off();
             let back_off_ms = back_off_us / US_PER_MS;
-            let kind = EventKind::UpstreamBackingOff { service, upstream, back_off_ms };
-            self.report.record_rate_limited(now_us, kind);
+            let kind = EventKind::UpstreamBackingOff { service, upstream, back_off_ms, reason };
+            self.report.record_rate_limited(self.now_us(), kind);
         }
     }
 
--- a/crates/pointvane-serve/src/response_fault.rs
+++ b/crates/pointvane-serve/src/response_fault.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Whether it shows that the upstream does not speak HTTP as it should. A response that breaks off does not.
+    pub const fn is_of_upstream(self) -> bool {
+        !matches!(self, Self::IncompleteBody | Self::EndedBeforeRequest | Self::UpstreamCrashed)
+    }
+
     /// The fault for which the HTTP library rejected a head; none if the connection failed instead.
     pub fn of_error(error: &hyper::Error) -> Option<Self> {
         match () {
--- a/crates/pointvane-telemetry/src/event.rs
+++ b/crates/pointvane-telemetry/src/event.rs
@@ -82,8 +82,15 @@
     PlatformWentBack { from: u64, to: u64 },
     /// An upstream is leaving and gets no new requests.
     UpstreamLeaving { service: Name, upstream: Name },
-    /// An upstream asked for a pause; this process sends it no requests for `back_off_ms`.
-    UpstreamBackingOff { service: Name, upstream: Name, back_off_ms: u64 },
+    /// An upstream gets no requests from this process for `back_off_ms`. It asked for that, unless there is another
+    /// `reason`.
+    UpstreamBackingOff {
+        service: Name,
+        upstream: Name,
+        back_off_ms: u64,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        reason: Option<Name>,
+    },
     /// An upstream advertised a new request limit, shared by all processes, in requests per 1000 s; `None` if
     /// it no longer advertises one.
     UpstreamLimitChanged { service: Name, upstream: Name, per_1000_s: Option<u32> },
--- a/crates/pointvane-telemetry/tests/event_format.rs
+++ b/crates/pointvane-telemetry/tests/event_format.rs
@@ -56,7 +56,7 @@
 fn later_events() -> Vec<EventKind> {
     vec![
         EventKind::PlatformCalled { call: "changes".into(), reason: "lease-over".into() },
-        EventKind::UpstreamBackingOff { service: "board".into(), upstream: "i-7".into(), back_off_ms: 3_000 },
+        upstream_backing_off(None),
         attempt_rejected_busy(),
         request_refused_all_backing_off(),
         limit_changed(Some(2_500)),
@@ -85,6 +85,7 @@
             reason: "two-lengths".into(),
             refused: false,
         },
+        upstream_backing_off(Some("malformed-responses".into())),
     ]
 }
 
@@ -99,6 +100,15 @@
     }
 }
 
+fn upstream_backing_off(reason: Option<Name>) -> EventKind {
+    EventKind::UpstreamBackingOff {
+        service: "board".into(),
+        upstream: "i-7".into(),
+        back_off_ms: 3_000,
+        reason,
+    }
+}
+
 fn limit_changed(per_1000_s: Option<u32>) -> EventKind {
     EventKind::UpstreamLimitChanged { service: "board".into(), upstream: "i-7".into(), per_1000_s }
 }
