--- a/crates/pointvane-node/src/notices.rs
+++ b/crates/pointvane-node/src/notices.rs
@@ -76,15 +76,16 @@
     pub fn record_malformed(&self, key: UpstreamKey, fault: ResponseFault) {
         if fault.is_of_upstream() {
             let back_off_us = self.dispatcher.pool_mut().record_malformed(key, self.now_us());
-            self.report_back_off(key, back_off_us, Some(MALFORMED_RESPONSES.into()));
+            self.report_back_off(key, back_off_us, Some(MALFORMED_RESPONSES));
         }
     }
 
     /// Reports a back-off of an upstream, in microseconds, if one has begun or was prolonged.
-    fn report_back_off(&self, key: UpstreamKey, back_off_us: Option<u64>, reason: Option<Name>) {
+    fn report_back_off(&self, key: UpstreamKey, back_off_us: Option<u64>, reason: Option<&str>) {
         if let (Some(back_off_us), Some((service, upstream))) = (back_off_us, self.service_and_id(key)) {
             self.report.upstream_backed_off();
             let back_off_ms = back_off_us / US_PER_MS;
+            let reason = reason.map(Name::from);
             let kind = EventKind::UpstreamBackingOff { service, upstream, back_off_ms, reason };
             self.report.record_rate_limited(self.now_us(), kind);
         }
--- a/crates/pointvane-serve/src/lib.rs
+++ b/crates/pointvane-serve/src/lib.rs
@@ -2,7 +2,8 @@
 //! graceful shutdown that completes requests in flight.
 //!
 //! [`ClosingConnections`] is how every connection of a caller is closed, also those of the node. [`RequestSender`] is how
-//! both forms send requests, and [`FramedHead`] the one rule for what the body of a response is.
+//! both forms send requests, [`FramedHead`] the one rule for what the body of a response is, and [`is_end_of_body`] the
+//! one for what ends it if only its connection does.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/standins/tests/malformed_services.rs
+++ b/standins/tests/malformed_services.rs
@@ -37,8 +37,8 @@
 /// Requests that an upstream may get in that time: ten until the first pause, those of the other callers that are under
 /// way then, and a trial after each pause.
 const REQUESTS_MAX: usize = 10 + CALLERS + 5;
-/// Longest pause, and the random delay that each process adds to it, in seconds.
-const PAUSE_MAX_S: f64 = 12.8;
+/// Longest pause, and the longest random delay that a process adds to it, in seconds.
+const PAUSE_MAX_S: f64 = 6.4 + 1.0;
 /// Time within which a caller is refused, for all but a few on a busy machine.
 const REFUSED_WITHIN: Duration = Duration::from_millis(50);
 
