--- a/crates/pointvane-balance/src/service/result.rs
+++ b/crates/pointvane-balance/src/service/result.rs
@@ -99,9 +99,9 @@
         }
     }
 
-    /// Records a well-formed response of an upstream.
-    pub fn record_well_formed(&mut self, upstream: usize) {
-        self.upstreams[upstream].malformed.record_well_formed();
+    /// Records a valid response of an upstream.
+    pub fn record_valid_response(&mut self, upstream: usize) {
+        self.upstreams[upstream].malformed.record_valid_response();
     }
 
     /// Whether an upstream has asked for no requests. To be checked right before a request is sent, because
--- a/crates/pointvane-core/src/malformed_streak.rs
+++ b/crates/pointvane-core/src/malformed_streak.rs
@@ -6,7 +6,7 @@
 //! pause ([`crate::Backoff`]). Callers of a service without any other are refused at once, and a single request tries
 //! it at the end. Each pause that is followed by another malformed response is twice as long as the last.
 //!
-//! Input: whether a response was malformed or well-formed, whatever its status. A response that breaks off, a
+//! Input: whether a response was malformed or valid, whatever its status. A response that breaks off, a
 //! connection without a response and the answer to a health check say nothing here.
 
 /// Malformed responses in a row that an upstream may send. A faulty upstream also spoils single responses: of one that
@@ -25,8 +25,8 @@
 }
 
 impl MalformedStreak {
-    /// Records a well-formed response.
-    pub fn record_well_formed(&mut self) {
+    /// Records a valid response.
+    pub fn record_valid_response(&mut self) {
         *self = Self::default();
     }
 
--- a/crates/pointvane-core/tests/malformed_streak.rs
+++ b/crates/pointvane-core/tests/malformed_streak.rs
@@ -18,13 +18,13 @@
 
 /// Guards against an upstream that spoils some of its responses and is taken for down.
 #[gtest]
-fn a_well_formed_response_starts_the_count_again() {
+fn a_valid_response_starts_the_count_again() {
     let mut streak = MalformedStreak::default();
     for _ in 0..100 {
         expect_that!(pauses(&mut streak, 9), each(none()));
-        streak.record_well_formed();
+        streak.record_valid_response();
     }
     _ = pauses(&mut streak, 12);
-    streak.record_well_formed();
+    streak.record_valid_response();
     expect_that!(streak, eq(MalformedStreak::default()));
 }
--- a/crates/pointvane-dispatch/src/malformed.rs
+++ b/crates/pointvane-dispatch/src/malformed.rs
@@ -19,10 +19,10 @@
         self.record_back_off(key, pause_us, now_us)
     }
 
-    /// Records a well-formed response of an upstream.
-    pub fn record_well_formed(&mut self, key: UpstreamKey) {
+    /// Records a valid response of an upstream.
+    pub fn record_valid_response(&mut self, key: UpstreamKey) {
         if let Some(state) = self.upstreams.get_mut(&key) {
-            state.malformed.record_well_formed();
+            state.malformed.record_valid_response();
         }
     }
 }
--- a/crates/pointvane-dispatch/tests/malformed.rs
+++ b/crates/pointvane-dispatch/tests/malformed.rs
@@ -72,7 +72,7 @@
     let (mut pool, keys) = pool(2);
     _ = spoil(&mut pool, keys[0], 10 * MS);
     expect_that!(pool.withheld(&Name::from(SERVICE), 0, 20 * MS), none());
-    pool.record_well_formed(keys[1]);
+    pool.record_valid_response(keys[1]);
     _ = spoil(&mut pool, keys[1], 20 * MS);
     expect_that!(
         pool.withheld(&Name::from(SERVICE), 0, 30 * MS).map(|withheld| withheld.backing_off),
--- a/crates/pointvane-entry/src/attempt.rs
+++ b/crates/pointvane-entry/src/attempt.rs
@@ -170,9 +170,8 @@
     attempt.record_head(notices.limit);
     let end = attempt_outcome(response.status());
     let response = response.map(|body| {
-        let says_leaving = notices.report.is_some_and(|report| report.draining);
-        let body =
-            if connection.ends_body() && !says_leaving { with_end_check(body, &attempt) } else { body };
+        let is_leaving = notices.report.is_some_and(|report| report.draining);
+        let body = if connection.ends_body() && !is_leaving { with_end_check(body, &attempt) } else { body };
         UpstreamBody::new(body, connection, Some((attempt, report)), end)
     });
     if end == AttemptOutcome::Answered {
--- a/crates/pointvane-entry/src/service.rs
+++ b/crates/pointvane-entry/src/service.rs
@@ -183,11 +183,11 @@
         self.service.lock().record_back_off(self.upstream, for_us, self.service.now_us());
     }
 
-    /// Records the head of a well-formed response with the upstream's request limit.
+    /// Records the head of a valid response with the upstream's request limit.
     pub fn record_head(&self, notice: LimitNotice) {
         let now_us = self.service.now_us();
         let mut balancer = self.service.lock();
-        balancer.record_well_formed(self.upstream);
+        balancer.record_valid_response(self.upstream);
         balancer.record_limit(self.upstream, notice, Some(self.started_us), now_us);
     }
 
--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -99,7 +99,7 @@
     let reusable = request.body.is_some();
     let not_run = answer.head.headers.contains_key(&node.headers.not_run);
     if not_run || answer.head.status == StatusCode::MISDIRECTED_REQUEST {
-        node.dispatcher.pool_mut().record_well_formed(key);
+        node.dispatcher.pool_mut().record_valid_response(key);
         return Err(refusal_outcome(answer, reusable).await);
     }
     let Answer { head, body, connection, .. } = answer;
@@ -108,7 +108,7 @@
     let response = read_body(head, body, connection, reusable, &node.body_memory, deadline).await;
     match response {
         Ok(response) => {
-            node.dispatcher.pool_mut().record_well_formed(key);
+            node.dispatcher.pool_mut().record_valid_response(key);
             Ok(response)
         }
         Err(fault) => {
--- a/standins/src/raw_upstream.rs
+++ b/standins/src/raw_upstream.rs
@@ -136,11 +136,18 @@
         };
         let served = upstream.clone();
         thread::spawn(move || {
-            // Ends with the listener.
-            while let Ok((stream, _)) = served.listener.accept() {
-                let upstream = served.clone();
-                // An error of a connection is the end that its peer has chosen.
-                thread::spawn(move || _ = upstream.serve(&stream));
+            loop {
+                match served.listener.accept() {
+                    Ok((stream, _)) => {
+                        let upstream = served.clone();
+                        // An error of a connection is the end that its peer has chosen.
+                        thread::spawn(move || _ = upstream.serve(&stream));
+                    }
+                    // The listener was closed.
+                    Err(error) if error.kind() == io::ErrorKind::InvalidInput => return,
+                    // Any other error concerns the one connection.
+                    Err(_) => {}
+                }
             }
         });
         Ok(upstream)
