Soak: what an upstream asks for is held against the node that was asked, not the one that its caller chose

Trace (logs kept): node 0 had lost the service from 03.049 to 03.918 and forwarded its requests; i-11 asked for the pause in responses to nodes .11 and .8, which had sent it requests of node 0 (`caller` in their `attempt-ended`), at 03.276 and 03.608, and both sent it nothing more. Node 0 was asked for nothing, and went on to use it from 03.918 on, as the design has it: a notice binds the node that it was sent to (docs/design/backing-off.md). The check took the node from the request's id, which names the one that its caller chose.

The stand-in now keeps the sender's address of each request, and both checks of notices go by it: as strict for the node that was asked, also where it got the request from another. Behind a proxy the sender is not known, and the id is used as before.

--- a/standins/tests/soak/notices.rs
+++ b/standins/tests/soak/notices.rs
@@ -12,6 +12,7 @@
     },
     rand::{Rng, rngs::SmallRng, seq::IndexedRandom},
     std::{
+        net::IpAddr,
         ops::Range,
         thread,
         time::{Duration, Instant},
@@ -86,9 +87,11 @@
     for listed in fleet.upstreams() {
         for (id, at, pause) in listed.upstream.pauses.lock().unwrap().iter() {
             let checked_range = *at + IN_FLIGHT_GRACE..*at + *pause;
-            if is_checkable(fleet, &listed, id, *at, checked_range.end) {
+            let node_index = receiver_of(fleet, &listed, id, *at);
+            if is_checkable(fleet, &listed, node_index, *at, checked_range.end) {
                 pauses += 1;
-                let arrivals = arrivals_of(&listed, id).filter(|at| checked_range.contains(at)).count();
+                let arrivals =
+                    arrivals_of(fleet, &listed, node_index).filter(|at| checked_range.contains(at)).count();
                 if arrivals > ARRIVALS_MAX {
                     let name = &listed.upstream.id;
                     record.add_violation(format!(
@@ -98,9 +101,11 @@
             }
         }
         for (id, at) in listed.upstream.departures.lock().unwrap().iter() {
-            let late = arrivals_of(&listed, id).filter(|arrival| *arrival > *at + STOP_SENDING_WITHIN);
+            let node_index = receiver_of(fleet, &listed, id, *at);
+            let late = arrivals_of(fleet, &listed, node_index)
+                .filter(|arrival| *arrival > *at + STOP_SENDING_WITHIN);
             let late: Vec<Instant> =
-                late.filter(|arrival| is_checkable(fleet, &listed, id, *at, *arrival)).collect();
+                late.filter(|arrival| is_checkable(fleet, &listed, node_index, *at, *arrival)).collect();
             departures += 1;
             if let Some(first) = late.first() {
                 let (count, after) = (late.len(), first.duration_since(*at));
@@ -114,17 +119,50 @@
     (pauses, departures)
 }
 
-/// Returns when requests arrived that were sent to the same node as request `id`.
-fn arrivals_of(listed: &ListedUpstream, id: &str) -> impl Iterator<Item = Instant> {
-    let node_index = node_index_of(id);
+/// Returns when each request arrived, its id, and the node that sent it. That is not always the node that its caller
+/// sent it to: a node that has lost the service forwards it through another, and a notice binds the one that it was
+/// sent to. Behind a proxy the sender is not known, and the caller's node is taken for it.
+fn arrivals(fleet: &Fleet, listed: &ListedUpstream) -> Vec<(Instant, String, Option<usize>)> {
     let arrivals = listed.upstream.arrivals.lock().unwrap().clone();
-    arrivals.into_iter().filter(move |(other, _)| node_index_of(other) == node_index).map(|(_, at)| at)
+    let senders = listed.upstream.senders.lock().unwrap().clone();
+    let node_index = |sender: &IpAddr| fleet.nodes.iter().position(|node| IpAddr::from(node.ip) == *sender);
+    arrivals
+        .into_iter()
+        .zip(&senders)
+        .map(|((id, at), sender)| {
+            let node = node_index(sender).or_else(|| node_index_of(&id));
+            (at, id, node)
+        })
+        .collect()
+}
+
+/// Returns the node that got the response to request `id` at that time: the last that had sent it before.
+fn receiver_of(fleet: &Fleet, listed: &ListedUpstream, id: &str, at: Instant) -> Option<usize> {
+    let before =
+        arrivals(fleet, listed).into_iter().filter(|(arrived, other, _)| other == id && *arrived <= at);
+    before.max_by_key(|(arrived, ..)| *arrived).map_or_else(|| node_index_of(id), |(.., node)| node)
+}
+
+/// Returns when requests arrived that a node sent.
+fn arrivals_of(
+    fleet: &Fleet,
+    listed: &ListedUpstream,
+    node_index: Option<usize>,
+) -> impl Iterator<Item = Instant> {
+    let sent = arrivals(fleet, listed).into_iter().filter(move |(.., node)| *node == node_index);
+    sent.map(|(at, ..)| at)
 }
 
 /// Returns whether the node that received the notice, its link to the upstream and the machine had no faults
 /// in between.
-fn is_checkable(fleet: &Fleet, listed: &ListedUpstream, id: &str, from: Instant, until: Instant) -> bool {
-    let node = node_index_of(id).and_then(|index| fleet.nodes.get(index));
+fn is_checkable(
+    fleet: &Fleet,
+    listed: &ListedUpstream,
+    node_index: Option<usize>,
+    from: Instant,
+    until: Instant,
+) -> bool {
+    let node = node_index.and_then(|index| fleet.nodes.get(index));
     let histories = [node.map(|node| &node.faults), Some(&listed.faults), Some(&fleet.machine_stalls)];
     histories.into_iter().flatten().all(|faults| faults.is_fault_free(from, until))
 }
--- a/standins/tests/users_platform/upstream.rs
+++ b/standins/tests/users_platform/upstream.rs
@@ -14,7 +14,7 @@
     },
     std::{
         io::{self, BufReader, Write},
-        net::{SocketAddr, TcpListener, TcpStream},
+        net::{IpAddr, SocketAddr, TcpListener, TcpStream},
         sync::{
             Arc, Mutex,
             atomic::{AtomicUsize, Ordering},
@@ -54,6 +54,8 @@
     pub executed_ids: Arc<Mutex<Vec<String>>>,
     /// Ids and arrival times of requests, without those that it answered as another upstream.
     pub arrivals: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// Who sent each of these: the address of a node, or of a proxy before the upstream.
+    pub senders: Arc<Mutex<Vec<IpAddr>>>,
     /// Number of requests whose connection was closed before their response was due.
     pub disconnects: Arc<AtomicUsize>,
     /// Number of health probes.
@@ -86,6 +88,7 @@
             run_count: Arc::default(),
             executed_ids: Arc::default(),
             arrivals: Arc::default(),
+            senders: Arc::default(),
             disconnects: Arc::default(),
             health_probes: Arc::default(),
             last: Arc::default(),
@@ -225,7 +228,11 @@
             return Ok(true);
         }
         if behaviour != UpstreamBehaviour::Misdirected {
-            self.arrivals.lock().unwrap().push((id.into(), Instant::now()));
+            let sender = stream.peer_addr()?.ip();
+            let mut arrivals = self.arrivals.lock().unwrap();
+            arrivals.push((id.into(), Instant::now()));
+            // Under the same lock, so that both have the same order.
+            self.senders.lock().unwrap().push(sender);
         }
         if !matches!(
             behaviour,
