The check at the end of a body connects as requests do: from the node's own address

Read in the diff: the check opened its connection from any address of the machine. Where an upstream takes connections from the address of `fleet.source_ip` alone and refuses others, each whole body without a length would have been taken for that of a crash. No play of such an upstream. `is_end_of_body` and `is_refused` are now given the connection that is opened, so that the crash check of a node connects as it did before, too.

--- a/crates/pointvane-entry/src/attempt.rs
+++ b/crates/pointvane-entry/src/attempt.rs
@@ -18,6 +18,7 @@
     pointvane_serve::{CheckedBody, EndCheck, FaultHandling, SendError, UpstreamPresence, is_end_of_body},
     std::{sync::Arc, time::Duration},
     tokio::{
+        net::TcpStream,
         spawn,
         time::{Instant, sleep_until, timeout_at},
     },
@@ -189,7 +190,7 @@
             true => UpstreamPresence::Leaving,
             false => UpstreamPresence::Running,
         };
-        is_end_of_body(address, presence).await
+        is_end_of_body(TcpStream::connect(address), presence).await
     };
     let (check, task) = EndCheck::new(is_end);
     spawn(task);
--- a/crates/pointvane-node/src/connections.rs
+++ b/crates/pointvane-node/src/connections.rs
@@ -23,7 +23,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::task::spawn_local,
+    tokio::{net::TcpStream, task::spawn_local},
 };
 
 /// Timeout for opening a connection.
@@ -50,6 +50,8 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
+    /// Local address of connections to the upstream; none lets the system choose.
+    source_ip: Option<IpAddr>,
     sender: RequestSender<RelayBody>,
     slow_reading: SlowReading,
     round_trip: Duration,
@@ -122,6 +124,7 @@
         self.metrics.reused(purpose);
         Ok(Connection {
             address,
+            source_ip: self.source_ip,
             sender,
             slow_reading,
             round_trip,
@@ -159,6 +162,7 @@
         spawn_local(driver);
         Ok(Connection {
             address,
+            source_ip: self.source_ip,
             sender,
             slow_reading,
             round_trip,
@@ -208,9 +212,9 @@
         Ok(response)
     }
 
-    /// The address of the upstream.
-    pub fn address(&self) -> SocketAddr {
-        self.address
+    /// Opens another connection to the upstream, outside the pool.
+    pub fn connect_again(&self) -> impl Future<Output = io::Result<TcpStream>> + use<> {
+        socket::connect_from(self.source_ip, self.address, CONNECT_TIMEOUT)
     }
 
     /// Whether nothing but the end of this connection shows where the body of its response ends.
--- a/crates/pointvane-node/src/crash_check.rs
+++ b/crates/pointvane-node/src/crash_check.rs
@@ -7,7 +7,7 @@
     tokio::task::JoinSet,
 };
 
-/// Timeout for a reference to accept a connection.
+/// Timeout of a connection that is opened for the check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Whether an upstream's address refuses connections, right after a connection to it broke.
@@ -20,7 +20,7 @@
 /// A path that is cut off may refuse connections as well. So another upstream must accept one at the same
 /// moment; `references` are their addresses, empty if there is no other.
 pub async fn has_crashed(address: SocketAddr, references: Vec<SocketAddr>) -> bool {
-    if !is_refused(address).await {
+    if !is_refused(socket::connect(address, CHECK_TIMEOUT)).await {
         return false;
     }
     references.is_empty() || accepts_any(references).await
--- a/crates/pointvane-node/src/end_check.rs
+++ b/crates/pointvane-node/src/end_check.rs
@@ -19,14 +19,15 @@
     let Some(id) = node.service_and_id(key).map(|(_, id)| id).filter(|_| connection.ends_body()) else {
         return body;
     };
-    let (node, address) = (Rc::clone(node), connection.address());
+    let connecting = connection.connect_again();
+    let node = Rc::clone(node);
     let is_end = async move {
         let presence = || match node.dispatcher.pool().departure(key, &id) {
             None => UpstreamPresence::Running,
             Some(Departure::Announced) => UpstreamPresence::Leaving,
             Some(Departure::Replaced) => UpstreamPresence::Replaced,
         };
-        is_end_of_body(address, presence).await
+        is_end_of_body(connecting, presence).await
     };
     let (check, task) = EndCheck::new(is_end);
     spawn_local(task);
--- a/crates/pointvane-serve/src/end_check.rs
+++ b/crates/pointvane-serve/src/end_check.rs
@@ -12,7 +12,6 @@
     std::{
         future::Future,
         io,
-        net::SocketAddr,
         pin::Pin,
         task::{Context, Poll, ready},
         time::Duration,
@@ -35,20 +34,23 @@
     Replaced,
 }
 
-/// Whether an address refuses connections, since nothing listens there.
-pub async fn is_refused(address: SocketAddr) -> bool {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+/// Whether a connection that is opened is refused, since nothing listens at its address.
+pub async fn is_refused(connecting: impl Future<Output = io::Result<TcpStream>>) -> bool {
+    let connected = timeout(CONNECT_TIMEOUT, connecting).await;
     connected
         .is_ok_and(|connected| connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused))
 }
 
-/// Whether a body was whole when the upstream at `address` ended its connection just now. `presence` is called before
-/// and after the address was tried.
-pub async fn is_end_of_body(address: SocketAddr, presence: impl Fn() -> UpstreamPresence) -> bool {
+/// Whether a body was whole when its upstream ended the connection just now. `connecting` opens another one in the way
+/// in which requests are sent; `presence` is called before and after that.
+pub async fn is_end_of_body(
+    connecting: impl Future<Output = io::Result<TcpStream>>,
+    presence: impl Fn() -> UpstreamPresence,
+) -> bool {
     if presence() == UpstreamPresence::Leaving {
         return true;
     }
-    let is_refused = is_refused(address).await;
+    let is_refused = is_refused(connecting).await;
     match presence() {
         UpstreamPresence::Running => !is_refused,
         UpstreamPresence::Leaving => true,
--- a/crates/pointvane-serve/tests/end_check.rs
+++ b/crates/pointvane-serve/tests/end_check.rs
@@ -8,7 +8,7 @@
         future::{pending, poll_fn},
         net::{Ipv4Addr, SocketAddr, TcpListener},
     },
-    tokio::runtime::Builder,
+    tokio::{net::TcpStream, runtime::Builder},
 };
 
 fn run<T>(test: impl Future<Output = T>) -> T {
@@ -22,7 +22,7 @@
 }
 
 fn is_end(address: SocketAddr, presence: UpstreamPresence) -> bool {
-    run(is_end_of_body(address, || presence))
+    run(is_end_of_body(TcpStream::connect(address), || presence))
 }
 
 /// Guards against a part of a body that looks whole after a crash, and against whole ones that are refused.
@@ -44,7 +44,7 @@
         asked.set(asked.get() + 1);
         if asked.get() == 1 { UpstreamPresence::Running } else { UpstreamPresence::Leaving }
     };
-    expect_that!(run(is_end_of_body(listening().0, presence)), eq(true));
+    expect_that!(run(is_end_of_body(TcpStream::connect(listening().0), presence)), eq(true));
 }
 
 /// Guards against a check whose task has ended, as at the end of the process, and that counts as passed.
