--- a/crates/pointvane-node/src/exchange.rs
+++ b/crates/pointvane-node/src/exchange.rs
@@ -102,6 +102,17 @@
         node.dispatcher.pool_mut().record_valid_response(key);
         return Err(refusal_outcome(answer, reusable).await);
     }
+    read_own_body(node, request, key, answer, reusable).await
+}
+
+/// Reads the body of a response to this request. A connection that is `reusable` returns to the pool after it.
+async fn read_own_body<A: PlatformAdapter + 'static>(
+    node: &Rc<Node<A>>,
+    request: &CallerRequest,
+    key: UpstreamKey,
+    answer: Answer,
+    reusable: bool,
+) -> Result<Response<RelayBody>, AttemptOutcome> {
     let Answer { head, body, connection, .. } = answer;
     let body = with_end_check(node, key, &connection, body);
     let deadline = node.instant_of(request.answer_deadline_us);
